--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,3 @@
+//! Not written yet.
+
+fn main() {}
--- /dev/null
+++ b/src/access.rs
@@ -0,0 +1,1 @@
+//! Not written yet.
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,113 @@
+//! The control thread: owner of configuration, membership, leases and roles.
+
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot};
+
+use crate::catalogue::{ItemName, ItemSpec};
+use crate::names::{ClassName, ModelName, TargetId, WorkspaceName};
+use crate::snapshot::SnapshotCell;
+
+/// An operator's change of one item.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ItemChange {
+    /// Item concerned.
+    pub item: ItemName,
+    /// New content; `None` deletes it.
+    pub spec: Option<ItemSpec>,
+    /// Revision the change was based on; 0 for a new item.
+    pub based_on: u64,
+}
+
+/// What an accepted change brought about.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ChangeReport {
+    /// Revision of the item after the change.
+    pub revision: u64,
+    /// Daemons known to run the change, this one included.
+    pub confirmed: u32,
+    /// Live daemons that have not confirmed in time.
+    pub unconfirmed: Vec<String>,
+}
+
+/// Why a change was not accepted.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum ChangeError {
+    /// The item has another revision.
+    #[error("the item moved to revision {current} (now {found}); read it and redo the change")]
+    Conflict {
+        /// Revision found; 0 when the item does not exist.
+        current: u64,
+        /// The item as found, in JSON.
+        found: String,
+    },
+    /// The item does not hold together.
+    #[error("{reason}")]
+    Invalid {
+        /// Field, value found, range and remedy.
+        reason: String,
+    },
+    /// The platform cannot take the change now; nothing was changed.
+    #[error("the platform takes no changes now ({reason}); nothing was changed, retry later")]
+    Unavailable {
+        /// What happened.
+        reason: String,
+    },
+    /// Whether the change was taken is not known.
+    #[error("the answer to the change was lost ({reason}); read the item before trying again")]
+    Unknown {
+        /// What happened.
+        reason: String,
+    },
+}
+
+/// What traffic threads and adapters tell the control thread.
+#[derive(Debug)]
+pub enum ControlEvent {
+    /// An operator asks for a change.
+    Change {
+        /// The change.
+        change: ItemChange,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Result<ChangeReport, ChangeError>>,
+    },
+    /// A call to a target failed or worked.
+    TargetSeen {
+        /// Target called.
+        target: TargetId,
+        /// Whether it answered.
+        answered: bool,
+    },
+    /// Work accepted since the last such event, for the forecast of the mix.
+    WorkSeen {
+        /// Model asked for.
+        model: ModelName,
+        /// Prompt tokens that were not cached.
+        prefill_tokens: u64,
+        /// Output tokens.
+        decode_tokens: u64,
+    },
+    /// Cost spent by workspaces on this daemon, for fleet-wide shares.
+    CostSeen {
+        /// Workspace served.
+        workspace: WorkspaceName,
+        /// Class served.
+        class: ClassName,
+        /// Engine time used.
+        cost: Duration,
+    },
+    /// A planned stop begins: leave the addressing and hand over the leases.
+    Stop {
+        /// Told once the leases are handed over.
+        done: oneshot::Sender<()>,
+    },
+}
+
+/// Handle of the control thread.
+#[derive(Clone, Debug)]
+pub struct ControlHandle {
+    /// Newest published state.
+    pub snapshot: SnapshotCell,
+    /// Where events go.
+    pub events: mpsc::UnboundedSender<ControlEvent>,
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,109 @@
+//! The fleet as one daemon sees it: targets, daemons and their states.
+
+use indexmap::IndexMap;
+
+use crate::names::{CentreName, DaemonId, MonoTime, ProcessIncarnation, ServiceName, TargetId};
+use crate::platform_wire::InstanceKind;
+use crate::target_wire::EngineRole;
+
+/// Whether something may receive new work. Later variants win when views are merged.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum UseState {
+    /// In use.
+    #[default]
+    Live,
+    /// Failing for this daemon; probed before new work.
+    Suspect,
+    /// Held by an operator.
+    Drained,
+    /// Told to leave by the platform or by itself.
+    Leaving,
+    /// No longer in the list.
+    Gone,
+}
+
+impl UseState {
+    /// Returns the state's name in status answers.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Live => "live",
+            Self::Suspect => "suspect",
+            Self::Drained => "drained",
+            Self::Leaving => "leaving",
+            Self::Gone => "gone",
+        }
+    }
+}
+
+/// A load report, aged by the time it was taken.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LoadReport {
+    /// Role in force.
+    pub role: EngineRole,
+    /// Whether a change is under way.
+    pub changing: bool,
+    /// Models loaded, as in [`crate::target_wire::EngineState::models`].
+    pub models: Vec<String>,
+    /// Streams running and waiting.
+    pub in_flight: u32,
+    /// Prompt tokens not yet read.
+    pub prefill_backlog_tokens: u64,
+    /// Output tokens promised and not yet generated.
+    pub decode_backlog_tokens: u64,
+    /// KV cache in use, in tokens.
+    pub kv_used_tokens: u64,
+    /// Limit of the KV cache, in tokens.
+    pub kv_limit_tokens: u64,
+    /// When the target took the report, on this daemon's clock.
+    pub taken_at: MonoTime,
+}
+
+/// A target as this daemon sees it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TargetView {
+    /// Its name.
+    pub id: TargetId,
+    /// Engine or service.
+    pub kind: InstanceKind,
+    /// IP number and port.
+    pub address: String,
+    /// Where it stands.
+    pub data_centre: CentreName,
+    /// Service offered, for plain services.
+    pub service: Option<ServiceName>,
+    /// Whether it refuses orders with an old fence.
+    pub checks_fence: bool,
+    /// Whether it may receive new work.
+    pub state: UseState,
+    /// Newest load report.
+    pub report: Option<LoadReport>,
+}
+
+/// A daemon as this daemon sees it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DaemonView {
+    /// Its name.
+    pub id: DaemonId,
+    /// Address for callers.
+    pub address: String,
+    /// Address for peers.
+    pub peer_address: String,
+    /// Where it stands.
+    pub data_centre: CentreName,
+    /// Life of its process; zero while unknown.
+    pub incarnation: ProcessIncarnation,
+    /// Whether callers may be sent there.
+    pub state: UseState,
+}
+
+/// The fleet as one daemon sees it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct FleetView {
+    /// Rises with each change.
+    pub version: u64,
+    /// Targets by name.
+    pub targets: IndexMap<TargetId, TargetView>,
+    /// Daemons by name.
+    pub daemons: IndexMap<DaemonId, DaemonView>,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,60 @@
+//! Serves language-model requests of rival organisations on one fixed fleet of engines.
+//!
+//! Decisions are pure and synchronous; ports and adapters connect them to callers,
+//! targets, the platform and other daemons. `docs/DESIGN.md` is the way in.
+
+pub mod access;
+pub mod addressing;
+pub mod admin_http;
+pub mod answer;
+pub mod breaker;
+pub mod catalogue;
+pub mod client;
+pub mod clock;
+pub mod config_buckets;
+pub mod config_store;
+pub mod control;
+pub mod control_loop;
+pub mod cost;
+pub mod dispatch;
+pub mod engine_http;
+pub mod fair_queue;
+pub mod flags;
+pub mod fleet;
+pub mod intent_link;
+pub mod intent_store;
+pub mod intents;
+pub mod invariants;
+pub mod journal;
+pub mod lease;
+pub mod logging;
+pub mod membership;
+pub mod names;
+pub mod orders;
+pub mod peer_link;
+pub mod peer_wire;
+pub mod placement;
+pub mod platform_http;
+pub mod platform_wire;
+pub mod ports;
+pub mod prefix_index;
+pub mod resume_token;
+pub mod retry_budget;
+pub mod role_plan;
+pub mod rpc_operations;
+pub mod rpc_requests;
+pub mod scheduler;
+pub mod server;
+pub mod service_http;
+pub mod settings;
+pub mod shares;
+pub mod snapshot;
+pub mod target_wire;
+pub mod telemetry;
+pub mod timer;
+
+/// The caller and operator interface, generated from `proto/pistachiowick.proto`.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+pub mod pb {
+    include!("pb/pistachiowick.v1.rs");
+}
