--- /dev/null
+++ b/src/attempt.rs
@@ -0,0 +1,312 @@
+//! One attempt of a request at one engine, with the lines it brings.
+
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use futures_util::StreamExt;
+
+use crate::answer::{AnswerAssembly, AnswerPart, AnswerSummary, LineVerdict};
+use crate::answer_sink::AnswerSink;
+use crate::clock;
+use crate::names::millis;
+use crate::placement::TargetChoice;
+use crate::ports::{LineStream, StreamPosition, TargetCall, TargetError};
+use crate::request::CallerRequest;
+use crate::scheduler::JobMeasure;
+use crate::target_wire::GenerateBody;
+use crate::traffic::{RequestProgress, SIDE_CALL, TrafficContext};
+
+/// Silence that is always allowed between lines.
+const LEAST_SILENCE: Duration = Duration::from_secs(2);
+/// Expected first-token times and token gaps after which an engine counts as stuck.
+const SILENT_GAPS: f64 = 50.0;
+const SILENT_FIRST_TOKENS: f64 = 4.0;
+/// Times a broken stream is taken up again at its engine.
+const MOST_RESUMES: u32 = 2;
+
+/// Why an attempt ended without a whole answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AttemptFault {
+    /// Whether the engine may have worked on the request.
+    pub may_have_run: bool,
+    /// What happened.
+    pub reason: String,
+    /// When to come back, where the engine said so.
+    pub retry_after: Duration,
+}
+
+/// State of a request across its attempts.
+pub struct AttemptState<'a> {
+    /// What the request shares with others.
+    pub context: &'a TrafficContext,
+    /// The request.
+    pub request: &'a CallerRequest,
+    /// The caller's end.
+    pub sink: &'a mut AnswerSink,
+    /// Answer so far.
+    pub assembly: AnswerAssembly,
+    /// Tokens delivered.
+    pub tokens: u32,
+    /// Times of the request.
+    pub progress: &'a mut RequestProgress,
+    meter: GapMeter,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct GapMeter {
+    started: Option<Instant>,
+    first: Option<Instant>,
+    last: Option<Instant>,
+    tokens: u32,
+}
+
+impl<'a> AttemptState<'a> {
+    /// Creates the state of a request that no engine has seen.
+    pub fn new(
+        context: &'a TrafficContext,
+        request: &'a CallerRequest,
+        sink: &'a mut AnswerSink,
+        progress: &'a mut RequestProgress,
+        offset: u64,
+    ) -> Self {
+        Self {
+            context,
+            request,
+            sink,
+            assembly: AnswerAssembly::resume_from(request.id.clone(), offset),
+            tokens: 0,
+            progress,
+            meter: GapMeter::default(),
+        }
+    }
+
+    /// Runs one attempt at an engine until its answer is whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault that says whether the engine may have worked on it.
+    pub async fn run(
+        &mut self,
+        choice: &TargetChoice,
+        attempt: u32,
+    ) -> Result<AnswerSummary, AttemptFault> {
+        self.announce(choice, attempt).await;
+        let lines = self.open(choice, attempt).await?;
+        let mut ending = self.follow(lines, choice, attempt).await;
+        for _ in 0..MOST_RESUMES {
+            let Err(reason) = &ending else { break };
+            log::debug!("request {}: {reason}", self.request.id);
+            let Ok(lines) = self.reopen(choice, attempt).await else {
+                break;
+            };
+            ending = self.follow(lines, choice, attempt).await;
+        }
+        ending.map_err(|reason| AttemptFault {
+            may_have_run: true,
+            reason,
+            retry_after: Duration::ZERO,
+        })
+    }
+
+    /// Takes up a stream that an engine already runs, until the answer is whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault when the engine has the stream no more.
+    pub async fn take_up(
+        &mut self,
+        choice: &TargetChoice,
+        attempt: u32,
+    ) -> Result<AnswerSummary, AttemptFault> {
+        let lines = self.reopen(choice, attempt).await;
+        let lines = lines.map_err(|error| AttemptFault::from(&error))?;
+        self.announce(choice, attempt).await;
+        let ending = self.follow(lines, choice, attempt).await;
+        ending.map_err(|reason| AttemptFault {
+            may_have_run: true,
+            reason,
+            retry_after: Duration::ZERO,
+        })
+    }
+
+    /// Returns what can be learned from the last attempt.
+    #[must_use]
+    pub fn measure(&self, whole: bool) -> JobMeasure {
+        let meter = &self.meter;
+        let span = |from: Option<Instant>, to: Option<Instant>| {
+            Some(to?.duration_since(from?).as_secs_f64())
+        };
+        let gaps = f64::from(meter.tokens.saturating_sub(1));
+        JobMeasure {
+            first_token_s: span(meter.started, meter.first),
+            gap_s: span(meter.first, meter.last)
+                .filter(|_| gaps >= 1.0)
+                .map(|s| s / gaps),
+            whole_tokens: whole.then_some(self.tokens),
+        }
+    }
+
+    async fn announce(&mut self, choice: &TargetChoice, attempt: u32) {
+        let waited = clock::mono_now().since(self.request.arrived);
+        self.progress.queueing.get_or_insert(waited);
+        let token = self.context.token(self.request, Some(choice), attempt);
+        self.sink.accepted(token, attempt, &choice.target).await;
+    }
+
+    async fn open(
+        &mut self,
+        choice: &TargetChoice,
+        attempt: u32,
+    ) -> Result<LineStream, AttemptFault> {
+        let ran_before = self.sink.may_have_run();
+        self.assembly.begin_attempt(attempt);
+        self.meter = GapMeter {
+            started: Some(Instant::now()),
+            ..GapMeter::default()
+        };
+        // Said before the call: a crash of this task in between must not let a
+        // later refusal claim that nothing ran.
+        self.sink.note_dispatched();
+        let call = TargetCall {
+            address: choice.address.clone(),
+            patience: first_silence(choice).min(self.request.time_left()),
+            body: self.body(choice, attempt),
+        };
+        let opened = (self.context.engines.generate)(call).await;
+        let reached = !matches!(opened, Err(TargetError::NotDelivered { .. }));
+        self.context
+            .dispatcher
+            .report_target(&choice.target, reached);
+        opened.map_err(|error| {
+            let fault = AttemptFault::from(&error);
+            if !fault.may_have_run && !ran_before {
+                self.sink.note_not_run();
+            }
+            fault
+        })
+    }
+
+    async fn reopen(
+        &mut self,
+        choice: &TargetChoice,
+        attempt: u32,
+    ) -> Result<LineStream, TargetError> {
+        let call = TargetCall {
+            address: choice.address.clone(),
+            patience: SIDE_CALL.min(self.request.time_left()),
+            body: StreamPosition {
+                request_id: self.request.id.clone(),
+                attempt,
+                offset: self.assembly.delivered(),
+            },
+        };
+        let lines = (self.context.engines.resume)(call).await?;
+        self.assembly.begin_attempt(attempt);
+        Ok(lines)
+    }
+
+    async fn follow(
+        &mut self,
+        mut lines: LineStream,
+        choice: &TargetChoice,
+        attempt: u32,
+    ) -> Result<AnswerSummary, String> {
+        loop {
+            let silence = self.allowed_silence(choice);
+            let line = match tokio::time::timeout(silence, lines.next()).await {
+                Err(_) => return Err(format!("no line for {silence:?}")),
+                Ok(None) => return Err("the stream ended without its end".to_owned()),
+                Ok(Some(Err(error))) => return Err(error.to_string()),
+                Ok(Some(Ok(line))) => line,
+            };
+            match self.assembly.accept(&line) {
+                LineVerdict::Deliver(part) => self.deliver(attempt, part).await,
+                LineVerdict::Finish { part, summary } => {
+                    if let Some(part) = part {
+                        self.deliver(attempt, part).await;
+                    }
+                    return Ok(summary);
+                }
+                LineVerdict::Drop(_) => {}
+                LineVerdict::Break(cause) => return Err(cause.to_string()),
+            }
+        }
+    }
+
+    async fn deliver(&mut self, attempt: u32, part: AnswerPart) {
+        let now = Instant::now();
+        let request = self.request;
+        if let (Some(last), true) = (self.meter.last, part.tokens > 0) {
+            let gap = now.duration_since(last) / part.tokens;
+            self.context
+                .telemetry
+                .token_gap(request.workspace(), request.class_name(), gap);
+        }
+        if self.meter.first.is_none() {
+            self.meter.first = Some(now);
+            let waited = clock::mono_now().since(request.arrived);
+            self.progress.first_token.get_or_insert(waited);
+        }
+        self.meter.last = Some(now);
+        self.meter.tokens += part.tokens;
+        self.tokens += part.tokens;
+        self.sink.part(attempt, part).await;
+    }
+
+    fn allowed_silence(&self, choice: &TargetChoice) -> Duration {
+        match self.meter.first {
+            None => first_silence(choice),
+            Some(_) => scaled(choice.gap_s, SILENT_GAPS),
+        }
+    }
+
+    fn body(&self, choice: &TargetChoice, attempt: u32) -> GenerateBody {
+        let submit = &self.request.submit;
+        let (model, version) = choice.model.split_once('@').unwrap_or((&choice.model, ""));
+        let version = version.split('+').next().unwrap_or_default();
+        GenerateBody {
+            request_id: self.request.id.clone(),
+            attempt,
+            workspace: self.request.workspace().clone(),
+            model: model.split('+').next().unwrap_or_default().into(),
+            adapter: submit.adapter.clone(),
+            version: version.to_owned(),
+            priority: self.request.class.priority,
+            deadline_ms: millis(self.request.time_left()),
+            prompt: STANDARD.encode(&submit.prompt),
+            prompt_tokens: submit.prompt_tokens,
+            max_output_tokens: submit.max_output_tokens,
+            offset: self.assembly.delivered(),
+            tokens_done: self.tokens,
+            shared_prefix: submit.shared_prefix.clone(),
+            shared_prefix_tokens: submit.shared_prefix_tokens,
+            import_kv_from: String::new(),
+        }
+    }
+}
+
+impl From<&TargetError> for AttemptFault {
+    fn from(error: &TargetError) -> Self {
+        let (may_have_run, retry_after) = match error {
+            TargetError::NotDelivered { .. } => (false, Duration::from_millis(100)),
+            TargetError::Refused { retry_after, .. } => (false, *retry_after),
+            TargetError::Fenced { .. } | TargetError::NoStream | TargetError::Lost { .. } => {
+                (true, Duration::ZERO)
+            }
+        };
+        Self {
+            may_have_run,
+            reason: error.to_string(),
+            retry_after,
+        }
+    }
+}
+
+fn first_silence(choice: &TargetChoice) -> Duration {
+    scaled(choice.first_token_s, SILENT_FIRST_TOKENS)
+}
+
+fn scaled(expected_s: f64, factor: f64) -> Duration {
+    LEAST_SILENCE + Duration::from_secs_f64((expected_s * factor).clamp(0.0, 600.0))
+}
--- a/src/breaker.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Not written yet.
--- a/src/cost.rs
+++ b/src/cost.rs
@@ -1,1 +1,206 @@
-//! Not written yet.
+//! What work costs: learned speeds of engines by role and learned answer lengths.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::names::{ClassName, TargetId, WorkspaceName};
+use crate::target_wire::EngineRole;
+
+/// Weight of a new observation in the learned averages.
+const LEARNING_RATE: f64 = 0.05;
+/// Bounds of a learned correction, so that one outlier cannot stop all placement.
+const CORRECTION_RANGE: (f64, f64) = (0.2, 5.0);
+/// Share of the allowed output expected before a class has been observed.
+const FIRST_OUTPUT_SHARE: f64 = 0.7;
+/// Classes remembered; the oldest unused one falls out.
+const CLASSES_REMEMBERED: usize = 20_000;
+
+/// First guesses of an engine's speed; corrected by observation.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct SpeedSettings {
+    /// Prompt tokens a mixed engine reads per second.
+    pub prefill_tokens_per_s: f64,
+    /// Milliseconds per output token of a lone stream.
+    pub token_base_ms: f64,
+    /// Milliseconds added per output token by each further stream.
+    pub token_per_stream_ms: f64,
+    /// Prefill speed of prefill engines relative to mixed ones.
+    pub prefill_role_prefill: f64,
+    /// Decode speed of prefill engines relative to mixed ones.
+    pub prefill_role_decode: f64,
+    /// Prefill speed of decode engines relative to mixed ones.
+    pub decode_role_prefill: f64,
+    /// Decode speed of decode engines relative to mixed ones.
+    pub decode_role_decode: f64,
+}
+
+impl Default for SpeedSettings {
+    fn default() -> Self {
+        Self {
+            prefill_tokens_per_s: 8_000.0,
+            token_base_ms: 10.0,
+            token_per_stream_ms: 1.0,
+            prefill_role_prefill: 1.8,
+            prefill_role_decode: 0.35,
+            decode_role_prefill: 0.45,
+            decode_role_decode: 1.6,
+        }
+    }
+}
+
+/// Speeds of a role relative to a mixed engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RoleSpeed {
+    /// Prefill speed.
+    pub prefill: f64,
+    /// Decode speed.
+    pub decode: f64,
+}
+
+impl SpeedSettings {
+    /// Returns the speeds of a role relative to a mixed engine.
+    #[must_use]
+    pub fn role_speed(&self, role: EngineRole) -> RoleSpeed {
+        match role {
+            EngineRole::Mixed => RoleSpeed {
+                prefill: 1.0,
+                decode: 1.0,
+            },
+            EngineRole::Prefill => RoleSpeed {
+                prefill: self.prefill_role_prefill,
+                decode: self.prefill_role_decode,
+            },
+            EngineRole::Decode => RoleSpeed {
+                prefill: self.decode_role_prefill,
+                decode: self.decode_role_decode,
+            },
+        }
+    }
+}
+
+/// Correction factors of one engine; 1 means as expected, 2 twice as slow.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct SpeedCorrection {
+    prefill: f64,
+    decode: f64,
+}
+
+impl Default for SpeedCorrection {
+    fn default() -> Self {
+        Self {
+            prefill: 1.0,
+            decode: 1.0,
+        }
+    }
+}
+
+/// Expected times, from the settings and from what was observed.
+#[derive(Clone, Debug)]
+pub struct CostModel {
+    speeds: SpeedSettings,
+    corrections: IndexMap<TargetId, SpeedCorrection>,
+    output_shares: IndexMap<(WorkspaceName, ClassName), f64>,
+}
+
+impl CostModel {
+    /// Creates a model that has observed nothing.
+    #[must_use]
+    pub fn new(speeds: SpeedSettings) -> Self {
+        Self {
+            speeds,
+            corrections: IndexMap::new(),
+            output_shares: IndexMap::new(),
+        }
+    }
+
+    /// Returns the seconds an engine takes to read `tokens` of prompt.
+    #[must_use]
+    pub fn prefill_seconds(&self, target: &TargetId, role: EngineRole, tokens: f64) -> f64 {
+        let rate = self.speeds.prefill_tokens_per_s * self.speeds.role_speed(role).prefill;
+        tokens / rate * self.correction(target).prefill
+    }
+
+    /// Returns the seconds between output tokens beside `others` further streams.
+    #[must_use]
+    pub fn gap_seconds(&self, target: &TargetId, role: EngineRole, others: f64) -> f64 {
+        let gap_ms = self.speeds.token_base_ms + others * self.speeds.token_per_stream_ms;
+        gap_ms / 1_000.0 / self.speeds.role_speed(role).decode * self.correction(target).decode
+    }
+
+    /// Returns the engine-seconds that work takes from others on a mixed engine.
+    #[must_use]
+    pub fn engine_seconds(&self, prefill_tokens: f64, output_tokens: f64) -> f64 {
+        let prefill = prefill_tokens / self.speeds.prefill_tokens_per_s;
+        let decode = output_tokens * self.speeds.token_per_stream_ms / 1_000.0;
+        prefill + decode
+    }
+
+    /// Returns the output tokens expected of a request.
+    #[must_use]
+    pub fn expected_output(
+        &self,
+        workspace: &WorkspaceName,
+        class: &ClassName,
+        max_output_tokens: u32,
+    ) -> f64 {
+        let share = self
+            .output_shares
+            .get(&(workspace.clone(), class.clone()))
+            .copied()
+            .unwrap_or(FIRST_OUTPUT_SHARE);
+        (share * f64::from(max_output_tokens)).max(1.0)
+    }
+
+    /// Learns from the length of a whole answer.
+    pub fn observe_output(
+        &mut self,
+        workspace: &WorkspaceName,
+        class: &ClassName,
+        tokens: u32,
+        max_output_tokens: u32,
+    ) {
+        if max_output_tokens == 0 {
+            return;
+        }
+        if self.output_shares.len() >= CLASSES_REMEMBERED {
+            self.output_shares.shift_remove_index(0);
+        }
+        let seen = f64::from(tokens) / f64::from(max_output_tokens);
+        let share = self
+            .output_shares
+            .entry((workspace.clone(), class.clone()))
+            .or_insert(seen);
+        *share += LEARNING_RATE * (seen - *share);
+    }
+
+    /// Learns from a first token that came after `actual` seconds instead of `expected`.
+    pub fn observe_prefill(&mut self, target: &TargetId, expected: f64, actual: f64) {
+        let correction = self.corrections.entry(target.clone()).or_default();
+        correction.prefill = learned(correction.prefill, expected, actual);
+    }
+
+    /// Learns from a token gap of `actual` seconds where `expected` was foreseen.
+    pub fn observe_gap(&mut self, target: &TargetId, expected: f64, actual: f64) {
+        let correction = self.corrections.entry(target.clone()).or_default();
+        correction.decode = learned(correction.decode, expected, actual);
+    }
+
+    /// Forgets targets that are no longer in the fleet.
+    pub fn retain_targets(&mut self, known: impl Fn(&TargetId) -> bool) {
+        self.corrections.retain(|target, _| known(target));
+    }
+
+    fn correction(&self, target: &TargetId) -> SpeedCorrection {
+        self.corrections.get(target).copied().unwrap_or_default()
+    }
+}
+
+fn learned(factor: f64, expected: f64, actual: f64) -> f64 {
+    if expected <= 0.0 || !actual.is_finite() {
+        return factor;
+    }
+    let ratio = (actual / expected).clamp(0.25, 4.0);
+    let (low, high) = CORRECTION_RANGE;
+    (factor * (1.0 + LEARNING_RATE * (ratio - 1.0))).clamp(low, high)
+}
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -1,1 +1,284 @@
-//! Not written yet.
+//! Carries out what the scheduler decides: wakes the requests that wait for a target.
+
+use std::future::Future;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use tokio::sync::oneshot;
+
+use crate::clock;
+use crate::control::{ControlEvent, ControlHandle};
+use crate::fair_queue::JobNumber;
+use crate::journal::{DecisionJournal, DecisionKind};
+use crate::names::{RequestId, TargetId};
+use crate::placement::{PlacementNeed, TargetChoice};
+use crate::scheduler::{JobMeasure, JobRefusal, JobSpec, ScheduleAction, Scheduler};
+use crate::target_wire::CacheEvent;
+
+/// Time between looks at the queue when nothing else wakes it.
+const PUMP_INTERVAL: Duration = Duration::from_millis(20);
+
+type GrantReply = Result<TargetChoice, JobRefusal>;
+
+struct DispatchState {
+    scheduler: Scheduler,
+    waiters: IndexMap<JobNumber, JobWaiter>,
+}
+
+struct JobWaiter {
+    request_id: RequestId,
+    reply: oneshot::Sender<GrantReply>,
+}
+
+/// The scheduler with the requests that wait for it. Cheap to clone.
+#[derive(Clone)]
+pub struct JobDispatcher {
+    state: Arc<Mutex<DispatchState>>,
+    control: ControlHandle,
+    journal: DecisionJournal,
+}
+
+/// A request admitted and waiting for a target. Dropping it withdraws the request.
+pub struct JobTicket {
+    /// Its number.
+    pub number: JobNumber,
+    grant: oneshot::Receiver<GrantReply>,
+    dispatcher: JobDispatcher,
+    settled: bool,
+}
+
+/// A request at a target. Dropping it without [`JobSlot::finish`] frees the slot too.
+pub struct JobSlot {
+    /// Target chosen.
+    pub choice: TargetChoice,
+    number: JobNumber,
+    dispatcher: JobDispatcher,
+    settled: bool,
+}
+
+impl JobDispatcher {
+    /// Creates a dispatcher around a scheduler.
+    #[must_use]
+    pub fn new(scheduler: Scheduler, control: ControlHandle, journal: DecisionJournal) -> Self {
+        let state = DispatchState {
+            scheduler,
+            waiters: IndexMap::new(),
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+            control,
+            journal,
+        }
+    }
+
+    /// Takes over fleet changes and places waiting work until `stopped` resolves.
+    pub async fn run(self, stopped: impl Future<Output = ()>) {
+        tokio::pin!(stopped);
+        let mut ticks = tokio::time::interval(PUMP_INTERVAL);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = &mut stopped => return,
+                _ = ticks.tick() => self.take_snapshot(),
+            }
+        }
+    }
+
+    /// Admits a request, or refuses it at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of [`Scheduler::admit`].
+    pub fn admit(&self, request_id: &RequestId, spec: JobSpec) -> Result<JobTicket, JobRefusal> {
+        let now = clock::mono_now();
+        let mut state = self.lock();
+        let workspace = spec.workspace.clone();
+        let admitted = state.scheduler.admit(spec, now);
+        let number = admitted.inspect_err(|refusal| {
+            let reason = format!("{workspace}: {}", refusal.reason);
+            self.journal
+                .record(DecisionKind::Refused, request_id.as_str(), reason);
+        })?;
+        let ticket = self.wait_in(&mut state, number, request_id);
+        let actions = state.scheduler.pump(now);
+        self.carry_out(&mut state, actions);
+        Ok(ticket)
+    }
+
+    /// Takes in an engine's cache events.
+    pub fn note_cache_events(&self, target: &TargetId, events: &[CacheEvent]) {
+        self.lock().scheduler.note_cache_events(target, events);
+    }
+
+    /// Returns the number of own requests at a target.
+    #[must_use]
+    pub fn own_in_flight(&self, target: &TargetId) -> usize {
+        self.lock().scheduler.own_in_flight(target)
+    }
+
+    /// Returns the numbers of waiting and of placed requests.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize) {
+        self.lock().scheduler.counts()
+    }
+
+    /// Tells the control thread whether a target answered.
+    pub fn report_target(&self, target: &TargetId, answered: bool) {
+        let event = ControlEvent::TargetSeen {
+            target: target.clone(),
+            answered,
+        };
+        // A closed channel means the daemon is going down; nobody needs the news then.
+        let _ = self.control.events.send(event);
+    }
+
+    fn take_snapshot(&self) {
+        let snapshot = self.control.snapshot.load_full();
+        let now = clock::mono_now();
+        let mut state = self.lock();
+        let fleet = Arc::clone(&snapshot.fleet);
+        let actions = state
+            .scheduler
+            .update_fleet(fleet, snapshot.live_daemons, now);
+        self.carry_out(&mut state, actions);
+    }
+
+    fn wait_in(
+        &self,
+        state: &mut DispatchState,
+        number: JobNumber,
+        request_id: &RequestId,
+    ) -> JobTicket {
+        let (reply, grant) = oneshot::channel();
+        let waiter = JobWaiter {
+            request_id: request_id.clone(),
+            reply,
+        };
+        state.waiters.insert(number, waiter);
+        JobTicket {
+            number,
+            grant,
+            dispatcher: self.clone(),
+            settled: false,
+        }
+    }
+
+    fn carry_out(&self, state: &mut DispatchState, actions: Vec<ScheduleAction>) {
+        for action in actions {
+            let (number, reply) = match action {
+                ScheduleAction::Start(grant) => (grant.number, Ok(grant.choice)),
+                ScheduleAction::GiveUp(number, refusal) => (number, Err(refusal)),
+            };
+            let Some(waiter) = state.waiters.swap_remove(&number) else {
+                state
+                    .scheduler
+                    .finish(number, JobMeasure::default(), clock::mono_now());
+                continue;
+            };
+            self.explain(&waiter.request_id, &reply);
+            if waiter.reply.send(reply).is_err() {
+                state
+                    .scheduler
+                    .finish(number, JobMeasure::default(), clock::mono_now());
+            }
+        }
+    }
+
+    fn explain(&self, request_id: &RequestId, reply: &GrantReply) {
+        match reply {
+            Ok(choice) => {
+                let reason = format!("{}: {}", choice.target, choice.reason);
+                self.journal
+                    .record(DecisionKind::Placed, request_id.as_str(), reason);
+            }
+            Err(refusal) => {
+                let reason = refusal.reason.clone();
+                self.journal
+                    .record(DecisionKind::Refused, request_id.as_str(), reason);
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, DispatchState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl JobTicket {
+    /// Waits for a target.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when no target became free in time.
+    pub async fn wait(mut self) -> Result<JobSlot, JobRefusal> {
+        let reply = (&mut self.grant).await;
+        self.settled = true;
+        let choice = reply.unwrap_or_else(|_| {
+            Err(JobRefusal {
+                reason: "the daemon is going down".to_owned(),
+                retry_after: Duration::from_millis(100),
+            })
+        })?;
+        Ok(JobSlot {
+            choice,
+            number: self.number,
+            dispatcher: self.dispatcher.clone(),
+            settled: false,
+        })
+    }
+}
+
+impl Drop for JobTicket {
+    fn drop(&mut self) {
+        if self.settled {
+            return;
+        }
+        let mut state = self.dispatcher.lock();
+        state.waiters.swap_remove(&self.number);
+        if !state.scheduler.withdraw(self.number) {
+            // The grant was sent and not yet taken: without this its slot would leak.
+            state
+                .scheduler
+                .finish(self.number, JobMeasure::default(), clock::mono_now());
+        }
+    }
+}
+
+impl JobSlot {
+    /// Frees the slot and learns from the work.
+    pub fn finish(mut self, measure: JobMeasure) {
+        self.settle(measure);
+    }
+
+    /// Frees the slot and waits for another target.
+    #[must_use]
+    pub fn retry(mut self, request_id: &RequestId, need: PlacementNeed) -> JobTicket {
+        self.settled = true;
+        let now = clock::mono_now();
+        let dispatcher = self.dispatcher.clone();
+        let mut state = dispatcher.lock();
+        state.scheduler.retry(self.number, need);
+        let ticket = dispatcher.wait_in(&mut state, self.number, request_id);
+        let actions = state.scheduler.pump(now);
+        dispatcher.carry_out(&mut state, actions);
+        ticket
+    }
+
+    fn settle(&mut self, measure: JobMeasure) {
+        self.settled = true;
+        let now = clock::mono_now();
+        let mut state = self.dispatcher.lock();
+        state.scheduler.finish(self.number, measure, now);
+        let actions = state.scheduler.pump(now);
+        self.dispatcher.carry_out(&mut state, actions);
+    }
+}
+
+impl Drop for JobSlot {
+    fn drop(&mut self) {
+        if !self.settled {
+            self.settle(JobMeasure::default());
+        }
+    }
+}
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -1,1 +1,414 @@
-//! Not written yet.
+//! Chooses a target for one request from a bounded number of candidates.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use crate::cost::CostModel;
+use crate::fair_queue::JobNumber;
+use crate::fleet::{FleetView, LoadReport, TargetView, UseState};
+use crate::names::{CentreName, ModelName, MonoTime, ServiceName, TargetId};
+use crate::platform_wire::InstanceKind;
+use crate::prefix_index::PrefixIndex;
+use crate::settings::{PlacementPolicy, PolicySettings};
+use crate::target_wire::EngineRole;
+
+/// Candidates looked at for one placement, however large the fleet is.
+const MOST_CANDIDATES: usize = 16;
+/// Age from which a load report says nothing any more, in milliseconds.
+const REPORT_USELESS_MS: u64 = 10_000;
+/// Prefill work an engine may have waiting before requests wait here instead,
+/// where shares and deadlines still order them.
+const MOST_PREFILL_WAIT_S: f64 = 0.4;
+
+/// Targets that can do the same work.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum PoolKey {
+    /// Engines that hold a model.
+    Model(ModelName),
+    /// Instances of a plain service.
+    Service(ServiceName),
+}
+
+/// What a request needs of a target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlacementNeed {
+    /// Pool to choose from.
+    pub pool: PoolKey,
+    /// Versions allowed; empty allows all.
+    pub versions: Vec<String>,
+    /// Adapter needed; empty for none.
+    pub adapter: String,
+    /// Model, version and adapter of an earlier attempt, which a continuation must keep.
+    pub pinned_model: Option<String>,
+    /// Prompt tokens.
+    pub prompt_tokens: f64,
+    /// Output tokens still expected.
+    pub output_tokens: f64,
+    /// Shared part of the prompt; empty for none.
+    pub shared_prefix: String,
+    /// Tokens of the shared part.
+    pub shared_prefix_tokens: u32,
+    /// Targets that failed the request before.
+    pub excluded: Vec<TargetId>,
+}
+
+/// A target chosen.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetChoice {
+    /// The target.
+    pub target: TargetId,
+    /// Its address.
+    pub address: String,
+    /// Model, version and adapter as the engine names them; empty for services.
+    pub model: String,
+    /// Expected seconds to the first token.
+    pub first_token_s: f64,
+    /// Expected seconds between tokens.
+    pub gap_s: f64,
+    /// Expected seconds to the whole answer.
+    pub finish_s: f64,
+    /// Why it was chosen.
+    pub reason: String,
+}
+
+/// A request of this daemon at a target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunningJob {
+    /// The request.
+    pub number: JobNumber,
+    /// When it was placed.
+    pub placed_at: MonoTime,
+    /// Prompt tokens to read.
+    pub prefill_tokens: f64,
+}
+
+/// Own work at one target.
+#[derive(Clone, Debug, Default)]
+pub struct OwnWork {
+    /// Requests in flight.
+    pub running: Vec<RunningJob>,
+    /// Placement and end of requests that ended since the last report.
+    pub ended: Vec<(MonoTime, MonoTime)>,
+}
+
+/// Candidates by pool, rebuilt when the fleet's shape changes.
+#[derive(Clone, Debug, Default)]
+pub struct CandidateIndex {
+    pools: IndexMap<PoolKey, Vec<TargetId>>,
+}
+
+impl CandidateIndex {
+    /// Builds the index of a fleet, targets of the own data centre first.
+    #[must_use]
+    pub fn build(fleet: &FleetView, centre: &CentreName) -> Self {
+        let mut pools: IndexMap<PoolKey, Vec<TargetId>> = IndexMap::new();
+        let (near, far): (Vec<_>, Vec<_>) = fleet
+            .targets
+            .values()
+            .partition(|t| t.data_centre == *centre);
+        for target in near.into_iter().chain(far) {
+            for pool in pools_of(target) {
+                pools.entry(pool).or_default().push(target.id.clone());
+            }
+        }
+        Self { pools }
+    }
+
+    /// Returns the targets of a pool.
+    #[must_use]
+    pub fn targets(&self, pool: &PoolKey) -> &[TargetId] {
+        self.pools.get(pool).map_or(&[], Vec::as_slice)
+    }
+}
+
+/// Everything a choice looks at.
+pub struct PlacementInputs<'a> {
+    /// The fleet.
+    pub fleet: &'a FleetView,
+    /// Candidates by pool.
+    pub index: &'a CandidateIndex,
+    /// Expected times.
+    pub costs: &'a CostModel,
+    /// Beliefs about caches.
+    pub prefixes: &'a PrefixIndex,
+    /// Own work by target.
+    pub own: &'a IndexMap<TargetId, OwnWork>,
+    /// Policy in force.
+    pub policy: &'a PolicySettings,
+    /// Live daemons, this one included.
+    pub live_daemons: usize,
+    /// Time of the choice.
+    pub now: MonoTime,
+}
+
+/// Chooses a target with room for the request, or `None` when all are full.
+#[must_use]
+pub fn choose_target(
+    need: &PlacementNeed,
+    inputs: &PlacementInputs<'_>,
+    turn: &mut usize,
+    rng: &mut SmallRng,
+) -> Option<TargetChoice> {
+    let candidates = candidates(need, inputs, rng);
+    let mut choices: Vec<(f64, TargetChoice)> = candidates
+        .iter()
+        .filter_map(|target| inputs.fleet.targets.get(target))
+        .filter_map(|target| estimate(need, target, inputs))
+        .collect();
+    let chosen = match inputs.policy.placement {
+        PlacementPolicy::Estimate => least(&choices, |(_, c)| c.finish_s),
+        PlacementPolicy::LeastInFlight => least(&choices, |(load, _)| *load),
+        PlacementPolicy::RoundRobin => next_in_turn(choices.len(), turn),
+    }?;
+    Some(choices.swap_remove(chosen).1)
+}
+
+fn least(
+    choices: &[(f64, TargetChoice)],
+    score: impl Fn(&(f64, TargetChoice)) -> f64,
+) -> Option<usize> {
+    let scored = choices.iter().enumerate();
+    scored
+        .min_by(|(_, a), (_, b)| score(a).total_cmp(&score(b)))
+        .map(|(at, _)| at)
+}
+
+fn next_in_turn(count: usize, turn: &mut usize) -> Option<usize> {
+    if count == 0 {
+        return None;
+    }
+    *turn = turn.wrapping_add(1);
+    Some(*turn % count)
+}
+
+/// Draws candidates at random, so that daemons with the same lagging view do not
+/// all run to the same target, and adds the holders of the shared prefix.
+fn candidates(
+    need: &PlacementNeed,
+    inputs: &PlacementInputs<'_>,
+    rng: &mut SmallRng,
+) -> Vec<TargetId> {
+    let pool = inputs.index.targets(&need.pool);
+    if pool.len() <= MOST_CANDIDATES {
+        return pool.to_vec();
+    }
+    let mut drawn: Vec<TargetId> = Vec::with_capacity(MOST_CANDIDATES);
+    let holders = inputs.prefixes.holders(&need.shared_prefix);
+    drawn.extend(holders.iter().map(|h| h.target.clone()));
+    while drawn.len() < MOST_CANDIDATES {
+        drawn.push(pool[rng.random_range(0..pool.len())].clone());
+    }
+    drawn
+}
+
+fn estimate(
+    need: &PlacementNeed,
+    target: &TargetView,
+    inputs: &PlacementInputs<'_>,
+) -> Option<(f64, TargetChoice)> {
+    if target.state != UseState::Live || need.excluded.contains(&target.id) {
+        return None;
+    }
+    match &need.pool {
+        PoolKey::Service(_) => estimate_service(target, inputs),
+        PoolKey::Model(model) => estimate_engine(need, model, target, inputs),
+    }
+}
+
+fn estimate_service(
+    target: &TargetView,
+    inputs: &PlacementInputs<'_>,
+) -> Option<(f64, TargetChoice)> {
+    let own = inputs.own.get(&target.id).map_or(0, |o| o.running.len());
+    if own >= inputs.policy.service_in_flight {
+        return None;
+    }
+    let load = own as f64;
+    let choice = TargetChoice {
+        target: target.id.clone(),
+        address: target.address.clone(),
+        model: String::new(),
+        first_token_s: 0.0,
+        gap_s: 0.0,
+        finish_s: load,
+        reason: format!("{own} own calls in flight"),
+    };
+    Some((load, choice))
+}
+
+fn estimate_engine(
+    need: &PlacementNeed,
+    model: &ModelName,
+    target: &TargetView,
+    inputs: &PlacementInputs<'_>,
+) -> Option<(f64, TargetChoice)> {
+    let report = target.report.as_ref()?;
+    if report.changing {
+        return None;
+    }
+    let label = fitting_model(&report.models, model, need)?;
+    let load = EngineLoad::of(target, report, inputs);
+    if load.in_flight >= inputs.policy.engine_in_flight as f64 {
+        return None;
+    }
+    let backlog_s = inputs
+        .costs
+        .prefill_seconds(&target.id, report.role, load.prefill_tokens);
+    if load.in_flight >= 1.0 && backlog_s > MOST_PREFILL_WAIT_S {
+        return None;
+    }
+    let uncached = uncached_tokens(need, &target.id, inputs.prefixes);
+    let read_s = inputs
+        .costs
+        .prefill_seconds(&target.id, report.role, uncached);
+    let gap_s = inputs
+        .costs
+        .gap_seconds(&target.id, report.role, load.in_flight);
+    let first_token_s = backlog_s + read_s;
+    let finish_s = first_token_s + need.output_tokens * gap_s;
+    let choice = TargetChoice {
+        target: target.id.clone(),
+        address: target.address.clone(),
+        model: label.to_owned(),
+        first_token_s,
+        gap_s,
+        finish_s,
+        reason: format!(
+            "{:?} engine, about {:.0} in flight, {:.0} of {:.0} prompt tokens to read, \
+             first token in {:.0} ms, whole answer in {:.0} ms",
+            report.role,
+            load.in_flight,
+            uncached,
+            need.prompt_tokens,
+            first_token_s * 1_000.0,
+            finish_s * 1_000.0
+        ),
+    };
+    Some((load.in_flight, choice))
+}
+
+fn uncached_tokens(need: &PlacementNeed, target: &TargetId, prefixes: &PrefixIndex) -> f64 {
+    if need.shared_prefix.is_empty() {
+        return need.prompt_tokens;
+    }
+    let held = prefixes.expected_tokens(&need.shared_prefix, target);
+    let shared = held.min(f64::from(need.shared_prefix_tokens));
+    (need.prompt_tokens - shared).max(0.0)
+}
+
+/// Load of an engine now, from a report that lags and from own work since.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct EngineLoad {
+    in_flight: f64,
+    prefill_tokens: f64,
+}
+
+impl EngineLoad {
+    fn of(target: &TargetView, report: &LoadReport, inputs: &PlacementInputs<'_>) -> Self {
+        let age = inputs.now.since(report.taken_at);
+        let own = inputs.own.get(&target.id);
+        let own_running = own.map_or(0, |o| o.running.len()) as f64;
+        if age.as_millis() as u64 > REPORT_USELESS_MS {
+            return Self::from_own_work(own_running, inputs.live_daemons);
+        }
+        let since = |at: MonoTime| at > report.taken_at;
+        let placed: Vec<&RunningJob> = own
+            .map(|o| o.running.iter().filter(|j| since(j.placed_at)).collect())
+            .unwrap_or_default();
+        let ended = own.map_or(0, |o| {
+            let before = o.ended.iter().filter(|(placed, _)| !since(*placed));
+            before.filter(|(_, ended)| since(*ended)).count()
+        }) as f64;
+        let in_flight = f64::from(report.in_flight) + placed.len() as f64 - ended;
+        let read = speed(inputs, target, report.role) * age.as_secs_f64();
+        let reported = (report.prefill_backlog_tokens as f64 - read).max(0.0);
+        let added: f64 = placed.iter().map(|j| j.prefill_tokens).sum();
+        let added = (added - read).max(0.0);
+        Self {
+            in_flight: in_flight.max(own_running),
+            prefill_tokens: reported + added,
+        }
+    }
+
+    /// Without a useful report the other daemons are taken to be as busy as this one.
+    fn from_own_work(own_running: f64, live_daemons: usize) -> Self {
+        Self {
+            in_flight: own_running * live_daemons.max(1) as f64,
+            prefill_tokens: 0.0,
+        }
+    }
+}
+
+fn speed(inputs: &PlacementInputs<'_>, target: &TargetView, role: EngineRole) -> f64 {
+    1.0 / inputs.costs.prefill_seconds(&target.id, role, 1.0)
+}
+
+fn pools_of(target: &TargetView) -> Vec<PoolKey> {
+    match target.kind {
+        InstanceKind::Entry => Vec::new(),
+        InstanceKind::Service => target
+            .service
+            .iter()
+            .cloned()
+            .map(PoolKey::Service)
+            .collect(),
+        InstanceKind::Engine => {
+            let models = target.report.iter().flat_map(|r| r.models.iter());
+            let mut names: Vec<ModelName> = models
+                .map(|label| ModelName::from(ModelLabel::parse(label).name))
+                .collect();
+            names.sort();
+            names.dedup();
+            names.into_iter().map(PoolKey::Model).collect()
+        }
+    }
+}
+
+/// Returns the loaded model that fits the request, the last one listed first.
+fn fitting_model<'a>(
+    loaded: &'a [String],
+    model: &ModelName,
+    need: &PlacementNeed,
+) -> Option<&'a str> {
+    if let Some(pinned) = &need.pinned_model {
+        return loaded.iter().find(|l| *l == pinned).map(String::as_str);
+    }
+    let fits = |label: &&String| {
+        let label = ModelLabel::parse(label);
+        let version_fits =
+            need.versions.is_empty() || need.versions.iter().any(|v| v == label.version);
+        label.name == model.as_str() && version_fits && label.adapter == need.adapter
+    };
+    loaded.iter().rfind(fits).map(String::as_str)
+}
+
+/// A loaded model as engines name it: `MODEL`, `MODEL@VERSION`, `MODEL@VERSION+ADAPTER`.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ModelLabel<'a> {
+    /// Model.
+    pub name: &'a str,
+    /// Version; empty when not named.
+    pub version: &'a str,
+    /// Adapter; empty for none.
+    pub adapter: &'a str,
+}
+
+impl<'a> ModelLabel<'a> {
+    /// Splits a label.
+    #[must_use]
+    pub fn parse(label: &'a str) -> Self {
+        let (base, adapter) = label.split_once('+').unwrap_or((label, ""));
+        let (name, version) = base.split_once('@').unwrap_or((base, ""));
+        Self {
+            name,
+            version,
+            adapter,
+        }
+    }
+}
+
+/// Shares a fleet view with the scheduler.
+pub type SharedFleet = Arc<FleetView>;
--- /dev/null
+++ b/src/request.rs
@@ -0,0 +1,306 @@
+//! A caller's request after its checks: who asks, for what, until when.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sha2::{Digest, Sha256};
+
+use crate::catalogue::{ClassSpec, ClassTarget};
+use crate::clock;
+use crate::intent_store::IntentKey;
+use crate::names::{
+    ClassName, ModelName, MonoTime, RequestId, RequestKey, UnixTime, WorkspaceName,
+};
+use crate::pb;
+use crate::placement::{PlacementNeed, PoolKey};
+use crate::scheduler::JobSpec;
+use crate::settings::LimitSettings;
+use crate::snapshot::ConfigView;
+
+/// Longest key in bytes.
+const LONGEST_KEY: usize = 200;
+/// Most output tokens of one request.
+const MOST_OUTPUT_TOKENS: u32 = 1 << 20;
+
+/// A checked request.
+#[derive(Clone, Debug)]
+pub struct CallerRequest {
+    /// Identity given by this daemon.
+    pub id: RequestId,
+    /// Class of the work.
+    pub class: Arc<ClassSpec>,
+    /// Share of the workspace.
+    pub weight: u32,
+    /// Pool of targets that serve it.
+    pub pool: PoolKey,
+    /// Versions allowed.
+    pub versions: Vec<String>,
+    /// When the whole answer is due, on this daemon's clock.
+    pub deadline: MonoTime,
+    /// The same on the wall clock, for tokens.
+    pub deadline_unix: UnixTime,
+    /// When it arrived.
+    pub arrived: MonoTime,
+    /// Identity of a request that may not be repeated.
+    pub intent: Option<IntentKey>,
+    /// The message itself.
+    pub submit: pb::SubmitRequest,
+}
+
+/// Why a message is not a request; nothing was run.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum RequestFault {
+    /// The class is not configured.
+    #[error(
+        "class {class:?} is not configured for workspace {workspace}; ask an operator or name another class"
+    )]
+    UnknownClass {
+        /// Class asked for.
+        class: String,
+        /// Workspace that asks.
+        workspace: WorkspaceName,
+    },
+    /// A field has a value outside its range.
+    #[error("{field} is {found}; {remedy}")]
+    Field {
+        /// Field of the message.
+        field: &'static str,
+        /// Value found.
+        found: String,
+        /// What to send instead.
+        remedy: String,
+    },
+}
+
+fn fault(field: &'static str, found: impl ToString, remedy: impl Into<String>) -> RequestFault {
+    RequestFault::Field {
+        field,
+        found: found.to_string(),
+        remedy: remedy.into(),
+    }
+}
+
+impl CallerRequest {
+    /// Checks a message against the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault that names the field and the remedy; nothing was run.
+    pub fn check(
+        id: RequestId,
+        workspace: &WorkspaceName,
+        submit: pb::SubmitRequest,
+        config: &ConfigView,
+        limits: &LimitSettings,
+    ) -> Result<Self, RequestFault> {
+        let class = find_class(workspace, &submit.class, config)?;
+        let weight = config.workspaces.get(workspace).map_or(1, |w| w.weight);
+        let (pool, versions) = choose_pool(&class, &submit)?;
+        check_sizes(&submit, &class)?;
+        let span = deadline_span(&submit, &class, limits)?;
+        let intent = intent_key(workspace, &class, &submit)?;
+        let arrived = clock::mono_now();
+        Ok(Self {
+            id,
+            weight,
+            pool,
+            versions,
+            deadline: arrived.plus(span),
+            deadline_unix: clock::unix_now().plus(span),
+            arrived,
+            intent,
+            submit,
+            class,
+        })
+    }
+
+    /// Returns the workspace that asks.
+    #[must_use]
+    pub fn workspace(&self) -> &WorkspaceName {
+        &self.class.workspace
+    }
+
+    /// Returns the class of the work.
+    #[must_use]
+    pub fn class_name(&self) -> &ClassName {
+        &self.class.name
+    }
+
+    /// Returns the time left until the deadline.
+    #[must_use]
+    pub fn time_left(&self) -> Duration {
+        self.deadline.since(clock::mono_now())
+    }
+
+    /// Returns what the request asks of the scheduler.
+    #[must_use]
+    pub fn job_spec(&self) -> JobSpec {
+        JobSpec {
+            workspace: self.workspace().clone(),
+            class: self.class_name().clone(),
+            weight: self.weight,
+            priority: self.class.priority,
+            deadline: self.deadline,
+            max_output_tokens: self.submit.max_output_tokens,
+            need: PlacementNeed {
+                pool: self.pool.clone(),
+                versions: self.versions.clone(),
+                adapter: self.submit.adapter.clone(),
+                pinned_model: None,
+                prompt_tokens: f64::from(self.submit.prompt_tokens),
+                output_tokens: f64::from(self.submit.max_output_tokens),
+                shared_prefix: self.submit.shared_prefix.clone(),
+                shared_prefix_tokens: self.submit.shared_prefix_tokens,
+                excluded: Vec::new(),
+            },
+        }
+    }
+
+    /// Returns a digest of class and body, by which a reused key is noticed.
+    #[must_use]
+    pub fn fingerprint(&self) -> [u8; 16] {
+        let submit = &self.submit;
+        let mut digest = Sha256::new();
+        let texts = [
+            submit.class.as_bytes(),
+            submit.model.as_bytes(),
+            submit.adapter.as_bytes(),
+            submit.version.as_bytes(),
+            submit.prompt.as_slice(),
+        ];
+        for text in texts {
+            digest.update((text.len() as u64).to_le_bytes());
+            digest.update(text);
+        }
+        digest.update(submit.max_output_tokens.to_le_bytes());
+        let whole: [u8; 32] = digest.finalize().into();
+        let mut short = [0; 16];
+        short.copy_from_slice(&whole[..16]);
+        short
+    }
+}
+
+fn find_class(
+    workspace: &WorkspaceName,
+    class: &str,
+    config: &ConfigView,
+) -> Result<Arc<ClassSpec>, RequestFault> {
+    let name = (workspace.clone(), ClassName::from(class));
+    let found = config.classes.get(&name);
+    found.cloned().ok_or_else(|| RequestFault::UnknownClass {
+        class: class.to_owned(),
+        workspace: workspace.clone(),
+    })
+}
+
+fn choose_pool(
+    class: &ClassSpec,
+    submit: &pb::SubmitRequest,
+) -> Result<(PoolKey, Vec<String>), RequestFault> {
+    let choice = match &class.target {
+        ClassTarget::Service(service) => {
+            return Ok((PoolKey::Service(service.clone()), Vec::new()));
+        }
+        ClassTarget::Models(choice) => choice,
+    };
+    let model = if submit.model.is_empty() {
+        choice.models.first().cloned()
+    } else {
+        let asked = ModelName::from(submit.model.as_str());
+        choice.models.contains(&asked).then_some(asked)
+    };
+    let Some(model) = model else {
+        let names: Vec<&str> = choice.models.iter().map(ModelName::as_str).collect();
+        let remedy = format!("the class may use {}", names.join(", "));
+        return Err(fault("model", &submit.model, remedy));
+    };
+    if !submit.adapter.is_empty() && !choice.adapters.contains(&submit.adapter) {
+        let remedy = format!("the class may use none or {}", choice.adapters.join(", "));
+        return Err(fault("adapter", &submit.adapter, remedy));
+    }
+    let versions = allowed_versions(&choice.versions, &submit.version)?;
+    Ok((PoolKey::Model(model), versions))
+}
+
+fn allowed_versions(allowed: &[String], asked: &str) -> Result<Vec<String>, RequestFault> {
+    if asked.is_empty() {
+        return Ok(allowed.to_vec());
+    }
+    if !allowed.is_empty() && !allowed.iter().any(|v| v == asked) {
+        let remedy = format!("the class may use {}", allowed.join(", "));
+        return Err(fault("version", asked, remedy));
+    }
+    Ok(vec![asked.to_owned()])
+}
+
+fn check_sizes(submit: &pb::SubmitRequest, class: &ClassSpec) -> Result<(), RequestFault> {
+    if submit.shared_prefix_tokens > submit.prompt_tokens {
+        let remedy = format!("send at most prompt_tokens ({})", submit.prompt_tokens);
+        return Err(fault(
+            "shared_prefix_tokens",
+            submit.shared_prefix_tokens,
+            remedy,
+        ));
+    }
+    if matches!(class.target, ClassTarget::Service(_)) {
+        return Ok(());
+    }
+    if submit.prompt_tokens == 0 {
+        return Err(fault(
+            "prompt_tokens",
+            0,
+            "send the prompt's length in tokens",
+        ));
+    }
+    if submit.max_output_tokens == 0 || submit.max_output_tokens > MOST_OUTPUT_TOKENS {
+        let remedy = format!("send 1 to {MOST_OUTPUT_TOKENS}");
+        return Err(fault("max_output_tokens", submit.max_output_tokens, remedy));
+    }
+    Ok(())
+}
+
+fn deadline_span(
+    submit: &pb::SubmitRequest,
+    class: &ClassSpec,
+    limits: &LimitSettings,
+) -> Result<Duration, RequestFault> {
+    if submit.deadline_ms == 0 {
+        return Ok(class.deadline());
+    }
+    if submit.deadline_ms > limits.longest_deadline_ms {
+        let remedy = format!("send at most {} ms", limits.longest_deadline_ms);
+        return Err(fault("deadline_ms", submit.deadline_ms, remedy));
+    }
+    Ok(Duration::from_millis(u64::from(submit.deadline_ms)))
+}
+
+fn intent_key(
+    workspace: &WorkspaceName,
+    class: &ClassSpec,
+    submit: &pb::SubmitRequest,
+) -> Result<Option<IntentKey>, RequestFault> {
+    if submit.key.len() > LONGEST_KEY {
+        let remedy = format!("send at most {LONGEST_KEY} bytes");
+        return Err(fault(
+            "key",
+            format!("{} bytes long", submit.key.len()),
+            remedy,
+        ));
+    }
+    if class.repeatable {
+        return Ok(None);
+    }
+    if submit.key.is_empty() {
+        let remedy = "requests of this class may not be repeated and need a key";
+        return Err(fault("key", "empty", remedy));
+    }
+    if submit.key_minted_at_ms == 0 {
+        let remedy = "send the Unix time in milliseconds at which the key was made";
+        return Err(fault("key_minted_at_ms", 0, remedy));
+    }
+    Ok(Some(IntentKey {
+        workspace: workspace.clone(),
+        key: RequestKey::from(submit.key.as_str()),
+        minted_at: UnixTime(submit.key_minted_at_ms),
+    }))
+}
--- /dev/null
+++ b/src/rpc_access.rs
@@ -0,0 +1,50 @@
+//! Authentication of calls: who asks, by the key in the call's metadata.
+
+use tonic::Status;
+use tonic::metadata::MetadataMap;
+
+use crate::access::{self, SecretKey};
+use crate::names::WorkspaceName;
+use crate::settings::AccessSettings;
+use crate::snapshot::ControlSnapshot;
+
+/// Returns the workspace whose key a call carries.
+///
+/// # Errors
+///
+/// Returns `Unauthenticated` for a missing or unknown key, and `Unavailable` while no
+/// configuration is known, since then no key can be judged.
+pub fn caller_workspace(
+    metadata: &MetadataMap,
+    snapshot: &ControlSnapshot,
+) -> Result<WorkspaceName, Status> {
+    let key = bearer(metadata)?;
+    if !snapshot.ready {
+        return Err(Status::unavailable(
+            "this daemon has no configuration yet; use another or come back in a second",
+        ));
+    }
+    access::workspace_of(&key, &snapshot.config)
+        .ok_or_else(|| Status::unauthenticated("the key belongs to no workspace; check the key"))
+}
+
+/// Checks that a call carries an operator's key.
+///
+/// # Errors
+///
+/// Returns `Unauthenticated` for a missing key and `PermissionDenied` for any other.
+pub fn check_operator(metadata: &MetadataMap, settings: &AccessSettings) -> Result<(), Status> {
+    let key = bearer(metadata)?;
+    if access::operator_allowed(&key, settings) {
+        return Ok(());
+    }
+    Err(Status::permission_denied(
+        "the key is not an operator's; use one listed in access.operator_key_hashes",
+    ))
+}
+
+fn bearer(metadata: &MetadataMap) -> Result<SecretKey, Status> {
+    let value = metadata.get("authorization");
+    let text = value.and_then(|v| v.to_str().ok()).unwrap_or_default();
+    access::parse_bearer(text).map_err(|error| Status::unauthenticated(error.to_string()))
+}
--- /dev/null
+++ b/src/run_call.rs
@@ -0,0 +1,164 @@
+//! Runs a repeatable request on a plain service.
+
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use sha2::{Digest, Sha256};
+use tokio::sync::watch;
+
+use crate::answer::{AnswerPart, AnswerSummary, accept_reply};
+use crate::answer_sink::{AnswerSink, FinalOutcome};
+use crate::attempt::AttemptFault;
+use crate::clock;
+use crate::names::RequestKey;
+use crate::placement::TargetChoice;
+use crate::ports::{TargetCall, TargetError};
+use crate::request::CallerRequest;
+use crate::scheduler::JobMeasure;
+use crate::target_wire::ServiceBody;
+use crate::traffic::{RequestProgress, TrafficContext, until_cancelled};
+
+/// Instances tried for one request.
+const MOST_ATTEMPTS: u32 = 3;
+
+/// Runs a request to its outcome.
+pub async fn run(
+    context: &TrafficContext,
+    request: &CallerRequest,
+    sink: &mut AnswerSink,
+    mut cancelled: watch::Receiver<bool>,
+    progress: &mut RequestProgress,
+) -> FinalOutcome {
+    let ended = tokio::select! {
+        outcome = run_attempts(context, request, sink, progress) => return outcome,
+        () = until_cancelled(&mut cancelled) => FinalOutcome::Cancelled,
+        () = tokio::time::sleep(request.time_left()) => FinalOutcome::Expired,
+    };
+    match ended {
+        FinalOutcome::Expired if !sink.may_have_run() => FinalOutcome::NotRun {
+            reason: "the deadline passed while it waited".to_owned(),
+            retry_after: Duration::from_millis(500),
+        },
+        other => other,
+    }
+}
+
+async fn run_attempts(
+    context: &TrafficContext,
+    request: &CallerRequest,
+    sink: &mut AnswerSink,
+    progress: &mut RequestProgress,
+) -> FinalOutcome {
+    let spec = request.job_spec();
+    let mut need = spec.need.clone();
+    let mut ticket = match context.dispatcher.admit(&request.id, spec) {
+        Ok(ticket) => ticket,
+        Err(refusal) => return not_run(refusal.reason, refusal.retry_after),
+    };
+    let token = context.token(request, None, 0);
+    sink.accepted(token, 0, &"".into()).await;
+    let mut attempt = 0;
+    loop {
+        let slot = match ticket.wait().await {
+            Ok(slot) => slot,
+            Err(refusal) if sink.may_have_run() => return unknown(refusal.reason),
+            Err(refusal) => return not_run(refusal.reason, refusal.retry_after),
+        };
+        attempt += 1;
+        let waited = clock::mono_now().since(request.arrived);
+        progress.queueing.get_or_insert(waited);
+        let ran_before = sink.may_have_run();
+        sink.note_dispatched();
+        let fault = match call_service(context, request, &slot.choice, request.time_left()).await {
+            Ok(data) => {
+                slot.finish(JobMeasure::default());
+                return deliver(sink, attempt, data).await;
+            }
+            Err(error) => AttemptFault::from(&error),
+        };
+        if !fault.may_have_run && !ran_before {
+            sink.note_not_run();
+        }
+        if attempt == MOST_ATTEMPTS || !context.spend_retry() {
+            slot.finish(JobMeasure::default());
+            return if sink.may_have_run() {
+                unknown(fault.reason)
+            } else {
+                not_run(fault.reason, fault.retry_after)
+            };
+        }
+        need.excluded.push(slot.choice.target.clone());
+        ticket = slot.retry(&request.id, need.clone());
+    }
+}
+
+/// Makes one call and returns the bytes of the whole answer.
+///
+/// # Errors
+///
+/// Returns `Lost` for a reply that is not the whole answer to this request.
+pub async fn call_service(
+    context: &TrafficContext,
+    request: &CallerRequest,
+    choice: &TargetChoice,
+    patience: Duration,
+) -> Result<Vec<u8>, TargetError> {
+    let key = service_key(request);
+    let call = TargetCall {
+        address: choice.address.clone(),
+        patience: patience.max(Duration::from_millis(1)),
+        body: ServiceBody {
+            request_id: request.id.clone(),
+            workspace: request.workspace().clone(),
+            key: key.clone(),
+            repeatable: request.class.repeatable,
+            data: STANDARD.encode(&request.submit.prompt),
+        },
+    };
+    let reply = (context.services.call)(call).await;
+    let reached = !matches!(reply, Err(TargetError::NotDelivered { .. }));
+    context.dispatcher.report_target(&choice.target, reached);
+    accept_reply(&reply?, &request.id, &key).map_err(|fault| TargetError::Lost {
+        reason: fault.to_string(),
+    })
+}
+
+/// Hands a whole answer to the caller.
+pub async fn deliver(sink: &mut AnswerSink, attempt: u32, data: Vec<u8>) -> FinalOutcome {
+    let summary = AnswerSummary {
+        length: data.len() as u64,
+        digest: Some(Sha256::digest(&data).into()),
+    };
+    if !data.is_empty() {
+        let part = AnswerPart {
+            offset: 0,
+            data,
+            tokens: 0,
+        };
+        sink.part(attempt, part).await;
+    }
+    FinalOutcome::Answered {
+        summary,
+        reason: String::new(),
+    }
+}
+
+fn service_key(request: &CallerRequest) -> RequestKey {
+    if request.submit.key.is_empty() {
+        RequestKey::from(request.id.as_str())
+    } else {
+        RequestKey::from(request.submit.key.as_str())
+    }
+}
+
+fn not_run(reason: String, retry_after: Duration) -> FinalOutcome {
+    FinalOutcome::NotRun {
+        reason,
+        retry_after,
+    }
+}
+
+fn unknown(reason: String) -> FinalOutcome {
+    FinalOutcome::Unknown { reason }
+}
--- /dev/null
+++ b/src/run_once.rs
@@ -0,0 +1,399 @@
+//! Runs a request that may not be repeated: recorded first, dispatched at most once.
+//!
+//! Where each "not run" comes from:
+//! - before a claim, of a key never sent before: nobody else can have claimed it;
+//! - before a claim, of a key sent before: the key is closed in the record first;
+//! - after a claim: only on proof that the one dispatch did not reach its target or
+//!   was turned away.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sha2::{Digest, Sha256};
+use tokio::sync::{oneshot, watch};
+
+use crate::answer::AnswerSummary;
+use crate::answer_sink::{AnswerSink, FinalOutcome};
+use crate::attempt::{AttemptFault, AttemptState};
+use crate::clock;
+use crate::dispatch::JobSlot;
+use crate::intent_store::{
+    ClaimResult, CloseRecord, DispatchPermit, DispatchedClaim, IntentClaim, IntentKey, NotRunProof,
+    RecordView,
+};
+use crate::placement::{PoolKey, TargetChoice};
+use crate::ports::TargetError;
+use crate::request::CallerRequest;
+use crate::run_call::{call_service, deliver};
+use crate::scheduler::JobMeasure;
+use crate::traffic::{RequestProgress, TrafficContext, until_cancelled};
+
+/// How long a reply is awaited past the caller's deadline, to record it.
+const RECORD_PATIENCE: Duration = Duration::from_secs(60);
+/// First and longest waits between looks at another daemon's claim.
+const FIRST_LOOK: Duration = Duration::from_millis(100);
+const LONGEST_LOOK: Duration = Duration::from_secs(2);
+/// When a caller with an open outcome is asked to come back.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Runs a request to its outcome.
+pub async fn run(
+    context: &Arc<TrafficContext>,
+    request: &CallerRequest,
+    sink: &mut AnswerSink,
+    mut cancelled: watch::Receiver<bool>,
+    progress: &mut RequestProgress,
+) -> FinalOutcome {
+    let Some(key) = &request.intent else {
+        return unknown("the request has no key".to_owned());
+    };
+    if !request.submit.first_submission {
+        match context.intents.lookup(key, false).await {
+            Ok(RecordView::Absent) => {}
+            Ok(record) => return from_record(context, request, sink, record, 0).await,
+            Err(error) => return unknown(format!("its record cannot be read: {error}")),
+        }
+    }
+    let (slot, permit) = match obtain_permit(context, request, key, sink, &mut cancelled).await {
+        Ok(granted) => granted,
+        Err(outcome) => return outcome,
+    };
+    if *cancelled.borrow() {
+        context.intents.close_unused(permit);
+        return FinalOutcome::Cancelled;
+    }
+    let waited = clock::mono_now().since(request.arrived);
+    progress.queueing.get_or_insert(waited);
+    sink.note_dispatched();
+    match &request.pool {
+        PoolKey::Service(_) => run_on_service(context, request, sink, slot, permit).await,
+        PoolKey::Model(_) => {
+            run_on_engine(context, request, sink, cancelled, progress, slot, permit).await
+        }
+    }
+}
+
+/// Waits for a target and records the claim.
+async fn obtain_permit(
+    context: &Arc<TrafficContext>,
+    request: &CallerRequest,
+    key: &IntentKey,
+    sink: &mut AnswerSink,
+    cancelled: &mut watch::Receiver<bool>,
+) -> Result<(JobSlot, DispatchPermit), FinalOutcome> {
+    let ticket = match context.dispatcher.admit(&request.id, request.job_spec()) {
+        Ok(ticket) => ticket,
+        Err(refusal) => {
+            return Err(refuse(context, request, key, refusal.reason, refusal.retry_after).await);
+        }
+    };
+    let token = context.token(request, None, 0);
+    sink.accepted(token, 0, &"".into()).await;
+    let waited = tokio::select! {
+        granted = ticket.wait() => granted,
+        () = until_cancelled(cancelled) => return Err(cancel_unclaimed(context, request, key).await),
+    };
+    let slot = match waited {
+        Ok(slot) => slot,
+        Err(refusal) => {
+            return Err(refuse(context, request, key, refusal.reason, refusal.retry_after).await);
+        }
+    };
+    let claim = IntentClaim {
+        key: key.clone(),
+        fingerprint: request.fingerprint(),
+        target: slot.choice.target.clone(),
+        patience: request.time_left(),
+    };
+    match context.intents.claim(claim).await {
+        ClaimResult::Granted(permit) => Ok((slot, permit)),
+        ClaimResult::Present(record) => {
+            drop(slot);
+            Err(from_record(context, request, sink, record, 0).await)
+        }
+        ClaimResult::GivenUp {
+            reason,
+            retry_after,
+            key_may_exist,
+        } => Err(after_giving_up(request, reason, retry_after, key_may_exist)),
+        ClaimResult::Invalid { reason } => Err(invalid(request, reason)),
+    }
+}
+
+/// This daemon's claim is given up for good. Whether the key ran is certain only if
+/// nobody else can have claimed it.
+fn after_giving_up(
+    request: &CallerRequest,
+    reason: String,
+    retry_after: Duration,
+    key_may_exist: bool,
+) -> FinalOutcome {
+    if key_may_exist && !request.submit.first_submission {
+        return unknown(format!("its record is not certain: {reason}"));
+    }
+    FinalOutcome::NotRun {
+        reason,
+        retry_after,
+    }
+}
+
+fn invalid(request: &CallerRequest, reason: String) -> FinalOutcome {
+    if request.submit.first_submission {
+        return FinalOutcome::NotRun {
+            reason,
+            retry_after: Duration::ZERO,
+        };
+    }
+    unknown(reason)
+}
+
+/// Refuses a request that this daemon has not claimed.
+///
+/// A key sent before may be in the hands of a daemon that is paused just now, and
+/// "not run" would turn false when it wakes. Closing the key first makes its
+/// conditional update fail, so the refusal stays true.
+async fn refuse(
+    context: &TrafficContext,
+    request: &CallerRequest,
+    key: &IntentKey,
+    reason: String,
+    retry_after: Duration,
+) -> FinalOutcome {
+    if request.submit.first_submission {
+        return FinalOutcome::NotRun {
+            reason,
+            retry_after,
+        };
+    }
+    match context.intents.lookup(key, true).await {
+        Ok(RecordView::NotRun) => FinalOutcome::NotRun {
+            reason: format!("{reason}; the key is closed, use a new one"),
+            retry_after,
+        },
+        Ok(_) => unknown("another daemon has claimed the key".to_owned()),
+        Err(error) => unknown(format!("{reason}, and its record is not certain: {error}")),
+    }
+}
+
+async fn cancel_unclaimed(
+    context: &TrafficContext,
+    request: &CallerRequest,
+    key: &IntentKey,
+) -> FinalOutcome {
+    match refuse(context, request, key, String::new(), Duration::ZERO).await {
+        FinalOutcome::NotRun { .. } => FinalOutcome::Cancelled,
+        other => other,
+    }
+}
+
+/// Makes the one call in a task of its own, which records its end also when the
+/// caller's deadline passes first.
+async fn run_on_service(
+    context: &Arc<TrafficContext>,
+    request: &CallerRequest,
+    sink: &mut AnswerSink,
+    slot: JobSlot,
+    permit: DispatchPermit,
+) -> FinalOutcome {
+    let (reply, ended) = oneshot::channel();
+    let call = call_and_record(Arc::clone(context), request.clone(), slot, permit);
+    tokio::spawn(async move {
+        // The receiver is gone once the deadline has passed; the record was the point.
+        let _ = reply.send(call.await);
+    });
+    match tokio::time::timeout(request.time_left(), ended).await {
+        Ok(Ok(Ok(data))) => deliver(sink, 1, data).await,
+        Ok(Ok(Err(fault))) => {
+            if !fault.may_have_run {
+                sink.note_not_run();
+            }
+            from_fault(fault)
+        }
+        Ok(Err(_)) => unknown("the daemon is going down".to_owned()),
+        Err(_) => unknown(format!(
+            "no reply before the deadline; ask for its outcome after {} ms",
+            RETRY_AFTER.as_millis()
+        )),
+    }
+}
+
+async fn call_and_record(
+    context: Arc<TrafficContext>,
+    request: CallerRequest,
+    slot: JobSlot,
+    permit: DispatchPermit,
+) -> Result<Vec<u8>, AttemptFault> {
+    let dispatched = permit.dispatch();
+    let patience = request.time_left() + RECORD_PATIENCE;
+    let ended = call_service(&context, &request, &slot.choice, patience).await;
+    slot.finish(JobMeasure::default());
+    match ended {
+        Ok(data) => {
+            record_answer(&context, dispatched, &data);
+            Ok(data)
+        }
+        Err(error) => Err(record_fault(&context, dispatched, &error)),
+    }
+}
+
+async fn run_on_engine(
+    context: &TrafficContext,
+    request: &CallerRequest,
+    sink: &mut AnswerSink,
+    mut cancelled: watch::Receiver<bool>,
+    progress: &mut RequestProgress,
+    slot: JobSlot,
+    permit: DispatchPermit,
+) -> FinalOutcome {
+    let dispatched = permit.dispatch();
+    let choice: TargetChoice = slot.choice.clone();
+    let mut state = AttemptState::new(context, request, sink, progress, 0);
+    let ended = tokio::select! {
+        ended = state.run(&choice, 1) => ended,
+        () = until_cancelled(&mut cancelled) => Err(stopped("cancelled after its dispatch")),
+        () = tokio::time::sleep(request.time_left()) => Err(stopped("the deadline passed")),
+    };
+    let measure = state.measure(ended.is_ok());
+    slot.finish(measure);
+    match ended {
+        Ok(summary) => {
+            let digest = summary.digest.map(Vec::from).unwrap_or_default();
+            let record = CloseRecord::Answered {
+                length: summary.length,
+                digest,
+                result: None,
+            };
+            context.intents.close(dispatched, record);
+            FinalOutcome::Answered {
+                summary,
+                reason: String::new(),
+            }
+        }
+        Err(fault) => {
+            close_by_fault(context, dispatched, &fault);
+            from_fault(fault)
+        }
+    }
+}
+
+fn stopped(reason: &str) -> AttemptFault {
+    AttemptFault {
+        may_have_run: true,
+        reason: reason.to_owned(),
+        retry_after: Duration::ZERO,
+    }
+}
+
+fn record_answer(context: &TrafficContext, dispatched: DispatchedClaim, data: &[u8]) {
+    let small = data.len() <= context.settings.intents.result_bytes;
+    let record = CloseRecord::Answered {
+        length: data.len() as u64,
+        digest: Sha256::digest(data).to_vec(),
+        result: small.then(|| data.to_vec()),
+    };
+    context.intents.close(dispatched, record);
+}
+
+fn record_fault(
+    context: &TrafficContext,
+    dispatched: DispatchedClaim,
+    error: &TargetError,
+) -> AttemptFault {
+    let fault = AttemptFault::from(error);
+    match NotRunProof::from_error(error) {
+        Some(proof) => context.intents.close_not_run(dispatched, proof),
+        None => context.intents.close(dispatched, CloseRecord::Unknown),
+    }
+    fault
+}
+
+fn close_by_fault(context: &TrafficContext, dispatched: DispatchedClaim, fault: &AttemptFault) {
+    // A fault no longer carries the proof that nothing ran, so the record stays open
+    // on that question; the caller is told what the fault says.
+    log::debug!("a dispatched request ended: {}", fault.reason);
+    context.intents.close(dispatched, CloseRecord::Unknown);
+}
+
+fn from_fault(fault: AttemptFault) -> FinalOutcome {
+    if fault.may_have_run {
+        return unknown(fault.reason);
+    }
+    FinalOutcome::NotRun {
+        reason: fault.reason,
+        retry_after: fault.retry_after,
+    }
+}
+
+/// Answers a caller who comes back for a request whose stream is gone.
+pub async fn recorded_outcome(
+    context: &TrafficContext,
+    request: &CallerRequest,
+    sink: &mut AnswerSink,
+    offset: u64,
+) -> FinalOutcome {
+    let Some(key) = &request.intent else {
+        return unknown("the request has no key".to_owned());
+    };
+    let record = match context.intents.lookup(key, false).await {
+        Ok(record) => record,
+        Err(error) => return unknown(format!("its record cannot be read: {error}")),
+    };
+    from_record(context, request, sink, record, offset).await
+}
+
+/// Answers from the record of a key that somebody claimed before.
+async fn from_record(
+    context: &TrafficContext,
+    request: &CallerRequest,
+    sink: &mut AnswerSink,
+    mut record: RecordView,
+    offset: u64,
+) -> FinalOutcome {
+    let mut wait = FIRST_LOOK;
+    while matches!(record, RecordView::Intended { .. }) && wait < request.time_left() {
+        tokio::time::sleep(wait).await;
+        wait = (wait * 2).min(LONGEST_LOOK);
+        let Some(key) = &request.intent else { break };
+        record = match context.intents.lookup(key, false).await {
+            Ok(found) => found,
+            Err(error) => return unknown(format!("its record cannot be read: {error}")),
+        };
+    }
+    match record {
+        RecordView::NotRun => FinalOutcome::NotRun {
+            reason: "the key was closed without running; use a new one".to_owned(),
+            retry_after: Duration::ZERO,
+        },
+        RecordView::Answered {
+            length,
+            digest,
+            result,
+        } => from_answer(sink, length, &digest, result, offset).await,
+        RecordView::Absent => unknown("its record has expired".to_owned()),
+        RecordView::Intended { claimant, .. } => unknown(format!("{claimant} has dispatched it")),
+        RecordView::Unknown => unknown("its target's answer was lost".to_owned()),
+    }
+}
+
+async fn from_answer(
+    sink: &mut AnswerSink,
+    length: u64,
+    digest: &[u8],
+    result: Option<Vec<u8>>,
+    offset: u64,
+) -> FinalOutcome {
+    if let (Some(data), 0) = (result, offset) {
+        return deliver(sink, 0, data).await;
+    }
+    FinalOutcome::Answered {
+        summary: AnswerSummary {
+            length,
+            digest: digest.try_into().ok(),
+        },
+        reason: "answered before; the answer was too large to be kept with the record".to_owned(),
+    }
+}
+
+fn unknown(reason: String) -> FinalOutcome {
+    FinalOutcome::Unknown { reason }
+}
--- /dev/null
+++ b/src/run_resume.rs
@@ -0,0 +1,124 @@
+//! Continues an answer for a caller who comes back with a token, through any daemon.
+
+use std::sync::Arc;
+
+use tokio::sync::{mpsc, watch};
+
+use crate::answer_sink::{AnswerEvent, AnswerSink, FinalOutcome};
+use crate::attempt::AttemptState;
+use crate::placement::TargetChoice;
+use crate::request::CallerRequest;
+use crate::resume_token::ResumeToken;
+use crate::run_once;
+use crate::run_stream;
+use crate::traffic::{RequestProgress, TrafficContext};
+
+/// Expected times at an engine whose load this daemon has not looked at.
+const USUAL_FIRST_TOKEN_S: f64 = 1.0;
+const USUAL_GAP_S: f64 = 0.05;
+
+/// What the caller brought back.
+#[derive(Clone, Debug)]
+pub struct Resumption {
+    /// Where the request was.
+    pub token: ResumeToken,
+    /// Bytes the caller holds.
+    pub offset: u64,
+    /// Whether the caller sent the request again, so that it can start anew.
+    pub again: bool,
+}
+
+/// Continues an answer to its final outcome.
+pub async fn run(
+    context: Arc<TrafficContext>,
+    request: CallerRequest,
+    resumption: Resumption,
+    events: mpsc::Sender<AnswerEvent>,
+) {
+    let mut sink = AnswerSink::new(events, request.id.clone());
+    if request.intent.is_none() {
+        // It was accepted before; whatever happens now, it may have run. One that
+        // may not be repeated is answered from its record, which knows.
+        sink.note_dispatched();
+    }
+    let mut progress = RequestProgress::default();
+    let follow = follow_engine(&context, &request, &resumption, &mut sink, &mut progress);
+    let followed = tokio::time::timeout(request.time_left(), follow).await;
+    let outcome = match followed {
+        Err(_) => FinalOutcome::Expired,
+        Ok(Ok(outcome)) => outcome,
+        Ok(Err(offset)) => {
+            start_again(
+                &context,
+                &request,
+                &resumption,
+                &mut sink,
+                &mut progress,
+                offset,
+            )
+            .await
+        }
+    };
+    sink.finish(&outcome).await;
+}
+
+/// Takes the stream up at the engine that runs it; an error is the offset reached.
+async fn follow_engine(
+    context: &TrafficContext,
+    request: &CallerRequest,
+    resumption: &Resumption,
+    sink: &mut AnswerSink,
+    progress: &mut RequestProgress,
+) -> Result<FinalOutcome, u64> {
+    let token = &resumption.token;
+    if token.model.is_empty() {
+        return Err(resumption.offset);
+    }
+    let original = CallerRequest {
+        id: token.request_id.clone(),
+        ..request.clone()
+    };
+    let mut state = AttemptState::new(context, &original, sink, progress, resumption.offset);
+    match state.take_up(&known_choice(token), token.attempt).await {
+        Ok(summary) => Ok(FinalOutcome::Answered {
+            summary,
+            reason: String::new(),
+        }),
+        Err(_) => Err(state.assembly.delivered()),
+    }
+}
+
+async fn start_again(
+    context: &Arc<TrafficContext>,
+    request: &CallerRequest,
+    resumption: &Resumption,
+    sink: &mut AnswerSink,
+    progress: &mut RequestProgress,
+    offset: u64,
+) -> FinalOutcome {
+    let (_cancel, cancelled) = watch::channel(false);
+    if request.intent.is_some() {
+        return run_once::recorded_outcome(context, request, sink, offset).await;
+    }
+    if !resumption.again {
+        return FinalOutcome::Unknown {
+            reason: "its engine no longer has the stream; resume again with the request itself"
+                .to_owned(),
+        };
+    }
+    let pinned =
+        (offset > 0 && !resumption.token.model.is_empty()).then(|| resumption.token.model.clone());
+    run_stream::continue_from(context, request, sink, cancelled, progress, offset, pinned).await
+}
+
+fn known_choice(token: &ResumeToken) -> TargetChoice {
+    TargetChoice {
+        target: token.target.clone(),
+        address: token.target_address.clone(),
+        model: token.model.clone(),
+        first_token_s: USUAL_FIRST_TOKEN_S,
+        gap_s: USUAL_GAP_S,
+        finish_s: 0.0,
+        reason: String::new(),
+    }
+}
--- /dev/null
+++ b/src/run_stream.rs
@@ -0,0 +1,170 @@
+//! Runs a repeatable request on model engines: attempt after attempt, one answer.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::watch;
+
+use crate::answer_sink::{AnswerSink, FinalOutcome};
+use crate::attempt::{AttemptFault, AttemptState};
+use crate::names::RequestId;
+use crate::placement::PlacementNeed;
+use crate::ports::TargetCall;
+use crate::request::CallerRequest;
+use crate::scheduler::{JobMeasure, JobRefusal};
+use crate::traffic::{RequestProgress, SIDE_CALL, TrafficContext, until_cancelled};
+
+/// Engines tried for one request.
+const MOST_ATTEMPTS: u32 = 5;
+
+/// Address of the engine at work, so that a cancel finds it.
+type EngineAddress = Arc<Mutex<Option<String>>>;
+
+/// Runs a request to its outcome.
+pub async fn run(
+    context: &TrafficContext,
+    request: &CallerRequest,
+    sink: &mut AnswerSink,
+    cancelled: watch::Receiver<bool>,
+    progress: &mut RequestProgress,
+) -> FinalOutcome {
+    continue_from(context, request, sink, cancelled, progress, 0, None).await
+}
+
+/// Runs a request whose caller holds its first `offset` bytes, which `pinned_model`
+/// has generated.
+pub async fn continue_from(
+    context: &TrafficContext,
+    request: &CallerRequest,
+    sink: &mut AnswerSink,
+    mut cancelled: watch::Receiver<bool>,
+    progress: &mut RequestProgress,
+    offset: u64,
+    pinned_model: Option<String>,
+) -> FinalOutcome {
+    let engine = EngineAddress::default();
+    let state = AttemptState::new(context, request, sink, progress, offset);
+    let ended = tokio::select! {
+        outcome = run_attempts(state, &engine, pinned_model) => return outcome,
+        () = until_cancelled(&mut cancelled) => FinalOutcome::Cancelled,
+        () = tokio::time::sleep(request.time_left()) => FinalOutcome::Expired,
+    };
+    cancel_at(context, &engine, &request.id);
+    match ended {
+        FinalOutcome::Expired if !sink.may_have_run() => FinalOutcome::NotRun {
+            reason: "the deadline passed while it waited".to_owned(),
+            retry_after: Duration::from_millis(500),
+        },
+        other => other,
+    }
+}
+
+async fn run_attempts(
+    mut state: AttemptState<'_>,
+    engine: &EngineAddress,
+    pinned_model: Option<String>,
+) -> FinalOutcome {
+    let (context, request) = (state.context, state.request);
+    let mut spec = request.job_spec();
+    spec.need.pinned_model = pinned_model;
+    let mut need = spec.need.clone();
+    let ticket = match context.dispatcher.admit(&request.id, spec) {
+        Ok(ticket) => ticket,
+        Err(refusal) => return refused(&state, &refusal),
+    };
+    let token = context.token(request, None, 0);
+    state.sink.accepted(token, 0, &"".into()).await;
+    let mut waiting = ticket;
+    let mut attempt = 0;
+    loop {
+        let slot = match waiting.wait().await {
+            Ok(slot) => slot,
+            Err(refusal) => return refused(&state, &refusal),
+        };
+        attempt += 1;
+        remember(engine, Some(slot.choice.address.clone()));
+        let fault = match state.run(&slot.choice, attempt).await {
+            Ok(summary) => {
+                context.report_work(request, state.tokens);
+                slot.finish(state.measure(true));
+                let reason = String::new();
+                return FinalOutcome::Answered { summary, reason };
+            }
+            Err(fault) => fault,
+        };
+        cancel_at(context, engine, &request.id);
+        if !may_retry(context, &fault, attempt) {
+            slot.finish(JobMeasure::default());
+            return given_up(&state, &fault);
+        }
+        update_need(&mut need, &state, &slot.choice.target, &slot.choice.model);
+        waiting = slot.retry(&request.id, need.clone());
+    }
+}
+
+/// Continuations are always allowed: they are as rare as failing engines, and the
+/// caller already holds a part. Refused work counts against the budget.
+fn may_retry(context: &TrafficContext, fault: &AttemptFault, attempt: u32) -> bool {
+    attempt < MOST_ATTEMPTS && (fault.may_have_run || context.spend_retry())
+}
+
+fn update_need(
+    need: &mut PlacementNeed,
+    state: &AttemptState<'_>,
+    failed: &crate::names::TargetId,
+    model: &str,
+) {
+    need.excluded.push(failed.clone());
+    let left = state
+        .request
+        .submit
+        .max_output_tokens
+        .saturating_sub(state.tokens);
+    need.output_tokens = f64::from(left);
+    if state.assembly.delivered() > 0 {
+        // Another version would continue with words of its own.
+        need.pinned_model = Some(model.to_owned());
+    }
+}
+
+fn refused(state: &AttemptState<'_>, refusal: &JobRefusal) -> FinalOutcome {
+    if state.sink.may_have_run() {
+        return FinalOutcome::Unknown {
+            reason: format!("its engine was lost, and then: {}", refusal.reason),
+        };
+    }
+    FinalOutcome::NotRun {
+        reason: refusal.reason.clone(),
+        retry_after: refusal.retry_after,
+    }
+}
+
+fn given_up(state: &AttemptState<'_>, fault: &AttemptFault) -> FinalOutcome {
+    if state.sink.may_have_run() {
+        return FinalOutcome::Unknown {
+            reason: fault.reason.clone(),
+        };
+    }
+    FinalOutcome::NotRun {
+        reason: fault.reason.clone(),
+        retry_after: fault.retry_after,
+    }
+}
+
+fn remember(engine: &EngineAddress, address: Option<String>) {
+    *engine.lock().unwrap_or_else(PoisonError::into_inner) = address;
+}
+
+/// Frees the engine in the background; a lost cancel costs work, not correctness.
+fn cancel_at(context: &TrafficContext, engine: &EngineAddress, request_id: &RequestId) {
+    let address = engine.lock().unwrap_or_else(PoisonError::into_inner).take();
+    let Some(address) = address else {
+        return;
+    };
+    let call = TargetCall {
+        address,
+        patience: SIDE_CALL,
+        body: request_id.clone(),
+    };
+    tokio::spawn((context.engines.cancel)(call));
+}
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -1,1 +1,504 @@
-//! Not written yet.
+//! Admission, queueing and placement of one daemon's requests: pure and synchronous.
+//!
+//! Every call takes the time and returns what has to happen; the dispatcher carries
+//! it out. Refusals made here are certain to be true: a request known only to this
+//! queue has been sent to no target.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::cost::{CostModel, SpeedSettings};
+use crate::fair_queue::{FairQueue, JobNumber, QueuedJob};
+use crate::fleet::UseState;
+use crate::invariants::{self, Invariant};
+use crate::names::{CentreName, ClassName, MonoTime, TargetId, WorkspaceName, millis};
+use crate::placement::{
+    CandidateIndex, OwnWork, PlacementInputs, PlacementNeed, PoolKey, RunningJob, SharedFleet,
+    TargetChoice, choose_target,
+};
+use crate::prefix_index::PrefixIndex;
+use crate::settings::{LimitSettings, PolicySettings};
+use crate::target_wire::{CacheEvent, EngineRole};
+
+/// Waiting requests looked at for one free target.
+const LOOK_AHEAD: usize = 8;
+/// Engine-seconds per unit of weight within which urgency decides before shares.
+const FAIR_QUANTUM_S: f64 = 1.0;
+/// Shortest time after which a refused caller is asked to come back.
+const SHORTEST_RETRY: Duration = Duration::from_millis(100);
+/// Longest time after which a refused caller is asked to come back.
+const LONGEST_RETRY: Duration = Duration::from_secs(30);
+/// Ended requests remembered per target to correct its next report.
+const MOST_ENDED: usize = 256;
+
+/// A request as the scheduler sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct JobSpec {
+    /// Workspace that asks.
+    pub workspace: WorkspaceName,
+    /// Class of the work.
+    pub class: ClassName,
+    /// Share of the workspace.
+    pub weight: u32,
+    /// Urgency; 0 is the most urgent.
+    pub priority: u32,
+    /// When the whole answer is due.
+    pub deadline: MonoTime,
+    /// Most output tokens.
+    pub max_output_tokens: u32,
+    /// What it needs of a target.
+    pub need: PlacementNeed,
+}
+
+/// Why a request is not taken, or no longer waited for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct JobRefusal {
+    /// What happened, for people.
+    pub reason: String,
+    /// When to come back.
+    pub retry_after: Duration,
+}
+
+/// A request that got a target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct JobGrant {
+    /// The request.
+    pub number: JobNumber,
+    /// Its target.
+    pub choice: TargetChoice,
+}
+
+/// What has to happen after a call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ScheduleAction {
+    /// Send the request to its target.
+    Start(JobGrant),
+    /// Refuse a waiting request, which has not run.
+    GiveUp(JobNumber, JobRefusal),
+}
+
+/// How a placed request ended, for what can be learned from it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct JobMeasure {
+    /// Seconds from dispatch to the first token.
+    pub first_token_s: Option<f64>,
+    /// Mean seconds between tokens.
+    pub gap_s: Option<f64>,
+    /// Tokens of a whole answer; `None` when it did not end whole.
+    pub whole_tokens: Option<u32>,
+}
+
+#[derive(Clone, Debug)]
+struct WaitingJob {
+    spec: JobSpec,
+    queued: QueuedJob,
+}
+
+#[derive(Clone, Debug)]
+struct PlacedJob {
+    spec: JobSpec,
+    choice: TargetChoice,
+    placed_at: MonoTime,
+}
+
+/// Inputs that do not change while a daemon runs.
+#[derive(Clone, Debug)]
+pub struct SchedulerInputs {
+    /// Policy.
+    pub policy: PolicySettings,
+    /// Bounds of the queue.
+    pub limits: LimitSettings,
+    /// First guesses of engine speeds.
+    pub speeds: SpeedSettings,
+    /// The daemon's own data centre.
+    pub centre: CentreName,
+    /// Seed of the generator that draws candidates.
+    pub seed: u64,
+}
+
+/// Requests waiting and running in one daemon.
+pub struct Scheduler {
+    policy: PolicySettings,
+    limits: LimitSettings,
+    centre: CentreName,
+    fleet: SharedFleet,
+    live_daemons: usize,
+    index: CandidateIndex,
+    costs: CostModel,
+    prefixes: PrefixIndex,
+    queues: IndexMap<PoolKey, FairQueue>,
+    waiting: IndexMap<JobNumber, WaitingJob>,
+    placed: IndexMap<JobNumber, PlacedJob>,
+    own: IndexMap<TargetId, OwnWork>,
+    next_number: u64,
+    turn: usize,
+    rng: SmallRng,
+}
+
+impl Scheduler {
+    /// Creates a scheduler that knows no fleet yet.
+    #[must_use]
+    pub fn new(inputs: SchedulerInputs) -> Self {
+        Self {
+            policy: inputs.policy,
+            limits: inputs.limits,
+            centre: inputs.centre,
+            fleet: SharedFleet::default(),
+            live_daemons: 1,
+            index: CandidateIndex::default(),
+            costs: CostModel::new(inputs.speeds),
+            prefixes: PrefixIndex::default(),
+            queues: IndexMap::new(),
+            waiting: IndexMap::new(),
+            placed: IndexMap::new(),
+            own: IndexMap::new(),
+            next_number: 0,
+            turn: 0,
+            rng: SmallRng::seed_from_u64(inputs.seed),
+        }
+    }
+
+    /// Takes over a new view of the fleet and places what can now be placed.
+    pub fn update_fleet(
+        &mut self,
+        fleet: SharedFleet,
+        live_daemons: usize,
+        now: MonoTime,
+    ) -> Vec<ScheduleAction> {
+        self.live_daemons = live_daemons.max(1);
+        if fleet.version != self.fleet.version || self.fleet.targets.is_empty() {
+            self.index = CandidateIndex::build(&fleet, &self.centre);
+            self.costs.retain_targets(|t| fleet.targets.contains_key(t));
+            self.own
+                .retain(|t, o| fleet.targets.contains_key(t) || !o.running.is_empty());
+        }
+        self.fleet = fleet;
+        self.pump(now)
+    }
+
+    /// Takes in an engine's cache events.
+    pub fn note_cache_events(&mut self, target: &TargetId, events: &[CacheEvent]) {
+        for event in events {
+            self.prefixes.note_event(target, event);
+        }
+    }
+
+    /// Admits a request to the queue, or refuses it at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when the queue is full, no target offers the work, or the
+    /// deadline cannot be met.
+    pub fn admit(&mut self, spec: JobSpec, now: MonoTime) -> Result<JobNumber, JobRefusal> {
+        self.check_room(&spec)?;
+        self.check_pool(&spec)?;
+        let queued = self.queued_job(&spec);
+        if self.policy.refuse_early {
+            self.check_deadline(&spec, &queued, now)?;
+        }
+        let number = queued.number;
+        self.queue_of(&spec.need.pool).push(queued.clone());
+        self.waiting.insert(number, WaitingJob { spec, queued });
+        Ok(number)
+    }
+
+    /// Puts a request back whose target failed; it waits with its old rank.
+    pub fn retry(&mut self, number: JobNumber, need: PlacementNeed) {
+        let Some(placed) = self.take_placed(number) else {
+            return;
+        };
+        let spec = JobSpec {
+            need,
+            ..placed.spec
+        };
+        let queued = QueuedJob {
+            number,
+            ..self.queued_job(&spec)
+        };
+        self.queue_of(&spec.need.pool).push(queued.clone());
+        self.waiting.insert(number, WaitingJob { spec, queued });
+    }
+
+    /// Drops a waiting request; true when it was still waiting.
+    pub fn withdraw(&mut self, number: JobNumber) -> bool {
+        let Some(waiting) = self.waiting.swap_remove(&number) else {
+            return false;
+        };
+        self.queue_of(&waiting.spec.need.pool)
+            .remove(&waiting.queued)
+    }
+
+    /// Notes the end of a placed request and learns from it.
+    pub fn finish(&mut self, number: JobNumber, measure: JobMeasure, now: MonoTime) {
+        let Some(placed) = self.take_placed(number) else {
+            return;
+        };
+        if let Some(own) = self.own.get_mut(&placed.choice.target) {
+            if own.ended.len() == MOST_ENDED {
+                own.ended.remove(0);
+            }
+            own.ended.push((placed.placed_at, now));
+        }
+        self.learn(&placed, measure);
+    }
+
+    /// Places what can be placed and gives up what can no longer be in time.
+    pub fn pump(&mut self, now: MonoTime) -> Vec<ScheduleAction> {
+        let mut actions = self.give_up_overdue(now);
+        for pool in self.queues.keys().cloned().collect::<Vec<_>>() {
+            while let Some(grant) = self.place_next(&pool, now) {
+                actions.push(ScheduleAction::Start(grant));
+            }
+        }
+        actions
+    }
+
+    /// Charges a workspace for work that other daemons did for it.
+    pub fn charge_elsewhere(&mut self, workspace: &WorkspaceName, weight: u32, cost: f64) {
+        for queue in self.queues.values_mut() {
+            queue.charge(workspace, weight, cost);
+        }
+    }
+
+    /// Returns the number of own requests at a target.
+    #[must_use]
+    pub fn own_in_flight(&self, target: &TargetId) -> usize {
+        self.own.get(target).map_or(0, |o| o.running.len())
+    }
+
+    /// Returns the numbers of waiting and of placed requests.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize) {
+        (self.waiting.len(), self.placed.len())
+    }
+
+    /// Returns the engine-seconds a request is expected to take.
+    #[must_use]
+    pub fn expected_cost(&self, spec: &JobSpec) -> f64 {
+        let output = self.expected_output(spec);
+        self.costs.engine_seconds(spec.need.prompt_tokens, output)
+    }
+
+    fn check_room(&self, spec: &JobSpec) -> Result<(), JobRefusal> {
+        let own: usize = self
+            .queues
+            .values()
+            .map(|q| q.len_of(&spec.workspace))
+            .sum();
+        if own >= self.limits.queue_per_workspace {
+            return Err(self.refusal("the workspace's queue is full".to_owned(), 1.0));
+        }
+        if self.waiting.len() >= self.limits.queue_length {
+            return Err(self.refusal("the queue is full".to_owned(), 1.0));
+        }
+        Ok(())
+    }
+
+    fn check_pool(&self, spec: &JobSpec) -> Result<(), JobRefusal> {
+        let targets = self.index.targets(&spec.need.pool);
+        let usable = |t: &&TargetId| {
+            let target = self.fleet.targets.get(*t);
+            target.is_some_and(|t| t.state <= UseState::Suspect)
+        };
+        if targets.iter().any(|t| usable(&t)) {
+            return Ok(());
+        }
+        let what = match &spec.need.pool {
+            PoolKey::Model(model) => format!("no engine in use holds model {model}"),
+            PoolKey::Service(service) => format!("no instance of service {service} is in use"),
+        };
+        Err(self.refusal(what, 2.0))
+    }
+
+    fn check_deadline(
+        &self,
+        spec: &JobSpec,
+        queued: &QueuedJob,
+        now: MonoTime,
+    ) -> Result<(), JobRefusal> {
+        let wait_s = self.expected_wait(spec);
+        let ready_at = now.plus(Duration::from_secs_f64(wait_s));
+        if ready_at <= queued.latest_start {
+            return Ok(());
+        }
+        let late_s = (millis(ready_at.since(queued.latest_start))) as f64 / 1_000.0;
+        let reason = format!(
+            "the deadline cannot be met: about {wait_s:.2} s of waiting would end {late_s:.2} s late"
+        );
+        Err(self.refusal(reason, late_s))
+    }
+
+    fn expected_wait(&self, spec: &JobSpec) -> f64 {
+        let Some(queue) = self.queues.get(&spec.need.pool) else {
+            return 0.0;
+        };
+        let before = queue.cost_before(&spec.workspace, spec.weight, spec.priority);
+        before / self.capacity(&spec.need.pool)
+    }
+
+    /// Engine-seconds per second that this daemon may count on.
+    fn capacity(&self, pool: &PoolKey) -> f64 {
+        let targets = self.index.targets(pool);
+        let live = targets.iter().filter(|t| {
+            let target = self.fleet.targets.get(*t);
+            target.is_some_and(|t| t.state == UseState::Live)
+        });
+        let each = match pool {
+            PoolKey::Model(_) => 1.0,
+            PoolKey::Service(_) => self.policy.service_in_flight as f64,
+        };
+        (live.count() as f64 * each / self.live_daemons as f64).max(0.05)
+    }
+
+    fn queued_job(&mut self, spec: &JobSpec) -> QueuedJob {
+        self.next_number += 1;
+        let service_s = self.shortest_service(spec);
+        let latest_ms = millis(Duration::from_secs_f64(service_s));
+        QueuedJob {
+            number: JobNumber(self.next_number),
+            workspace: spec.workspace.clone(),
+            weight: spec.weight,
+            priority: spec.priority,
+            latest_start: MonoTime(spec.deadline.0.saturating_sub(latest_ms)),
+            cost: self.expected_cost(spec),
+        }
+    }
+
+    /// Seconds the work takes on an idle engine of the best role for it.
+    fn shortest_service(&self, spec: &JobSpec) -> f64 {
+        if matches!(spec.need.pool, PoolKey::Service(_)) {
+            return 0.0;
+        }
+        let output = self.expected_output(spec);
+        let nowhere = TargetId::from("");
+        let roles = [EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode];
+        let times = roles.map(|role| {
+            let read = spec.need.prompt_tokens - f64::from(spec.need.shared_prefix_tokens);
+            self.costs.prefill_seconds(&nowhere, role, read.max(0.0))
+                + output * self.costs.gap_seconds(&nowhere, role, 0.0)
+        });
+        times.into_iter().fold(f64::INFINITY, f64::min)
+    }
+
+    fn expected_output(&self, spec: &JobSpec) -> f64 {
+        self.costs
+            .expected_output(&spec.workspace, &spec.class, spec.max_output_tokens)
+    }
+
+    fn give_up_overdue(&mut self, now: MonoTime) -> Vec<ScheduleAction> {
+        let overdue: Vec<QueuedJob> = self
+            .queues
+            .values()
+            .flat_map(|q| q.overdue(now))
+            .filter(|job| self.policy.refuse_early || self.deadline_passed(job.number, now))
+            .collect();
+        let mut actions = Vec::with_capacity(overdue.len());
+        for job in overdue {
+            self.withdraw(job.number);
+            let reason = "no target became free in time for the deadline".to_owned();
+            let refusal = self.refusal(reason, 1.0);
+            actions.push(ScheduleAction::GiveUp(job.number, refusal));
+        }
+        actions
+    }
+
+    fn deadline_passed(&self, number: JobNumber, now: MonoTime) -> bool {
+        self.waiting
+            .get(&number)
+            .is_some_and(|w| w.spec.deadline < now)
+    }
+
+    fn place_next(&mut self, pool: &PoolKey, now: MonoTime) -> Option<JobGrant> {
+        let inputs = PlacementInputs {
+            fleet: &self.fleet,
+            index: &self.index,
+            costs: &self.costs,
+            prefixes: &self.prefixes,
+            own: &self.own,
+            policy: &self.policy,
+            live_daemons: self.live_daemons,
+            now,
+        };
+        let queue = self.queues.get_mut(pool)?;
+        let (waiting, turn, rng) = (&self.waiting, &mut self.turn, &mut self.rng);
+        let mut choice = None;
+        let job = queue.take_first(LOOK_AHEAD, |job| {
+            let spec = &waiting[&job.number].spec;
+            choice = choose_target(&spec.need, &inputs, turn, rng);
+            choice.is_some()
+        })?;
+        Some(self.place(&job, choice?, now))
+    }
+
+    fn place(&mut self, job: &QueuedJob, choice: TargetChoice, now: MonoTime) -> JobGrant {
+        let state = self.fleet.targets.get(&choice.target).map(|t| t.state);
+        invariants::check(state == Some(UseState::Live), Invariant::NoLateWork, || {
+            format!("work placed on {} in state {state:?}", choice.target)
+        });
+        let number = job.number;
+        if let Some(waiting) = self.waiting.swap_remove(&number) {
+            let need = &waiting.spec.need;
+            let running = RunningJob {
+                number,
+                placed_at: now,
+                prefill_tokens: need.prompt_tokens,
+            };
+            let own = self.own.entry(choice.target.clone()).or_default();
+            own.running.push(running);
+            self.prefixes.note_read(
+                &need.shared_prefix,
+                &choice.target,
+                need.shared_prefix_tokens,
+            );
+            let spec = waiting.spec;
+            let placed = PlacedJob {
+                spec,
+                choice: choice.clone(),
+                placed_at: now,
+            };
+            self.placed.insert(number, placed);
+        }
+        JobGrant { number, choice }
+    }
+
+    fn take_placed(&mut self, number: JobNumber) -> Option<PlacedJob> {
+        let placed = self.placed.swap_remove(&number)?;
+        if let Some(own) = self.own.get_mut(&placed.choice.target) {
+            own.running.retain(|job| job.number != number);
+        }
+        Some(placed)
+    }
+
+    fn learn(&mut self, placed: &PlacedJob, measure: JobMeasure) {
+        let (spec, choice) = (&placed.spec, &placed.choice);
+        if let Some(tokens) = measure.whole_tokens {
+            self.costs
+                .observe_output(&spec.workspace, &spec.class, tokens, spec.max_output_tokens);
+        }
+        if let Some(actual) = measure.first_token_s {
+            self.costs
+                .observe_prefill(&choice.target, choice.first_token_s, actual);
+        }
+        if let Some(actual) = measure.gap_s {
+            self.costs.observe_gap(&choice.target, choice.gap_s, actual);
+        }
+    }
+
+    fn queue_of(&mut self, pool: &PoolKey) -> &mut FairQueue {
+        let fair = self.policy.fair_shares;
+        self.queues
+            .entry(pool.clone())
+            .or_insert_with(|| FairQueue::new(FAIR_QUANTUM_S, fair))
+    }
+
+    fn refusal(&self, reason: String, after_s: f64) -> JobRefusal {
+        let after = Duration::from_secs_f64(after_s.max(0.0));
+        JobRefusal {
+            reason,
+            retry_after: after.clamp(SHORTEST_RETRY, LONGEST_RETRY),
+        }
+    }
+}
