--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,8 @@
 pub mod server;
 pub mod service_http;
 pub mod settings;
+pub mod settings_check;
+pub mod settings_rules;
 pub mod shares;
 pub mod snapshot;
 pub mod target_wire;
