Wire the daemon together: server, resume, records of single runs

Cause: the parts need one place that starts and stops them in order. Change: server.rs; a planned stop leaves the addressing first, serves on for the keeping time, then turns new work away and waits for the last request.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -9,6 +9,7 @@
 use crate::answer::{AnswerAssembly, AnswerPart, AnswerSummary, LineVerdict};
 use crate::answer_sink::AnswerSink;
 use crate::clock;
+use crate::intent_permit::UndeliveredProof;
 use crate::names::millis;
 use crate::placement::TargetChoice;
 use crate::ports::{LineStream, StreamPosition, TargetCall, TargetError};
@@ -30,6 +31,8 @@
 pub struct AttemptFault {
     /// Whether the engine may have worked on the request.
     pub may_have_run: bool,
+    /// Proof that it has not.
+    pub proof: Option<UndeliveredProof>,
     /// What happened.
     pub reason: String,
     /// When to come back, where the engine said so.
@@ -104,6 +107,7 @@
         }
         ending.map_err(|reason| AttemptFault {
             may_have_run: true,
+            proof: None,
             reason,
             retry_after: Duration::ZERO,
         })
@@ -125,6 +129,7 @@
         let ending = self.follow(lines, choice, attempt).await;
         ending.map_err(|reason| AttemptFault {
             may_have_run: true,
+            proof: None,
             reason,
             retry_after: Duration::ZERO,
         })
@@ -297,6 +302,7 @@
         };
         Self {
             may_have_run,
+            proof: UndeliveredProof::from_error(error),
             reason: error.to_string(),
             retry_after,
         }
--- a/src/request.rs
+++ b/src/request.rs
@@ -7,7 +7,7 @@
 
 use crate::catalogue::{ClassSpec, ClassTarget};
 use crate::clock;
-use crate::intent_store::IntentKey;
+use crate::intents::IntentKey;
 use crate::names::{
     ClassName, ModelName, MonoTime, RequestId, RequestKey, UnixTime, WorkspaceName,
 };
--- a/src/rpc_requests.rs
+++ b/src/rpc_requests.rs
@@ -15,7 +15,7 @@
 use crate::addressing;
 use crate::answer_sink::{AnswerEvent, AnswerSink, FinalOutcome};
 use crate::clock;
-use crate::intent_store::{IntentKey, RecordView};
+use crate::intents::{IntentKey, RecordView};
 use crate::names::{ProcessIncarnation, RequestId, RequestKey, UnixTime, WorkspaceName, millis};
 use crate::pb;
 use crate::pb::requests_server::Requests;
@@ -110,7 +110,7 @@
         let request = self.checked(&workspace, request.into_inner())?;
         let (events, receiver) = mpsc::channel(EVENTS_AHEAD);
         let mut sink = AnswerSink::new(events, request.id.clone());
-        let stopping = self.context.control.snapshot.load().stopping;
+        let stopping = self.context.closing.load(Ordering::Relaxed);
         let fresh = request.intent.is_none() || request.submit.first_submission;
         if stopping && fresh {
             let outcome = FinalOutcome::NotRun {
--- a/src/run_once.rs
+++ b/src/run_once.rs
@@ -17,10 +17,9 @@
 use crate::attempt::{AttemptFault, AttemptState};
 use crate::clock;
 use crate::dispatch::JobSlot;
-use crate::intent_store::{
-    ClaimResult, CloseRecord, DispatchPermit, DispatchedClaim, IntentClaim, IntentKey, NotRunProof,
-    RecordView,
-};
+use crate::intent_permit::{DispatchPermit, DispatchedClaim, UndeliveredProof};
+use crate::intent_store::{ClaimResult, IntentClaim};
+use crate::intents::{AnswerRecord, IntentKey, RecordView};
 use crate::placement::{PoolKey, TargetChoice};
 use crate::ports::TargetError;
 use crate::request::CallerRequest;
@@ -59,7 +58,7 @@
         Err(outcome) => return outcome,
     };
     if *cancelled.borrow() {
-        context.intents.close_unused(permit);
+        permit.release();
         return FinalOutcome::Cancelled;
     }
     let waited = clock::mono_now().since(request.arrived);
@@ -232,7 +231,10 @@
             record_answer(&context, dispatched, &data);
             Ok(data)
         }
-        Err(error) => Err(record_fault(&context, dispatched, &error)),
+        Err(error) => {
+            record_fault(dispatched, UndeliveredProof::from_error(&error));
+            Err(AttemptFault::from(&error))
+        }
     }
 }
 
@@ -257,20 +259,19 @@
     slot.finish(measure);
     match ended {
         Ok(summary) => {
-            let digest = summary.digest.map(Vec::from).unwrap_or_default();
-            let record = CloseRecord::Answered {
+            let digest = summary.digest.unwrap_or_default();
+            dispatched.answered(AnswerRecord {
                 length: summary.length,
                 digest,
                 result: None,
-            };
-            context.intents.close(dispatched, record);
+            });
             FinalOutcome::Answered {
                 summary,
                 reason: String::new(),
             }
         }
         Err(fault) => {
-            close_by_fault(context, dispatched, &fault);
+            record_fault(dispatched, fault.proof);
             from_fault(fault)
         }
     }
@@ -279,6 +280,7 @@
 fn stopped(reason: &str) -> AttemptFault {
     AttemptFault {
         may_have_run: true,
+        proof: None,
         reason: reason.to_owned(),
         retry_after: Duration::ZERO,
     }
@@ -286,32 +288,20 @@
 
 fn record_answer(context: &TrafficContext, dispatched: DispatchedClaim, data: &[u8]) {
     let small = data.len() <= context.settings.intents.result_bytes;
-    let record = CloseRecord::Answered {
+    dispatched.answered(AnswerRecord {
         length: data.len() as u64,
-        digest: Sha256::digest(data).to_vec(),
+        digest: Sha256::digest(data).into(),
         result: small.then(|| data.to_vec()),
-    };
-    context.intents.close(dispatched, record);
+    });
 }
 
-fn record_fault(
-    context: &TrafficContext,
-    dispatched: DispatchedClaim,
-    error: &TargetError,
-) -> AttemptFault {
-    let fault = AttemptFault::from(error);
-    match NotRunProof::from_error(error) {
-        Some(proof) => context.intents.close_not_run(dispatched, proof),
-        None => context.intents.close(dispatched, CloseRecord::Unknown),
+/// Records how a dispatch without an answer ended.
+fn record_fault(dispatched: DispatchedClaim, proof: Option<UndeliveredProof>) {
+    match proof {
+        Some(proof) => dispatched.not_run(proof),
+        // Dropping the claim records that its end was lost.
+        None => drop(dispatched),
     }
-    fault
-}
-
-fn close_by_fault(context: &TrafficContext, dispatched: DispatchedClaim, fault: &AttemptFault) {
-    // A fault no longer carries the proof that nothing ran, so the record stays open
-    // on that question; the caller is told what the fault says.
-    log::debug!("a dispatched request ended: {}", fault.reason);
-    context.intents.close(dispatched, CloseRecord::Unknown);
 }
 
 fn from_fault(fault: AttemptFault) -> FinalOutcome {
@@ -368,7 +358,7 @@
             length,
             digest,
             result,
-        } => from_answer(sink, length, &digest, result, offset).await,
+        } => from_answer(sink, length, digest, result, offset).await,
         RecordView::Absent => unknown("its record has expired".to_owned()),
         RecordView::Intended { claimant, .. } => unknown(format!("{claimant} has dispatched it")),
         RecordView::Unknown => unknown("its target's answer was lost".to_owned()),
--- a/src/server.rs
+++ b/src/server.rs
@@ -1,1 +1,305 @@
-//! Not written yet.
+//! One daemon: its parts wired together, its start and its graceful shutdown.
+
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use eyre::{Result, WrapErr};
+use indexmap::IndexMap;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::{Identity, Server, ServerTlsConfig};
+
+use crate::admin_http::{self, AdminServer};
+use crate::clock;
+use crate::control::{ControlEvent, ControlHandle, ControlInputs, start_control};
+use crate::dispatch::JobDispatcher;
+use crate::engine_http::engine_port;
+use crate::intent_store::{IntentStore, StoreInputs};
+use crate::journal::DecisionJournal;
+use crate::names::ProcessIncarnation;
+use crate::pb::operations_server::OperationsServer;
+use crate::pb::requests_server::RequestsServer;
+use crate::platform_http::platform_port;
+use crate::ports::PlatformPort;
+use crate::resume_token::TokenSigner;
+use crate::retry_budget::RetryBudget;
+use crate::rpc_operations::OperationsService;
+use crate::rpc_requests::RequestsService;
+use crate::scheduler::{Scheduler, SchedulerInputs};
+use crate::service_http::service_port;
+use crate::settings::DaemonSettings;
+use crate::telemetry::{self, Telemetry};
+use crate::traffic::TrafficContext;
+
+/// Decisions kept for `explain`.
+const JOURNAL_LENGTH: usize = 10_000;
+/// Connections accepted and not yet taken over by the server.
+const CONNECTIONS_AHEAD: usize = 64;
+/// Longest wait for the leases to be handed over.
+const HAND_OVER_TIME: Duration = Duration::from_secs(5);
+/// Time between looks at whether the last request has ended.
+const FINISH_CHECK: Duration = Duration::from_millis(20);
+
+/// A daemon that serves.
+pub struct RunningDaemon {
+    /// Address for callers and operators.
+    pub rpc: SocketAddr,
+    /// Address of health and metrics pages.
+    pub admin: SocketAddr,
+    /// Address for other daemons.
+    pub peer: SocketAddr,
+    context: Arc<TrafficContext>,
+    closing: watch::Sender<bool>,
+    tasks: Vec<JoinHandle<()>>,
+    _admin: AdminServer,
+    _peer: StdListener,
+}
+
+/// Serves until `stop` resolves, then shuts down gracefully.
+///
+/// # Errors
+///
+/// Returns what kept the daemon from starting.
+pub async fn run_daemon(
+    settings: DaemonSettings,
+    started: impl FnOnce(&RunningDaemon),
+    stop: impl Future<Output = ()>,
+) -> Result<()> {
+    let daemon = start_daemon(settings).await?;
+    started(&daemon);
+    stop.await;
+    daemon.stop().await;
+    Ok(())
+}
+
+/// Starts a daemon.
+///
+/// # Errors
+///
+/// Returns what kept it from starting: an address in use, a certificate that cannot
+/// be read, no HTTP client.
+pub async fn start_daemon(settings: DaemonSettings) -> Result<RunningDaemon> {
+    let settings = Arc::new(settings);
+    let metrics = telemetry::install_prometheus().wrap_err("cannot set up metrics")?;
+    let (rpc, listener) = bind(settings.listen.rpc, "listen.rpc").await?;
+    let peer_listener = StdListener::bind(settings.listen.peer)
+        .wrap_err_with(|| format!("cannot listen on listen.peer {}", settings.listen.peer))?;
+    let peer = peer_listener.local_addr()?;
+    let incarnation = clock::new_incarnation();
+    let platform = platform_port(&settings.platform).wrap_err("cannot call the platform")?;
+    let journal = DecisionJournal::new(JOURNAL_LENGTH);
+    let control = start_control(ControlInputs {
+        settings: Arc::clone(&settings),
+        platform: platform.clone(),
+        engines: engine_port()?,
+        journal: journal.clone(),
+        rpc_address: rpc,
+        peer_address: peer,
+        incarnation,
+        seed: incarnation.0,
+    });
+    let snapshot = control.snapshot.clone();
+    let admin = admin_http::serve_admin(settings.listen.admin, snapshot, metrics)
+        .await
+        .wrap_err_with(|| format!("cannot listen on listen.admin {}", settings.listen.admin))?;
+    let context = build_context(&settings, platform, control, journal, incarnation)?;
+    let (closing, _) = watch::channel(false);
+    let serving = serve(&context, listener, incarnation, &closing)?;
+    let dispatcher = context.dispatcher.clone();
+    let pumping = tokio::spawn(dispatcher.run(until_closed(closing.subscribe())));
+    log::info!("daemon {} serves on {rpc}", settings.daemon_id);
+    Ok(RunningDaemon {
+        rpc,
+        admin: admin.address,
+        peer,
+        context,
+        closing,
+        tasks: vec![serving, pumping],
+        _admin: admin,
+        _peer: peer_listener,
+    })
+}
+
+impl RunningDaemon {
+    /// Tells whether a whole configuration and instance list have been seen.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.context.control.snapshot.load().ready
+    }
+
+    /// Returns what the daemon's parts share, for embedding and tests.
+    #[must_use]
+    pub fn context(&self) -> &Arc<TrafficContext> {
+        &self.context
+    }
+
+    /// Shuts down gracefully: cuts no request.
+    ///
+    /// The daemon leaves the addressing first and goes on serving for as long as
+    /// callers keep an answer that names it; only then does it turn new work away,
+    /// and it ends once the last request has.
+    pub async fn stop(mut self) {
+        let settings = Arc::clone(&self.context.settings);
+        let (done, handed_over) = oneshot::channel();
+        // A control thread that is gone holds no leases and names no addresses.
+        let _ = self.context.control.events.send(ControlEvent::Stop { done });
+        let _ = tokio::time::timeout(HAND_OVER_TIME, handed_over).await;
+        let keep = Duration::from_millis(u64::from(settings.shutdown.keep_ms));
+        tokio::time::sleep(keep).await;
+        self.context.closing.store(true, Ordering::Relaxed);
+        let finish = Duration::from_millis(settings.shutdown.finish_ms);
+        if tokio::time::timeout(finish, self.idle()).await.is_err() {
+            let left = self.context.running_count();
+            log::warn!("stopping with {left} requests running; raise shutdown.finish_ms");
+        }
+        self.closing.send_replace(true);
+        for task in self.tasks.drain(..) {
+            let _ = tokio::time::timeout(HAND_OVER_TIME, task).await;
+        }
+        self.context.control.end();
+        log::info!("daemon {} stopped", settings.daemon_id);
+    }
+
+    /// Ends at once, as a crash would: running requests are cut, leases left to expire.
+    pub fn kill(mut self) {
+        for task in self.tasks.drain(..) {
+            task.abort();
+        }
+        self.context.control.end();
+    }
+
+    async fn idle(&self) {
+        while self.context.running_count() > 0 {
+            tokio::time::sleep(FINISH_CHECK).await;
+        }
+    }
+}
+
+fn build_context(
+    settings: &Arc<DaemonSettings>,
+    platform: PlatformPort,
+    control: ControlHandle,
+    journal: DecisionJournal,
+    incarnation: ProcessIncarnation,
+) -> Result<Arc<TrafficContext>> {
+    let scheduler = Scheduler::new(SchedulerInputs {
+        policy: settings.policy.clone(),
+        limits: settings.limits.clone(),
+        speeds: settings.policy.speeds.clone(),
+        centre: settings.data_centre.clone(),
+        seed: incarnation.0,
+    });
+    let intents = IntentStore::new(&StoreInputs {
+        settings: &settings.intents,
+        platform,
+        daemon: settings.daemon_id.clone(),
+        incarnation,
+    });
+    let dispatcher = JobDispatcher::new(scheduler, control.clone(), journal.clone());
+    Ok(Arc::new(TrafficContext {
+        daemon: settings.daemon_id.clone(),
+        dispatcher,
+        engines: engine_port()?,
+        services: service_port()?,
+        control,
+        signer: TokenSigner::new(&settings.access.token_secrets)?,
+        intents,
+        telemetry: Telemetry::new(settings.metrics.tracked_pairs),
+        journal,
+        budget: Mutex::new(RetryBudget::new(settings.policy.retry_share)),
+        running: Mutex::new(IndexMap::new()),
+        closing: AtomicBool::new(false),
+        settings: Arc::clone(settings),
+    }))
+}
+
+fn serve(
+    context: &Arc<TrafficContext>,
+    listener: TcpListener,
+    incarnation: ProcessIncarnation,
+    closing: &watch::Sender<bool>,
+) -> Result<JoinHandle<()>> {
+    let limits = &context.settings.limits;
+    let requests = RequestsService::new(Arc::clone(context), incarnation);
+    let operations = OperationsService::new(Arc::clone(context));
+    let mut server = Server::builder().max_concurrent_streams(limits.streams_per_connection);
+    if let Some(tls) = &context.settings.listen.tls {
+        let identity = Identity::from_pem(&tls.certificate_pem, &tls.key_pem);
+        server = server
+            .tls_config(ServerTlsConfig::new().identity(identity))
+            .wrap_err("listen.tls cannot be used; check certificate_pem and key_pem")?;
+    }
+    let router = server
+        .add_service(RequestsServer::new(requests).max_decoding_message_size(limits.message_bytes))
+        .add_service(
+            OperationsServer::new(operations).max_decoding_message_size(limits.message_bytes),
+        );
+    let first_bytes = Duration::from_millis(limits.header_ms);
+    let connections = accept_connections(listener, first_bytes, closing.subscribe());
+    let closed = until_closed(closing.subscribe());
+    Ok(tokio::spawn(async move {
+        let served = router.serve_with_incoming_shutdown(connections, closed);
+        if let Err(error) = served.await {
+            log::error!("serving callers ended: {error}");
+        }
+    }))
+}
+
+/// Accepts connections and passes on those that send something in time.
+///
+/// Without the wait for the first byte, connections opened and left silent would
+/// each hold a server task for good.
+fn accept_connections(
+    listener: TcpListener,
+    first_bytes: Duration,
+    closing: watch::Receiver<bool>,
+) -> ReceiverStream<std::io::Result<TcpStream>> {
+    let (ready, connections) = mpsc::channel(CONNECTIONS_AHEAD);
+    tokio::spawn(async move {
+        let closed = until_closed(closing);
+        tokio::pin!(closed);
+        loop {
+            let accepted = tokio::select! {
+                () = &mut closed => return,
+                accepted = listener.accept() => accepted,
+            };
+            let Ok((stream, _)) = accepted else {
+                // Out of descriptors, most likely: a pause lets some be freed.
+                tokio::time::sleep(FINISH_CHECK).await;
+                continue;
+            };
+            tokio::spawn(pass_on(stream, first_bytes, ready.clone()));
+        }
+    });
+    ReceiverStream::new(connections)
+}
+
+async fn pass_on(
+    stream: TcpStream,
+    first_bytes: Duration,
+    ready: mpsc::Sender<std::io::Result<TcpStream>>,
+) {
+    let _ = stream.set_nodelay(true);
+    let peeked = tokio::time::timeout(first_bytes, stream.peek(&mut [0])).await;
+    if matches!(peeked, Ok(Ok(read)) if read > 0) {
+        // A closed channel means the server is going down.
+        let _ = ready.send(Ok(stream)).await;
+    }
+}
+
+async fn bind(address: SocketAddr, field: &str) -> Result<(SocketAddr, TcpListener)> {
+    let listener = TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("cannot listen on {field} {address}"))?;
+    Ok((listener.local_addr()?, listener))
+}
+
+async fn until_closed(mut closing: watch::Receiver<bool>) {
+    // A dropped sender means the daemon is gone, which closes as well.
+    let _ = closing.wait_for(|closing| *closing).await;
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::cost::SpeedSettings;
 use crate::names::{CentreName, DaemonId};
 
 /// Everything a daemon is told at its start.
@@ -276,6 +277,8 @@
     pub engine_in_flight: usize,
     /// Concurrent calls placed on one plain service by this daemon, at most.
     pub service_in_flight: usize,
+    /// First guesses of engine speeds.
+    pub speeds: SpeedSettings,
 }
 
 impl Default for PolicySettings {
@@ -292,6 +295,7 @@
             retry_share: 0.1,
             engine_in_flight: 32,
             service_in_flight: 64,
+            speeds: SpeedSettings::default(),
         }
     }
 }
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -1,5 +1,6 @@
 //! What every running request shares, and the entry into running one.
 
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -53,6 +54,8 @@
     pub budget: Mutex<RetryBudget>,
     /// Requests running in this daemon.
     pub running: Mutex<IndexMap<RequestId, watch::Sender<bool>>>,
+    /// Whether new work is turned away.
+    pub closing: AtomicBool,
 }
 
 /// Times of one request, gathered while it runs.
