Add the control thread with configuration, membership and addressing

Ruled out: one object per item (5,000 watches); a read that lacks a mark as proof that nothing was written; the list's newest word against an earlier 'leaving'. Change: platform adapter over HTTP, 256 configuration buckets with checks and conditional changes, merged membership with departures and suspicions, timer service, addressing, and the thread that owns and publishes all of it. Measurement: none yet.

--- a/src/config_store.rs
+++ b/src/config_store.rs
@@ -1,1 +1,255 @@
-//! Not written yet.
+//! Runs an operator's change against the platform.
+
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
+use crate::clock;
+use crate::config_buckets::{self, BucketIndex, BucketRecord};
+use crate::control::{ChangeError, ItemChange};
+use crate::ports::{ConditionalWrite, ObjectVersion, PlatformError, PlatformPort, StoredObject};
+use crate::snapshot::ConfigView;
+
+/// How long a change is tried.
+#[derive(Clone, Copy, Debug)]
+pub struct ChangePatience {
+    /// Time after which no further attempt is made.
+    pub total: Duration,
+    /// Wait between attempts.
+    pub pause: Duration,
+}
+
+impl Default for ChangePatience {
+    fn default() -> Self {
+        Self {
+            total: Duration::from_secs(5),
+            pause: Duration::from_millis(50),
+        }
+    }
+}
+
+/// A change that the platform holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StoredChange {
+    /// Revision the item took.
+    pub revision: u64,
+    /// The bucket as last seen, the change included.
+    pub stored: StoredObject,
+}
+
+// A write whose answer was lost: it may have landed, or may land later.
+#[derive(Clone, Debug)]
+struct LostWrite {
+    expected: ObjectVersion,
+    bucket: BucketRecord,
+    reason: String,
+}
+
+enum ReadBack {
+    Landed(u64),
+    NeverLands,
+    Open,
+    Forgotten,
+}
+
+struct BucketRead {
+    version: ObjectVersion,
+    bucket: BucketRecord,
+    stored: StoredObject,
+}
+
+/// Reads, edits and conditionally writes a bucket until the change is decided.
+///
+/// `mark` must be unique to this change.
+///
+/// # Errors
+///
+/// Fails as [`ChangeError`] tells; only `Unknown` leaves open whether the change
+/// was taken.
+pub async fn run_change(
+    platform: &PlatformPort,
+    view: &ConfigView,
+    change: &ItemChange,
+    mark: &str,
+    patience: ChangePatience,
+) -> Result<StoredChange, ChangeError> {
+    let index = BucketIndex::of(&change.item);
+    let give_up = Instant::now() + patience.total;
+    let mut lost: Option<LostWrite> = None;
+    let mut newest = ObjectVersion(0);
+    let mut obstacle = "the bucket kept changing".to_owned();
+    while Instant::now() < give_up {
+        match attempt(platform, view, change, mark, index, &mut lost, &mut newest).await {
+            Ok(stored) => return Ok(stored),
+            Err(AttemptError::Decided(error)) => return Err(decided(lost.as_ref(), error)),
+            Err(AttemptError::Again { reason, pause }) => {
+                obstacle = reason;
+                sleep(pause.max(patience.pause).min(patience.total)).await;
+            }
+        }
+    }
+    Err(undecided(lost.as_ref(), obstacle))
+}
+
+enum AttemptError {
+    Decided(ChangeError),
+    Again { reason: String, pause: Duration },
+}
+
+async fn attempt(
+    platform: &PlatformPort,
+    view: &ConfigView,
+    change: &ItemChange,
+    mark: &str,
+    index: BucketIndex,
+    lost: &mut Option<LostWrite>,
+    newest: &mut ObjectVersion,
+) -> Result<StoredChange, AttemptError> {
+    let found = read_bucket(platform, index).await?;
+    // A stale read shows less than a conflict has already revealed.
+    if found.version < *newest {
+        return Err(again("a read was older than a write's answer"));
+    }
+    *newest = found.version;
+    if let Some(write) = lost.as_ref() {
+        match read_back(write, &found, mark) {
+            ReadBack::Landed(revision) => {
+                let stored = found.stored;
+                return Ok(StoredChange { revision, stored });
+            }
+            ReadBack::NeverLands => *lost = None,
+            ReadBack::Open => {}
+            ReadBack::Forgotten => return Err(AttemptError::Decided(unknown(write))),
+        }
+    }
+    let next = match lost.as_ref() {
+        Some(write) => write.bucket.clone(),
+        None => config_buckets::edit(&found.bucket, view, change, mark, clock::unix_now())
+            .map_err(AttemptError::Decided)?,
+    };
+    write_bucket(platform, index, found.version, next, lost, newest).await
+}
+
+/// Decides what became of a lost write.
+///
+/// A read that lacks the mark does not prove that nothing was written: the write may
+/// still be under way. It can land only on the version it expects, so a newer
+/// version without the mark rules it out; until then the same write is sent again,
+/// and whichever lands first makes the other one fail.
+fn read_back(write: &LostWrite, found: &BucketRead, mark: &str) -> ReadBack {
+    if let Some(sequence) = found.bucket.sequence_of(mark) {
+        return ReadBack::Landed(sequence);
+    }
+    if found.version == write.expected {
+        return ReadBack::Open;
+    }
+    let before = write.bucket.sequence.saturating_sub(1);
+    if found.bucket.remembers_since(before) {
+        return ReadBack::NeverLands;
+    }
+    ReadBack::Forgotten
+}
+
+async fn read_bucket(
+    platform: &PlatformPort,
+    index: BucketIndex,
+) -> Result<BucketRead, AttemptError> {
+    let object = index.object();
+    let read = (platform.read)(object.clone()).await;
+    let stored = read.map_err(|error| again_after(&error))?;
+    let stored = stored.unwrap_or(StoredObject {
+        object,
+        version: ObjectVersion(0),
+        value: None,
+    });
+    let bucket = BucketRecord::decode(&stored).map_err(|error| {
+        AttemptError::Decided(ChangeError::Invalid {
+            reason: error.to_string(),
+        })
+    })?;
+    Ok(BucketRead {
+        version: stored.version,
+        bucket,
+        stored,
+    })
+}
+
+async fn write_bucket(
+    platform: &PlatformPort,
+    index: BucketIndex,
+    expected: ObjectVersion,
+    bucket: BucketRecord,
+    lost: &mut Option<LostWrite>,
+    newest: &mut ObjectVersion,
+) -> Result<StoredChange, AttemptError> {
+    let value = bucket.encode().map_err(AttemptError::Decided)?;
+    let object = index.object();
+    let write = ConditionalWrite {
+        object: object.clone(),
+        expected,
+        value: value.clone(),
+    };
+    match (platform.write)(write).await {
+        Ok(version) => Ok(StoredChange {
+            revision: bucket.sequence,
+            stored: StoredObject {
+                object,
+                version,
+                value: Some(value),
+            },
+        }),
+        Err(PlatformError::Conflict { current }) => {
+            *newest = current.max(*newest);
+            Err(again("the bucket changed under the write"))
+        }
+        Err(PlatformError::Refused { reason }) => {
+            Err(AttemptError::Decided(ChangeError::Invalid { reason }))
+        }
+        Err(error @ PlatformError::Lost { .. }) => {
+            let reason = error.to_string();
+            *lost = Some(LostWrite {
+                expected,
+                bucket,
+                reason,
+            });
+            Err(again_after(&error))
+        }
+        Err(error @ PlatformError::Unavailable { .. }) => Err(again_after(&error)),
+    }
+}
+
+fn again(reason: &str) -> AttemptError {
+    AttemptError::Again {
+        reason: reason.to_owned(),
+        pause: Duration::ZERO,
+    }
+}
+
+fn again_after(error: &PlatformError) -> AttemptError {
+    let pause = match error {
+        PlatformError::Unavailable { retry_after, .. } => *retry_after,
+        _ => Duration::ZERO,
+    };
+    AttemptError::Again {
+        reason: error.to_string(),
+        pause,
+    }
+}
+
+// With a lost write open, no other error may claim that nothing was written.
+fn decided(lost: Option<&LostWrite>, error: ChangeError) -> ChangeError {
+    lost.map_or(error, unknown)
+}
+
+fn unknown(write: &LostWrite) -> ChangeError {
+    ChangeError::Unknown {
+        reason: write.reason.clone(),
+    }
+}
+
+fn undecided(lost: Option<&LostWrite>, obstacle: String) -> ChangeError {
+    match lost {
+        Some(write) => unknown(write),
+        None => ChangeError::Unavailable { reason: obstacle },
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,12 +1,19 @@
 //! The control thread: owner of configuration, membership, leases and roles.
 
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::catalogue::{ItemName, ItemSpec};
-use crate::names::{ClassName, ModelName, TargetId, WorkspaceName};
-use crate::snapshot::SnapshotCell;
+use crate::control_loop;
+use crate::journal::DecisionJournal;
+use crate::names::{ClassName, ModelName, ProcessIncarnation, TargetId, WorkspaceName};
+use crate::ports::{EnginePort, PlatformPort};
+use crate::settings::DaemonSettings;
+use crate::snapshot::{SnapshotCell, new_cell};
 
 /// An operator's change of one item.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -103,6 +110,27 @@
     },
 }
 
+/// What the control thread is started with.
+#[derive(Clone)]
+pub struct ControlInputs {
+    /// Settings of the daemon.
+    pub settings: Arc<DaemonSettings>,
+    /// The platform's objects and instance list.
+    pub platform: PlatformPort,
+    /// Model engines.
+    pub engines: EnginePort,
+    /// Where decisions and reasons go.
+    pub journal: DecisionJournal,
+    /// Address that callers reach this daemon at.
+    pub rpc_address: SocketAddr,
+    /// Address that peers reach this daemon at.
+    pub peer_address: SocketAddr,
+    /// Life of this process.
+    pub incarnation: ProcessIncarnation,
+    /// Seed of all random choices of the control thread.
+    pub seed: u64,
+}
+
 /// Handle of the control thread.
 #[derive(Clone, Debug)]
 pub struct ControlHandle {
@@ -110,4 +138,49 @@
     pub snapshot: SnapshotCell,
     /// Where events go.
     pub events: mpsc::UnboundedSender<ControlEvent>,
+    end: Arc<watch::Sender<bool>>,
+    thread: Arc<Mutex<Option<JoinHandle<()>>>>,
+}
+
+impl ControlHandle {
+    /// Ends the thread and waits for it. Leases held are left to expire; a planned
+    /// stop sends [`ControlEvent::Stop`] first.
+    pub fn end(&self) {
+        self.end.send_replace(true);
+        let mut thread = self.thread.lock().unwrap_or_else(PoisonError::into_inner);
+        let ended = thread.take().map(JoinHandle::join);
+        if let Some(Err(_)) = ended {
+            log::error!("the control thread panicked; restart this daemon");
+        }
+    }
+
+    /// Tells whether the thread has ended, on request or by a panic.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        let thread = self.thread.lock().unwrap_or_else(PoisonError::into_inner);
+        thread.as_ref().is_none_or(JoinHandle::is_finished)
+    }
+}
+
+/// Starts the control thread.
+///
+/// # Panics
+///
+/// Panics when the machine gives no thread or no event loop.
+#[must_use]
+pub fn start_control(inputs: ControlInputs) -> ControlHandle {
+    let snapshot = new_cell();
+    let (events, inbox) = mpsc::unbounded_channel();
+    let (end, ended) = watch::channel(false);
+    let cell = snapshot.clone();
+    let thread = thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || control_loop::run_thread(inputs, cell, inbox, ended))
+        .expect("a thread for control; raise the limit of threads");
+    ControlHandle {
+        snapshot,
+        events,
+        end: Arc::new(end),
+        thread: Arc::new(Mutex::new(Some(thread))),
+    }
 }
--- /dev/null
+++ b/src/control_feeds.rs
@@ -0,0 +1,210 @@
+//! Tasks that feed the control loop from the platform and the engines.
+
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::sleep;
+
+use crate::clock;
+use crate::config_buckets::CONFIG_KIND;
+use crate::control::{ChangeError, ChangeReport, ItemChange};
+use crate::membership;
+use crate::names::TargetId;
+use crate::platform_wire::InstanceRow;
+use crate::ports::{
+    EnginePort, ObjectBatch, PlatformError, PlatformPort, StoredObject, TargetCall, WatchQuery,
+};
+use crate::target_wire::EngineState;
+
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+const LONGEST_BACKOFF: Duration = Duration::from_secs(5);
+const POLL_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Where an operator's change is answered.
+pub type ChangeReply = oneshot::Sender<Result<ChangeReport, ChangeError>>;
+
+/// What the feeding tasks tell the control loop.
+#[derive(Debug)]
+pub enum FeedEvent {
+    /// Configuration objects; a whole listing or those changed.
+    Config {
+        /// The objects.
+        objects: Vec<StoredObject>,
+        /// Whether these are all there are.
+        whole: bool,
+    },
+    /// The instance list.
+    Instances(Vec<InstanceRow>),
+    /// Whether the platform answered a call.
+    Platform(bool),
+    /// The state of an engine, or that it did not answer.
+    Engine {
+        /// Engine read.
+        target: TargetId,
+        /// Its report and the report's age.
+        report: Option<(EngineState, Duration)>,
+    },
+    /// An operator's change was decided.
+    Changed {
+        /// The change.
+        change: ItemChange,
+        /// Revision and bucket, or why it was not accepted.
+        result: Result<(u64, StoredObject), ChangeError>,
+        /// Where the answer goes.
+        reply: ChangeReply,
+    },
+}
+
+/// Waits that grow with each failure and differ between daemons.
+///
+/// Without jitter all daemons would come back to a recovered platform in the same
+/// instant and bring it down again.
+#[derive(Debug)]
+pub struct BackoffState {
+    wait: Duration,
+    rng: SmallRng,
+}
+
+impl BackoffState {
+    /// Creates a backoff with its own seed.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            wait: FIRST_BACKOFF,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Starts again from the shortest wait.
+    pub fn reset(&mut self) {
+        self.wait = FIRST_BACKOFF;
+    }
+
+    /// Returns the next wait, at least as long as the platform asked for.
+    pub fn next_wait(&mut self, error: &PlatformError) -> Duration {
+        let asked = match error {
+            PlatformError::Unavailable { retry_after, .. } => *retry_after,
+            _ => Duration::ZERO,
+        };
+        let wait = self.wait.mul_f64(self.rng.random_range(0.5..1.5));
+        self.wait = (self.wait * 2).min(LONGEST_BACKOFF);
+        wait.max(asked.min(LONGEST_BACKOFF))
+    }
+}
+
+/// Feeds the configuration: lists it, then watches it from there.
+pub async fn feed_config(
+    platform: PlatformPort,
+    watch_wait: Duration,
+    seed: u64,
+    feeds: mpsc::UnboundedSender<FeedEvent>,
+) {
+    let mut backoff = BackoffState::new(seed);
+    let mut since: Option<u64> = None;
+    while !feeds.is_closed() {
+        let result = match since {
+            None => (platform.list)(CONFIG_KIND.to_owned()).await,
+            Some(revision) => watch(&platform, revision, watch_wait).await,
+        };
+        match result {
+            Ok(batch) => {
+                backoff.reset();
+                since = deliver(batch, since, &feeds);
+            }
+            Err(error) => {
+                let _ = feeds.send(FeedEvent::Platform(is_answer(&error)));
+                // The revision may be too old to continue from: start over. After an
+                // outage the watch goes on where it stood, which spares the platform
+                // a whole listing by every daemon at once.
+                if matches!(error, PlatformError::Refused { .. }) {
+                    since = None;
+                }
+                sleep(backoff.next_wait(&error)).await;
+            }
+        }
+    }
+}
+
+async fn watch(
+    platform: &PlatformPort,
+    since: u64,
+    wait: Duration,
+) -> Result<ObjectBatch, PlatformError> {
+    let query = WatchQuery {
+        kind: CONFIG_KIND.to_owned(),
+        since,
+        wait,
+    };
+    (platform.watch)(query).await
+}
+
+// A revision that goes back means that the platform lost its history: list again.
+fn deliver(
+    batch: ObjectBatch,
+    since: Option<u64>,
+    feeds: &mpsc::UnboundedSender<FeedEvent>,
+) -> Option<u64> {
+    let went_back = since.is_some_and(|revision| batch.revision < revision);
+    let _ = feeds.send(FeedEvent::Platform(true));
+    let _ = feeds.send(FeedEvent::Config {
+        objects: batch.objects,
+        whole: since.is_none(),
+    });
+    (!went_back).then_some(batch.revision)
+}
+
+/// Feeds the instance list at a steady pace.
+pub async fn feed_instances(
+    platform: PlatformPort,
+    pace: Duration,
+    seed: u64,
+    feeds: mpsc::UnboundedSender<FeedEvent>,
+) {
+    let mut backoff = BackoffState::new(seed);
+    while !feeds.is_closed() {
+        match (platform.instances)(()).await {
+            Ok(rows) => {
+                backoff.reset();
+                let _ = feeds.send(FeedEvent::Platform(true));
+                let _ = feeds.send(FeedEvent::Instances(rows));
+                sleep(pace).await;
+            }
+            Err(error) => {
+                let _ = feeds.send(FeedEvent::Platform(is_answer(&error)));
+                sleep(backoff.next_wait(&error)).await;
+            }
+        }
+    }
+}
+
+/// Reads one engine's state.
+pub async fn poll_engine(
+    engines: EnginePort,
+    target: TargetId,
+    address: String,
+    feeds: mpsc::UnboundedSender<FeedEvent>,
+) {
+    let call = TargetCall {
+        address,
+        patience: POLL_PATIENCE,
+        body: (),
+    };
+    let answer = tokio::time::timeout(POLL_PATIENCE, (engines.state)(call)).await;
+    let state = answer.ok().and_then(Result::ok);
+    let report = state.map(|report| {
+        let age = membership::report_age(&report, clock::unix_now());
+        (report, age)
+    });
+    let _ = feeds.send(FeedEvent::Engine { target, report });
+}
+
+/// Tells whether an error shows that the platform is there.
+#[must_use]
+pub fn is_answer(error: &PlatformError) -> bool {
+    matches!(
+        error,
+        PlatformError::Conflict { .. } | PlatformError::Refused { .. }
+    )
+}
--- /dev/null
+++ b/src/departures.rs
@@ -0,0 +1,141 @@
+//! Remembers what has begun to leave, so that no older word puts it back into use.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::names::{MonoTime, ProcessIncarnation};
+use crate::platform_wire::InstanceState;
+
+/// Most departures remembered; beyond it the one unheard of for longest is dropped.
+pub const MOST_DEPARTURES: usize = 20_000;
+
+/// One life of a process: its name and address, since each life has but one.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct LifeKey {
+    /// Name of the daemon or target.
+    pub id: String,
+    /// Address it listens on.
+    pub address: String,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct DepartureRecord {
+    incarnation: Option<ProcessIncarnation>,
+    heard_at: MonoTime,
+    // A newer life was seen; the word "leaving" may still be about the older one.
+    superseded: bool,
+}
+
+/// Everything known to be leaving.
+///
+/// The instance list lags and is read from replicas, so a list that still says
+/// "live" may be older than the one that said "leaving". Taking it at its word would
+/// send new work to a process about to end. A departure therefore stands until a
+/// newer incarnation is seen, or until no source names the process for a while.
+#[derive(Clone, Debug)]
+pub struct DepartureTable {
+    forget: Duration,
+    records: IndexMap<LifeKey, DepartureRecord>,
+}
+
+impl DepartureTable {
+    /// Creates a table that forgets what was not heard of for `forget`.
+    #[must_use]
+    pub fn new(forget: Duration) -> Self {
+        Self {
+            forget,
+            records: IndexMap::new(),
+        }
+    }
+
+    /// Notes word that a process is leaving.
+    pub fn note_leaving(
+        &mut self,
+        life: &LifeKey,
+        incarnation: Option<ProcessIncarnation>,
+        now: MonoTime,
+    ) {
+        if let Some(record) = self.records.get_mut(life) {
+            record.heard_at = now;
+            record.superseded &= incarnation < record.incarnation;
+            record.incarnation = record.incarnation.max(incarnation);
+            return;
+        }
+        self.make_room();
+        let record = DepartureRecord {
+            incarnation,
+            heard_at: now,
+            superseded: false,
+        };
+        self.records.insert(life.clone(), record);
+    }
+
+    /// Notes a row of the instance list.
+    pub fn note_row(
+        &mut self,
+        life: &LifeKey,
+        state: InstanceState,
+        incarnation: Option<ProcessIncarnation>,
+        now: MonoTime,
+    ) {
+        match (state, self.records.get_mut(life)) {
+            (InstanceState::Leaving, None) => self.note_leaving(life, incarnation, now),
+            (InstanceState::Leaving, Some(record)) => record.heard_at = now,
+            (InstanceState::Live, Some(record)) if record.superseded => {
+                self.records.swap_remove(life);
+            }
+            (InstanceState::Live, Some(record)) => record.heard_at = now,
+            (InstanceState::Live, None) => {}
+        }
+    }
+
+    /// Notes the incarnation that a process itself reported.
+    pub fn note_incarnation(&mut self, life: &LifeKey, incarnation: ProcessIncarnation) {
+        let Some(record) = self.records.get_mut(life) else {
+            return;
+        };
+        match record.incarnation {
+            None => record.incarnation = Some(incarnation),
+            Some(departed) if incarnation > departed => {
+                record.incarnation = Some(incarnation);
+                record.superseded = true;
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Tells whether a process is leaving.
+    #[must_use]
+    pub fn is_leaving(&self, life: &LifeKey) -> bool {
+        self.records.get(life).is_some_and(|r| !r.superseded)
+    }
+
+    /// Forgets what was not heard of for long.
+    pub fn expire(&mut self, now: MonoTime) {
+        let forget = self.forget;
+        self.records.retain(|_, r| now.since(r.heard_at) < forget);
+    }
+
+    /// Returns the number of departures remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Tells whether nothing is leaving.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    fn make_room(&mut self) {
+        if self.records.len() < MOST_DEPARTURES {
+            return;
+        }
+        let oldest = self.records.iter().min_by_key(|(_, r)| r.heard_at);
+        if let Some(life) = oldest.map(|(life, _)| life.clone()) {
+            self.records.swap_remove(&life);
+        }
+    }
+}
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -1,1 +1,423 @@
-//! Not written yet.
+//! Merges what is known of daemons and targets into one view.
+//!
+//! Sources are the instance list, which lags, the calls this daemon makes itself,
+//! what peers and targets say of themselves, and the holds of the configuration.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::departures::{DepartureTable, LifeKey};
+use crate::fleet::{DaemonView, FleetView, UseState};
+use crate::membership_records::{DaemonRecord, PresenceRecord, TargetRecord, life_of, load_report};
+use crate::names::{
+    CentreName, DaemonId, MonoTime, ProcessIncarnation, TargetId, UnixTime, millis,
+};
+use crate::platform_wire::{InstanceKind, InstanceRow, InstanceState};
+use crate::suspicion::CallSource;
+use crate::target_wire::EngineState;
+
+/// Bounds of the merged view.
+#[derive(Clone, Copy, Debug)]
+pub struct MembershipLimits {
+    /// Lists that must lack an instance before it counts as gone.
+    pub absent_lists: u32,
+    /// Time after which something gone is forgotten.
+    pub forget: Duration,
+    /// Silence after which a peer is suspected.
+    pub peer_silence: Duration,
+}
+
+impl Default for MembershipLimits {
+    fn default() -> Self {
+        Self {
+            absent_lists: 2,
+            forget: Duration::from_secs(60),
+            peer_silence: Duration::from_secs(3),
+        }
+    }
+}
+
+/// What a peer says of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PeerWord {
+    /// Daemon that speaks.
+    pub daemon: DaemonId,
+    /// Life of its process.
+    pub incarnation: ProcessIncarnation,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// A change of state, for the journal.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StateChange {
+    /// Daemon or target concerned.
+    pub subject: String,
+    /// State before; `None` when it is new.
+    pub before: Option<UseState>,
+    /// State now.
+    pub after: UseState,
+}
+
+/// The merged view and what it was merged from.
+#[derive(Clone, Debug)]
+pub struct MembershipState {
+    limits: MembershipLimits,
+    own: DaemonView,
+    own_listed: bool,
+    targets: IndexMap<TargetId, TargetRecord>,
+    daemons: IndexMap<DaemonId, DaemonRecord>,
+    departures: DepartureTable,
+    holds: IndexMap<TargetId, String>,
+    changing: IndexMap<TargetId, String>,
+    fleet: Arc<FleetView>,
+    dirty: bool,
+    reports_dirty: bool,
+}
+
+impl MembershipState {
+    /// Creates a view that knows only this daemon.
+    #[must_use]
+    pub fn new(own: DaemonView, limits: MembershipLimits) -> Self {
+        let mut state = Self {
+            limits,
+            own,
+            own_listed: false,
+            targets: IndexMap::new(),
+            daemons: IndexMap::new(),
+            departures: DepartureTable::new(limits.forget),
+            holds: IndexMap::new(),
+            changing: IndexMap::new(),
+            fleet: Arc::default(),
+            dirty: true,
+            reports_dirty: false,
+        };
+        state.refresh();
+        state
+    }
+
+    /// Returns the view as last refreshed.
+    #[must_use]
+    pub fn fleet(&self) -> &Arc<FleetView> {
+        &self.fleet
+    }
+
+    /// Returns how many departures are remembered.
+    #[must_use]
+    pub fn departures(&self) -> usize {
+        self.departures.len()
+    }
+
+    /// Merges an instance list; returns whether it was taken.
+    ///
+    /// An empty list while targets are known is left out: the platform answers so
+    /// while it restarts, and obeying it would take the whole fleet out of use.
+    pub fn apply_list(&mut self, rows: &[InstanceRow], now: MonoTime) -> bool {
+        if rows.is_empty() && !self.targets.is_empty() {
+            return false;
+        }
+        self.dirty = true;
+        self.age_presence();
+        for row in rows {
+            match row.kind {
+                InstanceKind::Entry => self.apply_daemon(row, now),
+                InstanceKind::Engine | InstanceKind::Service => self.apply_target(row, now),
+            }
+        }
+        self.expire(now);
+        true
+    }
+
+    fn age_presence(&mut self) {
+        for record in self.targets.values_mut() {
+            record.presence.absent_lists += 1;
+        }
+        for record in self.daemons.values_mut() {
+            record.presence.absent_lists += 1;
+        }
+    }
+
+    fn apply_target(&mut self, row: &InstanceRow, now: MonoTime) {
+        let id = TargetId::from(row.id.as_str());
+        let known = self.targets.get(&id);
+        // Another address is another process, of which nothing is known yet.
+        let same = known.filter(|r| r.view.address == row.address);
+        let mut record = same.cloned().unwrap_or_else(|| TargetRecord::new(row, now));
+        self.departures
+            .note_row(&life_of(row), row.state, record.incarnation, now);
+        record.presence = PresenceRecord::seen(row.state, now);
+        record.view.data_centre = row.data_centre.clone();
+        record.view.service = row.service.clone();
+        record.view.checks_fence = row.checks_fence;
+        self.targets.insert(id, record);
+    }
+
+    fn apply_daemon(&mut self, row: &InstanceRow, now: MonoTime) {
+        let id = DaemonId::from(row.id.as_str());
+        if id == self.own.id {
+            self.apply_own(row);
+            return;
+        }
+        let known = self.daemons.get(&id);
+        let same = known.filter(|r| r.view.address == row.address);
+        let mut record = same.cloned().unwrap_or_else(|| DaemonRecord::new(row, now));
+        self.departures
+            .note_row(&life_of(row), row.state, record.incarnation(), now);
+        record.presence = PresenceRecord::seen(row.state, now);
+        record.view.peer_address.clone_from(&row.peer_address);
+        record.view.data_centre = row.data_centre.clone();
+        self.daemons.insert(id, record);
+    }
+
+    // A row that says "leaving" before any said "live" is about this daemon's
+    // previous life; obeying it would keep a restarted daemon out of use.
+    fn apply_own(&mut self, row: &InstanceRow) {
+        match row.state {
+            InstanceState::Live => self.own_listed = true,
+            InstanceState::Leaving if self.own_listed => self.own.state = UseState::Leaving,
+            InstanceState::Leaving => {}
+        }
+    }
+
+    fn expire(&mut self, now: MonoTime) {
+        let forget = self.limits.forget;
+        let fresh = |presence: &PresenceRecord| now.since(presence.seen_at) < forget;
+        self.targets.retain(|_, r| fresh(&r.presence));
+        self.daemons.retain(|_, r| fresh(&r.presence));
+        self.departures.expire(now);
+        let targets = &self.targets;
+        self.changing.retain(|id, _| targets.contains_key(id));
+    }
+
+    /// Notes that a call to a target failed or worked.
+    pub fn note_call(
+        &mut self,
+        target: &TargetId,
+        source: CallSource,
+        answered: bool,
+        now: MonoTime,
+    ) {
+        if let Some(record) = self.targets.get_mut(target) {
+            self.dirty |= record.suspicion.note(source, answered, now);
+        }
+    }
+
+    /// Notes an engine's own report; one of another target is left out.
+    pub fn note_state(
+        &mut self,
+        target: &TargetId,
+        report: &EngineState,
+        age: Duration,
+        now: MonoTime,
+    ) {
+        let Some(record) = self.targets.get_mut(target) else {
+            return;
+        };
+        let older = record.incarnation.is_some_and(|i| report.incarnation < i);
+        if report.target != *target || older {
+            return;
+        }
+        let taken_at = MonoTime(now.0.saturating_sub(millis(age)));
+        let newest = record.view.report.as_ref().map(|r| r.taken_at);
+        let restarted = record.incarnation != Some(report.incarnation);
+        if !restarted && newest.is_some_and(|at| at >= taken_at) {
+            return;
+        }
+        record.incarnation = Some(report.incarnation);
+        record.view.report = Some(load_report(report, taken_at));
+        let life = record.life();
+        self.departures.note_incarnation(&life, report.incarnation);
+        self.dirty |= restarted;
+        self.reports_dirty = true;
+    }
+
+    /// Notes what a peer says of itself.
+    pub fn note_peer(&mut self, word: &PeerWord, now: MonoTime) {
+        let Some(record) = self.daemons.get_mut(&word.daemon) else {
+            return;
+        };
+        if word.incarnation < record.view.incarnation {
+            return;
+        }
+        self.dirty |= record.view.incarnation != word.incarnation;
+        record.view.incarnation = word.incarnation;
+        record.heard_at = Some(now);
+        let life = record.life();
+        self.departures.note_incarnation(&life, word.incarnation);
+        if word.leaving {
+            self.dirty |= !self.departures.is_leaving(&life);
+            self.departures
+                .note_leaving(&life, Some(word.incarnation), now);
+        }
+    }
+
+    /// Notes that a link to a peer ended; its silence no longer means anything.
+    pub fn forget_peer(&mut self, daemon: &DaemonId) {
+        if let Some(record) = self.daemons.get_mut(daemon) {
+            record.heard_at = None;
+            self.dirty = true;
+        }
+    }
+
+    /// Notes a peer's word that a target is leaving.
+    pub fn note_target_leaving(&mut self, target: &TargetId, address: &str, now: MonoTime) {
+        let known = self.targets.get(target);
+        let Some(record) = known.filter(|r| r.view.address == address) else {
+            return;
+        };
+        let (life, incarnation) = (record.life(), record.incarnation);
+        self.dirty |= !self.departures.is_leaving(&life);
+        self.departures.note_leaving(&life, incarnation, now);
+    }
+
+    /// Takes the holds of the configuration in force.
+    pub fn set_holds(&mut self, holds: &IndexMap<TargetId, String>) {
+        if self.holds != *holds {
+            self.holds.clone_from(holds);
+            self.dirty = true;
+        }
+    }
+
+    /// Takes the engines that wait for a planned change, with its reason.
+    pub fn set_changing(&mut self, changing: IndexMap<TargetId, String>) {
+        if self.changing != changing {
+            self.changing = changing;
+            self.dirty = true;
+        }
+    }
+
+    /// Notes that this daemon is leaving.
+    pub fn set_stopping(&mut self) {
+        self.own.state = UseState::Leaving;
+        self.dirty = true;
+    }
+
+    /// Lets time pass: suspicions become due for a probe, peers fall silent, and
+    /// reports since the last tick enter the view together.
+    pub fn tick(&mut self, now: MonoTime) {
+        self.dirty |= std::mem::take(&mut self.reports_dirty);
+        for record in self.targets.values_mut() {
+            self.dirty |= record.suspicion.tick(now);
+        }
+        let silence = self.limits.peer_silence;
+        for record in self.daemons.values_mut() {
+            let state = if record.is_silent(now, silence) {
+                UseState::Suspect
+            } else {
+                UseState::Live
+            };
+            self.dirty |= record.view.state != state;
+            record.view.state = state;
+        }
+    }
+
+    /// Returns the engines whose state should be read now: all in the list, the
+    /// suspected ones only when their probe is due.
+    #[must_use]
+    pub fn engines_to_poll(&self, now: MonoTime) -> Vec<(TargetId, String)> {
+        let engines = self.targets.values().filter(|r| {
+            let listed = r.presence.absent_lists < self.limits.absent_lists;
+            r.view.kind == InstanceKind::Engine && listed && r.suspicion.may_poll(now)
+        });
+        engines
+            .map(|r| (r.view.id.clone(), r.view.address.clone()))
+            .collect()
+    }
+
+    /// Rebuilds the view if anything changed; returns the changes of state.
+    pub fn refresh(&mut self) -> Vec<StateChange> {
+        if !self.dirty {
+            return Vec::new();
+        }
+        self.dirty = false;
+        let mut fleet = FleetView {
+            version: self.fleet.version + 1,
+            ..FleetView::default()
+        };
+        for (id, record) in &self.targets {
+            let mut view = record.view.clone();
+            view.state = self.target_state(record);
+            fleet.targets.insert(id.clone(), view);
+        }
+        fleet.daemons.insert(self.own.id.clone(), self.own.clone());
+        for (id, record) in &self.daemons {
+            let mut view = record.view.clone();
+            view.state = self.daemon_state(record);
+            fleet.daemons.insert(id.clone(), view);
+        }
+        let changes = state_changes(&self.fleet, &fleet);
+        self.fleet = Arc::new(fleet);
+        changes
+    }
+
+    fn target_state(&self, record: &TargetRecord) -> UseState {
+        let held =
+            self.holds.contains_key(&record.view.id) || self.changing.contains_key(&record.view.id);
+        let own = match (held, record.suspicion.is_suspect()) {
+            (true, _) => UseState::Drained,
+            (false, true) => UseState::Suspect,
+            (false, false) => UseState::Live,
+        };
+        own.max(self.listed_state(&record.presence, &record.life()))
+    }
+
+    fn daemon_state(&self, record: &DaemonRecord) -> UseState {
+        let listed = self.listed_state(&record.presence, &record.life());
+        record.view.state.max(listed)
+    }
+
+    fn listed_state(&self, presence: &PresenceRecord, life: &LifeKey) -> UseState {
+        if presence.absent_lists >= self.limits.absent_lists {
+            return UseState::Gone;
+        }
+        let said = presence.row_state == InstanceState::Leaving;
+        if said || self.departures.is_leaving(life) {
+            return UseState::Leaving;
+        }
+        UseState::Live
+    }
+}
+
+fn state_changes(before: &FleetView, after: &FleetView) -> Vec<StateChange> {
+    let old_targets = before.targets.values().map(|t| (t.id.to_string(), t.state));
+    let old_daemons = before.daemons.values().map(|d| (d.id.to_string(), d.state));
+    let old: IndexMap<String, UseState> = old_targets.chain(old_daemons).collect();
+    let new_targets = after.targets.values().map(|t| (t.id.to_string(), t.state));
+    let new_daemons = after.daemons.values().map(|d| (d.id.to_string(), d.state));
+    new_targets
+        .chain(new_daemons)
+        .filter(|(id, state)| old.get(id) != Some(state))
+        .map(|(id, state)| StateChange {
+            before: old.get(&id).copied(),
+            subject: id,
+            after: state,
+        })
+        .collect()
+}
+
+/// Builds the view of this daemon itself.
+#[must_use]
+pub fn own_view(
+    id: DaemonId,
+    address: String,
+    peer_address: String,
+    data_centre: CentreName,
+    incarnation: ProcessIncarnation,
+) -> DaemonView {
+    DaemonView {
+        id,
+        address,
+        peer_address,
+        data_centre,
+        incarnation,
+        state: UseState::Live,
+    }
+}
+
+/// Returns the age of a report by wall clock; a report from the future is fresh.
+#[must_use]
+pub fn report_age(report: &EngineState, now: UnixTime) -> Duration {
+    now.since(UnixTime(report.at_ms))
+}
--- /dev/null
+++ b/src/membership_records.rs
@@ -0,0 +1,154 @@
+//! Records that the merged view of membership is made of.
+
+use std::time::Duration;
+
+use crate::departures::LifeKey;
+use crate::fleet::{DaemonView, LoadReport, TargetView, UseState};
+use crate::names::{DaemonId, MonoTime, ProcessIncarnation, TargetId};
+use crate::platform_wire::{InstanceRow, InstanceState};
+use crate::suspicion::SuspicionRecord;
+use crate::target_wire::EngineState;
+
+/// Whether the instance list names something.
+#[derive(Clone, Debug)]
+pub struct PresenceRecord {
+    /// State in the newest list that named it.
+    pub row_state: InstanceState,
+    /// Lists since then.
+    pub absent_lists: u32,
+    /// When it was named last.
+    pub seen_at: MonoTime,
+}
+
+/// What is known of a target.
+#[derive(Clone, Debug)]
+pub struct TargetRecord {
+    /// View published, but for its state.
+    pub view: TargetView,
+    /// Presence in the list.
+    pub presence: PresenceRecord,
+    /// Life of its process, as it reported.
+    pub incarnation: Option<ProcessIncarnation>,
+    /// Failures seen by this daemon.
+    pub suspicion: SuspicionRecord,
+}
+
+/// What is known of a daemon.
+#[derive(Clone, Debug)]
+pub struct DaemonRecord {
+    /// View published; its state tells whether it is silent.
+    pub view: DaemonView,
+    /// Presence in the list.
+    pub presence: PresenceRecord,
+    /// When it was last heard over a link.
+    pub heard_at: Option<MonoTime>,
+}
+
+impl PresenceRecord {
+    /// Presence in a list just read.
+    #[must_use]
+    pub fn seen(row_state: InstanceState, now: MonoTime) -> Self {
+        Self {
+            row_state,
+            absent_lists: 0,
+            seen_at: now,
+        }
+    }
+}
+
+impl TargetRecord {
+    /// Creates a record from its first row.
+    #[must_use]
+    pub fn new(row: &InstanceRow, now: MonoTime) -> Self {
+        Self {
+            view: TargetView {
+                id: TargetId::from(row.id.as_str()),
+                kind: row.kind,
+                address: row.address.clone(),
+                data_centre: row.data_centre.clone(),
+                service: row.service.clone(),
+                checks_fence: row.checks_fence,
+                state: UseState::Live,
+                report: None,
+            },
+            presence: PresenceRecord::seen(row.state, now),
+            incarnation: None,
+            suspicion: SuspicionRecord::default(),
+        }
+    }
+
+    /// Returns the name and address of its process.
+    #[must_use]
+    pub fn life(&self) -> LifeKey {
+        LifeKey {
+            id: self.view.id.to_string(),
+            address: self.view.address.clone(),
+        }
+    }
+}
+
+impl DaemonRecord {
+    /// Creates a record from its first row.
+    #[must_use]
+    pub fn new(row: &InstanceRow, now: MonoTime) -> Self {
+        Self {
+            view: DaemonView {
+                id: DaemonId::from(row.id.as_str()),
+                address: row.address.clone(),
+                peer_address: row.peer_address.clone(),
+                data_centre: row.data_centre.clone(),
+                incarnation: ProcessIncarnation::default(),
+                state: UseState::Live,
+            },
+            presence: PresenceRecord::seen(row.state, now),
+            heard_at: None,
+        }
+    }
+
+    /// Returns the name and address of its process.
+    #[must_use]
+    pub fn life(&self) -> LifeKey {
+        LifeKey {
+            id: self.view.id.to_string(),
+            address: self.view.address.clone(),
+        }
+    }
+
+    /// Returns the life of its process, once known.
+    #[must_use]
+    pub fn incarnation(&self) -> Option<ProcessIncarnation> {
+        let incarnation = self.view.incarnation;
+        (incarnation != ProcessIncarnation::default()).then_some(incarnation)
+    }
+
+    /// Tells whether a linked peer has been silent for `silence`.
+    #[must_use]
+    pub fn is_silent(&self, now: MonoTime, silence: Duration) -> bool {
+        self.heard_at.is_some_and(|at| now.since(at) >= silence)
+    }
+}
+
+/// Returns the name and address of a row's process.
+#[must_use]
+pub fn life_of(row: &InstanceRow) -> LifeKey {
+    LifeKey {
+        id: row.id.clone(),
+        address: row.address.clone(),
+    }
+}
+
+/// Returns an engine's report as published.
+#[must_use]
+pub fn load_report(report: &EngineState, taken_at: MonoTime) -> LoadReport {
+    LoadReport {
+        role: report.role,
+        changing: report.changing,
+        models: report.models.clone(),
+        in_flight: report.running + report.waiting,
+        prefill_backlog_tokens: report.prefill_backlog_tokens,
+        decode_backlog_tokens: report.decode_backlog_tokens,
+        kv_used_tokens: report.kv_used_tokens,
+        kv_limit_tokens: report.kv_limit_tokens,
+        taken_at,
+    }
+}
--- a/src/platform_http.rs
+++ b/src/platform_http.rs
@@ -1,1 +1,313 @@
-//! Not written yet.
+//! Adapter of the platform's object service and instance list over HTTP.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use reqwest::header::{ETAG, HeaderMap, IF_MATCH, IF_NONE_MATCH};
+use reqwest::{Client, RequestBuilder, Response, StatusCode, Url};
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+use crate::platform_wire::{InstanceList, InstanceRow, ObjectList, ObjectRow};
+use crate::ports::{
+    ConditionalWrite, ObjectBatch, ObjectName, ObjectVersion, PlatformError, PlatformPort,
+    StoredObject, WatchQuery,
+};
+use crate::settings::PlatformSettings;
+
+const RETRY_AFTER: &str = "retry-after-ms";
+const DEFAULT_RETRY: Duration = Duration::from_millis(500);
+
+/// Why the adapter could not be built.
+#[derive(Debug, Error)]
+pub enum PlatformSetupError {
+    /// The address is not a URL.
+    #[error("platform.address is {address:?} ({reason}); give it as http://IP:PORT")]
+    Address {
+        /// Address found.
+        address: String,
+        /// What is wrong with it.
+        reason: String,
+    },
+    /// The HTTP client could not be built.
+    #[error("the HTTP client for the platform cannot start ({0}); check the TLS libraries")]
+    Client(#[from] reqwest::Error),
+}
+
+#[derive(Clone)]
+struct PlatformClient {
+    http: Client,
+    base: Url,
+    patience: Duration,
+}
+
+/// Builds the platform's port over HTTP.
+///
+/// # Errors
+///
+/// Fails when the address is no URL or the HTTP client cannot start.
+pub fn platform_port(settings: &PlatformSettings) -> Result<PlatformPort, PlatformSetupError> {
+    let base = base_url(&settings.address)?;
+    let http = Client::builder()
+        .connect_timeout(settings.call_wait())
+        .no_proxy()
+        .build()?;
+    let client = PlatformClient {
+        http,
+        base,
+        patience: settings.call_wait(),
+    };
+    let (reader, writer, lister, watcher) = (
+        client.clone(),
+        client.clone(),
+        client.clone(),
+        client.clone(),
+    );
+    Ok(PlatformPort {
+        read: Arc::new(move |object| {
+            let client = reader.clone();
+            Box::pin(async move { client.read(object).await })
+        }),
+        write: Arc::new(move |write| {
+            let client = writer.clone();
+            Box::pin(async move { client.write(write).await })
+        }),
+        list: Arc::new(move |kind: String| {
+            let client = lister.clone();
+            Box::pin(async move { client.list(&kind).await })
+        }),
+        watch: Arc::new(move |query| {
+            let client = watcher.clone();
+            Box::pin(async move { client.watch(&query).await })
+        }),
+        instances: Arc::new(move |()| {
+            let client = client.clone();
+            Box::pin(async move { client.instances().await })
+        }),
+    })
+}
+
+fn base_url(address: &str) -> Result<Url, PlatformSetupError> {
+    let refuse = |reason: String| PlatformSetupError::Address {
+        address: address.to_owned(),
+        reason,
+    };
+    let url = Url::parse(address).map_err(|e| refuse(e.to_string()))?;
+    if url.cannot_be_a_base() {
+        return Err(refuse("not a base address".to_owned()));
+    }
+    Ok(url)
+}
+
+impl PlatformClient {
+    fn url(&self, segments: &[&str]) -> Url {
+        let mut url = self.base.clone();
+        if let Ok(mut path) = url.path_segments_mut() {
+            path.pop_if_empty().extend(segments);
+        }
+        url
+    }
+
+    async fn read(&self, object: ObjectName) -> Result<Option<StoredObject>, PlatformError> {
+        count_call("read");
+        let url = self.url(&["v1", "objects", &object.kind, &object.name]);
+        let answer = send_read(self.http.get(url).timeout(self.patience)).await?;
+        if answer.status() == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        let answer = accept_read(answer)?;
+        let version = etag(answer.headers()).ok_or_else(|| unusable("no etag"))?;
+        let value = answer.bytes().await.map_err(|e| unreadable(&e))?;
+        Ok(Some(StoredObject {
+            object,
+            version,
+            value: Some(value.to_vec()),
+        }))
+    }
+
+    async fn write(&self, write: ConditionalWrite) -> Result<ObjectVersion, PlatformError> {
+        count_call("write");
+        let url = self.url(&["v1", "objects", &write.object.kind, &write.object.name]);
+        let request = self.http.put(url).timeout(self.patience).body(write.value);
+        let request = match write.expected {
+            ObjectVersion(0) => request.header(IF_NONE_MATCH, "*"),
+            ObjectVersion(version) => request.header(IF_MATCH, format!("\"{version}\"")),
+        };
+        let answer = request.send().await.map_err(|e| write_failure(&e))?;
+        write_result(&answer)
+    }
+
+    async fn list(&self, kind: &str) -> Result<ObjectBatch, PlatformError> {
+        count_call("list");
+        let url = self.url(&["v1", "objects", kind]);
+        let list: ObjectList = self.fetch(url, self.patience).await?;
+        batch(kind, list)
+    }
+
+    async fn watch(&self, query: &WatchQuery) -> Result<ObjectBatch, PlatformError> {
+        count_call("watch");
+        let mut url = self.url(&["v1", "watch", &query.kind]);
+        url.query_pairs_mut()
+            .append_pair("since", &query.since.to_string())
+            .append_pair("wait_ms", &query.wait.as_millis().to_string());
+        let list: ObjectList = self.fetch(url, query.wait + self.patience).await?;
+        batch(&query.kind, list)
+    }
+
+    async fn instances(&self) -> Result<Vec<InstanceRow>, PlatformError> {
+        count_call("instances");
+        let url = self.url(&["v1", "instances"]);
+        let list: InstanceList = self.fetch(url, self.patience).await?;
+        Ok(list.instances)
+    }
+
+    async fn fetch<T: DeserializeOwned>(
+        &self,
+        url: Url,
+        patience: Duration,
+    ) -> Result<T, PlatformError> {
+        let answer = send_read(self.http.get(url).timeout(patience)).await?;
+        let answer = accept_read(answer)?;
+        answer.json().await.map_err(|e| unreadable(&e))
+    }
+}
+
+fn count_call(call: &'static str) {
+    metrics::counter!("pistachiowick_platform_calls_total", "call" => call).increment(1);
+}
+
+async fn send_read(request: RequestBuilder) -> Result<Response, PlatformError> {
+    request.send().await.map_err(|e| unreadable(&e))
+}
+
+fn accept_read(answer: Response) -> Result<Response, PlatformError> {
+    let status = answer.status();
+    if status.is_success() {
+        return Ok(answer);
+    }
+    if status.is_client_error() && !is_busy(status) && status != StatusCode::REQUEST_TIMEOUT {
+        return Err(PlatformError::Refused {
+            reason: status.to_string(),
+        });
+    }
+    Err(PlatformError::Unavailable {
+        reason: status.to_string(),
+        retry_after: retry_after(answer.headers()),
+    })
+}
+
+fn write_result(answer: &Response) -> Result<ObjectVersion, PlatformError> {
+    let status = answer.status();
+    if status.is_success() {
+        return etag(answer.headers()).ok_or_else(|| PlatformError::Lost {
+            reason: "the answer has no etag".to_owned(),
+        });
+    }
+    if status == StatusCode::PRECONDITION_FAILED {
+        return Err(PlatformError::Conflict {
+            current: etag(answer.headers()).unwrap_or_default(),
+        });
+    }
+    if is_busy(status) {
+        return Err(PlatformError::Unavailable {
+            reason: status.to_string(),
+            retry_after: retry_after(answer.headers()),
+        });
+    }
+    // A 408 or a 5xx may come from something in front of the store, after the store
+    // took the write: concluding "not written" would lose or double a change.
+    if status.is_client_error() && status != StatusCode::REQUEST_TIMEOUT {
+        return Err(PlatformError::Refused {
+            reason: status.to_string(),
+        });
+    }
+    Err(PlatformError::Lost {
+        reason: status.to_string(),
+    })
+}
+
+fn write_failure(error: &reqwest::Error) -> PlatformError {
+    if error.is_builder() {
+        return PlatformError::Refused {
+            reason: full_reason(error),
+        };
+    }
+    if error.is_connect() {
+        return unreadable(error);
+    }
+    PlatformError::Lost {
+        reason: full_reason(error),
+    }
+}
+
+fn is_busy(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+fn etag(headers: &HeaderMap) -> Option<ObjectVersion> {
+    let text = headers.get(ETAG)?.to_str().ok()?;
+    text.trim_matches('"').parse().ok().map(ObjectVersion)
+}
+
+fn retry_after(headers: &HeaderMap) -> Duration {
+    headers
+        .get(RETRY_AFTER)
+        .and_then(|v| v.to_str().ok())
+        .and_then(|text| text.parse().ok())
+        .map_or(DEFAULT_RETRY, Duration::from_millis)
+}
+
+fn unreadable(error: &reqwest::Error) -> PlatformError {
+    unusable(&full_reason(error))
+}
+
+fn unusable(reason: &str) -> PlatformError {
+    PlatformError::Unavailable {
+        reason: reason.to_owned(),
+        retry_after: DEFAULT_RETRY,
+    }
+}
+
+// The outer error only says that sending failed; the cause is down the chain.
+fn full_reason(error: &reqwest::Error) -> String {
+    let mut reason = error.to_string();
+    let mut source = std::error::Error::source(error);
+    while let Some(cause) = source {
+        reason = format!("{reason}: {cause}");
+        source = cause.source();
+    }
+    reason
+}
+
+fn batch(kind: &str, list: ObjectList) -> Result<ObjectBatch, PlatformError> {
+    let objects: Result<Vec<_>, _> = list
+        .objects
+        .into_iter()
+        .map(|row| stored_object(kind, row))
+        .collect();
+    Ok(ObjectBatch {
+        revision: list.revision,
+        objects: objects?,
+    })
+}
+
+fn stored_object(kind: &str, row: ObjectRow) -> Result<StoredObject, PlatformError> {
+    let value = row
+        .value
+        .map(|text| STANDARD.decode(text))
+        .transpose()
+        .map_err(|e| unusable(&format!("{kind}/{} is not base64: {e}", row.name)))?;
+    Ok(StoredObject {
+        object: ObjectName {
+            kind: kind.to_owned(),
+            name: row.name,
+        },
+        version: ObjectVersion(row.version),
+        value,
+    })
+}
--- /dev/null
+++ b/src/suspicion.rs
@@ -0,0 +1,116 @@
+//! Decides from failed and answered calls whether a target is suspected.
+
+use std::time::Duration;
+
+use crate::names::MonoTime;
+
+const FAILURES_TO_SUSPECT: u32 = 3;
+const FIRST_PROBE: Duration = Duration::from_millis(500);
+const LONGEST_PROBE: Duration = Duration::from_secs(8);
+
+/// Where a sign of life or failure came from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallSource {
+    /// A read of the target's state.
+    Poll,
+    /// Work sent to the target.
+    Work,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OpenRecord {
+    source: CallSource,
+    probe_at: MonoTime,
+    wait: Duration,
+}
+
+/// Failures of one target as seen by this daemon.
+///
+/// Polls and work are counted apart: a target that answers polls and fails all work
+/// would otherwise be cleared by each poll and get new work for as long as it fails.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SuspicionRecord {
+    poll_failures: u32,
+    work_failures: u32,
+    open: Option<OpenRecord>,
+    last_wait: Option<Duration>,
+}
+
+impl SuspicionRecord {
+    /// Tells whether the target is suspected.
+    #[must_use]
+    pub fn is_suspect(&self) -> bool {
+        self.open.is_some()
+    }
+
+    /// Tells whether the target's state may be read now.
+    #[must_use]
+    pub fn may_poll(&self, now: MonoTime) -> bool {
+        self.open.is_none_or(|open| now >= open.probe_at)
+    }
+
+    /// Notes a call; returns whether the target's state changed.
+    pub fn note(&mut self, source: CallSource, answered: bool, now: MonoTime) -> bool {
+        let before = self.is_suspect();
+        if answered {
+            self.note_answer(source);
+        } else {
+            self.note_failure(source, now);
+        }
+        before != self.is_suspect()
+    }
+
+    fn note_answer(&mut self, source: CallSource) {
+        match source {
+            CallSource::Poll => self.poll_failures = 0,
+            CallSource::Work => {
+                self.work_failures = 0;
+                self.last_wait = None;
+            }
+        }
+        if self.open.is_some_and(|open| open.source == source) {
+            self.open = None;
+            self.last_wait = None;
+        }
+    }
+
+    fn note_failure(&mut self, source: CallSource, now: MonoTime) {
+        let due = self.may_poll(now);
+        let failures = match source {
+            CallSource::Poll => &mut self.poll_failures,
+            CallSource::Work => &mut self.work_failures,
+        };
+        *failures = failures.saturating_add(1);
+        if *failures >= FAILURES_TO_SUSPECT && due {
+            self.open_for(source, now);
+        }
+    }
+
+    fn open_for(&mut self, source: CallSource, now: MonoTime) {
+        let wait = self.last_wait.map_or(FIRST_PROBE, |w| w * 2);
+        let wait = wait.min(LONGEST_PROBE);
+        self.last_wait = Some(wait);
+        self.open = Some(OpenRecord {
+            source,
+            probe_at: now.plus(wait),
+            wait,
+        });
+    }
+
+    /// Lets time pass; returns whether the target's state changed.
+    ///
+    /// A suspicion raised by work ends when its probe is due, for nothing but work
+    /// can show that work is done again. One more failure raises it for twice as long.
+    pub fn tick(&mut self, now: MonoTime) -> bool {
+        let Some(open) = self.open else {
+            return false;
+        };
+        if open.source == CallSource::Poll || now < open.probe_at {
+            return false;
+        }
+        self.work_failures = FAILURES_TO_SUSPECT - 1;
+        self.last_wait = Some(open.wait);
+        self.open = None;
+        true
+    }
+}
