--- a/src/access.rs
+++ b/src/access.rs
@@ -1,1 +1,100 @@
-//! Not written yet.
+//! Decides who calls: operators by their keys, callers by the keys of their workspace.
+
+use std::fmt;
+
+use sha2::{Digest, Sha256};
+use subtle::{Choice, ConstantTimeEq};
+use thiserror::Error;
+
+use crate::names::WorkspaceName;
+use crate::settings::AccessSettings;
+use crate::snapshot::ConfigView;
+
+/// Longest key in bytes that is looked at.
+const MAX_KEY_BYTES: usize = 512;
+const BEARER_SCHEME: &str = "bearer";
+
+/// A key as presented; neither logs nor debug output ever show it.
+#[derive(Clone)]
+pub struct SecretKey(String);
+
+impl SecretKey {
+    /// Wraps a key.
+    #[must_use]
+    pub fn new(key: &str) -> Self {
+        Self(key.to_owned())
+    }
+}
+
+impl fmt::Debug for SecretKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("SecretKey(hidden)")
+    }
+}
+
+/// Why the metadata of a call names no key.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum AccessError {
+    /// The metadata does not have the form expected.
+    #[error("the call carries no key; send the metadata \"authorization: Bearer KEY\"")]
+    NoKey,
+    /// The key is longer than any key can be.
+    #[error("the key has more than {MAX_KEY_BYTES} bytes; send the key alone")]
+    TooLong,
+}
+
+/// Reads the key from the value of `authorization`.
+///
+/// # Errors
+///
+/// Returns an [`AccessError`] when the value isn't `Bearer KEY`.
+pub fn parse_bearer(value: &str) -> Result<SecretKey, AccessError> {
+    let (scheme, key) = value.trim().split_once(' ').ok_or(AccessError::NoKey)?;
+    let key = key.trim();
+    if !scheme.eq_ignore_ascii_case(BEARER_SCHEME) || key.is_empty() {
+        return Err(AccessError::NoKey);
+    }
+    if key.len() > MAX_KEY_BYTES {
+        return Err(AccessError::TooLong);
+    }
+    Ok(SecretKey::new(key))
+}
+
+/// Returns the SHA-256 of a key in lower-case hexadecimal.
+#[must_use]
+pub fn key_hash(key: &SecretKey) -> String {
+    use fmt::Write;
+
+    let digest = Sha256::digest(key.0.as_bytes());
+    digest.iter().fold(String::new(), |mut hash, byte| {
+        let _ = write!(hash, "{byte:02x}");
+        hash
+    })
+}
+
+/// Tells whether the key is an operator's.
+///
+/// Compares with every hash and in constant time, so that response times give
+/// nothing away of the hashes.
+#[must_use]
+pub fn operator_allowed(key: &SecretKey, settings: &AccessSettings) -> bool {
+    let hash = key_hash(key);
+    settings
+        .operator_key_hashes
+        .iter()
+        .map(|allowed| same_hash(allowed, &hash))
+        .fold(Choice::from(0), |any, same| any | same)
+        .into()
+}
+
+/// Returns the workspace that the key belongs to.
+#[must_use]
+pub fn workspace_of(key: &SecretKey, config: &ConfigView) -> Option<WorkspaceName> {
+    let hash = key_hash(key);
+    let (known, workspace) = config.key_owners.get_key_value(&hash)?;
+    bool::from(same_hash(known, &hash)).then(|| workspace.clone())
+}
+
+fn same_hash(known: &str, hash: &str) -> Choice {
+    known.to_ascii_lowercase().as_bytes().ct_eq(hash.as_bytes())
+}
--- a/src/answer.rs
+++ b/src/answer.rs
@@ -1,1 +1,352 @@
-//! Not written yet.
+//! Puts one answer together from the lines of its attempts, each byte once and in order.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use indexmap::IndexMap;
+use sha2::{Digest, Sha256};
+use thiserror::Error;
+
+use crate::invariants::{self, Invariant};
+use crate::names::{RequestId, RequestKey};
+use crate::target_wire::{ServiceReply, StreamEnd, StreamLine};
+
+/// Bytes to hand to the caller.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AnswerPart {
+    /// Position of the first byte in the whole answer.
+    pub offset: u64,
+    /// The bytes; never empty.
+    pub data: Vec<u8>,
+    /// Tokens in these bytes.
+    pub tokens: u32,
+}
+
+/// What is known of a whole answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AnswerSummary {
+    /// Bytes in the whole answer.
+    pub length: u64,
+    /// SHA-256 of the whole answer; `None` when the caller already held its beginning.
+    pub digest: Option<[u8; 32]>,
+}
+
+/// What to do with a line.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum LineVerdict {
+    /// Hand the bytes to the caller.
+    Deliver(AnswerPart),
+    /// Hand the bytes, if any, to the caller: the answer is whole.
+    Finish {
+        /// Last bytes.
+        part: Option<AnswerPart>,
+        /// Length and digest.
+        summary: AnswerSummary,
+    },
+    /// Ignore the line.
+    Drop(DropCause),
+    /// Give the attempt up and continue from [`AnswerAssembly::delivered`].
+    Break(BreakCause),
+}
+
+/// Why a line was ignored.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum DropCause {
+    /// The line answers another request.
+    OtherRequest,
+    /// The line belongs to an attempt that is not the current one.
+    OldAttempt,
+    /// The line has only bytes that were delivered before.
+    Doubled,
+    /// The line has no bytes.
+    Empty,
+    /// The attempt was given up before.
+    Broken,
+    /// The answer is whole already.
+    Finished,
+}
+
+impl DropCause {
+    /// Returns the cause's name in metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::OtherRequest => "other_request",
+            Self::OldAttempt => "old_attempt",
+            Self::Doubled => "doubled",
+            Self::Empty => "empty",
+            Self::Broken => "broken",
+            Self::Finished => "finished",
+        }
+    }
+}
+
+/// Why an attempt cannot go on.
+#[derive(Clone, Copy, Debug, Eq, Error, Hash, PartialEq)]
+pub enum BreakCause {
+    /// Bytes before the line are missing.
+    #[error("bytes are missing before the line; continue from the bytes delivered")]
+    Gap,
+    /// The end's length disagrees with the bytes received.
+    #[error("the end does not match the bytes received; continue from the bytes delivered")]
+    Short,
+    /// The bytes are not in base64, or positions are out of range.
+    #[error("the line cannot be read; continue from the bytes delivered")]
+    Garbled,
+}
+
+impl BreakCause {
+    /// Returns the cause's name in metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Gap => "gap",
+            Self::Short => "short",
+            Self::Garbled => "garbled",
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum AttemptState {
+    Open,
+    Broken,
+    Finished,
+}
+
+/// One answer on its way to a caller.
+///
+/// A line counts only when it names this request and the current attempt, and only
+/// with bytes that come right after those delivered. Without that, lines of a slow
+/// former attempt or of another caller would show up inside an answer.
+#[derive(Clone, Debug)]
+pub struct AnswerAssembly {
+    request: RequestId,
+    attempt: u32,
+    state: AttemptState,
+    start: u64,
+    delivered: u64,
+    digest: Sha256,
+    drops: IndexMap<DropCause, u64>,
+    breaks: IndexMap<BreakCause, u64>,
+}
+
+impl AnswerAssembly {
+    /// Creates an empty answer to a request.
+    #[must_use]
+    pub fn new(request: RequestId) -> Self {
+        Self::resume_from(request, 0)
+    }
+
+    /// Creates an answer whose first `offset` bytes the caller holds already.
+    #[must_use]
+    pub fn resume_from(request: RequestId, offset: u64) -> Self {
+        Self {
+            request,
+            attempt: 0,
+            state: AttemptState::Broken,
+            start: offset,
+            delivered: offset,
+            digest: Sha256::new(),
+            drops: IndexMap::new(),
+            breaks: IndexMap::new(),
+        }
+    }
+
+    /// Returns how many bytes the caller holds; the next attempt starts there.
+    #[must_use]
+    pub fn delivered(&self) -> u64 {
+        self.delivered
+    }
+
+    /// Returns the current attempt; 0 before the first.
+    #[must_use]
+    pub fn attempt(&self) -> u32 {
+        self.attempt
+    }
+
+    /// Tells whether the whole answer was delivered.
+    #[must_use]
+    pub fn is_finished(&self) -> bool {
+        self.state == AttemptState::Finished
+    }
+
+    /// Returns how many lines were ignored, by cause.
+    #[must_use]
+    pub fn drops(&self) -> &IndexMap<DropCause, u64> {
+        &self.drops
+    }
+
+    /// Returns how many attempts broke, by cause.
+    #[must_use]
+    pub fn breaks(&self) -> &IndexMap<BreakCause, u64> {
+        &self.breaks
+    }
+
+    /// Takes lines of `attempt` from now on, and of no other.
+    ///
+    /// The number may stay the same when a broken stream is taken up again at the
+    /// engine that runs it. It never falls, and a whole answer has no more attempts.
+    ///
+    /// # Panics
+    ///
+    /// Panics on a breach of that rule where invariants are fatal.
+    pub fn begin_attempt(&mut self, attempt: u32) {
+        let rises = attempt > 0 && attempt >= self.attempt;
+        invariants::check(rises && !self.is_finished(), Invariant::WholeAnswer, || {
+            format!(
+                "request {}: attempt {attempt} after attempt {} ({:?})",
+                self.request, self.attempt, self.state
+            )
+        });
+        if rises && !self.is_finished() {
+            self.attempt = attempt;
+            self.state = AttemptState::Open;
+        }
+    }
+
+    /// Decides what becomes of a line.
+    ///
+    /// # Panics
+    ///
+    /// Panics on a breach of [`Invariant::WholeAnswer`] where invariants are fatal.
+    pub fn accept(&mut self, line: &StreamLine) -> LineVerdict {
+        if let Some(cause) = self.foreign_cause(line) {
+            return self.drop_line(cause);
+        }
+        let Ok(data) = STANDARD.decode(&line.data) else {
+            return self.break_attempt(BreakCause::Garbled);
+        };
+        let Some(reach) = line.offset.checked_add(data.len() as u64) else {
+            return self.break_attempt(BreakCause::Garbled);
+        };
+        if line.offset > self.delivered {
+            return self.break_attempt(BreakCause::Gap);
+        }
+        match &line.end {
+            Some(end) => self.accept_end(line, &data, reach, end),
+            None => self.accept_data(line, &data, reach),
+        }
+    }
+
+    fn foreign_cause(&self, line: &StreamLine) -> Option<DropCause> {
+        if line.request_id != self.request {
+            return Some(DropCause::OtherRequest);
+        }
+        if line.attempt != self.attempt {
+            return Some(DropCause::OldAttempt);
+        }
+        match self.state {
+            AttemptState::Open => None,
+            AttemptState::Broken => Some(DropCause::Broken),
+            AttemptState::Finished => Some(DropCause::Finished),
+        }
+    }
+
+    fn accept_data(&mut self, line: &StreamLine, data: &[u8], reach: u64) -> LineVerdict {
+        if data.is_empty() {
+            return self.drop_line(DropCause::Empty);
+        }
+        if reach <= self.delivered {
+            return self.drop_line(DropCause::Doubled);
+        }
+        LineVerdict::Deliver(self.take_new(line, data))
+    }
+
+    /// Takes the end only when it agrees with what was delivered, to the byte: an
+    /// engine that stops early would otherwise pass a short answer off as whole.
+    fn accept_end(
+        &mut self,
+        line: &StreamLine,
+        data: &[u8],
+        reach: u64,
+        end: &StreamEnd,
+    ) -> LineVerdict {
+        if end.length != reach.max(self.delivered) {
+            return self.break_attempt(BreakCause::Short);
+        }
+        let part = (reach > self.delivered).then(|| self.take_new(line, data));
+        self.state = AttemptState::Finished;
+        invariants::check(self.delivered == end.length, Invariant::WholeAnswer, || {
+            format!(
+                "request {}: {} bytes delivered of {}",
+                self.request, self.delivered, end.length
+            )
+        });
+        let summary = AnswerSummary {
+            length: end.length,
+            digest: (self.start == 0).then(|| self.digest.clone().finalize().into()),
+        };
+        LineVerdict::Finish { part, summary }
+    }
+
+    /// Cuts off the bytes delivered before; the line reaches beyond them.
+    fn take_new(&mut self, line: &StreamLine, data: &[u8]) -> AnswerPart {
+        let known = usize::try_from(self.delivered - line.offset).unwrap_or(data.len());
+        let fresh = data.get(known..).unwrap_or_default();
+        let part = AnswerPart {
+            offset: self.delivered,
+            data: fresh.to_vec(),
+            tokens: tokens_of_part(line.tokens, fresh.len(), data.len()),
+        };
+        self.digest.update(fresh);
+        self.delivered += fresh.len() as u64;
+        part
+    }
+
+    fn drop_line(&mut self, cause: DropCause) -> LineVerdict {
+        *self.drops.entry(cause).or_default() += 1;
+        metrics::counter!("pistachiowick_answer_lines_dropped_total", "cause" => cause.as_str())
+            .increment(1);
+        LineVerdict::Drop(cause)
+    }
+
+    fn break_attempt(&mut self, cause: BreakCause) -> LineVerdict {
+        self.state = AttemptState::Broken;
+        *self.breaks.entry(cause).or_default() += 1;
+        metrics::counter!("pistachiowick_answer_attempts_broken_total", "cause" => cause.as_str())
+            .increment(1);
+        LineVerdict::Break(cause)
+    }
+}
+
+fn tokens_of_part(tokens: u32, fresh: usize, all: usize) -> u32 {
+    let share = u64::from(tokens) * fresh as u64 / all.max(1) as u64;
+    u32::try_from(share).unwrap_or(tokens)
+}
+
+/// Why a plain service's reply is not the answer to a request.
+#[derive(Clone, Copy, Debug, Eq, Error, Hash, PartialEq)]
+pub enum ReplyFault {
+    /// The reply names another request or key.
+    #[error("the service replied to another request; treat the call as possibly run")]
+    OtherRequest,
+    /// The bytes are not whole.
+    #[error("the service's reply is not whole; treat the call as possibly run")]
+    Short,
+    /// The bytes are not in base64.
+    #[error("the service's reply is not in base64; treat the call as possibly run")]
+    Garbled,
+}
+
+/// Returns the bytes of a plain service's reply, once it is known to be the whole
+/// answer to this request.
+///
+/// # Errors
+///
+/// Returns a [`ReplyFault`] when it is not. The call may have run all the same.
+pub fn accept_reply(
+    reply: &ServiceReply,
+    request: &RequestId,
+    key: &RequestKey,
+) -> Result<Vec<u8>, ReplyFault> {
+    if reply.request_id != *request || reply.key != *key {
+        return Err(ReplyFault::OtherRequest);
+    }
+    let data = STANDARD
+        .decode(&reply.data)
+        .map_err(|_| ReplyFault::Garbled)?;
+    if data.len() as u64 != reply.length {
+        return Err(ReplyFault::Short);
+    }
+    Ok(data)
+}
--- /dev/null
+++ b/src/intent_wire.rs
@@ -0,0 +1,222 @@
+//! The stored form of a shard's ledger: CBOR, compact, with a version of its own.
+
+use std::fmt;
+
+use indexmap::IndexMap;
+use serde::de::{self, Visitor};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use thiserror::Error;
+
+use crate::intents::{AnswerRecord, ClaimId, EntryId, IntentEntry, IntentState, ShardLedger};
+use crate::names::{TargetId, UnixTime};
+
+const LEDGER_VERSION: u8 = 1;
+
+/// Why a stored value is not a ledger.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum LedgerError {
+    /// The value does not have the form.
+    #[error(
+        "a shard of intents cannot be read ({reason}); restore the object, or delete nothing \
+         and wait intents.retention_ms before writing an empty one"
+    )]
+    Malformed {
+        /// What is wrong.
+        reason: String,
+    },
+    /// A newer program wrote the value.
+    #[error("a shard of intents has format {found}, this program reads {LEDGER_VERSION}; upgrade")]
+    Version {
+        /// Version found.
+        found: u8,
+    },
+}
+
+/// Returns the stored form of a ledger.
+///
+/// # Panics
+///
+/// Never: a ledger's fields always have a CBOR form, and memory takes any length.
+#[must_use]
+pub fn encode_ledger(ledger: &ShardLedger) -> Vec<u8> {
+    let mut value = Vec::with_capacity(ledger.weight());
+    ciborium::into_writer(&LedgerWire::from(ledger), &mut value)
+        .expect("a ledger's fields have a CBOR form");
+    value
+}
+
+/// Returns the ledger in a stored value.
+///
+/// # Errors
+///
+/// Returns a [`LedgerError`] when the value is not a ledger of this version.
+pub fn decode_ledger(value: &[u8]) -> Result<ShardLedger, LedgerError> {
+    let wire: LedgerWire = ciborium::from_reader(value).map_err(|e| LedgerError::Malformed {
+        reason: e.to_string(),
+    })?;
+    ShardLedger::try_from(wire)
+}
+
+/// Version, horizon and entries.
+#[derive(Deserialize, Serialize)]
+struct LedgerWire(u8, u64, Vec<EntryWire>);
+
+/// Identity, process and number of the claim, fingerprint, time of minting, state.
+#[derive(Deserialize, Serialize)]
+struct EntryWire(
+    ByteArray<16>,
+    u64,
+    u64,
+    Option<ByteArray<16>>,
+    u64,
+    StateWire,
+);
+
+#[derive(Deserialize, Serialize)]
+enum StateWire {
+    #[serde(rename = "i")]
+    Intended(String, TargetId),
+    #[serde(rename = "n")]
+    NotRun,
+    #[serde(rename = "a")]
+    Answered(u64, ByteArray<32>, Option<ByteText>),
+    #[serde(rename = "u")]
+    Unknown,
+}
+
+impl From<&ShardLedger> for LedgerWire {
+    fn from(ledger: &ShardLedger) -> Self {
+        let entries = ledger
+            .entries
+            .iter()
+            .map(|(id, entry)| EntryWire::from((id, entry)))
+            .collect();
+        Self(LEDGER_VERSION, ledger.horizon.0, entries)
+    }
+}
+
+impl TryFrom<LedgerWire> for ShardLedger {
+    type Error = LedgerError;
+
+    fn try_from(wire: LedgerWire) -> Result<Self, LedgerError> {
+        let LedgerWire(version, horizon, rows) = wire;
+        if version != LEDGER_VERSION {
+            return Err(LedgerError::Version { found: version });
+        }
+        let entries: IndexMap<_, _> = rows.into_iter().map(EntryWire::into_entry).collect();
+        Ok(Self::from_parts(UnixTime(horizon), entries))
+    }
+}
+
+impl From<(&EntryId, &IntentEntry)> for EntryWire {
+    fn from((id, entry): (&EntryId, &IntentEntry)) -> Self {
+        Self(
+            ByteArray(id.0),
+            entry.claim.process,
+            entry.claim.number,
+            entry.fingerprint.map(ByteArray),
+            entry.minted_at.0,
+            StateWire::from(&entry.state),
+        )
+    }
+}
+
+impl EntryWire {
+    fn into_entry(self) -> (EntryId, IntentEntry) {
+        let Self(id, process, number, fingerprint, minted_at, state) = self;
+        let entry = IntentEntry {
+            claim: ClaimId { process, number },
+            fingerprint: fingerprint.map(|f| f.0),
+            minted_at: UnixTime(minted_at),
+            state: state.into(),
+        };
+        (EntryId(id.0), entry)
+    }
+}
+
+impl From<&IntentState> for StateWire {
+    fn from(state: &IntentState) -> Self {
+        match state {
+            IntentState::Intended { claimant, target } => {
+                Self::Intended(claimant.clone(), target.clone())
+            }
+            IntentState::NotRun => Self::NotRun,
+            IntentState::Answered(answer) => Self::Answered(
+                answer.length,
+                ByteArray(answer.digest),
+                answer.result.clone().map(ByteText),
+            ),
+            IntentState::Unknown => Self::Unknown,
+        }
+    }
+}
+
+impl From<StateWire> for IntentState {
+    fn from(wire: StateWire) -> Self {
+        match wire {
+            StateWire::Intended(claimant, target) => Self::Intended { claimant, target },
+            StateWire::NotRun => Self::NotRun,
+            StateWire::Answered(length, digest, result) => Self::Answered(AnswerRecord {
+                length,
+                digest: digest.0,
+                result: result.map(|r| r.0),
+            }),
+            StateWire::Unknown => Self::Unknown,
+        }
+    }
+}
+
+/// A byte string of fixed length; serde would write an array of numbers, twice as long.
+#[derive(Clone, Copy)]
+struct ByteArray<const N: usize>([u8; N]);
+
+/// A byte string of any length.
+struct ByteText(Vec<u8>);
+
+impl<const N: usize> Serialize for ByteArray<N> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(&self.0)
+    }
+}
+
+impl Serialize for ByteText {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(&self.0)
+    }
+}
+
+impl<'de, const N: usize> Deserialize<'de> for ByteArray<N> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = ByteText::deserialize(deserializer)?;
+        let found = text.0.len();
+        let array = text
+            .0
+            .try_into()
+            .map_err(|_| de::Error::invalid_length(found, &"another number of bytes"))?;
+        Ok(Self(array))
+    }
+}
+
+impl<'de> Deserialize<'de> for ByteText {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_bytes(ByteVisitor)
+    }
+}
+
+struct ByteVisitor;
+
+impl Visitor<'_> for ByteVisitor {
+    type Value = ByteText;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a byte string")
+    }
+
+    fn visit_bytes<E: de::Error>(self, bytes: &[u8]) -> Result<ByteText, E> {
+        Ok(ByteText(bytes.to_vec()))
+    }
+
+    fn visit_byte_buf<E: de::Error>(self, bytes: Vec<u8>) -> Result<ByteText, E> {
+        Ok(ByteText(bytes))
+    }
+}
--- a/src/intents.rs
+++ b/src/intents.rs
@@ -1,1 +1,571 @@
-//! Not written yet.
+//! The ledger of requests that may not be repeated: pure, one value per shard.
+//!
+//! A shard's ledger is one object of the platform and changes only by conditional
+//! update. An entry is there from before the dispatch until its key is too old to
+//! be accepted, so whoever asks finds it, or finds that the key may not be used.
+
+use std::fmt;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use sha2::{Digest, Sha256};
+use thiserror::Error;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::invariants::{self, Invariant};
+use crate::names::{RequestKey, TargetId, UnixTime, WorkspaceName};
+use crate::settings::IntentSettings;
+
+/// Longest key in bytes.
+pub const MAX_KEY_BYTES: usize = 256;
+
+/// Share of the shard size that is kept for settling once claims are refused: 1/16.
+const SETTLE_RESERVE: usize = 16;
+
+/// Encoded size of an entry without target, claimant and result, at most.
+const ENTRY_BYTES: usize = 116;
+
+/// Encoded size of a ledger without its entries, at most.
+const LEDGER_BYTES: usize = 16;
+
+/// Identity of a request that may not be repeated.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct IntentKey {
+    /// Workspace of the caller.
+    pub workspace: WorkspaceName,
+    /// Key chosen by the caller.
+    pub key: RequestKey,
+    /// When the caller made the key.
+    pub minted_at: UnixTime,
+}
+
+impl IntentKey {
+    /// Returns the shard that records the key.
+    ///
+    /// The time of minting takes no part: a key used twice with two times must meet
+    /// its first record.
+    #[must_use]
+    pub fn shard(&self, shards: u32) -> u32 {
+        let mut hash = Xxh3::new();
+        hash.update(self.workspace.as_str().as_bytes());
+        hash.update(&[0]);
+        hash.update(self.key.as_str().as_bytes());
+        let shard = hash.digest() % u64::from(shards.max(1));
+        u32::try_from(shard).unwrap_or_default()
+    }
+
+    /// Returns the identity under which the key is recorded.
+    #[must_use]
+    pub fn entry_id(&self) -> EntryId {
+        let workspace = self.workspace.as_str().as_bytes();
+        let mut hash = Sha256::new();
+        hash.update((workspace.len() as u64).to_le_bytes());
+        hash.update(workspace);
+        hash.update(self.key.as_str().as_bytes());
+        let mut id = [0; 16];
+        id.copy_from_slice(&hash.finalize()[..16]);
+        EntryId(id)
+    }
+}
+
+/// First half of the SHA-256 of workspace and key.
+///
+/// Rivals share a shard, so the hash must be one for which nobody can make up a
+/// second key of somebody else's entry.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct EntryId(pub [u8; 16]);
+
+/// Identifies one claim among all that any process ever makes.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct ClaimId {
+    /// Drawn at random by each process at its start.
+    pub process: u64,
+    /// Counts the process's claims.
+    pub number: u64,
+}
+
+impl fmt::Display for ClaimId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}-{}", self.process, self.number)
+    }
+}
+
+/// The whole answer to a request, or what is kept of it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AnswerRecord {
+    /// Length of the whole answer.
+    pub length: u64,
+    /// SHA-256 of the whole answer.
+    pub digest: [u8; 32],
+    /// The answer, when small enough to keep.
+    pub result: Option<Vec<u8>>,
+}
+
+/// How far a request has come.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum IntentState {
+    /// Recorded for dispatch; whether it ran is not known.
+    Intended {
+        /// Daemon that claimed it.
+        claimant: String,
+        /// Target chosen.
+        target: TargetId,
+    },
+    /// Closed without running, for good.
+    NotRun,
+    /// Ran and answered, for good.
+    Answered(AnswerRecord),
+    /// Dispatched, and its end was lost.
+    Unknown,
+}
+
+/// One recorded request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct IntentEntry {
+    /// Claim that wrote it.
+    pub claim: ClaimId,
+    /// Digest of class and body; `None` when somebody settled the key unclaimed.
+    pub fingerprint: Option<[u8; 16]>,
+    /// When the caller made the key.
+    pub minted_at: UnixTime,
+    /// How far it has come.
+    pub state: IntentState,
+}
+
+impl IntentEntry {
+    /// Returns an upper bound of the size it is encoded in, now and once closed.
+    fn weight(&self) -> usize {
+        ENTRY_BYTES
+            + match &self.state {
+                IntentState::Intended { claimant, target } => {
+                    claimant.len() + target.as_str().len()
+                }
+                IntentState::Answered(answer) => answer.result.as_ref().map_or(0, Vec::len),
+                IntentState::NotRun | IntentState::Unknown => 0,
+            }
+    }
+}
+
+/// What is recorded of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RecordView {
+    /// Nothing recorded; the key is open.
+    Absent,
+    /// Recorded for dispatch by a claimant; whether it ran is not known.
+    Intended {
+        /// Daemon that claimed it.
+        claimant: String,
+        /// Target chosen.
+        target: TargetId,
+    },
+    /// Closed without running, for good.
+    NotRun,
+    /// Ran and answered.
+    Answered {
+        /// Length of the whole answer.
+        length: u64,
+        /// SHA-256 of the whole answer.
+        digest: Vec<u8>,
+        /// The answer, when small enough to keep.
+        result: Option<Vec<u8>>,
+    },
+    /// Dispatched, and its end was lost.
+    Unknown,
+}
+
+impl RecordView {
+    /// Tells whether the record can never change again.
+    #[must_use]
+    pub fn is_final(&self) -> bool {
+        matches!(self, Self::Answered { .. } | Self::NotRun)
+    }
+}
+
+impl From<&IntentState> for RecordView {
+    fn from(state: &IntentState) -> Self {
+        match state {
+            IntentState::Intended { claimant, target } => Self::Intended {
+                claimant: claimant.clone(),
+                target: target.clone(),
+            },
+            IntentState::NotRun => Self::NotRun,
+            IntentState::Answered(answer) => Self::Answered {
+                length: answer.length,
+                digest: answer.digest.to_vec(),
+                result: answer.result.clone(),
+            },
+            IntentState::Unknown => Self::Unknown,
+        }
+    }
+}
+
+/// Bounds that every daemon applies alike.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LedgerLimits {
+    /// How long a key stays known.
+    pub retention: Duration,
+    /// Largest difference of two daemons' wall clocks.
+    pub skew: Duration,
+    /// Size at which claims are refused, in bytes.
+    pub shard_bytes: usize,
+    /// Largest result kept, in bytes.
+    pub result_bytes: usize,
+}
+
+impl From<&IntentSettings> for LedgerLimits {
+    fn from(settings: &IntentSettings) -> Self {
+        Self {
+            retention: Duration::from_millis(settings.retention_ms),
+            skew: Duration::from_millis(settings.clock_skew_ms),
+            shard_bytes: settings.shard_bytes,
+            result_bytes: settings.result_bytes,
+        }
+    }
+}
+
+impl LedgerLimits {
+    /// Returns the size up to which keys are settled.
+    fn settle_bytes(&self) -> usize {
+        self.shard_bytes + self.shard_bytes / SETTLE_RESERVE
+    }
+}
+
+/// Why a key is not acceptable.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum KeyFault {
+    /// The key's record may have expired.
+    #[error(
+        "the key is older than intents.retention_ms, so its record may be gone; find out \
+         whether the first request ran, then use a new key"
+    )]
+    Expired,
+    /// The key comes from the future.
+    #[error(
+        "key_minted_at_ms lies in the future; correct the caller's clock and send the time \
+         at which the key was made"
+    )]
+    Future,
+    /// The key was recorded with another time.
+    #[error(
+        "the key was used before with another key_minted_at_ms; send the time at which the key \
+         was made, or use a new key"
+    )]
+    Reused,
+    /// The key was recorded with another content.
+    #[error("the key was used before for another class or body; use a new key")]
+    OtherContent,
+    /// The key is empty or too long.
+    #[error("a key has 1 to {MAX_KEY_BYTES} bytes; use a shorter one, not empty")]
+    Length,
+}
+
+/// A claim as it is applied.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ClaimEntry {
+    /// Identity of the request.
+    pub key: IntentKey,
+    /// Identity of the claim.
+    pub claim: ClaimId,
+    /// Digest of class and body.
+    pub fingerprint: [u8; 16],
+    /// Daemon that claims.
+    pub claimant: String,
+    /// Target chosen.
+    pub target: TargetId,
+}
+
+/// Result of applying a claim to a ledger.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ClaimStep {
+    /// The ledger now holds the claim; it counts once the platform has the ledger.
+    Added,
+    /// The ledger held this very claim.
+    Owned,
+    /// The key is taken.
+    Present(RecordView),
+    /// The key is not acceptable.
+    Invalid(KeyFault),
+    /// The ledger has no room.
+    Full,
+}
+
+/// Result of settling a key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SettleStep {
+    /// The ledger now holds the key as not run; it counts once the platform has it.
+    Added,
+    /// The key is taken.
+    Present(RecordView),
+    /// The key is not acceptable.
+    Invalid(KeyFault),
+    /// The ledger has no room.
+    Full,
+}
+
+/// How a claimant closes its own entry.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CloseRecord {
+    /// It was never dispatched, or certainly not taken.
+    NotRun,
+    /// It ran and was answered.
+    Answered(AnswerRecord),
+    /// It was dispatched and its end was lost.
+    Unknown,
+}
+
+/// Result of closing an entry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CloseStep {
+    /// The ledger changed.
+    Changed,
+    /// The ledger says so already.
+    Unchanged,
+    /// The claim is not in the ledger: it never arrived, or has expired.
+    Missing,
+}
+
+/// The records of one shard.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ShardLedger {
+    pub(crate) horizon: UnixTime,
+    pub(crate) entries: IndexMap<EntryId, IntentEntry>,
+    weight: usize,
+}
+
+impl ShardLedger {
+    /// Creates a ledger from its parts.
+    pub(crate) fn from_parts(horizon: UnixTime, entries: IndexMap<EntryId, IntentEntry>) -> Self {
+        let weight = entries.values().map(IntentEntry::weight).sum();
+        Self {
+            horizon,
+            entries,
+            weight,
+        }
+    }
+
+    /// Returns the number of entries.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether there is no entry.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns an upper bound of the encoded size in bytes.
+    #[must_use]
+    pub fn weight(&self) -> usize {
+        LEDGER_BYTES + self.weight
+    }
+
+    /// Returns the newest time of minting of which entries may be gone.
+    #[must_use]
+    pub fn horizon(&self) -> UnixTime {
+        self.horizon
+    }
+
+    /// Applies a claim.
+    pub fn claim(&mut self, claim: &ClaimEntry, limits: &LedgerLimits, now: UnixTime) -> ClaimStep {
+        let id = claim.key.entry_id();
+        if let Some(entry) = self.entries.get(&id) {
+            return present_claim(entry, claim);
+        }
+        if let Err(fault) = self.check_key(&claim.key, limits, now) {
+            return ClaimStep::Invalid(fault);
+        }
+        let entry = IntentEntry {
+            claim: claim.claim,
+            fingerprint: Some(claim.fingerprint),
+            minted_at: claim.key.minted_at,
+            state: IntentState::Intended {
+                claimant: claim.claimant.clone(),
+                target: claim.target.clone(),
+            },
+        };
+        if self.weight() + entry.weight() > limits.shard_bytes {
+            return ClaimStep::Full;
+        }
+        self.put(id, entry);
+        ClaimStep::Added
+    }
+
+    /// Closes an open key as not run, in the name of `claim`.
+    ///
+    /// A paused claimant then finds its conditional update refused and the key taken.
+    pub fn settle(
+        &mut self,
+        key: &IntentKey,
+        claim: ClaimId,
+        limits: &LedgerLimits,
+        now: UnixTime,
+    ) -> SettleStep {
+        match self.view(key, limits, now) {
+            Ok(RecordView::Absent) => {}
+            Ok(view) => return SettleStep::Present(view),
+            Err(fault) => return SettleStep::Invalid(fault),
+        }
+        let entry = IntentEntry {
+            claim,
+            fingerprint: None,
+            minted_at: key.minted_at,
+            state: IntentState::NotRun,
+        };
+        if self.weight() + entry.weight() > limits.settle_bytes() {
+            return SettleStep::Full;
+        }
+        self.put(key.entry_id(), entry);
+        SettleStep::Added
+    }
+
+    /// Closes the entry that `claim` wrote.
+    ///
+    /// # Panics
+    ///
+    /// Panics where invariants are fatal when a final record would change.
+    pub fn close(
+        &mut self,
+        id: EntryId,
+        claim: ClaimId,
+        record: &CloseRecord,
+        limits: &LedgerLimits,
+    ) -> CloseStep {
+        let Some(entry) = self.entries.get(&id).filter(|e| e.claim == claim) else {
+            return CloseStep::Missing;
+        };
+        if !may_close(&entry.state, record) {
+            check_final(id, &entry.state, record);
+            return CloseStep::Unchanged;
+        }
+        let mut entry = entry.clone();
+        entry.state = closed_state(record, limits.result_bytes);
+        if self.weight() + entry.weight() > limits.settle_bytes() {
+            drop_result(&mut entry.state);
+        }
+        self.put(id, entry);
+        CloseStep::Changed
+    }
+
+    /// Returns what is recorded of a key.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`KeyFault`] when the key does not match its record, or is absent
+    /// and so old that its record may have expired.
+    pub fn view(
+        &self,
+        key: &IntentKey,
+        limits: &LedgerLimits,
+        now: UnixTime,
+    ) -> Result<RecordView, KeyFault> {
+        match self.entries.get(&key.entry_id()) {
+            Some(entry) if entry.minted_at != key.minted_at => Err(KeyFault::Reused),
+            Some(entry) => Ok(RecordView::from(&entry.state)),
+            None => self
+                .check_key(key, limits, now)
+                .map(|()| RecordView::Absent),
+        }
+    }
+
+    /// Drops the entries whose keys nobody accepts any more.
+    ///
+    /// The horizon rises with it and is part of the value, and keys at or below it are
+    /// refused whatever any clock says: otherwise a daemon whose clock is behind could
+    /// take an expired key for a new one and run its request again. The newest key
+    /// bounds the horizon, so that one clock far ahead cannot close the shard to all.
+    pub fn expire(&mut self, limits: &LedgerLimits, now: UnixTime) {
+        let newest = self.entries.values().map(|e| e.minted_at).max();
+        let latest = newest.unwrap_or_default().min(now);
+        let keep = limits.retention + limits.skew * 2;
+        let horizon = UnixTime(latest.0.saturating_sub(crate::names::millis(keep)));
+        if horizon <= self.horizon {
+            return;
+        }
+        self.horizon = horizon;
+        self.entries.retain(|_, entry| entry.minted_at > horizon);
+        self.weight = self.entries.values().map(IntentEntry::weight).sum();
+    }
+
+    /// Refuses absent keys that are too old, too new or out of form.
+    fn check_key(
+        &self,
+        key: &IntentKey,
+        limits: &LedgerLimits,
+        now: UnixTime,
+    ) -> Result<(), KeyFault> {
+        if !(1..=MAX_KEY_BYTES).contains(&key.key.as_str().len()) {
+            return Err(KeyFault::Length);
+        }
+        let longest = limits.retention.saturating_sub(limits.skew);
+        if key.minted_at <= self.horizon || now.since(key.minted_at) > longest {
+            return Err(KeyFault::Expired);
+        }
+        if key.minted_at.since(now) > limits.skew {
+            return Err(KeyFault::Future);
+        }
+        Ok(())
+    }
+
+    fn put(&mut self, id: EntryId, entry: IntentEntry) {
+        self.weight += entry.weight();
+        if let Some(former) = self.entries.insert(id, entry) {
+            self.weight -= former.weight();
+        }
+    }
+}
+
+fn present_claim(entry: &IntentEntry, claim: &ClaimEntry) -> ClaimStep {
+    if entry.minted_at != claim.key.minted_at {
+        return ClaimStep::Invalid(KeyFault::Reused);
+    }
+    if entry.fingerprint.is_some_and(|f| f != claim.fingerprint) {
+        return ClaimStep::Invalid(KeyFault::OtherContent);
+    }
+    match &entry.state {
+        IntentState::Intended { .. } if entry.claim == claim.claim => ClaimStep::Owned,
+        state => ClaimStep::Present(RecordView::from(state)),
+    }
+}
+
+fn may_close(state: &IntentState, record: &CloseRecord) -> bool {
+    match state {
+        IntentState::Intended { .. } => true,
+        IntentState::Unknown => matches!(record, CloseRecord::Answered(_)),
+        IntentState::NotRun | IntentState::Answered(_) => false,
+    }
+}
+
+/// Asserts that a close which changes nothing doesn't contradict the record either.
+fn check_final(id: EntryId, state: &IntentState, record: &CloseRecord) {
+    let agrees = matches!(
+        (state, record),
+        (
+            IntentState::Answered(_),
+            CloseRecord::Answered(_) | CloseRecord::Unknown
+        ) | (IntentState::NotRun, CloseRecord::NotRun)
+            | (IntentState::Unknown, CloseRecord::Unknown)
+    );
+    invariants::check(agrees, Invariant::NotRunIsTrue, || {
+        format!("entry {id:?} is {state:?} and was to become {record:?}")
+    });
+}
+
+fn closed_state(record: &CloseRecord, result_bytes: usize) -> IntentState {
+    match record {
+        CloseRecord::NotRun => IntentState::NotRun,
+        CloseRecord::Unknown => IntentState::Unknown,
+        CloseRecord::Answered(answer) => {
+            let mut answer = answer.clone();
+            answer.result = answer.result.filter(|r| r.len() <= result_bytes);
+            IntentState::Answered(answer)
+        }
+    }
+}
+
+fn drop_result(state: &mut IntentState) {
+    if let IntentState::Answered(answer) = state {
+        answer.result = None;
+    }
+}
