Wire records, tokens and the control thread into the daemon

Cause: the modules were written apart. Change: the token carries the model, version and adapter at work, so that a continuation through another daemon keeps them.

--- a/src/request.rs
+++ b/src/request.rs
@@ -72,7 +72,7 @@
     },
 }
 
-fn fault(field: &'static str, found: impl ToString, remedy: impl Into<String>) -> RequestFault {
+fn fault(field: &'static str, found: &dyn ToString, remedy: impl Into<String>) -> RequestFault {
     RequestFault::Field {
         field,
         found: found.to_string(),
@@ -228,7 +228,7 @@
     }
     if !allowed.is_empty() && !allowed.iter().any(|v| v == asked) {
         let remedy = format!("the class may use {}", allowed.join(", "));
-        return Err(fault("version", asked, remedy));
+        return Err(fault("version", &asked, remedy));
     }
     Ok(vec![asked.to_owned()])
 }
@@ -238,7 +238,7 @@
         let remedy = format!("send at most prompt_tokens ({})", submit.prompt_tokens);
         return Err(fault(
             "shared_prefix_tokens",
-            submit.shared_prefix_tokens,
+            &submit.shared_prefix_tokens,
             remedy,
         ));
     }
@@ -254,7 +254,11 @@
     }
     if submit.max_output_tokens == 0 || submit.max_output_tokens > MOST_OUTPUT_TOKENS {
         let remedy = format!("send 1 to {MOST_OUTPUT_TOKENS}");
-        return Err(fault("max_output_tokens", submit.max_output_tokens, remedy));
+        return Err(fault(
+            "max_output_tokens",
+            &submit.max_output_tokens,
+            remedy,
+        ));
     }
     Ok(())
 }
@@ -269,7 +273,7 @@
     }
     if submit.deadline_ms > limits.longest_deadline_ms {
         let remedy = format!("send at most {} ms", limits.longest_deadline_ms);
-        return Err(fault("deadline_ms", submit.deadline_ms, remedy));
+        return Err(fault("deadline_ms", &submit.deadline_ms, remedy));
     }
     Ok(Duration::from_millis(u64::from(submit.deadline_ms)))
 }
@@ -292,11 +296,11 @@
     }
     if submit.key.is_empty() {
         let remedy = "requests of this class may not be repeated and need a key";
-        return Err(fault("key", "empty", remedy));
+        return Err(fault("key", &"empty", remedy));
     }
     if submit.key_minted_at_ms == 0 {
         let remedy = "send the Unix time in milliseconds at which the key was made";
-        return Err(fault("key_minted_at_ms", 0, remedy));
+        return Err(fault("key_minted_at_ms", &0, remedy));
     }
     Ok(Some(IntentKey {
         workspace: workspace.clone(),
--- a/src/resume_token.rs
+++ b/src/resume_token.rs
@@ -35,6 +35,9 @@
     pub target: TargetId,
     /// Address of that target; empty while it waits.
     pub target_address: String,
+    /// Model, version and adapter at work, which a continuation keeps; empty while it
+    /// waits and for plain services.
+    pub model: String,
     /// Attempt at that target; 0 while it waits.
     pub attempt: u32,
     /// Wall-clock time of the request's deadline.
@@ -176,6 +179,8 @@
     target: TargetId,
     #[serde(rename = "a")]
     target_address: String,
+    #[serde(rename = "m", default, skip_serializing_if = "String::is_empty")]
+    model: String,
     #[serde(rename = "n")]
     attempt: u32,
     #[serde(rename = "e")]
@@ -197,6 +202,7 @@
             daemon: token.daemon.clone(),
             target: token.target.clone(),
             target_address: token.target_address.clone(),
+            model: token.model.clone(),
             attempt: token.attempt,
             deadline: token.deadline,
             key: token
@@ -221,6 +227,7 @@
             daemon: wire.daemon,
             target: wire.target,
             target_address: wire.target_address,
+            model: wire.model,
             attempt: wire.attempt,
             deadline: wire.deadline,
             key,
--- a/src/run_once.rs
+++ b/src/run_once.rs
@@ -21,7 +21,6 @@
 use crate::intent_store::{ClaimResult, IntentClaim};
 use crate::intents::{AnswerRecord, IntentKey, RecordView};
 use crate::placement::{PoolKey, TargetChoice};
-use crate::ports::TargetError;
 use crate::request::CallerRequest;
 use crate::run_call::{call_service, deliver};
 use crate::scheduler::JobMeasure;
@@ -358,7 +357,7 @@
             length,
             digest,
             result,
-        } => from_answer(sink, length, digest, result, offset).await,
+        } => from_answer(sink, length, &digest, result, offset).await,
         RecordView::Absent => unknown("its record has expired".to_owned()),
         RecordView::Intended { claimant, .. } => unknown(format!("{claimant} has dispatched it")),
         RecordView::Unknown => unknown("its target's answer was lost".to_owned()),
--- a/src/server.rs
+++ b/src/server.rs
@@ -147,7 +147,11 @@
         let settings = Arc::clone(&self.context.settings);
         let (done, handed_over) = oneshot::channel();
         // A control thread that is gone holds no leases and names no addresses.
-        let _ = self.context.control.events.send(ControlEvent::Stop { done });
+        let _ = self
+            .context
+            .control
+            .events
+            .send(ControlEvent::Stop { done });
         let _ = tokio::time::timeout(HAND_OVER_TIME, handed_over).await;
         let keep = Duration::from_millis(u64::from(settings.shutdown.keep_ms));
         tokio::time::sleep(keep).await;
@@ -199,6 +203,7 @@
         platform,
         daemon: settings.daemon_id.clone(),
         incarnation,
+        unix_now: Arc::new(clock::unix_now),
     });
     let dispatcher = JobDispatcher::new(scheduler, control.clone(), journal.clone());
     Ok(Arc::new(TrafficContext {
