--- a/src/request.rs
+++ b/src/request.rs
@@ -248,7 +248,7 @@
     if submit.prompt_tokens == 0 {
         return Err(fault(
             "prompt_tokens",
-            0,
+            &0,
             "send the prompt's length in tokens",
         ));
     }
@@ -287,7 +287,7 @@
         let remedy = format!("send at most {LONGEST_KEY} bytes");
         return Err(fault(
             "key",
-            format!("{} bytes long", submit.key.len()),
+            &format!("{} bytes long", submit.key.len()),
             remedy,
         ));
     }
