Give engine speeds their place in the table of settings

Cause: policy.speeds was added without rules; the table's test failed. Change: a rule for each speed; none may be zero, since times are divided by it.

--- a/src/settings_rules.rs
+++ b/src/settings_rules.rs
@@ -90,6 +90,15 @@
     }
 }
 
+/// Expects a speed, which is never zero: times are divided by it.
+const fn speed(path: &'static str, most: f64) -> FieldRule {
+    optional(
+        path,
+        FieldKind::Number(LEAST_SPEED, most),
+        "give the speed measured on an idle mixed engine",
+    )
+}
+
 const fn whole(
     path: &'static str,
     least: u64,
@@ -110,6 +119,7 @@
 const LISTEN_REMEDY: &str = "give the instance's own IP number and a port, such as 127.0.0.1:0";
 const NAME_REMEDY: &str = "give a name that is unique in the deployment";
 const SWITCH_REMEDY: &str = "write true or false without quotes";
+const LEAST_SPEED: f64 = 0.001;
 const SIZE_REMEDY: &str = "start from the default of docs/SETTINGS.md";
 const WAIT_REMEDY: &str = "give the time in milliseconds, as a number without quotes";
 
@@ -254,6 +264,14 @@
         SIZE_REMEDY,
     ),
     whole("policy.service_in_flight", 1, 65_536, "calls", SIZE_REMEDY),
+    optional("policy.speeds", FieldKind::Group, GROUP_REMEDY),
+    speed("policy.speeds.prefill_tokens_per_s", 10_000_000.0),
+    speed("policy.speeds.token_base_ms", 10_000.0),
+    speed("policy.speeds.token_per_stream_ms", 10_000.0),
+    speed("policy.speeds.prefill_role_prefill", 100.0),
+    speed("policy.speeds.prefill_role_decode", 100.0),
+    speed("policy.speeds.decode_role_prefill", 100.0),
+    speed("policy.speeds.decode_role_decode", 100.0),
     optional("shutdown", FieldKind::Group, GROUP_REMEDY),
     whole("shutdown.keep_ms", 0, 600_000, "ms", WAIT_REMEDY),
     whole("shutdown.finish_ms", 0, 86_400_000, "ms", WAIT_REMEDY),
