--- a/src/bin/pistachiowickd.rs
+++ b/src/bin/pistachiowickd.rs
@@ -6,6 +6,7 @@
 use eyre::{Result, WrapErr};
 use pistachiowick::flags::{self, DaemonCommand, exit_code};
 use pistachiowick::logging;
+use pistachiowick::server;
 use pistachiowick::settings::DaemonSettings;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -73,9 +74,7 @@
     runtime.block_on(async {
         let interrupt = signal(SignalKind::interrupt())?;
         let terminate = signal(SignalKind::terminate())?;
-        stop_asked(interrupt, terminate).await;
-        drop(settings);
-        Ok(())
+        server::run_daemon(settings, stop_asked(interrupt, terminate)).await
     })
 }
 
