--- a/src/bin/pistachiowickd.rs
+++ b/src/bin/pistachiowickd.rs
@@ -6,7 +6,7 @@
 use eyre::{Result, WrapErr};
 use pistachiowick::flags::{self, DaemonCommand, exit_code};
 use pistachiowick::logging;
-use pistachiowick::server;
+use pistachiowick::server::{self, RunningDaemon};
 use pistachiowick::settings::DaemonSettings;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -74,10 +74,20 @@
     runtime.block_on(async {
         let interrupt = signal(SignalKind::interrupt())?;
         let terminate = signal(SignalKind::terminate())?;
-        server::run_daemon(settings, stop_asked(interrupt, terminate)).await
+        server::run_daemon(settings, announce, stop_asked(interrupt, terminate)).await
     })
 }
 
+/// Tells whoever started the process where it listens; port 0 is known only now.
+fn announce(daemon: &RunningDaemon) {
+    let addresses = serde_json::json!({
+        "rpc": daemon.rpc.to_string(),
+        "admin": daemon.admin.to_string(),
+        "peer": daemon.peer.to_string(),
+    });
+    println!("{addresses}");
+}
+
 /// Ends with the first signal; the second one ends the process, because an
 /// operator who asks twice no longer wants to wait for running requests.
 async fn stop_asked(mut interrupt: Signal, mut terminate: Signal) {
--- a/src/client.rs
+++ b/src/client.rs
@@ -18,13 +18,11 @@
 use crate::clock;
 use crate::pb;
 use crate::pb::requests_client::RequestsClient;
+use crate::retry_budget::RetryBudget;
 
 /// Default share of retries to first attempts.
 const RETRY_SHARE: f64 = 0.1;
 
-/// Retries that may be saved up.
-const RETRY_RESERVE: f64 = 10.0;
-
 /// Keys remembered as sent; older ones are covered by a watermark.
 const KEYS_KEPT: usize = 65_536;
 
@@ -226,7 +224,7 @@
 pub(crate) struct ClientShared {
     pub(crate) links: LinkPool,
     pub(crate) options: ClientOptions,
-    budget: Mutex<f64>,
+    budget: Mutex<RetryBudget>,
     keys: Mutex<KeyMemory>,
 }
 
@@ -245,11 +243,12 @@
     /// Returns an error for options that cannot be used, when no daemon can be
     /// reached, and when the key is refused.
     pub async fn connect(options: ClientOptions) -> Result<Self, ClientError> {
+        let retry_share = options.retry_share;
         let client = Self {
             shared: Arc::new(ClientShared {
                 links: LinkPool::new(&options)?,
                 options,
-                budget: Mutex::new(RETRY_RESERVE),
+                budget: Mutex::new(RetryBudget::new(retry_share)),
                 keys: Mutex::new(KeyMemory {
                     sent: IndexMap::new(),
                     old_until: clock::unix_now().0.saturating_sub(1),
@@ -373,17 +372,11 @@
 
     /// Takes one retry from the budget, if there is one.
     pub(crate) fn take_retry(&self) -> bool {
-        let mut budget = lock(&self.budget);
-        if *budget < 1.0 {
-            return false;
-        }
-        *budget -= 1.0;
-        true
+        lock(&self.budget).spend()
     }
 
     fn earn_retry(&self) {
-        let mut budget = lock(&self.budget);
-        *budget = (*budget + self.options.retry_share).min(RETRY_RESERVE);
+        lock(&self.budget).earn();
     }
 
     /// Mints a missing time and clears `first_submission` of a key that may have been sent.
--- a/src/client_operator.rs
+++ b/src/client_operator.rs
@@ -9,6 +9,8 @@
 use crate::pb;
 use crate::pb::operations_client::OperationsClient;
 
+type OperationsChannel = OperationsClient<Channel>;
+
 /// An operator's client over the addresses given.
 ///
 /// Reads go to another daemon when one fails. Changes are sent once: when their
@@ -38,7 +40,7 @@
     /// Returns the daemon's refusal, or an error that says whether the change was sent.
     pub async fn create(&self, item: pb::ConfigItem) -> Result<pb::ChangeReply, ClientError> {
         let create = pb::CreateItemRequest { item: Some(item) };
-        self.once(|mut client| {
+        self.once(|mut client: OperationsChannel| {
             let request = self.links.with_key(create);
             async move { client.create_item(request).await }
         })
@@ -59,7 +61,7 @@
             item: Some(item),
             based_on,
         };
-        self.once(|mut client| {
+        self.once(|mut client: OperationsChannel| {
             let request = self.links.with_key(change);
             async move { client.change_item(request).await }
         })
@@ -82,7 +84,7 @@
             name: name.to_owned(),
             based_on,
         };
-        self.once(|mut client| {
+        self.once(|mut client: OperationsChannel| {
             let request = self.links.with_key(delete);
             async move { client.delete_item(request).await }
         })
@@ -99,7 +101,7 @@
             kind: kind.into(),
             name: name.to_owned(),
         };
-        self.repeat(|mut client| {
+        self.repeat(|mut client: OperationsChannel| {
             let request = self.links.with_key(read.clone());
             async move { client.read_item(request).await }
         })
@@ -114,7 +116,7 @@
     pub async fn list(&self, kind: pb::ItemKind) -> Result<Vec<pb::ItemReply>, ClientError> {
         let list = pb::ListItemsRequest { kind: kind.into() };
         let reply = self
-            .repeat(|mut client| {
+            .repeat(|mut client: OperationsChannel| {
                 let request = self.links.with_key(list);
                 async move { client.list_items(request).await }
             })
@@ -130,7 +132,7 @@
     pub async fn watch(&self, kind: pb::ItemKind) -> Result<ItemWatch, ClientError> {
         let list = pb::ListItemsRequest { kind: kind.into() };
         let items = self
-            .repeat(|mut client| {
+            .repeat(|mut client: OperationsChannel| {
                 let request = self.links.with_key(list);
                 async move { client.watch_items(request).await }
             })
@@ -145,7 +147,7 @@
     /// Returns the daemon's refusal, or an error that says whether the change was sent.
     pub async fn drain(&self, target: &str, reason: &str) -> Result<pb::ChangeReply, ClientError> {
         let drain = target_request(target, reason);
-        self.once(|mut client| {
+        self.once(|mut client: OperationsChannel| {
             let request = self.links.with_key(drain);
             async move { client.drain_target(request).await }
         })
@@ -163,7 +165,7 @@
         reason: &str,
     ) -> Result<pb::ChangeReply, ClientError> {
         let restore = target_request(target, reason);
-        self.once(|mut client| {
+        self.once(|mut client: OperationsChannel| {
             let request = self.links.with_key(restore);
             async move { client.restore_target(request).await }
         })
@@ -176,7 +178,7 @@
     ///
     /// Returns the daemon's refusal, or an error when no daemon answers.
     pub async fn status(&self) -> Result<pb::StatusReply, ClientError> {
-        self.repeat(|mut client| {
+        self.repeat(|mut client: OperationsChannel| {
             let request = self.links.with_key(pb::StatusRequest {});
             async move { client.status(request).await }
         })
@@ -198,7 +200,7 @@
             most,
         };
         let reply = self
-            .repeat(|mut client| {
+            .repeat(|mut client: OperationsChannel| {
                 let request = self.links.with_key(explain.clone());
                 async move { client.explain(request).await }
             })
@@ -209,7 +211,7 @@
     /// Makes a call that must not be repeated.
     async fn once<T>(
         &self,
-        call: impl AsyncFnOnce(OperationsClient<Channel>) -> Result<tonic::Response<T>, tonic::Status>,
+        call: impl AsyncFnOnce(OperationsChannel) -> Result<tonic::Response<T>, tonic::Status>,
     ) -> Result<T, ClientError> {
         let link = self.links.pick_given().await?;
         match call(OperationsClient::new(link.channel)).await {
@@ -221,7 +223,7 @@
     /// Makes a call that only reads, once on each address given.
     async fn repeat<T, F>(
         &self,
-        call: impl Fn(OperationsClient<Channel>) -> F,
+        call: impl Fn(OperationsChannel) -> F,
     ) -> Result<T, ClientError>
     where
         F: Future<Output = Result<tonic::Response<T>, tonic::Status>>,
