Add stand-ins for platform, engine, service and weights, and a load generator

Cause: the daemon's adapters and the failure tests need counterparts that speak the wire types over HTTP and keep books. Ruled out: web framework handlers per route, since they hide breaking a connection in mid answer and reopening the port; one owned call to one owned answer does both. Change: stand-ins with faults on demand, a pure batching model, deterministic answers, a load generator that checks every byte, and a thin command table. Conclusion: interfaces can be built against; behaviour is unproved as yet.

--- /dev/null
+++ b/lab/src/engine.rs
@@ -0,0 +1,943 @@
+//! Stand-in for a model engine: continuous batching, prefix cache, roles, faults.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use eyre::Result;
+use indexmap::IndexMap;
+use pistachiowick::clock::unix_now;
+use pistachiowick::names::{FenceNumber, ProcessIncarnation, RequestId, millis};
+use pistachiowick::ports::PortFuture;
+use pistachiowick::target_wire::{
+    CacheEvent, CacheEvents, EngineRole, EngineState, GenerateBody, OrderBody, OrderMark,
+    StreamLine,
+};
+use serde::{Deserialize, Serialize};
+use tokio::sync::{Notify, watch};
+
+use crate::answers::{AnswerText, TOKEN_BYTES};
+use crate::chance::ChanceSource;
+use crate::engine_books::{EngineBooks, OrderBook, StreamBook};
+use crate::engine_http;
+use crate::engine_model::{EngineModel, StepResult, StreamName, StreamWork, reserved_tokens};
+use crate::engine_options::{EngineFaults, EngineOptions};
+use crate::engine_stream::{StreamCell, StreamProgress};
+use crate::http::{HttpAnswer, HttpServer, encode_segment};
+use crate::weight_store::WeightReply;
+
+/// Steps are merged until they fill this span, since timers are no finer.
+const MERGE_SPAN: Duration = Duration::from_millis(2);
+
+/// Bounds of the pause between two samples of the lagging state.
+const SAMPLE_LEAST: Duration = Duration::from_millis(5);
+const SAMPLE_MOST: Duration = Duration::from_millis(100);
+
+/// Cache events kept for readers.
+const EVENTS_KEPT: usize = 10_000;
+
+/// Time to come back after a refusal, in engine time.
+const RETRY_MS: f64 = 500.0;
+
+/// Pause before a refused fetch of weights is repeated, at least.
+const FETCH_PAUSE: Duration = Duration::from_millis(20);
+
+/// Request named by crossed lines when no other stream is there.
+const STRANGER: &str = "another-request";
+
+/// Why a stream was not taken.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartRefusal {
+    /// A change of role or models is under way.
+    Changing,
+    /// The engine is leaving.
+    Leaving,
+    /// The model, version or adapter is not loaded.
+    NotLoaded,
+    /// The queue is full.
+    QueueFull,
+    /// Prompt and answer would never fit into the KV cache.
+    TooLarge,
+}
+
+/// KV cache of a prompt: `GET` and `PUT /v1/kv/NAME`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct KvPart {
+    /// Shared prefix or request.
+    pub prefix: String,
+    /// Tokens held.
+    pub tokens: u32,
+}
+
+/// What an order asks the engine to be.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct DesiredState {
+    role: EngineRole,
+    models: Vec<String>,
+}
+
+/// A cache event that becomes visible later.
+struct LateEvent {
+    visible_at: Instant,
+    event: CacheEvent,
+}
+
+struct EngineInner {
+    life: u64,
+    incarnation: ProcessIncarnation,
+    is_down: bool,
+    role: EngineRole,
+    models: Vec<String>,
+    desired: Option<DesiredState>,
+    highest_fence: FenceNumber,
+    last_order: Option<OrderMark>,
+    left_at: Option<Instant>,
+    frozen_until: Option<Instant>,
+    model: EngineModel,
+    streams: IndexMap<StreamName, Arc<StreamCell>>,
+    events: VecDeque<LateEvent>,
+    samples: VecDeque<(Instant, EngineState)>,
+    faults: EngineFaults,
+    books: EngineBooks,
+}
+
+/// State that the server, the step loop and the readers share.
+pub struct EngineCore {
+    /// Options.
+    pub options: EngineOptions,
+    /// Random faults.
+    pub chance: ChanceSource,
+    inner: Mutex<EngineInner>,
+    woken: Notify,
+    started: Instant,
+    client: reqwest::Client,
+}
+
+impl EngineCore {
+    fn new(options: EngineOptions) -> Self {
+        let inner = EngineInner {
+            life: 0,
+            incarnation: ProcessIncarnation(unix_now().0),
+            is_down: false,
+            role: options.role,
+            models: options.models.clone(),
+            desired: None,
+            highest_fence: FenceNumber::default(),
+            last_order: None,
+            left_at: None,
+            frozen_until: None,
+            model: EngineModel::default(),
+            streams: IndexMap::new(),
+            events: VecDeque::new(),
+            samples: VecDeque::new(),
+            faults: EngineFaults::default(),
+            books: EngineBooks::default(),
+        };
+        Self {
+            chance: ChanceSource::new(options.seed),
+            options,
+            inner: Mutex::new(inner),
+            woken: Notify::new(),
+            started: Instant::now(),
+            client: reqwest::Client::new(),
+        }
+    }
+
+    fn inner(&self) -> MutexGuard<'_, EngineInner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the faults in force.
+    pub fn faults(&self) -> EngineFaults {
+        self.inner().faults.clone()
+    }
+
+    /// Writes into the books.
+    pub fn book(&self, write: impl FnOnce(&mut EngineBooks)) {
+        write(&mut self.inner().books);
+    }
+
+    /// Returns the books.
+    pub fn books(&self) -> EngineBooks {
+        self.inner().books.clone()
+    }
+
+    /// Books answer bytes sent to a reader.
+    pub fn book_sent(&self, cell: &StreamCell, bytes: u64) {
+        let key = book_key(cell.request_id.as_str(), cell.attempt);
+        if let Some(book) = self.inner().books.streams.get_mut(&key) {
+            book.bytes_sent += bytes;
+        }
+    }
+
+    /// Returns a line that belongs to another request.
+    pub fn line_of_another(&self, line: &StreamLine) -> StreamLine {
+        let inner = self.inner();
+        let other = inner
+            .streams
+            .values()
+            .find(|cell| cell.request_id != line.request_id);
+        let (request_id, attempt) = other.map_or_else(
+            || (RequestId::from(STRANGER), 1),
+            |cell| (cell.request_id.clone(), cell.attempt),
+        );
+        StreamLine {
+            request_id,
+            attempt,
+            data: STANDARD.encode("zzz "),
+            ..line.clone()
+        }
+    }
+
+    /// Waits until no freeze is in force.
+    pub async fn thawed(&self) {
+        loop {
+            let until = self.inner().frozen_until;
+            match until {
+                Some(until) if until > Instant::now() => {
+                    tokio::time::sleep_until(until.into()).await;
+                }
+                _ => return,
+            }
+        }
+    }
+
+    /// Takes a stream, or attaches to one already taken.
+    ///
+    /// # Errors
+    ///
+    /// Returns why nothing was taken.
+    pub fn start_stream(
+        self: &Arc<Self>,
+        body: &GenerateBody,
+        prompt: &[u8],
+    ) -> Result<Arc<StreamCell>, StartRefusal> {
+        let name = StreamName {
+            request_id: body.request_id.as_str().to_owned(),
+            attempt: body.attempt,
+        };
+        let mut inner = self.inner();
+        if let Some(left_at) = inner.left_at {
+            let since = millis(left_at.elapsed());
+            inner.books.starts_after_leave.push(since);
+        }
+        if let Some(cell) = inner.streams.get(&name).cloned() {
+            inner.books.repeated_starts += 1;
+            return Ok(cell);
+        }
+        let answer = AnswerText::new(
+            prompt,
+            body.model.as_str(),
+            &body.adapter,
+            &body.version,
+            body.max_output_tokens,
+        );
+        let work = self.work_of(body, answer);
+        if let Some(refusal) = inner.refusal(&self.options, body, &work) {
+            inner.books.refused_starts += 1;
+            return Err(refusal);
+        }
+        let cell = inner.take(&name, body, answer);
+        let is_importing = work.importing;
+        inner.model.push(name.clone(), work);
+        drop(inner);
+        if is_importing {
+            tokio::spawn(import_kv(self.clone(), name, body.clone()));
+        }
+        self.woken.notify_one();
+        Ok(cell)
+    }
+
+    fn work_of(&self, body: &GenerateBody, answer: AnswerText) -> StreamWork {
+        let now_ms = self.started.elapsed().as_secs_f64() * 1_000.0;
+        let done = u32::try_from(body.offset / TOKEN_BYTES as u64).unwrap_or(u32::MAX);
+        StreamWork {
+            priority: body.priority,
+            deadline_ms: now_ms as u64 + body.deadline_ms,
+            prompt_tokens: body.prompt_tokens,
+            tokens_done: done.min(answer.tokens()),
+            answer_tokens: answer.tokens(),
+            max_output_tokens: body.max_output_tokens.max(1),
+            prefix: body.shared_prefix.clone(),
+            prefix_tokens: body.shared_prefix_tokens,
+            importing: !body.import_kv_from.is_empty(),
+        }
+    }
+
+    /// Finds a stream to resume.
+    pub fn find_stream(&self, request_id: &str, attempt: u32) -> Option<Arc<StreamCell>> {
+        let name = StreamName {
+            request_id: request_id.to_owned(),
+            attempt,
+        };
+        let mut inner = self.inner();
+        let cell = inner.streams.get(&name).cloned()?;
+        inner.books.resumes += 1;
+        Some(cell)
+    }
+
+    /// Stops all attempts of a request; true when one was running.
+    pub fn cancel(&self, request_id: &str) -> bool {
+        let mut inner = self.inner();
+        let names: Vec<StreamName> = inner
+            .streams
+            .keys()
+            .filter(|name| name.request_id == request_id)
+            .cloned()
+            .collect();
+        let mut was_running = false;
+        for name in names {
+            let Some(cell) = inner.streams.shift_remove(&name) else {
+                continue;
+            };
+            was_running |= cell.is_running();
+            inner.model.remove(&name);
+            cell.progress.send_replace(StreamProgress::Stopped);
+            let key = book_key(&name.request_id, name.attempt);
+            if let Some(book) = inner.books.streams.get_mut(&key) {
+                book.cancelled = true;
+            }
+        }
+        inner.books.cancels += u64::from(was_running);
+        drop(inner);
+        self.woken.notify_one();
+        was_running
+    }
+
+    /// Returns the state as it was one report lag ago.
+    pub fn reported_state(&self) -> EngineState {
+        let lag = self.options.scaled_ms(self.options.report_lag_ms as f64);
+        let inner = self.inner();
+        if lag.is_zero() {
+            return inner.state(&self.options);
+        }
+        let now = Instant::now();
+        let seen = inner
+            .samples
+            .iter()
+            .rev()
+            .find(|(at, _)| now.duration_since(*at) >= lag)
+            .or_else(|| inner.samples.front());
+        seen.map_or_else(|| inner.state(&self.options), |(_, state)| state.clone())
+    }
+
+    /// Obeys or refuses an order.
+    ///
+    /// # Errors
+    ///
+    /// Returns the highest fence seen when the order's is older and the engine checks.
+    pub fn order(&self, order: &OrderBody) -> Result<EngineState, FenceNumber> {
+        let mut inner = self.inner();
+        let highest = inner.highest_fence;
+        let is_old = order.mark.fence < highest;
+        let obeyed = !(is_old && self.options.checks_fence);
+        inner.books.orders.push(OrderBook {
+            id: order.mark.id.clone(),
+            fence: order.mark.fence,
+            highest_before: highest,
+            group: order.group.clone(),
+            role: order.role,
+            models: order.models.clone(),
+            at_ms: unix_now().0,
+            obeyed,
+        });
+        if !obeyed {
+            inner.books.old_fences_refused += 1;
+            return Err(highest);
+        }
+        inner.books.old_fences_obeyed += u64::from(is_old);
+        inner.highest_fence = highest.max(order.mark.fence);
+        inner.obey(order);
+        let state = inner.state(&self.options);
+        drop(inner);
+        self.woken.notify_one();
+        Ok(state)
+    }
+
+    /// Returns the visible cache events after a number.
+    pub fn cache_events(&self, since: u64) -> CacheEvents {
+        let now = Instant::now();
+        let inner = self.inner();
+        let events = inner
+            .events
+            .iter()
+            .filter(|late| late.visible_at <= now && late.event.sequence > since)
+            .map(|late| late.event.clone())
+            .collect();
+        CacheEvents { events }
+    }
+
+    /// Returns the KV cache held of a request's prompt or of a shared prefix.
+    pub fn export_kv(&self, name: &str) -> Option<KvPart> {
+        let inner = self.inner();
+        let of_request = inner
+            .streams
+            .values()
+            .find(|cell| cell.request_id.as_str() == name && cell.has_read_prompt())
+            .map(|cell| cell.prompt_tokens);
+        let tokens = of_request.or_else(|| inner.model.cached(name))?;
+        Some(KvPart {
+            prefix: name.to_owned(),
+            tokens,
+        })
+    }
+
+    /// Puts a shared prefix into the cache.
+    pub fn import_prefix(&self, part: &KvPart) {
+        let mut inner = self.inner();
+        let limit = self.options.prefix_limit_tokens;
+        inner.model.store_prefix(&part.prefix, part.tokens, limit);
+        inner.publish_events(self);
+    }
+
+    /// Marks the moment from which on no new work may come.
+    pub fn leave(&self) {
+        self.inner().left_at.get_or_insert_with(Instant::now);
+    }
+
+    /// Takes up work again.
+    pub fn stay(&self) {
+        self.inner().left_at = None;
+    }
+
+    /// Puts faults in force; one-time faults are left to the caller.
+    pub fn set_faults(&self, mut faults: EngineFaults) {
+        faults.crash_ms = None;
+        faults.freeze_ms = None;
+        self.inner().faults = faults;
+    }
+
+    /// Does and answers nothing for a time.
+    pub fn freeze(&self, span: Duration) {
+        self.inner().frozen_until = Some(Instant::now() + span);
+    }
+
+    /// Drops everything and marks the engine as down.
+    fn drop_all(&self) {
+        let mut inner = self.inner();
+        let running = inner.streams.values().filter(|cell| cell.is_running());
+        let dropped = running.count() as u64;
+        inner.books.dropped_by_crash += dropped;
+        inner.books.crashes += 1;
+        inner.life += 1;
+        inner.is_down = true;
+        for cell in inner.streams.values() {
+            cell.progress.send_replace(StreamProgress::Stopped);
+        }
+        inner.streams.clear();
+        inner.model = EngineModel::default();
+        inner.events.clear();
+        inner.samples.clear();
+        inner.desired = None;
+        inner.last_order = None;
+        inner.frozen_until = None;
+        inner.role = self.options.role;
+        inner.models.clone_from(&self.options.models);
+        if self.options.forgets_fence {
+            inner.highest_fence = FenceNumber::default();
+        }
+        drop(inner);
+        self.woken.notify_one();
+    }
+
+    fn revive(&self) {
+        let mut inner = self.inner();
+        inner.is_down = false;
+        let earliest = inner.incarnation.0 + 1;
+        inner.incarnation = ProcessIncarnation(unix_now().0.max(earliest));
+    }
+
+    /// Returns when to come back after a refusal.
+    pub fn retry_after(&self) -> Duration {
+        self.options.scaled_ms(RETRY_MS)
+    }
+}
+
+impl StreamCell {
+    fn has_read_prompt(&self) -> bool {
+        matches!(*self.progress.borrow(), StreamProgress::Tokens(tokens) if tokens > 0)
+    }
+}
+
+impl EngineInner {
+    fn refusal(
+        &self,
+        options: &EngineOptions,
+        body: &GenerateBody,
+        work: &StreamWork,
+    ) -> Option<StartRefusal> {
+        if self.left_at.is_some() {
+            return Some(StartRefusal::Leaving);
+        }
+        if self.desired.is_some() {
+            return Some(StartRefusal::Changing);
+        }
+        if reserved_tokens(work) > options.kv_limit_tokens {
+            return Some(StartRefusal::TooLarge);
+        }
+        let is_loaded = self.models.iter().any(|loaded| serves(loaded, body));
+        if !is_loaded {
+            return Some(StartRefusal::NotLoaded);
+        }
+        let is_full = self.model.waiting() >= options.queue_limit;
+        is_full.then_some(StartRefusal::QueueFull)
+    }
+
+    fn take(
+        &mut self,
+        name: &StreamName,
+        body: &GenerateBody,
+        answer: AnswerText,
+    ) -> Arc<StreamCell> {
+        let done = u32::try_from(body.offset / TOKEN_BYTES as u64).unwrap_or(u32::MAX);
+        let (progress, _) = watch::channel(StreamProgress::Tokens(
+            done.min(answer.tokens().saturating_sub(1)),
+        ));
+        let cell = Arc::new(StreamCell {
+            request_id: body.request_id.clone(),
+            attempt: body.attempt,
+            answer,
+            prompt_tokens: body.prompt_tokens,
+            progress,
+        });
+        self.streams.insert(name.clone(), cell.clone());
+        let key = book_key(&name.request_id, name.attempt);
+        self.books.streams.insert(
+            key,
+            StreamBook {
+                request_id: name.request_id.clone(),
+                attempt: name.attempt,
+                workspace: body.workspace.clone(),
+                started_at_ms: unix_now().0,
+                offset: body.offset,
+                bytes_generated: 0,
+                bytes_sent: 0,
+                finished: false,
+                cancelled: false,
+            },
+        );
+        cell
+    }
+
+    fn obey(&mut self, order: &OrderBody) {
+        self.last_order = Some(order.mark.clone());
+        let wanted = DesiredState {
+            role: order.role,
+            models: order.models.clone(),
+        };
+        let is_in_force = wanted.role == self.role && wanted.models == self.models;
+        // A change under way ends first even when it is taken back.
+        if !is_in_force || self.desired.is_some() {
+            self.desired = Some(wanted);
+        }
+    }
+
+    /// Ends the change when `desired` is in force and no later order differs.
+    fn settle(&mut self, desired: &DesiredState) -> bool {
+        let is_in_force = desired.role == self.role && desired.models == self.models;
+        let is_newest = self.desired.as_ref() == Some(desired);
+        if is_in_force && is_newest {
+            self.desired = None;
+        }
+        is_in_force
+    }
+
+    fn state(&self, options: &EngineOptions) -> EngineState {
+        let load = self.model.load();
+        let now = Instant::now();
+        let visible = self.events.iter().rev().find(|late| late.visible_at <= now);
+        EngineState {
+            target: options.target.clone(),
+            incarnation: self.incarnation,
+            at_ms: unix_now().0,
+            role: self.role,
+            changing: self.desired.is_some(),
+            models: self.models.clone(),
+            running: load.running,
+            waiting: load.waiting,
+            prefill_backlog_tokens: load.prefill_backlog,
+            decode_backlog_tokens: load.decode_backlog,
+            kv_used_tokens: load.kv_used,
+            kv_limit_tokens: options.kv_limit_tokens,
+            last_order: self.last_order.clone(),
+            cache_sequence: visible.map_or(0, |late| late.event.sequence),
+        }
+    }
+
+    fn publish_events(&mut self, core: &EngineCore) {
+        let lag = core.options.scaled_ms(core.options.cache_lag_ms as f64);
+        let visible_at = Instant::now() + lag;
+        for event in self.model.take_events() {
+            if !core.chance.happens(core.options.cache_gap_chance) {
+                self.events.push_back(LateEvent { visible_at, event });
+            }
+        }
+        while self.events.len() > EVENTS_KEPT {
+            self.events.pop_front();
+        }
+    }
+
+    fn book_step(&mut self, result: &StepResult) {
+        let books = &mut self.books;
+        books.steps += 1;
+        books.busy_ms += result.span_ms;
+        books.prefill_tokens += result.prefill_tokens;
+        books.cached_tokens += result.cached_tokens;
+        books.decode_tokens += result.decode_tokens;
+    }
+
+    /// Shows readers the tokens that streams gained; returns the streams that ended.
+    fn publish(&mut self, gained: &IndexMap<StreamName, u32>) -> Vec<StreamName> {
+        let mut ended = Vec::new();
+        for (name, tokens) in gained {
+            let Some(cell) = self.streams.get(name) else {
+                continue;
+            };
+            cell.progress.send_replace(StreamProgress::Tokens(*tokens));
+            let is_finished = *tokens >= cell.answer.tokens();
+            let key = book_key(&name.request_id, name.attempt);
+            if let Some(book) = self.books.streams.get_mut(&key) {
+                let bytes = u64::from(*tokens) * TOKEN_BYTES as u64;
+                book.bytes_generated = bytes.saturating_sub(book.offset);
+                book.finished = is_finished;
+            }
+            if is_finished {
+                ended.push(name.clone());
+            }
+        }
+        ended
+    }
+}
+
+/// Tells whether a loaded model, `MODEL`, `MODEL@VERSION` or
+/// `MODEL@VERSION+ADAPTER`, serves a request. A bare `MODEL` serves every version
+/// and adapter of it.
+fn serves(loaded: &str, body: &GenerateBody) -> bool {
+    let Some((model, variant)) = loaded.split_once('@') else {
+        return loaded == body.model.as_str();
+    };
+    let (version, adapter) = variant.split_once('+').unwrap_or((variant, ""));
+    let has_version = body.version.is_empty() || body.version == version;
+    model == body.model.as_str() && has_version && adapter == body.adapter
+}
+
+fn book_key(request_id: &str, attempt: u32) -> String {
+    format!("{request_id}/{attempt}")
+}
+
+/// What the loop does next.
+enum LoopTurn {
+    Change(DesiredState),
+    Finish,
+    Step,
+    Wait,
+}
+
+fn next_turn(core: &EngineCore, life: u64) -> LoopTurn {
+    let inner = core.inner();
+    if inner.life != life {
+        return LoopTurn::Finish;
+    }
+    match &inner.desired {
+        Some(desired) if inner.model.is_idle() => LoopTurn::Change(desired.clone()),
+        _ if inner.model.has_work() => LoopTurn::Step,
+        _ => LoopTurn::Wait,
+    }
+}
+
+async fn run_loop(core: Arc<EngineCore>, life: u64) {
+    loop {
+        core.thawed().await;
+        match next_turn(&core, life) {
+            LoopTurn::Change(desired) => change(&core, life, desired).await,
+            LoopTurn::Finish => return,
+            LoopTurn::Step => run_steps(&core, life).await,
+            LoopTurn::Wait => core.woken.notified().await,
+        }
+    }
+}
+
+/// Makes steps until there is nothing to do; keeps to the clock on average.
+async fn run_steps(core: &Arc<EngineCore>, life: u64) {
+    let mut end = Instant::now();
+    loop {
+        let mut gained: IndexMap<StreamName, u32> = IndexMap::new();
+        let merge_until = Instant::now() + MERGE_SPAN;
+        while end < merge_until {
+            let mut inner = core.inner();
+            if inner.life != life || !inner.model.has_work() {
+                break;
+            }
+            let role = inner.role;
+            let result = inner.model.step(&core.options, role);
+            inner.book_step(&result);
+            end += core.options.scaled_ms(result.span_ms);
+            gained.extend(result.gained);
+        }
+        if gained.is_empty() && !has_work(core, life) {
+            return;
+        }
+        tokio::time::sleep_until(end.into()).await;
+        core.thawed().await;
+        end = end.max(Instant::now() - MERGE_SPAN);
+        if !publish(core, life, &gained) {
+            return;
+        }
+    }
+}
+
+fn has_work(core: &EngineCore, life: u64) -> bool {
+    let inner = core.inner();
+    inner.life == life && inner.model.has_work()
+}
+
+fn publish(core: &Arc<EngineCore>, life: u64, gained: &IndexMap<StreamName, u32>) -> bool {
+    let mut inner = core.inner();
+    if inner.life != life {
+        return false;
+    }
+    let ended = inner.publish(gained);
+    inner.publish_events(core);
+    drop(inner);
+    if !ended.is_empty() {
+        tokio::spawn(forget_later(core.clone(), life, ended));
+    }
+    true
+}
+
+async fn forget_later(core: Arc<EngineCore>, life: u64, ended: Vec<StreamName>) {
+    let keep = core.options.scaled_ms(core.options.keep_stream_ms as f64);
+    tokio::time::sleep(keep).await;
+    let mut inner = core.inner();
+    if inner.life == life {
+        inner.streams.retain(|name, _| !ended.contains(name));
+    }
+}
+
+/// Changes role and models; every accepted stream has ended before.
+async fn change(core: &Arc<EngineCore>, life: u64, desired: DesiredState) {
+    let began = Instant::now();
+    if core.inner().settle(&desired) {
+        return;
+    }
+    let pause = core.options.scaled_ms(core.options.change_ms as f64);
+    tokio::time::sleep(pause).await;
+    let held = core.inner().models.clone();
+    for model in &desired.models {
+        if !held.contains(model) {
+            fetch_weights(core, life, model).await;
+        }
+    }
+    core.thawed().await;
+    let mut inner = core.inner();
+    if inner.life != life {
+        return;
+    }
+    let cut = inner.streams.values().filter(|cell| cell.is_running());
+    let cut = cut.count() as u64;
+    inner.books.cut_by_change += cut;
+    if inner.role == desired.role {
+        inner.books.model_changes += 1;
+    } else {
+        inner.books.role_changes += 1;
+    }
+    let idle_ms = began.elapsed().as_secs_f64() * 1_000.0 * core.options.time_scale;
+    inner.books.change_idle_ms += idle_ms as u64;
+    inner.role = desired.role;
+    inner.models.clone_from(&desired.models);
+    inner.settle(&desired);
+}
+
+async fn fetch_weights(core: &EngineCore, life: u64, model: &str) {
+    let options = &core.options;
+    if options.weight_store.is_empty() {
+        return;
+    }
+    let name = encode_segment(model);
+    let url = format!(
+        "http://{}/v1/weights/{name}?bytes={}",
+        options.weight_store, options.model_bytes
+    );
+    while core.inner().life == life {
+        let fetched = core.client.get(&url).send().await;
+        let fetched = fetched.and_then(reqwest::Response::error_for_status);
+        let is_whole = match fetched {
+            Ok(answer) => answer.json::<WeightReply>().await.is_ok(),
+            Err(_) => false,
+        };
+        if is_whole {
+            return;
+        }
+        tokio::time::sleep(core.retry_after().max(FETCH_PAUSE)).await;
+    }
+}
+
+/// Fetches a prompt's KV cache from another engine; without it the prompt is read.
+async fn import_kv(core: Arc<EngineCore>, name: StreamName, body: GenerateBody) {
+    let life = core.inner().life;
+    let mut tokens = kv_of(&core, &body.import_kv_from, body.request_id.as_str()).await;
+    if tokens == 0 && !body.shared_prefix.is_empty() {
+        tokens = kv_of(&core, &body.import_kv_from, &body.shared_prefix).await;
+    }
+    let tokens = tokens.min(body.prompt_tokens);
+    let rate = core.options.kv_transfer_tokens_per_second;
+    let span = core.options.scaled_ms(f64::from(tokens) * 1_000.0 / rate);
+    tokio::time::sleep(span).await;
+    let mut inner = core.inner();
+    if inner.life != life {
+        return;
+    }
+    inner.books.imported_tokens += u64::from(tokens);
+    inner.model.imported(&name, tokens);
+    drop(inner);
+    core.woken.notify_one();
+}
+
+async fn kv_of(core: &EngineCore, address: &str, name: &str) -> u32 {
+    let url = format!("http://{address}/v1/kv/{}", encode_segment(name));
+    let answer = core.client.get(url).send().await;
+    let Ok(answer) = answer.and_then(reqwest::Response::error_for_status) else {
+        return 0;
+    };
+    answer.json::<KvPart>().await.map_or(0, |part| part.tokens)
+}
+
+/// Samples the state, so that reports can be served late.
+async fn run_samples(core: Arc<EngineCore>) {
+    let lag = core.options.scaled_ms(core.options.report_lag_ms as f64);
+    if lag.is_zero() {
+        return;
+    }
+    let mut ticks = tokio::time::interval((lag / 8).clamp(SAMPLE_LEAST, SAMPLE_MOST));
+    loop {
+        ticks.tick().await;
+        core.thawed().await;
+        let now = Instant::now();
+        let mut inner = core.inner();
+        let state = inner.state(&core.options);
+        inner.samples.push_back((now, state));
+        let is_due = |at: &Instant| now.duration_since(*at) >= lag;
+        while inner.samples.get(1).is_some_and(|(at, _)| is_due(at)) {
+            inner.samples.pop_front();
+        }
+    }
+}
+
+/// Stand-in for a model engine.
+pub struct EngineStandIn;
+
+/// A running stand-in.
+pub struct RunningEngine {
+    core: Arc<EngineCore>,
+    server: Arc<HttpServer>,
+    sampler: tokio::task::JoinHandle<()>,
+}
+
+impl EngineStandIn {
+    /// Starts the stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be bound.
+    pub async fn start(options: EngineOptions) -> Result<RunningEngine> {
+        let address = options.address.clone();
+        let core = Arc::new(EngineCore::new(options));
+        let handled = core.clone();
+        let (crash, mut crashes) = tokio::sync::mpsc::unbounded_channel();
+        let handler = Arc::new(move |call| -> PortFuture<HttpAnswer> {
+            Box::pin(engine_http::handle(handled.clone(), call, crash.clone()))
+        });
+        let server = Arc::new(HttpServer::start(&address, handler).await?);
+        tokio::spawn(run_loop(core.clone(), 0));
+        let sampler = tokio::spawn(run_samples(core.clone()));
+        let engine = RunningEngine {
+            core,
+            server,
+            sampler,
+        };
+        let crashed = (engine.core.clone(), engine.server.clone());
+        tokio::spawn(async move {
+            while let Some(down) = crashes.recv().await {
+                crash_for(&crashed.0, &crashed.1, down).await;
+            }
+        });
+        Ok(engine)
+    }
+}
+
+async fn crash_for(core: &Arc<EngineCore>, server: &HttpServer, down: Duration) {
+    server.close();
+    core.drop_all();
+    tokio::time::sleep(down).await;
+    core.revive();
+    let life = core.inner().life;
+    tokio::spawn(run_loop(core.clone(), life));
+    if let Err(error) = server.open().await {
+        log::error!("an engine stand-in did not come back: {error}");
+    }
+}
+
+impl RunningEngine {
+    /// Returns the IP number and port.
+    #[must_use]
+    pub fn address(&self) -> String {
+        self.server.address()
+    }
+
+    /// Stops the stand-in at once.
+    pub fn stop(&self) {
+        self.server.close();
+        self.sampler.abort();
+        self.core.drop_all();
+    }
+
+    /// Returns the books.
+    #[must_use]
+    pub fn books(&self) -> EngineBooks {
+        self.core.books()
+    }
+
+    /// Returns the state as it is now, whatever the report lag.
+    #[must_use]
+    pub fn state(&self) -> EngineState {
+        self.core.inner().state(&self.core.options)
+    }
+
+    /// Puts faults in force; one-time faults start at once.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        if let Some(ms) = faults.freeze_ms {
+            self.freeze(ms);
+        }
+        if let Some(ms) = faults.crash_ms {
+            self.crash(ms);
+        }
+        self.core.set_faults(faults);
+    }
+
+    /// Drops everything, refuses connections, and comes back empty.
+    pub fn crash(&self, down_ms: u64) {
+        let core = self.core.clone();
+        let server = self.server.clone();
+        server.close();
+        tokio::spawn(async move {
+            crash_for(&core, &server, Duration::from_millis(down_ms)).await;
+        });
+    }
+
+    /// Does and answers nothing for a time.
+    pub fn freeze(&self, ms: u64) {
+        self.core.freeze(Duration::from_millis(ms));
+    }
+
+    /// Marks the moment from which on no new work may come.
+    pub fn leave(&self) {
+        self.core.leave();
+    }
+
+    /// Takes up work again after [`Self::leave`].
+    pub fn stay(&self) {
+        self.core.stay();
+    }
+}
