--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,6 +8,7 @@
 use pistachiowick_lab::engine::EngineStandIn;
 use pistachiowick_lab::load::run_load;
 use pistachiowick_lab::platform::PlatformStandIn;
+use pistachiowick_lab::quickstart::run_quickstart;
 use pistachiowick_lab::service::ServiceStandIn;
 use pistachiowick_lab::weight_store::WeightStandIn;
 use serde::Serialize;
@@ -22,6 +23,11 @@
 
 /// All subcommands.
 const COMMANDS: &[LabCommand] = &[
+    LabCommand {
+        name: "quickstart",
+        about: "run the main job on a deployment within this process",
+        run: |matches| Box::pin(quickstart(matches)),
+    },
     LabCommand {
         name: "platform",
         about: "run a stand-in for the platform's object service and instance list",
@@ -89,6 +95,7 @@
     let mut options = Options::new();
     options.optopt("o", "options", "JSON file; without it, defaults", "FILE");
     options.optopt("a", "address", "IP number and port to listen at", "IP:PORT");
+    options.optopt("", "seed", "seed of all random choices; 1 without it", "N");
     options.optflag("p", "print-options", "print the options in force and exit");
     options.optflag("h", "help", "print this text");
     let matches = options.parse(arguments)?;
@@ -137,6 +144,12 @@
         .wrap_err("cannot wait for a signal")
 }
 
+async fn quickstart(matches: Matches) -> Result<()> {
+    pistachiowick::invariants::make_fatal();
+    let seed = matches.opt_get_default("seed", 1)?;
+    run_quickstart(seed).await
+}
+
 async fn run_platform(matches: Matches) -> Result<()> {
     let mut options: pistachiowick_lab::platform::PlatformOptions = read_options(&matches)?;
     set_address(&matches, &mut options.address);
--- a/src/run_call.rs
+++ b/src/run_call.rs
@@ -68,6 +68,8 @@
         attempt += 1;
         let waited = clock::mono_now().since(request.arrived);
         progress.queueing.get_or_insert(waited);
+        let token = context.token(request, Some(&slot.choice), attempt);
+        sink.accepted(token, attempt, &slot.choice.target).await;
         let ran_before = sink.may_have_run();
         sink.note_dispatched();
         let fault = match call_service(context, request, &slot.choice, request.time_left()).await {
--- a/src/run_once.rs
+++ b/src/run_once.rs
@@ -64,7 +64,11 @@
     progress.queueing.get_or_insert(waited);
     sink.note_dispatched();
     match &request.pool {
-        PoolKey::Service(_) => run_on_service(context, request, sink, slot, permit).await,
+        PoolKey::Service(_) => {
+            let token = context.token(request, Some(&slot.choice), 1);
+            sink.accepted(token, 1, &slot.choice.target).await;
+            run_on_service(context, request, sink, slot, permit).await
+        }
         PoolKey::Model(_) => {
             run_on_engine(context, request, sink, cancelled, progress, slot, permit).await
         }
@@ -357,7 +361,11 @@
             length,
             digest,
             result,
-        } => from_answer(sink, length, &digest, result, offset).await,
+        } => {
+            let token = context.token(request, None, 0);
+            sink.accepted(token, 0, &"".into()).await;
+            from_answer(sink, length, &digest, result, offset).await
+        }
         RecordView::Absent => unknown("its record has expired".to_owned()),
         RecordView::Intended { claimant, .. } => unknown(format!("{claimant} has dispatched it")),
         RecordView::Unknown => unknown("its target's answer was lost".to_owned()),
