--- a/lab/src/engine_model.rs
+++ b/lab/src/engine_model.rs
@@ -57,6 +57,13 @@
     }
 }
 
+/// A stream that waits.
+#[derive(Clone, Debug)]
+struct QueueEntry {
+    work: StreamWork,
+    arrival: u64,
+}
+
 /// Returns the KV cache that a stream reserves, in tokens.
 #[must_use]
 pub fn reserved_tokens(work: &StreamWork) -> u64 {
@@ -97,7 +104,8 @@
 #[derive(Debug, Default)]
 pub struct EngineModel {
     batch: IndexMap<StreamName, BatchEntry>,
-    queue: IndexMap<StreamName, StreamWork>,
+    queue: IndexMap<StreamName, QueueEntry>,
+    arrivals: u64,
     cache: IndexMap<String, u32>,
     events: Vec<CacheEvent>,
     last_sequence: u64,
@@ -124,7 +132,9 @@
 
     /// Adds a stream to the queue.
     pub fn push(&mut self, name: StreamName, work: StreamWork) {
-        self.queue.insert(name, work);
+        let arrival = self.arrivals;
+        self.arrivals += 1;
+        self.queue.insert(name, QueueEntry { work, arrival });
     }
 
     /// Removes a stream; true when it was there.
@@ -139,7 +149,7 @@
         if let Some(entry) = entry {
             entry.work.importing = false;
             entry.prefill_left = entry.prefill_left.saturating_sub(tokens);
-        } else if let Some(work) = self.queue.get_mut(name) {
+        } else if let Some(QueueEntry { work, .. }) = self.queue.get_mut(name) {
             work.importing = false;
             work.prompt_tokens = work.prompt_tokens.saturating_sub(tokens);
         }
@@ -189,7 +199,7 @@
                 u64::from(entry.work.max_output_tokens.saturating_sub(entry.generated));
             load.kv_used += entry.reserved();
         }
-        for work in self.queue.values() {
+        for QueueEntry { work, .. } in self.queue.values() {
             load.prefill_backlog += u64::from(work.prompt_tokens);
             load.decode_backlog +=
                 u64::from(work.max_output_tokens.saturating_sub(work.tokens_done));
@@ -215,11 +225,13 @@
         if self.queue.is_empty() {
             return;
         }
-        self.queue
-            .sort_by_cached_key(|_, work| Reverse((work.priority, work.deadline_ms)));
+        // Sorted so that the next one stands last, where it is taken cheaply.
+        self.queue.sort_by_key(|_, entry| {
+            Reverse((entry.work.priority, entry.work.deadline_ms, entry.arrival))
+        });
         let mut used = self.batch.values().map(BatchEntry::reserved).sum::<u64>();
         while self.batch.len() < options.max_batch {
-            let Some((_, work)) = self.queue.last() else {
+            let Some((_, QueueEntry { work, .. })) = self.queue.last() else {
                 break;
             };
             let needed = reserved_tokens(work);
@@ -227,7 +239,7 @@
                 break;
             }
             used += needed;
-            if let Some((name, work)) = self.queue.pop() {
+            if let Some((name, QueueEntry { work, .. })) = self.queue.pop() {
                 self.start(name, work, result);
             }
         }
