--- a/src/client_driver.rs
+++ b/src/client_driver.rs
@@ -170,7 +170,8 @@
             match event {
                 Some(Event::Accepted(accepted)) => self.accepted(accepted).await,
                 Some(Event::Chunk(chunk)) => {
-                    if !self.chunk(&chunk).await {
+                    let continues = self.chunk(&chunk).await;
+                    if !continues {
                         return StreamEnd::Broken("bytes of the answer are missing".to_owned());
                     }
                 }
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -78,7 +78,7 @@
 pub fn daemon_help() -> String {
     let brief = "Serves language-model requests on a fixed fleet of engines.\n\n\
                  Usage: pistachiowickd --settings FILE [--check]";
-    let notes = "Once ready, one line of JSON with the addresses goes to standard output;\n\
+    let notes = "Once it listens, one line of JSON with its addresses goes to standard output;\n\
                  logs go to standard error. SIGTERM or SIGINT starts a graceful shutdown\n\
                  that cuts no request; a second one ends the process at once.\n\n\
                  Exit codes:\n    \
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod service_http;
 pub mod settings;
 pub mod settings_check;
+pub mod settings_fields;
 pub mod settings_rules;
 pub mod shares;
 pub mod snapshot;
--- a/src/settings_check.rs
+++ b/src/settings_check.rs
@@ -41,7 +41,7 @@
         reason: String,
     },
     /// Fields are unknown, missing, out of range or at odds.
-    #[error("{}", fault_lines(faults))]
+    #[error("{} fields cannot be used:\n{}", faults.len(), fault_lines(faults))]
     Invalid {
         /// Every fault found, in the order of the document.
         faults: Vec<FieldFault>,
@@ -49,7 +49,7 @@
 }
 
 fn fault_lines(faults: &[FieldFault]) -> String {
-    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    let lines: Vec<String> = faults.iter().map(|fault| format!("  {fault}")).collect();
     lines.join("\n")
 }
 
--- a/tests/settings_faults.rs
+++ b/tests/settings_faults.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexSet;
 use pistachiowick::settings::{DaemonSettings, LeaseSettings};
 use pistachiowick::settings_check::SettingsError;
-use pistachiowick::settings_rules::FIELD_RULES;
+use pistachiowick::settings_fields::FIELD_RULES;
 use rstest::rstest;
 use serde_json::{Value, json};
 
