--- a/src/client_links.rs
+++ b/src/client_links.rs
@@ -32,6 +32,9 @@
 /// Time for which a failed address is passed over.
 const AVOID: Duration = Duration::from_secs(2);
 
+/// First line of a certificate in PEM.
+const CERTIFICATE_MARK: &str = "-----BEGIN CERTIFICATE-----";
+
 type LinkSlot = Arc<tokio::sync::Mutex<Option<Channel>>>;
 
 /// An open connection to one daemon.
@@ -67,8 +70,7 @@
             .parse()
             .map_err(|_| ClientError::Key)?;
         bearer.set_sensitive(true);
-        let authority = options.ca_pem.as_deref().map(Certificate::from_pem);
-        let tls = authority.map(|ca| ClientTlsConfig::new().ca_certificate(ca));
+        let tls = options.ca_pem.as_deref().map(tls_config).transpose()?;
         let pool = Self {
             given: options.addresses.clone(),
             bearer,
@@ -291,6 +293,17 @@
     }
 }
 
+/// The TLS library takes any text and only fails later, when connecting.
+fn tls_config(ca_pem: &str) -> Result<ClientTlsConfig, ClientError> {
+    if !ca_pem.contains(CERTIFICATE_MARK) {
+        return Err(ClientError::Tls {
+            reason: format!("it has no line {CERTIFICATE_MARK}"),
+        });
+    }
+    let authority = Certificate::from_pem(ca_pem);
+    Ok(ClientTlsConfig::new().ca_certificate(authority))
+}
+
 fn root_cause(error: &dyn std::error::Error) -> String {
     let mut cause = error;
     while let Some(deeper) = cause.source() {
