Refuse to conclude a conflict from a stale read

Ruled out: trusting the read's version alone; it is stale without a sign. Conclusion: only a conditional update decides; reads only advise.

--- a/src/config_store.rs
+++ b/src/config_store.rs
@@ -58,76 +58,111 @@
     stored: StoredObject,
 }
 
+/// A change on its way.
+#[derive(Clone, Copy, Debug)]
+pub struct ChangeRequest<'a> {
+    /// The change.
+    pub change: &'a ItemChange,
+    /// Mark that no other change carries.
+    pub mark: &'a str,
+    /// Configuration in force here, for checks against other buckets.
+    pub view: &'a ConfigView,
+    /// Version of the bucket applied here; an older read is stale.
+    pub applied: ObjectVersion,
+}
+
+#[derive(Default)]
+struct ChangeProgress {
+    lost: Option<LostWrite>,
+    newest: ObjectVersion,
+    doubtful: Option<ChangeError>,
+}
+
+enum AttemptError {
+    Decided(ChangeError),
+    Again { reason: String, pause: Duration },
+}
+
 /// Reads, edits and conditionally writes a bucket until the change is decided.
 ///
-/// `mark` must be unique to this change.
-///
 /// # Errors
 ///
 /// Fails as [`ChangeError`] tells; only `Unknown` leaves open whether the change
 /// was taken.
 pub async fn run_change(
     platform: &PlatformPort,
-    view: &ConfigView,
-    change: &ItemChange,
-    mark: &str,
+    request: ChangeRequest<'_>,
     patience: ChangePatience,
 ) -> Result<StoredChange, ChangeError> {
-    let index = BucketIndex::of(&change.item);
     let give_up = Instant::now() + patience.total;
-    let mut lost: Option<LostWrite> = None;
-    let mut newest = ObjectVersion(0);
+    let mut progress = ChangeProgress {
+        newest: request.applied,
+        ..ChangeProgress::default()
+    };
     let mut obstacle = "the bucket kept changing".to_owned();
     while Instant::now() < give_up {
-        match attempt(platform, view, change, mark, index, &mut lost, &mut newest).await {
+        match attempt(platform, request, &mut progress).await {
             Ok(stored) => return Ok(stored),
-            Err(AttemptError::Decided(error)) => return Err(decided(lost.as_ref(), error)),
+            Err(AttemptError::Decided(error)) => {
+                return Err(decided(progress.lost.as_ref(), error));
+            }
             Err(AttemptError::Again { reason, pause }) => {
                 obstacle = reason;
                 sleep(pause.max(patience.pause).min(patience.total)).await;
             }
         }
     }
-    Err(undecided(lost.as_ref(), obstacle))
-}
-
-enum AttemptError {
-    Decided(ChangeError),
-    Again { reason: String, pause: Duration },
+    Err(undecided(progress, obstacle))
 }
 
 async fn attempt(
     platform: &PlatformPort,
-    view: &ConfigView,
-    change: &ItemChange,
-    mark: &str,
-    index: BucketIndex,
-    lost: &mut Option<LostWrite>,
-    newest: &mut ObjectVersion,
+    request: ChangeRequest<'_>,
+    progress: &mut ChangeProgress,
 ) -> Result<StoredChange, AttemptError> {
+    let index = BucketIndex::of(&request.change.item);
     let found = read_bucket(platform, index).await?;
-    // A stale read shows less than a conflict has already revealed.
-    if found.version < *newest {
-        return Err(again("a read was older than a write's answer"));
+    // A stale read shows less than a conflict or this daemon's view has revealed.
+    if found.version < progress.newest {
+        return Err(again("a read was older than what is in force"));
     }
-    *newest = found.version;
-    if let Some(write) = lost.as_ref() {
-        match read_back(write, &found, mark) {
+    progress.newest = found.version;
+    if let Some(write) = &progress.lost {
+        match read_back(write, &found, request.mark) {
             ReadBack::Landed(revision) => {
                 let stored = found.stored;
                 return Ok(StoredChange { revision, stored });
             }
-            ReadBack::NeverLands => *lost = None,
+            ReadBack::NeverLands => progress.lost = None,
             ReadBack::Open => {}
             ReadBack::Forgotten => return Err(AttemptError::Decided(unknown(write))),
         }
     }
-    let next = match lost.as_ref() {
+    let next = match &progress.lost {
         Some(write) => write.bucket.clone(),
-        None => config_buckets::edit(&found.bucket, view, change, mark, clock::unix_now())
-            .map_err(AttemptError::Decided)?,
+        None => edit(request, &found, progress)?,
     };
-    write_bucket(platform, index, found.version, next, lost, newest).await
+    write_bucket(platform, index, found.version, next, progress).await
+}
+
+fn edit(
+    request: ChangeRequest<'_>,
+    found: &BucketRead,
+    progress: &mut ChangeProgress,
+) -> Result<BucketRecord, AttemptError> {
+    let ChangeRequest {
+        change, mark, view, ..
+    } = request;
+    let next = config_buckets::edit(&found.bucket, view, change, mark, clock::unix_now());
+    match next {
+        // The operator has seen a revision that this read does not show: the read is
+        // stale, and a conflict concluded from it would be false.
+        Err(error @ ChangeError::Conflict { current, .. }) if current < change.based_on => {
+            progress.doubtful = Some(error);
+            Err(again("a read was older than the change's base"))
+        }
+        other => other.map_err(AttemptError::Decided),
+    }
 }
 
 /// Decides what became of a lost write.
@@ -179,8 +214,7 @@
     index: BucketIndex,
     expected: ObjectVersion,
     bucket: BucketRecord,
-    lost: &mut Option<LostWrite>,
-    newest: &mut ObjectVersion,
+    progress: &mut ChangeProgress,
 ) -> Result<StoredChange, AttemptError> {
     let value = bucket.encode().map_err(AttemptError::Decided)?;
     let object = index.object();
@@ -199,7 +233,7 @@
             },
         }),
         Err(PlatformError::Conflict { current }) => {
-            *newest = current.max(*newest);
+            progress.newest = current.max(progress.newest);
             Err(again("the bucket changed under the write"))
         }
         Err(PlatformError::Refused { reason }) => {
@@ -207,7 +241,7 @@
         }
         Err(error @ PlatformError::Lost { .. }) => {
             let reason = error.to_string();
-            *lost = Some(LostWrite {
+            progress.lost = Some(LostWrite {
                 expected,
                 bucket,
                 reason,
@@ -247,9 +281,11 @@
     }
 }
 
-fn undecided(lost: Option<&LostWrite>, obstacle: String) -> ChangeError {
-    match lost {
-        Some(write) => unknown(write),
-        None => ChangeError::Unavailable { reason: obstacle },
+fn undecided(progress: ChangeProgress, obstacle: String) -> ChangeError {
+    if let Some(write) = &progress.lost {
+        return unknown(write);
     }
+    progress
+        .doubtful
+        .unwrap_or(ChangeError::Unavailable { reason: obstacle })
 }
--- a/src/control_loop.rs
+++ b/src/control_loop.rs
@@ -10,7 +10,7 @@
 use crate::catalogue::ItemName;
 use crate::clock;
 use crate::config_buckets::{ApplyResult, BUCKETS, BucketIndex, ConfigState};
-use crate::config_store::{self, ChangePatience};
+use crate::config_store::{self, ChangePatience, ChangeRequest};
 use crate::control::{ChangeError, ChangeReport, ControlEvent, ControlInputs, ItemChange};
 use crate::control_feeds::{self, ChangeReply, FeedEvent};
 use crate::fleet::UseState;
@@ -277,12 +277,20 @@
         );
         let (platform, feeds) = (self.inputs.platform.clone(), self.feeds.clone());
         let (view, locks) = (self.config.view().clone(), self.bucket_locks.clone());
+        let index = BucketIndex::of(&change.item);
+        let applied = self.config.version_of(index);
         tokio::spawn(async move {
             // Changes of one bucket through this daemon follow each other: run at
             // once they would only fail each other's conditions.
-            let _guard = locks[BucketIndex::of(&change.item).position()].lock().await;
+            let _guard = locks[index.position()].lock().await;
+            let request = ChangeRequest {
+                change: &change,
+                mark: &mark,
+                view: &view,
+                applied,
+            };
             let patience = ChangePatience::default();
-            let result = config_store::run_change(&platform, &view, &change, &mark, patience).await;
+            let result = config_store::run_change(&platform, request, patience).await;
             let result = result.map(|done| (done.revision, done.stored));
             let _ = feeds.send(FeedEvent::Changed {
                 change,
--- /dev/null
+++ b/tests/control_fakes/mod.rs
@@ -0,0 +1,250 @@
+//! Small in-memory stand-ins at the ports of the control plane.
+#![allow(dead_code)]
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use tokio::sync::Notify;
+
+use pistachiowick::platform_wire::InstanceRow;
+use pistachiowick::ports::{
+    ConditionalWrite, ObjectBatch, ObjectName, ObjectVersion, PlatformError, PlatformPort,
+    StoredObject, WatchQuery,
+};
+
+/// What happens to the next write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WriteFault {
+    /// It takes effect; the answer is lost.
+    AnswerLost,
+    /// It is lost on the way; so is the answer.
+    NeverArrives,
+    /// It takes effect when `land_delayed` is called; the answer is lost.
+    Delayed,
+    /// The platform refuses it as busy.
+    Busy,
+}
+
+#[derive(Default)]
+pub struct PlatformBooks {
+    pub objects: IndexMap<ObjectName, (ObjectVersion, Vec<u8>)>,
+    older: IndexMap<ObjectName, (ObjectVersion, Vec<u8>)>,
+    pub revision: u64,
+    pub instances: Vec<InstanceRow>,
+    pub faults: VecDeque<WriteFault>,
+    pub delayed: Vec<ConditionalWrite>,
+    pub stale_reads: u32,
+    pub down: bool,
+    pub writes: u32,
+    pub reads: u32,
+    pub lists: u32,
+    /// Run before the next write is judged.
+    pub before_write: VecDeque<ConditionalWrite>,
+    /// Delayed writes land right after the next read.
+    pub land_after_read: bool,
+}
+
+#[derive(Clone, Default)]
+pub struct FakePlatform {
+    books: Arc<Mutex<PlatformBooks>>,
+    changed: Arc<Notify>,
+}
+
+fn unavailable() -> PlatformError {
+    PlatformError::Unavailable {
+        reason: "down".to_owned(),
+        retry_after: Duration::from_millis(5),
+    }
+}
+
+fn lost() -> PlatformError {
+    PlatformError::Lost {
+        reason: "no answer".to_owned(),
+    }
+}
+
+impl PlatformBooks {
+    pub fn take(&mut self, write: &ConditionalWrite) -> Result<ObjectVersion, PlatformError> {
+        let current = self
+            .objects
+            .get(&write.object)
+            .map_or(ObjectVersion(0), |(version, _)| *version);
+        if current != write.expected {
+            return Err(PlatformError::Conflict { current });
+        }
+        self.revision += 1;
+        let version = ObjectVersion(self.revision);
+        let new = (version, write.value.clone());
+        if let Some(old) = self.objects.insert(write.object.clone(), new) {
+            self.older.insert(write.object.clone(), old);
+        }
+        Ok(version)
+    }
+
+    fn write(&mut self, write: ConditionalWrite) -> Result<ObjectVersion, PlatformError> {
+        self.writes += 1;
+        if let Some(other) = self.before_write.pop_front() {
+            let _ = self.take(&other);
+        }
+        match self.faults.pop_front() {
+            _ if self.down => Err(unavailable()),
+            None => self.take(&write),
+            Some(WriteFault::Busy) => Err(unavailable()),
+            Some(WriteFault::NeverArrives) => Err(lost()),
+            Some(WriteFault::AnswerLost) => {
+                let _ = self.take(&write);
+                Err(lost())
+            }
+            Some(WriteFault::Delayed) => {
+                self.delayed.push(write);
+                Err(lost())
+            }
+        }
+    }
+
+    pub fn land_delayed(&mut self) -> Vec<Result<ObjectVersion, PlatformError>> {
+        let delayed = std::mem::take(&mut self.delayed);
+        delayed.iter().map(|write| self.take(write)).collect()
+    }
+
+    fn read(&mut self, object: &ObjectName) -> Result<Option<StoredObject>, PlatformError> {
+        self.reads += 1;
+        if self.down {
+            return Err(unavailable());
+        }
+        let newest = self.objects.get(object).cloned();
+        let shown = if self.stale_reads > 0 {
+            self.stale_reads -= 1;
+            self.older.get(object).cloned()
+        } else {
+            newest
+        };
+        if self.land_after_read {
+            self.land_after_read = false;
+            self.land_delayed();
+        }
+        Ok(shown.map(|(version, value)| StoredObject {
+            object: object.clone(),
+            version,
+            value: Some(value),
+        }))
+    }
+
+    fn since(&self, kind: &str, revision: u64) -> ObjectBatch {
+        let objects = self
+            .objects
+            .iter()
+            .filter(|(object, (version, _))| object.kind == kind && version.0 > revision)
+            .map(|(object, (version, value))| StoredObject {
+                object: object.clone(),
+                version: *version,
+                value: Some(value.clone()),
+            });
+        ObjectBatch {
+            revision: self.revision,
+            objects: objects.collect(),
+        }
+    }
+}
+
+impl FakePlatform {
+    pub fn books(&self) -> MutexGuard<'_, PlatformBooks> {
+        self.books.lock().unwrap()
+    }
+
+    pub fn put(&self, kind: &str, name: &str, value: Vec<u8>) -> ObjectVersion {
+        let object = ObjectName {
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+        };
+        let mut books = self.books();
+        let expected = books
+            .objects
+            .get(&object)
+            .map_or_else(ObjectVersion::default, |o| o.0);
+        let version = books
+            .take(&ConditionalWrite {
+                object,
+                expected,
+                value,
+            })
+            .unwrap();
+        drop(books);
+        self.changed.notify_waiters();
+        version
+    }
+
+    pub fn set_down(&self, down: bool) {
+        self.books().down = down;
+    }
+
+    pub fn port(&self) -> PlatformPort {
+        let (reader, writer, lister, watcher, rows) = (
+            self.clone(),
+            self.clone(),
+            self.clone(),
+            self.clone(),
+            self.clone(),
+        );
+        PlatformPort {
+            read: Arc::new(move |object| {
+                let result = reader.books().read(&object);
+                Box::pin(async move { result })
+            }),
+            write: Arc::new(move |write| {
+                let result = writer.books().write(write);
+                writer.changed.notify_waiters();
+                Box::pin(async move { result })
+            }),
+            list: Arc::new(move |kind: String| {
+                let mut books = lister.books();
+                books.lists += 1;
+                let result = if books.down {
+                    Err(unavailable())
+                } else {
+                    Ok(books.since(&kind, 0))
+                };
+                Box::pin(async move { result })
+            }),
+            watch: Arc::new(move |query| {
+                let platform = watcher.clone();
+                Box::pin(async move { platform.watch(query).await })
+            }),
+            instances: Arc::new(move |()| {
+                let books = rows.books();
+                let result = if books.down {
+                    Err(unavailable())
+                } else {
+                    Ok(books.instances.clone())
+                };
+                Box::pin(async move { result })
+            }),
+        }
+    }
+
+    async fn watch(&self, query: WatchQuery) -> Result<ObjectBatch, PlatformError> {
+        let give_up = tokio::time::Instant::now() + query.wait;
+        loop {
+            let changed = self.changed.notified();
+            {
+                let books = self.books();
+                if books.down {
+                    return Err(unavailable());
+                }
+                let batch = books.since(&query.kind, query.since);
+                if !batch.objects.is_empty() {
+                    return Ok(batch);
+                }
+            }
+            if tokio::time::timeout_at(give_up, changed).await.is_err() {
+                let revision = self.books().revision;
+                return Ok(ObjectBatch {
+                    revision,
+                    objects: Vec::new(),
+                });
+            }
+        }
+    }
+}
