Test membership, platform adapter and control thread

Change: tables of cases for departures, suspicions, peers' words, addressing and the adapter's answers; the thread over a small platform, down at its start and later.

--- a/tests/control_fakes/mod.rs
+++ b/tests/control_fakes/mod.rs
@@ -191,7 +191,10 @@
         PlatformPort {
             read: Arc::new(move |object| {
                 let result = reader.books().read(&object);
-                Box::pin(async move { result })
+                Box::pin(async move {
+                    tokio::task::yield_now().await;
+                    result
+                })
             }),
             write: Arc::new(move |write| {
                 let result = writer.books().write(write);
@@ -248,3 +251,97 @@
         }
     }
 }
+
+/// An engine port whose states come from a shared table.
+pub type StateTable = Arc<Mutex<IndexMap<String, pistachiowick::target_wire::EngineState>>>;
+
+fn not_reached() -> pistachiowick::ports::TargetError {
+    pistachiowick::ports::TargetError::NotDelivered {
+        reason: "no such engine".to_owned(),
+    }
+}
+
+/// Engines that answer with the state found under their address, and note orders.
+#[derive(Clone, Default)]
+pub struct FakeEngines {
+    pub states: StateTable,
+    pub orders: Arc<Mutex<Vec<(String, pistachiowick::target_wire::OrderBody)>>>,
+    pub checks_fence: bool,
+}
+
+impl FakeEngines {
+    pub fn put(&self, address: &str, state: pistachiowick::target_wire::EngineState) {
+        self.states
+            .lock()
+            .unwrap()
+            .insert(address.to_owned(), state);
+    }
+
+    /// Takes an order as an engine does.
+    pub fn take(
+        &self,
+        address: &str,
+        body: &pistachiowick::target_wire::OrderBody,
+    ) -> Result<pistachiowick::target_wire::EngineState, pistachiowick::ports::TargetError> {
+        let mut states = self.states.lock().unwrap();
+        let state = states.get_mut(address).ok_or_else(not_reached)?;
+        let seen = state.last_order.as_ref().map(|mark| mark.fence);
+        if let Some(current) = seen.filter(|f| self.checks_fence && body.mark.fence < *f) {
+            return Err(pistachiowick::ports::TargetError::Fenced { current });
+        }
+        self.orders
+            .lock()
+            .unwrap()
+            .push((address.to_owned(), body.clone()));
+        state.role = body.role;
+        state.models.clone_from(&body.models);
+        state.last_order = Some(body.mark.clone());
+        Ok(state.clone())
+    }
+
+    pub fn port(&self) -> pistachiowick::ports::EnginePort {
+        let (states, engines) = (self.clone(), self.clone());
+        pistachiowick::ports::EnginePort {
+            generate: Arc::new(|_| Box::pin(async { Err(not_reached()) })),
+            resume: Arc::new(|_| Box::pin(async { Err(not_reached()) })),
+            cancel: Arc::new(|_| Box::pin(async { Err(not_reached()) })),
+            cache_events: Arc::new(|_| Box::pin(async { Err(not_reached()) })),
+            state: Arc::new(move |call| {
+                let states = states.states.lock().unwrap();
+                let mut state = states.get(&call.address).cloned();
+                if let Some(state) = &mut state {
+                    state.at_ms = pistachiowick::clock::unix_now().0;
+                }
+                Box::pin(async move { state.ok_or_else(not_reached) })
+            }),
+            order: Arc::new(move |call| {
+                let result = engines.take(&call.address, &call.body);
+                Box::pin(async move { result })
+            }),
+        }
+    }
+}
+
+/// Settings of a daemon with times short enough for tests.
+pub fn settings(id: &str, centre: &str) -> pistachiowick::settings::DaemonSettings {
+    serde_json::from_value(serde_json::json!({
+        "daemon_id": id,
+        "data_centre": centre,
+        "listen": {"rpc": "127.0.0.1:0", "admin": "127.0.0.1:0", "peer": "127.0.0.1:0"},
+        "platform": {"address": "http://127.0.0.1:1", "watch_ms": 200, "instances_ms": 20},
+        "peers": {"hint_ms": 20},
+        "access": {"operator_key_hashes": [], "token_secrets": ["secret"]},
+    }))
+    .unwrap()
+}
+
+/// Waits for a condition; the generous limit is for a hang, not a verdict on speed.
+pub async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    for _ in 0..6_000 {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("never came about: {what}");
+}
