--- /dev/null
+++ b/tests/intents_store.rs
@@ -0,0 +1,423 @@
+//! Failures of the platform and of daemons around one request that may not be repeated.
+
+mod intents_support;
+
+use std::time::Duration;
+
+use intents_support::{
+    FakeClock, FakePlatform, ReadFault, WriteFault, claim, grant, key, settings, store, store_with,
+};
+use pistachiowick::intent_store::{
+    AnswerRecord, ClaimResult, LookupError, RecordView, UndeliveredProof, shard_object,
+};
+use pistachiowick::names::UnixTime;
+use pistachiowick::ports::TargetError;
+use rstest::rstest;
+
+fn answer() -> AnswerRecord {
+    AnswerRecord {
+        length: 7,
+        digest: [9; 32],
+        result: Some(b"receipt".to_vec()),
+    }
+}
+
+fn undelivered() -> UndeliveredProof {
+    UndeliveredProof::from_error(&TargetError::NotDelivered {
+        reason: "connection refused".to_owned(),
+    })
+    .unwrap()
+}
+
+fn assert_present(result: &ClaimResult, check: impl Fn(&RecordView) -> bool) {
+    match result {
+        ClaimResult::Present(view) if check(view) => {}
+        other => panic!("unexpected {other:?}"),
+    }
+}
+
+fn assert_given_up(result: &ClaimResult) {
+    assert!(matches!(result, ClaimResult::GivenUp { .. }), "{result:?}");
+}
+
+/// Waits longer than any retry of the store.
+async fn settle_down() {
+    tokio::time::sleep(Duration::from_secs(30)).await;
+}
+
+struct LostCase {
+    write_faults: &'static [WriteFault],
+    read_faults: &'static [ReadFault],
+    most_writes: usize,
+}
+
+// A caller asks for a fee receipt. The platform takes the write and its answer is
+// lost, or loses the write, or shows an old state. The store looks for its own claim
+// and writes again; the caller's request is granted once, and a second claim finds it.
+#[rstest]
+#[case::nothing(LostCase { write_faults: &[], read_faults: &[], most_writes: 1 })]
+#[case::lost_after(LostCase { write_faults: &[WriteFault::LostAfter], read_faults: &[], most_writes: 1 })]
+#[case::lost_before(LostCase { write_faults: &[WriteFault::LostBefore], read_faults: &[], most_writes: 2 })]
+#[case::lost_twice(LostCase {
+    write_faults: &[WriteFault::LostBefore, WriteFault::LostAfter],
+    read_faults: &[],
+    most_writes: 2,
+})]
+#[case::delayed(LostCase { write_faults: &[WriteFault::Delayed], read_faults: &[], most_writes: 2 })]
+#[case::read_lost(LostCase {
+    write_faults: &[WriteFault::LostAfter],
+    read_faults: &[ReadFault::None, ReadFault::Lost],
+    most_writes: 1,
+})]
+#[case::read_stale(LostCase {
+    write_faults: &[WriteFault::LostAfter],
+    read_faults: &[ReadFault::None, ReadFault::Stale],
+    most_writes: 2,
+})]
+#[tokio::test(start_paused = true)]
+async fn lost_answer_grants_once(#[case] case: LostCase) {
+    let platform = FakePlatform::default();
+    let first = store(&platform, "daemon-a");
+    platform.fail_writes(case.write_faults);
+    platform.fail_reads(case.read_faults);
+    let permit = grant(&first, "receipt").await;
+    assert!(platform.writes() <= case.most_writes);
+    assert_eq!(
+        platform.land_delayed(),
+        0,
+        "a delayed write took effect after the grant"
+    );
+    let second = store(&platform, "daemon-b");
+    let again = second.claim(claim("receipt")).await;
+    assert_present(&again, |v| matches!(v, RecordView::Intended { .. }));
+    permit.dispatch().answered(answer());
+    settle_down().await;
+    let again = second.claim(claim("receipt")).await;
+    assert_present(&again, |v| {
+        matches!(v, RecordView::Answered { length: 7, .. })
+    });
+}
+
+// Two daemons are asked for the same issue order at once, forty times over. Each
+// writes; one update is refused, reads the other's claim and dispatches nothing.
+#[tokio::test(start_paused = true)]
+async fn two_daemons_at_once_grant_once() {
+    let platform = FakePlatform::default();
+    let stores = [store(&platform, "daemon-a"), store(&platform, "daemon-b")];
+    for round in 0..40 {
+        let name = format!("issue-{round}");
+        let (one, two) = tokio::join!(stores[0].claim(claim(&name)), stores[1].claim(claim(&name)));
+        let granted = [&one, &two]
+            .iter()
+            .filter(|r| matches!(r, ClaimResult::Granted(_)))
+            .count();
+        assert_eq!(granted, 1, "{one:?} {two:?}");
+    }
+}
+
+// The write of a claim hangs in the network past the caller's patience. The caller
+// hears "given up". The write takes effect afterwards, and the store closes its own
+// entry as not run: a second ask hears "not run" and nobody ever dispatches.
+#[tokio::test(start_paused = true)]
+async fn abandoned_claim_is_closed_when_it_arrives() {
+    let platform = FakePlatform::default();
+    let first = store(&platform, "daemon-a");
+    grant(&first, "warm-up").await.release();
+    settle_down().await;
+    platform.fail_writes(&[WriteFault::Slow(Duration::from_secs(5))]);
+    assert_given_up(&first.claim(claim("receipt")).await);
+    settle_down().await;
+    let again = store(&platform, "daemon-b").claim(claim("receipt")).await;
+    assert_present(&again, |v| *v == RecordView::NotRun);
+}
+
+// The answer to a claim's write is lost and the platform goes down: the claim is given
+// up. When the platform is back, a read shows no entry, yet the write is still under
+// way. The store writes the shard again before it forgets the claim, so that the late
+// write is refused: the key is open, and whoever claims it next runs it alone.
+#[tokio::test(start_paused = true)]
+async fn late_write_of_abandoned_claim_is_refused() {
+    let platform = FakePlatform::default();
+    let first = store(&platform, "daemon-a");
+    grant(&first, "warm-up").await.release();
+    settle_down().await;
+    platform.fail_writes(&[WriteFault::Delayed]);
+    platform.fail_reads(&[ReadFault::Unavailable]);
+    assert_given_up(&first.claim(claim("receipt")).await);
+    settle_down().await;
+    assert_eq!(platform.land_delayed(), 0);
+    let view = first.lookup(&key("receipt"), false).await;
+    assert_eq!(view, Ok(RecordView::Absent));
+    grant(&store(&platform, "daemon-b"), "receipt")
+        .await
+        .release();
+}
+
+// A daemon freezes between its decision and its write. Meanwhile the caller asks
+// another daemon, which settles the key and answers "not run". The frozen daemon thaws,
+// its conditional update is refused, and it finds the key closed.
+#[tokio::test(start_paused = true)]
+async fn settled_key_stops_paused_claimant() {
+    let platform = FakePlatform::default();
+    let frozen = store(&platform, "daemon-a");
+    grant(&frozen, "warm-up").await.release();
+    settle_down().await;
+    platform.fail_writes(&[WriteFault::Slow(Duration::from_secs(1))]);
+    let late = tokio::spawn({
+        let frozen = frozen.clone();
+        async move { frozen.claim(claim("receipt")).await }
+    });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let other = store(&platform, "daemon-b");
+    let view = other.lookup(&key("receipt"), true).await;
+    assert_eq!(view, Ok(RecordView::NotRun));
+    assert_present(&late.await.unwrap(), |v| *v == RecordView::NotRun);
+}
+
+// The platform is down. A claim is refused at once, long before the caller's patience
+// ends, and says when to come back; once the platform is back, claims work again.
+#[tokio::test(start_paused = true)]
+async fn platform_down_gives_up_at_once() {
+    let platform = FakePlatform::default();
+    let store = store(&platform, "daemon-a");
+    platform.set_down(true);
+    let started = tokio::time::Instant::now();
+    for _ in 0..50 {
+        match store.claim(claim("receipt")).await {
+            ClaimResult::GivenUp { retry_after, .. } => assert!(retry_after > Duration::ZERO),
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(started.elapsed() < Duration::from_millis(100));
+    assert_eq!(
+        platform.reads(),
+        1,
+        "a platform that is down was asked again at once"
+    );
+    platform.set_down(false);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    drop(grant(&store, "receipt").await);
+}
+
+// A permit goes unused: the caller's task is cancelled between claim and dispatch,
+// released, or the target was not reached. Each way the key is closed as not run.
+#[rstest]
+#[case::dropped(0)]
+#[case::released(1)]
+#[case::undelivered(2)]
+#[case::withdrawn(3)]
+#[tokio::test(start_paused = true)]
+async fn unused_permit_is_recorded_as_not_run(#[case] way: u32) {
+    let platform = FakePlatform::default();
+    let store = store(&platform, "daemon-a");
+    let permit = grant(&store, "receipt").await;
+    match way {
+        0 => drop(permit),
+        1 => permit.release(),
+        2 => permit.dispatch().not_run(undelivered()),
+        _ => drop(permit.dispatch().withdraw(undelivered())),
+    }
+    assert!(store.drain(Duration::from_secs(5)).await);
+    let view = store.lookup(&key("receipt"), false).await;
+    assert_eq!(view, Ok(RecordView::NotRun));
+}
+
+// The caller hangs up while the claim's write is under way. Nobody takes the permit,
+// and it must not stay recorded as intended, or a later ask would hear "unknown".
+#[tokio::test(start_paused = true)]
+async fn cancelled_claim_is_recorded_as_not_run() {
+    let platform = FakePlatform::default();
+    let store = store(&platform, "daemon-a");
+    platform.fail_writes(&[WriteFault::Slow(Duration::from_millis(500))]);
+    let cut = tokio::time::timeout(Duration::from_millis(100), store.claim(claim("receipt"))).await;
+    assert!(cut.is_err());
+    settle_down().await;
+    let view = store.lookup(&key("receipt"), false).await;
+    assert_eq!(view, Ok(RecordView::NotRun));
+}
+
+// A dispatched call's task dies, or its end is lost. The record says "unknown", never
+// "not run"; an answer that comes after all replaces it.
+#[tokio::test(start_paused = true)]
+async fn lost_end_is_unknown_until_answered() {
+    let platform = FakePlatform::default();
+    let store = store(&platform, "daemon-a");
+    drop(grant(&store, "dropped").await.dispatch());
+    let late = grant(&store, "late").await.dispatch().unknown();
+    assert!(store.drain(Duration::from_secs(5)).await);
+    for name in ["dropped", "late"] {
+        let view = store.lookup(&key(name), true).await;
+        assert_eq!(view, Ok(RecordView::Unknown), "{name}");
+    }
+    late.answered(answer());
+    assert!(store.drain(Duration::from_secs(5)).await);
+    let view = store.lookup(&key("late"), false).await;
+    assert!(matches!(view, Ok(RecordView::Answered { .. })), "{view:?}");
+}
+
+// An answer is known while the platform is down for a minute. The claimant's record of
+// it waits, and is there once the platform is back.
+#[tokio::test(start_paused = true)]
+async fn close_outlasts_an_outage() {
+    let platform = FakePlatform::default();
+    let store = store(&platform, "daemon-a");
+    let permit = grant(&store, "receipt").await;
+    platform.set_down(true);
+    permit.dispatch().answered(answer());
+    assert!(!store.drain(Duration::from_secs(60)).await);
+    platform.set_down(false);
+    assert!(store.drain(Duration::from_secs(5)).await);
+    let view = store.lookup(&key("receipt"), false).await;
+    assert!(matches!(view, Ok(RecordView::Answered { .. })), "{view:?}");
+}
+
+struct KeyCase {
+    minted_at: u64,
+    fingerprint: u8,
+    remedy: &'static str,
+}
+
+// A key that was recorded comes again with another time or another body, or a key
+// comes that no record can vouch for any more. Each is refused with what to do.
+#[rstest]
+#[case::reused(KeyCase { minted_at: 1, fingerprint: 7, remedy: "another key_minted_at_ms" })]
+#[case::content(KeyCase { minted_at: 0, fingerprint: 8, remedy: "another class or body" })]
+#[tokio::test(start_paused = true)]
+async fn mismatched_key_is_invalid(#[case] case: KeyCase) {
+    let platform = FakePlatform::default();
+    let store = store(&platform, "daemon-a");
+    let _permit = grant(&store, "receipt").await;
+    let mut again = claim("receipt");
+    again.key.minted_at = UnixTime(again.key.minted_at.0 + case.minted_at);
+    again.fingerprint = [case.fingerprint; 16];
+    match store.claim(again).await {
+        ClaimResult::Invalid { reason } => assert!(reason.contains(case.remedy), "{reason}"),
+        other => panic!("{other:?}"),
+    }
+}
+
+struct AgeCase {
+    age_ms: i64,
+    accepted: bool,
+}
+
+#[rstest]
+#[case::now(AgeCase { age_ms: 0, accepted: true })]
+#[case::just_young(AgeCase { age_ms: 598_000, accepted: true })]
+#[case::too_old(AgeCase { age_ms: 598_001, accepted: false })]
+#[case::ancient(AgeCase { age_ms: 100_000_000, accepted: false })]
+#[case::ahead_by_skew(AgeCase { age_ms: -2_000, accepted: true })]
+#[case::future(AgeCase { age_ms: -2_001, accepted: false })]
+#[tokio::test(start_paused = true)]
+async fn age_of_key_decides(#[case] case: AgeCase) {
+    let platform = FakePlatform::default();
+    let store = store(&platform, "daemon-a");
+    let mut wish = claim("receipt");
+    let minted = i64::try_from(wish.key.minted_at.0).unwrap() - case.age_ms;
+    wish.key.minted_at = UnixTime(u64::try_from(minted).unwrap());
+    let found = store.lookup(&wish.key, false).await;
+    assert_eq!(found.is_ok(), case.accepted, "{found:?}");
+    match store.claim(wish).await {
+        ClaimResult::Granted(_) if case.accepted => {}
+        ClaimResult::Invalid { .. } if !case.accepted => {}
+        other => panic!("{other:?}"),
+    }
+}
+
+// A receipt ran, its record has expired, and a daemon whose clock is an hour behind is
+// asked for it again. By its clock the key is new. The horizon in the shard refuses it.
+#[tokio::test(start_paused = true)]
+async fn expired_key_is_refused_by_a_clock_behind() {
+    let platform = FakePlatform::default();
+    let clock = FakeClock::new();
+    let ahead = store_with(&platform, &clock, "daemon-a", &settings());
+    grant(&ahead, "receipt").await.dispatch().answered(answer());
+    assert!(ahead.drain(Duration::from_secs(5)).await);
+    clock.advance(Duration::from_secs(3_600));
+    let mut fresh = claim("next");
+    fresh.key.minted_at = clock.now();
+    assert!(matches!(
+        ahead.claim(fresh.clone()).await,
+        ClaimResult::Granted(_)
+    ));
+    fresh.key.key = "another".into();
+    assert!(matches!(ahead.claim(fresh).await, ClaimResult::Granted(_)));
+    let behind = store(&platform, "daemon-b");
+    let again = behind.claim(claim("receipt")).await;
+    assert!(matches!(again, ClaimResult::Invalid { .. }), "{again:?}");
+    let view = behind.lookup(&key("receipt"), true).await;
+    assert!(matches!(view, Err(LookupError::Invalid { .. })), "{view:?}");
+}
+
+// A workspace fills the shard. New claims are refused with a time to come back, an open
+// key can still be settled, and the value stays below what the platform holds.
+#[tokio::test(start_paused = true)]
+async fn full_shard_refuses_claims_and_settles() {
+    let platform = FakePlatform::default();
+    let mut small = settings();
+    small.shard_bytes = 8_000;
+    let store = store_with(&platform, &FakeClock::new(), "daemon-a", &small);
+    let mut granted = Vec::new();
+    let refused = loop {
+        match store
+            .claim(claim(&format!("order-{}", granted.len())))
+            .await
+        {
+            ClaimResult::Granted(permit) => granted.push(permit),
+            other => break other,
+        }
+    };
+    assert_given_up(&refused);
+    assert!(granted.len() > 40, "only {} fit", granted.len());
+    let view = store.lookup(&key("unused"), true).await;
+    assert_eq!(view, Ok(RecordView::NotRun));
+    for permit in granted {
+        permit.dispatch().answered(answer());
+    }
+    assert!(store.drain(Duration::from_secs(5)).await);
+    assert!(platform.largest_value() <= 8_500);
+}
+
+// An operator overwrites a shard with something else. Its records are gone, so claims
+// are refused and nothing is run again.
+#[tokio::test(start_paused = true)]
+async fn damaged_shard_refuses_claims() {
+    let platform = FakePlatform::default();
+    grant(&store(&platform, "daemon-a"), "receipt")
+        .await
+        .release();
+    settle_down().await;
+    platform.overwrite(&shard_object(0), b"not a ledger".to_vec());
+    let fresh = store(&platform, "daemon-b");
+    match fresh.claim(claim("receipt")).await {
+        ClaimResult::GivenUp { reason, .. } => assert!(reason.contains("restore"), "{reason}"),
+        other => panic!("{other:?}"),
+    }
+}
+
+// A thousand claims arrive within a second at one daemon. They share writes: no more
+// than one per commit interval, and each claim waits about an interval at most.
+#[tokio::test(start_paused = true)]
+async fn group_commit_bounds_writes() {
+    let platform = FakePlatform::default();
+    let store = store(&platform, "daemon-a");
+    let mut tasks = Vec::new();
+    for number in 0..1_000 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        let store = store.clone();
+        tasks.push(tokio::spawn(async move {
+            let started = tokio::time::Instant::now();
+            let permit = grant(&store, &format!("order-{number}")).await;
+            std::mem::forget(permit);
+            started.elapsed()
+        }));
+    }
+    for task in tasks {
+        let waited = task.await.unwrap();
+        assert!(
+            waited < Duration::from_millis(60),
+            "a claim waited {waited:?}"
+        );
+    }
+    assert!(platform.writes() <= 23, "{} writes", platform.writes());
+}
--- /dev/null
+++ b/tests/intents_support/mod.rs
@@ -0,0 +1,288 @@
+//! An in-memory object service with faults on order.
+#![allow(dead_code)]
+
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use pistachiowick::intent_store::{
+    ClaimResult, DispatchPermit, IntentClaim, IntentStore, StoreInputs,
+};
+use pistachiowick::intents::IntentKey;
+use pistachiowick::names::{ProcessIncarnation, UnixTime};
+use pistachiowick::ports::{
+    ConditionalWrite, ObjectBatch, ObjectName, ObjectVersion, PlatformError, PlatformPort,
+    StoredObject,
+};
+use pistachiowick::settings::IntentSettings;
+
+/// Wall-clock time at which tests start.
+pub const START: u64 = 1_800_000_000_000;
+
+/// What happens to the next write.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum WriteFault {
+    /// Works.
+    None,
+    /// Takes effect, and the answer is lost.
+    LostAfter,
+    /// Takes no effect, and the answer is lost.
+    LostBefore,
+    /// The answer is lost; takes effect when the test says so.
+    Delayed,
+    /// Takes this long, then works.
+    Slow(Duration),
+    /// Certainly takes no effect.
+    Unavailable,
+}
+
+/// What happens to the next read.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ReadFault {
+    /// Works.
+    None,
+    /// The answer is lost.
+    Lost,
+    /// Shows the object as it was one version ago.
+    Stale,
+    /// Certainly not answered.
+    Unavailable,
+}
+
+#[derive(Default)]
+struct FakeState {
+    version: u64,
+    objects: IndexMap<ObjectName, Vec<(u64, Vec<u8>)>>,
+    write_faults: VecDeque<WriteFault>,
+    read_faults: VecDeque<ReadFault>,
+    delayed: Vec<ConditionalWrite>,
+    down: bool,
+    reads: usize,
+    writes: usize,
+}
+
+/// An object service in memory.
+#[derive(Clone, Default)]
+pub struct FakePlatform {
+    state: Arc<Mutex<FakeState>>,
+}
+
+impl FakePlatform {
+    pub fn fail_writes(&self, faults: &[WriteFault]) {
+        self.state.lock().unwrap().write_faults.extend(faults);
+    }
+
+    pub fn fail_reads(&self, faults: &[ReadFault]) {
+        self.state.lock().unwrap().read_faults.extend(faults);
+    }
+
+    pub fn set_down(&self, down: bool) {
+        self.state.lock().unwrap().down = down;
+    }
+
+    pub fn reads(&self) -> usize {
+        self.state.lock().unwrap().reads
+    }
+
+    pub fn writes(&self) -> usize {
+        self.state.lock().unwrap().writes
+    }
+
+    pub fn largest_value(&self) -> usize {
+        let state = self.state.lock().unwrap();
+        let all = state.objects.values().flatten();
+        all.map(|(_, value)| value.len()).max().unwrap_or(0)
+    }
+
+    /// Lets the delayed writes take effect, as far as their versions still hold.
+    pub fn land_delayed(&self) -> usize {
+        let mut state = self.state.lock().unwrap();
+        let delayed = std::mem::take(&mut state.delayed);
+        let landed = delayed.into_iter().map(|write| state.apply(write));
+        landed.filter(Result::is_ok).count()
+    }
+
+    /// Writes an object behind everybody's back.
+    pub fn overwrite(&self, object: &ObjectName, value: Vec<u8>) {
+        let mut state = self.state.lock().unwrap();
+        let expected = state.current(object);
+        let write = ConditionalWrite {
+            object: object.clone(),
+            expected,
+            value,
+        };
+        state.apply(write).unwrap();
+    }
+
+    pub fn port(&self) -> PlatformPort {
+        let read = self.clone();
+        let write = self.clone();
+        PlatformPort {
+            read: Arc::new(move |object| {
+                let fake = read.clone();
+                Box::pin(async move { fake.read(&object).await })
+            }),
+            write: Arc::new(move |request| {
+                let fake = write.clone();
+                Box::pin(async move { fake.write(request).await })
+            }),
+            list: Arc::new(|_| Box::pin(async { Ok(ObjectBatch::default()) })),
+            watch: Arc::new(|_| Box::pin(async { Ok(ObjectBatch::default()) })),
+            instances: Arc::new(|()| Box::pin(async { Ok(Vec::new()) })),
+        }
+    }
+
+    async fn read(&self, object: &ObjectName) -> Result<Option<StoredObject>, PlatformError> {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        let mut state = self.state.lock().unwrap();
+        state.reads += 1;
+        if state.down {
+            return Err(unavailable());
+        }
+        let back = match state.read_faults.pop_front().unwrap_or(ReadFault::None) {
+            ReadFault::None => 1,
+            ReadFault::Stale => 2,
+            ReadFault::Lost => return Err(lost()),
+            ReadFault::Unavailable => return Err(unavailable()),
+        };
+        let versions = state.objects.get(object);
+        let found = versions.and_then(|v| v.len().checked_sub(back).map(|at| v[at].clone()));
+        Ok(found.map(|(version, value)| StoredObject {
+            object: object.clone(),
+            version: ObjectVersion(version),
+            value: Some(value),
+        }))
+    }
+
+    async fn write(&self, write: ConditionalWrite) -> Result<ObjectVersion, PlatformError> {
+        let fault = {
+            let mut state = self.state.lock().unwrap();
+            state.writes += 1;
+            if state.down {
+                return Err(unavailable());
+            }
+            state.write_faults.pop_front().unwrap_or(WriteFault::None)
+        };
+        let span = match fault {
+            WriteFault::Slow(span) => span,
+            _ => Duration::from_millis(1),
+        };
+        tokio::time::sleep(span).await;
+        let mut state = self.state.lock().unwrap();
+        match fault {
+            WriteFault::None | WriteFault::Slow(_) => state.apply(write),
+            WriteFault::LostAfter => state.apply(write).and(Err(lost())),
+            WriteFault::LostBefore => Err(lost()),
+            WriteFault::Delayed => {
+                state.delayed.push(write);
+                Err(lost())
+            }
+            WriteFault::Unavailable => Err(unavailable()),
+        }
+    }
+}
+
+impl FakeState {
+    fn current(&self, object: &ObjectName) -> ObjectVersion {
+        let newest = self.objects.get(object).and_then(|v| v.last());
+        ObjectVersion(newest.map_or(0, |(version, _)| *version))
+    }
+
+    fn apply(&mut self, write: ConditionalWrite) -> Result<ObjectVersion, PlatformError> {
+        let current = self.current(&write.object);
+        if current != write.expected {
+            return Err(PlatformError::Conflict { current });
+        }
+        self.version += 1;
+        let version = self.version;
+        let versions = self.objects.entry(write.object).or_default();
+        versions.push((version, write.value));
+        Ok(ObjectVersion(version))
+    }
+}
+
+fn lost() -> PlatformError {
+    PlatformError::Lost {
+        reason: "the fake lost the answer".to_owned(),
+    }
+}
+
+fn unavailable() -> PlatformError {
+    PlatformError::Unavailable {
+        reason: "the fake is down".to_owned(),
+        retry_after: Duration::from_millis(500),
+    }
+}
+
+/// A wall clock that tests move.
+#[derive(Clone, Default)]
+pub struct FakeClock(Arc<AtomicU64>);
+
+impl FakeClock {
+    pub fn new() -> Self {
+        Self(Arc::new(AtomicU64::new(START)))
+    }
+
+    pub fn advance(&self, span: Duration) {
+        let span = u64::try_from(span.as_millis()).unwrap();
+        self.0.fetch_add(span, Ordering::Relaxed);
+    }
+
+    pub fn now(&self) -> UnixTime {
+        UnixTime(self.0.load(Ordering::Relaxed))
+    }
+}
+
+pub fn settings() -> IntentSettings {
+    IntentSettings {
+        shards: 1,
+        ..IntentSettings::default()
+    }
+}
+
+pub fn store_with(
+    platform: &FakePlatform,
+    clock: &FakeClock,
+    daemon: &str,
+    settings: &IntentSettings,
+) -> IntentStore {
+    pistachiowick::invariants::make_fatal();
+    let clock = clock.clone();
+    IntentStore::new(&StoreInputs {
+        settings,
+        platform: platform.port(),
+        daemon: daemon.into(),
+        incarnation: ProcessIncarnation(1),
+        unix_now: Arc::new(move || clock.now()),
+    })
+}
+
+pub fn store(platform: &FakePlatform, daemon: &str) -> IntentStore {
+    store_with(platform, &FakeClock::new(), daemon, &settings())
+}
+
+pub fn key(name: &str) -> IntentKey {
+    IntentKey {
+        workspace: "regatta-one".into(),
+        key: name.into(),
+        minted_at: UnixTime(START),
+    }
+}
+
+pub fn claim(name: &str) -> IntentClaim {
+    IntentClaim {
+        key: key(name),
+        fingerprint: [7; 16],
+        target: "ledger-1".into(),
+        patience: Duration::from_secs(2),
+    }
+}
+
+pub async fn grant(store: &IntentStore, name: &str) -> DispatchPermit {
+    match store.claim(claim(name)).await {
+        ClaimResult::Granted(permit) => permit,
+        other => panic!("{name} was not granted: {other:?}"),
+    }
+}
