Let planned requests be run and reported by class

Cause: comparisons need the ends of requests by class and phase; the generator kept only a sum. Change: run_planned with a report sink, used by run_load too.

--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -138,6 +138,8 @@
 pub struct PlannedRequest {
     /// When to send it, after the start.
     pub at: Duration,
+    /// Place of its class in the plan.
+    pub class: usize,
     /// Key of the workspace.
     pub key: String,
     /// What to send.
@@ -167,23 +169,25 @@
         }
         let class = draw_class(&config.classes, &mut random);
         let name = format!("{}-{}", config.seed, planned.len());
-        planned.push(plan_request(class, &name, at, &mut random));
+        let request = plan_request(&config.classes[class], &name, at, &mut random);
+        planned.push(PlannedRequest { class, ..request });
     }
 }
 
-fn draw_class<'a>(classes: &'a [LoadClass], random: &mut SmallRng) -> &'a LoadClass {
+fn draw_class(classes: &[LoadClass], random: &mut SmallRng) -> usize {
     let total: f64 = classes.iter().map(|class| class.weight).sum();
     let mut place = random.random::<f64>() * total;
-    for class in classes {
+    for (index, class) in classes.iter().enumerate() {
         place -= class.weight;
         if place < 0.0 {
-            return class;
+            return index;
         }
     }
-    &classes[classes.len() - 1]
+    classes.len() - 1
 }
 
-fn plan_request(
+/// Draws one request of a class, to be sent at a time after the start.
+pub fn plan_request(
     class: &LoadClass,
     name: &str,
     at: Duration,
@@ -228,6 +232,7 @@
     };
     PlannedRequest {
         at,
+        class: 0,
         key: class.key.clone(),
         submit,
         expected,
@@ -241,28 +246,54 @@
 /// Returns an error when the config is not usable.
 pub async fn run_load(config: &LoadConfig) -> Result<LoadTally> {
     let planned = plan_requests(config)?;
-    let clients = Arc::new(connect_all(&config.addresses)?);
     let tally = Arc::new(Mutex::new(LoadTally::default()));
-    let open = Arc::new(Semaphore::new(config.most_open));
+    let reports = tally.clone();
+    let on_report = Arc::new(move |_: usize, report: &RequestReport| {
+        locked(&reports).add(report);
+    });
+    let not_sent = run_planned(&config.addresses, config.most_open, planned, on_report).await?;
+    let mut tally = locked(&tally).clone();
+    tally.counts.not_sent += not_sent;
+    Ok(tally)
+}
+
+/// Told of each request that ended, with the place of its class.
+pub type ReportSink = Arc<dyn Fn(usize, &RequestReport) + Send + Sync>;
+
+/// Sends planned requests at their times, waits for their ends and returns how many
+/// were not sent because `most_open` were open.
+///
+/// # Errors
+///
+/// Returns an error for an address that cannot be used.
+pub async fn run_planned(
+    addresses: &[String],
+    most_open: usize,
+    planned: Vec<PlannedRequest>,
+    on_report: ReportSink,
+) -> Result<u64> {
+    let clients = Arc::new(connect_all(addresses)?);
+    let open = Arc::new(Semaphore::new(most_open));
     let start = Instant::now();
+    let mut not_sent = 0;
     let mut tasks = Vec::with_capacity(planned.len());
     for (index, request) in planned.into_iter().enumerate() {
         tokio::time::sleep_until((start + request.at).into()).await;
         let Ok(permit) = open.clone().try_acquire_owned() else {
-            locked(&tally).counts.not_sent += 1;
+            not_sent += 1;
             continue;
         };
         let clients = clients.clone();
-        let tally = tally.clone();
+        let on_report = on_report.clone();
         tasks.push(tokio::spawn(async move {
+            let class = request.class;
             let report = run_request(&clients, index, request).await;
-            locked(&tally).add(&report);
+            on_report(class, &report);
             drop(permit);
         }));
     }
     join_all(tasks).await;
-    let tally = locked(&tally).clone();
-    Ok(tally)
+    Ok(not_sent)
 }
 
 fn locked(tally: &Mutex<LoadTally>) -> std::sync::MutexGuard<'_, LoadTally> {
