--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod answers;
 pub mod chance;
+pub mod compare;
 pub mod direct;
 pub mod engine;
 pub mod engine_books;
@@ -10,6 +11,7 @@
 pub mod engine_model;
 pub mod engine_options;
 pub mod engine_stream;
+pub mod events;
 pub mod fleet;
 pub mod http;
 pub mod load;
@@ -17,5 +19,6 @@
 pub mod platform;
 pub mod platform_state;
 pub mod quickstart;
+pub mod scenario;
 pub mod service;
 pub mod weight_store;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -5,19 +5,24 @@
 use eyre::{Context, Result, bail};
 use getopts::{Matches, Options};
 use pistachiowick::ports::PortFuture;
+use pistachiowick_lab::compare::{compare, policy_names, summarise};
 use pistachiowick_lab::engine::EngineStandIn;
 use pistachiowick_lab::load::run_load;
 use pistachiowick_lab::platform::PlatformStandIn;
 use pistachiowick_lab::quickstart::run_quickstart;
+use pistachiowick_lab::scenario::ScenarioSpec;
 use pistachiowick_lab::service::ServiceStandIn;
 use pistachiowick_lab::weight_store::WeightStandIn;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::json;
 
 /// One subcommand.
 struct LabCommand {
     name: &'static str,
     about: &'static str,
+    /// Files named on the command line.
+    files: usize,
     run: fn(Matches) -> PortFuture<Result<()>>,
 }
 
@@ -26,31 +31,43 @@
     LabCommand {
         name: "quickstart",
         about: "run the main job on a deployment within this process",
+        files: 0,
         run: |matches| Box::pin(quickstart(matches)),
     },
+    LabCommand {
+        name: "compare",
+        about: "run a scenario under several policies and set the results side by side",
+        files: 1,
+        run: |matches| Box::pin(run_compare(matches)),
+    },
     LabCommand {
         name: "platform",
         about: "run a stand-in for the platform's object service and instance list",
+        files: 0,
         run: |matches| Box::pin(run_platform(matches)),
     },
     LabCommand {
         name: "engine",
         about: "run a stand-in for a model engine",
+        files: 0,
         run: |matches| Box::pin(run_engine(matches)),
     },
     LabCommand {
         name: "service",
         about: "run a stand-in for a plain service",
+        files: 0,
         run: |matches| Box::pin(run_service(matches)),
     },
     LabCommand {
         name: "weights",
         about: "run a stand-in for the weight store",
+        files: 0,
         run: |matches| Box::pin(run_weights(matches)),
     },
     LabCommand {
         name: "load",
         about: "send requests to daemons and check every byte of the answers",
+        files: 0,
         run: |matches| Box::pin(send_load(matches)),
     },
 ];
@@ -96,6 +113,13 @@
     options.optopt("o", "options", "JSON file; without it, defaults", "FILE");
     options.optopt("a", "address", "IP number and port to listen at", "IP:PORT");
     options.optopt("", "seed", "seed of all random choices; 1 without it", "N");
+    options.optopt(
+        "",
+        "policies",
+        "policies to compare, with commas; all without it",
+        "LIST",
+    );
+    options.optopt("", "repeat", "runs of each policy, with rising seeds", "K");
     options.optflag("p", "print-options", "print the options in force and exit");
     options.optflag("h", "help", "print this text");
     let matches = options.parse(arguments)?;
@@ -107,7 +131,7 @@
         print!("{}", options.usage(&brief));
         return Ok(());
     }
-    if let Some(stray) = matches.free.first() {
+    if let Some(stray) = matches.free.get(command.files) {
         bail!("{stray} is not understood; see --help");
     }
     let runtime = tokio::runtime::Runtime::new().wrap_err("cannot start threads")?;
@@ -150,6 +174,28 @@
     run_quickstart(seed).await
 }
 
+async fn run_compare(matches: Matches) -> Result<()> {
+    let Some(file) = matches.free.first() else {
+        bail!("name a scenario file, for example lab/scenarios/mix-swing.json");
+    };
+    let text = std::fs::read_to_string(file).wrap_err_with(|| format!("cannot read {file}"))?;
+    let scenario = ScenarioSpec::parse(&text).wrap_err_with(|| file.clone())?;
+    let policies = match matches.opt_str("policies") {
+        Some(list) => list.split(',').map(str::to_owned).collect(),
+        None => policy_names(),
+    };
+    let seed = matches.opt_get_default("seed", 1)?;
+    let repeat = matches.opt_get_default("repeat", 1)?;
+    let rows = compare(&scenario, &policies, seed, repeat).await?;
+    let summary = json!({
+        "scenario": scenario.name,
+        "policies": summarise(&rows),
+        "rows": rows,
+    });
+    println!("{summary}");
+    Ok(())
+}
+
 async fn run_platform(matches: Matches) -> Result<()> {
     let mut options: pistachiowick_lab::platform::PlatformOptions = read_options(&matches)?;
     set_address(&matches, &mut options.address);
