--- a/src/bin/pistachiowick.rs
+++ b/src/bin/pistachiowick.rs
@@ -1,3 +1,8 @@
-//! Not written yet.
+//! The command-line tool for callers and operators.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    ExitCode::from(pistachiowick::tool_run::run_tool(&words))
+}
--- a/src/client_error.rs
+++ b/src/client_error.rs
@@ -72,7 +72,8 @@
         let reason = status.message().to_owned();
         match status.code() {
             Code::ResourceExhausted => Self::Busy(reason),
-            code @ (Code::AlreadyExists
+            code @ (Code::Aborted
+            | Code::AlreadyExists
             | Code::FailedPrecondition
             | Code::InvalidArgument
             | Code::NotFound
--- a/src/client_operator.rs
+++ b/src/client_operator.rs
@@ -1,5 +1,7 @@
 //! The operators' client: configuration, state and reasons.
 
+use std::error::Error;
+
 use tonic::Streaming;
 use tonic::transport::Channel;
 
@@ -216,7 +218,7 @@
         let link = self.links.pick_given().await?;
         match call(OperationsClient::new(link.channel)).await {
             Ok(response) => Ok(response.into_inner()),
-            Err(status) => Err(CallFailure::from(&status).into()),
+            Err(status) => Err(change_failure(&status)),
         }
     }
 
@@ -259,6 +261,19 @@
     }
 }
 
+/// Tells a daemon's own "unavailable", which says that nothing was changed, from
+/// a broken connection, which says nothing. Only the latter has a cause in this process.
+fn change_failure(status: &tonic::Status) -> ClientError {
+    let from_daemon = status.source().is_none();
+    if from_daemon && status.code() == tonic::Code::Unavailable {
+        return ClientError::Rejected {
+            code: status.code(),
+            reason: status.message().to_owned(),
+        };
+    }
+    CallFailure::from(status).into()
+}
+
 fn target_request(target: &str, reason: &str) -> pb::TargetRequest {
     pb::TargetRequest {
         target: target.to_owned(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -78,6 +78,13 @@
 pub mod target_wire;
 pub mod telemetry;
 pub mod timer;
+pub mod tool_flags;
+pub mod tool_items;
+pub mod tool_keys;
+pub mod tool_output;
+pub mod tool_requests;
+pub mod tool_run;
+pub mod tool_state;
 pub mod traffic;
 
 /// The caller and operator interface, generated from `proto/pistachiowick.proto`.
