--- a/src/client_driver.rs
+++ b/src/client_driver.rs
@@ -239,7 +239,10 @@
     /// Tells whether a refusal is worth another submission, and pays for it.
     fn retries_refusal(&self, end: &pb::Final) -> bool {
         let wait = Duration::from_millis(u64::from(end.retry_after_ms));
-        let in_time = self.time_left().is_none_or(|left| wait < left);
+        // Without a deadline of the caller's own, each submission takes the class's
+        // anew; one more is all that the caller can be made to wait for.
+        let first_time = self.resubmissions == 0;
+        let in_time = self.time_left().map_or(first_time, |left| wait < left);
         self.shared.options.retry_refused
             && !wait.is_zero()
             && in_time
--- a/src/settings_check.rs
+++ b/src/settings_check.rs
@@ -8,6 +8,9 @@
 use crate::settings::DaemonSettings;
 use crate::settings_rules;
 
+/// Start of the secrets in the quickstart's settings.
+const QUICKSTART_SECRET: &str = "quickstart-";
+
 /// One field that cannot be used as it is. Secrets are never repeated in it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct FieldFault {
@@ -98,7 +101,20 @@
             allowed: "a loopback address, or any address with listen.tls",
             remedy: "give a certificate and key in listen.tls, or listen on 127.0.0.1",
         };
-        broken(vec![relation])
+        broken(vec![relation, self.secret_relation()])
+    }
+
+    /// The secrets of the quickstart are public, so they may guard nothing but loopback.
+    fn secret_relation(&self) -> FieldRelation {
+        let mut secrets = self.access.token_secrets.iter().chain([&self.peers.secret]);
+        let public = secrets.any(|secret| secret.starts_with(QUICKSTART_SECRET));
+        FieldRelation {
+            holds: !public || self.listen.rpc.ip().is_loopback(),
+            path: "access.token_secrets",
+            found: "a secret of the quickstart".to_owned(),
+            allowed: "secrets of the deployment's own, unless listen.rpc is on loopback",
+            remedy: "make random texts for access.token_secrets and peers.secret",
+        }
     }
 
     fn time_relations(&self) -> Vec<FieldFault> {
--- a/tests/settings_faults.rs
+++ b/tests/settings_faults.rs
@@ -163,6 +163,19 @@
     assert!(error.to_string().contains("daemon_id"), "{error}");
 }
 
+// The quickstart's secrets are published; on a reachable address anybody could
+// sign resume tokens with them.
+#[test]
+fn published_secrets_are_refused_beyond_loopback() {
+    let mut document = good_document();
+    document["access"]["token_secrets"] = json!(["quickstart-token-secret-for-loopback-only"]);
+    DaemonSettings::parse(&document.to_string()).expect("loopback is allowed");
+    document["listen"]["rpc"] = json!("10.1.2.3:7101");
+    let faults = faults_of(&document.to_string());
+    assert_eq!(faults.len(), 1, "{faults:?}");
+    assert!(faults[0].starts_with("access.token_secrets: found a secret of the quickstart"));
+}
+
 #[test]
 fn good_settings_parse_and_take_the_defaults() {
     let settings = DaemonSettings::parse(&good_document().to_string()).expect("all is in range");
