--- a/tests/settings_shipped.rs
+++ b/tests/settings_shipped.rs
@@ -3,7 +3,8 @@
 use std::path::Path;
 
 use pistachiowick::settings::DaemonSettings;
-use pistachiowick::settings_fields::FIELD_RULES;
+use pistachiowick::settings_fields::{FIELD_RULES, FieldKind};
+use pistachiowick::settings_rules::allowed_text;
 use rstest::rstest;
 use serde_json::Value;
 
@@ -81,14 +82,23 @@
 }
 
 #[test]
-fn the_settings_page_names_every_field() {
+fn the_settings_page_tells_the_range_of_every_field() {
     let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/SETTINGS.md");
     let page = std::fs::read_to_string(file).expect("the page is shipped");
+    let groups = [FieldKind::Group, FieldKind::OptionalGroup];
     for rule in FIELD_RULES {
-        assert!(
-            page.contains(&format!("`{}`", rule.path)),
-            "{} is missing",
-            rule.path
-        );
+        let place = format!("`{}`", rule.path);
+        if groups.contains(&rule.kind) {
+            assert!(
+                page.contains(&format!("## {place}")),
+                "{place} has no section"
+            );
+            continue;
+        }
+        let row = page
+            .lines()
+            .find(|line| line.starts_with(&format!("| {place} |")));
+        let row = row.unwrap_or_else(|| panic!("{place} has no row"));
+        assert!(row.contains(&allowed_text(rule)), "{row}");
     }
 }
