Explain from every daemon named

Cause: each daemon remembers its own decisions only; the tool asked one at random, so a request placed elsewhere seemed to have no reason. Ruled out: fetching other daemons' journals through peers (traffic for a rare question). Change: the operators' client asks each address given; rows name the daemon; one that does not answer is named on standard error.

--- a/src/client_links.rs
+++ b/src/client_links.rs
@@ -120,9 +120,9 @@
         state.avoided_until.insert(address.to_owned(), until);
     }
 
-    /// Returns how many addresses were given at the start.
-    pub(crate) fn given_count(&self) -> usize {
-        self.given.len()
+    /// Returns the addresses given at the start.
+    pub(crate) fn given(&self) -> &[String] {
+        &self.given
     }
 
     /// Returns a random span between half of `span` and all of it.
@@ -191,7 +191,8 @@
         Err(last)
     }
 
-    async fn open(&self, address: &str) -> Result<Channel, ClientError> {
+    /// Opens a connection to one address, or returns the one that is open.
+    pub(crate) async fn open(&self, address: &str) -> Result<Channel, ClientError> {
         let slot = self.slot(address);
         let mut slot = slot.lock().await;
         if let Some(channel) = &*slot {
--- a/src/client_operator.rs
+++ b/src/client_operator.rs
@@ -187,27 +187,36 @@
         .await
     }
 
-    /// Reads recent decisions and their reasons, newest first.
+    /// Reads recent decisions and their reasons from every address given.
     ///
-    /// # Errors
-    ///
-    /// Returns the daemon's refusal, or an error when no daemon answers.
-    pub async fn explain(
-        &self,
-        subject: &str,
-        most: u32,
-    ) -> Result<Vec<pb::Decision>, ClientError> {
+    /// Each daemon remembers its own decisions only, so one alone cannot explain
+    /// what another did. Each answer is newest first.
+    pub async fn explain(&self, subject: &str, most: u32) -> Vec<DaemonDecisions> {
         let explain = pb::ExplainRequest {
             subject: subject.to_owned(),
             most,
         };
-        let reply = self
-            .repeat(|mut client: OperationsChannel| {
-                let request = self.links.with_key(explain.clone());
-                async move { client.explain(request).await }
-            })
-            .await?;
-        Ok(reply.decisions)
+        let mut answers = Vec::new();
+        for address in self.links.given() {
+            answers.push(DaemonDecisions {
+                address: address.clone(),
+                decisions: self.explain_at(address, explain.clone()).await,
+            });
+        }
+        answers
+    }
+
+    async fn explain_at(
+        &self,
+        address: &str,
+        explain: pb::ExplainRequest,
+    ) -> Result<Vec<pb::Decision>, ClientError> {
+        let channel = self.links.open(address).await?;
+        let request = self.links.with_key(explain);
+        let reply = OperationsClient::new(channel).explain(request).await;
+        reply
+            .map(|reply| reply.into_inner().decisions)
+            .map_err(|status| CallFailure::from(&status).into())
     }
 
     /// Makes a call that must not be repeated.
@@ -227,7 +236,7 @@
     where
         F: Future<Output = Result<tonic::Response<T>, tonic::Status>>,
     {
-        let mut tries_left = self.links.given_count();
+        let mut tries_left = self.links.given().len();
         loop {
             let DaemonLink { address, channel } = self.links.pick_given().await?;
             tries_left = tries_left.saturating_sub(1);
@@ -243,6 +252,15 @@
     }
 }
 
+/// What one daemon decided, and why.
+#[derive(Clone, Debug)]
+pub struct DaemonDecisions {
+    /// Address asked.
+    pub address: String,
+    /// Decisions, newest first, or why they could not be read.
+    pub decisions: Result<Vec<pb::Decision>, ClientError>,
+}
+
 /// Items of a kind and their changes.
 #[derive(Debug)]
 pub struct ItemWatch {
--- a/src/tool_flags.rs
+++ b/src/tool_flags.rs
@@ -151,7 +151,12 @@
         "revision the change was based on, from `show`",
     ),
     flag("r", "reason", "TEXT", "reason for the other operators"),
-    flag("n", "most", "N", "most decisions to print (default 50)"),
+    flag(
+        "n",
+        "most",
+        "N",
+        "most decisions to ask each daemon for (default 50)",
+    ),
 ];
 
 const SUBMIT_FLAGS: &[&str] = &[
@@ -275,7 +280,7 @@
         "[SUBJECT]",
         (0, 1),
         &["most"],
-        "recent decisions and their reasons, newest first",
+        "recent decisions of the daemons named, with reasons, newest first",
     ),
     command(
         "watch",
--- a/src/tool_state.rs
+++ b/src/tool_state.rs
@@ -5,7 +5,8 @@
 use serde_json::{Value, json};
 
 use crate::client::ClientOptions;
-use crate::client_operator::OperatorClient;
+use crate::client_error::ClientError;
+use crate::client_operator::{DaemonDecisions, OperatorClient};
 use crate::pb;
 use crate::tool_flags::ToolCall;
 use crate::tool_items::print_change;
@@ -77,33 +78,68 @@
     Ok(())
 }
 
-/// Prints recent decisions and their reasons.
+/// Prints recent decisions of every daemon named, and their reasons.
 ///
 /// # Errors
 ///
-/// Returns the daemon's refusal, or an error when no daemon answers.
+/// Returns the last failure when no daemon answers.
 pub async fn explain(call: &ToolCall, options: &ClientOptions) -> Result<(), ToolError> {
     let subject = call.words.first().map_or("", String::as_str);
     let most = call.number("most")?.unwrap_or(USUAL_DECISIONS);
     let client = OperatorClient::connect(options).await?;
-    let decisions = client.explain(subject, most).await?;
+    let rows = decision_rows(client.explain(subject, most).await)?;
     if call.has("json") {
-        print_json(&decisions.iter().map(decision_json).collect())?;
+        print_json(&rows.iter().map(decision_json).collect())?;
         return Ok(());
     }
-    let mut table = TextTable::new(&["TIME", "KIND", "SUBJECT", "REASON"]);
-    for decision in decisions {
+    let mut table = TextTable::new(&["TIME", "DAEMON", "KIND", "SUBJECT", "REASON"]);
+    for row in rows {
         table.add(vec![
-            time_text(decision.at_ms),
-            decision.kind,
-            decision.subject,
-            decision.reason,
+            time_text(row.decision.at_ms),
+            row.address,
+            row.decision.kind,
+            row.decision.subject,
+            row.decision.reason,
         ]);
     }
     print_text(&table.render())?;
     Ok(())
 }
 
+/// A decision and the daemon that took it.
+struct DecisionRow {
+    address: String,
+    decision: pb::Decision,
+}
+
+/// Merges the answers, newest first. A daemon that did not answer is named on
+/// standard error: without it the reader would take its silence for no decision.
+fn decision_rows(answers: Vec<DaemonDecisions>) -> Result<Vec<DecisionRow>, ClientError> {
+    let mut rows = Vec::new();
+    let mut failure = None;
+    let mut answered = false;
+    for DaemonDecisions { address, decisions } in answers {
+        match decisions {
+            Ok(decisions) => {
+                answered = true;
+                rows.extend(decisions.into_iter().map(|decision| DecisionRow {
+                    address: address.clone(),
+                    decision,
+                }));
+            }
+            Err(error) => {
+                eprintln!("{address} did not answer: {error}");
+                failure = Some(error);
+            }
+        }
+    }
+    if let Some(error) = failure.filter(|_| !answered) {
+        return Err(error);
+    }
+    rows.sort_by_key(|row| std::cmp::Reverse(row.decision.at_ms));
+    Ok(rows)
+}
+
 fn daemon_table(daemons: &[pb::DaemonStatus]) -> TextTable {
     let mut table = TextTable::new(&["DAEMON", "STATE", "CENTRE", "ADDRESS", "SINCE"]);
     for daemon in daemons {
@@ -131,8 +167,10 @@
     table
 }
 
-fn decision_json(decision: &pb::Decision) -> Value {
+fn decision_json(row: &DecisionRow) -> Value {
+    let decision = &row.decision;
     json!({
+        "daemon": row.address,
         "at_ms": decision.at_ms,
         "kind": decision.kind,
         "subject": decision.subject,
