Price the delay that a long prompt brings to others

Cause: on a mixed engine no stream gains a token while a prompt is read; the estimate did not know and spread prompts evenly. Every engine reads all the time, so every answer is slow; the reading has to be kept on some engines.

--- a/lab/src/compare.rs
+++ b/lab/src/compare.rs
@@ -170,6 +170,7 @@
     policy.speeds.prefill_tokens_per_s *= scale;
     policy.speeds.token_base_ms /= scale;
     policy.speeds.token_per_stream_ms /= scale;
+    policy.speeds.prefill_step_ms /= scale;
     Ok(Arc::new(move |settings: &mut DaemonSettings| {
         settings.policy = policy.clone();
         settings.peers.hint_ms = faster(500);
--- a/lab/src/quickstart.rs
+++ b/lab/src/quickstart.rs
@@ -123,6 +123,7 @@
             speeds.prefill_tokens_per_s *= TIME_SCALE;
             speeds.token_base_ms /= TIME_SCALE;
             speeds.token_per_stream_ms /= TIME_SCALE;
+            speeds.prefill_step_ms /= TIME_SCALE;
         }),
         ..FleetPlan::default()
     }
--- a/src/cost.rs
+++ b/src/cost.rs
@@ -8,6 +8,8 @@
 
 /// Weight of a new observation in the learned averages.
 const LEARNING_RATE: f64 = 0.05;
+/// Weight of a new load report in the share of time spent reading prompts.
+const READING_RATE: f64 = 0.2;
 /// Bounds of a learned correction, so that one outlier cannot stop all placement.
 const CORRECTION_RANGE: (f64, f64) = (0.2, 5.0);
 /// Share of the allowed output expected before a class has been observed.
@@ -23,8 +25,12 @@
     pub prefill_tokens_per_s: f64,
     /// Milliseconds per output token of a lone stream.
     pub token_base_ms: f64,
-    /// Milliseconds added per output token by each further stream.
+    /// Milliseconds that each stream adds to a step, where the steps are longer than
+    /// those of a lone stream.
     pub token_per_stream_ms: f64,
+    /// Milliseconds of a step in which a mixed engine also reads prompts: streams
+    /// beside gain one token in that time.
+    pub prefill_step_ms: f64,
     /// Prefill speed of prefill engines relative to mixed ones.
     pub prefill_role_prefill: f64,
     /// Decode speed of prefill engines relative to mixed ones.
@@ -40,7 +46,8 @@
         Self {
             prefill_tokens_per_s: 8_000.0,
             token_base_ms: 10.0,
-            token_per_stream_ms: 1.0,
+            token_per_stream_ms: 0.6,
+            prefill_step_ms: 64.0,
             prefill_role_prefill: 1.8,
             prefill_role_decode: 0.35,
             decode_role_prefill: 0.45,
@@ -100,6 +107,7 @@
 pub struct CostModel {
     speeds: SpeedSettings,
     corrections: IndexMap<TargetId, SpeedCorrection>,
+    reading: IndexMap<TargetId, f64>,
     output_shares: IndexMap<(WorkspaceName, ClassName), f64>,
 }
 
@@ -110,6 +118,7 @@
         Self {
             speeds,
             corrections: IndexMap::new(),
+            reading: IndexMap::new(),
             output_shares: IndexMap::new(),
         }
     }
@@ -124,10 +133,19 @@
     /// Returns the seconds between output tokens beside `others` further streams.
     #[must_use]
     pub fn gap_seconds(&self, target: &TargetId, role: EngineRole, others: f64) -> f64 {
-        let gap_ms = self.speeds.token_base_ms + others * self.speeds.token_per_stream_ms;
+        let batch_ms = (others + 1.0) * self.speeds.token_per_stream_ms;
+        let gap_ms = batch_ms.max(self.speeds.token_base_ms);
         gap_ms / 1_000.0 / self.speeds.role_speed(role).decode * self.correction(target).decode
     }
 
+    /// Returns the seconds between output tokens while the engine reads prompts too.
+    #[must_use]
+    pub fn prefill_gap_seconds(&self, target: &TargetId, role: EngineRole, others: f64) -> f64 {
+        let step_s = self.speeds.prefill_step_ms / 1_000.0;
+        let read_s = step_s / self.speeds.role_speed(role).prefill;
+        read_s.max(self.gap_seconds(target, role, others))
+    }
+
     /// Returns the engine-seconds that work takes from others on a mixed engine.
     #[must_use]
     pub fn engine_seconds(&self, prefill_tokens: f64, output_tokens: f64) -> f64 {
@@ -152,6 +170,19 @@
         (share * f64::from(max_output_tokens)).max(1.0)
     }
 
+    /// Notes whether an engine was reading prompts when it took a report.
+    pub fn observe_reading(&mut self, target: &TargetId, reads: bool) {
+        let seen = f64::from(u8::from(reads));
+        let share = self.reading.entry(target.clone()).or_insert(seen);
+        *share += READING_RATE * (seen - *share);
+    }
+
+    /// Returns the share of time in which an engine reads prompts.
+    #[must_use]
+    pub fn reading_share(&self, target: &TargetId) -> f64 {
+        self.reading.get(target).copied().unwrap_or(0.0)
+    }
+
     /// Learns from the length of a whole answer.
     pub fn observe_output(
         &mut self,
@@ -189,6 +220,7 @@
     /// Forgets targets that are no longer in the fleet.
     pub fn retain_targets(&mut self, known: impl Fn(&TargetId) -> bool) {
         self.corrections.retain(|target, _| known(target));
+        self.reading.retain(|target, _| known(target));
     }
 
     fn correction(&self, target: &TargetId) -> SpeedCorrection {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -70,6 +70,9 @@
     pub gap_s: f64,
     /// Expected seconds to the whole answer.
     pub finish_s: f64,
+    /// Expected seconds by which the other streams there are delayed, all together:
+    /// none of them gains a token while this prompt is read.
+    pub delay_s: f64,
     /// Why it was chosen.
     pub reason: String,
 }
@@ -159,7 +162,7 @@
         .filter_map(|target| estimate(need, target, inputs))
         .collect();
     let chosen = match inputs.policy.placement {
-        PlacementPolicy::Estimate => least(&choices, |(_, c)| c.finish_s),
+        PlacementPolicy::Estimate => least(&choices, |(_, c)| c.finish_s + c.delay_s),
         PlacementPolicy::LeastInFlight => least(&choices, |(load, _)| *load),
         PlacementPolicy::RoundRobin => next_in_turn(choices.len(), turn),
     }?;
@@ -234,6 +237,7 @@
         first_token_s: 0.0,
         gap_s: 0.0,
         finish_s: load,
+        delay_s: 0.0,
         reason: format!("{own} own calls in flight"),
     };
     Some((load, choice))
@@ -264,11 +268,10 @@
     let read_s = inputs
         .costs
         .prefill_seconds(&target.id, report.role, uncached);
-    let gap_s = inputs
-        .costs
-        .gap_seconds(&target.id, report.role, load.in_flight);
+    let gap_s = mean_gap(target, report, &load, inputs);
     let first_token_s = backlog_s + read_s;
     let finish_s = first_token_s + need.output_tokens * gap_s;
+    let delay_s = load.in_flight * read_s;
     let choice = TargetChoice {
         target: target.id.clone(),
         address: target.address.clone(),
@@ -276,20 +279,37 @@
         first_token_s,
         gap_s,
         finish_s,
+        delay_s,
         reason: format!(
             "{:?} engine, about {:.0} in flight, {:.0} of {:.0} prompt tokens to read, \
-             first token in {:.0} ms, whole answer in {:.0} ms",
+             first token in {:.0} ms, whole answer in {:.0} ms, others delayed by {:.0} ms",
             report.role,
             load.in_flight,
             uncached,
             need.prompt_tokens,
             first_token_s * 1_000.0,
-            finish_s * 1_000.0
+            finish_s * 1_000.0,
+            delay_s * 1_000.0
         ),
     };
     Some((load.in_flight, choice))
 }
 
+/// Seconds between tokens, over the times in which the engine reads prompts and those
+/// in which it does not.
+fn mean_gap(
+    target: &TargetView,
+    report: &LoadReport,
+    load: &EngineLoad,
+    inputs: &PlacementInputs<'_>,
+) -> f64 {
+    let (costs, id) = (inputs.costs, &target.id);
+    let reading = costs.reading_share(id);
+    let quiet_s = costs.gap_seconds(id, report.role, load.in_flight);
+    let reading_s = costs.prefill_gap_seconds(id, report.role, load.in_flight);
+    (1.0 - reading) * quiet_s + reading * reading_s
+}
+
 fn uncached_tokens(need: &PlacementNeed, target: &TargetId, prefixes: &PrefixIndex) -> f64 {
     if need.shared_prefix.is_empty() {
         return need.prompt_tokens;
--- a/src/run_resume.rs
+++ b/src/run_resume.rs
@@ -119,6 +119,7 @@
         first_token_s: USUAL_FIRST_TOKEN_S,
         gap_s: USUAL_GAP_S,
         finish_s: 0.0,
+        delay_s: 0.0,
         reason: String::new(),
     }
 }
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -175,6 +175,7 @@
             self.own
                 .retain(|t, o| fleet.targets.contains_key(t) || !o.running.is_empty());
         }
+        self.note_reports(&fleet);
         self.fleet = fleet;
         self.pump(now)
     }
@@ -282,6 +283,23 @@
         self.costs.engine_seconds(spec.need.prompt_tokens, output)
     }
 
+    /// Takes in the load reports that are newer than the known ones.
+    fn note_reports(&mut self, fleet: &SharedFleet) {
+        if fleet.version == self.fleet.version {
+            return;
+        }
+        for (id, target) in &fleet.targets {
+            let known = self.fleet.targets.get(id).and_then(|t| t.report.as_ref());
+            let Some(report) = &target.report else {
+                continue;
+            };
+            if known.is_none_or(|k| k.taken_at < report.taken_at) {
+                let reads = report.prefill_backlog_tokens > 0;
+                self.costs.observe_reading(id, reads);
+            }
+        }
+    }
+
     fn check_room(&self, spec: &JobSpec) -> Result<(), JobRefusal> {
         let own: usize = self
             .queues
@@ -367,20 +385,29 @@
         }
     }
 
-    /// Seconds the work takes on an idle engine of the best role for it.
+    /// Seconds the work takes on an otherwise idle engine of the best role in use.
     fn shortest_service(&self, spec: &JobSpec) -> f64 {
         if matches!(spec.need.pool, PoolKey::Service(_)) {
             return 0.0;
         }
         let output = self.expected_output(spec);
         let nowhere = TargetId::from("");
-        let roles = [EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode];
-        let times = roles.map(|role| {
-            let read = spec.need.prompt_tokens - f64::from(spec.need.shared_prefix_tokens);
+        let read = spec.need.prompt_tokens - f64::from(spec.need.shared_prefix_tokens);
+        let times = self.roles_in_use(&spec.need.pool).into_iter().map(|role| {
             self.costs.prefill_seconds(&nowhere, role, read.max(0.0))
                 + output * self.costs.gap_seconds(&nowhere, role, 0.0)
         });
-        times.into_iter().fold(f64::INFINITY, f64::min)
+        times.fold(f64::INFINITY, f64::min)
+    }
+
+    fn roles_in_use(&self, pool: &PoolKey) -> Vec<EngineRole> {
+        let targets = self.index.targets(pool).iter();
+        let reports = targets.filter_map(|t| self.fleet.targets.get(t)?.report.as_ref());
+        let mut roles: Vec<EngineRole> = reports.map(|r| r.role).collect();
+        roles.push(EngineRole::Mixed);
+        roles.sort_unstable();
+        roles.dedup();
+        roles
     }
 
     fn expected_output(&self, spec: &JobSpec) -> f64 {
--- a/src/settings_fields.rs
+++ b/src/settings_fields.rs
@@ -240,6 +240,7 @@
     speed("policy.speeds.prefill_tokens_per_s", 1.0, 10_000_000.0),
     speed("policy.speeds.token_base_ms", 0.001, 10_000.0),
     speed("policy.speeds.token_per_stream_ms", 0.0, 10_000.0),
+    speed("policy.speeds.prefill_step_ms", 0.0, 10_000.0),
     speed("policy.speeds.prefill_role_prefill", 0.01, 100.0),
     speed("policy.speeds.prefill_role_decode", 0.01, 100.0),
     speed("policy.speeds.decode_role_prefill", 0.01, 100.0),
