Keep long prompts on one side of a pool

Cause: with prompts being read on every engine, every answer is slow. Change: a pool is divided by the share of reading in the recent work; long prompts go to the first engines, everything else to the others; each side has its queue.

--- a/src/cost.rs
+++ b/src/cost.rs
@@ -146,6 +146,12 @@
         read_s.max(self.gap_seconds(target, role, others))
     }
 
+    /// Returns the seconds of a step in which a mixed engine also reads prompts.
+    #[must_use]
+    pub fn prefill_step_seconds(&self) -> f64 {
+        self.speeds.prefill_step_ms / 1_000.0
+    }
+
     /// Returns the engine-seconds that work takes from others on a mixed engine.
     #[must_use]
     pub fn engine_seconds(&self, prefill_tokens: f64, output_tokens: f64) -> f64 {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -86,6 +86,7 @@
 pub mod tool_run;
 pub mod tool_state;
 pub mod traffic;
+pub mod work_mix;
 
 /// The caller and operator interface, generated from `proto/pistachiowick.proto`.
 #[allow(clippy::all, clippy::pedantic, missing_docs)]
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -5,11 +5,12 @@
 use indexmap::IndexMap;
 use rand::Rng;
 use rand::rngs::SmallRng;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::cost::CostModel;
 use crate::fair_queue::JobNumber;
 use crate::fleet::{FleetView, LoadReport, TargetView, UseState};
-use crate::names::{CentreName, ModelName, MonoTime, ServiceName, TargetId};
+use crate::names::{ModelName, MonoTime, ServiceName, TargetId};
 use crate::platform_wire::InstanceKind;
 use crate::prefix_index::PrefixIndex;
 use crate::settings::{PlacementPolicy, PolicySettings};
@@ -97,22 +98,36 @@
     pub ended: Vec<(MonoTime, MonoTime)>,
 }
 
+/// Whether a request is mostly reading of its prompt or writing of its answer.
+///
+/// No stream of an engine gains a token while a long prompt is read. Kept apart, long
+/// prompts delay one another only, and answers flow at their full pace.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum WorkSide {
+    /// Long prompts.
+    Reading,
+    /// Everything else.
+    Writing,
+}
+
 /// Candidates by pool, rebuilt when the fleet's shape changes.
+///
+/// A pool is in the same order on every daemon: engines that read best first, those
+/// that write best last. The first engines are the reading side, so that all daemons
+/// draw nearly the same line without talking to one another.
 #[derive(Clone, Debug, Default)]
 pub struct CandidateIndex {
     pools: IndexMap<PoolKey, Vec<TargetId>>,
 }
 
 impl CandidateIndex {
-    /// Builds the index of a fleet, targets of the own data centre first.
+    /// Builds the index of a fleet.
     #[must_use]
-    pub fn build(fleet: &FleetView, centre: &CentreName) -> Self {
+    pub fn build(fleet: &FleetView) -> Self {
         let mut pools: IndexMap<PoolKey, Vec<TargetId>> = IndexMap::new();
-        let (near, far): (Vec<_>, Vec<_>) = fleet
-            .targets
-            .values()
-            .partition(|t| t.data_centre == *centre);
-        for target in near.into_iter().chain(far) {
+        let mut targets: Vec<&TargetView> = fleet.targets.values().collect();
+        targets.sort_by_cached_key(|t| (reading_rank(t), xxh3_64(t.id.as_str().as_bytes())));
+        for target in targets {
             for pool in pools_of(target) {
                 pools.entry(pool).or_default().push(target.id.clone());
             }
@@ -125,14 +140,39 @@
     pub fn targets(&self, pool: &PoolKey) -> &[TargetId] {
         self.pools.get(pool).map_or(&[], Vec::as_slice)
     }
+
+    /// Returns the targets of one side, where `reading_share` of the work is reading.
+    ///
+    /// A side is never empty while its work exists, nor is a pool of one divided.
+    #[must_use]
+    pub fn side(&self, pool: &PoolKey, side: WorkSide, reading_share: f64) -> &[TargetId] {
+        let targets = self.targets(pool);
+        if targets.len() < 2 || reading_share <= 0.0 || reading_share >= 1.0 {
+            return targets;
+        }
+        let wanted = (reading_share * targets.len() as f64).round() as usize;
+        let line = wanted.clamp(1, targets.len() - 1);
+        match side {
+            WorkSide::Reading => &targets[..line],
+            WorkSide::Writing => &targets[line..],
+        }
+    }
+}
+
+fn reading_rank(target: &TargetView) -> u8 {
+    match target.report.as_ref().map(|r| r.role) {
+        Some(EngineRole::Prefill) => 0,
+        Some(EngineRole::Mixed) | None => 1,
+        Some(EngineRole::Decode) => 2,
+    }
 }
 
 /// Everything a choice looks at.
 pub struct PlacementInputs<'a> {
     /// The fleet.
     pub fleet: &'a FleetView,
-    /// Candidates by pool.
-    pub index: &'a CandidateIndex,
+    /// Targets to choose from.
+    pub candidates: &'a [TargetId],
     /// Expected times.
     pub costs: &'a CostModel,
     /// Beliefs about caches.
@@ -194,13 +234,14 @@
     inputs: &PlacementInputs<'_>,
     rng: &mut SmallRng,
 ) -> Vec<TargetId> {
-    let pool = inputs.index.targets(&need.pool);
+    let pool = inputs.candidates;
     if pool.len() <= MOST_CANDIDATES {
         return pool.to_vec();
     }
     let mut drawn: Vec<TargetId> = Vec::with_capacity(MOST_CANDIDATES);
     let holders = inputs.prefixes.holders(&need.shared_prefix);
-    drawn.extend(holders.iter().map(|h| h.target.clone()));
+    let near = holders.iter().map(|h| &h.target);
+    drawn.extend(near.filter(|t| pool.contains(t)).cloned());
     while drawn.len() < MOST_CANDIDATES {
         drawn.push(pool[rng.random_range(0..pool.len())].clone());
     }
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -14,19 +14,22 @@
 use crate::fair_queue::{FairQueue, JobNumber, QueuedJob};
 use crate::fleet::UseState;
 use crate::invariants::{self, Invariant};
-use crate::names::{CentreName, ClassName, MonoTime, TargetId, WorkspaceName, millis};
+use crate::names::{ClassName, MonoTime, TargetId, WorkspaceName, millis};
 use crate::placement::{
     CandidateIndex, OwnWork, PlacementInputs, PlacementNeed, PoolKey, RunningJob, SharedFleet,
-    TargetChoice, choose_target,
+    TargetChoice, WorkSide, choose_target,
 };
 use crate::prefix_index::PrefixIndex;
-use crate::settings::{LimitSettings, PolicySettings};
+use crate::settings::{LimitSettings, PlacementPolicy, PolicySettings};
 use crate::target_wire::{CacheEvent, EngineRole};
+use crate::work_mix::WorkMix;
 
 /// Waiting requests looked at for one free target.
 const LOOK_AHEAD: usize = 8;
 /// Engine-seconds per unit of weight within which urgency decides before shares.
 const FAIR_QUANTUM_S: f64 = 1.0;
+/// Steps of reading from which a prompt counts as long.
+const READING_STEPS: f64 = 2.0;
 /// Shortest time after which a refused caller is asked to come back.
 const SHORTEST_RETRY: Duration = Duration::from_millis(100);
 /// Longest time after which a refused caller is asked to come back.
@@ -91,6 +94,13 @@
     pub whole_tokens: Option<u32>,
 }
 
+/// Requests that wait for the same targets.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct QueueKey {
+    pool: PoolKey,
+    side: WorkSide,
+}
+
 #[derive(Clone, Debug)]
 struct WaitingJob {
     spec: JobSpec,
@@ -113,8 +123,6 @@
     pub limits: LimitSettings,
     /// First guesses of engine speeds.
     pub speeds: SpeedSettings,
-    /// The daemon's own data centre.
-    pub centre: CentreName,
     /// Seed of the generator that draws candidates.
     pub seed: u64,
 }
@@ -123,13 +131,13 @@
 pub struct Scheduler {
     policy: PolicySettings,
     limits: LimitSettings,
-    centre: CentreName,
     fleet: SharedFleet,
     live_daemons: usize,
     index: CandidateIndex,
     costs: CostModel,
     prefixes: PrefixIndex,
-    queues: IndexMap<PoolKey, FairQueue>,
+    queues: IndexMap<QueueKey, FairQueue>,
+    mixes: IndexMap<PoolKey, WorkMix>,
     waiting: IndexMap<JobNumber, WaitingJob>,
     placed: IndexMap<JobNumber, PlacedJob>,
     own: IndexMap<TargetId, OwnWork>,
@@ -145,13 +153,13 @@
         Self {
             policy: inputs.policy,
             limits: inputs.limits,
-            centre: inputs.centre,
             fleet: SharedFleet::default(),
             live_daemons: 1,
             index: CandidateIndex::default(),
             costs: CostModel::new(inputs.speeds),
             prefixes: PrefixIndex::default(),
             queues: IndexMap::new(),
+            mixes: IndexMap::new(),
             waiting: IndexMap::new(),
             placed: IndexMap::new(),
             own: IndexMap::new(),
@@ -170,7 +178,7 @@
     ) -> Vec<ScheduleAction> {
         self.live_daemons = live_daemons.max(1);
         if fleet.version != self.fleet.version || self.fleet.targets.is_empty() {
-            self.index = CandidateIndex::build(&fleet, &self.centre);
+            self.index = CandidateIndex::build(&fleet);
             self.costs.retain_targets(|t| fleet.targets.contains_key(t));
             self.own
                 .retain(|t, o| fleet.targets.contains_key(t) || !o.running.is_empty());
@@ -197,11 +205,12 @@
         self.check_room(&spec)?;
         self.check_pool(&spec)?;
         let queued = self.queued_job(&spec);
+        self.note_mix(&spec, queued.cost, now);
         if self.policy.refuse_early {
             self.check_deadline(&spec, &queued, now)?;
         }
         let number = queued.number;
-        self.queue_of(&spec.need.pool).push(queued.clone());
+        self.queue_of(&spec.need).push(queued.clone());
         self.waiting.insert(number, WaitingJob { spec, queued });
         Ok(number)
     }
@@ -219,7 +228,7 @@
             number,
             ..self.queued_job(&spec)
         };
-        self.queue_of(&spec.need.pool).push(queued.clone());
+        self.queue_of(&spec.need).push(queued.clone());
         self.waiting.insert(number, WaitingJob { spec, queued });
     }
 
@@ -228,8 +237,7 @@
         let Some(waiting) = self.waiting.swap_remove(&number) else {
             return false;
         };
-        self.queue_of(&waiting.spec.need.pool)
-            .remove(&waiting.queued)
+        self.queue_of(&waiting.spec.need).remove(&waiting.queued)
     }
 
     /// Notes the end of a placed request and learns from it.
@@ -249,8 +257,8 @@
     /// Places what can be placed and gives up what can no longer be in time.
     pub fn pump(&mut self, now: MonoTime) -> Vec<ScheduleAction> {
         let mut actions = self.give_up_overdue(now);
-        for pool in self.queues.keys().cloned().collect::<Vec<_>>() {
-            while let Some(grant) = self.place_next(&pool, now) {
+        for key in self.queues.keys().cloned().collect::<Vec<_>>() {
+            while let Some(grant) = self.place_next(&key, now) {
                 actions.push(ScheduleAction::Start(grant));
             }
         }
@@ -350,21 +358,21 @@
     }
 
     fn expected_wait(&self, spec: &JobSpec) -> f64 {
-        let Some(queue) = self.queues.get(&spec.need.pool) else {
+        let key = self.queue_key(&spec.need);
+        let Some(queue) = self.queues.get(&key) else {
             return 0.0;
         };
         let before = queue.cost_before(&spec.workspace, spec.weight, spec.priority);
-        before / self.capacity(&spec.need.pool)
+        before / self.capacity(&key)
     }
 
     /// Engine-seconds per second that this daemon may count on.
-    fn capacity(&self, pool: &PoolKey) -> f64 {
-        let targets = self.index.targets(pool);
-        let live = targets.iter().filter(|t| {
+    fn capacity(&self, key: &QueueKey) -> f64 {
+        let live = self.candidates(key).iter().filter(|t| {
             let target = self.fleet.targets.get(*t);
             target.is_some_and(|t| t.state == UseState::Live)
         });
-        let each = match pool {
+        let each = match &key.pool {
             PoolKey::Model(_) => 1.0,
             PoolKey::Service(_) => self.policy.service_in_flight as f64,
         };
@@ -438,10 +446,11 @@
             .is_some_and(|w| w.spec.deadline < now)
     }
 
-    fn place_next(&mut self, pool: &PoolKey, now: MonoTime) -> Option<JobGrant> {
+    fn place_next(&mut self, key: &QueueKey, now: MonoTime) -> Option<JobGrant> {
+        let share = self.reading_share(&key.pool);
         let inputs = PlacementInputs {
             fleet: &self.fleet,
-            index: &self.index,
+            candidates: self.index.side(&key.pool, key.side, share),
             costs: &self.costs,
             prefixes: &self.prefixes,
             own: &self.own,
@@ -449,7 +458,7 @@
             live_daemons: self.live_daemons,
             now,
         };
-        let queue = self.queues.get_mut(pool)?;
+        let queue = self.queues.get_mut(key)?;
         let (waiting, turn, rng) = (&self.waiting, &mut self.turn, &mut self.rng);
         let mut choice = None;
         let job = queue.take_first(LOOK_AHEAD, |job| {
@@ -514,13 +523,49 @@
         }
     }
 
-    fn queue_of(&mut self, pool: &PoolKey) -> &mut FairQueue {
+    fn queue_of(&mut self, need: &PlacementNeed) -> &mut FairQueue {
         let fair = self.policy.fair_shares;
+        let key = self.queue_key(need);
         self.queues
-            .entry(pool.clone())
+            .entry(key)
             .or_insert_with(|| FairQueue::new(FAIR_QUANTUM_S, fair))
     }
 
+    fn queue_key(&self, need: &PlacementNeed) -> QueueKey {
+        let step_s = self.costs.prefill_step_seconds();
+        let uncached = need.prompt_tokens - f64::from(need.shared_prefix_tokens);
+        let read_s = self.costs.engine_seconds(uncached, 0.0);
+        let long = read_s > READING_STEPS * step_s;
+        let side = if long && self.divides_work() {
+            WorkSide::Reading
+        } else {
+            WorkSide::Writing
+        };
+        QueueKey {
+            pool: need.pool.clone(),
+            side,
+        }
+    }
+
+    fn divides_work(&self) -> bool {
+        self.policy.placement == PlacementPolicy::Estimate
+    }
+
+    fn note_mix(&mut self, spec: &JobSpec, cost: f64, now: MonoTime) {
+        let side = self.queue_key(&spec.need).side;
+        let mix = self.mixes.entry(spec.need.pool.clone()).or_default();
+        mix.add(side, cost, now);
+    }
+
+    fn reading_share(&self, pool: &PoolKey) -> f64 {
+        self.mixes.get(pool).map_or(0.0, WorkMix::reading_share)
+    }
+
+    fn candidates(&self, key: &QueueKey) -> &[TargetId] {
+        let share = self.reading_share(&key.pool);
+        self.index.side(&key.pool, key.side, share)
+    }
+
     fn refusal(&self, reason: String, after_s: f64) -> JobRefusal {
         let after = Duration::from_secs_f64(after_s.max(0.0));
         JobRefusal {
--- a/src/server.rs
+++ b/src/server.rs
@@ -195,7 +195,6 @@
         policy: settings.policy.clone(),
         limits: settings.limits.clone(),
         speeds: settings.policy.speeds.clone(),
-        centre: settings.data_centre.clone(),
         seed: incarnation.0,
     });
     let intents = IntentStore::new(&StoreInputs {
