Place only what is expected to end in time, and refuse by the pace seen

Cause: 32 streams on an engine with prompts in between need longer than the deadline for each answer, so all of them expired and their work was lost; the queue was let grow until its head was just too late. Ruled out: a lower fixed limit of streams (right for one class only). Change: a target is taken only where the answer is expected before the deadline; admission measures the pace of its queue while busy and allows half the slack.

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -1,6 +1,7 @@
 //! Chooses a target for one request from a bounded number of candidates.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use rand::Rng;
@@ -20,6 +21,8 @@
 const MOST_CANDIDATES: usize = 16;
 /// Age from which a load report says nothing any more, in milliseconds.
 const REPORT_USELESS_MS: u64 = 10_000;
+/// Factor on the expected time to the whole answer before it counts as in time.
+const FINISH_MARGIN: f64 = 1.15;
 /// Prefill work an engine may have waiting before requests wait here instead,
 /// where shares and deadlines still order them.
 const MOST_PREFILL_WAIT_S: f64 = 0.4;
@@ -48,6 +51,8 @@
     pub prompt_tokens: f64,
     /// Output tokens still expected.
     pub output_tokens: f64,
+    /// When the answer must be whole to be worth placing; `None` places it at any time.
+    pub due: Option<MonoTime>,
     /// Shared part of the prompt; empty for none.
     pub shared_prefix: String,
     /// Tokens of the shared part.
@@ -313,6 +318,9 @@
     let first_token_s = backlog_s + read_s;
     let finish_s = first_token_s + need.output_tokens * gap_s;
     let delay_s = load.in_flight * read_s;
+    if !in_time(need, finish_s, inputs.now) {
+        return None;
+    }
     let choice = TargetChoice {
         target: target.id.clone(),
         address: target.address.clone(),
@@ -336,6 +344,16 @@
     Some((load.in_flight, choice))
 }
 
+/// Tells whether the answer is expected in time, with a margin for what is unknown.
+///
+/// A stream placed where it cannot end in time slows the others down until they miss
+/// their deadlines too; held back, it finds a less busy engine or is refused.
+fn in_time(need: &PlacementNeed, finish_s: f64, now: MonoTime) -> bool {
+    let margin_s = finish_s * FINISH_MARGIN;
+    let ends_at = now.plus(Duration::from_secs_f64(margin_s));
+    need.due.is_none_or(|due| ends_at <= due)
+}
+
 /// Seconds between tokens, over the times in which the engine reads prompts and those
 /// in which it does not.
 fn mean_gap(
--- a/src/request.rs
+++ b/src/request.rs
@@ -149,6 +149,7 @@
                 pinned_model: None,
                 prompt_tokens: f64::from(self.submit.prompt_tokens),
                 output_tokens: f64::from(self.submit.max_output_tokens),
+                due: None,
                 shared_prefix: self.submit.shared_prefix.clone(),
                 shared_prefix_tokens: self.submit.shared_prefix_tokens,
                 excluded: Vec::new(),
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -22,14 +22,19 @@
 use crate::prefix_index::PrefixIndex;
 use crate::settings::{LimitSettings, PlacementPolicy, PolicySettings};
 use crate::target_wire::{CacheEvent, EngineRole};
-use crate::work_mix::WorkMix;
+use crate::work_mix::{PlacedPace, WorkMix};
 
 /// Waiting requests looked at for one free target.
-const LOOK_AHEAD: usize = 8;
+const LOOK_AHEAD: usize = 16;
 /// Engine-seconds per unit of weight within which urgency decides before shares.
 const FAIR_QUANTUM_S: f64 = 1.0;
 /// Steps of reading from which a prompt counts as long.
 const READING_STEPS: f64 = 2.0;
+/// Factor on the expected wait before a deadline counts as kept: a queue that is let
+/// grow to the very deadline serves everything a moment too late.
+const WAIT_MARGIN: f64 = 2.0;
+/// Least pace assumed, as a share of what the targets could give.
+const LEAST_PACE: f64 = 0.1;
 /// Shortest time after which a refused caller is asked to come back.
 const SHORTEST_RETRY: Duration = Duration::from_millis(100);
 /// Longest time after which a refused caller is asked to come back.
@@ -138,6 +143,7 @@
     prefixes: PrefixIndex,
     queues: IndexMap<QueueKey, FairQueue>,
     mixes: IndexMap<PoolKey, WorkMix>,
+    paces: IndexMap<QueueKey, PlacedPace>,
     waiting: IndexMap<JobNumber, WaitingJob>,
     placed: IndexMap<JobNumber, PlacedJob>,
     own: IndexMap<TargetId, OwnWork>,
@@ -160,6 +166,7 @@
             prefixes: PrefixIndex::default(),
             queues: IndexMap::new(),
             mixes: IndexMap::new(),
+            paces: IndexMap::new(),
             waiting: IndexMap::new(),
             placed: IndexMap::new(),
             own: IndexMap::new(),
@@ -201,7 +208,9 @@
     ///
     /// Returns the refusal when the queue is full, no target offers the work, or the
     /// deadline cannot be met.
-    pub fn admit(&mut self, spec: JobSpec, now: MonoTime) -> Result<JobNumber, JobRefusal> {
+    pub fn admit(&mut self, mut spec: JobSpec, now: MonoTime) -> Result<JobNumber, JobRefusal> {
+        spec.need.due = self.policy.refuse_early.then_some(spec.deadline);
+        spec.need.output_tokens = self.expected_output(&spec);
         self.check_room(&spec)?;
         self.check_pool(&spec)?;
         let queued = self.queued_job(&spec);
@@ -261,6 +270,9 @@
             while let Some(grant) = self.place_next(&key, now) {
                 actions.push(ScheduleAction::Start(grant));
             }
+            let waits = self.queues.get(&key).is_some_and(|q| !q.is_empty());
+            let pace = self.paces.entry(key).or_default();
+            pace.note_waiting(waits, now);
         }
         actions
     }
@@ -345,7 +357,7 @@
         queued: &QueuedJob,
         now: MonoTime,
     ) -> Result<(), JobRefusal> {
-        let wait_s = self.expected_wait(spec);
+        let wait_s = self.expected_wait(spec, now) * WAIT_MARGIN;
         let ready_at = now.plus(Duration::from_secs_f64(wait_s));
         if ready_at <= queued.latest_start {
             return Ok(());
@@ -357,16 +369,24 @@
         Err(self.refusal(reason, late_s))
     }
 
-    fn expected_wait(&self, spec: &JobSpec) -> f64 {
+    fn expected_wait(&self, spec: &JobSpec, now: MonoTime) -> f64 {
         let key = self.queue_key(&spec.need);
         let Some(queue) = self.queues.get(&key) else {
             return 0.0;
         };
         let before = queue.cost_before(&spec.workspace, spec.weight, spec.priority);
-        before / self.capacity(&key)
+        before / self.pace(&key, now)
     }
 
-    /// Engine-seconds per second that this daemon may count on.
+    /// Engine-seconds per second at which a queue is served: as seen while it was busy,
+    /// else as many as its targets could give.
+    fn pace(&self, key: &QueueKey, now: MonoTime) -> f64 {
+        let capacity = self.capacity(key);
+        let seen = self.paces.get(key).and_then(|p| p.rate(now));
+        seen.map_or(capacity, |rate| rate.clamp(capacity * LEAST_PACE, capacity))
+    }
+
+    /// Engine-seconds per second that this daemon's share of the targets could give.
     fn capacity(&self, key: &QueueKey) -> f64 {
         let live = self.candidates(key).iter().filter(|t| {
             let target = self.fleet.targets.get(*t);
@@ -466,6 +486,10 @@
             choice = choose_target(&spec.need, &inputs, turn, rng);
             choice.is_some()
         })?;
+        self.paces
+            .entry(key.clone())
+            .or_default()
+            .add(job.cost, now);
         Some(self.place(&job, choice?, now))
     }
 
--- a/src/work_mix.rs
+++ b/src/work_mix.rs
@@ -9,6 +9,48 @@
 /// the mix swings, long against the gaps between requests.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 
+/// Decayed cost of what was placed, from which the pace of a queue is read.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PlacedPace {
+    placed: f64,
+    at: MonoTime,
+    busy_since: Option<MonoTime>,
+}
+
+impl PlacedPace {
+    /// Adds placed work of some engine-seconds.
+    pub fn add(&mut self, cost: f64, now: MonoTime) {
+        self.placed = self.placed * decay_since(self.at, now) + cost;
+        self.at = now;
+    }
+
+    /// Notes whether anything waits.
+    pub fn note_waiting(&mut self, waits: bool, now: MonoTime) {
+        if !waits {
+            self.busy_since = None;
+        } else if self.busy_since.is_none() {
+            self.busy_since = Some(now);
+        }
+    }
+
+    /// Returns the engine-seconds placed per second while work waited; `None` before it
+    /// has waited long enough to tell.
+    #[must_use]
+    pub fn rate(&self, now: MonoTime) -> Option<f64> {
+        let busy = now.since(self.busy_since?);
+        if busy < HALF_LIFE {
+            return None;
+        }
+        let placed = self.placed * decay_since(self.at, now);
+        Some(placed * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64())
+    }
+}
+
+fn decay_since(at: MonoTime, now: MonoTime) -> f64 {
+    let halves = now.since(at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+    0.5_f64.powf(halves)
+}
+
 /// Decayed cost of recent work by side.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct WorkMix {
@@ -39,8 +81,7 @@
     }
 
     fn decay(&mut self, now: MonoTime) {
-        let halves = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        let left = 0.5_f64.powf(halves);
+        let left = decay_since(self.at, now);
         self.reading *= left;
         self.writing *= left;
         self.at = now;
