--- a/src/tool_keys.rs
+++ b/src/tool_keys.rs
@@ -7,8 +7,8 @@
 use rand::TryRngCore;
 use rand::rngs::OsRng;
 use serde_json::json;
-use sha2::{Digest, Sha256};
 
+use crate::access::{SecretKey, key_hash};
 use crate::tool_flags::ToolCall;
 use crate::tool_run::{ToolError, print_json, print_text};
 
@@ -25,7 +25,7 @@
 /// Returns an error when the system gives no randomness or the result cannot be printed.
 pub fn print_key(call: &ToolCall) -> Result<(), ToolError> {
     let key = random_text(KEY_BYTES)?;
-    let hash = key_hash(&key);
+    let hash = key_hash(&SecretKey::new(&key));
     if call.has("json") {
         print_json(&json!({ "key": key, "hash": hash }))?;
     } else {
@@ -43,13 +43,6 @@
     random_text(REQUEST_KEY_BYTES)
 }
 
-/// Returns the hash of a key as the configuration holds it: SHA-256 in hexadecimal.
-#[must_use]
-pub fn key_hash(key: &str) -> String {
-    let digest = Sha256::digest(key.as_bytes());
-    digest.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 fn random_text(length: usize) -> Result<String, ToolError> {
     let mut bytes = vec![0; length];
     let filled = OsRng.try_fill_bytes(&mut bytes);
--- a/tests/settings_process.rs
+++ b/tests/settings_process.rs
@@ -1,29 +1,14 @@
 //! The daemon's binary: exit codes, announced addresses, health pages, logs and stopping.
 
-use std::io::{BufRead, BufReader, Read, Write};
-use std::process::{Child, ChildStderr, Command, Output, Stdio};
+mod process_env;
 
+use std::io::{Read, Write};
+use std::process::{Output, Stdio};
+
+use process_env::{RunningDaemon, SECRET, daemon, document};
 use rstest::rstest;
 use serde_json::{Value, json};
 
-const SECRET: &str = "token-secret-of-the-test-0123456789abcdef";
-
-fn daemon() -> Command {
-    Command::new(env!("CARGO_BIN_EXE_pistachiowickd"))
-}
-
-fn document() -> Value {
-    json!({
-        "daemon_id": "entry-1",
-        "data_centre": "hala-racice",
-        "listen": { "rpc": "127.0.0.1:0", "admin": "127.0.0.1:0", "peer": "127.0.0.1:0" },
-        // Nobody listens there: the daemon starts, and stays unready.
-        "platform": { "address": "http://127.0.0.1:1" },
-        "access": { "operator_key_hashes": [], "token_secrets": [SECRET] },
-        "shutdown": { "keep_ms": 50 }
-    })
-}
-
 fn run_with_input(arguments: &[&str], input: &str) -> Output {
     let mut child = daemon()
         .args(arguments)
@@ -81,66 +66,18 @@
     assert!(err.contains("listen.rpc"), "{err}");
 }
 
-struct RunningDaemon {
-    child: Child,
-    addresses: Value,
-    stderr: ChildStderr,
-}
-
-impl RunningDaemon {
-    fn start(settings: &Value) -> Self {
-        let mut child = daemon()
-            .args(["-s", "-"])
-            .stdin(Stdio::piped())
-            .stdout(Stdio::piped())
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("the binary is built");
-        let mut stdin = child.stdin.take().expect("it is piped");
-        stdin
-            .write_all(settings.to_string().as_bytes())
-            .expect("it reads");
-        drop(stdin);
-        let mut line = String::new();
-        let stdout = child.stdout.take().expect("it is piped");
-        BufReader::new(stdout)
-            .read_line(&mut line)
-            .expect("it announces itself");
-        let addresses = serde_json::from_str(&line).expect("one line of JSON");
-        let stderr = child.stderr.take().expect("it is piped");
-        Self {
-            child,
-            addresses,
-            stderr,
-        }
-    }
-
-    fn page(&self, path: &str) -> (u16, String) {
-        let admin = self.addresses["admin"].as_str().expect("an address");
-        let mut stream = std::net::TcpStream::connect(admin).expect("it listens");
-        write!(
-            stream,
-            "GET {path} HTTP/1.1\r\nhost: {admin}\r\nconnection: close\r\n\r\n"
-        )
-        .expect("it reads");
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).expect("it answers");
-        let status = answer.split(' ').nth(1).and_then(|code| code.parse().ok());
-        (status.expect("a status line"), answer)
-    }
-
-    /// Sends a signal, waits for the end and returns the exit code and the log.
-    fn stop(mut self, signal: &str) -> (Option<i32>, String) {
-        let id = self.child.id().to_string();
-        let sent = Command::new("kill").args([signal, &id]).status();
-        assert!(sent.expect("kill exists").success());
-        let code = self.child.wait().expect("it ends").code();
-        let mut log = String::new();
-        self.stderr
-            .read_to_string(&mut log)
-            .expect("the log is text");
-        (code, log)
-    }
+fn page(running: &RunningDaemon, path: &str) -> (u16, String) {
+    let admin = running.addresses["admin"].as_str().expect("an address");
+    let mut stream = std::net::TcpStream::connect(admin).expect("it listens");
+    write!(
+        stream,
+        "GET {path} HTTP/1.1\r\nhost: {admin}\r\nconnection: close\r\n\r\n"
+    )
+    .expect("it reads");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("it answers");
+    let status = answer.split(' ').nth(1).and_then(|code| code.parse().ok());
+    (status.expect("a status line"), answer)
 }
 
 #[rstest]
@@ -152,14 +89,14 @@
         let address = running.addresses[port].as_str().expect("an address");
         assert!(!address.ends_with(":0"), "{address}");
     }
-    assert_eq!(running.page("/live").0, 200);
-    let (status, answer) = running.page("/ready");
+    assert_eq!(page(&running, "/live").0, 200);
+    let (status, answer) = page(&running, "/ready");
     assert_eq!(status, 503);
     assert!(answer.contains("no whole configuration"), "{answer}");
-    let (status, answer) = running.page("/metrics");
+    let (status, answer) = page(&running, "/metrics");
     assert_eq!(status, 200);
     assert!(answer.contains("# TYPE pistachiowick_"), "{answer}");
-    assert_eq!(running.page("/nothing-here").0, 404);
+    assert_eq!(page(&running, "/nothing-here").0, 404);
     let (code, log) = running.stop(signal);
     assert_eq!(code, Some(0), "{log}");
     for line in log.lines() {
--- a/tests/tool_usage.rs
+++ b/tests/tool_usage.rs
@@ -2,6 +2,7 @@
 
 use std::process::{Command, Output};
 
+use pistachiowick::access::{SecretKey, key_hash};
 use rstest::rstest;
 use serde_json::Value;
 
@@ -104,7 +105,7 @@
     for key in &keys {
         let text = key["key"].as_str().expect("text");
         assert!(text.len() >= 32, "the key can be guessed");
-        let hash = pistachiowick::tool_keys::key_hash(text);
+        let hash = key_hash(&SecretKey::new(text));
         assert_eq!(key["hash"], Value::from(hash));
     }
 }
@@ -112,5 +113,5 @@
 #[test]
 fn a_key_hash_is_sha_256_in_hexadecimal() {
     let known = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad";
-    assert_eq!(pistachiowick::tool_keys::key_hash("abc"), known);
+    assert_eq!(key_hash(&SecretKey::new("abc")), known);
 }
