Add a randomised run of daemons under faults

Cause: the promises were tested one by one; nothing compared, over many faults at once, what callers are told with what engines and services did. Change: pistachiowick-lab prove draws faults from a seed, drives callers who resume, cancel, hang up and ask keys again, lets operators race, and judges the books at the end. Services book each run with its request, engines the digest of each prompt and the order under way when another one comes.

--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -17,6 +17,7 @@
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::answers::{AnswerText, TOKEN_BYTES};
 use crate::chance::ChanceSource;
@@ -331,6 +332,7 @@
         let highest = inner.highest_fence;
         let is_old = order.mark.fence < highest;
         let obeyed = !(is_old && self.options.checks_fence);
+        let outstanding = inner.outstanding(order);
         inner.books.orders.push(OrderBook {
             id: order.mark.id.clone(),
             fence: order.mark.fence,
@@ -339,6 +341,7 @@
             role: order.role,
             models: order.models.clone(),
             at_ms: unix_now().0,
+            outstanding,
             obeyed,
         });
         if !obeyed {
@@ -505,6 +508,7 @@
                 request_id: name.request_id.clone(),
                 attempt: name.attempt,
                 workspace: body.workspace.clone(),
+                prompt_digest: prompt_digest(body.prompt.as_bytes()),
                 started_at_ms: unix_now().0,
                 offset: body.offset,
                 bytes_generated: 0,
@@ -516,6 +520,13 @@
         cell
     }
 
+    /// Returns the order under way, when another one comes that asks for another state.
+    fn outstanding(&self, order: &OrderBody) -> Option<OrderMark> {
+        let desired = self.desired.as_ref()?;
+        let differs = desired.role != order.role || desired.models != order.models;
+        self.last_order.clone().filter(|_| differs)
+    }
+
     fn obey(&mut self, order: &OrderBody) {
         self.last_order = Some(order.mark.clone());
         let wanted = DesiredState {
@@ -618,6 +629,12 @@
     model == body.model.as_str() && has_version && adapter == body.adapter
 }
 
+/// Returns the digest of a prompt, as sent, under which its streams are booked.
+#[must_use]
+pub fn prompt_digest(encoded: &[u8]) -> u64 {
+    xxh3_64(encoded)
+}
+
 fn book_key(request_id: &str, attempt: u32) -> String {
     format!("{request_id}/{attempt}")
 }
--- a/lab/src/engine_books.rs
+++ b/lab/src/engine_books.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 use pistachiowick::names::{FenceNumber, GroupName, WorkspaceName};
-use pistachiowick::target_wire::EngineRole;
+use pistachiowick::target_wire::{EngineRole, OrderMark};
 use serde::{Deserialize, Serialize};
 
 /// One attempt of one request.
@@ -14,6 +14,8 @@
     pub attempt: u32,
     /// Workspace that pays.
     pub workspace: WorkspaceName,
+    /// Digest of the prompt, which tells a request apart whatever its id.
+    pub prompt_digest: u64,
     /// Unix time of the start in milliseconds.
     pub started_at_ms: u64,
     /// Offset asked for.
@@ -45,6 +47,8 @@
     pub models: Vec<String>,
     /// Unix time of the order in milliseconds.
     pub at_ms: u64,
+    /// Order still being carried out when this one came, with its fence.
+    pub outstanding: Option<OrderMark>,
     /// Whether it was obeyed.
     pub obeyed: bool,
 }
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -6,9 +6,8 @@
 use eyre::{Context, Result, ensure};
 use futures_util::future::join_all;
 use pistachiowick::clock::unix_now;
-use pistachiowick::pb::answer_event::Event;
 use pistachiowick::pb::requests_client::RequestsClient;
-use pistachiowick::pb::{AnswerEvent, Final, Outcome, ResumeRequest, SubmitRequest};
+use pistachiowick::pb::{AnswerEvent, ResumeRequest, SubmitRequest};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
@@ -18,7 +17,8 @@
 use tonic::{Request, Streaming};
 
 use crate::answers::{expected_answer, service_answer};
-use crate::load_tally::{LoadTally, RequestEnd, RequestReport};
+use crate::load_check::AnswerCheck;
+use crate::load_tally::{LoadTally, RequestReport};
 
 /// Added to a deadline before a request counts as lost.
 const LOST_AFTER: Duration = Duration::from_secs(5);
@@ -312,78 +312,6 @@
         .collect()
 }
 
-/// What has been received of one answer.
-struct AnswerCheck {
-    expected: Vec<u8>,
-    position: usize,
-    token: String,
-    first: Option<Duration>,
-    is_wrong: bool,
-    is_doubled: bool,
-    last: Option<Final>,
-}
-
-impl AnswerCheck {
-    fn take(&mut self, event: AnswerEvent, since: Instant) {
-        // Nothing may follow the final answer.
-        if self.last.is_some() {
-            self.is_doubled = true;
-            return;
-        }
-        match event.event {
-            Some(Event::Accepted(accepted)) => self.token = accepted.resume_token,
-            Some(Event::Chunk(chunk)) => {
-                self.first.get_or_insert_with(|| since.elapsed());
-                self.take_bytes(chunk.offset, &chunk.data);
-            }
-            Some(Event::Final(last)) => self.last = Some(last),
-            None => self.is_wrong = true,
-        }
-    }
-
-    fn take_bytes(&mut self, offset: u64, data: &[u8]) {
-        let offset = usize::try_from(offset).unwrap_or(usize::MAX);
-        if offset < self.position {
-            self.is_doubled = true;
-            return;
-        }
-        let end = offset.saturating_add(data.len());
-        let is_right = offset == self.position && self.expected.get(offset..end) == Some(data);
-        self.is_wrong |= !is_right;
-        self.position = end;
-    }
-
-    fn report(&self, resumes: u32, total: Duration, deadline: Duration) -> RequestReport {
-        let end = self.last.as_ref().map_or(RequestEnd::Lost, end_of);
-        let is_answered = end == RequestEnd::Answered;
-        let told = self.last.as_ref().map_or(0, |last| last.length);
-        let whole = self.expected.len();
-        let is_short = is_answered && self.position < whole;
-        let has_wrong_length = is_answered && told != whole as u64;
-        RequestReport {
-            end,
-            is_wrong: self.is_wrong || has_wrong_length,
-            is_short,
-            is_doubled: self.is_doubled,
-            resumes,
-            first: self.first,
-            total,
-            deadline,
-        }
-    }
-}
-
-fn end_of(last: &Final) -> RequestEnd {
-    match last.outcome() {
-        Outcome::Answered => RequestEnd::Answered,
-        Outcome::RefusedNotRun => RequestEnd::Refused,
-        Outcome::Unknown => RequestEnd::Unknown,
-        Outcome::Cancelled => RequestEnd::Cancelled,
-        Outcome::Expired => RequestEnd::Expired,
-        Outcome::Unspecified => RequestEnd::Lost,
-    }
-}
-
 async fn run_request(
     clients: &[RequestsClient<Channel>],
     index: usize,
@@ -391,15 +319,7 @@
 ) -> RequestReport {
     let begun = Instant::now();
     let deadline = Duration::from_millis(u64::from(request.submit.deadline_ms));
-    let mut check = AnswerCheck {
-        expected: request.expected,
-        position: 0,
-        token: String::new(),
-        first: None,
-        is_wrong: false,
-        is_doubled: false,
-        last: None,
-    };
+    let mut check = AnswerCheck::new(request.expected);
     let mut resumes = 0;
     let mut submit = request.submit;
     submit.key_minted_at_ms = unix_now().0;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,13 +1,17 @@
 //! `pistachiowick-lab`: runs one stand-in as a process, or a load.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
-use eyre::{Context, Result, bail};
+use eyre::{Context, Result, bail, ensure, eyre};
 use getopts::{Matches, Options};
 use pistachiowick::ports::PortFuture;
 use pistachiowick_lab::engine::EngineStandIn;
 use pistachiowick_lab::load::run_load;
 use pistachiowick_lab::platform::PlatformStandIn;
+use pistachiowick_lab::prove::prove;
+use pistachiowick_lab::prove_plants::PlantedMistake;
+use pistachiowick_lab::prove_setup::ProveOptions;
 use pistachiowick_lab::quickstart::run_quickstart;
 use pistachiowick_lab::service::ServiceStandIn;
 use pistachiowick_lab::weight_store::WeightStandIn;
@@ -28,6 +32,11 @@
         about: "run the main job on a deployment within this process",
         run: |matches| Box::pin(quickstart(matches)),
     },
+    LabCommand {
+        name: "prove",
+        about: "run daemons under faults drawn from a seed and judge what callers were told",
+        run: |matches| Box::pin(run_proof(matches)),
+    },
     LabCommand {
         name: "platform",
         about: "run a stand-in for the platform's object service and instance list",
@@ -96,6 +105,26 @@
     options.optopt("o", "options", "JSON file; without it, defaults", "FILE");
     options.optopt("a", "address", "IP number and port to listen at", "IP:PORT");
     options.optopt("", "seed", "seed of all random choices; 1 without it", "N");
+    options.optopt(
+        "",
+        "seconds",
+        "length of a randomised run; 20 without it",
+        "S",
+    );
+    options.optflag("", "processes", "run daemons as processes of their own");
+    options.optopt(
+        "",
+        "daemon",
+        "program of the daemon; found beside this one",
+        "PATH",
+    );
+    options.optflag("", "json-only", "print nothing but the last line");
+    options.optopt(
+        "",
+        "plant",
+        "plant a mistake that the verdict must find",
+        "NAME",
+    );
     options.optflag("p", "print-options", "print the options in force and exit");
     options.optflag("h", "help", "print this text");
     let matches = options.parse(arguments)?;
@@ -150,6 +179,45 @@
     run_quickstart(seed).await
 }
 
+async fn run_proof(matches: Matches) -> Result<()> {
+    let defaults = ProveOptions::default();
+    let plant = match matches.opt_str("plant") {
+        None => None,
+        Some(name) => {
+            let names = PlantedMistake::ALL.map(PlantedMistake::as_str).join(", ");
+            let plant = PlantedMistake::from_name(&name);
+            Some(plant.ok_or_else(|| eyre!("no mistake {name:?} is known; plant {names}"))?)
+        }
+    };
+    let runs_processes = matches.opt_present("processes") || matches.opt_present("daemon");
+    let options = ProveOptions {
+        seed: matches.opt_get_default("seed", defaults.seed)?,
+        seconds: matches.opt_get_default("seconds", defaults.seconds)?,
+        daemon_program: runs_processes
+            .then(|| daemon_program(&matches))
+            .transpose()?,
+        prints_faults: !matches.opt_present("json-only"),
+        plant,
+        ..defaults
+    };
+    prove(&options).await
+}
+
+/// Returns the daemon's program: the one named, or the one beside this program.
+fn daemon_program(matches: &Matches) -> Result<PathBuf> {
+    if let Some(path) = matches.opt_str("daemon") {
+        return Ok(PathBuf::from(path));
+    }
+    let own = std::env::current_exe().wrap_err("cannot tell where this program is")?;
+    let program = own.with_file_name("pistachiowickd");
+    ensure!(
+        program.exists(),
+        "no {}; build it with cargo build --bins, or name it with --daemon PATH",
+        program.display()
+    );
+    Ok(program)
+}
+
 async fn run_platform(matches: Matches) -> Result<()> {
     let mut options: pistachiowick_lab::platform::PlatformOptions = read_options(&matches)?;
     set_address(&matches, &mut options.address);
--- /dev/null
+++ b/lab/src/prove_daemon.rs
@@ -0,0 +1,189 @@
+//! A daemon under test: within this process on a runtime of its own, or as a process.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::{Context, ContextCompat, Result, ensure};
+use pistachiowick::server::{RunningDaemon, start_daemon};
+use pistachiowick::settings::DaemonSettings;
+use pistachiowick::traffic::TrafficContext;
+use serde::Deserialize;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::runtime::{Builder, Runtime};
+
+/// Threads of a daemon within this process.
+const WORKERS: usize = 2;
+
+/// Longest wait for a process to tell its addresses.
+const START_WAIT: Duration = Duration::from_secs(10);
+
+/// Addresses a daemon listens on, as its first line of output.
+#[derive(Clone, Debug, Deserialize)]
+pub struct DaemonAddresses {
+    /// Callers and operators.
+    pub rpc: SocketAddr,
+    /// Health and metrics.
+    pub admin: SocketAddr,
+    /// Other daemons.
+    pub peer: SocketAddr,
+}
+
+/// A running daemon under test.
+pub struct DaemonHost {
+    /// Where it listens.
+    pub addresses: DaemonAddresses,
+    kind: HostKind,
+}
+
+enum HostKind {
+    Inside(InsideDaemon),
+    Process(Box<Child>),
+}
+
+/// A daemon in this process. Its runtime is its own, so that ending the runtime ends
+/// every task of the daemon in the middle of what it does, as a kill would.
+struct InsideDaemon {
+    runtime: Option<Runtime>,
+    daemon: Option<RunningDaemon>,
+}
+
+impl Drop for InsideDaemon {
+    fn drop(&mut self) {
+        if let Some(daemon) = self.daemon.take() {
+            daemon.kill();
+        }
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl DaemonHost {
+    /// Starts a daemon within this process.
+    ///
+    /// # Errors
+    ///
+    /// Returns what kept it from starting.
+    pub async fn start_inside(settings: DaemonSettings) -> Result<Self> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(WORKERS)
+            .enable_all()
+            .build()?;
+        let daemon = runtime.spawn(start_daemon(settings)).await;
+        let mut inside = InsideDaemon {
+            runtime: Some(runtime),
+            daemon: None,
+        };
+        let daemon = daemon.wrap_err("a daemon's start panicked")??;
+        let addresses = DaemonAddresses {
+            rpc: daemon.rpc,
+            admin: daemon.admin,
+            peer: daemon.peer,
+        };
+        inside.daemon = Some(daemon);
+        Ok(Self {
+            addresses,
+            kind: HostKind::Inside(inside),
+        })
+    }
+
+    /// Starts a daemon as a process.
+    ///
+    /// # Errors
+    ///
+    /// Returns what kept it from starting, or from telling its addresses.
+    pub async fn start_process(program: &Path, settings: &DaemonSettings) -> Result<Self> {
+        let mut child = Command::new(program)
+            .args(["--settings", "-"])
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::inherit())
+            .kill_on_drop(true)
+            .spawn()
+            .wrap_err_with(|| {
+                format!("cannot start {}; name it with --daemon", program.display())
+            })?;
+        let mut input = child.stdin.take().wrap_err("no standard input")?;
+        input.write_all(&serde_json::to_vec(settings)?).await?;
+        drop(input);
+        let output = child.stdout.take().wrap_err("no standard output")?;
+        let mut lines = BufReader::new(output).lines();
+        let line = tokio::time::timeout(START_WAIT, lines.next_line()).await;
+        let line = line.wrap_err("a daemon told no addresses in time")??;
+        let line = line.wrap_err("a daemon ended before it told its addresses")?;
+        Ok(Self {
+            addresses: serde_json::from_str(&line)?,
+            kind: HostKind::Process(Box::new(child)),
+        })
+    }
+
+    /// Returns what the daemon's parts share, for one within this process.
+    #[must_use]
+    pub fn context(&self) -> Option<&Arc<TrafficContext>> {
+        match &self.kind {
+            HostKind::Inside(inside) => inside.daemon.as_ref().map(RunningDaemon::context),
+            HostKind::Process(_) => None,
+        }
+    }
+
+    /// Ends it at once, in the middle of what it does.
+    pub async fn kill(self) {
+        match self.kind {
+            HostKind::Inside(inside) => drop(inside),
+            HostKind::Process(mut child) => {
+                // An error means that it has ended already.
+                let _ = child.kill().await;
+            }
+        }
+    }
+
+    /// Stops it as planned and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a process does not end as asked.
+    pub async fn stop(self) -> Result<()> {
+        match self.kind {
+            HostKind::Inside(mut inside) => {
+                let (Some(daemon), Some(runtime)) = (inside.daemon.take(), &inside.runtime) else {
+                    return Ok(());
+                };
+                runtime.spawn(daemon.stop()).await?;
+            }
+            HostKind::Process(mut child) => {
+                send_signal(&child, "TERM").await?;
+                let status = child.wait().await?;
+                ensure!(status.success(), "a stopped daemon ended with {status}");
+            }
+        }
+        Ok(())
+    }
+
+    /// Freezes or thaws a process; one within this process cannot be frozen.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the signal cannot be sent.
+    pub async fn set_frozen(&self, frozen: bool) -> Result<()> {
+        match &self.kind {
+            HostKind::Inside(_) => Ok(()),
+            HostKind::Process(child) => {
+                send_signal(child, if frozen { "STOP" } else { "CONT" }).await
+            }
+        }
+    }
+}
+
+async fn send_signal(child: &Child, signal: &str) -> Result<()> {
+    let id = child.id().wrap_err("the process has ended")?;
+    let status = Command::new("kill")
+        .args([format!("-{signal}"), id.to_string()])
+        .status()
+        .await?;
+    ensure!(status.success(), "cannot send {signal} to process {id}");
+    Ok(())
+}
--- a/lab/src/service.rs
+++ b/lab/src/service.rs
@@ -7,6 +7,7 @@
 use base64::engine::general_purpose::STANDARD;
 use eyre::Result;
 use indexmap::IndexMap;
+use pistachiowick::clock::unix_now;
 use pistachiowick::names::{RequestId, millis};
 use pistachiowick::ports::PortFuture;
 use pistachiowick::target_wire::{ServiceBody, ServiceReply};
@@ -73,6 +74,17 @@
     pub crash_ms: Option<u64>,
 }
 
+/// One run of one call.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RunBook {
+    /// Key, as `WORKSPACE/KEY`.
+    pub key: String,
+    /// Request that asked for it.
+    pub request_id: RequestId,
+    /// Unix time in milliseconds at which it took effect.
+    pub at_ms: u64,
+}
+
 /// What the service has done, over all its lives.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default)]
@@ -83,6 +95,8 @@
     pub refused: u64,
     /// Runs by `WORKSPACE/KEY`, each counted when it takes effect.
     pub runs: IndexMap<String, u32>,
+    /// The same runs one by one, in order.
+    pub run_log: Vec<RunBook>,
     /// Calls answered from an earlier run.
     pub deduplicated: u64,
     /// Answers lost after the run.
@@ -98,6 +112,7 @@
 struct ServiceState {
     life: u64,
     waiting: usize,
+    open: usize,
     left_at: Option<Instant>,
     faults: ServiceFaults,
     books: ServiceBooks,
@@ -134,6 +149,7 @@
             state: Mutex::new(ServiceState {
                 life: 0,
                 waiting: 0,
+                open: 0,
                 left_at: None,
                 faults: ServiceFaults::default(),
                 books: ServiceBooks::default(),
@@ -174,6 +190,12 @@
         self.core.state().books.clone()
     }
 
+    /// Returns the number of calls taken and not yet ended.
+    #[must_use]
+    pub fn open_calls(&self) -> usize {
+        self.core.state().open
+    }
+
     /// Puts faults in force; a crash starts at once.
     pub fn set_faults(&self, faults: ServiceFaults) {
         if let Some(ms) = faults.crash_ms {
@@ -243,6 +265,7 @@
             return Err(HttpAnswer::refusal(503, reason, RETRY_AFTER));
         }
         state.waiting += 1;
+        state.open += 1;
         let work = Duration::from_millis(self.options.work_ms + state.faults.slow_ms);
         Ok((state.life, work))
     }
@@ -254,6 +277,7 @@
         tokio::time::sleep(work).await;
         drop(slot);
         let mut state = self.state();
+        state.open -= 1;
         if state.life != life {
             state.books.crashed_calls += 1;
             return None;
@@ -265,6 +289,11 @@
             books.deduplicated += 1;
         } else {
             *runs += 1;
+            books.run_log.push(RunBook {
+                key: run_key(body),
+                request_id: body.request_id.clone(),
+                at_ms: unix_now().0,
+            });
         }
         Some(())
     }
