--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -6,6 +6,7 @@
 use eyre::{Context, Result, bail, ensure, eyre};
 use getopts::{Matches, Options};
 use pistachiowick::ports::PortFuture;
+use pistachiowick::settings::{LogFormat, LogSettings};
 use pistachiowick_lab::engine::EngineStandIn;
 use pistachiowick_lab::load::run_load;
 use pistachiowick_lab::platform::PlatformStandIn;
@@ -200,6 +201,10 @@
         plant,
         ..defaults
     };
+    pistachiowick::logging::install(&LogSettings {
+        format: LogFormat::Text,
+        level: "error".to_owned(),
+    })?;
     prove(&options).await
 }
 
