--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -415,8 +415,8 @@
         self.inner().frozen_until = Some(Instant::now() + span);
     }
 
-    /// Drops everything; returns the streams that were running.
-    fn drop_all(&self) -> u64 {
+    /// Drops everything; returns the life that follows and the streams that were running.
+    fn drop_all(&self) -> (u64, u64) {
         let mut inner = self.inner();
         let running = inner.streams.values().filter(|cell| cell.is_running());
         let dropped = running.count() as u64;
@@ -436,9 +436,10 @@
         if self.options.forgets_fence {
             inner.highest_fence = FenceNumber::default();
         }
+        let life = inner.life;
         drop(inner);
         self.woken.notify_one();
-        dropped
+        (life, dropped)
     }
 
     fn revive(&self) {
@@ -881,14 +882,17 @@
 
 async fn crash_for(core: &Arc<EngineCore>, server: &HttpServer, down: Duration) {
     server.close();
-    let dropped = core.drop_all();
+    let (life, dropped) = core.drop_all();
     core.book(|books| {
         books.crashes += 1;
         books.dropped_by_crash += dropped;
     });
     tokio::time::sleep(down).await;
+    if core.inner().life != life {
+        // It crashed again meanwhile, or was stopped.
+        return;
+    }
     core.revive();
-    let life = core.inner().life;
     tokio::spawn(run_loop(core.clone(), life));
     if let Err(error) = server.open().await {
         log::error!("an engine stand-in did not come back: {error}");
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,28 +1,29 @@
 //! `pistachiowick-lab`: runs one stand-in as a process, or a load.
 
-use std::path::PathBuf;
 use std::process::ExitCode;
 
-use eyre::{Context, Result, bail, ensure, eyre};
+use eyre::{Context, Result, bail};
 use getopts::{Matches, Options};
 use pistachiowick::ports::PortFuture;
-use pistachiowick::settings::{LogFormat, LogSettings};
+use pistachiowick_lab::compare::{compare, policy_names, summarise};
 use pistachiowick_lab::engine::EngineStandIn;
 use pistachiowick_lab::load::run_load;
 use pistachiowick_lab::platform::PlatformStandIn;
-use pistachiowick_lab::prove::prove;
-use pistachiowick_lab::prove_plants::PlantedMistake;
-use pistachiowick_lab::prove_setup::ProveOptions;
+use pistachiowick_lab::prove_command;
 use pistachiowick_lab::quickstart::run_quickstart;
+use pistachiowick_lab::scenario::ScenarioSpec;
 use pistachiowick_lab::service::ServiceStandIn;
 use pistachiowick_lab::weight_store::WeightStandIn;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::json;
 
 /// One subcommand.
 struct LabCommand {
     name: &'static str,
     about: &'static str,
+    /// Files named on the command line.
+    files: usize,
     run: fn(Matches) -> PortFuture<Result<()>>,
 }
 
@@ -31,36 +32,49 @@
     LabCommand {
         name: "quickstart",
         about: "run the main job on a deployment within this process",
+        files: 0,
         run: |matches| Box::pin(quickstart(matches)),
     },
     LabCommand {
         name: "prove",
         about: "run daemons under faults drawn from a seed and judge what callers were told",
-        run: |matches| Box::pin(run_proof(matches)),
+        files: 0,
+        run: |matches| Box::pin(prove_command::run(matches)),
+    },
+    LabCommand {
+        name: "compare",
+        about: "run a scenario under several policies and set the results side by side",
+        files: 1,
+        run: |matches| Box::pin(run_compare(matches)),
     },
     LabCommand {
         name: "platform",
         about: "run a stand-in for the platform's object service and instance list",
+        files: 0,
         run: |matches| Box::pin(run_platform(matches)),
     },
     LabCommand {
         name: "engine",
         about: "run a stand-in for a model engine",
+        files: 0,
         run: |matches| Box::pin(run_engine(matches)),
     },
     LabCommand {
         name: "service",
         about: "run a stand-in for a plain service",
+        files: 0,
         run: |matches| Box::pin(run_service(matches)),
     },
     LabCommand {
         name: "weights",
         about: "run a stand-in for the weight store",
+        files: 0,
         run: |matches| Box::pin(run_weights(matches)),
     },
     LabCommand {
         name: "load",
         about: "send requests to daemons and check every byte of the answers",
+        files: 0,
         run: |matches| Box::pin(send_load(matches)),
     },
 ];
@@ -106,26 +120,14 @@
     options.optopt("o", "options", "JSON file; without it, defaults", "FILE");
     options.optopt("a", "address", "IP number and port to listen at", "IP:PORT");
     options.optopt("", "seed", "seed of all random choices; 1 without it", "N");
+    prove_command::add_flags(&mut options);
     options.optopt(
         "",
-        "seconds",
-        "length of a randomised run; 20 without it",
-        "S",
-    );
-    options.optflag("", "processes", "run daemons as processes of their own");
-    options.optopt(
-        "",
-        "daemon",
-        "program of the daemon; found beside this one",
-        "PATH",
-    );
-    options.optflag("", "json-only", "print nothing but the last line");
-    options.optopt(
-        "",
-        "plant",
-        "plant a mistake that the verdict must find",
-        "NAME",
+        "policies",
+        "policies to compare, with commas; all without it",
+        "LIST",
     );
+    options.optopt("", "repeat", "runs of each policy, with rising seeds", "K");
     options.optflag("p", "print-options", "print the options in force and exit");
     options.optflag("h", "help", "print this text");
     let matches = options.parse(arguments)?;
@@ -137,7 +139,7 @@
         print!("{}", options.usage(&brief));
         return Ok(());
     }
-    if let Some(stray) = matches.free.first() {
+    if let Some(stray) = matches.free.get(command.files) {
         bail!("{stray} is not understood; see --help");
     }
     let runtime = tokio::runtime::Runtime::new().wrap_err("cannot start threads")?;
@@ -180,47 +182,26 @@
     run_quickstart(seed).await
 }
 
-async fn run_proof(matches: Matches) -> Result<()> {
-    let defaults = ProveOptions::default();
-    let plant = match matches.opt_str("plant") {
-        None => None,
-        Some(name) => {
-            let names = PlantedMistake::ALL.map(PlantedMistake::as_str).join(", ");
-            let plant = PlantedMistake::from_name(&name);
-            Some(plant.ok_or_else(|| eyre!("no mistake {name:?} is known; plant {names}"))?)
-        }
+async fn run_compare(matches: Matches) -> Result<()> {
+    let Some(file) = matches.free.first() else {
+        bail!("name a scenario file, for example lab/scenarios/mix-swing.json");
     };
-    let runs_processes = matches.opt_present("processes") || matches.opt_present("daemon");
-    let options = ProveOptions {
-        seed: matches.opt_get_default("seed", defaults.seed)?,
-        seconds: matches.opt_get_default("seconds", defaults.seconds)?,
-        daemon_program: runs_processes
-            .then(|| daemon_program(&matches))
-            .transpose()?,
-        prints_faults: !matches.opt_present("json-only"),
-        plant,
-        ..defaults
+    let text = std::fs::read_to_string(file).wrap_err_with(|| format!("cannot read {file}"))?;
+    let scenario = ScenarioSpec::parse(&text).wrap_err_with(|| file.clone())?;
+    let policies = match matches.opt_str("policies") {
+        Some(list) => list.split(',').map(str::to_owned).collect(),
+        None => policy_names(),
     };
-    pistachiowick::logging::install(&LogSettings {
-        format: LogFormat::Text,
-        level: "error".to_owned(),
-    })?;
-    prove(&options).await
-}
-
-/// Returns the daemon's program: the one named, or the one beside this program.
-fn daemon_program(matches: &Matches) -> Result<PathBuf> {
-    if let Some(path) = matches.opt_str("daemon") {
-        return Ok(PathBuf::from(path));
-    }
-    let own = std::env::current_exe().wrap_err("cannot tell where this program is")?;
-    let program = own.with_file_name("pistachiowickd");
-    ensure!(
-        program.exists(),
-        "no {}; build it with cargo build --bins, or name it with --daemon PATH",
-        program.display()
-    );
-    Ok(program)
+    let seed = matches.opt_get_default("seed", 1)?;
+    let repeat = matches.opt_get_default("repeat", 1)?;
+    let rows = compare(&scenario, &policies, seed, repeat).await?;
+    let summary = json!({
+        "scenario": scenario.name,
+        "policies": summarise(&rows),
+        "rows": rows,
+    });
+    println!("{summary}");
+    Ok(())
 }
 
 async fn run_platform(matches: Matches) -> Result<()> {
--- a/lab/src/service.rs
+++ b/lab/src/service.rs
@@ -222,8 +222,16 @@
 
 async fn crash_for(core: &ServiceCore, server: &HttpServer, down: Duration) {
     server.close();
-    core.state().life += 1;
+    let life = {
+        let mut state = core.state();
+        state.life += 1;
+        state.life
+    };
     tokio::time::sleep(down).await;
+    if core.state().life != life {
+        // It crashed again meanwhile, or was stopped.
+        return;
+    }
     if let Err(error) = server.open().await {
         log::error!("a service stand-in did not come back: {error}");
     }
