Test that a second crash of an engine stand-in counts

Cause: a stand-in that crashed while it was away came back at the end of the first crash and then ran two step loops.

--- a/lab/tests/engine.rs
+++ b/lab/tests/engine.rs
@@ -369,6 +369,22 @@
     assert_eq!(joined(&lines, 0), whole_answer());
 }
 
+// The engine seems to come back in the middle of its second crash. The first crash's
+// end opened the port and started the engine, although the second one had begun;
+// its own end started a second loop beside the first, twice as fast.
+#[tokio::test]
+async fn an_engine_that_crashes_twice_stays_away_until_the_second_ends() {
+    let engine = started(options()).await;
+    let before = engine.state().incarnation;
+    engine.crash(20);
+    engine.crash(3_600_000);
+    until(|| engine.books().crashes == 2).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(engine.state().incarnation, before);
+    let asked = Client::new().get(url(&engine, "/v1/state")).send().await;
+    assert!(asked.is_err(), "the engine answers: {asked:?}");
+}
+
 #[tokio::test]
 async fn a_frozen_engine_answers_after_the_thaw() {
     let engine = started(options()).await;
