--- a/src/rpc_access.rs
+++ b/src/rpc_access.rs
@@ -19,13 +19,18 @@
     snapshot: &ControlSnapshot,
 ) -> Result<WorkspaceName, Status> {
     let key = bearer(metadata)?;
-    if !snapshot.ready {
-        return Err(Status::unavailable(
+    let found = access::workspace_of(&key, &snapshot.config);
+    // A daemon that is stopping is no longer ready, and goes on serving those who
+    // still hold its address.
+    match found {
+        Some(workspace) if snapshot.ready || snapshot.stopping => Ok(workspace),
+        None if snapshot.ready => Err(Status::unauthenticated(
+            "the key belongs to no workspace; check the key",
+        )),
+        _ => Err(Status::unavailable(
             "this daemon has no configuration yet; use another or come back in a second",
-        ));
+        )),
     }
-    access::workspace_of(&key, &snapshot.config)
-        .ok_or_else(|| Status::unauthenticated("the key belongs to no workspace; check the key"))
 }
 
 /// Checks that a call carries an operator's key.
--- a/src/run_once.rs
+++ b/src/run_once.rs
@@ -274,6 +274,10 @@
             }
         }
         Err(fault) => {
+            if !fault.may_have_run {
+                // The one dispatch was noted before its call; the engine turned it away.
+                sink.note_not_run();
+            }
             record_fault(dispatched, fault.proof);
             from_fault(fault)
         }
