--- a/lab/src/prove.rs
+++ b/lab/src/prove.rs
@@ -75,6 +75,19 @@
 ///
 /// Returns an error when the bench itself failed.
 pub async fn run_prove(options: &ProveOptions) -> Result<ProveReport> {
+    let mut books = run_books(options).await?;
+    if let Some(plant) = options.plant {
+        plant.plant_books(&mut books);
+    }
+    Ok(judge(options, &books))
+}
+
+/// Runs one seed and returns what was written down.
+///
+/// # Errors
+///
+/// Returns an error when the bench itself failed.
+pub async fn run_books(options: &ProveOptions) -> Result<RunBooks> {
     let violations_before = violation_count();
     let panics_before = PANICS.load(Ordering::Relaxed);
     let fleet = ProveFleet::start(options).await?;
@@ -105,7 +118,7 @@
         eyre::bail!("a part of the run still holds the deployment");
     };
     let fleet = fleet.into_inner();
-    let mut books = RunBooks {
+    let books = RunBooks {
         faults: runner.counts,
         requests,
         lives: fleet.lives.clone(),
@@ -121,10 +134,7 @@
         panics: PANICS.load(Ordering::Relaxed) - panics_before,
     };
     fleet.end().await;
-    if let Some(plant) = options.plant {
-        plant.plant_books(&mut books);
-    }
-    Ok(judge(options, &books))
+    Ok(books)
 }
 
 /// Tasks beside faults and callers.
--- a/lab/src/prove_callers.rs
+++ b/lab/src/prove_callers.rs
@@ -34,6 +34,9 @@
 /// Pause before a caller asks again.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// Deadline of an ask that comes after the request's own.
+const LEAST_DEADLINE_MS: u32 = 500;
+
 /// Longest wait for a call that is no stream.
 const CALL_WAIT: Duration = Duration::from_secs(6);
 
@@ -169,6 +172,14 @@
         Duration::from_millis(u64::from(self.submit.deadline_ms)) + HUNG_AFTER
     }
 
+    /// Returns the time left, which is what a caller who asks again still has.
+    fn deadline_left(&self) -> u32 {
+        let spent = unix_ms().saturating_sub(self.submit.key_minted_at_ms);
+        let spent = u32::try_from(spent).unwrap_or(u32::MAX);
+        let left = self.submit.deadline_ms.saturating_sub(spent);
+        left.max(LEAST_DEADLINE_MS)
+    }
+
     fn is_keyed(&self) -> bool {
         lock(&self.book).kind.is_keyed()
     }
@@ -294,6 +305,7 @@
                 AskCall::Submit { first_submission } => {
                     let submit = SubmitRequest {
                         first_submission,
+                        deadline_ms: self.deadline_left(),
                         ..self.submit.clone()
                     };
                     client.submit(with_key(submit, &self.key)).await
--- a/lab/src/prove_verdict.rs
+++ b/lab/src/prove_verdict.rs
@@ -202,11 +202,24 @@
     };
     *count += 1;
     if matches!(request.end, Some(RequestEnd::Lost) | None) {
-        let asks: Vec<&AskEnd> = request.asks.iter().map(|ask| &ask.end).collect();
-        report.find("hung", format!("{} after {asks:?}", request.name));
+        let reached = request
+            .asks
+            .iter()
+            .filter(|ask| ask.end != AskEnd::Unreached);
+        let asks: Vec<String> = reached.map(describe).collect();
+        let text = format!("{} ({:?}): {}", request.name, request.kind, asks.join("; "));
+        report.find("hung", text);
     }
 }
 
+fn describe(ask: &AskBook) -> String {
+    let span = ask.ended_at_ms - ask.sent_at_ms;
+    let how = if ask.is_resume { "resume" } else { "submit" };
+    let (end, id) = (&ask.end, &ask.request_id);
+    let (address, at) = (&ask.address, ask.sent_at_ms);
+    format!("{how} {id} at {address} from {at} for {span} ms: {end:?}")
+}
+
 fn judge_runs(report: &mut ProveReport, request: &RequestBook, runs: &[String]) {
     let name = &request.name;
     if request.kind.is_keyed() && runs.len() > 1 {
