Count resumed requests as running and let a cancel reach them

Cause: only the daemon that accepted a request counted it as running. One that continued it for a caller who came back did not wait for it in a planned stop, and a cancel there stopped the engine, whereupon the request went on elsewhere. Change: every run registers under the id in the caller's token; a guard ends the registration, so a panic leaves no count behind that a stop would wait for. Conclusion: a cancel through a third daemon still reaches only the engine; the daemon that follows the stream then starts it elsewhere.

--- a/src/run_resume.rs
+++ b/src/run_resume.rs
@@ -11,7 +11,7 @@
 use crate::resume_token::ResumeToken;
 use crate::run_once;
 use crate::run_stream;
-use crate::traffic::{RequestProgress, TrafficContext};
+use crate::traffic::{RequestProgress, TrafficContext, until_cancelled};
 
 /// Expected times at an engine whose load this daemon has not looked at.
 const USUAL_FIRST_TOKEN_S: f64 = 1.0;
@@ -41,27 +41,47 @@
         // may not be repeated is answered from its record, which knows.
         sink.note_dispatched();
     }
+    // Under the id in the caller's token, so that a cancel finds it here too.
+    let (_guard, mut cancelled) = context.register(&resumption.token.request_id);
     let mut progress = RequestProgress::default();
     let follow = follow_engine(&context, &request, &resumption, &mut sink, &mut progress);
-    let followed = tokio::time::timeout(request.time_left(), follow).await;
+    let followed = tokio::select! {
+        followed = follow => followed,
+        () = until_cancelled(&mut cancelled) => Ok(stopped(&request)),
+        () = tokio::time::sleep(request.time_left()) => Ok(FinalOutcome::Expired),
+    };
     let outcome = match followed {
-        Err(_) => FinalOutcome::Expired,
-        Ok(Ok(outcome)) => outcome,
-        Ok(Err(offset)) => {
-            start_again(
-                &context,
-                &request,
-                &resumption,
-                &mut sink,
-                &mut progress,
+        Ok(outcome) => outcome,
+        Err(offset) => {
+            let again = StartAgain {
+                resumption: &resumption,
+                cancelled,
                 offset,
-            )
-            .await
+            };
+            start_again(&context, &request, again, &mut sink, &mut progress).await
         }
     };
     sink.finish(&outcome).await;
 }
 
+/// A caller who cancels a stream that may not be repeated learns its end from the
+/// record alone: the engine may have finished before the cancel came.
+fn stopped(request: &CallerRequest) -> FinalOutcome {
+    if request.intent.is_some() {
+        return FinalOutcome::Unknown {
+            reason: "cancelled after its dispatch".to_owned(),
+        };
+    }
+    FinalOutcome::Cancelled
+}
+
+/// What a resumed request starts again from.
+struct StartAgain<'a> {
+    resumption: &'a Resumption,
+    cancelled: watch::Receiver<bool>,
+    offset: u64,
+}
+
 /// Takes the stream up at the engine that runs it; an error is the offset reached.
 async fn follow_engine(
     context: &TrafficContext,
@@ -89,25 +109,24 @@
 }
 
 async fn start_again(
-    context: &Arc<TrafficContext>,
+    context: &TrafficContext,
     request: &CallerRequest,
-    resumption: &Resumption,
+    again: StartAgain<'_>,
     sink: &mut AnswerSink,
     progress: &mut RequestProgress,
-    offset: u64,
 ) -> FinalOutcome {
-    let (_cancel, cancelled) = watch::channel(false);
+    let (offset, token) = (again.offset, &again.resumption.token);
     if request.intent.is_some() {
         return run_once::recorded_outcome(context, request, sink, offset).await;
     }
-    if !resumption.again {
+    if !again.resumption.again {
         return FinalOutcome::Unknown {
             reason: "its engine no longer has the stream; resume again with the request itself"
                 .to_owned(),
         };
     }
-    let pinned =
-        (offset > 0 && !resumption.token.model.is_empty()).then(|| resumption.token.model.clone());
+    let pinned = (offset > 0 && !token.model.is_empty()).then(|| token.model.clone());
+    let cancelled = again.cancelled;
     run_stream::continue_from(context, request, sink, cancelled, progress, offset, pinned).await
 }
 
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -53,11 +53,36 @@
     /// Retries allowed.
     pub budget: Mutex<RetryBudget>,
     /// Requests running in this daemon.
-    pub running: Mutex<IndexMap<RequestId, watch::Sender<bool>>>,
+    pub running: Mutex<IndexMap<RequestId, RunningRequest>>,
     /// Whether new work is turned away.
     pub closing: AtomicBool,
 }
 
+/// A request that runs here, once or, where its caller came back, more than once.
+pub struct RunningRequest {
+    cancel: watch::Sender<bool>,
+    runs: usize,
+}
+
+/// Counts a request as running until it is dropped, also when its task panics: a
+/// planned stop would wait for a count left behind until its time is up.
+pub struct RunGuard {
+    context: Arc<TrafficContext>,
+    request_id: RequestId,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let mut running = lock(&self.context.running);
+        if let Some(request) = running.get_mut(&self.request_id) {
+            request.runs -= 1;
+            if request.runs == 0 {
+                running.swap_remove(&self.request_id);
+            }
+        }
+    }
+}
+
 /// Times of one request, gathered while it runs.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RequestProgress {
@@ -70,7 +95,7 @@
 impl TrafficContext {
     /// Runs a request to its final outcome.
     pub async fn run(self: Arc<Self>, request: CallerRequest, mut sink: AnswerSink) {
-        let cancelled = self.register(&request.id);
+        let (guard, cancelled) = self.register(&request.id);
         self.earn_retry();
         let mut progress = RequestProgress::default();
         let outcome = match (&request.intent, &request.pool) {
@@ -85,7 +110,7 @@
             }
         };
         sink.finish(&outcome).await;
-        self.unregister(&request.id);
+        drop(guard);
         self.measure(&request, &outcome, &progress);
     }
 
@@ -129,8 +154,8 @@
     #[must_use]
     pub fn cancel_here(&self, request_id: &RequestId) -> bool {
         let running = lock(&self.running);
-        running.get(request_id).is_some_and(|cancel| {
-            cancel.send_replace(true);
+        running.get(request_id).is_some_and(|request| {
+            request.cancel.send_replace(true);
             true
         })
     }
@@ -138,17 +163,24 @@
     /// Returns the number of requests running here.
     #[must_use]
     pub fn running_count(&self) -> usize {
-        lock(&self.running).len()
-    }
-
-    fn register(&self, request_id: &RequestId) -> watch::Receiver<bool> {
-        let (cancel, cancelled) = watch::channel(false);
-        lock(&self.running).insert(request_id.clone(), cancel);
-        cancelled
+        lock(&self.running).values().map(|r| r.runs).sum()
     }
 
-    fn unregister(&self, request_id: &RequestId) {
-        lock(&self.running).swap_remove(request_id);
+    /// Counts a request as running and lets a cancel of it be heard.
+    #[must_use]
+    pub fn register(self: &Arc<Self>, request_id: &RequestId) -> (RunGuard, watch::Receiver<bool>) {
+        let mut running = lock(&self.running);
+        let request = running.entry(request_id.clone()).or_insert_with(|| {
+            let (cancel, _) = watch::channel(false);
+            RunningRequest { cancel, runs: 0 }
+        });
+        request.runs += 1;
+        let cancelled = request.cancel.subscribe();
+        let guard = RunGuard {
+            context: Arc::clone(self),
+            request_id: request_id.clone(),
+        };
+        (guard, cancelled)
     }
 
     fn earn_retry(&self) {
