Record the ends of claims before a planned stop ends

Cause: the end of a claim is written some time after its caller has the answer, and a call may outlast its caller's deadline. A planned stop waited for neither: the record stayed 'intended', and whoever asked for the key was told 'unknown'. Change: the stop drains the records, and a call counts as running until its end is handed in.

--- a/lab/tests/prove_failures.rs
+++ b/lab/tests/prove_failures.rs
@@ -7,8 +7,12 @@
 use pistachiowick::invariants::{Invariant, violations};
 use pistachiowick::pb::answer_event::Event;
 use pistachiowick::pb::requests_client::RequestsClient;
-use pistachiowick::pb::{AnswerEvent, CancelRequest, Final, Outcome, ResumeRequest, SubmitRequest};
-use pistachiowick_lab::fleet::{FleetPlan, LabFleet, with_key};
+use pistachiowick::pb::{
+    AnswerEvent, CancelRequest, Final, Outcome, OutcomeRequest, RecordState, ResumeRequest,
+    SubmitRequest,
+};
+use pistachiowick_lab::fleet::{FleetPlan, LabFleet, daemon_settings, with_key};
+use pistachiowick_lab::prove_daemon::DaemonHost;
 use pistachiowick_lab::prove_setup::prove_items;
 use pistachiowick_lab::quickstart::{MODEL, quickstart_plan, workspace_key};
 use tonic::transport::Channel;
@@ -203,3 +207,47 @@
     let event = events.message().await.expect("not cut").expect("not ended");
     event.event.expect("an event of a known kind")
 }
+
+// A caller was answered, the daemon was stopped as planned, and another daemon says
+// that the outcome is unknown: ends of claims are recorded some time after the
+// answer, and the planned stop did not wait for them.
+#[tokio::test]
+async fn a_planned_stop_records_the_ends_of_its_claims() {
+    let fleet = started(small_plan()).await;
+    let platform = fleet.platform.address();
+    let mut settings = daemon_settings("entry-9", "centre-a", &platform);
+    settings.shutdown.keep_ms = 50;
+    // The claim takes the first write; its end has to wait for the next.
+    settings.intents.commit_ms = 1_000;
+    let host = DaemonHost::start_inside(settings).await;
+    let host = host.expect("it starts");
+    let connected = RequestsClient::connect(format!("http://{}", host.addresses.rpc)).await;
+    let mut leaving = connected.expect("it listens");
+    let key = workspace_key(WORKSPACE);
+    // A daemon that has just started turns work away until it knows the service.
+    let answered = async {
+        for number in 0.. {
+            let issue = submit("issue", &format!("stopped-{number}"));
+            let Ok(events) = leaving.submit(with_key(issue.clone(), &key)).await else {
+                continue;
+            };
+            if final_of(&mut events.into_inner()).await.outcome() == Outcome::Answered {
+                return issue;
+            }
+        }
+        unreachable!("numbers do not end");
+    };
+    let issue = tokio::time::timeout(LIMIT, answered).await;
+    let issue = issue.expect("answered in time");
+    host.stop().await.expect("it stops");
+    let mut other = client(&fleet, "entry-0").await;
+    let outcome = OutcomeRequest {
+        key: issue.key,
+        key_minted_at_ms: issue.key_minted_at_ms,
+        settle: false,
+    };
+    let reply = other.outcome(with_key(outcome, &key)).await;
+    let state = reply.expect("told").into_inner().state();
+    assert_eq!(state, RecordState::Answered);
+    fleet.stop().await;
+}
--- a/src/run_once.rs
+++ b/src/run_once.rs
@@ -225,6 +225,9 @@
     slot: JobSlot,
     permit: DispatchPermit,
 ) -> Result<Vec<u8>, AttemptFault> {
+    // Past the caller's deadline too: a planned stop waits for the reply, since no
+    // other daemon can learn it.
+    let (_guard, _) = context.register(&request.id);
     let dispatched = permit.dispatch();
     let patience = request.time_left() + RECORD_PATIENCE;
     let ended = call_service(&context, &request, &slot.choice, patience).await;
--- a/src/server.rs
+++ b/src/server.rs
@@ -42,6 +42,8 @@
 const CONNECTIONS_AHEAD: usize = 64;
 /// Longest wait for the leases to be handed over.
 const HAND_OVER_TIME: Duration = Duration::from_secs(5);
+/// Longest wait for the ends of claims to be recorded.
+const RECORD_TIME: Duration = Duration::from_secs(10);
 /// Time between looks at whether the last request has ended.
 const FINISH_CHECK: Duration = Duration::from_millis(20);
 
@@ -142,7 +144,7 @@
     ///
     /// The daemon leaves the addressing first and goes on serving for as long as
     /// callers keep an answer that names it; only then does it turn new work away,
-    /// and it ends once the last request has.
+    /// and it ends once the last request has, and the end of each is recorded.
     pub async fn stop(mut self) {
         let settings = Arc::clone(&self.context.settings);
         let (done, handed_over) = oneshot::channel();
@@ -161,6 +163,11 @@
             let left = self.context.running_count();
             log::warn!("stopping with {left} requests running; raise shutdown.finish_ms");
         }
+        // The end of a claim is recorded after its caller has the answer. One left
+        // out would tell whoever asks for the key again that its outcome is unknown.
+        if !self.context.intents.drain(RECORD_TIME).await {
+            log::warn!("stopping before the end of every claim is recorded");
+        }
         self.closing.send_replace(true);
         for task in self.tasks.drain(..) {
             let _ = tokio::time::timeout(HAND_OVER_TIME, task).await;
