Test the whole path with daemon processes

Cause: every test so far ran daemons within the test's own process, where a kill or a signal cannot be had. Change: real pistachiowickd processes over the stand-ins: both kinds of requests, a kill in the middle of an answer, SIGTERM with a stream open, one key through two daemons at once.

--- /dev/null
+++ b/tests/whole_path.rs
@@ -0,0 +1,237 @@
+//! The whole path with real daemon processes over the stand-ins.
+
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use pistachiowick::clock::unix_now;
+use pistachiowick::pb::answer_event::Event;
+use pistachiowick::pb::requests_client::RequestsClient;
+use pistachiowick::pb::{AnswerEvent, Final, Outcome, ResumeRequest, SubmitRequest};
+use pistachiowick_lab::answers::{expected_answer, service_answer};
+use pistachiowick_lab::fleet::with_key;
+use pistachiowick_lab::prove_fleet::ProveFleet;
+use pistachiowick_lab::prove_setup::ProveOptions;
+use pistachiowick_lab::quickstart::{MODEL, workspace_key};
+use tonic::transport::Channel;
+use tonic::{Status, Streaming};
+
+const WORKSPACE: &str = "stores";
+const VERSION: &str = "1";
+
+/// Longest wait for daemons to place work.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// Tokens of an answer that takes some seconds.
+const LONG: u32 = 1_200;
+
+/// Two daemons as processes, each of which has placed work already.
+async fn started() -> ProveFleet {
+    let options = ProveOptions {
+        daemon_program: Some(PathBuf::from(env!("CARGO_BIN_EXE_pistachiowickd"))),
+        daemons: 2,
+        ..ProveOptions::default()
+    };
+    let fleet = ProveFleet::start(&options).await.expect("it starts");
+    for slot in 0..2 {
+        let begun = Instant::now();
+        loop {
+            let last = ask(&fleet, slot, stream("check", "warm", 2)).await;
+            if last.is_ok_and(|(_, last)| last.outcome() == Outcome::Answered) {
+                break;
+            }
+            assert!(begun.elapsed() < LIMIT, "daemon {slot} answers nothing");
+        }
+    }
+    fleet
+}
+
+async fn client(fleet: &ProveFleet, slot: usize) -> RequestsClient<Channel> {
+    let host = fleet.slots[slot].host.as_ref().expect("it runs");
+    let address = format!("http://{}", host.addresses.rpc);
+    let connected = RequestsClient::connect(address).await;
+    connected.expect("the daemon listens")
+}
+
+fn stream(class: &str, name: &str, tokens: u32) -> SubmitRequest {
+    SubmitRequest {
+        class: class.to_owned(),
+        model: MODEL.to_owned(),
+        version: VERSION.to_owned(),
+        prompt: format!("out={tokens} {name}").into_bytes(),
+        prompt_tokens: 100,
+        max_output_tokens: tokens,
+        deadline_ms: 30_000,
+        ..SubmitRequest::default()
+    }
+}
+
+fn call(name: &str, first_submission: bool) -> SubmitRequest {
+    SubmitRequest {
+        key: name.to_owned(),
+        key_minted_at_ms: unix_now().0,
+        first_submission,
+        class: "issue".to_owned(),
+        prompt: name.as_bytes().to_vec(),
+        deadline_ms: 10_000,
+        ..SubmitRequest::default()
+    }
+}
+
+fn stream_answer(submit: &SubmitRequest) -> Vec<u8> {
+    expected_answer(&submit.prompt, MODEL, "", VERSION, submit.max_output_tokens)
+}
+
+async fn open(
+    fleet: &ProveFleet,
+    slot: usize,
+    submit: SubmitRequest,
+) -> Result<Streaming<AnswerEvent>, Status> {
+    let request = with_key(submit, &workspace_key(WORKSPACE));
+    let opened = client(fleet, slot).await.submit(request).await?;
+    Ok(opened.into_inner())
+}
+
+/// What a caller holds of one answer.
+#[derive(Default)]
+struct HeldAnswer {
+    token: String,
+    data: Vec<u8>,
+}
+
+impl HeldAnswer {
+    /// Reads until `enough`, the end of the answer, or a break.
+    async fn read(
+        &mut self,
+        events: &mut Streaming<AnswerEvent>,
+        enough: usize,
+    ) -> Result<Option<Final>, Status> {
+        while self.data.len() < enough {
+            let Some(event) = events.message().await? else {
+                return Err(Status::data_loss("no final outcome"));
+            };
+            match event.event.expect("an event of a known kind") {
+                Event::Accepted(accepted) => self.token = accepted.resume_token,
+                Event::Chunk(chunk) => {
+                    assert_eq!(chunk.offset, self.data.len() as u64, "a gap or bytes twice");
+                    self.data.extend_from_slice(&chunk.data);
+                }
+                Event::Final(last) => return Ok(Some(last)),
+            }
+        }
+        Ok(None)
+    }
+
+    async fn read_all(&mut self, events: &mut Streaming<AnswerEvent>) -> Result<Final, Status> {
+        let last = self.read(events, usize::MAX).await?;
+        Ok(last.expect("no answer is endless"))
+    }
+}
+
+async fn ask(
+    fleet: &ProveFleet,
+    slot: usize,
+    submit: SubmitRequest,
+) -> Result<(Vec<u8>, Final), Status> {
+    let mut held = HeldAnswer::default();
+    let mut events = open(fleet, slot, submit).await?;
+    let last = held.read_all(&mut events).await?;
+    Ok((held.data, last))
+}
+
+fn runs_of(fleet: &ProveFleet, name: &str) -> u32 {
+    let key = format!("{WORKSPACE}/{name}");
+    let services = fleet.service_books();
+    let runs = services.iter().filter_map(|s| s.books.runs.get(&key));
+    runs.sum()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn both_kinds_of_requests_are_served_by_daemon_processes() {
+    let fleet = started().await;
+    for slot in 0..2 {
+        let check = stream("check", "both", 40);
+        let (data, last) = ask(&fleet, slot, check.clone()).await.expect("not cut");
+        assert_eq!(last.outcome(), Outcome::Answered, "{}", last.reason);
+        assert_eq!(data, stream_answer(&check));
+        let name = format!("both-{slot}");
+        let (data, last) = ask(&fleet, slot, call(&name, true)).await.expect("not cut");
+        assert_eq!(last.outcome(), Outcome::Answered, "{}", last.reason);
+        assert_eq!(data, service_answer(WORKSPACE, &name, name.as_bytes()));
+        assert_eq!(runs_of(&fleet, &name), 1);
+    }
+    fleet.end().await;
+}
+
+// The caller's stream breaks in the middle: its daemon was killed. The engine goes on;
+// the caller's token tells another daemon which stream that is, and the caller gets
+// the rest, byte by byte where it stopped.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_whose_daemon_is_killed_goes_on_through_another() {
+    let mut fleet = started().await;
+    let review = stream("review", "killed", LONG);
+    let whole = stream_answer(&review);
+    let mut held = HeldAnswer::default();
+    let mut events = open(&fleet, 0, review.clone()).await.expect("taken");
+    let early = held.read(&mut events, 40).await.expect("not cut");
+    assert!(early.is_none(), "it ended before the kill: {early:?}");
+    fleet.take_daemon(0).expect("it runs").kill().await;
+    let broken = held.read_all(&mut events).await;
+    assert!(broken.is_err(), "a dead daemon answered: {broken:?}");
+    assert!(held.data.len() < whole.len());
+    let resume = ResumeRequest {
+        resume_token: held.token.clone(),
+        offset: held.data.len() as u64,
+        submit: Some(review),
+    };
+    let resume = with_key(resume, &workspace_key(WORKSPACE));
+    let resumed = client(&fleet, 1).await.resume(resume).await;
+    let mut events = resumed.expect("taken").into_inner();
+    let last = held.read_all(&mut events).await.expect("not cut");
+    assert_eq!(last.outcome(), Outcome::Answered, "{}", last.reason);
+    assert_eq!(last.length, whole.len() as u64);
+    assert_eq!(held.data, whole);
+    fleet.end().await;
+}
+
+// A planned stop in the middle of an answer: the daemon leaves the addressing, goes
+// on until the answer is whole, and ends with code 0.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_with_a_stream_open_cuts_nothing() {
+    let mut fleet = started().await;
+    let review = stream("review", "stopped", LONG);
+    let mut held = HeldAnswer::default();
+    let mut events = open(&fleet, 0, review.clone()).await.expect("taken");
+    let early = held.read(&mut events, 40).await.expect("not cut");
+    assert!(early.is_none(), "it ended before the stop: {early:?}");
+    let stopped = tokio::spawn(fleet.take_daemon(0).expect("it runs").stop());
+    let last = held.read_all(&mut events).await.expect("not cut");
+    assert_eq!(last.outcome(), Outcome::Answered, "{}", last.reason);
+    assert_eq!(held.data, stream_answer(&review));
+    stopped
+        .await
+        .expect("no panic")
+        .expect("it ends with code 0");
+    fleet.end().await;
+}
+
+// A club asks twice at once, through two daemons, since the first answer was slow to
+// come. One of the daemons claims the key; the other waits for its record.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_asked_through_two_daemons_at_once_runs_once() {
+    let fleet = started().await;
+    for round in 0..5 {
+        let name = format!("twice-{round}");
+        let (first, second) = tokio::join!(
+            ask(&fleet, 0, call(&name, true)),
+            ask(&fleet, 1, call(&name, false)),
+        );
+        let expected = service_answer(WORKSPACE, &name, name.as_bytes());
+        for answer in [first, second] {
+            let (data, last) = answer.expect("not cut");
+            assert_eq!(last.outcome(), Outcome::Answered, "{}", last.reason);
+            assert_eq!(data, expected);
+        }
+        assert_eq!(runs_of(&fleet, &name), 1);
+    }
+    fleet.end().await;
+}
