--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -17,6 +17,7 @@
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::answers::{AnswerText, TOKEN_BYTES};
 use crate::chance::ChanceSource;
@@ -331,6 +332,7 @@
         let highest = inner.highest_fence;
         let is_old = order.mark.fence < highest;
         let obeyed = !(is_old && self.options.checks_fence);
+        let outstanding = inner.outstanding(order);
         inner.books.orders.push(OrderBook {
             id: order.mark.id.clone(),
             fence: order.mark.fence,
@@ -339,6 +341,7 @@
             role: order.role,
             models: order.models.clone(),
             at_ms: unix_now().0,
+            outstanding,
             obeyed,
         });
         if !obeyed {
@@ -412,8 +415,8 @@
         self.inner().frozen_until = Some(Instant::now() + span);
     }
 
-    /// Drops everything; returns the streams that were running.
-    fn drop_all(&self) -> u64 {
+    /// Drops everything; returns the life that follows and the streams that were running.
+    fn drop_all(&self) -> (u64, u64) {
         let mut inner = self.inner();
         let running = inner.streams.values().filter(|cell| cell.is_running());
         let dropped = running.count() as u64;
@@ -433,9 +436,10 @@
         if self.options.forgets_fence {
             inner.highest_fence = FenceNumber::default();
         }
+        let life = inner.life;
         drop(inner);
         self.woken.notify_one();
-        dropped
+        (life, dropped)
     }
 
     fn revive(&self) {
@@ -505,6 +509,7 @@
                 request_id: name.request_id.clone(),
                 attempt: name.attempt,
                 workspace: body.workspace.clone(),
+                prompt_digest: prompt_digest(body.prompt.as_bytes()),
                 started_at_ms: unix_now().0,
                 offset: body.offset,
                 bytes_generated: 0,
@@ -516,6 +521,13 @@
         cell
     }
 
+    /// Returns the order under way, when another one comes that asks for another state.
+    fn outstanding(&self, order: &OrderBody) -> Option<OrderMark> {
+        let desired = self.desired.as_ref()?;
+        let differs = desired.role != order.role || desired.models != order.models;
+        self.last_order.clone().filter(|_| differs)
+    }
+
     fn obey(&mut self, order: &OrderBody) {
         self.last_order = Some(order.mark.clone());
         let wanted = DesiredState {
@@ -618,6 +630,12 @@
     model == body.model.as_str() && has_version && adapter == body.adapter
 }
 
+/// Returns the digest of a prompt, as sent, under which its streams are booked.
+#[must_use]
+pub fn prompt_digest(encoded: &[u8]) -> u64 {
+    xxh3_64(encoded)
+}
+
 fn book_key(request_id: &str, attempt: u32) -> String {
     format!("{request_id}/{attempt}")
 }
@@ -864,14 +882,17 @@
 
 async fn crash_for(core: &Arc<EngineCore>, server: &HttpServer, down: Duration) {
     server.close();
-    let dropped = core.drop_all();
+    let (life, dropped) = core.drop_all();
     core.book(|books| {
         books.crashes += 1;
         books.dropped_by_crash += dropped;
     });
     tokio::time::sleep(down).await;
+    if core.inner().life != life {
+        // It crashed again meanwhile, or was stopped.
+        return;
+    }
     core.revive();
-    let life = core.inner().life;
     tokio::spawn(run_loop(core.clone(), life));
     if let Err(error) = server.open().await {
         log::error!("an engine stand-in did not come back: {error}");
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -9,6 +9,7 @@
 use pistachiowick_lab::engine::EngineStandIn;
 use pistachiowick_lab::load::run_load;
 use pistachiowick_lab::platform::PlatformStandIn;
+use pistachiowick_lab::prove_command;
 use pistachiowick_lab::quickstart::run_quickstart;
 use pistachiowick_lab::scenario::ScenarioSpec;
 use pistachiowick_lab::service::ServiceStandIn;
@@ -34,6 +35,12 @@
         files: 0,
         run: |matches| Box::pin(quickstart(matches)),
     },
+    LabCommand {
+        name: "prove",
+        about: "run daemons under faults drawn from a seed and judge what callers were told",
+        files: 0,
+        run: |matches| Box::pin(prove_command::run(matches)),
+    },
     LabCommand {
         name: "compare",
         about: "run a scenario under several policies and set the results side by side",
@@ -113,6 +120,7 @@
     options.optopt("o", "options", "JSON file; without it, defaults", "FILE");
     options.optopt("a", "address", "IP number and port to listen at", "IP:PORT");
     options.optopt("", "seed", "seed of all random choices; 1 without it", "N");
+    prove_command::add_flags(&mut options);
     options.optopt(
         "",
         "policies",
