Add leases and orders as pure decisions

Cause: engines need one authority at a time, and orders from a process that has lost it must have no effect. Ruled out: comparing wall clocks; groups worked out from each daemon's own list (two daemons could hold one engine in two groups). Change: lease table per group, groups by hash with a recorded count, order book with drain, record, send and settlement by the engine's state. Conclusion: not wired into the loop yet.

--- a/src/client_operator.rs
+++ b/src/client_operator.rs
@@ -221,10 +221,7 @@
     }
 
     /// Makes a call that only reads, once on each address given.
-    async fn repeat<T, F>(
-        &self,
-        call: impl Fn(OperationsChannel) -> F,
-    ) -> Result<T, ClientError>
+    async fn repeat<T, F>(&self, call: impl Fn(OperationsChannel) -> F) -> Result<T, ClientError>
     where
         F: Future<Output = Result<tonic::Response<T>, tonic::Status>>,
     {
--- /dev/null
+++ b/src/lease_groups.rs
@@ -0,0 +1,122 @@
+//! Divides engines into groups and ranks the daemons that may lead each.
+
+use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::fleet::{DaemonView, FleetView, UseState};
+use crate::names::{CentreName, DaemonId, GroupName, TargetId};
+use crate::platform_wire::InstanceKind;
+
+/// Group whose holder plans roles for the whole fleet; it has no engines.
+pub const PLAN_GROUP: &str = "plan";
+
+/// Daemons that watch a group's lease; others leave it to them.
+pub const CANDIDATES: usize = 3;
+
+const SPREAD_PERCENT: usize = 125;
+
+/// Groups per data centre, as recorded in the platform.
+///
+/// Daemons see different instance lists. Were the number of groups worked out from
+/// the list, two daemons could hold one engine in two groups and order it at the same
+/// time, each with a lease; so the first daemon records the number for good.
+pub type GroupCounts = IndexMap<CentreName, u32>;
+
+/// Returns how many groups a data centre starts with.
+#[must_use]
+pub fn initial_count(engines: usize, group_engines: usize) -> u32 {
+    // Hashing spreads unevenly: leave room, or the largest group passes the bound.
+    let padded = (engines * SPREAD_PERCENT).div_ceil(100);
+    let groups = if engines <= group_engines {
+        1
+    } else {
+        padded.div_ceil(group_engines.max(1))
+    };
+    u32::try_from(groups.max(1)).unwrap_or(u32::MAX)
+}
+
+/// Returns the group of an engine.
+#[must_use]
+pub fn group_of(centre: &CentreName, target: &TargetId, count: u32) -> GroupName {
+    let slot = xxh3_64(target.as_str().as_bytes()) % u64::from(count.max(1));
+    GroupName::from(format!("{centre}-{slot}"))
+}
+
+/// Returns the engines of the fleet by group, for data centres with a known count.
+#[must_use]
+pub fn engine_groups(fleet: &FleetView, counts: &GroupCounts) -> IndexMap<TargetId, GroupName> {
+    let engines = fleet
+        .targets
+        .values()
+        .filter(|target| target.kind == InstanceKind::Engine && target.state != UseState::Gone);
+    engines
+        .filter_map(|target| {
+            let count = counts.get(&target.data_centre)?;
+            let group = group_of(&target.data_centre, &target.id, *count);
+            Some((target.id.clone(), group))
+        })
+        .collect()
+}
+
+/// Counts the engines per data centre.
+#[must_use]
+pub fn engines_per_centre(fleet: &FleetView) -> IndexMap<CentreName, usize> {
+    let mut counts = IndexMap::new();
+    for target in fleet.targets.values() {
+        if target.kind == InstanceKind::Engine && target.state != UseState::Gone {
+            *counts.entry(target.data_centre.clone()).or_default() += 1;
+        }
+    }
+    counts
+}
+
+/// Returns the groups that a daemon is a candidate for, with its rank.
+///
+/// Daemons of the group's data centre come first, in rendezvous order; those of
+/// others stand in only where it has no daemon, for no latencies are known to tell
+/// near from far.
+#[must_use]
+pub fn own_ranks(
+    fleet: &FleetView,
+    counts: &GroupCounts,
+    own: &DaemonId,
+) -> IndexMap<GroupName, usize> {
+    let mut ranks = IndexMap::new();
+    for (centre, count) in counts {
+        for slot in 0..*count {
+            let group = GroupName::from(format!("{centre}-{slot}"));
+            if let Some(rank) = rank_of(fleet, &group, Some(centre), own) {
+                ranks.insert(group, rank);
+            }
+        }
+    }
+    let plan = GroupName::from(PLAN_GROUP);
+    if let Some(rank) = rank_of(fleet, &plan, None, own) {
+        ranks.insert(plan, rank);
+    }
+    ranks
+}
+
+fn rank_of(
+    fleet: &FleetView,
+    group: &GroupName,
+    centre: Option<&CentreName>,
+    own: &DaemonId,
+) -> Option<usize> {
+    let local = |d: &&DaemonView| centre.is_none_or(|c| d.data_centre == *c);
+    let live = || fleet.daemons.values().filter(|d| d.state == UseState::Live);
+    let has_local = live().any(|d| local(&d));
+    let mut candidates: Vec<(u64, &DaemonId)> = live()
+        .filter(|d| !has_local || local(d))
+        .map(|d| (rendezvous(group, &d.id), &d.id))
+        .collect();
+    candidates.sort_unstable_by(|a, b| b.cmp(a));
+    let rank = candidates.iter().position(|(_, id)| *id == own)?;
+    (rank < CANDIDATES).then_some(rank)
+}
+
+/// Scores a daemon for a group; the highest score leads.
+#[must_use]
+pub fn rendezvous(group: &GroupName, daemon: &DaemonId) -> u64 {
+    xxh3_64(format!("{group}\u{0}{daemon}").as_bytes())
+}
--- /dev/null
+++ b/src/lease_record.rs
@@ -0,0 +1,109 @@
+//! The lease object of a group of engines, as the platform holds it.
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::names::{DaemonId, FenceNumber, GroupName, ProcessIncarnation};
+use crate::ports::{ObjectName, StoredObject};
+
+/// Kind of the lease objects.
+pub const LEASE_KIND: &str = "leases";
+
+/// What a lease object says.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LeaseRecord {
+    /// Daemon that holds or held the lease.
+    pub holder: DaemonId,
+    /// Life of the holder's process.
+    pub incarnation: ProcessIncarnation,
+    /// Rises with each acquisition.
+    pub fence: FenceNumber,
+    /// Unique mark of the write.
+    pub mark: String,
+    /// Whether the holder gave it up.
+    pub released: bool,
+    /// Whether an order may still be under way after the release.
+    pub unsettled: bool,
+}
+
+/// Why a lease object could not be read.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("leases/{name} cannot be read ({reason}); restore it or update this daemon")]
+pub struct LeaseRecordError {
+    /// Object concerned.
+    pub name: String,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+#[derive(Deserialize, Serialize)]
+struct LeaseWire {
+    holder: DaemonId,
+    incarnation: ProcessIncarnation,
+    fence: FenceNumber,
+    mark: String,
+    #[serde(default)]
+    released: bool,
+    #[serde(default)]
+    unsettled: bool,
+}
+
+impl From<&LeaseRecord> for LeaseWire {
+    fn from(record: &LeaseRecord) -> Self {
+        Self {
+            holder: record.holder.clone(),
+            incarnation: record.incarnation,
+            fence: record.fence,
+            mark: record.mark.clone(),
+            released: record.released,
+            unsettled: record.unsettled,
+        }
+    }
+}
+
+impl From<LeaseWire> for LeaseRecord {
+    fn from(wire: LeaseWire) -> Self {
+        Self {
+            holder: wire.holder,
+            incarnation: wire.incarnation,
+            fence: wire.fence,
+            mark: wire.mark,
+            released: wire.released,
+            unsettled: wire.unsettled,
+        }
+    }
+}
+
+impl LeaseRecord {
+    /// Returns the value to store.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(&LeaseWire::from(self)).unwrap_or_default()
+    }
+
+    /// Reads a record from its object.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the object was deleted or its value is not a lease's: a fence taken
+    /// up from nothing could fall below one that engines have seen.
+    pub fn decode(stored: &StoredObject) -> Result<Self, LeaseRecordError> {
+        let refuse = |reason: String| LeaseRecordError {
+            name: stored.object.name.clone(),
+            reason,
+        };
+        let value = stored.value.as_deref();
+        let value = value.ok_or_else(|| refuse("it was deleted".to_owned()))?;
+        let wire: LeaseWire = serde_json::from_slice(value).map_err(|e| refuse(e.to_string()))?;
+        Ok(Self::from(wire))
+    }
+}
+
+/// Returns the object that holds a group's lease.
+#[must_use]
+pub fn lease_object(group: &GroupName) -> ObjectName {
+    ObjectName {
+        kind: LEASE_KIND.to_owned(),
+        name: group.to_string(),
+    }
+}
--- /dev/null
+++ b/src/order_record.rs
@@ -0,0 +1,137 @@
+//! The object that records a group's orders before they are sent.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::names::{FenceNumber, GroupName, TargetId};
+use crate::ports::{ObjectName, StoredObject};
+use crate::target_wire::{EngineRole, OrderMark};
+
+/// Kind of the order objects, and of the plan.
+pub const ORDER_KIND: &str = "orders";
+
+/// Absolute state an engine is to have.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EngineWish {
+    /// Role to have.
+    pub role: EngineRole,
+    /// Models to hold.
+    pub models: Vec<String>,
+    /// Why, for operators.
+    pub reason: String,
+}
+
+/// How far a change of an engine has come.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum OrderPhase {
+    /// Out of use; running work finishes before the order.
+    Draining,
+    /// Recorded, and sent or about to be.
+    Ordered(OrderMark),
+}
+
+/// A change of one engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OrderEntry {
+    /// State to have.
+    pub wish: EngineWish,
+    /// How far it has come.
+    pub phase: OrderPhase,
+}
+
+/// Orders of a group as recorded.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct OrderRecord {
+    /// Fence of the holder that wrote it.
+    pub fence: FenceNumber,
+    /// Unique mark of the write.
+    pub mark: String,
+    /// Number of the last order; never reused.
+    pub last_order: u64,
+    /// Changes under way, at most one an engine.
+    pub entries: IndexMap<TargetId, OrderEntry>,
+}
+
+#[derive(Deserialize, Serialize)]
+struct EntryWire {
+    wish: EngineWish,
+    #[serde(default)]
+    ordered: Option<OrderMark>,
+}
+
+#[derive(Deserialize, Serialize)]
+struct RecordWire {
+    fence: FenceNumber,
+    mark: String,
+    last_order: u64,
+    entries: IndexMap<TargetId, EntryWire>,
+}
+
+impl From<&OrderRecord> for RecordWire {
+    fn from(record: &OrderRecord) -> Self {
+        let entries = record.entries.iter().map(|(target, entry)| {
+            let ordered = match &entry.phase {
+                OrderPhase::Draining => None,
+                OrderPhase::Ordered(mark) => Some(mark.clone()),
+            };
+            let wish = entry.wish.clone();
+            (target.clone(), EntryWire { wish, ordered })
+        });
+        Self {
+            fence: record.fence,
+            mark: record.mark.clone(),
+            last_order: record.last_order,
+            entries: entries.collect(),
+        }
+    }
+}
+
+impl From<RecordWire> for OrderRecord {
+    fn from(wire: RecordWire) -> Self {
+        let entries = wire.entries.into_iter().map(|(target, entry)| {
+            let phase = entry
+                .ordered
+                .map_or(OrderPhase::Draining, OrderPhase::Ordered);
+            let wish = entry.wish;
+            (target, OrderEntry { wish, phase })
+        });
+        Self {
+            fence: wire.fence,
+            mark: wire.mark,
+            last_order: wire.last_order,
+            entries: entries.collect(),
+        }
+    }
+}
+
+impl OrderRecord {
+    /// Returns the value to store.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(&RecordWire::from(self)).unwrap_or_default()
+    }
+
+    /// Drops the drains of an earlier holder: a drain is only a promise to order, and
+    /// who gave it is gone.
+    pub fn drop_drains(&mut self) {
+        self.entries
+            .retain(|_, entry| entry.phase != OrderPhase::Draining);
+    }
+
+    /// Reads a record; `None` when the value is not one.
+    #[must_use]
+    pub fn decode(stored: &StoredObject) -> Option<Self> {
+        let value = stored.value.as_deref()?;
+        let wire: RecordWire = serde_json::from_slice(value).ok()?;
+        Some(Self::from(wire))
+    }
+}
+
+/// Returns the object that records a group's orders.
+#[must_use]
+pub fn order_object(group: &GroupName) -> ObjectName {
+    ObjectName {
+        kind: ORDER_KIND.to_owned(),
+        name: group.to_string(),
+    }
+}
--- /dev/null
+++ b/tests/control_leases.rs
@@ -0,0 +1,421 @@
+//! Leases: when a daemon may order, take over and hand over.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use pistachiowick::fleet::{DaemonView, FleetView, UseState};
+use pistachiowick::lease::LeaseTable;
+use pistachiowick::lease_groups::{self, GroupCounts};
+use pistachiowick::lease_record::{LeaseRecord, lease_object};
+use pistachiowick::lease_state::{LeaseAction, LeaseTimes};
+use pistachiowick::names::{
+    CentreName, DaemonId, FenceNumber, GroupName, MonoTime, ProcessIncarnation, TargetId,
+};
+use pistachiowick::ports::{ObjectVersion, PlatformError, StoredObject};
+use rstest::rstest;
+
+const TIMES: LeaseTimes = LeaseTimes {
+    duration: Duration::from_millis(6_000),
+    guard: Duration::from_millis(1_500),
+    order_flight: Duration::from_millis(1_000),
+};
+
+fn group() -> GroupName {
+    GroupName::from("north-0")
+}
+
+fn table(id: &str, rank: usize) -> LeaseTable {
+    let mut table = LeaseTable::new(DaemonId::from(id), ProcessIncarnation(1), TIMES);
+    table.set_groups(&IndexMap::from([(group(), rank)]), MonoTime(0));
+    table
+}
+
+fn lost() -> PlatformError {
+    PlatformError::Lost {
+        reason: "no answer".to_owned(),
+    }
+}
+
+fn conflict(version: u64) -> PlatformError {
+    PlatformError::Conflict {
+        current: ObjectVersion(version),
+    }
+}
+
+fn foreign(version: u64, fence: u64, released: bool, unsettled: bool) -> StoredObject {
+    let record = LeaseRecord {
+        holder: DaemonId::from("other"),
+        incarnation: ProcessIncarnation(7),
+        fence: FenceNumber(fence),
+        mark: format!("other-{version}"),
+        released,
+        unsettled,
+    };
+    StoredObject {
+        object: lease_object(&group()),
+        version: ObjectVersion(version),
+        value: Some(record.encode()),
+    }
+}
+
+/// Ticks until a write comes out, answering reads with `found`; returns when and what.
+fn write_after(
+    table: &mut LeaseTable,
+    found: Option<&StoredObject>,
+    from: u64,
+    to: u64,
+) -> Option<(u64, String, StoredObject)> {
+    for at in (from..=to).step_by(100) {
+        for action in table.tick(MonoTime(at)) {
+            match action {
+                LeaseAction::Read(group) => {
+                    table.note_read(&group, &Ok(found.cloned()), MonoTime(at));
+                }
+                LeaseAction::Write { mark, write, .. } => {
+                    let stored = StoredObject {
+                        object: write.object,
+                        version: ObjectVersion(write.expected.0 + 1),
+                        value: Some(write.value),
+                    };
+                    return Some((at, mark, stored));
+                }
+            }
+        }
+    }
+    None
+}
+
+fn acquire(table: &mut LeaseTable, at: u64) -> u64 {
+    let (at, mark, stored) = write_after(table, None, at, at + 20_000).unwrap();
+    table.note_write(&group(), &mark, &Ok(stored.version), MonoTime(at));
+    at
+}
+
+struct TakeOverCase {
+    found: StoredObject,
+    rank: usize,
+    earliest: u64,
+    latest: u64,
+}
+
+#[rstest]
+#[case::lapsed(TakeOverCase { found: foreign(3, 4, false, false), rank: 0, earliest: 7_000, latest: 7_100 })]
+#[case::lapsed_second(TakeOverCase { found: foreign(3, 4, false, false), rank: 1, earliest: 8_500, latest: 8_600 })]
+#[case::released(TakeOverCase { found: foreign(3, 4, true, false), rank: 0, earliest: 0, latest: 100 })]
+#[case::released_with_order_out(TakeOverCase {
+    found: foreign(3, 4, true, true), rank: 0, earliest: 1_000, latest: 1_100,
+})]
+#[case::released_second(TakeOverCase { found: foreign(3, 4, true, false), rank: 1, earliest: 6_000, latest: 6_100 })]
+/// A lease lapses or is handed over. Taken too early, the last holder may still believe
+/// in it and its orders may be under way; too late, engines stay without a planner.
+fn takes_over_when_nothing_can_be_under_way(#[case] case: TakeOverCase) {
+    let mut table = table("a", case.rank);
+    let (at, mark, stored) = write_after(&mut table, Some(&case.found), 0, 60_000).unwrap();
+    assert!((case.earliest..=case.latest).contains(&at), "{at}");
+    assert_eq!(LeaseRecord::decode(&stored).unwrap().fence, FenceNumber(5));
+    assert!(table.authority(&group(), MonoTime(at)).is_none());
+    table.note_write(&group(), &mark, &Ok(stored.version), MonoTime(at));
+    let authority = table.authority(&group(), MonoTime(at)).unwrap();
+    assert_eq!(authority.fence, FenceNumber(5));
+}
+
+/// The holder renews while a candidate watches: each new version starts the wait anew,
+/// also when a stale read in between shows an older one.
+#[test]
+fn a_renewed_lease_is_never_taken() {
+    let mut table = table("a", 0);
+    for version in 1..20 {
+        let from = version * 3_000;
+        let newest = foreign(version, 4, false, false);
+        assert!(write_after(&mut table, Some(&newest), from, from + 1_500).is_none());
+        let stale = foreign(version - 1, 4, false, false);
+        assert!(write_after(&mut table, Some(&stale), from + 1_600, from + 2_900).is_none());
+    }
+}
+
+/// The answer to a renewal comes late. Authority counts from before the write left, or it
+/// would outlast what others watch.
+#[test]
+fn authority_counts_from_before_the_write() {
+    let mut table = table("a", 0);
+    let (at, mark, stored) = write_after(&mut table, None, 0, 20_000).unwrap();
+    table.note_write(&group(), &mark, &Ok(stored.version), MonoTime(at + 1_900));
+    let last = at + 6_000 - 1_500;
+    assert!(table.authority(&group(), MonoTime(last - 1)).is_some());
+    assert!(table.authority(&group(), MonoTime(last)).is_none());
+}
+
+/// The process is paused past the end of its lease and goes on: the first thing it asks
+/// is whether it may order, before any tick has noticed that time passed.
+#[test]
+fn a_pause_ends_authority_without_a_tick() {
+    let mut table = table("a", 0);
+    let at = acquire(&mut table, 0);
+    assert!(table.authority(&group(), MonoTime(at + 4_499)).is_some());
+    assert!(table.authority(&group(), MonoTime(at + 60_000)).is_none());
+}
+
+enum Answer {
+    LostAndLanded,
+    LostAndGone,
+    Taken,
+    Silent,
+}
+
+struct RenewCase {
+    answer: Answer,
+    keeps: bool,
+}
+
+/// A renewal's answer is lost. If it landed, the lease goes on; if another daemon's record
+/// is found in its place, ordering stops at once, before the old time is over.
+#[rstest]
+#[case::landed(RenewCase { answer: Answer::LostAndLanded, keeps: true })]
+#[case::gone(RenewCase { answer: Answer::LostAndGone, keeps: true })]
+#[case::silent(RenewCase { answer: Answer::Silent, keeps: true })]
+#[case::taken(RenewCase { answer: Answer::Taken, keeps: false })]
+fn a_lost_renewal_is_read_back(#[case] case: RenewCase) {
+    let mut table = table("a", 0);
+    let at = acquire(&mut table, 0);
+    let (sent, mark, stored) = write_after(&mut table, None, at, at + 6_000).unwrap();
+    assert!(sent < at + 4_500, "renewed too late to keep ordering");
+    let unchanged = StoredObject {
+        version: ObjectVersion(stored.version.0 - 1),
+        ..stored.clone()
+    };
+    let found = match case.answer {
+        Answer::Taken => {
+            let taken = foreign(stored.version.0, 9, false, false);
+            table.note_write(
+                &group(),
+                &mark,
+                &Err(conflict(stored.version.0)),
+                MonoTime(sent),
+            );
+            assert!(table.authority(&group(), MonoTime(sent)).is_none());
+            taken
+        }
+        Answer::LostAndLanded | Answer::LostAndGone => {
+            table.note_write(&group(), &mark, &Err(lost()), MonoTime(sent));
+            if matches!(case.answer, Answer::LostAndLanded) {
+                stored
+            } else {
+                unchanged
+            }
+        }
+        Answer::Silent => stored,
+    };
+    let mut now = sent;
+    let mut renewed = false;
+    while now < sent + 2_500 && !renewed {
+        now += 100;
+        for action in table.tick(MonoTime(now)) {
+            match action {
+                LeaseAction::Read(group) => {
+                    table.note_read(&group, &Ok(Some(found.clone())), MonoTime(now));
+                }
+                LeaseAction::Write { mark, write, .. } => {
+                    renewed = true;
+                    let version = ObjectVersion(write.expected.0 + 1);
+                    table.note_write(&group(), &mark, &Ok(version), MonoTime(now));
+                }
+            }
+        }
+    }
+    let later = MonoTime(at + 4_600);
+    assert_eq!(table.authority(&group(), later).is_some(), case.keeps);
+}
+
+/// Two renewals are sent, the first one's answer is lost and it lands late: the second
+/// fails its condition. That is no rival, and the lease must not be dropped for it.
+#[test]
+fn its_own_late_renewal_is_no_rival() {
+    let mut table = table("a", 0);
+    let at = acquire(&mut table, 0);
+    let (sent, mark, first) = write_after(&mut table, None, at, at + 6_000).unwrap();
+    table.note_write(&group(), &mark, &Err(lost()), MonoTime(sent));
+    let before = StoredObject {
+        version: ObjectVersion(first.version.0 - 1),
+        ..first.clone()
+    };
+    let (again, mark, _) = write_after(&mut table, Some(&before), sent + 100, sent + 900).unwrap();
+    table.note_write(
+        &group(),
+        &mark,
+        &Err(conflict(first.version.0)),
+        MonoTime(again),
+    );
+    assert!(table.authority(&group(), MonoTime(again)).is_some());
+    assert!(write_after(&mut table, Some(&first), again + 100, again + 900).is_none());
+    let later = MonoTime(at + 4_600);
+    assert!(table.authority(&group(), later).is_some());
+}
+
+#[test]
+fn an_unreachable_platform_ends_the_lease() {
+    let mut table = table("a", 0);
+    let at = acquire(&mut table, 0);
+    let down = PlatformError::Unavailable {
+        reason: "down".to_owned(),
+        retry_after: Duration::ZERO,
+    };
+    let mut calls = 0;
+    for now in (at..at + 20_000).step_by(100) {
+        for action in table.tick(MonoTime(now)) {
+            calls += 1;
+            match action {
+                LeaseAction::Read(group) => {
+                    table.note_read(&group, &Err(down.clone()), MonoTime(now));
+                }
+                LeaseAction::Write { mark, .. } => {
+                    table.note_write(&group(), &mark, &Err(down.clone()), MonoTime(now));
+                }
+            }
+        }
+        let allowed = now < at + 4_500;
+        assert_eq!(table.authority(&group(), MonoTime(now)).is_some(), allowed);
+    }
+    assert!(calls <= 30, "{calls}");
+    let news = table.take_news();
+    assert!(
+        news.iter()
+            .any(|n| !n.held && n.reason.contains("without a renewal"))
+    );
+}
+
+/// An engine refuses an order for a later fence. The lease is given up and taken again
+/// only with a fence above the one met.
+#[test]
+fn a_fenced_holder_gives_up() {
+    let mut table = table("a", 0);
+    let at = acquire(&mut table, 0);
+    table.give_up(&group(), FenceNumber(40), MonoTime(at + 100));
+    assert!(table.authority(&group(), MonoTime(at + 100)).is_none());
+    let (again, _, stored) = write_after(&mut table, None, at + 200, at + 60_000).unwrap();
+    assert!(again >= at + 6_000);
+    assert_eq!(LeaseRecord::decode(&stored).unwrap().fence, FenceNumber(41));
+}
+
+/// A planned stop: ordering ends first, then the record tells the successor, and the
+/// daemon takes the lease no more.
+#[test]
+fn a_planned_stop_hands_over() {
+    let mut table = table("a", 0);
+    let at = acquire(&mut table, 0);
+    table.set_unsettled(&group(), true);
+    table.stop();
+    assert!(table.authority(&group(), MonoTime(at)).is_none());
+    assert!(!table.is_handed_over());
+    let (now, mark, stored) = write_after(&mut table, None, at, at + 300).unwrap();
+    let record = LeaseRecord::decode(&stored).unwrap();
+    assert!(record.released && record.unsettled);
+    table.note_write(&group(), &mark, &Ok(stored.version), MonoTime(now));
+    assert!(table.is_handed_over());
+    assert!(write_after(&mut table, Some(&stored), now, now + 60_000).is_none());
+}
+
+/// Another daemon ranks first for long: the lease moves to it, but a daemon that comes
+/// and goes moves nothing.
+#[test]
+fn a_lease_moves_to_who_ranks_first_for_long() {
+    let mut table = table("a", 0);
+    let mut now = acquire(&mut table, 0);
+    let mut released = None;
+    let end = now + 200_000;
+    while released.is_none() && now < end {
+        now += 100;
+        let first = (20_000..50_000).contains(&now) || now >= 90_000;
+        let rank = usize::from(first);
+        table.set_groups(&IndexMap::from([(group(), rank)]), MonoTime(now));
+        for action in table.tick(MonoTime(now)) {
+            let LeaseAction::Write { mark, write, .. } = action else {
+                continue;
+            };
+            let version = ObjectVersion(write.expected.0 + 1);
+            let stored = StoredObject {
+                object: write.object,
+                version,
+                value: Some(write.value),
+            };
+            if LeaseRecord::decode(&stored).unwrap().released {
+                released = Some(now);
+            }
+            table.note_write(&group(), &mark, &Ok(version), MonoTime(now));
+        }
+    }
+    let released = released.unwrap();
+    assert!((150_000..=150_200).contains(&released), "{released}");
+}
+
+fn fleet(daemons: &[(&str, &str)]) -> FleetView {
+    let views = daemons.iter().map(|(id, centre)| {
+        let view = DaemonView {
+            id: DaemonId::from(*id),
+            address: String::new(),
+            peer_address: String::new(),
+            data_centre: CentreName::from(*centre),
+            incarnation: ProcessIncarnation(1),
+            state: UseState::Live,
+        };
+        (view.id.clone(), view)
+    });
+    FleetView {
+        daemons: views.collect(),
+        ..FleetView::default()
+    }
+}
+
+#[test]
+fn each_group_has_one_leader_of_its_data_centre() {
+    let daemons = [
+        ("a", "north"),
+        ("b", "north"),
+        ("c", "north"),
+        ("d", "north"),
+        ("e", "south"),
+    ];
+    let fleet = fleet(&daemons);
+    let counts: GroupCounts = IndexMap::from([
+        (CentreName::from("north"), 8),
+        (CentreName::from("west"), 1),
+    ]);
+    let mut leaders: IndexMap<GroupName, Vec<(usize, &str)>> = IndexMap::new();
+    for (id, _) in daemons {
+        for (group, rank) in lease_groups::own_ranks(&fleet, &counts, &DaemonId::from(id)) {
+            leaders.entry(group).or_default().push((rank, id));
+        }
+    }
+    assert_eq!(leaders.len(), 10);
+    for (group, candidates) in &leaders {
+        let mut ranks: Vec<usize> = candidates.iter().map(|(rank, _)| *rank).collect();
+        ranks.sort_unstable();
+        assert_eq!(ranks, [0, 1, 2], "{group}");
+        if group.as_str().starts_with("north") {
+            assert!(candidates.iter().all(|(_, id)| *id != "e"));
+        }
+    }
+    let first: Vec<&str> = leaders
+        .values()
+        .flat_map(|c| c.iter().filter(|(rank, _)| *rank == 0).map(|(_, id)| *id))
+        .collect();
+    assert!(first.iter().any(|id| *id != first[0]), "all on one daemon");
+}
+
+#[rstest]
+#[case(0, 64, 1)]
+#[case(4, 64, 1)]
+#[case(64, 64, 1)]
+#[case(65, 64, 2)]
+#[case(632, 64, 13)]
+fn group_counts_leave_room(#[case] engines: usize, #[case] most: usize, #[case] count: u32) {
+    assert_eq!(lease_groups::initial_count(engines, most), count);
+    let centre = CentreName::from("north");
+    let mut sizes: IndexMap<GroupName, usize> = IndexMap::new();
+    for number in 0..engines {
+        let target = TargetId::from(format!("engine-{number}"));
+        *sizes
+            .entry(lease_groups::group_of(&centre, &target, count))
+            .or_default() += 1;
+    }
+    assert!(sizes.values().all(|size| *size <= most), "{sizes:?}");
+}
