--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod service_http;
 pub mod settings;
 pub mod settings_check;
+pub mod settings_fields;
 pub mod settings_rules;
 pub mod shares;
 pub mod snapshot;
@@ -82,6 +83,13 @@
 pub mod target_wire;
 pub mod telemetry;
 pub mod timer;
+pub mod tool_flags;
+pub mod tool_items;
+pub mod tool_keys;
+pub mod tool_output;
+pub mod tool_requests;
+pub mod tool_run;
+pub mod tool_state;
 pub mod traffic;
 
 /// The caller and operator interface, generated from `proto/pistachiowick.proto`.
