Name the cryptography before the first TLS connection

Cause: the libraries for calls in and out bring one provider each; with two and none named, the daemon panicked at its first TLS connection (client_tls: 4 of 6 failed). Change: ring is installed at the start of daemon and client.

--- a/lab/src/prove_daemon.rs
+++ b/lab/src/prove_daemon.rs
@@ -40,7 +40,7 @@
 }
 
 enum HostKind {
-    Inside(InsideDaemon),
+    Inside(Box<InsideDaemon>),
     Process(Box<Child>),
 }
 
@@ -87,7 +87,7 @@
         inside.daemon = Some(daemon);
         Ok(Self {
             addresses,
-            kind: HostKind::Inside(inside),
+            kind: HostKind::Inside(Box::new(inside)),
         })
     }
 
--- a/lab/src/prove_verdict.rs
+++ b/lab/src/prove_verdict.rs
@@ -112,7 +112,7 @@
         broken.iter().all(|count| *count == 0) && self.recovery_ms.is_some()
     }
 
-    fn find(&mut self, kind: &str, text: String) {
+    fn find(&mut self, kind: &str, text: &str) {
         self.findings.push(format!("{kind}: {text}"));
     }
 }
@@ -179,7 +179,7 @@
     judge_config(&mut report, books);
     report.leaks = books.leaks.len() as u64;
     for leak in &books.leaks {
-        report.find("leak", leak.clone());
+        report.find("leak", leak);
     }
     let own: u64 = books.lives.iter().map(|life| life.violations).sum();
     report.violations = books.violations + own;
@@ -208,7 +208,7 @@
             .filter(|ask| ask.end != AskEnd::Unreached);
         let asks: Vec<String> = reached.map(describe).collect();
         let text = format!("{} ({:?}): {}", request.name, request.kind, asks.join("; "));
-        report.find("hung", text);
+        report.find("hung", &text);
     }
 }
 
@@ -224,18 +224,18 @@
     let name = &request.name;
     if request.kind.is_keyed() && runs.len() > 1 {
         report.doubled += 1;
-        report.find("doubled", format!("{name} ran as {runs:?}"));
+        report.find("doubled", &format!("{name} ran as {runs:?}"));
     }
     let answered = request.asks.iter().any(is_answered);
     if request.kind.is_keyed() && answered && runs.is_empty() {
         report.wrong += 1;
-        report.find("wrong", format!("{name} was answered and never ran"));
+        report.find("wrong", &format!("{name} was answered and never ran"));
     }
     for ask in &request.asks {
         if ask.end == AskEnd::Final(RequestEnd::Refused) && is_false(request, ask, runs) {
             report.false_not_run += 1;
             let told = format!("{name} was told {:?} and ran as {runs:?}", ask.reason);
-            report.find("false_not_run", told);
+            report.find("false_not_run", &told);
         }
     }
     let closed = request
@@ -245,7 +245,7 @@
     if closed && !runs.is_empty() {
         report.false_not_run += 1;
         let told = format!("the record of {name} says not run, and it ran as {runs:?}");
-        report.find("false_not_run", told);
+        report.find("false_not_run", &told);
     }
 }
 
@@ -283,32 +283,35 @@
     for ask in &request.asks {
         if ask.is_wrong {
             report.wrong += 1;
-            report.find("wrong", format!("{name} at {}: {:?}", ask.address, ask.end));
+            report.find(
+                "wrong",
+                &format!("{name} at {}: {:?}", ask.address, ask.end),
+            );
         }
         if ask.is_short {
             report.short += 1;
             report.find(
                 "short",
-                format!("{name} at {}: {}", ask.address, ask.reason),
+                &format!("{name} at {}: {}", ask.address, ask.reason),
             );
         }
         if ask.is_doubled {
             report.doubled += 1;
-            report.find("doubled", format!("bytes of {name} at {}", ask.address));
+            report.find("doubled", &format!("bytes of {name} at {}", ask.address));
         }
         if let AskEnd::Rejected(text) = &ask.end {
             report.rejected += 1;
-            report.find("rejected", format!("{name} at {}: {text}", ask.address));
+            report.find("rejected", &format!("{name} at {}: {text}", ask.address));
         }
         if ask.end == AskEnd::Broken && !ask.request_id.is_empty() && is_cut(ask, books) {
             report.cut_by_planned_change += 1;
             let text = format!("{name} at {}, which nobody killed", ask.address);
-            report.find("cut_by_planned_change", text);
+            report.find("cut_by_planned_change", &text);
         }
     }
     if request.records.iter().any(|record| !record.is_right) {
         report.wrong += 1;
-        report.find("wrong", format!("the record of {name}"));
+        report.find("wrong", &format!("the record of {name}"));
     }
 }
 
@@ -339,7 +342,7 @@
             report.conflicting_orders += 1;
             report.find(
                 "conflicting_orders",
-                format!("{}: {order:?}", engine.target),
+                &format!("{}: {order:?}", engine.target),
             );
         }
     }
@@ -359,7 +362,7 @@
         for late in after.iter().filter(|after| **after > grace) {
             report.late_new_work += 1;
             let text = format!("{target} got work {late} ms after it was told to leave");
-            report.find("late_new_work", text);
+            report.find("late_new_work", &text);
         }
     }
     for hold in &books.holds {
@@ -373,7 +376,7 @@
                 "drained {} got {} after {after} ms",
                 hold.target, stream.request_id
             );
-            report.find("late_new_work", text);
+            report.find("late_new_work", &text);
         }
     }
 }
@@ -381,7 +384,7 @@
 fn judge_config(report: &mut ProveReport, books: &RunBooks) {
     for revert in &books.reverts {
         report.config_reverts += 1;
-        report.find("config_reverts", revert.clone());
+        report.find("config_reverts", &revert.clone());
     }
     let mut bases = IndexSet::new();
     let mut newest = IndexMap::new();
@@ -396,7 +399,7 @@
                 "two changes of {} were based on {}",
                 change.item, change.based_on
             );
-            report.find("config_reverts", text);
+            report.find("config_reverts", &text);
         }
         newest.insert((change.item.as_str(), revision), change.mark);
     }
@@ -405,7 +408,7 @@
             report.config_reverts += 1;
             report.find(
                 "config_reverts",
-                format!("{daemon} lacks an accepted change: {items:?}"),
+                &format!("{daemon} lacks an accepted change: {items:?}"),
             );
         }
         for (item, shown) in items {
@@ -414,7 +417,7 @@
                 report.config_reverts += 1;
                 report.find(
                     "config_reverts",
-                    format!("{daemon} shows {item} as {shown:?}"),
+                    &format!("{daemon} shows {item} as {shown:?}"),
                 );
             }
         }
--- a/src/client_links.rs
+++ b/src/client_links.rs
@@ -70,6 +70,7 @@
             .parse()
             .map_err(|_| ClientError::Key)?;
         bearer.set_sensitive(true);
+        crate::tls::install_provider();
         let tls = options.ca_pem.as_deref().map(tls_config).transpose()?;
         let pool = Self {
             given: options.addresses.clone(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -88,6 +88,7 @@
 pub mod target_wire;
 pub mod telemetry;
 pub mod timer;
+pub mod tls;
 pub mod tool_flags;
 pub mod tool_items;
 pub mod tool_keys;
--- a/src/server.rs
+++ b/src/server.rs
@@ -34,6 +34,7 @@
 use crate::service_http::service_port;
 use crate::settings::DaemonSettings;
 use crate::telemetry::{self, Telemetry};
+use crate::tls;
 use crate::traffic::TrafficContext;
 
 /// Decisions kept for `explain`.
@@ -86,6 +87,7 @@
 /// Returns what kept it from starting: an address in use, a certificate that cannot
 /// be read, no HTTP client.
 pub async fn start_daemon(settings: DaemonSettings) -> Result<RunningDaemon> {
+    tls::install_provider();
     let settings = Arc::new(settings);
     let metrics = telemetry::install_prometheus().wrap_err("cannot set up metrics")?;
     let (rpc, listener) = bind(settings.listen.rpc, "listen.rpc").await?;
