--- a/tests/process_env/mod.rs
+++ b/tests/process_env/mod.rs
@@ -1,5 +1,7 @@
 //! Runs the daemon's binary as a process of its own.
 
+#![allow(dead_code, reason = "each test binary uses a part of it")]
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::process::{Child, ChildStderr, Command, Stdio};
 
@@ -58,11 +60,15 @@
         }
     }
 
-    /// Sends a signal, waits for the end and returns the exit code and the log.
-    pub fn stop(mut self, signal: &str) -> (Option<i32>, String) {
+    pub fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
         let sent = Command::new("kill").args([signal, &id]).status();
         assert!(sent.expect("kill exists").success());
+    }
+
+    /// Sends a signal, waits for the end and returns the exit code and the log.
+    pub fn stop(mut self, signal: &str) -> (Option<i32>, String) {
+        self.signal(signal);
         let code = self.child.wait().expect("it ends").code();
         let mut log = String::new();
         self.stderr
