--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,8 +31,13 @@
 pub mod fair_queue;
 pub mod flags;
 pub mod fleet;
+pub mod intent_driver;
+pub mod intent_forward;
 pub mod intent_link;
+pub mod intent_ops;
 pub mod intent_permit;
+pub mod intent_queue;
+pub mod intent_records;
 pub mod intent_store;
 pub mod intent_wire;
 pub mod intent_writer;
@@ -40,10 +45,15 @@
 pub mod invariants;
 pub mod journal;
 pub mod lease;
+pub mod lease_groups;
+pub mod lease_record;
+pub mod lease_state;
 pub mod logging;
 pub mod membership;
 pub mod membership_records;
 pub mod names;
+pub mod order_record;
+pub mod order_types;
 pub mod orders;
 pub mod peer_link;
 pub mod peer_wire;
@@ -86,6 +96,7 @@
 pub mod tool_run;
 pub mod tool_state;
 pub mod traffic;
+pub mod work_mix;
 
 /// The caller and operator interface, generated from `proto/pistachiowick.proto`.
 #[allow(clippy::all, clippy::pedantic, missing_docs)]
