Lead, plan and order from the control thread

Cause: leases and orders were decisions without hands, and roles had no plan. Ruled out: a plan per group (two holders could change the last two engines of a model at once); gains measured against the work offered (in deep overload nothing ever paid, seen in control_authority). Change: the thread carries leases, one plan for the fleet under a lease of its own, and orders; other daemons see drains through the orders' objects. Forecast by kinds of work, capacity by comparative advantage, gains that must hold within the mix's error. Conclusion: works without peers; each daemon takes the others' work to be like its own until they talk.

--- /dev/null
+++ b/src/authority_actions.rs
@@ -0,0 +1,96 @@
+//! What the authority of a daemon wants done outside.
+
+use crate::lease_record::lease_object;
+use crate::lease_state::LeaseAction;
+use crate::names::{CentreName, GroupName, TargetId};
+use crate::order_record::order_object;
+use crate::order_types::OrderAction;
+use crate::ports::{ConditionalWrite, ObjectName};
+
+/// Kind of the objects that record how many groups a data centre has.
+pub const COUNT_KIND: &str = "groups";
+
+/// Which part a platform call belongs to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CallTag {
+    /// Number of groups of a data centre.
+    Count(CentreName),
+    /// A group's lease.
+    Lease(GroupName),
+    /// A group's orders.
+    Orders(GroupName),
+    /// The plan.
+    Plan,
+}
+
+/// What is to be done outside.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum AuthorityAction {
+    /// Read an object; answered by [`crate::authority::AuthorityState::note_read`].
+    Read {
+        /// Who asks.
+        tag: CallTag,
+        /// Object to read.
+        object: ObjectName,
+    },
+    /// Write an object; answered by [`crate::authority::AuthorityState::note_write`].
+    Write {
+        /// Who asks.
+        tag: CallTag,
+        /// Mark of the write.
+        mark: String,
+        /// The conditional update.
+        write: ConditionalWrite,
+    },
+    /// Send an order if [`crate::authority::AuthorityState::begin_send`] still allows it.
+    Send {
+        /// Group of the engine.
+        group: GroupName,
+        /// Engine.
+        target: TargetId,
+    },
+}
+
+pub(crate) fn lease_action(action: LeaseAction) -> AuthorityAction {
+    match action {
+        LeaseAction::Read(group) => AuthorityAction::Read {
+            object: lease_object(&group),
+            tag: CallTag::Lease(group),
+        },
+        LeaseAction::Write { group, mark, write } => AuthorityAction::Write {
+            tag: CallTag::Lease(group),
+            mark,
+            write,
+        },
+    }
+}
+
+pub(crate) fn order_action(group: &GroupName, action: OrderAction) -> Option<AuthorityAction> {
+    if let OrderAction::Send(target) = action {
+        let group = group.clone();
+        return Some(AuthorityAction::Send { group, target });
+    }
+    platform_action(CallTag::Orders(group.clone()), group, action)
+}
+
+pub(crate) fn platform_action(
+    tag: CallTag,
+    group: &GroupName,
+    action: OrderAction,
+) -> Option<AuthorityAction> {
+    match action {
+        OrderAction::Read => Some(AuthorityAction::Read {
+            object: order_object(group),
+            tag,
+        }),
+        OrderAction::Write { mark, write } => Some(AuthorityAction::Write { tag, mark, write }),
+        OrderAction::Send(_) => None,
+    }
+}
+
+pub(crate) fn count_object(centre: &CentreName) -> ObjectName {
+    ObjectName {
+        kind: COUNT_KIND.to_owned(),
+        name: centre.to_string(),
+    }
+}
--- a/src/control_feeds.rs
+++ b/src/control_feeds.rs
@@ -7,14 +7,16 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
 
+use crate::authority_actions::CallTag;
 use crate::clock;
 use crate::config_buckets::CONFIG_KIND;
 use crate::control::{ChangeError, ChangeReport, ItemChange};
 use crate::membership;
-use crate::names::TargetId;
+use crate::names::{GroupName, TargetId};
 use crate::platform_wire::InstanceRow;
 use crate::ports::{
-    EnginePort, ObjectBatch, PlatformError, PlatformPort, StoredObject, TargetCall, WatchQuery,
+    ConditionalWrite, EnginePort, ObjectBatch, ObjectVersion, PlatformError, PlatformPort,
+    StoredObject, TargetCall, TargetError, WatchQuery,
 };
 use crate::target_wire::EngineState;
 
@@ -46,6 +48,35 @@
         /// Its report and the report's age.
         report: Option<(EngineState, Duration)>,
     },
+    /// Objects of orders and the plan.
+    Orders(Vec<StoredObject>),
+    /// A read for leases, orders or the plan was answered.
+    Read {
+        /// Who asked.
+        tag: CallTag,
+        /// The answer.
+        result: Result<Option<StoredObject>, PlatformError>,
+    },
+    /// A write for leases, orders or the plan was answered.
+    Written {
+        /// Who asked.
+        tag: CallTag,
+        /// Mark of the write.
+        mark: String,
+        /// What was written.
+        write: ConditionalWrite,
+        /// The answer.
+        result: Result<ObjectVersion, PlatformError>,
+    },
+    /// An order was answered.
+    Ordered {
+        /// Group of the engine.
+        group: GroupName,
+        /// Engine.
+        target: TargetId,
+        /// The answer.
+        result: Result<EngineState, TargetError>,
+    },
     /// An operator's change was decided.
     Changed {
         /// The change.
@@ -94,9 +125,10 @@
     }
 }
 
-/// Feeds the configuration: lists it, then watches it from there.
-pub async fn feed_config(
+/// Feeds the objects of a kind: lists them, then watches them from there.
+pub async fn feed_objects(
     platform: PlatformPort,
+    kind: &'static str,
     watch_wait: Duration,
     seed: u64,
     feeds: mpsc::UnboundedSender<FeedEvent>,
@@ -105,13 +137,13 @@
     let mut since: Option<u64> = None;
     while !feeds.is_closed() {
         let result = match since {
-            None => (platform.list)(CONFIG_KIND.to_owned()).await,
-            Some(revision) => watch(&platform, revision, watch_wait).await,
+            None => (platform.list)(kind.to_owned()).await,
+            Some(revision) => watch(&platform, kind, revision, watch_wait).await,
         };
         match result {
             Ok(batch) => {
                 backoff.reset();
-                since = deliver(batch, since, &feeds);
+                since = deliver(kind, batch, since, &feeds);
             }
             Err(error) => {
                 let _ = feeds.send(FeedEvent::Platform(is_answer(&error)));
@@ -129,11 +161,12 @@
 
 async fn watch(
     platform: &PlatformPort,
+    kind: &str,
     since: u64,
     wait: Duration,
 ) -> Result<ObjectBatch, PlatformError> {
     let query = WatchQuery {
-        kind: CONFIG_KIND.to_owned(),
+        kind: kind.to_owned(),
         since,
         wait,
     };
@@ -142,16 +175,22 @@
 
 // A revision that goes back means that the platform lost its history: list again.
 fn deliver(
+    kind: &str,
     batch: ObjectBatch,
     since: Option<u64>,
     feeds: &mpsc::UnboundedSender<FeedEvent>,
 ) -> Option<u64> {
     let went_back = since.is_some_and(|revision| batch.revision < revision);
     let _ = feeds.send(FeedEvent::Platform(true));
-    let _ = feeds.send(FeedEvent::Config {
-        objects: batch.objects,
-        whole: since.is_none(),
-    });
+    let event = if kind == CONFIG_KIND {
+        FeedEvent::Config {
+            objects: batch.objects,
+            whole: since.is_none(),
+        }
+    } else {
+        FeedEvent::Orders(batch.objects)
+    };
+    let _ = feeds.send(event);
     (!went_back).then_some(batch.revision)
 }
 
--- a/src/control_loop.rs
+++ b/src/control_loop.rs
@@ -7,17 +7,21 @@
 use tokio::runtime::Builder;
 use tokio::sync::{Mutex, mpsc, oneshot, watch};
 
+use crate::authority::{AuthorityInputs, AuthorityState};
 use crate::catalogue::ItemName;
 use crate::clock;
-use crate::config_buckets::{ApplyResult, BUCKETS, BucketIndex, ConfigState};
+use crate::config_buckets::{ApplyResult, BUCKETS, BucketIndex, CONFIG_KIND, ConfigState};
 use crate::config_store::{self, ChangePatience, ChangeRequest};
 use crate::control::{ChangeError, ChangeReport, ControlEvent, ControlInputs, ItemChange};
+use crate::control_authority::AuthorityPorts;
 use crate::control_feeds::{self, ChangeReply, FeedEvent};
 use crate::fleet::UseState;
 use crate::journal::DecisionKind;
 use crate::membership::{self, MembershipLimits, MembershipState, StateChange};
-use crate::names::{MonoTime, TargetId};
+use crate::names::{MonoTime, TargetId, millis};
+use crate::order_record::ORDER_KIND;
 use crate::ports::StoredObject;
+use crate::role_mix::{self, MixForecast, WorkAmount, WorkTotals};
 use crate::snapshot::{ControlSnapshot, SnapshotCell};
 use crate::suspicion::CallSource;
 use crate::target_wire::EngineState;
@@ -36,6 +40,11 @@
     config: ConfigState,
     membership: MembershipState,
     bucket_locks: Arc<Vec<Mutex<()>>>,
+    authority: AuthorityState,
+    ports: AuthorityPorts,
+    mix: MixForecast,
+    own_work: WorkTotals,
+    stops: Vec<oneshot::Sender<()>>,
     changes_running: usize,
     changes_made: u64,
     polling: IndexSet<TargetId>,
@@ -85,7 +94,7 @@
                 None => return,
             },
             Some(feed) = feed_inbox.recv() => state.on_feed(feed),
-            Some(now) = ticks.next() => state.membership.tick(now),
+            Some(now) = ticks.next() => state.on_tick(now),
             Some(now) = polls.next() => state.poll_engines(now),
         }
         for _ in 0..EVENTS_PER_PUBLICATION {
@@ -110,12 +119,15 @@
 
 fn start_feeds(inputs: &ControlInputs, feeds: &mpsc::UnboundedSender<FeedEvent>) {
     let platform = &inputs.settings.platform;
-    tokio::spawn(control_feeds::feed_config(
-        inputs.platform.clone(),
-        Duration::from_millis(platform.watch_ms),
-        inputs.seed ^ 1,
-        feeds.clone(),
-    ));
+    for (number, kind) in [CONFIG_KIND, ORDER_KIND].into_iter().enumerate() {
+        tokio::spawn(control_feeds::feed_objects(
+            inputs.platform.clone(),
+            kind,
+            Duration::from_millis(platform.watch_ms),
+            inputs.seed ^ (10 + number as u64),
+            feeds.clone(),
+        ));
+    }
     tokio::spawn(control_feeds::feed_instances(
         inputs.platform.clone(),
         Duration::from_millis(platform.instances_ms),
@@ -144,7 +156,20 @@
             ..MembershipLimits::default()
         };
         let locks = (0..BUCKETS).map(|_| Mutex::new(()));
+        let journal = inputs.journal.clone();
+        let ports = AuthorityPorts {
+            platform: inputs.platform.clone(),
+            engines: inputs.engines.clone(),
+            call_wait: settings.platform.call_wait(),
+            order_flight: Duration::from_millis(settings.leases.order_flight_ms),
+            feeds: feeds.clone(),
+        };
         Self {
+            authority: AuthorityState::new(settings, inputs.incarnation, journal),
+            ports,
+            mix: MixForecast::default(),
+            own_work: WorkTotals::new(),
+            stops: Vec::new(),
             membership: MembershipState::new(own, limits),
             bucket_locks: Arc::new(locks.collect()),
             inputs,
@@ -169,7 +194,16 @@
                 self.membership
                     .note_call(&target, CallSource::Work, answered, now);
             }
-            ControlEvent::WorkSeen { .. } | ControlEvent::CostSeen { .. } => {}
+            ControlEvent::WorkSeen {
+                model,
+                prefill_tokens,
+                decode_tokens,
+            } => {
+                let speeds = &self.inputs.settings.policy.speeds;
+                let work = WorkAmount::of_request(speeds, prefill_tokens, decode_tokens);
+                role_mix::add_work(&mut self.own_work, &model, work);
+            }
+            ControlEvent::CostSeen { .. } => {}
             ControlEvent::Stop { done } => self.stop(done),
         }
     }
@@ -183,6 +217,31 @@
             }
             FeedEvent::Platform(reachable) => self.note_platform(reachable),
             FeedEvent::Engine { target, report } => self.note_engine(&target, report.as_ref()),
+            FeedEvent::Orders(objects) => self.note_orders(&objects),
+            FeedEvent::Read { tag, result } => {
+                let (fleet, now) = (self.membership.fleet().clone(), clock::mono_now());
+                let next = self.authority.note_read(&tag, &result, &fleet, now);
+                if let Some(action) = next {
+                    self.ports.carry_out(action, &mut self.authority, &fleet);
+                }
+            }
+            FeedEvent::Written {
+                tag,
+                mark,
+                write,
+                result,
+            } => {
+                let now = clock::mono_now();
+                self.authority.note_write(&tag, &mark, &write, &result, now);
+            }
+            FeedEvent::Ordered {
+                group,
+                target,
+                result,
+            } => {
+                let now = clock::mono_now();
+                self.authority.note_answer(&group, &target, &result, now);
+            }
             FeedEvent::Changed {
                 change,
                 result,
@@ -191,6 +250,47 @@
         }
     }
 
+    fn note_orders(&mut self, objects: &[StoredObject]) {
+        let now = clock::mono_now();
+        for stored in objects {
+            self.authority.note_object(stored, now);
+        }
+        self.membership.set_changing(self.authority.changing(now));
+    }
+
+    fn on_tick(&mut self, now: MonoTime) {
+        self.membership.tick(now);
+        self.roll_mix(now);
+        let fleet = self.membership.fleet().clone();
+        let inputs = AuthorityInputs {
+            fleet: &fleet,
+            config: self.config.view(),
+            mix: &self.mix,
+        };
+        // Before the list has been seen every engine looks gone and every peer dead.
+        if self.list_seen && self.config_whole {
+            for action in self.authority.tick(inputs, now) {
+                self.ports.carry_out(action, &mut self.authority, &fleet);
+            }
+        }
+        self.membership.set_changing(self.authority.changing(now));
+        if self.authority.is_handed_over() {
+            for done in self.stops.drain(..) {
+                let _ = done.send(());
+            }
+        }
+    }
+
+    // Without word from peers, the others are taken to see work like one's own.
+    fn roll_mix(&mut self, now: MonoTime) {
+        let daemons = self.cell.load().live_daemons as f64;
+        for (model, bins) in self.own_work.drain(..) {
+            let whole = bins.map(|work| work.times(daemons));
+            self.mix.note(&model, &whole);
+        }
+        self.mix.tick(now);
+    }
+
     fn note_platform(&mut self, reachable: bool) {
         if self.platform_reachable != reachable {
             log::info!(reachable; "platform reachability changed");
@@ -246,6 +346,8 @@
             .note_call(target, CallSource::Poll, report.is_some(), now);
         if let Some((state, age)) = report {
             self.membership.note_state(target, state, *age, now);
+            let taken_at = MonoTime(now.0.saturating_sub(millis(*age)));
+            self.authority.note_state(target, state, taken_at);
         }
     }
 
@@ -337,8 +439,9 @@
     fn stop(&mut self, done: oneshot::Sender<()>) {
         self.stopping = true;
         self.membership.set_stopping();
+        self.authority.stop();
+        self.stops.push(done);
         self.publish();
-        let _ = done.send(());
     }
 
     fn publish(&mut self) {
@@ -369,7 +472,7 @@
         ControlSnapshot {
             fleet,
             config: self.config.view().clone(),
-            leases: Vec::new(),
+            leases: self.authority.views(clock::mono_now()),
             ready: self.config_whole && self.list_seen && !self.stopping,
             platform_reachable: self.platform_reachable,
             stopping: self.stopping,
--- /dev/null
+++ b/src/plan_inputs.rs
@@ -0,0 +1,62 @@
+//! Turns the fleet's view into what the plan of roles looks at.
+
+use indexmap::IndexMap;
+
+use crate::fleet::{FleetView, TargetView, UseState};
+use crate::names::{GroupName, TargetId};
+use crate::order_record::EngineWish;
+use crate::orders::OrderBook;
+use crate::platform_wire::InstanceKind;
+use crate::role_plan::{ModelNeed, PlanEngine};
+use crate::snapshot::ConfigView;
+
+pub(crate) fn want_planned(
+    book: &mut OrderBook,
+    group: &GroupName,
+    groups: &IndexMap<TargetId, GroupName>,
+    plan: &IndexMap<TargetId, EngineWish>,
+    fleet: &FleetView,
+) {
+    let mut own = IndexMap::new();
+    for (target, wish) in plan {
+        let engine = fleet.targets.get(target).and_then(plan_engine);
+        let open = engine.is_some_and(|e| !has(&e, wish));
+        if open && groups.get(target) == Some(group) {
+            own.insert(target.clone(), wish.clone());
+        }
+    }
+    book.keep_wishes(&own);
+    for (target, wish) in own {
+        book.want(target, wish);
+    }
+}
+
+pub(crate) fn plan_engines(fleet: &FleetView) -> Vec<PlanEngine> {
+    fleet.targets.values().filter_map(plan_engine).collect()
+}
+
+pub(crate) fn plan_engine(target: &TargetView) -> Option<PlanEngine> {
+    let report = target.report.as_ref()?;
+    let listed = target.kind == InstanceKind::Engine && target.state < UseState::Leaving;
+    listed.then(|| PlanEngine {
+        id: target.id.clone(),
+        role: report.role,
+        models: report.models.clone(),
+        usable: target.state == UseState::Live && !report.changing,
+        in_flight: report.in_flight,
+    })
+}
+
+pub(crate) fn has(engine: &PlanEngine, wish: &EngineWish) -> bool {
+    engine.role == wish.role && engine.models == wish.models
+}
+
+pub(crate) fn model_needs(config: &ConfigView) -> Vec<ModelNeed> {
+    let models = config.models.values();
+    models
+        .map(|spec| ModelNeed {
+            model: spec.name.clone(),
+            least_engines: spec.least_engines as usize,
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/role_capacity.rs
@@ -0,0 +1,125 @@
+//! How much of a mix a set of engine roles can serve.
+
+use crate::cost::SpeedSettings;
+use crate::role_mix::{MIX_BINS, WorkAmount, WorkBins};
+use crate::target_wire::EngineRole;
+
+const SEARCH_STEPS: u32 = 24;
+const MOST_SCALE: f64 = 64.0;
+const HEADROOM: f64 = 1.25;
+
+/// Engines by role.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RoleCounts {
+    /// Prefill engines.
+    pub prefill: usize,
+    /// Mixed engines.
+    pub mixed: usize,
+    /// Decode engines.
+    pub decode: usize,
+}
+
+impl RoleCounts {
+    /// Returns the number of engines in a role.
+    #[must_use]
+    pub fn of(&self, role: EngineRole) -> usize {
+        match role {
+            EngineRole::Prefill => self.prefill,
+            EngineRole::Mixed => self.mixed,
+            EngineRole::Decode => self.decode,
+        }
+    }
+
+    /// Adds an engine.
+    pub fn add(&mut self, role: EngineRole) {
+        *self.slot(role) += 1;
+    }
+
+    /// Returns the counts with one engine moved, or left out when `to` is `None`.
+    #[must_use]
+    pub fn moved(mut self, from: EngineRole, to: Option<EngineRole>) -> Self {
+        let slot = self.slot(from);
+        *slot = slot.saturating_sub(1);
+        if let Some(role) = to {
+            self.add(role);
+        }
+        self
+    }
+
+    /// Tells whether prompts and output can both still be worked on.
+    #[must_use]
+    pub fn is_able(&self) -> bool {
+        self.mixed > 0 || (self.prefill > 0 && self.decode > 0)
+    }
+
+    fn slot(&mut self, role: EngineRole) -> &mut usize {
+        match role {
+            EngineRole::Prefill => &mut self.prefill,
+            EngineRole::Mixed => &mut self.mixed,
+            EngineRole::Decode => &mut self.decode,
+        }
+    }
+}
+
+/// Returns how many times the mix the engines could serve at best.
+///
+/// Each kind of work goes where it is comparatively quickest: kinds in order of their
+/// prefill share fill prefill engines first, then mixed, then decode ones.
+#[must_use]
+pub fn capacity(counts: RoleCounts, mix: &WorkBins, speeds: &SpeedSettings) -> f64 {
+    let (mut low, mut high) = (0.0, MOST_SCALE);
+    if fits(counts, mix, speeds, high) {
+        return high;
+    }
+    for _ in 0..SEARCH_STEPS {
+        let middle = f64::midpoint(low, high);
+        if fits(counts, mix, speeds, middle) {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    low
+}
+
+fn fits(counts: RoleCounts, mix: &WorkBins, speeds: &SpeedSettings, scale: f64) -> bool {
+    let roles = [EngineRole::Prefill, EngineRole::Mixed, EngineRole::Decode];
+    let mut free = roles.map(|role| (role, counts.of(role) as f64));
+    let mut first = 0;
+    for bin in (0..MIX_BINS).rev() {
+        let work = mix[bin].times(scale);
+        let mut left = 1.0;
+        while left > 1e-9 && work.total() > 0.0 {
+            let Some((role, seconds)) = free.get_mut(first) else {
+                return false;
+            };
+            let needed = seconds_on(*role, work, speeds) * left;
+            if needed <= *seconds {
+                *seconds -= needed;
+                left = 0.0;
+            } else {
+                left -= left * *seconds / needed;
+                first += 1;
+            }
+        }
+    }
+    true
+}
+
+fn seconds_on(role: EngineRole, work: WorkAmount, speeds: &SpeedSettings) -> f64 {
+    let speed = speeds.role_speed(role);
+    work.prefill / speed.prefill + work.decode / speed.decode
+}
+
+/// Returns the share of the work expected to be served in time at a capacity; some
+/// room is needed for bursts.
+#[must_use]
+pub fn served_share(capacity: f64) -> f64 {
+    (capacity / HEADROOM).min(1.0)
+}
+
+/// Returns the whole of a mix in engine-seconds a second.
+#[must_use]
+pub fn demand(mix: &WorkBins) -> f64 {
+    mix.iter().map(WorkAmount::total).sum()
+}
--- /dev/null
+++ b/src/role_mix.rs
@@ -0,0 +1,253 @@
+//! Forecast of the mix of prompt and output work per model.
+//!
+//! Requests are sorted by how much of their work is reading the prompt, because a role
+//! suits one end of that scale: the totals alone would hide that long prompts with short
+//! answers run beside short prompts with long answers.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::cost::SpeedSettings;
+use crate::names::{ModelName, MonoTime};
+
+/// Number of kinds of work by their prefill share.
+pub const MIX_BINS: usize = 8;
+
+const TYPICAL_BATCH: f64 = 16.0;
+const FAST_S: f64 = 10.0;
+const SLOW_S: f64 = 60.0;
+const TREND_WEIGHT: f64 = 0.5;
+const SIGNIFICANT_DEVIATIONS: f64 = 3.0;
+const MOST_MODELS: usize = 256;
+const STEP: Duration = Duration::from_secs(1);
+
+/// Work in seconds of a mixed engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct WorkAmount {
+    /// Reading prompts.
+    pub prefill: f64,
+    /// Generating output.
+    pub decode: f64,
+}
+
+/// Work of one model by kind.
+pub type WorkBins = [WorkAmount; MIX_BINS];
+
+/// Work seen since the start of a process, per model.
+pub type WorkTotals = IndexMap<ModelName, WorkBins>;
+
+impl WorkAmount {
+    /// Returns the work of a request.
+    #[must_use]
+    pub fn of_request(speeds: &SpeedSettings, prefill_tokens: u64, decode_tokens: u64) -> Self {
+        let gap_ms = speeds.token_per_stream_ms + speeds.token_base_ms / TYPICAL_BATCH;
+        Self {
+            prefill: prefill_tokens as f64 / speeds.prefill_tokens_per_s,
+            decode: decode_tokens as f64 * gap_ms / 1_000.0,
+        }
+    }
+
+    /// Returns the sum of both.
+    #[must_use]
+    pub fn total(&self) -> f64 {
+        self.prefill + self.decode
+    }
+
+    /// Returns the kind of the work; the last is all prefill.
+    #[must_use]
+    pub fn bin(&self) -> usize {
+        let total = self.total();
+        if total <= 0.0 {
+            return 0;
+        }
+        let position = self.prefill / total * MIX_BINS as f64;
+        (position as usize).min(MIX_BINS - 1)
+    }
+
+    fn plus(self, other: Self) -> Self {
+        Self {
+            prefill: self.prefill + other.prefill,
+            decode: self.decode + other.decode,
+        }
+    }
+
+    /// Returns the amount multiplied.
+    #[must_use]
+    pub fn times(self, factor: f64) -> Self {
+        Self {
+            prefill: self.prefill * factor,
+            decode: self.decode * factor,
+        }
+    }
+}
+
+/// Adds a request's work to the totals of its model.
+pub fn add_work(totals: &mut WorkTotals, model: &ModelName, work: WorkAmount) {
+    if totals.len() >= MOST_MODELS && !totals.contains_key(model) {
+        return;
+    }
+    let bins = totals.entry(model.clone()).or_default();
+    let bin = &mut bins[work.bin()];
+    *bin = bin.plus(work);
+}
+
+#[derive(Clone, Debug, Default)]
+struct ModelMix {
+    pending: WorkBins,
+    fast: WorkBins,
+    slow: WorkBins,
+    // Variance of the prefill share from second to second.
+    variance: f64,
+}
+
+/// Rates of work per model, decayed over a short and a long time.
+#[derive(Clone, Debug, Default)]
+pub struct MixForecast {
+    models: IndexMap<ModelName, ModelMix>,
+    rolled_at: Option<MonoTime>,
+    age_s: f64,
+}
+
+/// Rates of one model, in engine-seconds a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct MixRates {
+    /// Over the last seconds.
+    pub recent: WorkBins,
+    /// Between the last seconds and the last minute, or the last minute alone where the
+    /// difference of both may be noise.
+    pub steady: WorkBins,
+    /// Expected within half a minute if the trend goes on.
+    pub expected: WorkBins,
+    /// Standard error of the prefill share of the steady rates.
+    pub error: f64,
+}
+
+impl MixForecast {
+    /// Adds work that was seen since the last call.
+    pub fn note(&mut self, model: &ModelName, bins: &WorkBins) {
+        if self.models.len() >= MOST_MODELS && !self.models.contains_key(model) {
+            return;
+        }
+        let mix = self.models.entry(model.clone()).or_default();
+        for (pending, seen) in mix.pending.iter_mut().zip(bins) {
+            *pending = pending.plus(*seen);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: MonoTime) {
+        let since = *self.rolled_at.get_or_insert(now);
+        let span = now.since(since);
+        if span < STEP {
+            return;
+        }
+        self.rolled_at = Some(now);
+        let seconds = span.as_secs_f64();
+        self.age_s += seconds;
+        // Until it is as old as its memory, a rate is the plain mean of what was seen.
+        let fast = share_of_new(seconds, FAST_S.min(self.age_s));
+        let slow = share_of_new(seconds, SLOW_S.min(self.age_s));
+        for mix in self.models.values_mut() {
+            mix.roll(seconds, fast, slow);
+        }
+    }
+
+    /// Returns the rates of a model.
+    #[must_use]
+    pub fn rates(&self, model: &ModelName) -> MixRates {
+        let Some(mix) = self.models.get(model) else {
+            return MixRates::default();
+        };
+        let mut rates = MixRates {
+            recent: mix.fast,
+            ..MixRates::default()
+        };
+        let recent = if mix.is_noise() { 0.0 } else { 0.5 };
+        // A young rate is a mean of fewer seconds than its memory.
+        let (slow_s, fast_s) = (SLOW_S.min(self.age_s / 2.0), FAST_S.min(self.age_s / 2.0));
+        rates.error = mix.error(slow_s).max(recent * mix.error(fast_s));
+        for (bin, (fast, slow)) in mix.fast.iter().zip(&mix.slow).enumerate() {
+            rates.steady[bin] = blend(*slow, *fast, recent);
+            rates.expected[bin] = ahead(*fast, *slow);
+        }
+        rates
+    }
+
+    /// Returns the models with work.
+    pub fn models(&self) -> impl Iterator<Item = &ModelName> {
+        self.models.keys()
+    }
+
+    /// Tells whether enough time has been seen for a decision.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.age_s >= FAST_S
+    }
+}
+
+fn share_of_new(seconds: f64, memory: f64) -> f64 {
+    (seconds / memory.max(seconds)).min(1.0)
+}
+
+fn ahead(fast: WorkAmount, slow: WorkAmount) -> WorkAmount {
+    let step = |fast: f64, slow: f64| (fast + TREND_WEIGHT * (fast - slow)).clamp(0.0, 2.0 * fast);
+    WorkAmount {
+        prefill: step(fast.prefill, slow.prefill),
+        decode: step(fast.decode, slow.decode),
+    }
+}
+
+impl ModelMix {
+    // The mean of the last seconds strays from the true one by its standard error.
+    fn is_noise(&self) -> bool {
+        let shares = prefill_share(&self.fast).zip(prefill_share(&self.slow));
+        let Some((fast, slow)) = shares else {
+            return true;
+        };
+        (fast - slow).abs() < SIGNIFICANT_DEVIATIONS * self.error(FAST_S)
+    }
+
+    // Standard error of the prefill share over a memory.
+    fn error(&self, memory: f64) -> f64 {
+        (self.variance / (2.0 * memory.max(0.5))).sqrt()
+    }
+
+    fn roll(&mut self, seconds: f64, fast: f64, slow: f64) {
+        if let Some(now) = prefill_share(&self.pending) {
+            let usual = prefill_share(&self.fast).unwrap_or(now);
+            let deviation = (now - usual).powi(2);
+            self.variance += slow * (deviation - self.variance);
+        }
+        for bin in 0..MIX_BINS {
+            let rate = self.pending[bin].times(1.0 / seconds);
+            self.fast[bin] = blend(self.fast[bin], rate, fast);
+            self.slow[bin] = blend(self.slow[bin], rate, slow);
+        }
+        self.pending = WorkBins::default();
+    }
+}
+
+/// Returns a mix with the same work and another prefill share.
+#[must_use]
+pub fn tilted(bins: &WorkBins, by: f64) -> WorkBins {
+    let Some(share) = prefill_share(bins) else {
+        return *bins;
+    };
+    let wanted = (share + by).clamp(0.0, 1.0);
+    let factor = |wanted: f64, now: f64| if now > 0.0 { wanted / now } else { 1.0 };
+    bins.map(|work| WorkAmount {
+        prefill: work.prefill * factor(wanted, share),
+        decode: work.decode * factor(1.0 - wanted, 1.0 - share),
+    })
+}
+
+fn prefill_share(bins: &WorkBins) -> Option<f64> {
+    let prefill: f64 = bins.iter().map(|work| work.prefill).sum();
+    let total: f64 = bins.iter().map(WorkAmount::total).sum();
+    (total > 0.0).then(|| prefill / total)
+}
+
+fn blend(old: WorkAmount, new: WorkAmount, share: f64) -> WorkAmount {
+    old.times(1.0 - share).plus(new.times(share))
+}
--- a/src/role_plan.rs
+++ b/src/role_plan.rs
@@ -1,1 +1,403 @@
-//! Not written yet.
+//! Plans which role each engine has, and which engines hold a model.
+//!
+//! A change pays when what it gains within the horizon is worth more than the seconds
+//! it takes an engine out of service. Near the threshold the plan keeps what is: gains
+//! must show in the recent, the steady and the expected mix and within its error, exceed
+//! a least share, and an engine that changed rests for a horizon.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::cost::SpeedSettings;
+use crate::names::{ModelName, MonoTime, TargetId};
+use crate::order_record::EngineWish;
+use crate::role_capacity::{RoleCounts, capacity, demand, served_share};
+use crate::role_mix::{MixForecast, MixRates, WorkBins, tilted};
+use crate::settings::{PolicySettings, RolePolicy};
+use crate::target_wire::EngineRole;
+
+const ROLES: [EngineRole; 3] = [EngineRole::Prefill, EngineRole::Mixed, EngineRole::Decode];
+const LEAST_GAIN: f64 = 0.03;
+const BASELINE_GAIN: f64 = 0.001;
+const ERROR_MARGIN: f64 = 3.0;
+const KEPT_PAUSE: Duration = Duration::from_secs(30);
+
+/// An engine as the plan sees it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PlanEngine {
+    /// Its name.
+    pub id: TargetId,
+    /// Role in force.
+    pub role: EngineRole,
+    /// Models loaded.
+    pub models: Vec<String>,
+    /// Whether it takes new work.
+    pub usable: bool,
+    /// Work running and waiting.
+    pub in_flight: u32,
+}
+
+/// A decision of the plan with its reason.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PlanDecision {
+    /// Change an engine.
+    Change {
+        /// Engine to change.
+        target: TargetId,
+        /// State to have.
+        wish: EngineWish,
+    },
+    /// Keep what is although a change would gain a little.
+    Keep {
+        /// Models concerned.
+        models: String,
+        /// Why.
+        reason: String,
+    },
+}
+
+/// A model's need of engines.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ModelNeed {
+    /// Model.
+    pub model: ModelName,
+    /// Fewest engines that hold it.
+    pub least_engines: usize,
+}
+
+/// Plans roles for the whole fleet.
+#[derive(Clone, Debug)]
+pub struct RolePlanner {
+    policy: PolicySettings,
+    changed_at: IndexMap<TargetId, MonoTime>,
+    kept_at: IndexMap<String, MonoTime>,
+}
+
+#[derive(Clone, Debug)]
+struct MoveOption {
+    from: EngineRole,
+    to: EngineRole,
+    gain: f64,
+    cost: f64,
+}
+
+struct EnginePool<'a> {
+    models: &'a [String],
+    engines: Vec<&'a PlanEngine>,
+    counts: RoleCounts,
+    rates: MixRates,
+}
+
+impl RolePlanner {
+    /// Creates a planner.
+    #[must_use]
+    pub fn new(policy: PolicySettings) -> Self {
+        Self {
+            policy,
+            changed_at: IndexMap::new(),
+            kept_at: IndexMap::new(),
+        }
+    }
+
+    /// Decides what to change now; `changing` engines are in change already.
+    pub fn plan(
+        &mut self,
+        engines: &[PlanEngine],
+        needs: &[ModelNeed],
+        mix: &MixForecast,
+        changing: usize,
+        now: MonoTime,
+    ) -> Vec<PlanDecision> {
+        self.forget(engines);
+        let room = self.policy.role_changes_at_once.saturating_sub(changing);
+        if room == 0 {
+            return Vec::new();
+        }
+        if let Some(decision) = self.place_model(engines, needs, now) {
+            return vec![decision];
+        }
+        if self.policy.roles == RolePolicy::Fixed || !mix.is_settled() {
+            return Vec::new();
+        }
+        let mut decisions = Vec::new();
+        for pool in pools(engines, mix) {
+            if decisions.len() < room {
+                decisions.extend(self.plan_pool(&pool, now));
+            }
+        }
+        decisions
+    }
+
+    fn forget(&mut self, engines: &[PlanEngine]) {
+        self.changed_at
+            .retain(|id, _| engines.iter().any(|engine| engine.id == *id));
+        self.kept_at.retain(|models, _| {
+            let mut known = engines.iter().map(|engine| engine.models.join(","));
+            known.any(|m| m == *models)
+        });
+    }
+
+    fn plan_pool(&mut self, pool: &EnginePool<'_>, now: MonoTime) -> Option<PlanDecision> {
+        let best = self.best_move(pool)?;
+        let horizon = Duration::from_millis(self.policy.role_horizon_ms);
+        let least = match self.policy.roles {
+            RolePolicy::FollowMix => 0.0,
+            _ => LEAST_GAIN * self.served(pool) * horizon.as_secs_f64(),
+        };
+        let wanted = best.cost.max(least);
+        if best.gain <= wanted {
+            return self.keep(pool, &best, wanted, now);
+        }
+        let target = self.pick(pool, best.from, now)?;
+        self.changed_at.insert(target.clone(), now);
+        let reason = format!(
+            "{:?} -> {:?}: gains {:.1} of {:.1} engine-seconds needed within {:.0} s",
+            best.from,
+            best.to,
+            best.gain,
+            wanted,
+            horizon.as_secs_f64()
+        );
+        let wish = EngineWish {
+            role: best.to,
+            models: pool.models.to_vec(),
+            reason,
+        };
+        Some(PlanDecision::Change { target, wish })
+    }
+
+    fn keep(
+        &mut self,
+        pool: &EnginePool<'_>,
+        best: &MoveOption,
+        wanted: f64,
+        now: MonoTime,
+    ) -> Option<PlanDecision> {
+        let models = pool.models.join(",");
+        let told = self.kept_at.get(&models);
+        let quiet = told.is_some_and(|at| now.since(*at) < KEPT_PAUSE);
+        if best.gain <= 0.0 || quiet {
+            return None;
+        }
+        self.kept_at.insert(models.clone(), now);
+        let reason = format!(
+            "kept: {:?} -> {:?} would gain {:.1} of {wanted:.1} engine-seconds needed",
+            best.from, best.to, best.gain
+        );
+        Some(PlanDecision::Keep { models, reason })
+    }
+
+    fn best_move(&self, pool: &EnginePool<'_>) -> Option<MoveOption> {
+        let mut best: Option<MoveOption> = None;
+        for from in ROLES {
+            for to in ROLES {
+                let during = pool.counts.moved(from, None);
+                if from == to || pool.counts.of(from) == 0 || !during.is_able() {
+                    continue;
+                }
+                let after = pool.counts.moved(from, Some(to));
+                let option = self.weigh(pool, from, to, during, after);
+                let net = option.gain - option.cost;
+                if best.as_ref().is_none_or(|b| net > b.gain - b.cost) {
+                    best = Some(option);
+                }
+            }
+        }
+        best
+    }
+
+    fn weigh(
+        &self,
+        pool: &EnginePool<'_>,
+        from: EngineRole,
+        to: EngineRole,
+        during: RoleCounts,
+        after: RoleCounts,
+    ) -> MoveOption {
+        let rates = &pool.rates;
+        let follows = self.policy.roles == RolePolicy::FollowMix;
+        let margin = ERROR_MARGIN * rates.error;
+        let (more, less) = (
+            tilted(&rates.steady, margin),
+            tilted(&rates.steady, -margin),
+        );
+        let mixes: &[&WorkBins] = if follows {
+            &[&rates.recent]
+        } else {
+            &[&rates.recent, &rates.steady, &rates.expected, &more, &less]
+        };
+        let gains = mixes.iter().map(|mix| self.gain(pool.counts, after, mix));
+        let gain = gains.fold(f64::INFINITY, f64::min);
+        let cost = if follows {
+            0.0
+        } else {
+            self.cost(pool.counts, during, &rates.recent)
+        };
+        MoveOption {
+            from,
+            to,
+            gain,
+            cost,
+        }
+    }
+
+    // Engine-seconds of work served in time that a move adds within the horizon.
+    fn gain(&self, before: RoleCounts, after: RoleCounts, mix: &WorkBins) -> f64 {
+        let speeds = &self.policy.speeds;
+        let (old, new) = (capacity(before, mix, speeds), capacity(after, mix, speeds));
+        if self.policy.roles == RolePolicy::FollowMix {
+            return if new > old * (1.0 + BASELINE_GAIN) {
+                new - old
+            } else {
+                0.0
+            };
+        }
+        let useful = self
+            .policy
+            .role_horizon_ms
+            .saturating_sub(self.policy.role_change_ms);
+        let seconds = useful as f64 / 1_000.0;
+        (served_share(new) - served_share(old)) * demand(mix) * seconds
+    }
+
+    // Measured against the work served, not the work offered: in deep overload even a
+    // large gain is a small part of what is asked for.
+    fn served(&self, pool: &EnginePool<'_>) -> f64 {
+        let mix = &pool.rates.recent;
+        demand(mix) * served_share(capacity(pool.counts, mix, &self.policy.speeds))
+    }
+
+    // Work not served while the engine is out, and the price of its idle seconds.
+    fn cost(&self, before: RoleCounts, during: RoleCounts, mix: &WorkBins) -> f64 {
+        let speeds: &SpeedSettings = &self.policy.speeds;
+        let seconds = self.policy.role_change_ms as f64 / 1_000.0;
+        let lost = served_share(capacity(before, mix, speeds))
+            - served_share(capacity(during, mix, speeds));
+        let price = (self.policy.role_change_price - 1.0).max(0.0);
+        lost * demand(mix) * seconds + price * seconds
+    }
+
+    fn pick(&self, pool: &EnginePool<'_>, from: EngineRole, now: MonoTime) -> Option<TargetId> {
+        let rested = pool
+            .engines
+            .iter()
+            .filter(|engine| engine.role == from && engine.usable && self.is_rested(engine, now));
+        let quietest = rested.min_by_key(|engine| (engine.in_flight, engine.id.clone()))?;
+        Some(quietest.id.clone())
+    }
+
+    fn is_rested(&self, engine: &PlanEngine, now: MonoTime) -> bool {
+        let rest = match self.policy.roles {
+            RolePolicy::FollowMix => Duration::from_millis(self.policy.role_change_ms),
+            _ => Duration::from_millis(self.policy.role_horizon_ms),
+        };
+        let changed_at = self.changed_at.get(&engine.id);
+        changed_at.is_none_or(|at| now.since(*at) >= rest)
+    }
+
+    // Puts a model that too few engines hold onto the quietest engine that can spare
+    // one of its own, or has the fewest.
+    fn place_model(
+        &mut self,
+        engines: &[PlanEngine],
+        needs: &[ModelNeed],
+        now: MonoTime,
+    ) -> Option<PlanDecision> {
+        let holders = |model: &ModelName| {
+            let held = engines.iter().filter(|engine| holds(engine, model));
+            held.count()
+        };
+        let short = needs
+            .iter()
+            .find(|need| holders(&need.model) < need.least_engines)?;
+        let spare = |held: &String| {
+            let need = needs.iter().find(|need| names_model(held, &need.model));
+            need.is_none_or(|n| holders(&n.model) > n.least_engines.max(1))
+        };
+        let candidates = engines.iter().filter(|engine| {
+            engine.usable && !holds(engine, &short.model) && self.is_rested(engine, now)
+        });
+        let engine = candidates.min_by_key(|engine| {
+            let spares = engine.models.iter().any(spare);
+            (
+                !spares,
+                engine.models.len(),
+                engine.in_flight,
+                engine.id.clone(),
+            )
+        })?;
+        let mut models = engine.models.clone();
+        if let Some(position) = models.iter().position(spare) {
+            models.remove(position);
+        }
+        models.push(short.model.to_string());
+        self.changed_at.insert(engine.id.clone(), now);
+        let reason = format!(
+            "{} is held by {} of at least {} engines",
+            short.model,
+            holders(&short.model),
+            short.least_engines
+        );
+        let wish = EngineWish {
+            role: engine.role,
+            models,
+            reason,
+        };
+        let target = engine.id.clone();
+        Some(PlanDecision::Change { target, wish })
+    }
+}
+
+// Engines with the same models form a pool; a model's work is split over its pools by
+// their engines.
+fn pools<'a>(engines: &'a [PlanEngine], mix: &MixForecast) -> Vec<EnginePool<'a>> {
+    let mut pools: IndexMap<&[String], EnginePool<'a>> = IndexMap::new();
+    for engine in engines.iter().filter(|engine| engine.usable) {
+        let pool = pools.entry(&engine.models).or_insert_with(|| EnginePool {
+            models: &engine.models,
+            engines: Vec::new(),
+            counts: RoleCounts::default(),
+            rates: MixRates::default(),
+        });
+        pool.engines.push(engine);
+        pool.counts.add(engine.role);
+    }
+    for model in mix.models() {
+        let holders = engines.iter().filter(|e| e.usable && holds(e, model));
+        let holders = holders.count().max(1) as f64;
+        let rates = mix.rates(model);
+        for pool in pools.values_mut() {
+            if pool.models.iter().any(|held| names_model(held, model)) {
+                let share = pool.engines.len() as f64 / holders;
+                add_rates(&mut pool.rates, &rates, share);
+            }
+        }
+    }
+    pools.into_values().collect()
+}
+
+fn add_rates(sum: &mut MixRates, rates: &MixRates, share: f64) {
+    sum.error = sum.error.max(rates.error);
+    let parts = [
+        (&mut sum.recent, &rates.recent),
+        (&mut sum.steady, &rates.steady),
+        (&mut sum.expected, &rates.expected),
+    ];
+    for (into, from) in parts {
+        for (into, from) in into.iter_mut().zip(from) {
+            into.prefill += from.prefill * share;
+            into.decode += from.decode * share;
+        }
+    }
+}
+
+fn holds(engine: &PlanEngine, model: &ModelName) -> bool {
+    engine.models.iter().any(|held| names_model(held, model))
+}
+
+// `MODEL`, `MODEL@VERSION` and `MODEL@VERSION+ADAPTER` all name the model.
+fn names_model(held: &str, model: &ModelName) -> bool {
+    let name = held.split(['@', '+']).next().unwrap_or(held);
+    name == model.as_str()
+}
