--- a/src/authority.rs
+++ b/src/authority.rs
@@ -13,7 +13,7 @@
 use crate::lease_groups::{self, GroupCounts, PLAN_GROUP};
 use crate::lease_state::LeaseTimes;
 use crate::names::{CentreName, DaemonId, GroupName, MonoTime, ProcessIncarnation, TargetId};
-use crate::order_record::{ORDER_KIND, OrderRecord};
+use crate::order_record::{ORDER_KIND, OrderRecord, order_object};
 use crate::order_types::OrderTimes;
 use crate::orders::OrderBook;
 use crate::plan_book::{PlanBook, wishes_of};
@@ -135,13 +135,15 @@
     }
 
     /// Takes a newer object of the kind [`ORDER_KIND`], from a watch or a peer.
-    pub fn note_object(&mut self, stored: &StoredObject, now: MonoTime) {
+    ///
+    /// Returns whether it was news.
+    pub fn note_object(&mut self, stored: &StoredObject, now: MonoTime) -> bool {
         let known = self.seen.get(&stored.object.name);
         if stored.object.kind != ORDER_KIND || known.is_some_and(|s| s.version >= stored.version) {
-            return;
+            return false;
         }
         let Some(record) = OrderRecord::decode(stored) else {
-            return;
+            return false;
         };
         let begun = record.entries.keys().map(|target| {
             let before = known.and_then(|s| s.begun.get(target));
@@ -153,6 +155,26 @@
             record,
         };
         self.seen.insert(stored.object.name.clone(), seen);
+        true
+    }
+
+    /// Returns the objects of orders and the plan held here, for peers.
+    #[must_use]
+    pub fn objects(&self) -> Vec<StoredObject> {
+        let held = self.seen.iter();
+        held.map(|(name, seen)| StoredObject {
+            object: order_object(&GroupName::from(name.as_str())),
+            version: seen.version,
+            value: Some(seen.record.encode()),
+        })
+        .collect()
+    }
+
+    /// Tells whether this daemon leads an engine's group.
+    #[must_use]
+    pub fn leads(&self, target: &TargetId) -> bool {
+        let group = self.groups.get(target);
+        group.is_some_and(|group| self.books.contains_key(group))
     }
 
     /// Lets time pass.
--- a/src/control.rs
+++ b/src/control.rs
@@ -11,6 +11,7 @@
 use crate::control_loop;
 use crate::journal::DecisionJournal;
 use crate::names::{ClassName, ModelName, ProcessIncarnation, TargetId, WorkspaceName};
+use crate::peer_link::PeerEvent;
 use crate::ports::{EnginePort, PlatformPort};
 use crate::settings::DaemonSettings;
 use crate::snapshot::{SnapshotCell, new_cell};
@@ -103,6 +104,8 @@
         /// Engine time used.
         cost: Duration,
     },
+    /// A link to a peer, or a message over it.
+    Peer(PeerEvent),
     /// A planned stop begins: leave the addressing and hand over the leases.
     Stop {
         /// Told once the leases are handed over.
--- /dev/null
+++ b/src/control_changes.rs
@@ -0,0 +1,193 @@
+//! Configuration in the control thread: what arrives, what operators change, and how
+//! many daemons run it.
+
+use std::time::Duration;
+
+use crate::catalogue::ItemName;
+use crate::clock;
+use crate::config_buckets::{ApplyResult, BucketIndex};
+use crate::config_store::{self, ChangePatience, ChangeRequest};
+use crate::control::{ChangeError, ChangeReport, ItemChange};
+use crate::control_feeds::{ChangeReply, FeedEvent};
+use crate::control_state::ControlState;
+use crate::fleet::UseState;
+use crate::journal::DecisionKind;
+use crate::names::{DaemonId, MonoTime};
+use crate::ports::{ObjectVersion, StoredObject};
+
+const MOST_CHANGES: usize = 64;
+const CONFIRMATION_WAIT: Duration = Duration::from_secs(2);
+
+/// An accepted change that waits for the other daemons to confirm it.
+pub(crate) struct PendingConfirmation {
+    bucket: String,
+    version: ObjectVersion,
+    revision: u64,
+    reply: ChangeReply,
+    give_up_at: MonoTime,
+}
+
+impl ControlState {
+    pub(crate) fn apply_config(
+        &mut self,
+        objects: &[StoredObject],
+        whole: bool,
+        from: Option<&DaemonId>,
+    ) {
+        let mut readable = true;
+        let mut news = Vec::new();
+        for stored in objects {
+            match self.apply_bucket(stored) {
+                Some(true) => news.push(stored.clone()),
+                Some(false) => {}
+                None => readable = false,
+            }
+        }
+        if !news.is_empty() {
+            self.peers.relay(from, &news);
+        }
+        if whole && readable && !self.config_whole {
+            self.config_whole = true;
+            let items = self.config.view().items.len();
+            log::info!(items; "whole configuration seen");
+        }
+        let holds = &self.config.view().holds;
+        self.membership.set_holds(holds);
+    }
+
+    // Returns whether the bucket was news; nothing when it could not be read.
+    pub(crate) fn apply_bucket(&mut self, stored: &StoredObject) -> Option<bool> {
+        match self.config.apply(stored) {
+            Ok(ApplyResult::Known) => Some(false),
+            Ok(ApplyResult::Changed(names)) => {
+                metrics::counter!("pistachiowick_config_applied_total").increment(1);
+                if self.config_whole {
+                    self.explain_items(&names, stored.version.0);
+                }
+                self.peers.note_applied(stored, clock::mono_now());
+                Some(true)
+            }
+            Err(error) => {
+                metrics::counter!("pistachiowick_config_unreadable_total").increment(1);
+                log::error!("configuration not applied: {error}");
+                None
+            }
+        }
+    }
+
+    pub(crate) fn explain_items(&self, names: &[ItemName], version: u64) {
+        for name in names {
+            let reason = format!("in force here at version {version}");
+            self.inputs
+                .journal
+                .record(DecisionKind::Config, &name.name, reason);
+        }
+    }
+
+    pub(crate) fn start_change(&mut self, change: ItemChange, reply: ChangeReply) {
+        if self.changes_running >= MOST_CHANGES {
+            let error = ChangeError::Unavailable {
+                reason: format!("{MOST_CHANGES} changes are under way"),
+            };
+            let _ = reply.send(Err(error));
+            return;
+        }
+        self.changes_running += 1;
+        self.changes_made += 1;
+        let settings = &self.inputs.settings;
+        let mark = format!(
+            "{}-{}-{}",
+            settings.daemon_id, self.inputs.incarnation.0, self.changes_made
+        );
+        let (platform, feeds) = (self.inputs.platform.clone(), self.feeds.clone());
+        let (view, locks) = (self.config.view().clone(), self.bucket_locks.clone());
+        let index = BucketIndex::of(&change.item);
+        let applied = self.config.version_of(index);
+        tokio::spawn(async move {
+            // Changes of one bucket through this daemon follow each other: run at
+            // once they would only fail each other's conditions.
+            let _guard = locks[index.position()].lock().await;
+            let request = ChangeRequest {
+                change: &change,
+                mark: &mark,
+                view: &view,
+                applied,
+            };
+            let patience = ChangePatience::default();
+            let result = config_store::run_change(&platform, request, patience).await;
+            let result = result.map(|done| (done.revision, done.stored));
+            let _ = feeds.send(FeedEvent::Changed {
+                change,
+                result,
+                reply,
+            });
+        });
+    }
+
+    pub(crate) fn finish_change(
+        &mut self,
+        change: &ItemChange,
+        result: Result<(u64, StoredObject), ChangeError>,
+        reply: ChangeReply,
+    ) {
+        self.changes_running -= 1;
+        match result {
+            Ok((revision, stored)) => self.await_confirmations(revision, stored, reply),
+            Err(error) => {
+                let reason = error.to_string();
+                self.inputs
+                    .journal
+                    .record(DecisionKind::Config, &change.item.name, reason);
+                let _ = reply.send(Err(error));
+            }
+        }
+    }
+
+    // The change is in force here before anybody hears that it was accepted.
+    fn await_confirmations(&mut self, revision: u64, stored: StoredObject, reply: ChangeReply) {
+        let (bucket, version) = (stored.object.name.clone(), stored.version);
+        self.apply_config(&[stored], false, None);
+        self.publish();
+        let now = clock::mono_now();
+        self.peers.send_hint(self.stopping, now);
+        self.confirmations.push(PendingConfirmation {
+            bucket,
+            version,
+            revision,
+            reply,
+            give_up_at: now.plus(CONFIRMATION_WAIT),
+        });
+        self.settle_confirmations(now);
+    }
+
+    /// Answers the changes that all live daemons confirmed, or that waited long enough.
+    pub(crate) fn settle_confirmations(&mut self, now: MonoTime) {
+        for pending in std::mem::take(&mut self.confirmations) {
+            let others = self.other_daemons();
+            let confirmed = self.peers.confirmed(&pending.bucket, pending.version);
+            let (run, open): (Vec<String>, Vec<String>) = others
+                .into_iter()
+                .partition(|id| confirmed.contains(&DaemonId::from(id.as_str())));
+            let waits = self.peers.is_heard() && now < pending.give_up_at;
+            if !open.is_empty() && waits {
+                self.confirmations.push(pending);
+                continue;
+            }
+            let report = ChangeReport {
+                revision: pending.revision,
+                confirmed: u32::try_from(run.len() + 1).unwrap_or(u32::MAX),
+                unconfirmed: open,
+            };
+            let _ = pending.reply.send(Ok(report));
+        }
+    }
+
+    pub(crate) fn other_daemons(&self) -> Vec<String> {
+        let own = &self.inputs.settings.daemon_id;
+        let daemons = self.membership.fleet().daemons.values();
+        daemons
+            .filter(|d| d.id != *own && d.state < UseState::Leaving)
+            .map(|d| d.id.to_string())
+            .collect()
+    }
+}
--- a/src/control_feeds.rs
+++ b/src/control_feeds.rs
@@ -4,7 +4,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep;
 
 use crate::authority_actions::CallTag;
@@ -131,11 +131,17 @@
     kind: &'static str,
     watch_wait: Duration,
     seed: u64,
+    mut watching: watch::Receiver<bool>,
     feeds: mpsc::UnboundedSender<FeedEvent>,
 ) {
     let mut backoff = BackoffState::new(seed);
     let mut since: Option<u64> = None;
     while !feeds.is_closed() {
+        // The first listing is always an own one; from then on peers may feed this
+        // daemon, and the watch goes on where it stood when they fall silent.
+        if since.is_some() && watching.wait_for(|on| *on).await.is_err() {
+            return;
+        }
         let result = match since {
             None => (platform.list)(kind.to_owned()).await,
             Some(revision) => watch(&platform, kind, revision, watch_wait).await,
--- /dev/null
+++ b/src/control_peers.rs
@@ -0,0 +1,265 @@
+//! The control thread's side of the links: hints out, hints in, objects passed on.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use tokio::sync::{mpsc, watch};
+
+use crate::fleet::FleetView;
+use crate::names::{DaemonId, ModelName, MonoTime, ProcessIncarnation, TargetId, WorkspaceName};
+use crate::peer_link::PeerCommand;
+use crate::peer_state::{PeerHints, PeerTopology};
+use crate::peer_wire::{PeerHint, PeerMessage};
+use crate::ports::{ObjectName, ObjectVersion, StoredObject};
+use crate::role_mix::{WorkBins, WorkTotals};
+use crate::settings::DaemonSettings;
+use crate::target_wire::EngineState;
+
+const NEWS_AGE: Duration = Duration::from_secs(10);
+const BATCH_BYTES: usize = 1 << 20;
+const MOST_NEWS: usize = 512;
+const MOST_WORKSPACES: usize = 8_192;
+
+/// What the control thread keeps for its peers.
+pub struct PeerDesk {
+    own: DaemonId,
+    incarnation: ProcessIncarnation,
+    watchers: usize,
+    silence: Duration,
+    outbox: Option<mpsc::UnboundedSender<PeerCommand>>,
+    topology: PeerTopology,
+    hints: PeerHints,
+    linked: IndexSet<DaemonId>,
+    sequence: u64,
+    work: WorkTotals,
+    costs: IndexMap<WorkspaceName, (f64, MonoTime)>,
+    applied: IndexMap<String, (ObjectVersion, MonoTime)>,
+    engines: IndexMap<TargetId, EngineState>,
+    digests: IndexMap<TargetId, MonoTime>,
+    watching: watch::Sender<bool>,
+}
+
+impl PeerDesk {
+    /// Creates the desk of a daemon without links, which watches the platform itself.
+    #[must_use]
+    pub fn new(settings: &DaemonSettings, incarnation: ProcessIncarnation) -> Self {
+        Self {
+            own: settings.daemon_id.clone(),
+            incarnation,
+            watchers: settings.peers.watchers,
+            silence: Duration::from_millis(settings.peers.silence_ms),
+            outbox: None,
+            topology: PeerTopology::default(),
+            hints: PeerHints::default(),
+            linked: IndexSet::new(),
+            sequence: 0,
+            work: WorkTotals::new(),
+            costs: IndexMap::new(),
+            applied: IndexMap::new(),
+            engines: IndexMap::new(),
+            digests: IndexMap::new(),
+            watching: watch::Sender::new(true),
+        }
+    }
+
+    /// Tells feeding tasks whether to watch the platform.
+    #[must_use]
+    pub fn watching(&self) -> watch::Receiver<bool> {
+        self.watching.subscribe()
+    }
+
+    /// Takes the links into use.
+    pub fn connect(&mut self, outbox: mpsc::UnboundedSender<PeerCommand>) {
+        self.outbox = Some(outbox);
+    }
+
+    /// Notes that a link came up, and tells the other side what is held here.
+    pub fn link_up(&mut self, peer: &DaemonId, held: Vec<(ObjectName, ObjectVersion)>) {
+        self.linked.insert(peer.clone());
+        self.send(vec![peer.clone()], PeerMessage::Versions(held));
+    }
+
+    /// Notes that a link went down.
+    pub fn link_down(&mut self, peer: &DaemonId) {
+        self.linked.swap_remove(peer);
+    }
+
+    /// Tells whether any peer was heard lately.
+    #[must_use]
+    pub fn is_heard(&self) -> bool {
+        self.hints.heard() > 0
+    }
+
+    /// Adds work accepted here.
+    pub fn note_work(&mut self, model: &ModelName, bins: &WorkBins) {
+        let sums = self.work.entry(model.clone()).or_default();
+        for (sum, work) in sums.iter_mut().zip(bins) {
+            sum.prefill += work.prefill;
+            sum.decode += work.decode;
+        }
+    }
+
+    /// Adds cost used here.
+    pub fn note_cost(&mut self, workspace: &WorkspaceName, cost: f64, now: MonoTime) {
+        if self.costs.len() >= MOST_WORKSPACES && !self.costs.contains_key(workspace) {
+            return;
+        }
+        let (sum, at) = self.costs.entry(workspace.clone()).or_insert((0.0, now));
+        *sum += cost;
+        *at = now;
+    }
+
+    /// Notes a configuration bucket applied here, to be confirmed to the others.
+    pub fn note_applied(&mut self, stored: &StoredObject, now: MonoTime) {
+        let entry = (stored.version, now);
+        self.applied.insert(stored.object.name.clone(), entry);
+    }
+
+    /// Notes the state of an engine that this daemon leads, for the others.
+    pub fn note_engine(&mut self, target: &TargetId, state: &EngineState) {
+        self.engines.insert(target.clone(), state.clone());
+    }
+
+    /// Tells whether a peer reads an engine's state for all.
+    #[must_use]
+    pub fn is_digested(&self, target: &TargetId, now: MonoTime) -> bool {
+        let seen = self.digests.get(target);
+        seen.is_some_and(|at| now.since(*at) < self.silence / 2)
+    }
+
+    /// Works out anew whom to link to and who watches the platform.
+    ///
+    /// A daemon that does not watch is fed by the watchers of its data centre. Once
+    /// none of them is linked and heard it watches by itself, or it would go on with an
+    /// old configuration without a sign.
+    pub fn update(&mut self, fleet: &FleetView, now: MonoTime) {
+        self.hints.expire(now, self.silence);
+        let silence = self.silence;
+        self.digests.retain(|_, at| now.since(*at) < silence);
+        self.applied.retain(|_, (_, at)| now.since(*at) < NEWS_AGE);
+        self.topology = PeerTopology::new(fleet, &self.own, self.watchers);
+        if let Some(outbox) = &self.outbox {
+            let links = self.topology.links.clone();
+            let _ = outbox.send(PeerCommand::Links(links));
+        }
+        let mut feeders = self.topology.local_watchers.iter();
+        let fed = feeders.any(|id| self.linked.contains(id) && self.hints.has_heard(id));
+        let watching = self.topology.watches || !fed;
+        self.watching.send_if_modified(|old| {
+            let changed = *old != watching;
+            *old = watching;
+            changed
+        });
+    }
+
+    /// Says what there is to say to all linked peers.
+    pub fn send_hint(&mut self, leaving: bool, now: MonoTime) {
+        self.sequence += 1;
+        let costs = self.costs.iter();
+        let recent = costs.filter(|(_, (_, at))| now.since(*at) < NEWS_AGE);
+        let applied = self.applied.iter().rev().take(MOST_NEWS);
+        let hint = PeerHint {
+            daemon: Some(self.own.clone()),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            leaving,
+            work: self.work.clone(),
+            costs: recent.map(|(w, (sum, _))| (w.clone(), *sum)).collect(),
+            applied: applied.map(|(n, (v, _))| (n.clone(), *v)).collect(),
+            engines: self.engines.drain(..).map(|(_, state)| state).collect(),
+        };
+        let linked = self.linked.iter().cloned().collect();
+        self.send(linked, PeerMessage::Hint(hint));
+    }
+
+    /// Takes a hint; returns it when it is news, after passing it on.
+    pub fn take_hint(
+        &mut self,
+        from: &DaemonId,
+        hint: PeerHint,
+        now: MonoTime,
+    ) -> Option<PeerHint> {
+        let origin = hint.daemon.clone()?;
+        if origin == self.own || !self.hints.note(hint.clone(), now) {
+            return None;
+        }
+        for state in &hint.engines {
+            self.digests.insert(state.target.clone(), now);
+        }
+        let passed = self
+            .linked
+            .iter()
+            .filter(|peer| *peer != from && self.topology.passes(&self.own, &origin, peer));
+        let passed: Vec<DaemonId> = passed.cloned().collect();
+        if !passed.is_empty() {
+            self.send(passed, PeerMessage::Hint(hint.clone()));
+        }
+        Some(hint)
+    }
+
+    /// Passes on objects that were news here.
+    pub fn relay(&self, from: Option<&DaemonId>, objects: &[StoredObject]) {
+        let peers = self.linked.iter().filter(|peer| Some(*peer) != from);
+        self.send_objects(&peers.cloned().collect::<Vec<_>>(), objects);
+    }
+
+    /// Sends a peer the objects of which it holds older versions.
+    pub fn answer_versions(
+        &self,
+        peer: &DaemonId,
+        theirs: &[(ObjectName, ObjectVersion)],
+        held: &[StoredObject],
+    ) {
+        let theirs: IndexMap<&ObjectName, ObjectVersion> = theirs
+            .iter()
+            .map(|(object, version)| (object, *version))
+            .collect();
+        let newer = held.iter().filter(|stored| {
+            let known = theirs.get(&stored.object).copied().unwrap_or_default();
+            stored.version > known
+        });
+        let newer: Vec<StoredObject> = newer.cloned().collect();
+        self.send_objects(std::slice::from_ref(peer), &newer);
+    }
+
+    // Split, so that no message grows past what a link takes.
+    fn send_objects(&self, peers: &[DaemonId], objects: &[StoredObject]) {
+        let mut batch = Vec::new();
+        let mut bytes = 0;
+        for stored in objects {
+            bytes += stored.value.as_ref().map_or(0, Vec::len);
+            batch.push(stored.clone());
+            if bytes >= BATCH_BYTES {
+                let whole = std::mem::take(&mut batch);
+                self.send(peers.to_vec(), PeerMessage::Objects(whole));
+                bytes = 0;
+            }
+        }
+        if !batch.is_empty() {
+            self.send(peers.to_vec(), PeerMessage::Objects(batch));
+        }
+    }
+
+    /// Returns the peers that confirmed a version of a bucket.
+    #[must_use]
+    pub fn confirmed(&self, bucket: &str, version: ObjectVersion) -> IndexSet<DaemonId> {
+        self.hints.confirmed(bucket, version)
+    }
+
+    /// Takes the work that peers accepted since the last call.
+    pub fn take_work(&mut self) -> WorkTotals {
+        self.hints.take_work()
+    }
+
+    /// Takes the cost that peers' workspaces used since the last call.
+    pub fn take_costs(&mut self) -> IndexMap<WorkspaceName, f64> {
+        self.hints.take_costs()
+    }
+
+    fn send(&self, to: Vec<DaemonId>, message: PeerMessage) {
+        if let Some(outbox) = &self.outbox {
+            let to = Some(to);
+            let _ = outbox.send(PeerCommand::Send { to, message });
+        }
+    }
+}
--- /dev/null
+++ b/src/control_state.rs
@@ -0,0 +1,320 @@
+//! State of the control thread and how events change it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexSet;
+use tokio::sync::{Mutex, mpsc, oneshot};
+
+use crate::authority::{AuthorityInputs, AuthorityState};
+use crate::clock;
+use crate::config_buckets::{BUCKETS, ConfigState};
+use crate::control::{ControlEvent, ControlInputs};
+use crate::control_authority::AuthorityPorts;
+use crate::control_changes::PendingConfirmation;
+use crate::control_feeds::{self, FeedEvent};
+use crate::control_peers::PeerDesk;
+use crate::fleet::UseState;
+use crate::journal::DecisionKind;
+use crate::membership::{self, MembershipLimits, MembershipState, StateChange};
+use crate::names::{DaemonId, MonoTime, TargetId, millis};
+use crate::ports::StoredObject;
+use crate::role_mix::{self, MixForecast, WorkAmount, WorkTotals};
+use crate::shares::{ShareState, ShareView};
+use crate::snapshot::{ControlSnapshot, SnapshotCell};
+use crate::suspicion::CallSource;
+use crate::target_wire::EngineState;
+
+const LISTS_TO_FORGET: u64 = 60;
+
+/// All state that the control thread owns.
+pub(crate) struct ControlState {
+    pub(crate) inputs: ControlInputs,
+    pub(crate) cell: SnapshotCell,
+    pub(crate) feeds: mpsc::UnboundedSender<FeedEvent>,
+    pub(crate) config: ConfigState,
+    pub(crate) membership: MembershipState,
+    pub(crate) bucket_locks: Arc<Vec<Mutex<()>>>,
+    pub(crate) authority: AuthorityState,
+    pub(crate) ports: AuthorityPorts,
+    pub(crate) mix: MixForecast,
+    pub(crate) own_work: WorkTotals,
+    pub(crate) peers: PeerDesk,
+    pub(crate) shares: ShareState,
+    pub(crate) share_view: Arc<ShareView>,
+    pub(crate) confirmations: Vec<PendingConfirmation>,
+    pub(crate) stops: Vec<oneshot::Sender<()>>,
+    pub(crate) changes_running: usize,
+    pub(crate) changes_made: u64,
+    pub(crate) polling: IndexSet<TargetId>,
+    pub(crate) config_whole: bool,
+    pub(crate) list_seen: bool,
+    pub(crate) platform_reachable: bool,
+    pub(crate) stopping: bool,
+}
+
+impl ControlState {
+    pub(crate) fn new(
+        inputs: ControlInputs,
+        cell: SnapshotCell,
+        feeds: mpsc::UnboundedSender<FeedEvent>,
+    ) -> Self {
+        let settings = &inputs.settings;
+        let own = membership::own_view(
+            settings.daemon_id.clone(),
+            inputs.rpc_address.to_string(),
+            inputs.peer_address.to_string(),
+            settings.data_centre.clone(),
+            inputs.incarnation,
+        );
+        let limits = MembershipLimits {
+            forget: Duration::from_millis(settings.platform.instances_ms * LISTS_TO_FORGET),
+            peer_silence: Duration::from_millis(settings.peers.silence_ms),
+            ..MembershipLimits::default()
+        };
+        let locks = (0..BUCKETS).map(|_| Mutex::new(()));
+        let journal = inputs.journal.clone();
+        let ports = AuthorityPorts {
+            platform: inputs.platform.clone(),
+            engines: inputs.engines.clone(),
+            call_wait: settings.platform.call_wait(),
+            order_flight: Duration::from_millis(settings.leases.order_flight_ms),
+            feeds: feeds.clone(),
+        };
+        Self {
+            authority: AuthorityState::new(settings, inputs.incarnation, journal),
+            ports,
+            mix: MixForecast::default(),
+            own_work: WorkTotals::new(),
+            peers: PeerDesk::new(settings, inputs.incarnation),
+            shares: ShareState::default(),
+            share_view: Arc::default(),
+            confirmations: Vec::new(),
+            stops: Vec::new(),
+            membership: MembershipState::new(own, limits),
+            bucket_locks: Arc::new(locks.collect()),
+            inputs,
+            cell,
+            feeds,
+            config: ConfigState::default(),
+            changes_running: 0,
+            changes_made: 0,
+            polling: IndexSet::new(),
+            config_whole: false,
+            list_seen: false,
+            platform_reachable: false,
+            stopping: false,
+        }
+    }
+
+    pub(crate) fn on_event(&mut self, event: ControlEvent) {
+        match event {
+            ControlEvent::Change { change, reply } => self.start_change(change, reply),
+            ControlEvent::TargetSeen { target, answered } => {
+                let now = clock::mono_now();
+                self.membership
+                    .note_call(&target, CallSource::Work, answered, now);
+            }
+            ControlEvent::WorkSeen {
+                model,
+                prefill_tokens,
+                decode_tokens,
+            } => {
+                let speeds = &self.inputs.settings.policy.speeds;
+                let work = WorkAmount::of_request(speeds, prefill_tokens, decode_tokens);
+                role_mix::add_work(&mut self.own_work, &model, work);
+            }
+            ControlEvent::CostSeen {
+                workspace, cost, ..
+            } => {
+                let cost = cost.as_secs_f64();
+                self.shares.note(&workspace, cost);
+                self.peers.note_cost(&workspace, cost, clock::mono_now());
+            }
+            ControlEvent::Peer(event) => self.on_peer(event),
+            ControlEvent::Stop { done } => self.stop(done),
+        }
+    }
+
+    pub(crate) fn on_feed(&mut self, feed: FeedEvent) {
+        match feed {
+            FeedEvent::Config { objects, whole } => self.apply_config(&objects, whole, None),
+            FeedEvent::Instances(rows) => {
+                let taken = self.membership.apply_list(&rows, clock::mono_now());
+                self.list_seen |= taken;
+            }
+            FeedEvent::Platform(reachable) => self.note_platform(reachable),
+            FeedEvent::Engine { target, report } => self.note_engine(&target, report.as_ref()),
+            FeedEvent::Orders(objects) => self.note_orders(&objects, None),
+            FeedEvent::Read { tag, result } => {
+                let (fleet, now) = (self.membership.fleet().clone(), clock::mono_now());
+                let next = self.authority.note_read(&tag, &result, &fleet, now);
+                if let Some(action) = next {
+                    self.ports.carry_out(action, &mut self.authority, &fleet);
+                }
+            }
+            FeedEvent::Written {
+                tag,
+                mark,
+                write,
+                result,
+            } => {
+                let now = clock::mono_now();
+                self.authority.note_write(&tag, &mark, &write, &result, now);
+            }
+            FeedEvent::Ordered {
+                group,
+                target,
+                result,
+            } => {
+                let now = clock::mono_now();
+                self.authority.note_answer(&group, &target, &result, now);
+            }
+            FeedEvent::Changed {
+                change,
+                result,
+                reply,
+            } => self.finish_change(&change, result, reply),
+        }
+    }
+
+    pub(crate) fn note_orders(&mut self, objects: &[StoredObject], from: Option<&DaemonId>) {
+        let now = clock::mono_now();
+        let mut news = Vec::new();
+        for stored in objects {
+            if self.authority.note_object(stored, now) {
+                news.push(stored.clone());
+            }
+        }
+        if !news.is_empty() {
+            self.peers.relay(from, &news);
+        }
+        self.membership.set_changing(self.authority.changing(now));
+    }
+
+    pub(crate) fn on_tick(&mut self, now: MonoTime) {
+        self.membership.tick(now);
+        self.roll_sums(now);
+        self.settle_confirmations(now);
+        let fleet = self.membership.fleet().clone();
+        let inputs = AuthorityInputs {
+            fleet: &fleet,
+            config: self.config.view(),
+            mix: &self.mix,
+        };
+        // Before the list has been seen every engine looks gone and every peer dead.
+        if self.list_seen && self.config_whole {
+            for action in self.authority.tick(inputs, now) {
+                self.ports.carry_out(action, &mut self.authority, &fleet);
+            }
+        }
+        self.membership.set_changing(self.authority.changing(now));
+        if self.authority.is_handed_over() {
+            for done in self.stops.drain(..) {
+                let _ = done.send(());
+            }
+        }
+    }
+
+    pub(crate) fn note_platform(&mut self, reachable: bool) {
+        if self.platform_reachable != reachable {
+            log::info!(reachable; "platform reachability changed");
+        }
+        self.platform_reachable = reachable;
+        metrics::gauge!("pistachiowick_platform_reachable").set(f64::from(u8::from(reachable)));
+    }
+
+    pub(crate) fn note_engine(
+        &mut self,
+        target: &TargetId,
+        report: Option<&(EngineState, Duration)>,
+    ) {
+        self.polling.swap_remove(target);
+        let now = clock::mono_now();
+        self.membership
+            .note_call(target, CallSource::Poll, report.is_some(), now);
+        if let Some((state, age)) = report {
+            self.membership.note_state(target, state, *age, now);
+            let taken_at = MonoTime(now.0.saturating_sub(millis(*age)));
+            self.authority.note_state(target, state, taken_at);
+            if self.authority.leads(target) {
+                self.peers.note_engine(target, state);
+            }
+        }
+    }
+
+    pub(crate) fn on_poll_tick(&mut self, now: MonoTime) {
+        self.poll_engines(now);
+        let fleet = self.membership.fleet().clone();
+        self.peers.update(&fleet, now);
+        self.peers.send_hint(self.stopping, now);
+    }
+
+    // An engine that another daemon reads for all is left to it.
+    fn poll_engines(&mut self, now: MonoTime) {
+        for (target, address) in self.membership.engines_to_poll(now) {
+            let digested = self.peers.is_digested(&target, now) && !self.authority.leads(&target);
+            if digested || !self.polling.insert(target.clone()) {
+                continue;
+            }
+            let engines = self.inputs.engines.clone();
+            let feeds = self.feeds.clone();
+            tokio::spawn(control_feeds::poll_engine(engines, target, address, feeds));
+        }
+    }
+
+    pub(crate) fn stop(&mut self, done: oneshot::Sender<()>) {
+        self.stopping = true;
+        self.membership.set_stopping();
+        self.authority.stop();
+        self.stops.push(done);
+        self.publish();
+    }
+
+    pub(crate) fn publish(&mut self) {
+        let changes = self.membership.refresh();
+        self.explain_states(&changes);
+        let next = self.snapshot();
+        if !is_same(&self.cell.load(), &next) {
+            self.cell.store(Arc::new(next));
+        }
+    }
+
+    pub(crate) fn explain_states(&self, changes: &[StateChange]) {
+        for change in changes {
+            let before = change.before.map_or("new", UseState::as_str);
+            let after = change.after.as_str();
+            let reason = format!("{before} -> {after}");
+            log::info!(subject = change.subject.as_str(), before, after; "state changed");
+            self.inputs
+                .journal
+                .record(DecisionKind::Membership, &change.subject, reason);
+        }
+    }
+
+    pub(crate) fn snapshot(&self) -> ControlSnapshot {
+        let fleet = self.membership.fleet().clone();
+        let live = fleet.daemons.values();
+        let live = live.filter(|d| d.state == UseState::Live).count();
+        ControlSnapshot {
+            fleet,
+            config: self.config.view().clone(),
+            shares: self.share_view.clone(),
+            leases: self.authority.views(clock::mono_now()),
+            ready: self.config_whole && self.list_seen && !self.stopping,
+            platform_reachable: self.platform_reachable,
+            stopping: self.stopping,
+            live_daemons: live.max(1),
+        }
+    }
+}
+
+fn is_same(old: &ControlSnapshot, new: &ControlSnapshot) -> bool {
+    Arc::ptr_eq(&old.fleet, &new.fleet)
+        && Arc::ptr_eq(&old.config, &new.config)
+        && Arc::ptr_eq(&old.shares, &new.shares)
+        && old.leases == new.leases
+        && old.ready == new.ready
+        && old.platform_reachable == new.platform_reachable
+        && old.stopping == new.stopping
+}
--- /dev/null
+++ b/src/peer_handshake.rs
@@ -0,0 +1,123 @@
+//! Mutual proof of the shared secret when a link comes up.
+
+use futures_util::{SinkExt, StreamExt};
+use hmac::{Hmac, Mac};
+use rand::Rng;
+use sha2::Sha256;
+use tokio::net::TcpStream;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::Message;
+
+use crate::names::{DaemonId, ProcessIncarnation};
+use crate::peer_wire::HandshakeMessage;
+
+const CHALLENGE_BYTES: usize = 32;
+const CALLER: &str = "caller";
+const LISTENER: &str = "listener";
+
+/// Who this daemon is to its peers.
+#[derive(Clone, Debug)]
+pub struct PeerIdentity {
+    /// Name of the daemon.
+    pub daemon: DaemonId,
+    /// Life of its process.
+    pub incarnation: ProcessIncarnation,
+    /// Secret that all daemons share; empty closes the port.
+    pub secret: String,
+}
+
+type Socket = WebSocketStream<TcpStream>;
+
+/// Answers a caller; returns who it is once it has proved the secret.
+pub async fn greet_caller(
+    socket: &mut Socket,
+    own: &PeerIdentity,
+) -> Option<(DaemonId, ProcessIncarnation)> {
+    let challenge = new_challenge();
+    send(socket, &HandshakeMessage::Challenge(challenge.clone())).await?;
+    let HandshakeMessage::Hello {
+        daemon,
+        incarnation,
+        proof,
+        challenge: theirs,
+    } = receive(socket).await?
+    else {
+        return None;
+    };
+    let claim = sign(&own.secret, CALLER, &challenge, &daemon, incarnation)?;
+    claim.verify_slice(&proof).ok()?;
+    let proof = sign(&own.secret, LISTENER, &theirs, &own.daemon, own.incarnation)?;
+    let welcome = HandshakeMessage::Welcome {
+        daemon: own.daemon.clone(),
+        incarnation: own.incarnation,
+        proof: proof.finalize().into_bytes().to_vec(),
+    };
+    send(socket, &welcome).await?;
+    Some((daemon, incarnation))
+}
+
+/// Calls a listener; returns who it is once it has proved the secret.
+pub async fn greet_listener(
+    socket: &mut Socket,
+    own: &PeerIdentity,
+) -> Option<(DaemonId, ProcessIncarnation)> {
+    let HandshakeMessage::Challenge(theirs) = receive(socket).await? else {
+        return None;
+    };
+    let challenge = new_challenge();
+    let proof = sign(&own.secret, CALLER, &theirs, &own.daemon, own.incarnation)?;
+    let hello = HandshakeMessage::Hello {
+        daemon: own.daemon.clone(),
+        incarnation: own.incarnation,
+        proof: proof.finalize().into_bytes().to_vec(),
+        challenge: challenge.clone(),
+    };
+    send(socket, &hello).await?;
+    let HandshakeMessage::Welcome {
+        daemon,
+        incarnation,
+        proof,
+    } = receive(socket).await?
+    else {
+        return None;
+    };
+    let claim = sign(&own.secret, LISTENER, &challenge, &daemon, incarnation)?;
+    claim.verify_slice(&proof).ok()?;
+    Some((daemon, incarnation))
+}
+
+fn new_challenge() -> Vec<u8> {
+    let mut bytes = vec![0; CHALLENGE_BYTES];
+    rand::rng().fill(bytes.as_mut_slice());
+    bytes
+}
+
+// The side is signed as well: without it a listener's challenge could be sent back to
+// it as an own one, and its answer used as the proof.
+fn sign(
+    secret: &str,
+    side: &str,
+    challenge: &[u8],
+    daemon: &DaemonId,
+    incarnation: ProcessIncarnation,
+) -> Option<Hmac<Sha256>> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(secret.as_bytes()).ok()?;
+    for part in [side.as_bytes(), challenge, daemon.as_str().as_bytes()] {
+        mac.update(&(part.len() as u64).to_be_bytes());
+        mac.update(part);
+    }
+    mac.update(&incarnation.0.to_be_bytes());
+    Some(mac)
+}
+
+async fn send(socket: &mut Socket, message: &HandshakeMessage) -> Option<()> {
+    let bytes = Message::binary(message.encode());
+    socket.send(bytes).await.ok()
+}
+
+async fn receive(socket: &mut Socket) -> Option<HandshakeMessage> {
+    match socket.next().await?.ok()? {
+        Message::Binary(bytes) => HandshakeMessage::decode(&bytes).ok(),
+        _ => None,
+    }
+}
--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -1,1 +1,477 @@
-//! Not written yet.
+//! Links between daemons: WebSocket with a mutual proof of the shared secret.
+
+use std::io;
+use std::net::TcpListener as StdListener;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use indexmap::{IndexMap, IndexSet};
+use thiserror::Error;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore, mpsc, oneshot};
+use tokio::time::{Instant, timeout};
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
+
+use crate::control::{ControlEvent, ControlHandle};
+use crate::names::{DaemonId, ProcessIncarnation};
+use crate::peer_handshake::{PeerIdentity, greet_caller, greet_listener};
+use crate::peer_wire::{MESSAGE_BYTES, PeerMessage};
+use crate::ports::PortCall;
+use crate::timer::TimerService;
+
+const HANDSHAKE_TIME: Duration = Duration::from_secs(3);
+const SEND_TIME: Duration = Duration::from_secs(3);
+const LINK_WAIT: Duration = Duration::from_secs(1);
+const REPLY_WAIT: Duration = Duration::from_secs(2);
+const ASKED_TIME: Duration = Duration::from_secs(60);
+const DIAL_PACE: Duration = Duration::from_millis(100);
+const FIRST_BACKOFF: Duration = Duration::from_millis(200);
+const LONGEST_BACKOFF: Duration = Duration::from_secs(5);
+const OUTBOX: usize = 256;
+const HANDSHAKES: usize = 64;
+const REQUESTS_AT_ONCE: usize = 256;
+
+/// Failures of a request to a peer.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum PeerError {
+    /// The request certainly did not reach the peer.
+    #[error("no link to {peer}: {reason}; use the platform instead")]
+    NotSent {
+        /// Peer asked.
+        peer: DaemonId,
+        /// What happened.
+        reason: String,
+    },
+    /// The request may have reached the peer.
+    #[error("{peer} gave no reply: {reason}; read the platform before concluding")]
+    Lost {
+        /// Peer asked.
+        peer: DaemonId,
+        /// What happened.
+        reason: String,
+    },
+    /// The peer refused.
+    #[error("{peer} refused: {reason}")]
+    Refused {
+        /// Peer asked.
+        peer: DaemonId,
+        /// What it said.
+        reason: String,
+    },
+}
+
+/// Answers requests of peers.
+pub type PeerHandler = PortCall<(DaemonId, Vec<u8>), Result<Vec<u8>, String>>;
+
+/// What the control thread asks of the links.
+#[derive(Debug)]
+pub enum PeerCommand {
+    /// Keep links to exactly these daemons, besides those that call in.
+    Links(IndexSet<DaemonId>),
+    /// Send a message to the linked ones among these.
+    Send {
+        /// Receivers; `None` for all linked.
+        to: Option<Vec<DaemonId>>,
+        /// What to send.
+        message: PeerMessage,
+    },
+}
+
+/// What the links tell the control thread.
+#[derive(Debug)]
+pub enum PeerEvent {
+    /// The links are ready to take commands.
+    Ready(mpsc::UnboundedSender<PeerCommand>),
+    /// A link is up.
+    Up(DaemonId, ProcessIncarnation),
+    /// The last link to a daemon is down.
+    Down(DaemonId),
+    /// A message came.
+    Message(DaemonId, Box<PeerMessage>),
+}
+
+/// What links are started with.
+pub struct PeerInputs {
+    /// Listener of the peer port.
+    pub listener: StdListener,
+    /// Identity of this daemon and the shared secret.
+    pub identity: PeerIdentity,
+    /// Silence after which a link is dropped.
+    pub silence: Duration,
+    /// The control thread, told of links and messages.
+    pub control: ControlHandle,
+    /// Answers requests of peers.
+    pub handler: PeerHandler,
+}
+
+/// Handle of the links.
+#[derive(Clone)]
+pub struct PeerHandle {
+    /// Sends a request to a daemon and waits for its reply.
+    pub request: PortCall<(DaemonId, Vec<u8>), Result<Vec<u8>, PeerError>>,
+}
+
+struct LinkRecord {
+    number: u64,
+    outbox: mpsc::Sender<Message>,
+}
+
+struct DialRecord {
+    busy: bool,
+    next_at: Instant,
+    wait: Duration,
+}
+
+#[derive(Default)]
+struct HubState {
+    links: IndexMap<DaemonId, LinkRecord>,
+    wanted: IndexSet<DaemonId>,
+    asked: IndexMap<DaemonId, Instant>,
+    dials: IndexMap<DaemonId, DialRecord>,
+    pending: IndexMap<u64, oneshot::Sender<Result<Vec<u8>, String>>>,
+    numbers: u64,
+}
+
+struct PeerHub {
+    state: Mutex<HubState>,
+    identity: PeerIdentity,
+    silence: Duration,
+    control: ControlHandle,
+    handler: PeerHandler,
+    linked: Notify,
+    requests: Semaphore,
+}
+
+/// Starts the links on the current runtime. With an empty secret none are made.
+///
+/// # Errors
+///
+/// Fails when the listener cannot be used.
+pub fn start_peers(inputs: PeerInputs) -> io::Result<PeerHandle> {
+    let open = !inputs.identity.secret.is_empty();
+    let hub = Arc::new(PeerHub {
+        state: Mutex::default(),
+        identity: inputs.identity,
+        silence: inputs.silence,
+        control: inputs.control,
+        handler: inputs.handler,
+        linked: Notify::new(),
+        requests: Semaphore::new(REQUESTS_AT_ONCE),
+    });
+    if open {
+        inputs.listener.set_nonblocking(true)?;
+        let listener = TcpListener::from_std(inputs.listener)?;
+        let (commands, inbox) = mpsc::unbounded_channel();
+        hub.tell(PeerEvent::Ready(commands));
+        tokio::spawn(accept(hub.clone(), listener));
+        tokio::spawn(obey(hub.clone(), inbox));
+    }
+    Ok(PeerHandle {
+        request: Arc::new(move |(peer, body)| {
+            let hub = hub.clone();
+            Box::pin(async move { hub.request(peer, body).await })
+        }),
+    })
+}
+
+async fn accept(hub: Arc<PeerHub>, listener: TcpListener) {
+    let handshakes = Arc::new(Semaphore::new(HANDSHAKES));
+    while !hub.control.has_ended() {
+        let Ok(permit) = handshakes.clone().acquire_owned().await else {
+            return;
+        };
+        match timeout(LINK_WAIT, listener.accept()).await {
+            Ok(Ok((stream, _))) => {
+                let hub = hub.clone();
+                tokio::spawn(async move {
+                    let greeted = timeout(HANDSHAKE_TIME, answer(&hub, stream)).await;
+                    drop(permit);
+                    if let Ok(Some((socket, peer, incarnation))) = greeted {
+                        run_link(hub, socket, peer, incarnation).await;
+                    }
+                });
+            }
+            Ok(Err(_)) => tokio::time::sleep(DIAL_PACE).await,
+            Err(_) => {}
+        }
+    }
+}
+
+type Greeted = (WebSocketStream<TcpStream>, DaemonId, ProcessIncarnation);
+
+async fn answer(hub: &PeerHub, stream: TcpStream) -> Option<Greeted> {
+    let _ = stream.set_nodelay(true);
+    let socket = accept_async_with_config(stream, Some(socket_config())).await;
+    let mut socket = socket.ok()?;
+    let greeted = greet_caller(&mut socket, &hub.identity).await;
+    let Some((peer, incarnation)) = greeted else {
+        metrics::counter!("pistachiowick_peer_refused_total").increment(1);
+        return None;
+    };
+    Some((socket, peer, incarnation))
+}
+
+fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MESSAGE_BYTES))
+        .max_frame_size(Some(MESSAGE_BYTES))
+}
+
+async fn obey(hub: Arc<PeerHub>, mut inbox: mpsc::UnboundedReceiver<PeerCommand>) {
+    let timer = TimerService::start();
+    let mut ticks = timer.every(DIAL_PACE);
+    loop {
+        tokio::select! {
+            command = inbox.recv() => match command {
+                Some(PeerCommand::Links(wanted)) => hub.lock().wanted = wanted,
+                Some(PeerCommand::Send { to, message }) => hub.send(to.as_deref(), &message),
+                None => return hub.close(),
+            },
+            _ = ticks.next() => dial_due(&hub),
+        }
+    }
+}
+
+fn dial_due(hub: &Arc<PeerHub>) {
+    let snapshot = hub.control.snapshot.load();
+    for peer in hub.due_dials(Instant::now()) {
+        let address = snapshot.fleet.daemons.get(&peer);
+        let address = address.map(|d| d.peer_address.clone()).unwrap_or_default();
+        let hub = hub.clone();
+        tokio::spawn(async move { dial(hub, peer, &address).await });
+    }
+}
+
+async fn dial(hub: Arc<PeerHub>, peer: DaemonId, address: &str) {
+    let greeted = timeout(HANDSHAKE_TIME, call(&hub, &peer, address)).await;
+    let greeted = greeted.ok().flatten();
+    hub.dialled(&peer, greeted.is_some());
+    if let Some((socket, peer, incarnation)) = greeted {
+        run_link(hub, socket, peer, incarnation).await;
+    }
+}
+
+async fn call(hub: &PeerHub, peer: &DaemonId, address: &str) -> Option<Greeted> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let _ = stream.set_nodelay(true);
+    let url = format!("ws://{address}/");
+    let socket = client_async_with_config(url, stream, Some(socket_config())).await;
+    let (mut socket, _) = socket.ok()?;
+    let (found, incarnation) = greet_listener(&mut socket, &hub.identity).await?;
+    // Another daemon may have been given the address since.
+    (found == *peer).then_some((socket, found, incarnation))
+}
+
+async fn run_link(
+    hub: Arc<PeerHub>,
+    socket: WebSocketStream<TcpStream>,
+    peer: DaemonId,
+    incarnation: ProcessIncarnation,
+) {
+    let (mut sink, mut source) = socket.split();
+    let (outbox, mut queue) = mpsc::channel::<Message>(OUTBOX);
+    let number = hub.add_link(&peer, outbox);
+    hub.tell(PeerEvent::Up(peer.clone(), incarnation));
+    let writing = tokio::spawn(async move {
+        while let Some(message) = queue.recv().await {
+            // A peer that takes nothing would otherwise hold this task for good.
+            match timeout(SEND_TIME, sink.send(message)).await {
+                Ok(Ok(())) => {}
+                _ => return,
+            }
+        }
+        let _ = timeout(SEND_TIME, sink.close()).await;
+    });
+    while let Ok(Some(Ok(message))) = timeout(hub.silence, source.next()).await {
+        if !hub.receive(&peer, &message) || writing.is_finished() {
+            break;
+        }
+    }
+    let last = hub.remove_link(&peer, number);
+    writing.abort();
+    if last {
+        hub.tell(PeerEvent::Down(peer));
+    }
+}
+
+impl PeerHub {
+    fn lock(&self) -> MutexGuard<'_, HubState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn tell(&self, event: PeerEvent) {
+        // A closed channel means the daemon is going down; nobody needs the news then.
+        let _ = self.control.events.send(ControlEvent::Peer(event));
+    }
+
+    fn close(&self) {
+        self.lock().links.clear();
+    }
+
+    fn add_link(&self, peer: &DaemonId, outbox: mpsc::Sender<Message>) -> u64 {
+        let mut state = self.lock();
+        state.numbers += 1;
+        let number = state.numbers;
+        state
+            .links
+            .insert(peer.clone(), LinkRecord { number, outbox });
+        drop(state);
+        self.linked.notify_waiters();
+        number
+    }
+
+    // Whether this was the newest link to the peer.
+    fn remove_link(&self, peer: &DaemonId, number: u64) -> bool {
+        let mut state = self.lock();
+        let newest = state.links.get(peer).is_some_and(|l| l.number == number);
+        if newest {
+            state.links.swap_remove(peer);
+        }
+        newest
+    }
+
+    fn due_dials(&self, now: Instant) -> Vec<DaemonId> {
+        let mut state = self.lock();
+        state.asked.retain(|_, until| *until > now);
+        let asked: Vec<DaemonId> = state.asked.keys().cloned().collect();
+        let needed: IndexSet<DaemonId> = state.wanted.iter().cloned().chain(asked).collect();
+        state
+            .dials
+            .retain(|peer, dial| dial.busy || needed.contains(peer));
+        let mut due = Vec::new();
+        for peer in needed {
+            if state.links.contains_key(&peer) {
+                continue;
+            }
+            let dial = state.dials.entry(peer.clone()).or_insert(DialRecord {
+                busy: false,
+                next_at: now,
+                wait: FIRST_BACKOFF,
+            });
+            if !dial.busy && now >= dial.next_at {
+                dial.busy = true;
+                due.push(peer);
+            }
+        }
+        due
+    }
+
+    fn dialled(&self, peer: &DaemonId, linked: bool) {
+        let mut state = self.lock();
+        let Some(dial) = state.dials.get_mut(peer) else {
+            return;
+        };
+        dial.busy = false;
+        dial.next_at = Instant::now() + dial.wait;
+        dial.wait = if linked {
+            FIRST_BACKOFF
+        } else {
+            (dial.wait * 2).min(LONGEST_BACKOFF)
+        };
+    }
+
+    fn send(&self, to: Option<&[DaemonId]>, message: &PeerMessage) {
+        let bytes = Message::binary(message.encode());
+        let state = self.lock();
+        for (peer, link) in &state.links {
+            let meant = to.is_none_or(|peers| peers.contains(peer));
+            if meant && link.outbox.try_send(bytes.clone()).is_err() {
+                // Hints follow each other, and objects are compared when a link comes up.
+                metrics::counter!("pistachiowick_peer_dropped_total").increment(1);
+            }
+        }
+    }
+
+    // Whether the link may go on.
+    fn receive(self: &Arc<Self>, peer: &DaemonId, message: &Message) -> bool {
+        let Message::Binary(bytes) = message else {
+            return !matches!(message, Message::Close(_));
+        };
+        metrics::counter!("pistachiowick_peer_bytes_total").increment(bytes.len() as u64);
+        match PeerMessage::decode(bytes) {
+            Ok(PeerMessage::Request { id, body }) => self.serve(peer.clone(), id, body),
+            Ok(PeerMessage::Reply { id, result }) => {
+                if let Some(reply) = self.lock().pending.swap_remove(&id) {
+                    let _ = reply.send(result);
+                }
+            }
+            Ok(message) => self.tell(PeerEvent::Message(peer.clone(), Box::new(message))),
+            Err(error) => {
+                log::warn!("link to {peer} dropped: {error}");
+                return false;
+            }
+        }
+        true
+    }
+
+    fn serve(self: &Arc<Self>, peer: DaemonId, id: u64, body: Vec<u8>) {
+        let hub = self.clone();
+        tokio::spawn(async move {
+            let result = match hub.requests.try_acquire() {
+                Ok(_permit) => (hub.handler)((peer.clone(), body)).await,
+                Err(_) => Err("too many requests at once".to_owned()),
+            };
+            hub.send(Some(&[peer]), &PeerMessage::Reply { id, result });
+        });
+    }
+
+    async fn request(&self, peer: DaemonId, body: Vec<u8>) -> Result<Vec<u8>, PeerError> {
+        let not_sent = |reason: &str| PeerError::NotSent {
+            peer: peer.clone(),
+            reason: reason.to_owned(),
+        };
+        if self.identity.secret.is_empty() {
+            return Err(not_sent("peers.secret is empty"));
+        }
+        let outbox = self
+            .outbox(&peer)
+            .await
+            .ok_or_else(|| not_sent("no link"))?;
+        let (reply, answer) = oneshot::channel();
+        let id = {
+            let mut state = self.lock();
+            state.numbers += 1;
+            let id = state.numbers;
+            state.pending.insert(id, reply);
+            id
+        };
+        let message = Message::binary(PeerMessage::Request { id, body }.encode());
+        if outbox.try_send(message).is_err() {
+            self.lock().pending.swap_remove(&id);
+            return Err(not_sent("its queue is full"));
+        }
+        let answer = timeout(REPLY_WAIT, answer).await;
+        self.lock().pending.swap_remove(&id);
+        match answer {
+            Ok(Ok(Ok(body))) => Ok(body),
+            Ok(Ok(Err(reason))) => Err(PeerError::Refused { peer, reason }),
+            Ok(Err(_)) | Err(_) => Err(PeerError::Lost {
+                peer,
+                reason: "no reply in time".to_owned(),
+            }),
+        }
+    }
+
+    // The queue of a link, made on demand and kept for a while.
+    async fn outbox(&self, peer: &DaemonId) -> Option<mpsc::Sender<Message>> {
+        let give_up = Instant::now() + LINK_WAIT;
+        loop {
+            let linked = self.linked.notified();
+            {
+                let mut state = self.lock();
+                state
+                    .asked
+                    .insert(peer.clone(), Instant::now() + ASKED_TIME);
+                if let Some(link) = state.links.get(peer) {
+                    return Some(link.outbox.clone());
+                }
+            }
+            if tokio::time::timeout_at(give_up, linked).await.is_err() {
+                return None;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/peer_state.rs
@@ -0,0 +1,244 @@
+//! Who links to whom, what is passed on, and what peers' hints add up to.
+//!
+//! Every daemon links to the watchers of its data centre; watchers also link to the
+//! watchers of the other data centres. Watchers pass hints between the two, so that a
+//! hint reaches each daemon over at most three links and nobody links to everybody.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::fleet::{DaemonView, FleetView, UseState};
+use crate::lease_groups::rendezvous;
+use crate::names::{CentreName, DaemonId, GroupName, MonoTime, ProcessIncarnation, WorkspaceName};
+use crate::peer_wire::PeerHint;
+use crate::ports::ObjectVersion;
+use crate::role_mix::{WorkAmount, WorkTotals};
+
+const MOST_PEERS: usize = 4_096;
+const MOST_APPLIED: usize = 512;
+
+/// Returns the daemons that watch the platform for a data centre.
+#[must_use]
+pub fn watchers_of(fleet: &FleetView, centre: &CentreName, count: usize) -> Vec<DaemonId> {
+    let group = GroupName::from(format!("watch-{centre}"));
+    let live = fleet.daemons.values().filter(|d| is_usable(d));
+    let mut scored: Vec<(u64, &DaemonId)> = live
+        .filter(|d| d.data_centre == *centre)
+        .map(|d| (rendezvous(&group, &d.id), &d.id))
+        .collect();
+    scored.sort_unstable_by(|a, b| b.cmp(a));
+    let first = scored.into_iter().take(count);
+    first.map(|(_, id)| id.clone()).collect()
+}
+
+fn is_usable(daemon: &DaemonView) -> bool {
+    matches!(daemon.state, UseState::Live | UseState::Suspect)
+}
+
+/// Where a daemon stands among the others.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PeerTopology {
+    /// Whether this daemon watches the platform for its data centre.
+    pub watches: bool,
+    /// Daemons to keep a link to.
+    pub links: IndexSet<DaemonId>,
+    /// Watchers of this data centre.
+    pub local_watchers: IndexSet<DaemonId>,
+    /// Data centre of each daemon.
+    pub centres: IndexMap<DaemonId, CentreName>,
+    /// All watchers.
+    pub watchers: IndexSet<DaemonId>,
+}
+
+impl PeerTopology {
+    /// Works out the topology for one daemon.
+    #[must_use]
+    pub fn new(fleet: &FleetView, own: &DaemonId, watchers: usize) -> Self {
+        let daemons = fleet.daemons.values();
+        let centres: IndexMap<DaemonId, CentreName> = daemons
+            .map(|d| (d.id.clone(), d.data_centre.clone()))
+            .collect();
+        let own_centre = centres.get(own);
+        let names: IndexSet<&CentreName> = centres.values().collect();
+        let mut all = IndexSet::new();
+        let mut local = IndexSet::new();
+        for centre in names {
+            let found = watchers_of(fleet, centre, watchers);
+            if Some(centre) == own_centre {
+                local.extend(found.iter().cloned());
+            }
+            all.extend(found);
+        }
+        let watches = local.contains(own);
+        let wanted = if watches { &all } else { &local };
+        let links = wanted.iter().filter(|id| *id != own).cloned().collect();
+        Self {
+            watches,
+            links,
+            local_watchers: local,
+            centres,
+            watchers: all,
+        }
+    }
+
+    /// Tells whether a hint of `origin` is passed on to `peer` by this daemon.
+    ///
+    /// From outside to the daemons of this data centre that do not watch; from those to
+    /// the watchers outside and to each other. Watchers hear each other directly.
+    #[must_use]
+    pub fn passes(&self, own: &DaemonId, origin: &DaemonId, peer: &DaemonId) -> bool {
+        if !self.watches || origin == peer || peer == own || origin == own {
+            return false;
+        }
+        let here = self.centres.get(own);
+        let origin_here = self.centres.get(origin) == here;
+        let peer_here = self.centres.get(peer) == here;
+        let origin_watches = self.watchers.contains(origin);
+        let peer_watches = self.watchers.contains(peer);
+        match (origin_here, peer_here) {
+            (true, false) => !origin_watches && peer_watches,
+            (true, true) => !peer_watches && !origin_watches,
+            (false, true) => !peer_watches,
+            (false, false) => false,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct PeerRecord {
+    hint: PeerHint,
+    heard_at: MonoTime,
+    applied: IndexMap<String, ObjectVersion>,
+}
+
+/// What the peers have said.
+#[derive(Clone, Debug, Default)]
+pub struct PeerHints {
+    peers: IndexMap<DaemonId, PeerRecord>,
+    fresh_work: WorkTotals,
+    fresh_costs: IndexMap<WorkspaceName, f64>,
+}
+
+impl PeerHints {
+    /// Takes a hint; returns whether it is news.
+    ///
+    /// The sums in a hint run since the start of a process, so a lost hint loses nothing
+    /// and one heard twice, over two watchers, counts once.
+    pub fn note(&mut self, hint: PeerHint, now: MonoTime) -> bool {
+        let Some(daemon) = hint.daemon.clone() else {
+            return false;
+        };
+        let known = self.peers.get(&daemon);
+        let order = |hint: &PeerHint| (hint.incarnation, hint.sequence);
+        if known.is_some_and(|k| order(&k.hint) >= order(&hint)) {
+            return false;
+        }
+        if known.is_none() && self.peers.len() >= MOST_PEERS {
+            return false;
+        }
+        let same_life = known.filter(|k| k.hint.incarnation == hint.incarnation);
+        let before = same_life.map(|k| &k.hint);
+        add_growth(&mut self.fresh_work, &mut self.fresh_costs, before, &hint);
+        let mut applied = same_life.map(|k| k.applied.clone()).unwrap_or_default();
+        for (name, version) in &hint.applied {
+            let newest = applied.entry(name.clone()).or_default();
+            *newest = (*newest).max(*version);
+        }
+        applied.truncate(MOST_APPLIED);
+        let mut hint = hint;
+        if let Some(before) = before {
+            keep_sums(&mut hint, before);
+        }
+        let record = PeerRecord {
+            hint,
+            heard_at: now,
+            applied,
+        };
+        self.peers.insert(daemon, record);
+        true
+    }
+
+    /// Forgets peers not heard of for long.
+    pub fn expire(&mut self, now: MonoTime, silence: Duration) {
+        self.peers.retain(|_, p| now.since(p.heard_at) < silence);
+    }
+
+    /// Returns the peers heard lately.
+    #[must_use]
+    pub fn heard(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Tells whether a peer was heard lately.
+    #[must_use]
+    pub fn has_heard(&self, daemon: &DaemonId) -> bool {
+        self.peers.contains_key(daemon)
+    }
+
+    /// Returns the peers that run a version of a bucket or a later one.
+    #[must_use]
+    pub fn confirmed(&self, bucket: &str, version: ObjectVersion) -> IndexSet<DaemonId> {
+        let run = self
+            .peers
+            .iter()
+            .filter(|(_, p)| p.applied.get(bucket).is_some_and(|v| *v >= version));
+        run.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Returns the incarnation a peer gave.
+    #[must_use]
+    pub fn incarnation(&self, daemon: &DaemonId) -> Option<ProcessIncarnation> {
+        self.peers.get(daemon).map(|p| p.hint.incarnation)
+    }
+
+    /// Takes the work that peers have accepted since the last call.
+    pub fn take_work(&mut self) -> WorkTotals {
+        std::mem::take(&mut self.fresh_work)
+    }
+
+    /// Takes the cost that peers' workspaces have used since the last call.
+    pub fn take_costs(&mut self) -> IndexMap<WorkspaceName, f64> {
+        std::mem::take(&mut self.fresh_costs)
+    }
+}
+
+// A hint leaves out what did not change lately; its sums stay known.
+fn keep_sums(hint: &mut PeerHint, before: &PeerHint) {
+    for (workspace, cost) in &before.costs {
+        hint.costs.entry(workspace.clone()).or_insert(*cost);
+    }
+    for (model, bins) in &before.work {
+        hint.work.entry(model.clone()).or_insert(*bins);
+    }
+}
+
+// The first word of a sum only sets the mark: what went before is no news.
+fn add_growth(
+    work: &mut WorkTotals,
+    costs: &mut IndexMap<WorkspaceName, f64>,
+    before: Option<&PeerHint>,
+    hint: &PeerHint,
+) {
+    let Some(before) = before else {
+        return;
+    };
+    for (model, bins) in &hint.work {
+        let Some(old) = before.work.get(model) else {
+            continue;
+        };
+        let sums = work.entry(model.clone()).or_default();
+        for (sum, (new, old)) in sums.iter_mut().zip(bins.iter().zip(old)) {
+            *sum = WorkAmount {
+                prefill: sum.prefill + (new.prefill - old.prefill).max(0.0),
+                decode: sum.decode + (new.decode - old.decode).max(0.0),
+            };
+        }
+    }
+    for (workspace, cost) in &hint.costs {
+        let Some(old) = before.costs.get(workspace) else {
+            continue;
+        };
+        *costs.entry(workspace.clone()).or_default() += (cost - old).max(0.0);
+    }
+}
--- a/src/shares.rs
+++ b/src/shares.rs
@@ -1,1 +1,84 @@
-//! Not written yet.
+//! Fleet-wide fair shares from the costs seen here and by peers.
+//!
+//! Each daemon shares its own part by weight. A workspace that is busy on every daemon
+//! then gets more than one busy on a single daemon, though their weights be equal. The
+//! local weight is corrected by how far a workspace is from its due across the fleet.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::names::{MonoTime, WorkspaceName};
+
+const MEMORY_S: f64 = 30.0;
+const MOST_CORRECTION: f64 = 8.0;
+const FORGET_RATE: f64 = 1e-4;
+const STEP: Duration = Duration::from_secs(1);
+
+/// Corrections of the weights on this daemon.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ShareView {
+    /// Factor on a workspace's weight; those not listed have 1.
+    pub factors: IndexMap<WorkspaceName, f64>,
+}
+
+impl ShareView {
+    /// Returns the factor on a workspace's weight.
+    #[must_use]
+    pub fn factor(&self, workspace: &WorkspaceName) -> f64 {
+        self.factors.get(workspace).copied().unwrap_or(1.0)
+    }
+}
+
+/// Rates of cost per workspace across the fleet.
+#[derive(Clone, Debug, Default)]
+pub struct ShareState {
+    pending: IndexMap<WorkspaceName, f64>,
+    rates: IndexMap<WorkspaceName, f64>,
+    rolled_at: Option<MonoTime>,
+}
+
+impl ShareState {
+    /// Adds cost in engine-seconds, used here or told by a peer.
+    pub fn note(&mut self, workspace: &WorkspaceName, cost: f64) {
+        *self.pending.entry(workspace.clone()).or_default() += cost;
+    }
+
+    /// Lets time pass; returns whether the rates moved.
+    pub fn tick(&mut self, now: MonoTime) -> bool {
+        let since = *self.rolled_at.get_or_insert(now);
+        let span = now.since(since);
+        if span < STEP {
+            return false;
+        }
+        self.rolled_at = Some(now);
+        let seconds = span.as_secs_f64();
+        let share = (seconds / MEMORY_S).min(1.0);
+        for rate in self.rates.values_mut() {
+            *rate *= 1.0 - share;
+        }
+        for (workspace, cost) in self.pending.drain(..) {
+            *self.rates.entry(workspace).or_default() += cost / seconds * share;
+        }
+        self.rates.retain(|_, rate| *rate >= FORGET_RATE);
+        true
+    }
+
+    /// Returns the corrections for the weights of the configuration.
+    #[must_use]
+    pub fn view(&self, weight: impl Fn(&WorkspaceName) -> u32) -> ShareView {
+        let used: f64 = self.rates.values().sum();
+        let weights: f64 = self.rates.keys().map(|w| f64::from(weight(w))).sum();
+        if used <= 0.0 || weights <= 0.0 {
+            return ShareView::default();
+        }
+        let factors = self.rates.iter().map(|(workspace, rate)| {
+            let due = used * f64::from(weight(workspace)) / weights;
+            let factor = (due / rate).clamp(1.0 / MOST_CORRECTION, MOST_CORRECTION);
+            (workspace.clone(), factor)
+        });
+        ShareView {
+            factors: factors.collect(),
+        }
+    }
+}
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -10,6 +10,7 @@
 use crate::names::{
     ClassName, DaemonId, FenceNumber, GroupName, ModelName, MonoTime, TargetId, WorkspaceName,
 };
+use crate::shares::ShareView;
 
 /// A configured item with its revision.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -57,6 +58,8 @@
     pub fleet: Arc<FleetView>,
     /// Configuration in force.
     pub config: Arc<ConfigView>,
+    /// Corrections of the workspaces' weights here, for fair shares across the fleet.
+    pub shares: Arc<ShareView>,
     /// Leases by group.
     pub leases: Vec<LeaseView>,
     /// Whether a whole configuration and instance list have been seen.
--- a/tests/control_fakes/mod.rs
+++ b/tests/control_fakes/mod.rs
@@ -40,6 +40,7 @@
     pub writes: u32,
     pub reads: u32,
     pub lists: u32,
+    pub watches: u32,
     /// Run before the next write is judged.
     pub before_write: VecDeque<ConditionalWrite>,
     /// Delayed writes land right after the next read.
@@ -213,6 +214,7 @@
             }),
             watch: Arc::new(move |query| {
                 let platform = watcher.clone();
+                platform.books().watches += 1;
                 Box::pin(async move { platform.watch(query).await })
             }),
             instances: Arc::new(move |()| {
