Leave keys open that an owner certainly did not touch

Cause: in an outage each claim that went to an owner closed its key as not run, so a caller who came back with the same key had to make a new one. Change: an owner tells recorded, unsure and untouched apart, and a daemon for which the platform is down forwards nothing. Planted mistakes showed three gaps in the tests: early expiry, a lost call taken for undelivered, a deleted shard taken for empty; each has a test or check now.

--- a/src/intent_driver.rs
+++ b/src/intent_driver.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::intent_forward::{ForwardOp, ForwardStage};
-use crate::intent_link::{IntentLink, LinkError, LinkReply};
+use crate::intent_link::{IntentLink, LinkError, LinkOutcome, LinkReply};
 use crate::intent_store::{StoreInputs, UnixClock, shard_object};
 use crate::intent_writer::{
     OpNumber, OpResult, ShardOp, ShardWriter, WriterAction, WriterRules, WriterTime,
@@ -61,6 +61,7 @@
     OpResult::GivenUp {
         reason: "the platform did not confirm the record in time".to_owned(),
         retry_after: UNDECIDED_RETRY,
+        untouched: false,
     }
 }
 
@@ -143,7 +144,7 @@
 
     fn take_message(&mut self, message: ShardMessage) {
         match message {
-            ShardMessage::Submit(op, waiter) if self.forward.takes(&op) => {
+            ShardMessage::Submit(op, waiter) if self.is_forwarded(&op) => {
                 self.forward.push(ForwardOp { op, waiter });
             }
             ShardMessage::Submit(op, waiter) => self.submit(op, waiter),
@@ -155,6 +156,11 @@
         }
     }
 
+    /// While the platform is down for this daemon, it refuses claims at once by itself.
+    fn is_forwarded(&self, op: &ShardOp) -> bool {
+        !self.writer.is_down(self.now()) && self.forward.takes(op)
+    }
+
     fn submit(&mut self, op: ShardOp, waiter: Option<OpWaiter>) {
         let number = self.writer.submit(op, self.now());
         self.await_result(number, waiter);
@@ -175,11 +181,11 @@
 
     fn take_reply(&mut self, reply: Result<LinkReply, LinkError>) {
         let result = self.forward.finish(reply);
-        for (sent, recorded) in result.ops {
-            if recorded {
-                self.take_recorded(sent, result.version);
-            } else {
-                self.retry_directly(sent);
+        for (sent, outcome) in result.ops {
+            match outcome {
+                LinkOutcome::Recorded => self.take_recorded(sent, result.version),
+                LinkOutcome::Unsure => self.retry_directly(sent),
+                LinkOutcome::Untouched => self.submit(sent.op, sent.waiter),
             }
         }
     }
--- a/src/intent_forward.rs
+++ b/src/intent_forward.rs
@@ -7,7 +7,7 @@
 
 use crate::intent_driver::OpWaiter;
 use crate::intent_link::{
-    IntentLink, LINK_PAUSE, LINK_WAIT, LinkError, LinkReply, LinkRequest, MAX_LINK_OPS,
+    IntentLink, LINK_PAUSE, LINK_WAIT, LinkError, LinkOutcome, LinkReply, LinkRequest, MAX_LINK_OPS,
 };
 use crate::intent_writer::ShardOp;
 use crate::ports::{ObjectVersion, PortFuture};
@@ -38,8 +38,8 @@
 pub(crate) struct ForwardResult {
     /// A version at which the recorded operations are recorded.
     pub(crate) version: ObjectVersion,
-    /// The operations, and whether each is recorded.
-    pub(crate) ops: Vec<(ForwardOp, bool)>,
+    /// The operations and their outcomes.
+    pub(crate) ops: Vec<(ForwardOp, LinkOutcome)>,
 }
 
 /// Operations of one shard on their way to its owner.
@@ -128,12 +128,12 @@
             metrics::counter!("pistachiowick_intent_link_failures_total").increment(1);
             LinkReply {
                 version: ObjectVersion::default(),
-                recorded: vec![false; count],
+                outcomes: vec![LinkOutcome::Unsure; count],
             }
         });
         ForwardResult {
             version: reply.version,
-            ops: sent.into_iter().zip(reply.recorded).collect(),
+            ops: sent.into_iter().zip(reply.outcomes).collect(),
         }
     }
 
--- a/src/intent_link.rs
+++ b/src/intent_link.rs
@@ -15,7 +15,7 @@
 use thiserror::Error;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::intent_ops::ShardOp;
+use crate::intent_ops::{OpResult, ShardOp};
 use crate::intent_wire::{CloseWire, IntentWire};
 use crate::intents::ClaimEntry;
 use crate::names::DaemonId;
@@ -106,15 +106,41 @@
 pub struct LinkReply {
     /// A version at which they are recorded.
     pub version: ObjectVersion,
-    /// For each operation, whether it is recorded. The asking daemon does the others itself.
-    pub recorded: Vec<bool>,
+    /// Outcome of each operation, in order.
+    pub outcomes: Vec<LinkOutcome>,
+}
+
+/// What became of one operation. The asking daemon does itself what is not recorded.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum LinkOutcome {
+    /// The platform has it.
+    #[serde(rename = "r")]
+    Recorded,
+    /// It may take effect, now or later.
+    #[serde(rename = "u")]
+    Unsure,
+    /// It is certain to have no effect by way of the owner.
+    #[serde(rename = "n")]
+    Untouched,
+}
+
+impl From<&OpResult> for LinkOutcome {
+    fn from(result: &OpResult) -> Self {
+        match result {
+            OpResult::Closed | OpResult::Granted => Self::Recorded,
+            OpResult::GivenUp {
+                untouched: true, ..
+            } => Self::Untouched,
+            OpResult::GivenUp { .. } | OpResult::Invalid(_) | OpResult::Record(_) => Self::Unsure,
+        }
+    }
 }
 
 #[derive(Deserialize, Serialize)]
 struct RequestWire(u8, u32, u32, u64, Vec<LinkOpWire>);
 
 #[derive(Deserialize, Serialize)]
-struct ReplyWire(u8, u64, Vec<bool>);
+struct ReplyWire(u8, u64, Vec<LinkOutcome>);
 
 #[derive(Deserialize, Serialize)]
 enum LinkOpWire {
@@ -190,7 +216,7 @@
         encode(&ReplyWire(
             LINK_VERSION,
             self.version.0,
-            self.recorded.clone(),
+            self.outcomes.clone(),
         ))
     }
 
@@ -200,14 +226,14 @@
     ///
     /// Returns [`LinkError::Malformed`] when the message is not one.
     pub fn decode(message: &[u8], ops: usize) -> Result<Self, LinkError> {
-        let ReplyWire(version, at, recorded) =
+        let ReplyWire(version, at, outcomes) =
             ciborium::from_reader(message).map_err(|_| LinkError::Malformed)?;
-        if version != LINK_VERSION || recorded.len() != ops {
+        if version != LINK_VERSION || outcomes.len() != ops {
             return Err(LinkError::Malformed);
         }
         Ok(Self {
             version: ObjectVersion(at),
-            recorded,
+            outcomes,
         })
     }
 }
--- a/src/intent_ops.rs
+++ b/src/intent_ops.rs
@@ -108,6 +108,8 @@
         reason: String,
         /// When to come back.
         retry_after: Duration,
+        /// Whether the operation is certain to have no effect later.
+        untouched: bool,
     },
 }
 
@@ -181,6 +183,7 @@
                  intents.shards"
             .to_owned(),
         retry_after: FULL_RETRY,
+        untouched: false,
     }
 }
 
--- a/src/intent_queue.rs
+++ b/src/intent_queue.rs
@@ -115,6 +115,9 @@
             OpReach::Sent => ShardOp::Release { key, claim },
             OpReach::Carried => ShardOp::Void { key, claim },
         };
+        if self.is_full() {
+            self.drop_oldest_close();
+        }
         let number = self.take_number();
         self.insert(number, op, open.reach);
     }
--- a/src/intent_store.rs
+++ b/src/intent_store.rs
@@ -14,7 +14,7 @@
 use crate::intent_driver::{
     OpWaiter, ShardMessage, UNDECIDED_RETRY, start_shard, undecided_result,
 };
-use crate::intent_link::{IntentLink, LINK_WAIT, LinkError, LinkReply, LinkRequest};
+use crate::intent_link::{IntentLink, LINK_WAIT, LinkError, LinkOutcome, LinkReply, LinkRequest};
 use crate::intent_permit::ClaimCloser;
 use crate::intent_writer::{OpResult, ShardOp};
 use crate::intents::{ClaimEntry, ClaimId, CloseRecord};
@@ -222,15 +222,15 @@
             .into_iter()
             .map(|op| submit(shard, op))
             .collect();
-        let mut recorded = Vec::with_capacity(submitted.len());
+        let mut outcomes = Vec::with_capacity(submitted.len());
         for result in submitted {
-            let result = result.await;
-            recorded.push(matches!(result, Ok(OpResult::Closed | OpResult::Granted)));
+            let result = result.await.unwrap_or_else(|_| undecided_result());
+            outcomes.push(LinkOutcome::from(&result));
         }
         let (reply, version) = oneshot::channel();
         let _ = shard.send(ShardMessage::Floor(reply));
         let version = version.await.unwrap_or_default();
-        Ok(LinkReply { version, recorded }.encode())
+        Ok(LinkReply { version, outcomes }.encode())
     }
 
     /// Waits until every end handed in is recorded, for a planned stop; true when all are.
@@ -304,6 +304,7 @@
         OpResult::GivenUp {
             reason,
             retry_after,
+            ..
         } => ClaimResult::GivenUp {
             reason,
             retry_after,
@@ -331,6 +332,7 @@
         OpResult::GivenUp {
             reason,
             retry_after,
+            ..
         } => Err(LookupError::Unavailable {
             reason,
             retry_after,
--- a/src/intent_writer.rs
+++ b/src/intent_writer.rs
@@ -252,11 +252,13 @@
             return Some(OpResult::GivenUp {
                 reason: self.down_reason.clone(),
                 retry_after: self.down_until.since(now.mono),
+                untouched: true,
             });
         }
         (self.open.is_full()).then(|| OpResult::GivenUp {
             reason: "too many operations wait for the platform; retry later".to_owned(),
             retry_after: DEFAULT_RETRY,
+            untouched: true,
         })
     }
 
@@ -323,12 +325,14 @@
         self.retry_at = self.down_until;
         self.down_reason = format!("the platform takes no records now: {reason}");
         for (number, open) in self.open.take_waited() {
+            let untouched = open.reach == OpReach::Local;
             self.open.release(open);
             self.reply(
                 number,
                 OpResult::GivenUp {
                     reason: self.down_reason.clone(),
                     retry_after: wait,
+                    untouched,
                 },
             );
         }
--- a/tests/intents_link.rs
+++ b/tests/intents_link.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use intents_support::{FakeClock, FakePlatform, claim, grant, inputs, key, settings, store};
 use pistachiowick::intent_link::{
-    IntentLink, LinkError, LinkReply, LinkRequest, ShardOwner, shard_owner,
+    IntentLink, LinkError, LinkOutcome, LinkReply, LinkRequest, ShardOwner, shard_owner,
 };
 use pistachiowick::intent_store::{AnswerRecord, ClaimResult, IntentStore, RecordView};
 use pistachiowick::intent_writer::ShardOp;
@@ -157,6 +157,26 @@
     assert_eq!(view, RecordView::NotRun);
 }
 
+// The platform is down for the owner before it could write. The owner says that it did
+// nothing, and the asker, for which it is down as well, leaves the key open: the caller
+// comes back with the same key after the outage and its request runs.
+#[tokio::test(start_paused = true)]
+async fn outage_leaves_forwarded_keys_open() {
+    let platform = FakePlatform::default();
+    let net = LinkNet::default();
+    net.join(&platform, "owner", "owner");
+    let asker = net.join(&platform, "asker", "owner");
+    platform.set_down(true);
+    for _ in 0..3 {
+        let result = asker.claim(claim("receipt")).await;
+        assert!(matches!(result, ClaimResult::GivenUp { .. }), "{result:?}");
+    }
+    assert_eq!(net.messages.load(Ordering::Relaxed), 1);
+    platform.set_down(false);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    drop(grant(&asker, "receipt").await);
+}
+
 // Forty daemons each claim five requests of one shard. Through the owner they share its
 // writes; directly they would refuse one another's updates most of the time.
 #[tokio::test(start_paused = true)]
@@ -235,7 +255,7 @@
     assert_eq!(LinkRequest::decode(&request.encode()), Ok(request));
     let reply = LinkReply {
         version: ObjectVersion(10),
-        recorded: vec![true, false],
+        outcomes: vec![LinkOutcome::Recorded, LinkOutcome::Untouched],
     };
     assert_eq!(LinkReply::decode(&reply.encode(), 2), Ok(reply.clone()));
     assert_eq!(
--- /dev/null
+++ b/tests/intents_permit.rs
@@ -0,0 +1,24 @@
+//! Which failures of a target prove that nothing ran.
+
+use std::time::Duration;
+
+use pistachiowick::intent_store::UndeliveredProof;
+use pistachiowick::names::FenceNumber;
+use pistachiowick::ports::TargetError;
+use rstest::rstest;
+
+fn reason() -> String {
+    "reason".to_owned()
+}
+
+// A fee receipt's call fails. Only where the target certainly took nothing may the
+// record say "not run"; a lost answer never proves that.
+#[rstest]
+#[case::not_delivered(TargetError::NotDelivered { reason: reason() }, true)]
+#[case::refused(TargetError::Refused { reason: reason(), retry_after: Duration::ZERO }, true)]
+#[case::lost(TargetError::Lost { reason: reason() }, false)]
+#[case::no_stream(TargetError::NoStream, false)]
+#[case::fenced(TargetError::Fenced { current: FenceNumber(3) }, false)]
+fn only_untaken_calls_prove_that_nothing_ran(#[case] error: TargetError, #[case] proves: bool) {
+    assert_eq!(UndeliveredProof::from_error(&error).is_some(), proves);
+}
--- a/tests/intents_store.rs
+++ b/tests/intents_store.rs
@@ -378,16 +378,23 @@
     assert!(platform.largest_value() <= 8_500);
 }
 
-// An operator overwrites a shard with something else. Its records are gone, so claims
-// are refused and nothing is run again.
+// An operator overwrites a shard with something else, or deletes it. Its records are
+// gone, so claims are refused and nothing is run again.
+#[rstest]
+#[case::overwritten(false)]
+#[case::deleted(true)]
 #[tokio::test(start_paused = true)]
-async fn damaged_shard_refuses_claims() {
+async fn damaged_shard_refuses_claims(#[case] deleted: bool) {
     let platform = FakePlatform::default();
     grant(&store(&platform, "daemon-a"), "receipt")
         .await
         .release();
     settle_down().await;
-    platform.overwrite(&shard_object(0), b"not a ledger".to_vec());
+    if deleted {
+        platform.delete(&shard_object(0));
+    } else {
+        platform.overwrite(&shard_object(0), b"not a ledger".to_vec());
+    }
     let fresh = store(&platform, "daemon-b");
     match fresh.claim(claim("receipt")).await {
         ClaimResult::GivenUp { reason, .. } => assert!(reason.contains("restore"), "{reason}"),
--- a/tests/intents_support/mod.rs
+++ b/tests/intents_support/mod.rs
@@ -53,10 +53,13 @@
     Unavailable,
 }
 
+/// A version and its value; `None` once deleted.
+type FakeVersion = (u64, Option<Vec<u8>>);
+
 #[derive(Default)]
 struct FakeState {
     version: u64,
-    objects: IndexMap<ObjectName, Vec<(u64, Vec<u8>)>>,
+    objects: IndexMap<ObjectName, Vec<FakeVersion>>,
     write_faults: VecDeque<WriteFault>,
     read_faults: VecDeque<ReadFault>,
     delayed: Vec<ConditionalWrite>,
@@ -95,7 +98,10 @@
     pub fn largest_value(&self) -> usize {
         let state = self.state.lock().unwrap();
         let all = state.objects.values().flatten();
-        all.map(|(_, value)| value.len()).max().unwrap_or(0)
+        all.filter_map(|(_, value)| value.as_ref())
+            .map(Vec::len)
+            .max()
+            .unwrap_or(0)
     }
 
     /// Lets the delayed writes take effect, as far as their versions still hold.
@@ -118,6 +124,14 @@
         state.apply(write).unwrap();
     }
 
+    /// Deletes an object behind everybody's back.
+    pub fn delete(&self, object: &ObjectName) {
+        let mut state = self.state.lock().unwrap();
+        state.version += 1;
+        let version = state.version;
+        state.objects[object].push((version, None));
+    }
+
     pub fn port(&self) -> PlatformPort {
         let read = self.clone();
         let write = self.clone();
@@ -154,7 +168,7 @@
         Ok(found.map(|(version, value)| StoredObject {
             object: object.clone(),
             version: ObjectVersion(version),
-            value: Some(value),
+            value,
         }))
     }
 
@@ -200,7 +214,7 @@
         self.version += 1;
         let version = self.version;
         let versions = self.objects.entry(write.object).or_default();
-        versions.push((version, write.value));
+        versions.push((version, Some(write.value)));
         Ok(ObjectVersion(version))
     }
 }
--- a/tests/intents_support/sim.rs
+++ b/tests/intents_support/sim.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
+use pistachiowick::intent_link::LinkOutcome;
 use pistachiowick::intent_wire::decode_ledger;
 use pistachiowick::intent_writer::{
     OpNumber, OpResult, ShardOp, ShardWriter, WriterAction, WriterRules, WriterTime,
@@ -134,7 +135,7 @@
 enum LinkState {
     Requested,
     Carried,
-    Answered(bool, ObjectVersion),
+    Answered(LinkOutcome, ObjectVersion),
     Lost,
 }
 
@@ -310,6 +311,14 @@
 /// Final records stay as they are until their keys are refused for good.
 fn check_final_records(before: &ShardLedger, after: &ShardLedger) {
     assert!(after.horizon() >= before.horizon(), "the horizon fell");
+    let known = before.entries().chain(after.entries());
+    let newest = known.map(|(_, entry)| entry.minted_at).max();
+    let keep = limits().retention + limits().skew * 2;
+    assert!(
+        after.horizon() == before.horizon()
+            || newest.is_some_and(|newest| after.horizon().plus(keep) <= newest),
+        "keys expire early"
+    );
     for (id, entry) in before.entries() {
         if entry.minted_at <= after.horizon() {
             continue;
@@ -509,10 +518,10 @@
     }
 
     fn take_carried(&mut self, at: usize, id: u64, result: &OpResult) {
-        let recorded = matches!(result, OpResult::Granted | OpResult::Closed);
+        let outcome = LinkOutcome::from(result);
         let version = self.daemons[at].writer.floor();
         if let Some(message) = self.messages.get_mut(&id) {
-            message.state = LinkState::Answered(recorded, version);
+            message.state = LinkState::Answered(outcome, version);
         }
     }
 
@@ -520,7 +529,10 @@
         let message = self.messages.shift_remove(&id).unwrap();
         match message.state {
             _ if !message.waiting => {}
-            LinkState::Answered(true, version) if !lost => self.take_recorded(&message, version),
+            LinkState::Answered(LinkOutcome::Recorded, version) if !lost => {
+                self.take_recorded(&message, version);
+            }
+            LinkState::Answered(LinkOutcome::Untouched, _) if !lost => self.do_directly(&message),
             _ => self.retry_directly(&message),
         }
     }
@@ -536,6 +548,17 @@
         }
     }
 
+    /// Carries out what the owner certainly did not and will not.
+    fn do_directly(&mut self, message: &LinkMessage) {
+        let at = message.from;
+        let now = self.now(at);
+        let number = self.daemons[at].writer.submit(message.op.clone(), now);
+        if message.asked.kind == AskKind::Claim {
+            self.daemons[at].asked.insert(number, message.asked.clone());
+        }
+        self.carry_out(at);
+    }
+
     fn retry_directly(&mut self, message: &LinkMessage) {
         let at = message.from;
         let now = self.now(at);
