--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -6,9 +6,8 @@
 use eyre::{Context, Result, ensure};
 use futures_util::future::join_all;
 use pistachiowick::clock::unix_now;
-use pistachiowick::pb::answer_event::Event;
 use pistachiowick::pb::requests_client::RequestsClient;
-use pistachiowick::pb::{AnswerEvent, Final, Outcome, ResumeRequest, SubmitRequest};
+use pistachiowick::pb::{AnswerEvent, ResumeRequest, SubmitRequest};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
@@ -18,7 +17,8 @@
 use tonic::{Request, Streaming};
 
 use crate::answers::{expected_answer, service_answer};
-use crate::load_tally::{LoadTally, RequestEnd, RequestReport};
+use crate::load_check::AnswerCheck;
+use crate::load_tally::{LoadTally, RequestReport};
 
 /// Added to a deadline before a request counts as lost.
 const LOST_AFTER: Duration = Duration::from_secs(5);
@@ -138,6 +138,8 @@
 pub struct PlannedRequest {
     /// When to send it, after the start.
     pub at: Duration,
+    /// Place of its class in the plan.
+    pub class: usize,
     /// Key of the workspace.
     pub key: String,
     /// What to send.
@@ -167,23 +169,25 @@
         }
         let class = draw_class(&config.classes, &mut random);
         let name = format!("{}-{}", config.seed, planned.len());
-        planned.push(plan_request(class, &name, at, &mut random));
+        let request = plan_request(&config.classes[class], &name, at, &mut random);
+        planned.push(PlannedRequest { class, ..request });
     }
 }
 
-fn draw_class<'a>(classes: &'a [LoadClass], random: &mut SmallRng) -> &'a LoadClass {
+fn draw_class(classes: &[LoadClass], random: &mut SmallRng) -> usize {
     let total: f64 = classes.iter().map(|class| class.weight).sum();
     let mut place = random.random::<f64>() * total;
-    for class in classes {
+    for (index, class) in classes.iter().enumerate() {
         place -= class.weight;
         if place < 0.0 {
-            return class;
+            return index;
         }
     }
-    &classes[classes.len() - 1]
+    classes.len() - 1
 }
 
-fn plan_request(
+/// Draws one request of a class, to be sent at a time after the start.
+pub fn plan_request(
     class: &LoadClass,
     name: &str,
     at: Duration,
@@ -228,6 +232,7 @@
     };
     PlannedRequest {
         at,
+        class: 0,
         key: class.key.clone(),
         submit,
         expected,
@@ -241,28 +246,54 @@
 /// Returns an error when the config is not usable.
 pub async fn run_load(config: &LoadConfig) -> Result<LoadTally> {
     let planned = plan_requests(config)?;
-    let clients = Arc::new(connect_all(&config.addresses)?);
     let tally = Arc::new(Mutex::new(LoadTally::default()));
-    let open = Arc::new(Semaphore::new(config.most_open));
+    let reports = tally.clone();
+    let on_report = Arc::new(move |_: usize, report: &RequestReport| {
+        locked(&reports).add(report);
+    });
+    let not_sent = run_planned(&config.addresses, config.most_open, planned, on_report).await?;
+    let mut tally = locked(&tally).clone();
+    tally.counts.not_sent += not_sent;
+    Ok(tally)
+}
+
+/// Told of each request that ended, with the place of its class.
+pub type ReportSink = Arc<dyn Fn(usize, &RequestReport) + Send + Sync>;
+
+/// Sends planned requests at their times, waits for their ends and returns how many
+/// were not sent because `most_open` were open.
+///
+/// # Errors
+///
+/// Returns an error for an address that cannot be used.
+pub async fn run_planned(
+    addresses: &[String],
+    most_open: usize,
+    planned: Vec<PlannedRequest>,
+    on_report: ReportSink,
+) -> Result<u64> {
+    let clients = Arc::new(connect_all(addresses)?);
+    let open = Arc::new(Semaphore::new(most_open));
     let start = Instant::now();
+    let mut not_sent = 0;
     let mut tasks = Vec::with_capacity(planned.len());
     for (index, request) in planned.into_iter().enumerate() {
         tokio::time::sleep_until((start + request.at).into()).await;
         let Ok(permit) = open.clone().try_acquire_owned() else {
-            locked(&tally).counts.not_sent += 1;
+            not_sent += 1;
             continue;
         };
         let clients = clients.clone();
-        let tally = tally.clone();
+        let on_report = on_report.clone();
         tasks.push(tokio::spawn(async move {
+            let class = request.class;
             let report = run_request(&clients, index, request).await;
-            locked(&tally).add(&report);
+            on_report(class, &report);
             drop(permit);
         }));
     }
     join_all(tasks).await;
-    let tally = locked(&tally).clone();
-    Ok(tally)
+    Ok(not_sent)
 }
 
 fn locked(tally: &Mutex<LoadTally>) -> std::sync::MutexGuard<'_, LoadTally> {
@@ -281,78 +312,6 @@
         .collect()
 }
 
-/// What has been received of one answer.
-struct AnswerCheck {
-    expected: Vec<u8>,
-    position: usize,
-    token: String,
-    first: Option<Duration>,
-    is_wrong: bool,
-    is_doubled: bool,
-    last: Option<Final>,
-}
-
-impl AnswerCheck {
-    fn take(&mut self, event: AnswerEvent, since: Instant) {
-        // Nothing may follow the final answer.
-        if self.last.is_some() {
-            self.is_doubled = true;
-            return;
-        }
-        match event.event {
-            Some(Event::Accepted(accepted)) => self.token = accepted.resume_token,
-            Some(Event::Chunk(chunk)) => {
-                self.first.get_or_insert_with(|| since.elapsed());
-                self.take_bytes(chunk.offset, &chunk.data);
-            }
-            Some(Event::Final(last)) => self.last = Some(last),
-            None => self.is_wrong = true,
-        }
-    }
-
-    fn take_bytes(&mut self, offset: u64, data: &[u8]) {
-        let offset = usize::try_from(offset).unwrap_or(usize::MAX);
-        if offset < self.position {
-            self.is_doubled = true;
-            return;
-        }
-        let end = offset.saturating_add(data.len());
-        let is_right = offset == self.position && self.expected.get(offset..end) == Some(data);
-        self.is_wrong |= !is_right;
-        self.position = end;
-    }
-
-    fn report(&self, resumes: u32, total: Duration, deadline: Duration) -> RequestReport {
-        let end = self.last.as_ref().map_or(RequestEnd::Lost, end_of);
-        let is_answered = end == RequestEnd::Answered;
-        let told = self.last.as_ref().map_or(0, |last| last.length);
-        let whole = self.expected.len();
-        let is_short = is_answered && self.position < whole;
-        let has_wrong_length = is_answered && told != whole as u64;
-        RequestReport {
-            end,
-            is_wrong: self.is_wrong || has_wrong_length,
-            is_short,
-            is_doubled: self.is_doubled,
-            resumes,
-            first: self.first,
-            total,
-            deadline,
-        }
-    }
-}
-
-fn end_of(last: &Final) -> RequestEnd {
-    match last.outcome() {
-        Outcome::Answered => RequestEnd::Answered,
-        Outcome::RefusedNotRun => RequestEnd::Refused,
-        Outcome::Unknown => RequestEnd::Unknown,
-        Outcome::Cancelled => RequestEnd::Cancelled,
-        Outcome::Expired => RequestEnd::Expired,
-        Outcome::Unspecified => RequestEnd::Lost,
-    }
-}
-
 async fn run_request(
     clients: &[RequestsClient<Channel>],
     index: usize,
@@ -360,15 +319,7 @@
 ) -> RequestReport {
     let begun = Instant::now();
     let deadline = Duration::from_millis(u64::from(request.submit.deadline_ms));
-    let mut check = AnswerCheck {
-        expected: request.expected,
-        position: 0,
-        token: String::new(),
-        first: None,
-        is_wrong: false,
-        is_doubled: false,
-        last: None,
-    };
+    let mut check = AnswerCheck::new(request.expected);
     let mut resumes = 0;
     let mut submit = request.submit;
     submit.key_minted_at_ms = unix_now().0;
--- a/src/client_links.rs
+++ b/src/client_links.rs
@@ -32,6 +32,9 @@
 /// Time for which a failed address is passed over.
 const AVOID: Duration = Duration::from_secs(2);
 
+/// First line of a certificate in PEM.
+const CERTIFICATE_MARK: &str = "-----BEGIN CERTIFICATE-----";
+
 type LinkSlot = Arc<tokio::sync::Mutex<Option<Channel>>>;
 
 /// An open connection to one daemon.
@@ -67,8 +70,7 @@
             .parse()
             .map_err(|_| ClientError::Key)?;
         bearer.set_sensitive(true);
-        let authority = options.ca_pem.as_deref().map(Certificate::from_pem);
-        let tls = authority.map(|ca| ClientTlsConfig::new().ca_certificate(ca));
+        let tls = options.ca_pem.as_deref().map(tls_config).transpose()?;
         let pool = Self {
             given: options.addresses.clone(),
             bearer,
@@ -118,9 +120,9 @@
         state.avoided_until.insert(address.to_owned(), until);
     }
 
-    /// Returns how many addresses were given at the start.
-    pub(crate) fn given_count(&self) -> usize {
-        self.given.len()
+    /// Returns the addresses given at the start.
+    pub(crate) fn given(&self) -> &[String] {
+        &self.given
     }
 
     /// Returns a random span between half of `span` and all of it.
@@ -189,7 +191,8 @@
         Err(last)
     }
 
-    async fn open(&self, address: &str) -> Result<Channel, ClientError> {
+    /// Opens a connection to one address, or returns the one that is open.
+    pub(crate) async fn open(&self, address: &str) -> Result<Channel, ClientError> {
         let slot = self.slot(address);
         let mut slot = slot.lock().await;
         if let Some(channel) = &*slot {
@@ -291,6 +294,17 @@
     }
 }
 
+/// The TLS library takes any text and only fails later, when connecting.
+fn tls_config(ca_pem: &str) -> Result<ClientTlsConfig, ClientError> {
+    if !ca_pem.contains(CERTIFICATE_MARK) {
+        return Err(ClientError::Tls {
+            reason: format!("it has no line {CERTIFICATE_MARK}"),
+        });
+    }
+    let authority = Certificate::from_pem(ca_pem);
+    Ok(ClientTlsConfig::new().ca_certificate(authority))
+}
+
 fn root_cause(error: &dyn std::error::Error) -> String {
     let mut cause = error;
     while let Some(deeper) = cause.source() {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -1,15 +1,17 @@
 //! Chooses a target for one request from a bounded number of candidates.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use rand::Rng;
 use rand::rngs::SmallRng;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::cost::CostModel;
 use crate::fair_queue::JobNumber;
 use crate::fleet::{FleetView, LoadReport, TargetView, UseState};
-use crate::names::{CentreName, ModelName, MonoTime, ServiceName, TargetId};
+use crate::names::{ModelName, MonoTime, ServiceName, TargetId};
 use crate::platform_wire::InstanceKind;
 use crate::prefix_index::PrefixIndex;
 use crate::settings::{PlacementPolicy, PolicySettings};
@@ -19,6 +21,8 @@
 const MOST_CANDIDATES: usize = 16;
 /// Age from which a load report says nothing any more, in milliseconds.
 const REPORT_USELESS_MS: u64 = 10_000;
+/// Factor on the expected time to the whole answer before it counts as in time.
+const FINISH_MARGIN: f64 = 1.15;
 /// Prefill work an engine may have waiting before requests wait here instead,
 /// where shares and deadlines still order them.
 const MOST_PREFILL_WAIT_S: f64 = 0.4;
@@ -47,6 +51,8 @@
     pub prompt_tokens: f64,
     /// Output tokens still expected.
     pub output_tokens: f64,
+    /// When the answer must be whole to be worth placing; `None` places it at any time.
+    pub due: Option<MonoTime>,
     /// Shared part of the prompt; empty for none.
     pub shared_prefix: String,
     /// Tokens of the shared part.
@@ -70,6 +76,9 @@
     pub gap_s: f64,
     /// Expected seconds to the whole answer.
     pub finish_s: f64,
+    /// Expected seconds by which the other streams there are delayed, all together:
+    /// none of them gains a token while this prompt is read.
+    pub delay_s: f64,
     /// Why it was chosen.
     pub reason: String,
 }
@@ -94,22 +103,36 @@
     pub ended: Vec<(MonoTime, MonoTime)>,
 }
 
+/// Whether a request is mostly reading of its prompt or writing of its answer.
+///
+/// No stream of an engine gains a token while a long prompt is read. Kept apart, long
+/// prompts delay one another only, and answers flow at their full pace.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum WorkSide {
+    /// Long prompts.
+    Reading,
+    /// Everything else.
+    Writing,
+}
+
 /// Candidates by pool, rebuilt when the fleet's shape changes.
+///
+/// A pool is in the same order on every daemon: engines that read best first, those
+/// that write best last. The first engines are the reading side, so that all daemons
+/// draw nearly the same line without talking to one another.
 #[derive(Clone, Debug, Default)]
 pub struct CandidateIndex {
     pools: IndexMap<PoolKey, Vec<TargetId>>,
 }
 
 impl CandidateIndex {
-    /// Builds the index of a fleet, targets of the own data centre first.
+    /// Builds the index of a fleet.
     #[must_use]
-    pub fn build(fleet: &FleetView, centre: &CentreName) -> Self {
+    pub fn build(fleet: &FleetView) -> Self {
         let mut pools: IndexMap<PoolKey, Vec<TargetId>> = IndexMap::new();
-        let (near, far): (Vec<_>, Vec<_>) = fleet
-            .targets
-            .values()
-            .partition(|t| t.data_centre == *centre);
-        for target in near.into_iter().chain(far) {
+        let mut targets: Vec<&TargetView> = fleet.targets.values().collect();
+        targets.sort_by_cached_key(|t| (reading_rank(t), xxh3_64(t.id.as_str().as_bytes())));
+        for target in targets {
             for pool in pools_of(target) {
                 pools.entry(pool).or_default().push(target.id.clone());
             }
@@ -122,14 +145,39 @@
     pub fn targets(&self, pool: &PoolKey) -> &[TargetId] {
         self.pools.get(pool).map_or(&[], Vec::as_slice)
     }
+
+    /// Returns the targets of one side, where `reading_share` of the work is reading.
+    ///
+    /// A side is never empty while its work exists, nor is a pool of one divided.
+    #[must_use]
+    pub fn side(&self, pool: &PoolKey, side: WorkSide, reading_share: f64) -> &[TargetId] {
+        let targets = self.targets(pool);
+        if targets.len() < 2 || reading_share <= 0.0 || reading_share >= 1.0 {
+            return targets;
+        }
+        let wanted = (reading_share * targets.len() as f64).round() as usize;
+        let line = wanted.clamp(1, targets.len() - 1);
+        match side {
+            WorkSide::Reading => &targets[..line],
+            WorkSide::Writing => &targets[line..],
+        }
+    }
+}
+
+fn reading_rank(target: &TargetView) -> u8 {
+    match target.report.as_ref().map(|r| r.role) {
+        Some(EngineRole::Prefill) => 0,
+        Some(EngineRole::Mixed) | None => 1,
+        Some(EngineRole::Decode) => 2,
+    }
 }
 
 /// Everything a choice looks at.
 pub struct PlacementInputs<'a> {
     /// The fleet.
     pub fleet: &'a FleetView,
-    /// Candidates by pool.
-    pub index: &'a CandidateIndex,
+    /// Targets to choose from.
+    pub candidates: &'a [TargetId],
     /// Expected times.
     pub costs: &'a CostModel,
     /// Beliefs about caches.
@@ -159,7 +207,7 @@
         .filter_map(|target| estimate(need, target, inputs))
         .collect();
     let chosen = match inputs.policy.placement {
-        PlacementPolicy::Estimate => least(&choices, |(_, c)| c.finish_s),
+        PlacementPolicy::Estimate => least(&choices, |(_, c)| c.finish_s + c.delay_s),
         PlacementPolicy::LeastInFlight => least(&choices, |(load, _)| *load),
         PlacementPolicy::RoundRobin => next_in_turn(choices.len(), turn),
     }?;
@@ -191,13 +239,14 @@
     inputs: &PlacementInputs<'_>,
     rng: &mut SmallRng,
 ) -> Vec<TargetId> {
-    let pool = inputs.index.targets(&need.pool);
+    let pool = inputs.candidates;
     if pool.len() <= MOST_CANDIDATES {
         return pool.to_vec();
     }
     let mut drawn: Vec<TargetId> = Vec::with_capacity(MOST_CANDIDATES);
     let holders = inputs.prefixes.holders(&need.shared_prefix);
-    drawn.extend(holders.iter().map(|h| h.target.clone()));
+    let near = holders.iter().map(|h| &h.target);
+    drawn.extend(near.filter(|t| pool.contains(t)).cloned());
     while drawn.len() < MOST_CANDIDATES {
         drawn.push(pool[rng.random_range(0..pool.len())].clone());
     }
@@ -234,6 +283,7 @@
         first_token_s: 0.0,
         gap_s: 0.0,
         finish_s: load,
+        delay_s: 0.0,
         reason: format!("{own} own calls in flight"),
     };
     Some((load, choice))
@@ -264,11 +314,13 @@
     let read_s = inputs
         .costs
         .prefill_seconds(&target.id, report.role, uncached);
-    let gap_s = inputs
-        .costs
-        .gap_seconds(&target.id, report.role, load.in_flight);
+    let gap_s = mean_gap(target, report, &load, inputs);
     let first_token_s = backlog_s + read_s;
     let finish_s = first_token_s + need.output_tokens * gap_s;
+    let delay_s = load.in_flight * read_s;
+    if !in_time(need, finish_s, inputs.now) {
+        return None;
+    }
     let choice = TargetChoice {
         target: target.id.clone(),
         address: target.address.clone(),
@@ -276,20 +328,47 @@
         first_token_s,
         gap_s,
         finish_s,
+        delay_s,
         reason: format!(
             "{:?} engine, about {:.0} in flight, {:.0} of {:.0} prompt tokens to read, \
-             first token in {:.0} ms, whole answer in {:.0} ms",
+             first token in {:.0} ms, whole answer in {:.0} ms, others delayed by {:.0} ms",
             report.role,
             load.in_flight,
             uncached,
             need.prompt_tokens,
             first_token_s * 1_000.0,
-            finish_s * 1_000.0
+            finish_s * 1_000.0,
+            delay_s * 1_000.0
         ),
     };
     Some((load.in_flight, choice))
 }
 
+/// Tells whether the answer is expected in time, with a margin for what is unknown.
+///
+/// A stream placed where it cannot end in time slows the others down until they miss
+/// their deadlines too; held back, it finds a less busy engine or is refused.
+fn in_time(need: &PlacementNeed, finish_s: f64, now: MonoTime) -> bool {
+    let margin_s = finish_s * FINISH_MARGIN;
+    let ends_at = now.plus(Duration::from_secs_f64(margin_s));
+    need.due.is_none_or(|due| ends_at <= due)
+}
+
+/// Seconds between tokens, over the times in which the engine reads prompts and those
+/// in which it does not.
+fn mean_gap(
+    target: &TargetView,
+    report: &LoadReport,
+    load: &EngineLoad,
+    inputs: &PlacementInputs<'_>,
+) -> f64 {
+    let (costs, id) = (inputs.costs, &target.id);
+    let reading = costs.reading_share(id);
+    let quiet_s = costs.gap_seconds(id, report.role, load.in_flight);
+    let reading_s = costs.prefill_gap_seconds(id, report.role, load.in_flight);
+    (1.0 - reading) * quiet_s + reading * reading_s
+}
+
 fn uncached_tokens(need: &PlacementNeed, target: &TargetId, prefixes: &PrefixIndex) -> f64 {
     if need.shared_prefix.is_empty() {
         return need.prompt_tokens;
--- a/src/run_once.rs
+++ b/src/run_once.rs
@@ -64,7 +64,11 @@
     progress.queueing.get_or_insert(waited);
     sink.note_dispatched();
     match &request.pool {
-        PoolKey::Service(_) => run_on_service(context, request, sink, slot, permit).await,
+        PoolKey::Service(_) => {
+            let token = context.token(request, Some(&slot.choice), 1);
+            sink.accepted(token, 1, &slot.choice.target).await;
+            run_on_service(context, request, sink, slot, permit).await
+        }
         PoolKey::Model(_) => {
             run_on_engine(context, request, sink, cancelled, progress, slot, permit).await
         }
@@ -221,6 +225,9 @@
     slot: JobSlot,
     permit: DispatchPermit,
 ) -> Result<Vec<u8>, AttemptFault> {
+    // Past the caller's deadline too: a planned stop waits for the reply, since no
+    // other daemon can learn it.
+    let (_guard, _) = context.register(&request.id);
     let dispatched = permit.dispatch();
     let patience = request.time_left() + RECORD_PATIENCE;
     let ended = call_service(&context, &request, &slot.choice, patience).await;
@@ -270,6 +277,10 @@
             }
         }
         Err(fault) => {
+            if !fault.may_have_run {
+                // The one dispatch was noted before its call; the engine turned it away.
+                sink.note_not_run();
+            }
             record_fault(dispatched, fault.proof);
             from_fault(fault)
         }
@@ -357,7 +368,11 @@
             length,
             digest,
             result,
-        } => from_answer(sink, length, &digest, result, offset).await,
+        } => {
+            let token = context.token(request, None, 0);
+            sink.accepted(token, 0, &"".into()).await;
+            from_answer(sink, length, &digest, result, offset).await
+        }
         RecordView::Absent => unknown("its record has expired".to_owned()),
         RecordView::Intended { claimant, .. } => unknown(format!("{claimant} has dispatched it")),
         RecordView::Unknown => unknown("its target's answer was lost".to_owned()),
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -14,19 +14,27 @@
 use crate::fair_queue::{FairQueue, JobNumber, QueuedJob};
 use crate::fleet::UseState;
 use crate::invariants::{self, Invariant};
-use crate::names::{CentreName, ClassName, MonoTime, TargetId, WorkspaceName, millis};
+use crate::names::{ClassName, MonoTime, TargetId, WorkspaceName, millis};
 use crate::placement::{
     CandidateIndex, OwnWork, PlacementInputs, PlacementNeed, PoolKey, RunningJob, SharedFleet,
-    TargetChoice, choose_target,
+    TargetChoice, WorkSide, choose_target,
 };
 use crate::prefix_index::PrefixIndex;
-use crate::settings::{LimitSettings, PolicySettings};
+use crate::settings::{LimitSettings, PlacementPolicy, PolicySettings};
 use crate::target_wire::{CacheEvent, EngineRole};
+use crate::work_mix::{PlacedPace, WorkMix};
 
 /// Waiting requests looked at for one free target.
-const LOOK_AHEAD: usize = 8;
+const LOOK_AHEAD: usize = 16;
 /// Engine-seconds per unit of weight within which urgency decides before shares.
 const FAIR_QUANTUM_S: f64 = 1.0;
+/// Steps of reading from which a prompt counts as long.
+const READING_STEPS: f64 = 2.0;
+/// Factor on the expected wait before a deadline counts as kept: a queue that is let
+/// grow to the very deadline serves everything a moment too late.
+const WAIT_MARGIN: f64 = 2.0;
+/// Least pace assumed, as a share of what the targets could give.
+const LEAST_PACE: f64 = 0.1;
 /// Shortest time after which a refused caller is asked to come back.
 const SHORTEST_RETRY: Duration = Duration::from_millis(100);
 /// Longest time after which a refused caller is asked to come back.
@@ -91,6 +99,13 @@
     pub whole_tokens: Option<u32>,
 }
 
+/// Requests that wait for the same targets.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct QueueKey {
+    pool: PoolKey,
+    side: WorkSide,
+}
+
 #[derive(Clone, Debug)]
 struct WaitingJob {
     spec: JobSpec,
@@ -113,8 +128,6 @@
     pub limits: LimitSettings,
     /// First guesses of engine speeds.
     pub speeds: SpeedSettings,
-    /// The daemon's own data centre.
-    pub centre: CentreName,
     /// Seed of the generator that draws candidates.
     pub seed: u64,
 }
@@ -123,13 +136,14 @@
 pub struct Scheduler {
     policy: PolicySettings,
     limits: LimitSettings,
-    centre: CentreName,
     fleet: SharedFleet,
     live_daemons: usize,
     index: CandidateIndex,
     costs: CostModel,
     prefixes: PrefixIndex,
-    queues: IndexMap<PoolKey, FairQueue>,
+    queues: IndexMap<QueueKey, FairQueue>,
+    mixes: IndexMap<PoolKey, WorkMix>,
+    paces: IndexMap<QueueKey, PlacedPace>,
     waiting: IndexMap<JobNumber, WaitingJob>,
     placed: IndexMap<JobNumber, PlacedJob>,
     own: IndexMap<TargetId, OwnWork>,
@@ -145,13 +159,14 @@
         Self {
             policy: inputs.policy,
             limits: inputs.limits,
-            centre: inputs.centre,
             fleet: SharedFleet::default(),
             live_daemons: 1,
             index: CandidateIndex::default(),
             costs: CostModel::new(inputs.speeds),
             prefixes: PrefixIndex::default(),
             queues: IndexMap::new(),
+            mixes: IndexMap::new(),
+            paces: IndexMap::new(),
             waiting: IndexMap::new(),
             placed: IndexMap::new(),
             own: IndexMap::new(),
@@ -170,11 +185,12 @@
     ) -> Vec<ScheduleAction> {
         self.live_daemons = live_daemons.max(1);
         if fleet.version != self.fleet.version || self.fleet.targets.is_empty() {
-            self.index = CandidateIndex::build(&fleet, &self.centre);
+            self.index = CandidateIndex::build(&fleet);
             self.costs.retain_targets(|t| fleet.targets.contains_key(t));
             self.own
                 .retain(|t, o| fleet.targets.contains_key(t) || !o.running.is_empty());
         }
+        self.note_reports(&fleet);
         self.fleet = fleet;
         self.pump(now)
     }
@@ -192,15 +208,18 @@
     ///
     /// Returns the refusal when the queue is full, no target offers the work, or the
     /// deadline cannot be met.
-    pub fn admit(&mut self, spec: JobSpec, now: MonoTime) -> Result<JobNumber, JobRefusal> {
+    pub fn admit(&mut self, mut spec: JobSpec, now: MonoTime) -> Result<JobNumber, JobRefusal> {
+        spec.need.due = self.policy.refuse_early.then_some(spec.deadline);
+        spec.need.output_tokens = self.expected_output(&spec);
         self.check_room(&spec)?;
         self.check_pool(&spec)?;
         let queued = self.queued_job(&spec);
+        self.note_mix(&spec, queued.cost, now);
         if self.policy.refuse_early {
             self.check_deadline(&spec, &queued, now)?;
         }
         let number = queued.number;
-        self.queue_of(&spec.need.pool).push(queued.clone());
+        self.queue_of(&spec.need).push(queued.clone());
         self.waiting.insert(number, WaitingJob { spec, queued });
         Ok(number)
     }
@@ -218,7 +237,7 @@
             number,
             ..self.queued_job(&spec)
         };
-        self.queue_of(&spec.need.pool).push(queued.clone());
+        self.queue_of(&spec.need).push(queued.clone());
         self.waiting.insert(number, WaitingJob { spec, queued });
     }
 
@@ -227,8 +246,7 @@
         let Some(waiting) = self.waiting.swap_remove(&number) else {
             return false;
         };
-        self.queue_of(&waiting.spec.need.pool)
-            .remove(&waiting.queued)
+        self.queue_of(&waiting.spec.need).remove(&waiting.queued)
     }
 
     /// Notes the end of a placed request and learns from it.
@@ -248,10 +266,13 @@
     /// Places what can be placed and gives up what can no longer be in time.
     pub fn pump(&mut self, now: MonoTime) -> Vec<ScheduleAction> {
         let mut actions = self.give_up_overdue(now);
-        for pool in self.queues.keys().cloned().collect::<Vec<_>>() {
-            while let Some(grant) = self.place_next(&pool, now) {
+        for key in self.queues.keys().cloned().collect::<Vec<_>>() {
+            while let Some(grant) = self.place_next(&key, now) {
                 actions.push(ScheduleAction::Start(grant));
             }
+            let waits = self.queues.get(&key).is_some_and(|q| !q.is_empty());
+            let pace = self.paces.entry(key).or_default();
+            pace.note_waiting(waits, now);
         }
         actions
     }
@@ -282,6 +303,23 @@
         self.costs.engine_seconds(spec.need.prompt_tokens, output)
     }
 
+    /// Takes in the load reports that are newer than the known ones.
+    fn note_reports(&mut self, fleet: &SharedFleet) {
+        if fleet.version == self.fleet.version {
+            return;
+        }
+        for (id, target) in &fleet.targets {
+            let known = self.fleet.targets.get(id).and_then(|t| t.report.as_ref());
+            let Some(report) = &target.report else {
+                continue;
+            };
+            if known.is_none_or(|k| k.taken_at < report.taken_at) {
+                let reads = report.prefill_backlog_tokens > 0;
+                self.costs.observe_reading(id, reads);
+            }
+        }
+    }
+
     fn check_room(&self, spec: &JobSpec) -> Result<(), JobRefusal> {
         let own: usize = self
             .queues
@@ -319,7 +357,7 @@
         queued: &QueuedJob,
         now: MonoTime,
     ) -> Result<(), JobRefusal> {
-        let wait_s = self.expected_wait(spec);
+        let wait_s = self.expected_wait(spec, now) * WAIT_MARGIN;
         let ready_at = now.plus(Duration::from_secs_f64(wait_s));
         if ready_at <= queued.latest_start {
             return Ok(());
@@ -331,22 +369,30 @@
         Err(self.refusal(reason, late_s))
     }
 
-    fn expected_wait(&self, spec: &JobSpec) -> f64 {
-        let Some(queue) = self.queues.get(&spec.need.pool) else {
+    fn expected_wait(&self, spec: &JobSpec, now: MonoTime) -> f64 {
+        let key = self.queue_key(&spec.need);
+        let Some(queue) = self.queues.get(&key) else {
             return 0.0;
         };
         let before = queue.cost_before(&spec.workspace, spec.weight, spec.priority);
-        before / self.capacity(&spec.need.pool)
+        before / self.pace(&key, now)
+    }
+
+    /// Engine-seconds per second at which a queue is served: as seen while it was busy,
+    /// else as many as its targets could give.
+    fn pace(&self, key: &QueueKey, now: MonoTime) -> f64 {
+        let capacity = self.capacity(key);
+        let seen = self.paces.get(key).and_then(|p| p.rate(now));
+        seen.map_or(capacity, |rate| rate.clamp(capacity * LEAST_PACE, capacity))
     }
 
-    /// Engine-seconds per second that this daemon may count on.
-    fn capacity(&self, pool: &PoolKey) -> f64 {
-        let targets = self.index.targets(pool);
-        let live = targets.iter().filter(|t| {
+    /// Engine-seconds per second that this daemon's share of the targets could give.
+    fn capacity(&self, key: &QueueKey) -> f64 {
+        let live = self.candidates(key).iter().filter(|t| {
             let target = self.fleet.targets.get(*t);
             target.is_some_and(|t| t.state == UseState::Live)
         });
-        let each = match pool {
+        let each = match &key.pool {
             PoolKey::Model(_) => 1.0,
             PoolKey::Service(_) => self.policy.service_in_flight as f64,
         };
@@ -367,20 +413,29 @@
         }
     }
 
-    /// Seconds the work takes on an idle engine of the best role for it.
+    /// Seconds the work takes on an otherwise idle engine of the best role in use.
     fn shortest_service(&self, spec: &JobSpec) -> f64 {
         if matches!(spec.need.pool, PoolKey::Service(_)) {
             return 0.0;
         }
         let output = self.expected_output(spec);
         let nowhere = TargetId::from("");
-        let roles = [EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode];
-        let times = roles.map(|role| {
-            let read = spec.need.prompt_tokens - f64::from(spec.need.shared_prefix_tokens);
+        let read = spec.need.prompt_tokens - f64::from(spec.need.shared_prefix_tokens);
+        let times = self.roles_in_use(&spec.need.pool).into_iter().map(|role| {
             self.costs.prefill_seconds(&nowhere, role, read.max(0.0))
                 + output * self.costs.gap_seconds(&nowhere, role, 0.0)
         });
-        times.into_iter().fold(f64::INFINITY, f64::min)
+        times.fold(f64::INFINITY, f64::min)
+    }
+
+    fn roles_in_use(&self, pool: &PoolKey) -> Vec<EngineRole> {
+        let targets = self.index.targets(pool).iter();
+        let reports = targets.filter_map(|t| self.fleet.targets.get(t)?.report.as_ref());
+        let mut roles: Vec<EngineRole> = reports.map(|r| r.role).collect();
+        roles.push(EngineRole::Mixed);
+        roles.sort_unstable();
+        roles.dedup();
+        roles
     }
 
     fn expected_output(&self, spec: &JobSpec) -> f64 {
@@ -411,10 +466,11 @@
             .is_some_and(|w| w.spec.deadline < now)
     }
 
-    fn place_next(&mut self, pool: &PoolKey, now: MonoTime) -> Option<JobGrant> {
+    fn place_next(&mut self, key: &QueueKey, now: MonoTime) -> Option<JobGrant> {
+        let share = self.reading_share(&key.pool);
         let inputs = PlacementInputs {
             fleet: &self.fleet,
-            index: &self.index,
+            candidates: self.index.side(&key.pool, key.side, share),
             costs: &self.costs,
             prefixes: &self.prefixes,
             own: &self.own,
@@ -422,7 +478,7 @@
             live_daemons: self.live_daemons,
             now,
         };
-        let queue = self.queues.get_mut(pool)?;
+        let queue = self.queues.get_mut(key)?;
         let (waiting, turn, rng) = (&self.waiting, &mut self.turn, &mut self.rng);
         let mut choice = None;
         let job = queue.take_first(LOOK_AHEAD, |job| {
@@ -430,6 +486,10 @@
             choice = choose_target(&spec.need, &inputs, turn, rng);
             choice.is_some()
         })?;
+        self.paces
+            .entry(key.clone())
+            .or_default()
+            .add(job.cost, now);
         Some(self.place(&job, choice?, now))
     }
 
@@ -487,13 +547,49 @@
         }
     }
 
-    fn queue_of(&mut self, pool: &PoolKey) -> &mut FairQueue {
+    fn queue_of(&mut self, need: &PlacementNeed) -> &mut FairQueue {
         let fair = self.policy.fair_shares;
+        let key = self.queue_key(need);
         self.queues
-            .entry(pool.clone())
+            .entry(key)
             .or_insert_with(|| FairQueue::new(FAIR_QUANTUM_S, fair))
     }
 
+    fn queue_key(&self, need: &PlacementNeed) -> QueueKey {
+        let step_s = self.costs.prefill_step_seconds();
+        let uncached = need.prompt_tokens - f64::from(need.shared_prefix_tokens);
+        let read_s = self.costs.engine_seconds(uncached, 0.0);
+        let long = read_s > READING_STEPS * step_s;
+        let side = if long && self.divides_work() {
+            WorkSide::Reading
+        } else {
+            WorkSide::Writing
+        };
+        QueueKey {
+            pool: need.pool.clone(),
+            side,
+        }
+    }
+
+    fn divides_work(&self) -> bool {
+        self.policy.placement == PlacementPolicy::Estimate
+    }
+
+    fn note_mix(&mut self, spec: &JobSpec, cost: f64, now: MonoTime) {
+        let side = self.queue_key(&spec.need).side;
+        let mix = self.mixes.entry(spec.need.pool.clone()).or_default();
+        mix.add(side, cost, now);
+    }
+
+    fn reading_share(&self, pool: &PoolKey) -> f64 {
+        self.mixes.get(pool).map_or(0.0, WorkMix::reading_share)
+    }
+
+    fn candidates(&self, key: &QueueKey) -> &[TargetId] {
+        let share = self.reading_share(&key.pool);
+        self.index.side(&key.pool, key.side, share)
+    }
+
     fn refusal(&self, reason: String, after_s: f64) -> JobRefusal {
         let after = Duration::from_secs_f64(after_s.max(0.0));
         JobRefusal {
--- /dev/null
+++ b/tests/control_fakes/mod.rs
@@ -0,0 +1,347 @@
+//! Small in-memory stand-ins at the ports of the control plane.
+#![allow(dead_code)]
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use tokio::sync::Notify;
+
+use pistachiowick::platform_wire::InstanceRow;
+use pistachiowick::ports::{
+    ConditionalWrite, ObjectBatch, ObjectName, ObjectVersion, PlatformError, PlatformPort,
+    StoredObject, WatchQuery,
+};
+
+/// What happens to the next write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WriteFault {
+    /// It takes effect; the answer is lost.
+    AnswerLost,
+    /// It is lost on the way; so is the answer.
+    NeverArrives,
+    /// It takes effect when `land_delayed` is called; the answer is lost.
+    Delayed,
+    /// The platform refuses it as busy.
+    Busy,
+}
+
+#[derive(Default)]
+pub struct PlatformBooks {
+    pub objects: IndexMap<ObjectName, (ObjectVersion, Vec<u8>)>,
+    older: IndexMap<ObjectName, (ObjectVersion, Vec<u8>)>,
+    pub revision: u64,
+    pub instances: Vec<InstanceRow>,
+    pub faults: VecDeque<WriteFault>,
+    pub delayed: Vec<ConditionalWrite>,
+    pub stale_reads: u32,
+    pub down: bool,
+    pub writes: u32,
+    pub reads: u32,
+    pub lists: u32,
+    /// Run before the next write is judged.
+    pub before_write: VecDeque<ConditionalWrite>,
+    /// Delayed writes land right after the next read.
+    pub land_after_read: bool,
+}
+
+#[derive(Clone, Default)]
+pub struct FakePlatform {
+    books: Arc<Mutex<PlatformBooks>>,
+    changed: Arc<Notify>,
+}
+
+fn unavailable() -> PlatformError {
+    PlatformError::Unavailable {
+        reason: "down".to_owned(),
+        retry_after: Duration::from_millis(5),
+    }
+}
+
+fn lost() -> PlatformError {
+    PlatformError::Lost {
+        reason: "no answer".to_owned(),
+    }
+}
+
+impl PlatformBooks {
+    pub fn take(&mut self, write: &ConditionalWrite) -> Result<ObjectVersion, PlatformError> {
+        let current = self
+            .objects
+            .get(&write.object)
+            .map_or(ObjectVersion(0), |(version, _)| *version);
+        if current != write.expected {
+            return Err(PlatformError::Conflict { current });
+        }
+        self.revision += 1;
+        let version = ObjectVersion(self.revision);
+        let new = (version, write.value.clone());
+        if let Some(old) = self.objects.insert(write.object.clone(), new) {
+            self.older.insert(write.object.clone(), old);
+        }
+        Ok(version)
+    }
+
+    fn write(&mut self, write: ConditionalWrite) -> Result<ObjectVersion, PlatformError> {
+        self.writes += 1;
+        if let Some(other) = self.before_write.pop_front() {
+            let _ = self.take(&other);
+        }
+        match self.faults.pop_front() {
+            _ if self.down => Err(unavailable()),
+            None => self.take(&write),
+            Some(WriteFault::Busy) => Err(unavailable()),
+            Some(WriteFault::NeverArrives) => Err(lost()),
+            Some(WriteFault::AnswerLost) => {
+                let _ = self.take(&write);
+                Err(lost())
+            }
+            Some(WriteFault::Delayed) => {
+                self.delayed.push(write);
+                Err(lost())
+            }
+        }
+    }
+
+    pub fn land_delayed(&mut self) -> Vec<Result<ObjectVersion, PlatformError>> {
+        let delayed = std::mem::take(&mut self.delayed);
+        delayed.iter().map(|write| self.take(write)).collect()
+    }
+
+    fn read(&mut self, object: &ObjectName) -> Result<Option<StoredObject>, PlatformError> {
+        self.reads += 1;
+        if self.down {
+            return Err(unavailable());
+        }
+        let newest = self.objects.get(object).cloned();
+        let shown = if self.stale_reads > 0 {
+            self.stale_reads -= 1;
+            self.older.get(object).cloned()
+        } else {
+            newest
+        };
+        if self.land_after_read {
+            self.land_after_read = false;
+            self.land_delayed();
+        }
+        Ok(shown.map(|(version, value)| StoredObject {
+            object: object.clone(),
+            version,
+            value: Some(value),
+        }))
+    }
+
+    fn since(&self, kind: &str, revision: u64) -> ObjectBatch {
+        let objects = self
+            .objects
+            .iter()
+            .filter(|(object, (version, _))| object.kind == kind && version.0 > revision)
+            .map(|(object, (version, value))| StoredObject {
+                object: object.clone(),
+                version: *version,
+                value: Some(value.clone()),
+            });
+        ObjectBatch {
+            revision: self.revision,
+            objects: objects.collect(),
+        }
+    }
+}
+
+impl FakePlatform {
+    pub fn books(&self) -> MutexGuard<'_, PlatformBooks> {
+        self.books.lock().unwrap()
+    }
+
+    pub fn put(&self, kind: &str, name: &str, value: Vec<u8>) -> ObjectVersion {
+        let object = ObjectName {
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+        };
+        let mut books = self.books();
+        let expected = books
+            .objects
+            .get(&object)
+            .map_or_else(ObjectVersion::default, |o| o.0);
+        let version = books
+            .take(&ConditionalWrite {
+                object,
+                expected,
+                value,
+            })
+            .unwrap();
+        drop(books);
+        self.changed.notify_waiters();
+        version
+    }
+
+    pub fn set_down(&self, down: bool) {
+        self.books().down = down;
+    }
+
+    pub fn port(&self) -> PlatformPort {
+        let (reader, writer, lister, watcher, rows) = (
+            self.clone(),
+            self.clone(),
+            self.clone(),
+            self.clone(),
+            self.clone(),
+        );
+        PlatformPort {
+            read: Arc::new(move |object| {
+                let result = reader.books().read(&object);
+                Box::pin(async move {
+                    tokio::task::yield_now().await;
+                    result
+                })
+            }),
+            write: Arc::new(move |write| {
+                let result = writer.books().write(write);
+                writer.changed.notify_waiters();
+                Box::pin(async move { result })
+            }),
+            list: Arc::new(move |kind: String| {
+                let mut books = lister.books();
+                books.lists += 1;
+                let result = if books.down {
+                    Err(unavailable())
+                } else {
+                    Ok(books.since(&kind, 0))
+                };
+                Box::pin(async move { result })
+            }),
+            watch: Arc::new(move |query| {
+                let platform = watcher.clone();
+                Box::pin(async move { platform.watch(query).await })
+            }),
+            instances: Arc::new(move |()| {
+                let books = rows.books();
+                let result = if books.down {
+                    Err(unavailable())
+                } else {
+                    Ok(books.instances.clone())
+                };
+                Box::pin(async move { result })
+            }),
+        }
+    }
+
+    async fn watch(&self, query: WatchQuery) -> Result<ObjectBatch, PlatformError> {
+        let give_up = tokio::time::Instant::now() + query.wait;
+        loop {
+            let changed = self.changed.notified();
+            {
+                let books = self.books();
+                if books.down {
+                    return Err(unavailable());
+                }
+                let batch = books.since(&query.kind, query.since);
+                if !batch.objects.is_empty() {
+                    return Ok(batch);
+                }
+            }
+            if tokio::time::timeout_at(give_up, changed).await.is_err() {
+                let revision = self.books().revision;
+                return Ok(ObjectBatch {
+                    revision,
+                    objects: Vec::new(),
+                });
+            }
+        }
+    }
+}
+
+/// An engine port whose states come from a shared table.
+pub type StateTable = Arc<Mutex<IndexMap<String, pistachiowick::target_wire::EngineState>>>;
+
+fn not_reached() -> pistachiowick::ports::TargetError {
+    pistachiowick::ports::TargetError::NotDelivered {
+        reason: "no such engine".to_owned(),
+    }
+}
+
+/// Engines that answer with the state found under their address, and note orders.
+#[derive(Clone, Default)]
+pub struct FakeEngines {
+    pub states: StateTable,
+    pub orders: Arc<Mutex<Vec<(String, pistachiowick::target_wire::OrderBody)>>>,
+    pub checks_fence: bool,
+}
+
+impl FakeEngines {
+    pub fn put(&self, address: &str, state: pistachiowick::target_wire::EngineState) {
+        self.states
+            .lock()
+            .unwrap()
+            .insert(address.to_owned(), state);
+    }
+
+    /// Takes an order as an engine does.
+    pub fn take(
+        &self,
+        address: &str,
+        body: &pistachiowick::target_wire::OrderBody,
+    ) -> Result<pistachiowick::target_wire::EngineState, pistachiowick::ports::TargetError> {
+        let mut states = self.states.lock().unwrap();
+        let state = states.get_mut(address).ok_or_else(not_reached)?;
+        let seen = state.last_order.as_ref().map(|mark| mark.fence);
+        if let Some(current) = seen.filter(|f| self.checks_fence && body.mark.fence < *f) {
+            return Err(pistachiowick::ports::TargetError::Fenced { current });
+        }
+        self.orders
+            .lock()
+            .unwrap()
+            .push((address.to_owned(), body.clone()));
+        state.role = body.role;
+        state.models.clone_from(&body.models);
+        state.last_order = Some(body.mark.clone());
+        Ok(state.clone())
+    }
+
+    pub fn port(&self) -> pistachiowick::ports::EnginePort {
+        let (states, engines) = (self.clone(), self.clone());
+        pistachiowick::ports::EnginePort {
+            generate: Arc::new(|_| Box::pin(async { Err(not_reached()) })),
+            resume: Arc::new(|_| Box::pin(async { Err(not_reached()) })),
+            cancel: Arc::new(|_| Box::pin(async { Err(not_reached()) })),
+            cache_events: Arc::new(|_| Box::pin(async { Err(not_reached()) })),
+            state: Arc::new(move |call| {
+                let states = states.states.lock().unwrap();
+                let mut state = states.get(&call.address).cloned();
+                if let Some(state) = &mut state {
+                    state.at_ms = pistachiowick::clock::unix_now().0;
+                }
+                Box::pin(async move { state.ok_or_else(not_reached) })
+            }),
+            order: Arc::new(move |call| {
+                let result = engines.take(&call.address, &call.body);
+                Box::pin(async move { result })
+            }),
+        }
+    }
+}
+
+/// Settings of a daemon with times short enough for tests.
+pub fn settings(id: &str, centre: &str) -> pistachiowick::settings::DaemonSettings {
+    serde_json::from_value(serde_json::json!({
+        "daemon_id": id,
+        "data_centre": centre,
+        "listen": {"rpc": "127.0.0.1:0", "admin": "127.0.0.1:0", "peer": "127.0.0.1:0"},
+        "platform": {"address": "http://127.0.0.1:1", "watch_ms": 200, "instances_ms": 20},
+        "peers": {"hint_ms": 20},
+        "access": {"operator_key_hashes": [], "token_secrets": ["secret"]},
+    }))
+    .unwrap()
+}
+
+/// Waits for a condition; the generous limit is for a hang, not a verdict on speed.
+pub async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    for _ in 0..6_000 {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("never came about: {what}");
+}
