Keep a connection whose callers gave up during a pause

Cause: a frozen daemon reads, when it thaws, all submissions of callers who have given up since, each with its reset. Beyond 20 the HTTP/2 library takes that for an attack and closes the connection, which cut every other answer on it. Change: the limit is that of the streams of a connection. Measured: the test with 100 requests given up was cut before and is whole after. Conclusion: more resets than that during one pause still end the connection; callers then resume by their tokens.

--- a/lab/src/prove_verdict.rs
+++ b/lab/src/prove_verdict.rs
@@ -298,11 +298,12 @@
         }
         if let AskEnd::Rejected(text) = &ask.end {
             report.rejected += 1;
-            report.find("rejected", format!("{name} at {}: {text}", ask.address));
+            report.find("rejected", format!("{name}: {}: {text}", describe(ask)));
         }
         if ask.end == AskEnd::Broken && !ask.request_id.is_empty() && is_cut(ask, books) {
             report.cut_by_planned_change += 1;
-            let text = format!("{name} at {}, which nobody killed", ask.address);
+            let life = books.lives.iter().find(|life| life.address == ask.address);
+            let text = format!("{name}: {}, nobody killed {life:?}", describe(ask));
             report.find("cut_by_planned_change", text);
         }
     }
--- a/src/server.rs
+++ b/src/server.rs
@@ -239,7 +239,14 @@
     let limits = &context.settings.limits;
     let requests = RequestsService::new(Arc::clone(context), incarnation);
     let operations = OperationsService::new(Arc::clone(context));
-    let mut server = Server::builder().max_concurrent_streams(limits.streams_per_connection);
+    // After a pause, the submissions of callers who have given up since are read at
+    // once, each with its reset. Beyond the library's usual 20 that counts as an
+    // attack, and closing the connection would cut every other answer on it. A pause
+    // in which more are given up than a connection has streams still does so.
+    let given_up = usize::try_from(limits.streams_per_connection).ok();
+    let mut server = Server::builder()
+        .max_concurrent_streams(limits.streams_per_connection)
+        .http2_max_pending_accept_reset_streams(given_up);
     if let Some(tls) = &context.settings.listen.tls {
         let identity = Identity::from_pem(&tls.certificate_pem, &tls.key_pem);
         server = server
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -235,3 +235,32 @@
     }
     fleet.end().await;
 }
+
+// An answer breaks off when its daemon thaws, although the daemon lives. While it was
+// frozen, callers on the same connection gave up on new requests; it read more than
+// twenty submissions with their resets at once, took them for an attack and closed
+// the connection under every other answer. (Seed 101 with processes.)
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_given_up_during_a_freeze_cut_no_other_answer() {
+    let fleet = started().await;
+    let host = fleet.slots[0].host.as_ref().expect("it runs");
+    let mut client = client(&fleet, 0).await;
+    let review = stream("review", "frozen", LONG);
+    let key = workspace_key(WORKSPACE);
+    let opened = client.submit(with_key(review.clone(), &key)).await;
+    let mut events = opened.expect("taken").into_inner();
+    let mut held = HeldAnswer::default();
+    held.read(&mut events, 40).await.expect("not cut");
+    host.set_frozen(true).await.expect("it is frozen");
+    for number in 0..100 {
+        let check = stream("check", &number.to_string(), 2);
+        let asked = client.submit(with_key(check, &key));
+        let given_up = tokio::time::timeout(Duration::from_millis(5), asked).await;
+        assert!(given_up.is_err(), "a frozen daemon answered");
+    }
+    host.set_frozen(false).await.expect("it is thawed");
+    let last = held.read_all(&mut events).await.expect("not cut");
+    assert_eq!(last.outcome(), Outcome::Answered, "{}", last.reason);
+    assert_eq!(held.data, stream_answer(&review));
+    fleet.end().await;
+}
