Add partitions, long outages and targets that do not refuse to the randomised run

Cause: a platform that refuses calls at once is the easy outage. One that stays silent, and answers that never come back, were not tried; nor were targets that go on taking work while they leave, outages longer than their time to leave, and records looked at once all faults have ended. Change: a relay that can hold back bytes in either direction stands before the platform for each daemon and before every second target. Keys are closed at the end of the run, and an answer of a daemon that was not killed must be recorded. Violations and panics of daemon processes are counted.

--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -94,6 +94,7 @@
     highest_fence: FenceNumber,
     last_order: Option<OrderMark>,
     left_at: Option<Instant>,
+    accepts_leaving: bool,
     frozen_until: Option<Instant>,
     model: EngineModel,
     streams: IndexMap<StreamName, Arc<StreamCell>>,
@@ -126,6 +127,7 @@
             highest_fence: FenceNumber::default(),
             last_order: None,
             left_at: None,
+            accepts_leaving: false,
             frozen_until: None,
             model: EngineModel::default(),
             streams: IndexMap::new(),
@@ -398,6 +400,11 @@
         self.inner().left_at.get_or_insert_with(Instant::now);
     }
 
+    /// Sets whether work is refused while leaving.
+    pub fn set_refusing(&self, refuses: bool) {
+        self.inner().accepts_leaving = !refuses;
+    }
+
     /// Takes up work again.
     pub fn stay(&self) {
         self.inner().left_at = None;
@@ -467,7 +474,7 @@
         body: &GenerateBody,
         work: &StreamWork,
     ) -> Option<StartRefusal> {
-        if self.left_at.is_some() {
+        if self.left_at.is_some() && !self.accepts_leaving {
             return Some(StartRefusal::Leaving);
         }
         if self.desired.is_some() {
@@ -956,6 +963,11 @@
         self.core.leave();
     }
 
+    /// Sets whether work is refused while leaving; it is, unless said otherwise.
+    pub fn set_refusing(&self, refuses: bool) {
+        self.core.set_refusing(refuses);
+    }
+
     /// Takes up work again after [`Self::leave`].
     pub fn stay(&self) {
         self.core.stay();
--- a/lab/src/prove.rs
+++ b/lab/src/prove.rs
@@ -6,7 +6,6 @@
 
 use eyre::{Result, ensure};
 use indexmap::IndexMap;
-use pistachiowick::pb::RecordState;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::Mutex;
@@ -14,11 +13,12 @@
 
 use crate::load::{PlannedRequest, plan_requests};
 use crate::prove_addresses::AddressBook;
-use crate::prove_audit::{find_leaks, find_recovery, lift_holds, shown_items};
+use crate::prove_audit::{close_keys, find_leaks, find_recovery, lift_holds, shown_items};
 use crate::prove_books::{RequestBook, RunBooks};
 use crate::prove_callers::{RequestCaller, draw_habit};
 use crate::prove_faults::FaultRunner;
 use crate::prove_fleet::{ProveFleet, SharedFleet};
+use crate::prove_metrics;
 use crate::prove_operators::{self, OperatorBooks, lock};
 use crate::prove_plan::draw_faults;
 use crate::prove_setup::{ProveOptions, WORKSPACES, kind_of, prove_load};
@@ -33,6 +33,11 @@
 
 static PANICS: AtomicU64 = AtomicU64::new(0);
 
+/// Counts a panic of a daemon that runs as a process.
+pub fn note_panic() {
+    PANICS.fetch_add(1, Ordering::Relaxed);
+}
+
 /// Counts panics of any task of this process, and prints them as before.
 pub fn count_panics() {
     let print = std::panic::take_hook();
@@ -107,7 +112,9 @@
             &format!("no full service: {}", recovery.last_failure),
         );
     }
-    let mut requests = callers.await?;
+    let callers = callers.await?;
+    close_keys(&callers, options.seed).await;
+    let mut requests: Vec<RequestBook> = callers.iter().map(|c| c.take_book()).collect();
     requests.extend(recovery.requests);
     helpers.races.abort_all();
     let changes = lock(&operators.changes).clone();
@@ -171,11 +178,9 @@
         ));
     }
     for slot in 0..options.daemons {
-        watches.spawn(prove_operators::watch(
-            fleet.clone(),
-            operators.clone(),
-            slot,
-        ));
+        let looks = prove_operators::watch(fleet.clone(), operators.clone(), slot);
+        watches.spawn(looks);
+        watches.spawn(prove_metrics::watch(fleet.clone(), slot));
     }
     let random = SmallRng::seed_from_u64(options.seed);
     watches.spawn(
@@ -194,12 +199,12 @@
     Ok(planned)
 }
 
-/// Sends every planned request at its time; returns what the callers wrote down.
+/// Sends every planned request at its time; returns the callers once all have ended.
 async fn send_all(
     addresses: Arc<AddressBook>,
     planned: Vec<PlannedRequest>,
     options: ProveOptions,
-) -> Vec<RequestBook> {
+) -> Vec<Arc<RequestCaller>> {
     let begun = Instant::now();
     let classes = prove_load(&options).classes;
     let mut random = SmallRng::seed_from_u64(!options.seed);
@@ -212,25 +217,13 @@
         let caller = RequestCaller::new(addresses.clone(), &class.workspace, kind, request);
         let seed = random.random();
         tasks.spawn(async move {
-            let mut book = caller.clone().run(habit, seed).await;
-            if kind.is_keyed() {
-                close_key(&caller, seed).await;
-                book.records = caller.take_book().records;
-            }
-            book
+            caller.clone().run(habit, seed).await;
+            caller
         });
     }
     tasks.join_all().await
 }
 
-/// Asks for the final record of a key, as an auditor would.
-async fn close_key(caller: &RequestCaller, seed: u64) {
-    let mut random = SmallRng::seed_from_u64(seed);
-    caller.look_up(&mut random, true).await;
-    let told = caller.take_book().records;
-    debug_assert!(told.iter().all(|r| r.state != RecordState::Unspecified));
-}
-
 async fn run_faults(
     fleet: &SharedFleet,
     runner: &mut FaultRunner,
--- a/lab/src/prove_audit.rs
+++ b/lab/src/prove_audit.rs
@@ -1,6 +1,7 @@
 //! What is looked at once all faults have ended: full service, one configuration
 //! everywhere, nothing left over.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
@@ -8,6 +9,8 @@
 use pistachiowick::pb;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
 
 use crate::fleet::operator_call;
 use crate::load::plan_request;
@@ -27,6 +30,9 @@
 /// Longest wait for a daemon's answer.
 const CALL_WAIT: Duration = Duration::from_secs(2);
 
+/// Keys closed at once.
+const KEYS_AT_ONCE: usize = 64;
+
 /// Result of the search for full service.
 pub struct RecoveryResult {
     /// Time until a whole round was answered; `None` when none was.
@@ -37,6 +43,24 @@
     pub last_failure: String,
 }
 
+/// Closes every key and books its final record, as an auditor would.
+pub async fn close_keys(callers: &[Arc<RequestCaller>], seed: u64) {
+    let slots = Arc::new(Semaphore::new(KEYS_AT_ONCE));
+    let mut closings = JoinSet::new();
+    for (number, caller) in callers.iter().enumerate() {
+        if !caller.is_keyed() {
+            continue;
+        }
+        let (caller, slots) = (caller.clone(), slots.clone());
+        closings.spawn(async move {
+            let _slot = slots.acquire().await;
+            let mut random = SmallRng::seed_from_u64(seed ^ number as u64);
+            caller.look_up(&mut random, true).await;
+        });
+    }
+    closings.join_all().await;
+}
+
 /// Restores what operators left drained, through any daemon.
 pub async fn lift_holds(fleet: &SharedFleet) {
     let begun = Instant::now();
--- a/lab/src/prove_books.rs
+++ b/lab/src/prove_books.rs
@@ -96,6 +96,8 @@
     pub asks: Vec<AskBook>,
     /// Looks at its record.
     pub records: Vec<RecordBook>,
+    /// Unix time at which a daemon said that a cancel had stopped it.
+    pub stopped_at_ms: Option<u64>,
     /// Last final outcome; `None` when it got none in time.
     pub end: Option<RequestEnd>,
 }
@@ -111,7 +113,7 @@
     pub killed_at_ms: Option<u64>,
     /// Unix time at which a planned stop was asked for.
     pub stop_at_ms: Option<u64>,
-    /// Violations it counted; lives within this process share one count.
+    /// Violations it counted; those within this process are counted together.
     pub violations: u64,
 }
 
--- a/lab/src/prove_callers.rs
+++ b/lab/src/prove_callers.rs
@@ -114,6 +114,7 @@
             prompt_digest: prompt_digest(encoded.as_bytes()),
             asks: Vec::new(),
             records: Vec::new(),
+            stopped_at_ms: None,
             end: None,
         };
         Arc::new(Self {
@@ -127,7 +128,7 @@
     }
 
     /// Follows the request to its final outcome, and does what the habit says.
-    pub async fn run(self: Arc<Self>, habit: CallerHabit, seed: u64) -> RequestBook {
+    pub async fn run(self: Arc<Self>, habit: CallerHabit, seed: u64) {
         let mut random = SmallRng::seed_from_u64(seed);
         let beside = tokio::spawn(self.clone().act_beside(habit, random.random()));
         let limit = self.time_limit();
@@ -141,7 +142,6 @@
             let again = self.follow(&mut random, false, None);
             let _ = tokio::time::timeout(limit, again).await;
         }
-        self.take_book()
     }
 
     /// Follows a request of a probe through one daemon only, without asking again.
@@ -180,7 +180,8 @@
         left.max(LEAST_DEADLINE_MS)
     }
 
-    fn is_keyed(&self) -> bool {
+    /// Tells whether the request may not be repeated.
+    pub fn is_keyed(&self) -> bool {
         lock(&self.book).kind.is_keyed()
     }
 
@@ -355,7 +356,10 @@
             resume_token: lock(&self.token).clone(),
         };
         let call = client.cancel(with_key(cancel, &self.key));
-        let _ = tokio::time::timeout(CALL_WAIT, call).await;
+        let reply = tokio::time::timeout(CALL_WAIT, call).await;
+        if reply.is_ok_and(|reply| reply.is_ok_and(|reply| reply.get_ref().stopped)) {
+            self.note(|book| book.stopped_at_ms = Some(unix_ms()));
+        }
     }
 
     /// Looks at the record of the key until a daemon tells it.
--- a/lab/src/prove_daemon.rs
+++ b/lab/src/prove_daemon.rs
@@ -12,15 +12,20 @@
 use pistachiowick::traffic::TrafficContext;
 use serde::Deserialize;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
-use tokio::process::{Child, Command};
+use tokio::process::{Child, ChildStderr, Command};
 use tokio::runtime::{Builder, Runtime};
 
+use crate::prove::note_panic;
+
 /// Threads of a daemon within this process.
 const WORKERS: usize = 2;
 
 /// Longest wait for a process to tell its addresses.
 const START_WAIT: Duration = Duration::from_secs(10);
 
+/// What a panic says on standard error.
+const PANIC_MARK: &str = "panicked at";
+
 /// Addresses a daemon listens on, as its first line of output.
 #[derive(Clone, Debug, Deserialize)]
 pub struct DaemonAddresses {
@@ -40,7 +45,7 @@
 }
 
 enum HostKind {
-    Inside(InsideDaemon),
+    Inside(Box<InsideDaemon>),
     Process(Box<Child>),
 }
 
@@ -87,7 +92,7 @@
         inside.daemon = Some(daemon);
         Ok(Self {
             addresses,
-            kind: HostKind::Inside(inside),
+            kind: HostKind::Inside(Box::new(inside)),
         })
     }
 
@@ -101,7 +106,7 @@
             .args(["--settings", "-"])
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
-            .stderr(Stdio::inherit())
+            .stderr(Stdio::piped())
             .kill_on_drop(true)
             .spawn()
             .wrap_err_with(|| {
@@ -110,6 +115,8 @@
         let mut input = child.stdin.take().wrap_err("no standard input")?;
         input.write_all(&serde_json::to_vec(settings)?).await?;
         drop(input);
+        let errors = child.stderr.take().wrap_err("no standard error")?;
+        tokio::spawn(pass_on(errors));
         let output = child.stdout.take().wrap_err("no standard output")?;
         let mut lines = BufReader::new(output).lines();
         let line = tokio::time::timeout(START_WAIT, lines.next_line()).await;
@@ -178,6 +185,17 @@
     }
 }
 
+/// Passes on what a daemon says, and counts its panics.
+async fn pass_on(errors: ChildStderr) {
+    let mut lines = BufReader::new(errors).lines();
+    while let Ok(Some(line)) = lines.next_line().await {
+        if line.contains(PANIC_MARK) {
+            note_panic();
+        }
+        eprintln!("{line}");
+    }
+}
+
 async fn send_signal(child: &Child, signal: &str) -> Result<()> {
     let id = child.id().wrap_err("the process has ended")?;
     let status = Command::new("kill")
--- a/lab/src/prove_faults.rs
+++ b/lab/src/prove_faults.rs
@@ -5,16 +5,17 @@
 use eyre::Result;
 use indexmap::IndexMap;
 use pistachiowick::pb::TargetRequest;
-use pistachiowick::platform_wire::InstanceKind;
 use tokio::task::JoinSet;
 
+use crate::engine::RunningEngine;
 use crate::engine_options::EngineFaults;
 use crate::fleet::operator_call;
 use crate::platform::PlatformFaults;
 use crate::prove_books::HoldBook;
 use crate::prove_fleet::{ProveFleet, SharedFleet, operations, unix_ms};
 use crate::prove_plan::{FaultKind, PlannedFault};
-use crate::service::ServiceFaults;
+use crate::relay::RelayFault;
+use crate::service::{RunningService, ServiceFaults};
 
 /// Time after a death until the instance list shows it.
 const UNLIST_AFTER: Duration = Duration::from_millis(500);
@@ -22,6 +23,9 @@
 /// Longest wait for a leaving target to end its work.
 const IDLE_WAIT: Duration = Duration::from_secs(20);
 
+/// Least time between the word to leave and the end of a target.
+const LEAVE_WAIT: Duration = Duration::from_secs(5);
+
 /// Pause between two looks or tries.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -73,8 +77,15 @@
             drain_engine(&fleet, fault).await;
             Ok(())
         }
-        FaultKind::EngineReplace => replace_engine(&fleet, fault).await,
-        FaultKind::ServiceReplace => replace_service(&fleet, fault).await,
+        FaultKind::EngineReplace => replace_target(&fleet, "engine", fault).await,
+        FaultKind::ServiceReplace => replace_target(&fleet, "service", fault).await,
+        FaultKind::DaemonCutOff
+        | FaultKind::DaemonDeaf
+        | FaultKind::TargetCutOff
+        | FaultKind::TargetDeaf => {
+            cut_off(&fleet, fault).await;
+            Ok(())
+        }
         FaultKind::InstanceLag => {
             fleet.lock().await.lab.platform.set_lag(LONG_LAG_MS);
             tokio::time::sleep(fault.span).await;
@@ -345,72 +356,72 @@
     fleet.lock().await.busy_targets.retain(|busy| busy != name);
 }
 
-fn number_of(name: &str) -> usize {
-    name.rsplit('-')
-        .next()
-        .and_then(|number| number.parse().ok())
-        .unwrap_or_default()
-}
-
-async fn replace_engine(fleet: &SharedFleet, fault: PlannedFault) -> Result<()> {
-    let Some(name) = reserve(fleet, "engine", fault.subject).await else {
+async fn replace_target(fleet: &SharedFleet, prefix: &str, fault: PlannedFault) -> Result<()> {
+    let Some(name) = reserve(fleet, prefix, fault.subject).await else {
         return Ok(());
     };
-    let number = number_of(&name);
-    {
-        let fleet = fleet.lock().await;
-        fleet.announce_leaving(InstanceKind::Engine, &name, number);
-        fleet.lab.engines[&name].leave();
-    }
-    tokio::time::sleep(fault.span).await;
+    // Every second one goes on taking what daemons send: not all targets refuse.
+    tell_to_leave(&*fleet.lock().await, &name, fault.subject.is_multiple_of(2));
+    tokio::time::sleep(fault.span.max(LEAVE_WAIT)).await;
     let begun = std::time::Instant::now();
-    while begun.elapsed() < IDLE_WAIT {
-        let state = fleet.lock().await.lab.engines[&name].state();
-        if state.running + state.waiting == 0 {
-            break;
-        }
+    while begun.elapsed() < IDLE_WAIT && !is_idle(&*fleet.lock().await, &name) {
         tokio::time::sleep(PAUSE).await;
     }
-    {
-        let mut fleet = fleet.lock().await;
-        if let Some(old) = fleet.lab.engines.shift_remove(&name) {
-            old.stop();
-            fleet.retired_engines.push((name.clone(), old));
-        }
-        fleet.lab.add_engine(number).await?;
-    }
+    fleet.lock().await.replace_target(&name).await?;
     release(fleet, &name).await;
     Ok(())
 }
 
-async fn replace_service(fleet: &SharedFleet, fault: PlannedFault) -> Result<()> {
-    let Some(name) = reserve(fleet, "service", fault.subject).await else {
-        return Ok(());
-    };
-    let number = number_of(&name);
-    {
-        let fleet = fleet.lock().await;
-        fleet.announce_leaving(InstanceKind::Service, &name, number);
-        fleet.lab.services[&name].leave();
+fn tell_to_leave(fleet: &ProveFleet, name: &str, refuses: bool) {
+    fleet.announce_leaving(name);
+    if let Some(engine) = fleet.lab.engines.get(name) {
+        engine.leave();
+        engine.set_refusing(refuses);
     }
-    tokio::time::sleep(fault.span).await;
-    let begun = std::time::Instant::now();
-    while begun.elapsed() < IDLE_WAIT {
-        if fleet.lock().await.lab.services[&name].open_calls() == 0 {
-            break;
-        }
-        tokio::time::sleep(PAUSE).await;
+    if let Some(service) = fleet.lab.services.get(name) {
+        service.leave();
+        service.set_refusing(refuses);
     }
-    {
+}
+
+fn is_idle(fleet: &ProveFleet, name: &str) -> bool {
+    let engine = fleet.lab.engines.get(name).map(RunningEngine::state);
+    let service = fleet.lab.services.get(name).map(RunningService::open_calls);
+    engine.is_none_or(|state| state.running + state.waiting == 0)
+        && service.is_none_or(|open| open == 0)
+}
+
+/// Cuts off a daemon from the platform, or a target from all daemons.
+async fn cut_off(fleet: &SharedFleet, fault: PlannedFault) {
+    let deaf = matches!(fault.kind, FaultKind::DaemonDeaf | FaultKind::TargetDeaf);
+    let relay_fault = RelayFault {
+        mutes_calls: !deaf,
+        mutes_answers: true,
+    };
+    let of_daemon = matches!(fault.kind, FaultKind::DaemonCutOff | FaultKind::DaemonDeaf);
+    let (name, number) = {
         let mut fleet = fleet.lock().await;
-        if let Some(old) = fleet.lab.services.shift_remove(&name) {
-            old.stop();
-            fleet.retired_services.push((name.clone(), old));
-        }
-        fleet.lab.add_service(number).await?;
-    }
-    release(fleet, &name).await;
-    Ok(())
+        let names: Vec<String> = if of_daemon {
+            fleet.slots.iter().map(|slot| slot.name.clone()).collect()
+        } else {
+            fleet.target_relays.keys().cloned().collect()
+        };
+        let Some(name) = names.get(fault.subject % names.len().max(1)) else {
+            return;
+        };
+        let stack = fleet.relay_faults.entry(name.clone()).or_default();
+        let number = stack.add(relay_fault);
+        fleet.set_relay(name);
+        (name.clone(), number)
+    };
+    tokio::time::sleep(fault.span).await;
+    let mut fleet = fleet.lock().await;
+    fleet
+        .relay_faults
+        .entry(name.clone())
+        .or_default()
+        .remove(number);
+    fleet.set_relay(&name);
 }
 
 /// Drains an engine through one daemon and restores it through another.
--- a/lab/src/prove_fleet.rs
+++ b/lab/src/prove_fleet.rs
@@ -6,6 +6,7 @@
 use eyre::{Context, Result, bail};
 use indexmap::IndexMap;
 use pistachiowick::clock::unix_now;
+use pistachiowick::names::ServiceName;
 use pistachiowick::pb;
 use pistachiowick::pb::operations_client::OperationsClient;
 use pistachiowick::platform_wire::{InstanceKind, InstanceRow, InstanceState};
@@ -20,6 +21,7 @@
 use crate::prove_books::{HoldBook, LifeBook, TargetBook};
 use crate::prove_daemon::DaemonHost;
 use crate::prove_setup::{ProveOptions, lab_plan, prove_items};
+use crate::relay::{RelayFault, RunningRelay};
 use crate::service::{RunningService, ServiceFaults};
 
 /// Wait for a connection to a daemon.
@@ -39,6 +41,8 @@
     pub host: Option<DaemonHost>,
     /// Whether it is frozen.
     pub frozen: bool,
+    /// Its way to the platform.
+    pub platform_relay: RunningRelay,
 }
 
 /// Faults in force on one subject; several may overlap.
@@ -100,6 +104,11 @@
     pub engine_faults: IndexMap<String, FaultStack<EngineFaults>>,
     /// Faults of services in force, by name.
     pub service_faults: IndexMap<String, FaultStack<ServiceFaults>>,
+    /// Ways to targets, by name. Every second target has one; the others are called
+    /// directly, so that their crashes show as refused connections.
+    pub target_relays: IndexMap<String, RunningRelay>,
+    /// Faults of relays in force, by name of the target or daemon.
+    pub relay_faults: IndexMap<String, FaultStack<RelayFault>>,
     /// Targets with a planned change under way.
     pub busy_targets: Vec<String>,
     /// Addresses that callers start from.
@@ -118,14 +127,18 @@
     /// Returns what did not start or did not become ready.
     pub async fn start(options: &ProveOptions) -> Result<Self> {
         let lab = LabFleet::start(lab_plan(options)).await?;
-        let slots = (0..options.daemons).map(|number| DaemonSlot {
-            name: format!("entry-{number}"),
-            host: None,
-            frozen: false,
-        });
+        let mut slots = Vec::new();
+        for number in 0..options.daemons {
+            slots.push(DaemonSlot {
+                name: format!("entry-{number}"),
+                host: None,
+                frozen: false,
+                platform_relay: RunningRelay::start(&lab.platform.address()).await?,
+            });
+        }
         let mut fleet = Self {
             lab,
-            slots: slots.collect(),
+            slots,
             lives: Vec::new(),
             retired_engines: Vec::new(),
             retired_services: Vec::new(),
@@ -133,10 +146,13 @@
             platform_faults: FaultStack::default(),
             engine_faults: IndexMap::new(),
             service_faults: IndexMap::new(),
+            target_relays: IndexMap::new(),
+            relay_faults: IndexMap::new(),
             busy_targets: Vec::new(),
             addresses: AddressBook::new(),
             options: options.clone(),
         };
+        fleet.relay_targets().await?;
         for slot in 0..fleet.slots.len() {
             fleet.start_daemon(slot).await?;
         }
@@ -154,7 +170,8 @@
         let name = self.slots[slot].name.clone();
         let centres = &self.lab.plan.centres;
         let centre = centres[slot % centres.len()].clone();
-        let mut settings = daemon_settings(&name, &centre, &self.lab.platform.address());
+        let platform = self.slots[slot].platform_relay.address();
+        let mut settings = daemon_settings(&name, &centre, &platform);
         (self.lab.plan.tweak)(&mut settings);
         let host = match &self.options.daemon_program {
             Some(program) => DaemonHost::start_process(program, &settings).await?,
@@ -215,19 +232,92 @@
     }
 
     /// Marks a target as leaving in the instance list.
-    pub fn announce_leaving(&self, kind: InstanceKind, name: &str, number: usize) {
-        let address = match kind {
-            InstanceKind::Engine => self.lab.engines[name].address(),
-            InstanceKind::Service => self.lab.services[name].address(),
-            InstanceKind::Entry => return,
+    pub fn announce_leaving(&self, name: &str) {
+        if let Some(row) = self.target_row(name) {
+            self.lab.announce_leaving(row);
+        }
+    }
+
+    /// Starts a new target in place of one that left, under its name.
+    ///
+    /// # Errors
+    ///
+    /// Returns what kept it from starting.
+    pub async fn replace_target(&mut self, name: &str) -> Result<()> {
+        let number = number_of(name);
+        if let Some(old) = self.lab.engines.shift_remove(name) {
+            old.stop();
+            self.retired_engines.push((name.to_owned(), old));
+            self.lab.add_engine(number).await?;
+        }
+        if let Some(old) = self.lab.services.shift_remove(name) {
+            old.stop();
+            self.retired_services.push((name.to_owned(), old));
+            self.lab.add_service(number).await?;
+        }
+        self.relay_target(name).await
+    }
+
+    async fn relay_targets(&mut self) -> Result<()> {
+        let engines = self.lab.engines.keys();
+        let names: Vec<String> = engines.chain(self.lab.services.keys()).cloned().collect();
+        for name in names {
+            self.relay_target(&name).await?;
+        }
+        Ok(())
+    }
+
+    /// Lists every second target at a relay before it.
+    async fn relay_target(&mut self, name: &str) -> Result<()> {
+        let direct = self.direct_address(name);
+        let Some(direct) = direct.filter(|_| number_of(name) % 2 == 1) else {
+            return Ok(());
         };
-        let mut row = self.lab.row(name, kind, &address, number);
-        row.state = InstanceState::Leaving;
-        row.checks_fence = self.lab.plan.engine.checks_fence;
-        if kind == InstanceKind::Service {
-            row.service = Some(self.lab.plan.service_name.as_str().into());
+        let relay = RunningRelay::start(&direct).await?;
+        self.target_relays.insert(name.to_owned(), relay);
+        self.set_relay(name);
+        if let Some(row) = self.target_row(name) {
+            self.lab.platform.set_instance(row);
+        }
+        Ok(())
+    }
+
+    fn direct_address(&self, name: &str) -> Option<String> {
+        let engine = self.lab.engines.get(name).map(RunningEngine::address);
+        engine.or_else(|| self.lab.services.get(name).map(RunningService::address))
+    }
+
+    fn target_row(&self, name: &str) -> Option<InstanceRow> {
+        let direct = self.direct_address(name)?;
+        let relayed = self.target_relays.get(name).map(RunningRelay::address);
+        let address = relayed.unwrap_or(direct);
+        let is_engine = self.lab.engines.contains_key(name);
+        let kind = if is_engine {
+            InstanceKind::Engine
+        } else {
+            InstanceKind::Service
+        };
+        let offered = ServiceName::from(self.lab.plan.service_name.as_str());
+        Some(InstanceRow {
+            checks_fence: is_engine && self.lab.plan.engine.checks_fence,
+            service: (!is_engine).then_some(offered),
+            ..self.lab.row(name, kind, &address, number_of(name))
+        })
+    }
+
+    /// Puts the faults in force on a daemon's or target's relay into it.
+    pub fn set_relay(&self, name: &str) {
+        let merge = |all: &mut RelayFault, fault: &RelayFault| {
+            all.mutes_calls |= fault.mutes_calls;
+            all.mutes_answers |= fault.mutes_answers;
+        };
+        let stack = self.relay_faults.get(name);
+        let fault = stack.map_or_else(RelayFault::default, |stack| stack.merged(merge));
+        let slot = self.slots.iter().find(|slot| slot.name == name);
+        let relay = slot.map(|slot| &slot.platform_relay);
+        if let Some(relay) = relay.or_else(|| self.target_relays.get(name)) {
+            relay.set_fault(fault);
         }
-        self.lab.platform.set_instance(row);
     }
 
     /// Marks a daemon as leaving in the instance list.
@@ -331,6 +421,15 @@
     }
 }
 
+/// Returns the number at the end of a target's name.
+#[must_use]
+pub fn number_of(name: &str) -> usize {
+    let number = name.rsplit('-').next();
+    number
+        .and_then(|number| number.parse().ok())
+        .unwrap_or_default()
+}
+
 async fn is_ready(address: &str) -> bool {
     let Ok(mut client) = operations(address).await else {
         return false;
--- a/lab/src/prove_plan.rs
+++ b/lab/src/prove_plan.rs
@@ -21,10 +21,17 @@
 /// Bounds of a freeze: longer than the run's leases, shorter than a deadline.
 const FREEZE_MS: std::ops::RangeInclusive<u64> = 1_500..=4_000;
 
+/// Bounds of an outage of the platform: up to longer than a target's time to leave.
+const OUTAGE_MS: std::ops::RangeInclusive<u64> = 500..=7_000;
+
 /// What goes wrong, or is changed as planned.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FaultKind {
+    /// A daemon and the platform are cut off from each other.
+    DaemonCutOff,
+    /// A daemon's calls reach the platform, and no answer comes back.
+    DaemonDeaf,
     /// A daemon is frozen and thawed; separate processes only.
     DaemonFreeze,
     /// A daemon is killed; a new life under its name follows.
@@ -71,11 +78,17 @@
     ServiceReplace,
     /// Runs take longer.
     ServiceSlow,
+    /// A target and all daemons are cut off from each other.
+    TargetCutOff,
+    /// Calls reach a target, and no answer comes back.
+    TargetDeaf,
 }
 
 impl FaultKind {
     /// Every kind.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 27] = [
+        Self::DaemonCutOff,
+        Self::DaemonDeaf,
         Self::DaemonFreeze,
         Self::DaemonKill,
         Self::DaemonStop,
@@ -99,12 +112,16 @@
         Self::ServiceLoss,
         Self::ServiceReplace,
         Self::ServiceSlow,
+        Self::TargetCutOff,
+        Self::TargetDeaf,
     ];
 
     /// Returns the kind's name in reports.
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::DaemonCutOff => "daemon_cut_off",
+            Self::DaemonDeaf => "daemon_deaf",
             Self::DaemonFreeze => "daemon_freeze",
             Self::DaemonKill => "daemon_kill",
             Self::DaemonStop => "daemon_stop",
@@ -128,6 +145,8 @@
             Self::ServiceLoss => "service_loss",
             Self::ServiceReplace => "service_replace",
             Self::ServiceSlow => "service_slow",
+            Self::TargetCutOff => "target_cut_off",
+            Self::TargetDeaf => "target_deaf",
         }
     }
 
@@ -203,6 +222,7 @@
     }
     let span = match drawn {
         FaultKind::DaemonFreeze => random.random_range(FREEZE_MS),
+        FaultKind::PlatformDown => random.random_range(OUTAGE_MS),
         _ => random.random_range(SPAN_MS),
     };
     PlannedFault {
--- a/lab/src/prove_verdict.rs
+++ b/lab/src/prove_verdict.rs
@@ -1,5 +1,7 @@
 //! Compares what callers and operators were told with what the stand-ins did.
 
+use std::fmt::Display;
+
 use indexmap::{IndexMap, IndexSet};
 use pistachiowick::pb::RecordState;
 use serde::Serialize;
@@ -47,6 +49,10 @@
     pub short: u64,
     /// "Not run" told of work that ran.
     pub false_not_run: u64,
+    /// Answers of daemons that were not killed, whose record does not say so.
+    pub lost_records: u64,
+    /// Requests said to be stopped by a cancel and answered all the same; not a failure.
+    pub stopped_yet_answered: u64,
     /// Orders received by engines.
     pub orders: u64,
     /// Orders obeyed against a newer one, or while another one was carried out.
@@ -100,6 +106,7 @@
             self.wrong,
             self.short,
             self.false_not_run,
+            self.lost_records,
             self.conflicting_orders,
             self.late_new_work,
             self.config_reverts,
@@ -112,7 +119,7 @@
         broken.iter().all(|count| *count == 0) && self.recovery_ms.is_some()
     }
 
-    fn find(&mut self, kind: &str, text: String) {
+    fn find(&mut self, kind: &str, text: impl Display) {
         self.findings.push(format!("{kind}: {text}"));
     }
 }
@@ -179,7 +186,7 @@
     judge_config(&mut report, books);
     report.leaks = books.leaks.len() as u64;
     for leak in &books.leaks {
-        report.find("leak", leak.clone());
+        report.find("leak", leak);
     }
     let own: u64 = books.lives.iter().map(|life| life.violations).sum();
     report.violations = books.violations + own;
@@ -307,12 +314,39 @@
             report.find("cut_by_planned_change", text);
         }
     }
+    judge_record(report, request, books);
     if request.records.iter().any(|record| !record.is_right) {
         report.wrong += 1;
         report.find("wrong", format!("the record of {name}"));
     }
 }
 
+/// An answer that a daemon gave out of its own call must be in the record, unless the
+/// daemon was killed before it could write it.
+fn judge_record(report: &mut ProveReport, request: &RequestBook, books: &RunBooks) {
+    let killed = |address: &str| {
+        let life = books.lives.iter().find(|life| life.address == address);
+        life.is_none_or(|life| life.killed_at_ms.is_some())
+    };
+    let answers = request.asks.iter().filter(|ask| is_answered(ask));
+    let mut lasting = answers.filter(|ask| !ask.is_resume && !killed(&ask.address));
+    let closing = request.records.iter().rfind(|record| record.settled);
+    if let (Some(ask), Some(record)) = (lasting.next_back(), closing)
+        && record.state != RecordState::Answered
+    {
+        report.lost_records += 1;
+        let text = format!("{}: {}, recorded {record:?}", request.name, describe(ask));
+        report.find("lost_records", text);
+    }
+    let answered_at = request.asks.iter().filter(|ask| is_answered(ask));
+    let answered_at = answered_at.map(|ask| ask.ended_at_ms).max();
+    if let (Some(stopped), Some(answered)) = (request.stopped_at_ms, answered_at)
+        && answered > stopped
+    {
+        report.stopped_yet_answered += 1;
+    }
+}
+
 /// Tells whether an accepted stream broke at a daemon that was not killed.
 fn is_cut(ask: &AskBook, books: &RunBooks) -> bool {
     let life = books.lives.iter().find(|life| life.address == ask.address);
@@ -382,7 +416,7 @@
 fn judge_config(report: &mut ProveReport, books: &RunBooks) {
     for revert in &books.reverts {
         report.config_reverts += 1;
-        report.find("config_reverts", revert.clone());
+        report.find("config_reverts", revert);
     }
     let mut bases = IndexSet::new();
     let mut newest = IndexMap::new();
--- a/lab/src/service.rs
+++ b/lab/src/service.rs
@@ -114,6 +114,7 @@
     waiting: usize,
     open: usize,
     left_at: Option<Instant>,
+    accepts_leaving: bool,
     faults: ServiceFaults,
     books: ServiceBooks,
 }
@@ -151,6 +152,7 @@
                 waiting: 0,
                 open: 0,
                 left_at: None,
+                accepts_leaving: false,
                 faults: ServiceFaults::default(),
                 books: ServiceBooks::default(),
             }),
@@ -218,6 +220,11 @@
     pub fn leave(&self) {
         self.core.leave();
     }
+
+    /// Sets whether calls are refused while leaving; they are, unless said otherwise.
+    pub fn set_refusing(&self, refuses: bool) {
+        self.core.state().accepts_leaving = !refuses;
+    }
 }
 
 async fn crash_for(core: &ServiceCore, server: &HttpServer, down: Duration) {
@@ -261,7 +268,7 @@
         }
         let reason = if state.faults.down {
             Some("down")
-        } else if state.left_at.is_some() {
+        } else if state.left_at.is_some() && !state.accepts_leaving {
             Some("leaving")
         } else if state.waiting >= self.options.queue_limit {
             Some("queue full")
