Do not say that a call already sent was stopped

Cause: a cancel counted every running request as stopped. A call of a service that may not be repeated goes on once it was sent, and its caller was told 'stopped' and then answered. Change: a run that can no longer be stopped stops listening, under the lock that a cancel takes, and a cancel that finds no listener says so.

--- a/lab/tests/prove_failures.rs
+++ b/lab/tests/prove_failures.rs
@@ -251,3 +251,32 @@
     assert_eq!(state, RecordState::Answered);
     fleet.stop().await;
 }
+
+// A club cancels the receipt it has just asked for, is told that it was stopped, and
+// gets it all the same: a call of a service that may not be repeated goes on once it
+// was sent, and the cancel counted it as stopped because it was running.
+#[tokio::test]
+async fn a_call_that_was_sent_is_not_said_to_be_stopped() {
+    let mut plan = small_plan();
+    plan.service.work_ms = 1_000;
+    let fleet = started(plan).await;
+    let key = workspace_key(WORKSPACE);
+    let mut client = client(&fleet, "entry-0").await;
+    let asked = client.submit(with_key(submit("issue", "sent"), &key)).await;
+    let mut events = asked.expect("taken").into_inner();
+    let token = loop {
+        if let Event::Accepted(accepted) = next_event(&mut events).await
+            && !accepted.target.is_empty()
+        {
+            break accepted.resume_token;
+        }
+    };
+    until(|| fleet.services["service-00"].open_calls() == 1).await;
+    let cancel = CancelRequest {
+        resume_token: token,
+    };
+    let reply = client.cancel(with_key(cancel, &key)).await;
+    assert!(!reply.expect("taken").into_inner().stopped);
+    assert_eq!(final_of(&mut events).await.outcome(), Outcome::Answered);
+    fleet.stop().await;
+}
--- a/src/run_once.rs
+++ b/src/run_once.rs
@@ -56,20 +56,28 @@
         Ok(granted) => granted,
         Err(outcome) => return outcome,
     };
-    if *cancelled.borrow() {
+    // A call that was sent cannot be stopped; a stream can.
+    let (came, listening) = match &request.pool {
+        PoolKey::Service(_) => (context.stop_listening(cancelled), None),
+        PoolKey::Model(_) => {
+            let came = *cancelled.borrow();
+            (came, Some(cancelled))
+        }
+    };
+    if came {
         permit.release();
         return FinalOutcome::Cancelled;
     }
     let waited = clock::mono_now().since(request.arrived);
     progress.queueing.get_or_insert(waited);
     sink.note_dispatched();
-    match &request.pool {
-        PoolKey::Service(_) => {
+    match listening {
+        None => {
             let token = context.token(request, Some(&slot.choice), 1);
             sink.accepted(token, 1, &slot.choice.target).await;
             run_on_service(context, request, sink, slot, permit).await
         }
-        PoolKey::Model(_) => {
+        Some(cancelled) => {
             run_on_engine(context, request, sink, cancelled, progress, slot, permit).await
         }
     }
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -150,16 +150,31 @@
         lock(&self.budget).spend()
     }
 
-    /// Stops a request of this daemon; true when it was running here.
+    /// Stops a request of this daemon; true when a run here can still be stopped.
+    ///
+    /// A run that can't, such as a call already sent to a service, has given up its
+    /// receiver: its caller must not be told that it was stopped.
     #[must_use]
     pub fn cancel_here(&self, request_id: &RequestId) -> bool {
         let running = lock(&self.running);
         running.get(request_id).is_some_and(|request| {
             request.cancel.send_replace(true);
-            true
+            request.cancel.receiver_count() > 0
         })
     }
 
+    /// Stops listening for a cancel; true when one came before.
+    ///
+    /// Under the lock that a cancel takes: one that comes later finds nobody
+    /// listening, so that no caller is told "stopped" of what goes on.
+    #[must_use]
+    pub fn stop_listening(&self, cancelled: watch::Receiver<bool>) -> bool {
+        let _running = lock(&self.running);
+        let came = *cancelled.borrow();
+        drop(cancelled);
+        came
+    }
+
     /// Returns the number of requests running here.
     #[must_use]
     pub fn running_count(&self) -> usize {
