--- a/lab/src/prove_verdict.rs
+++ b/lab/src/prove_verdict.rs
@@ -1,5 +1,7 @@
 //! Compares what callers and operators were told with what the stand-ins did.
 
+use std::fmt::Display;
+
 use indexmap::{IndexMap, IndexSet};
 use pistachiowick::pb::RecordState;
 use serde::Serialize;
@@ -47,6 +49,10 @@
     pub short: u64,
     /// "Not run" told of work that ran.
     pub false_not_run: u64,
+    /// Answers of daemons that were not killed, whose record does not say so.
+    pub lost_records: u64,
+    /// Requests said to be stopped by a cancel and answered all the same; not a failure.
+    pub stopped_yet_answered: u64,
     /// Orders received by engines.
     pub orders: u64,
     /// Orders obeyed against a newer one, or while another one was carried out.
@@ -100,6 +106,7 @@
             self.wrong,
             self.short,
             self.false_not_run,
+            self.lost_records,
             self.conflicting_orders,
             self.late_new_work,
             self.config_reverts,
@@ -112,7 +119,7 @@
         broken.iter().all(|count| *count == 0) && self.recovery_ms.is_some()
     }
 
-    fn find(&mut self, kind: &str, text: &str) {
+    fn find(&mut self, kind: &str, text: impl Display) {
         self.findings.push(format!("{kind}: {text}"));
     }
 }
@@ -208,7 +215,7 @@
             .filter(|ask| ask.end != AskEnd::Unreached);
         let asks: Vec<String> = reached.map(describe).collect();
         let text = format!("{} ({:?}): {}", request.name, request.kind, asks.join("; "));
-        report.find("hung", &text);
+        report.find("hung", text);
     }
 }
 
@@ -224,18 +231,18 @@
     let name = &request.name;
     if request.kind.is_keyed() && runs.len() > 1 {
         report.doubled += 1;
-        report.find("doubled", &format!("{name} ran as {runs:?}"));
+        report.find("doubled", format!("{name} ran as {runs:?}"));
     }
     let answered = request.asks.iter().any(is_answered);
     if request.kind.is_keyed() && answered && runs.is_empty() {
         report.wrong += 1;
-        report.find("wrong", &format!("{name} was answered and never ran"));
+        report.find("wrong", format!("{name} was answered and never ran"));
     }
     for ask in &request.asks {
         if ask.end == AskEnd::Final(RequestEnd::Refused) && is_false(request, ask, runs) {
             report.false_not_run += 1;
             let told = format!("{name} was told {:?} and ran as {runs:?}", ask.reason);
-            report.find("false_not_run", &told);
+            report.find("false_not_run", told);
         }
     }
     let closed = request
@@ -245,7 +252,7 @@
     if closed && !runs.is_empty() {
         report.false_not_run += 1;
         let told = format!("the record of {name} says not run, and it ran as {runs:?}");
-        report.find("false_not_run", &told);
+        report.find("false_not_run", told);
     }
 }
 
@@ -283,35 +290,60 @@
     for ask in &request.asks {
         if ask.is_wrong {
             report.wrong += 1;
-            report.find(
-                "wrong",
-                &format!("{name} at {}: {:?}", ask.address, ask.end),
-            );
+            report.find("wrong", format!("{name} at {}: {:?}", ask.address, ask.end));
         }
         if ask.is_short {
             report.short += 1;
             report.find(
                 "short",
-                &format!("{name} at {}: {}", ask.address, ask.reason),
+                format!("{name} at {}: {}", ask.address, ask.reason),
             );
         }
         if ask.is_doubled {
             report.doubled += 1;
-            report.find("doubled", &format!("bytes of {name} at {}", ask.address));
+            report.find("doubled", format!("bytes of {name} at {}", ask.address));
         }
         if let AskEnd::Rejected(text) = &ask.end {
             report.rejected += 1;
-            report.find("rejected", &format!("{name} at {}: {text}", ask.address));
+            report.find("rejected", format!("{name}: {}: {text}", describe(ask)));
         }
         if ask.end == AskEnd::Broken && !ask.request_id.is_empty() && is_cut(ask, books) {
             report.cut_by_planned_change += 1;
-            let text = format!("{name} at {}, which nobody killed", ask.address);
-            report.find("cut_by_planned_change", &text);
+            let life = books.lives.iter().find(|life| life.address == ask.address);
+            let text = format!("{name}: {}, nobody killed {life:?}", describe(ask));
+            report.find("cut_by_planned_change", text);
         }
     }
+    judge_record(report, request, books);
     if request.records.iter().any(|record| !record.is_right) {
         report.wrong += 1;
-        report.find("wrong", &format!("the record of {name}"));
+        report.find("wrong", format!("the record of {name}"));
+    }
+}
+
+/// An answer that a daemon gave out of its own call must be in the record, unless the
+/// daemon was killed before it could write it.
+fn judge_record(report: &mut ProveReport, request: &RequestBook, books: &RunBooks) {
+    let killed = |address: &str| {
+        let life = books.lives.iter().find(|life| life.address == address);
+        life.is_none_or(|life| life.killed_at_ms.is_some())
+    };
+    let answers = request.asks.iter().filter(|ask| is_answered(ask));
+    let mut lasting = answers.filter(|ask| !ask.is_resume && !killed(&ask.address));
+    let closing = request.records.iter().rfind(|record| record.settled);
+    if let (Some(ask), Some(record)) = (lasting.next_back(), closing)
+        && record.state != RecordState::Answered
+    {
+        report.lost_records += 1;
+        let text = format!("{}: {}, recorded {record:?}", request.name, describe(ask));
+        report.find("lost_records", text);
+    }
+    let answered_at = request.asks.iter().filter(|ask| is_answered(ask));
+    let answered_at = answered_at.map(|ask| ask.ended_at_ms).max();
+    if let (Some(stopped), Some(answered)) = (request.stopped_at_ms, answered_at)
+        && answered > stopped
+    {
+        report.stopped_yet_answered += 1;
     }
 }
 
@@ -342,7 +374,7 @@
             report.conflicting_orders += 1;
             report.find(
                 "conflicting_orders",
-                &format!("{}: {order:?}", engine.target),
+                format!("{}: {order:?}", engine.target),
             );
         }
     }
@@ -362,7 +394,7 @@
         for late in after.iter().filter(|after| **after > grace) {
             report.late_new_work += 1;
             let text = format!("{target} got work {late} ms after it was told to leave");
-            report.find("late_new_work", &text);
+            report.find("late_new_work", text);
         }
     }
     for hold in &books.holds {
@@ -376,7 +408,7 @@
                 "drained {} got {} after {after} ms",
                 hold.target, stream.request_id
             );
-            report.find("late_new_work", &text);
+            report.find("late_new_work", text);
         }
     }
 }
@@ -384,7 +416,7 @@
 fn judge_config(report: &mut ProveReport, books: &RunBooks) {
     for revert in &books.reverts {
         report.config_reverts += 1;
-        report.find("config_reverts", &revert.clone());
+        report.find("config_reverts", revert);
     }
     let mut bases = IndexSet::new();
     let mut newest = IndexMap::new();
@@ -399,7 +431,7 @@
                 "two changes of {} were based on {}",
                 change.item, change.based_on
             );
-            report.find("config_reverts", &text);
+            report.find("config_reverts", text);
         }
         newest.insert((change.item.as_str(), revision), change.mark);
     }
@@ -408,7 +440,7 @@
             report.config_reverts += 1;
             report.find(
                 "config_reverts",
-                &format!("{daemon} lacks an accepted change: {items:?}"),
+                format!("{daemon} lacks an accepted change: {items:?}"),
             );
         }
         for (item, shown) in items {
@@ -417,7 +449,7 @@
                 report.config_reverts += 1;
                 report.find(
                     "config_reverts",
-                    &format!("{daemon} shows {item} as {shown:?}"),
+                    format!("{daemon} shows {item} as {shown:?}"),
                 );
             }
         }
