Link the daemons: records by shard owners, shares across the fleet

Cause: links, shard owners and fleet-wide shares were there and nothing used them. Change: the daemon starts its links, hands operations on records to the owner of their shard and weighs workspaces by what they got across the fleet.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -177,6 +177,7 @@
                 continue;
             };
             self.explain(&waiter.request_id, &reply);
+            self.report_cost(state, number);
             if waiter.reply.send(reply).is_err() {
                 state
                     .scheduler
@@ -185,6 +186,20 @@
         }
     }
 
+    /// Tells the control thread what a placed request costs, for fleet-wide shares.
+    fn report_cost(&self, state: &DispatchState, number: JobNumber) {
+        let Some((spec, cost)) = state.scheduler.placed_cost(number) else {
+            return;
+        };
+        let event = ControlEvent::CostSeen {
+            workspace: spec.workspace.clone(),
+            class: spec.class.clone(),
+            cost: Duration::from_secs_f64(cost),
+        };
+        // A closed channel means the daemon is going down; nobody needs the news then.
+        let _ = self.control.events.send(event);
+    }
+
     fn explain(&self, request_id: &RequestId, reply: &GrantReply) {
         match reply {
             Ok(choice) => {
--- a/src/fair_queue.rs
+++ b/src/fair_queue.rs
@@ -9,6 +9,9 @@
 
 use crate::names::{MonoTime, WorkspaceName};
 
+/// Least weight of a workspace, so that none is starved.
+const LEAST_WEIGHT: f64 = 0.01;
+
 /// Identifies a waiting or running request within one daemon.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct JobNumber(pub u64);
@@ -20,8 +23,8 @@
     pub number: JobNumber,
     /// Workspace that waits.
     pub workspace: WorkspaceName,
-    /// Share of the workspace.
-    pub weight: u32,
+    /// Share of the workspace, corrected by what it got across the fleet.
+    pub weight: f64,
     /// Urgency; 0 is the most urgent.
     pub priority: u32,
     /// Latest start that still meets the deadline.
@@ -86,7 +89,7 @@
     pub fn push(&mut self, job: QueuedJob) {
         let floor = self.floor;
         let lane = self.lanes.entry(job.workspace.clone()).or_default();
-        lane.weight = f64::from(job.weight.max(1));
+        lane.weight = job.weight.max(LEAST_WEIGHT);
         if lane.jobs.is_empty() {
             // A workspace that was idle must not spend the time it saved up all at
             // once: the others would starve until it had caught up.
@@ -113,10 +116,10 @@
     }
 
     /// Charges a workspace for work placed here or, by report, elsewhere.
-    pub fn charge(&mut self, workspace: &WorkspaceName, weight: u32, cost: f64) {
+    pub fn charge(&mut self, workspace: &WorkspaceName, weight: f64, cost: f64) {
         let floor = self.floor;
         let lane = self.lanes.entry(workspace.clone()).or_default();
-        lane.weight = f64::from(weight.max(1));
+        lane.weight = weight.max(LEAST_WEIGHT);
         lane.virtual_time = lane.virtual_time.max(floor) + cost / lane.weight;
         self.advance_floor();
     }
@@ -140,7 +143,7 @@
     /// Under fair shares that is the cost of the workspace's own more urgent work,
     /// stretched by the competition, or everything that waits if that is less.
     #[must_use]
-    pub fn cost_before(&self, workspace: &WorkspaceName, weight: u32, rank_priority: u32) -> f64 {
+    pub fn cost_before(&self, workspace: &WorkspaceName, weight: f64, rank_priority: u32) -> f64 {
         let total: f64 = self.lanes.values().map(|l| l.queued_cost).sum();
         if !self.fair {
             return total;
@@ -149,7 +152,7 @@
             .lanes
             .get(workspace)
             .map_or(0.0, |l| cost_up_to(l, rank_priority));
-        let weight = f64::from(weight.max(1));
+        let weight = weight.max(LEAST_WEIGHT);
         let rivals: f64 = self
             .lanes
             .iter()
--- a/src/request.rs
+++ b/src/request.rs
@@ -15,7 +15,7 @@
 use crate::placement::{PlacementNeed, PoolKey};
 use crate::scheduler::JobSpec;
 use crate::settings::LimitSettings;
-use crate::snapshot::ConfigView;
+use crate::snapshot::{ConfigView, ControlSnapshot};
 
 /// Longest key in bytes.
 const LONGEST_KEY: usize = 200;
@@ -29,8 +29,8 @@
     pub id: RequestId,
     /// Class of the work.
     pub class: Arc<ClassSpec>,
-    /// Share of the workspace.
-    pub weight: u32,
+    /// Share of the workspace, corrected by what it got across the fleet.
+    pub weight: f64,
     /// Pool of targets that serve it.
     pub pool: PoolKey,
     /// Versions allowed.
@@ -90,11 +90,13 @@
         id: RequestId,
         workspace: &WorkspaceName,
         submit: pb::SubmitRequest,
-        config: &ConfigView,
+        snapshot: &ControlSnapshot,
         limits: &LimitSettings,
     ) -> Result<Self, RequestFault> {
+        let config = &snapshot.config;
         let class = find_class(workspace, &submit.class, config)?;
-        let weight = config.workspaces.get(workspace).map_or(1, |w| w.weight);
+        let due = config.workspaces.get(workspace).map_or(1, |w| w.weight);
+        let weight = f64::from(due) * snapshot.shares.factor(workspace);
         let (pool, versions) = choose_pool(&class, &submit)?;
         check_sizes(&submit, &class)?;
         let span = deadline_span(&submit, &class, limits)?;
--- a/src/rpc_requests.rs
+++ b/src/rpc_requests.rs
@@ -72,7 +72,7 @@
         let snapshot = self.context.control.snapshot.load();
         let limits = &self.context.settings.limits;
         let id = self.new_id();
-        CallerRequest::check(id, workspace, submit, &snapshot.config, limits)
+        CallerRequest::check(id, workspace, submit, &snapshot, limits)
             .map_err(|fault| Status::invalid_argument(fault.to_string()))
     }
 
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -49,8 +49,8 @@
     pub workspace: WorkspaceName,
     /// Class of the work.
     pub class: ClassName,
-    /// Share of the workspace.
-    pub weight: u32,
+    /// Share of the workspace, corrected by what it got across the fleet.
+    pub weight: f64,
     /// Urgency; 0 is the most urgent.
     pub priority: u32,
     /// When the whole answer is due.
@@ -277,13 +277,6 @@
         actions
     }
 
-    /// Charges a workspace for work that other daemons did for it.
-    pub fn charge_elsewhere(&mut self, workspace: &WorkspaceName, weight: u32, cost: f64) {
-        for queue in self.queues.values_mut() {
-            queue.charge(workspace, weight, cost);
-        }
-    }
-
     /// Returns the number of own requests at a target.
     #[must_use]
     pub fn own_in_flight(&self, target: &TargetId) -> usize {
@@ -296,6 +289,13 @@
         (self.waiting.len(), self.placed.len())
     }
 
+    /// Returns a placed request with the engine-seconds it is expected to take.
+    #[must_use]
+    pub fn placed_cost(&self, number: JobNumber) -> Option<(&JobSpec, f64)> {
+        let placed = self.placed.get(&number)?;
+        Some((&placed.spec, self.expected_cost(&placed.spec)))
+    }
+
     /// Returns the engine-seconds a request is expected to take.
     #[must_use]
     pub fn expected_cost(&self, spec: &JobSpec) -> f64 {
--- a/src/server.rs
+++ b/src/server.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use eyre::{Result, WrapErr};
@@ -19,11 +19,15 @@
 use crate::control::{ControlEvent, ControlHandle, ControlInputs, start_control};
 use crate::dispatch::JobDispatcher;
 use crate::engine_http::engine_port;
+use crate::fleet::UseState;
+use crate::intent_link::{IntentLink, LinkError, shard_owner};
 use crate::intent_store::{IntentStore, StoreInputs};
 use crate::journal::DecisionJournal;
 use crate::names::ProcessIncarnation;
 use crate::pb::operations_server::OperationsServer;
 use crate::pb::requests_server::RequestsServer;
+use crate::peer_handshake::PeerIdentity;
+use crate::peer_link::{PeerHandle, PeerHandler, PeerInputs, start_peers};
 use crate::platform_http::platform_port;
 use crate::ports::PlatformPort;
 use crate::resume_token::TokenSigner;
@@ -60,7 +64,6 @@
     closing: watch::Sender<bool>,
     tasks: Vec<JoinHandle<()>>,
     _admin: AdminServer,
-    _peer: StdListener,
 }
 
 /// Serves until `stop` resolves, then shuts down gracefully.
@@ -111,7 +114,14 @@
     let admin = admin_http::serve_admin(settings.listen.admin, snapshot, metrics)
         .await
         .wrap_err_with(|| format!("cannot listen on listen.admin {}", settings.listen.admin))?;
-    let context = build_context(&settings, platform, control, journal, incarnation)?;
+    let context = build_context(
+        &settings,
+        platform,
+        control,
+        journal,
+        incarnation,
+        peer_listener,
+    )?;
     let (closing, _) = watch::channel(false);
     let serving = serve(&context, listener, incarnation, &closing)?;
     let dispatcher = context.dispatcher.clone();
@@ -125,7 +135,6 @@
         closing,
         tasks: vec![serving, pumping],
         _admin: admin,
-        _peer: peer_listener,
     })
 }
 
@@ -199,6 +208,7 @@
     control: ControlHandle,
     journal: DecisionJournal,
     incarnation: ProcessIncarnation,
+    peer_listener: StdListener,
 ) -> Result<Arc<TrafficContext>> {
     let scheduler = Scheduler::new(SchedulerInputs {
         policy: settings.policy.clone(),
@@ -206,13 +216,30 @@
         speeds: settings.policy.speeds.clone(),
         seed: incarnation.0,
     });
-    let intents = IntentStore::new(&StoreInputs {
+    let records = RecordCell::default();
+    let peers = start_peers(PeerInputs {
+        listener: peer_listener,
+        identity: PeerIdentity {
+            daemon: settings.daemon_id.clone(),
+            incarnation,
+            secret: settings.peers.secret.clone(),
+        },
+        silence: Duration::from_millis(settings.peers.silence_ms),
+        control: control.clone(),
+        handler: record_handler(&records),
+    })
+    .wrap_err("cannot listen for other daemons")?;
+    let inputs = StoreInputs {
         settings: &settings.intents,
         platform,
         daemon: settings.daemon_id.clone(),
         incarnation,
         unix_now: Arc::new(clock::unix_now),
-    });
+    };
+    let link = record_link(settings, &control, peers);
+    let intents = IntentStore::with_link(&inputs, &link);
+    // Set once, here; a failure would mean that this line ran twice.
+    let _ = records.set(intents.clone());
     let dispatcher = JobDispatcher::new(scheduler, control.clone(), journal.clone());
     Ok(Arc::new(TrafficContext {
         daemon: settings.daemon_id.clone(),
@@ -231,6 +258,47 @@
     }))
 }
 
+/// The records, for requests of peers that arrive before they are there.
+type RecordCell = Arc<OnceLock<IntentStore>>;
+
+/// Answers other daemons that hand over their operations on shards.
+fn record_handler(records: &RecordCell) -> PeerHandler {
+    let records = Arc::clone(records);
+    Arc::new(move |(_, body)| {
+        let records = Arc::clone(&records);
+        Box::pin(async move {
+            let store = records.get().ok_or("this daemon is starting")?;
+            store.serve(&body).await.map_err(|e| e.to_string())
+        })
+    })
+}
+
+/// Finds the owner of a shard among the live daemons and reaches it by the links.
+fn record_link(
+    settings: &Arc<DaemonSettings>,
+    control: &ControlHandle,
+    peers: PeerHandle,
+) -> IntentLink {
+    let own = settings.daemon_id.clone();
+    let snapshot = control.snapshot.clone();
+    IntentLink {
+        owner: Arc::new(move |shard| {
+            let snapshot = snapshot.load();
+            let daemons = snapshot.fleet.daemons.values();
+            let live = daemons.filter(|d| d.state == UseState::Live).map(|d| &d.id);
+            shard_owner(shard, live).filter(|d| **d != own).cloned()
+        }),
+        call: Arc::new(move |call| {
+            let reply = (peers.request)(call);
+            Box::pin(async move {
+                reply.await.map_err(|error| LinkError::NoReply {
+                    reason: error.to_string(),
+                })
+            })
+        }),
+    }
+}
+
 fn serve(
     context: &Arc<TrafficContext>,
     listener: TcpListener,
