--- a/tests/intents_link.rs
+++ b/tests/intents_link.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use intents_support::{FakeClock, FakePlatform, claim, grant, inputs, key, settings, store};
+use intents_support::{
+    FakeClock, FakePlatform, WriteFault, claim, grant, inputs, key, settings, store,
+};
 use pistachiowick::intent_link::{
     IntentLink, LinkError, LinkOutcome, LinkReply, LinkRequest, ShardOwner, shard_owner,
 };
@@ -177,6 +179,31 @@
     drop(grant(&asker, "receipt").await);
 }
 
+// The owner's write hangs in the network and the platform goes down: the owner cannot say
+// whether it wrote the claim, and the asker gives up. The write takes effect afterwards,
+// unless the asker has closed the key by then. It has, and the late write is refused.
+#[tokio::test(start_paused = true)]
+async fn late_write_of_an_owner_is_refused() {
+    let platform = FakePlatform::default();
+    let net = LinkNet::default();
+    let owner = net.join(&platform, "owner", "owner");
+    let asker = net.join(&platform, "asker", "owner");
+    grant(&owner, "warm-up").await.release();
+    assert!(owner.drain(Duration::from_secs(5)).await);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    platform.fail_writes(&[WriteFault::Delayed]);
+    let given_up = tokio::spawn(async move { asker.claim(claim("receipt")).await });
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    platform.set_down(true);
+    let result = given_up.await.unwrap();
+    assert!(matches!(result, ClaimResult::GivenUp { .. }), "{result:?}");
+    platform.set_down(false);
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    assert_eq!(platform.land_delayed(), 0);
+    let view = read_directly(&platform, "receipt").await;
+    assert_eq!(view, RecordView::NotRun);
+}
+
 // Forty daemons each claim five requests of one shard. Through the owner they share its
 // writes; directly they would refuse one another's updates most of the time.
 #[tokio::test(start_paused = true)]
