Close the listener before a planned stop records its last claims

Change: once nothing runs the listener closes; what came meanwhile is finished, then claims are recorded, then placement ends. Measured: the test's late request was taken before and is turned away after.

--- a/lab/src/prove_verdict.rs
+++ b/lab/src/prove_verdict.rs
@@ -335,8 +335,12 @@
         && record.state != RecordState::Answered
     {
         report.lost_records += 1;
-        let text = format!("{}: {}, recorded {record:?}", request.name, describe(ask));
-        report.find("lost_records", text);
+        let life = books.lives.iter().find(|life| life.address == ask.address);
+        let told = format!("{}: {}", request.name, describe(ask));
+        report.find(
+            "lost_records",
+            format!("{told}, recorded {record:?}, {life:?}"),
+        );
     }
     let answered_at = request.asks.iter().filter(|ask| is_answered(ask));
     let answered_at = answered_at.map(|ask| ask.ended_at_ms).max();
--- a/lab/tests/prove_failures.rs
+++ b/lab/tests/prove_failures.rs
@@ -1,6 +1,7 @@
 //! Failures that randomised runs found, each as the caller sees it.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use pistachiowick::clock::unix_now;
@@ -12,6 +13,7 @@
     SubmitRequest,
 };
 use pistachiowick_lab::fleet::{FleetPlan, LabFleet, daemon_settings, with_key};
+use pistachiowick_lab::platform::PlatformFaults;
 use pistachiowick_lab::prove_daemon::DaemonHost;
 use pistachiowick_lab::prove_setup::prove_items;
 use pistachiowick_lab::quickstart::{MODEL, quickstart_plan, workspace_key};
@@ -280,3 +282,50 @@
     assert_eq!(final_of(&mut events).await.outcome(), Outcome::Answered);
     fleet.stop().await;
 }
+
+// A caller's answer is cut by a planned stop, or told and then not recorded: the stop
+// waited until nothing ran, went on taking what still came while it recorded the ends
+// of claims, and then ended under it. (Seed 203.)
+#[tokio::test]
+async fn a_stop_takes_nothing_more_once_its_last_request_has_ended() {
+    let fleet = started(small_plan()).await;
+    let platform = fleet.platform.address();
+    let mut settings = daemon_settings("entry-9", "centre-a", &platform);
+    settings.shutdown.keep_ms = 50;
+    let host = DaemonHost::start_inside(settings).await;
+    let host = host.expect("it starts");
+    let context = host.context().expect("it is inside").clone();
+    let connected = RequestsClient::connect(format!("http://{}", host.addresses.rpc)).await;
+    let mut leaving = connected.expect("it listens");
+    let key = workspace_key(WORKSPACE);
+    let begun = Instant::now();
+    // Answered, with its end still to be recorded when the platform goes down.
+    while begun.elapsed() < LIMIT {
+        let issue = submit("issue", &format!("last-{:?}", begun.elapsed()));
+        let Ok(events) = leaving.submit(with_key(issue, &key)).await else {
+            continue;
+        };
+        if final_of(&mut events.into_inner()).await.outcome() == Outcome::Answered {
+            break;
+        }
+    }
+    fleet.platform.set_faults(PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    });
+    let stopped = tokio::spawn(host.stop());
+    until(|| context.closing.load(Ordering::Relaxed) && context.running_count() == 0).await;
+    // Long enough for the daemon to see it too; it still waits for the platform.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(!stopped.is_finished());
+    let again = SubmitRequest {
+        first_submission: false,
+        ..submit("issue", "late")
+    };
+    let asked = leaving.submit(with_key(again, &key)).await;
+    assert!(asked.is_err(), "it took a request that it cannot finish");
+    drop(context);
+    fleet.platform.set_faults(PlatformFaults::default());
+    stopped.await.expect("no panic").expect("it stops");
+    fleet.stop().await;
+}
--- a/src/server.rs
+++ b/src/server.rs
@@ -58,7 +58,9 @@
     pub peer: SocketAddr,
     context: Arc<TrafficContext>,
     closing: watch::Sender<bool>,
-    tasks: Vec<JoinHandle<()>>,
+    ended: watch::Sender<bool>,
+    serving: JoinHandle<()>,
+    pumping: JoinHandle<()>,
     _admin: AdminServer,
     _peer: StdListener,
 }
@@ -115,7 +117,8 @@
     let (closing, _) = watch::channel(false);
     let serving = serve(&context, listener, incarnation, &closing)?;
     let dispatcher = context.dispatcher.clone();
-    let pumping = tokio::spawn(dispatcher.run(until_closed(closing.subscribe())));
+    let (ended, _) = watch::channel(false);
+    let pumping = tokio::spawn(dispatcher.run(until_closed(ended.subscribe())));
     log::info!("daemon {} serves on {rpc}", settings.daemon_id);
     Ok(RunningDaemon {
         rpc,
@@ -123,7 +126,9 @@
         peer,
         context,
         closing,
-        tasks: vec![serving, pumping],
+        ended,
+        serving,
+        pumping,
         _admin: admin,
         _peer: peer_listener,
     })
@@ -161,7 +166,7 @@
         tokio::time::sleep(keep).await;
         self.context.closing.store(true, Ordering::Relaxed);
         let finish = Duration::from_millis(settings.shutdown.finish_ms);
-        if tokio::time::timeout(finish, self.idle()).await.is_err() {
+        if tokio::time::timeout(finish, self.finish()).await.is_err() {
             let left = self.context.running_count();
             log::warn!("stopping with {left} requests running; raise shutdown.finish_ms");
         }
@@ -170,22 +175,33 @@
         if !self.context.intents.drain(RECORD_TIME).await {
             log::warn!("stopping before the end of every claim is recorded");
         }
-        self.closing.send_replace(true);
-        for task in self.tasks.drain(..) {
-            let _ = tokio::time::timeout(HAND_OVER_TIME, task).await;
-        }
+        self.ended.send_replace(true);
+        let _ = tokio::time::timeout(HAND_OVER_TIME, &mut self.pumping).await;
         self.context.control.end();
         log::info!("daemon {} stopped", settings.daemon_id);
     }
 
     /// Ends at once, as a crash would: running requests are cut, leases left to expire.
-    pub fn kill(mut self) {
-        for task in self.tasks.drain(..) {
-            task.abort();
-        }
+    pub fn kill(self) {
+        self.serving.abort();
+        self.pumping.abort();
         self.context.control.end();
     }
 
+    /// Waits for the last request, closes the listener and its connections, and waits
+    /// for what came meanwhile.
+    ///
+    /// Callers who come back are served while others still run. Without the second
+    /// wait, one who came just before the close would lose the answer to the end of
+    /// the process.
+    async fn finish(&mut self) {
+        self.idle().await;
+        self.closing.send_replace(true);
+        // A caller that reads nothing more must not hold the stop up.
+        let _ = tokio::time::timeout(HAND_OVER_TIME, &mut self.serving).await;
+        self.idle().await;
+    }
+
     async fn idle(&self) {
         while self.context.running_count() > 0 {
             tokio::time::sleep(FINISH_CHECK).await;
