Believe a target that says it is leaving

Cause: only the instance list told that a target leaves. Change: the reason of a refusal is read, and 'leaving' goes into the membership as a peer's word does. Measured: the test saw refusals and no news before; after, at most one start on its way follows, and 20 of 20 requests are answered.

--- a/lab/tests/prove_failures.rs
+++ b/lab/tests/prove_failures.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use pistachiowick::clock::unix_now;
+use pistachiowick::fleet::UseState;
 use pistachiowick::invariants::{Invariant, violations};
+use pistachiowick::names::TargetId;
 use pistachiowick::pb::answer_event::Event;
 use pistachiowick::pb::requests_client::RequestsClient;
 use pistachiowick::pb::{
@@ -329,3 +331,43 @@
     stopped.await.expect("no panic").expect("it stops");
     fleet.stop().await;
 }
+
+// A target that leaves goes on getting work, request after request: the platform is
+// down, so that no list tells the daemon, and the target's own refusals, which say
+// that it is leaving, were taken for any refusal. (Seed 203.)
+#[tokio::test]
+async fn a_target_that_says_it_is_leaving_gets_no_more_work() {
+    let plan = FleetPlan {
+        engines: 2,
+        ..small_plan()
+    };
+    let fleet = started(plan).await;
+    fleet.platform.set_faults(PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    });
+    fleet.engines["engine-00"].leave();
+    let context = fleet.daemons["entry-0"].context();
+    // The dispatcher takes the news over a moment later: one start may be on its way.
+    let is_known = || {
+        let snapshot = context.control.snapshot.load();
+        snapshot.fleet.targets[&TargetId::from("engine-00")].state == UseState::Leaving
+    };
+    let begun = Instant::now();
+    while !is_known() {
+        assert!(begun.elapsed() < LIMIT / 4, "the daemon did not learn it");
+        let last = ask(&fleet, "entry-0", submit("check", "leaving")).await;
+        assert!(last.is_ok(), "{last:?}");
+    }
+    let refused = fleet.engines["engine-00"].books().starts_after_leave.len();
+    for number in 0..20 {
+        let last = ask(&fleet, "entry-0", submit("check", &number.to_string())).await;
+        assert_eq!(last.expect("told").outcome(), Outcome::Answered);
+    }
+    let after = fleet.engines["engine-00"].books().starts_after_leave.len();
+    assert!(
+        after <= refused + 1,
+        "{after} starts, {refused} of them before"
+    );
+    fleet.stop().await;
+}
--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -179,10 +179,9 @@
             body: self.body(choice, attempt),
         };
         let opened = (self.context.engines.generate)(call).await;
-        let reached = !matches!(opened, Err(TargetError::NotDelivered { .. }));
         self.context
             .dispatcher
-            .report_target(&choice.target, reached);
+            .report_call(choice, opened.as_ref().err());
         opened.map_err(|error| {
             let fault = AttemptFault::from(&error);
             if !fault.may_have_run && !ran_before {
--- a/src/control.rs
+++ b/src/control.rs
@@ -85,6 +85,13 @@
         /// Whether it answered.
         answered: bool,
     },
+    /// A target said itself that it is leaving.
+    TargetLeaving {
+        /// Target called.
+        target: TargetId,
+        /// Where it was called.
+        address: String,
+    },
     /// Work accepted since the last such event, for the forecast of the mix.
     WorkSeen {
         /// Model asked for.
--- a/src/control_loop.rs
+++ b/src/control_loop.rs
@@ -169,6 +169,10 @@
                 self.membership
                     .note_call(&target, CallSource::Work, answered, now);
             }
+            ControlEvent::TargetLeaving { target, address } => {
+                let now = clock::mono_now();
+                self.membership.note_target_leaving(&target, &address, now);
+            }
             ControlEvent::WorkSeen { .. } | ControlEvent::CostSeen { .. } => {}
             ControlEvent::Stop { done } => self.stop(done),
         }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -13,6 +13,7 @@
 use crate::journal::{DecisionJournal, DecisionKind};
 use crate::names::{RequestId, TargetId};
 use crate::placement::{PlacementNeed, TargetChoice};
+use crate::ports::TargetError;
 use crate::scheduler::{JobMeasure, JobRefusal, JobSpec, ScheduleAction, Scheduler};
 use crate::target_wire::CacheEvent;
 
@@ -123,12 +124,23 @@
         self.lock().scheduler.counts()
     }
 
-    /// Tells the control thread whether a target answered.
-    pub fn report_target(&self, target: &TargetId, answered: bool) {
-        let event = ControlEvent::TargetSeen {
-            target: target.clone(),
-            answered,
-        };
+    /// Tells the control thread what a call says of its target.
+    pub fn report_call(&self, choice: &TargetChoice, error: Option<&TargetError>) {
+        self.report(ControlEvent::TargetSeen {
+            target: choice.target.clone(),
+            answered: !matches!(error, Some(TargetError::NotDelivered { .. })),
+        });
+        // The instance list lags, and tells nothing while the platform is down; a
+        // target that leaves would go on getting work it refuses.
+        if matches!(error, Some(TargetError::Refused { leaving: true, .. })) {
+            self.report(ControlEvent::TargetLeaving {
+                target: choice.target.clone(),
+                address: choice.address.clone(),
+            });
+        }
+    }
+
+    fn report(&self, event: ControlEvent) {
         // A closed channel means the daemon is going down; nobody needs the news then.
         let _ = self.control.events.send(event);
     }
--- a/src/ports.rs
+++ b/src/ports.rs
@@ -139,6 +139,8 @@
         reason: String,
         /// When to try again.
         retry_after: Duration,
+        /// Whether the target says that it is leaving.
+        leaving: bool,
     },
     /// An order carried an old fence.
     #[error("the target has seen fence {}; give up the lease", current.0)]
--- a/src/run_call.rs
+++ b/src/run_call.rs
@@ -119,8 +119,7 @@
         },
     };
     let reply = (context.services.call)(call).await;
-    let reached = !matches!(reply, Err(TargetError::NotDelivered { .. }));
-    context.dispatcher.report_target(&choice.target, reached);
+    context.dispatcher.report_call(choice, reply.as_ref().err());
     accept_reply(&reply?, &request.id, &key).map_err(|fault| TargetError::Lost {
         reason: fault.to_string(),
     })
--- a/src/target_http.rs
+++ b/src/target_http.rs
@@ -12,6 +12,11 @@
 /// Header in which targets say when to come back, in milliseconds.
 const RETRY_AFTER: &str = "retry-after-ms";
 const DEFAULT_RETRY: Duration = Duration::from_millis(500);
+/// Body of a refusal by a target that is leaving.
+const LEAVING: &str = "leaving";
+/// Longest wait for the body of a refusal, and most characters kept of it.
+const REASON_WAIT: Duration = Duration::from_millis(500);
+const REASON_LENGTH: usize = 200;
 
 /// Builds the client that all calls to targets share.
 ///
@@ -69,15 +74,28 @@
         StatusCode::NOT_FOUND => Err(TargetError::NoStream),
         StatusCode::CONFLICT => Err(fenced(response).await),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
-            Err(TargetError::Refused {
-                reason: format!("status {}", response.status()),
-                retry_after: retry_after(&response),
-            })
+            Err(refused(response).await)
         }
         status => Err(lost(format!("status {status}"))),
     }
 }
 
+async fn refused(response: Response) -> TargetError {
+    let (status, retry_after) = (response.status(), retry_after(&response));
+    let body = tokio::time::timeout(REASON_WAIT, response.text()).await;
+    let text = body.ok().and_then(Result::ok).unwrap_or_default();
+    let reason: String = text.chars().take(REASON_LENGTH).collect();
+    TargetError::Refused {
+        leaving: reason == LEAVING,
+        reason: if reason.is_empty() {
+            format!("status {status}")
+        } else {
+            reason
+        },
+        retry_after,
+    }
+}
+
 async fn fenced(response: Response) -> TargetError {
     #[derive(serde::Deserialize)]
     struct FenceBody {
