--- a/lab/tests/prove_failures.rs
+++ b/lab/tests/prove_failures.rs
@@ -1,10 +1,13 @@
 //! Failures that randomised runs found, each as the caller sees it.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use pistachiowick::clock::unix_now;
+use pistachiowick::fleet::UseState;
 use pistachiowick::invariants::{Invariant, violations};
+use pistachiowick::names::TargetId;
 use pistachiowick::pb::answer_event::Event;
 use pistachiowick::pb::requests_client::RequestsClient;
 use pistachiowick::pb::{
@@ -12,6 +15,7 @@
     SubmitRequest,
 };
 use pistachiowick_lab::fleet::{FleetPlan, LabFleet, daemon_settings, with_key};
+use pistachiowick_lab::platform::PlatformFaults;
 use pistachiowick_lab::prove_daemon::DaemonHost;
 use pistachiowick_lab::prove_setup::prove_items;
 use pistachiowick_lab::quickstart::{MODEL, quickstart_plan, workspace_key};
@@ -280,3 +284,90 @@
     assert_eq!(final_of(&mut events).await.outcome(), Outcome::Answered);
     fleet.stop().await;
 }
+
+// A caller's answer is cut by a planned stop, or told and then not recorded: the stop
+// waited until nothing ran, went on taking what still came while it recorded the ends
+// of claims, and then ended under it. (Seed 203.)
+#[tokio::test]
+async fn a_stop_takes_nothing_more_once_its_last_request_has_ended() {
+    let fleet = started(small_plan()).await;
+    let platform = fleet.platform.address();
+    let mut settings = daemon_settings("entry-9", "centre-a", &platform);
+    settings.shutdown.keep_ms = 50;
+    let host = DaemonHost::start_inside(settings).await;
+    let host = host.expect("it starts");
+    let context = host.context().expect("it is inside").clone();
+    let connected = RequestsClient::connect(format!("http://{}", host.addresses.rpc)).await;
+    let mut leaving = connected.expect("it listens");
+    let key = workspace_key(WORKSPACE);
+    let begun = Instant::now();
+    // Answered, with its end still to be recorded when the platform goes down.
+    while begun.elapsed() < LIMIT {
+        let issue = submit("issue", &format!("last-{:?}", begun.elapsed()));
+        let Ok(events) = leaving.submit(with_key(issue, &key)).await else {
+            continue;
+        };
+        if final_of(&mut events.into_inner()).await.outcome() == Outcome::Answered {
+            break;
+        }
+    }
+    fleet.platform.set_faults(PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    });
+    let stopped = tokio::spawn(host.stop());
+    until(|| context.closing.load(Ordering::Relaxed) && context.running_count() == 0).await;
+    // Long enough for the daemon to see it too; it still waits for the platform.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(!stopped.is_finished());
+    let again = SubmitRequest {
+        first_submission: false,
+        ..submit("issue", "late")
+    };
+    let asked = leaving.submit(with_key(again, &key)).await;
+    assert!(asked.is_err(), "it took a request that it cannot finish");
+    drop(context);
+    fleet.platform.set_faults(PlatformFaults::default());
+    stopped.await.expect("no panic").expect("it stops");
+    fleet.stop().await;
+}
+
+// A target that leaves goes on getting work, request after request: the platform is
+// down, so that no list tells the daemon, and the target's own refusals, which say
+// that it is leaving, were taken for any refusal. (Seed 203.)
+#[tokio::test]
+async fn a_target_that_says_it_is_leaving_gets_no_more_work() {
+    let plan = FleetPlan {
+        engines: 2,
+        ..small_plan()
+    };
+    let fleet = started(plan).await;
+    fleet.platform.set_faults(PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    });
+    fleet.engines["engine-00"].leave();
+    let context = fleet.daemons["entry-0"].context();
+    // The dispatcher takes the news over a moment later: one start may be on its way.
+    let is_known = || {
+        let snapshot = context.control.snapshot.load();
+        snapshot.fleet.targets[&TargetId::from("engine-00")].state == UseState::Leaving
+    };
+    let begun = Instant::now();
+    while !is_known() {
+        assert!(begun.elapsed() < LIMIT / 4, "the daemon did not learn it");
+        let last = ask(&fleet, "entry-0", submit("check", "leaving")).await;
+        assert!(last.is_ok(), "{last:?}");
+    }
+    let refused = fleet.engines["engine-00"].books().starts_after_leave.len();
+    for number in 0..20 {
+        let last = ask(&fleet, "entry-0", submit("check", &number.to_string())).await;
+        assert_eq!(last.expect("told").outcome(), Outcome::Answered);
+    }
+    let after = fleet.engines["engine-00"].books().starts_after_leave.len();
+    assert!(
+        after <= refused + 1,
+        "{after} starts, {refused} of them before"
+    );
+    fleet.stop().await;
+}
--- a/tests/intents_permit.rs
+++ b/tests/intents_permit.rs
@@ -15,7 +15,7 @@
 // record say "not run"; a lost answer never proves that.
 #[rstest]
 #[case::not_delivered(TargetError::NotDelivered { reason: reason() }, true)]
-#[case::refused(TargetError::Refused { reason: reason(), retry_after: Duration::ZERO }, true)]
+#[case::refused(TargetError::Refused { reason: reason(), retry_after: Duration::ZERO, leaving: false }, true)]
 #[case::lost(TargetError::Lost { reason: reason() }, false)]
 #[case::no_stream(TargetError::NoStream, false)]
 #[case::fenced(TargetError::Fenced { current: FenceNumber(3) }, false)]
