Make workspaces beyond their due leave room on the engines

Change: the margin on the expected end grows with how far a workspace is beyond its due across the fleet; the margin for all is 1.25 instead of 1.15.

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -22,7 +22,9 @@
 /// Age from which a load report says nothing any more, in milliseconds.
 const REPORT_USELESS_MS: u64 = 10_000;
 /// Factor on the expected time to the whole answer before it counts as in time.
-const FINISH_MARGIN: f64 = 1.15;
+const FINISH_MARGIN: f64 = 1.25;
+/// Largest further factor, for workspaces beyond their due share.
+const MOST_SHARE_MARGIN: f64 = 2.0;
 /// Prefill work an engine may have waiting before requests wait here instead,
 /// where shares and deadlines still order them.
 const MOST_PREFILL_WAIT_S: f64 = 0.4;
@@ -53,6 +55,8 @@
     pub output_tokens: f64,
     /// When the answer must be whole to be worth placing; `None` places it at any time.
     pub due: Option<MonoTime>,
+    /// How the workspace's due share compares to what it got: below 1 beyond its due.
+    pub share_factor: f64,
     /// Shared part of the prompt; empty for none.
     pub shared_prefix: String,
     /// Tokens of the shared part.
@@ -347,9 +351,12 @@
 /// Tells whether the answer is expected in time, with a margin for what is unknown.
 ///
 /// A stream placed where it cannot end in time slows the others down until they miss
-/// their deadlines too; held back, it finds a less busy engine or is refused.
+/// their deadlines too; held back, it finds a less busy engine or is refused. A
+/// workspace beyond its due must leave more room: without it a flood of short answers
+/// fills every engine until the longer answers of others are in time nowhere.
 fn in_time(need: &PlacementNeed, finish_s: f64, now: MonoTime) -> bool {
-    let margin_s = finish_s * FINISH_MARGIN;
+    let share_margin = (1.0 / need.share_factor).clamp(1.0, MOST_SHARE_MARGIN);
+    let margin_s = finish_s * FINISH_MARGIN * share_margin;
     let ends_at = now.plus(Duration::from_secs_f64(margin_s));
     need.due.is_none_or(|due| ends_at <= due)
 }
--- a/src/request.rs
+++ b/src/request.rs
@@ -31,6 +31,8 @@
     pub class: Arc<ClassSpec>,
     /// Share of the workspace, corrected by what it got across the fleet.
     pub weight: f64,
+    /// How the workspace's due share compares to what it got: below 1 beyond its due.
+    pub share_factor: f64,
     /// Pool of targets that serve it.
     pub pool: PoolKey,
     /// Versions allowed.
@@ -96,7 +98,8 @@
         let config = &snapshot.config;
         let class = find_class(workspace, &submit.class, config)?;
         let due = config.workspaces.get(workspace).map_or(1, |w| w.weight);
-        let weight = f64::from(due) * snapshot.shares.factor(workspace);
+        let share_factor = snapshot.shares.factor(workspace);
+        let weight = f64::from(due) * share_factor;
         let (pool, versions) = choose_pool(&class, &submit)?;
         check_sizes(&submit, &class)?;
         let span = deadline_span(&submit, &class, limits)?;
@@ -105,6 +108,7 @@
         Ok(Self {
             id,
             weight,
+            share_factor,
             pool,
             versions,
             deadline: arrived.plus(span),
@@ -152,6 +156,7 @@
                 prompt_tokens: f64::from(self.submit.prompt_tokens),
                 output_tokens: f64::from(self.submit.max_output_tokens),
                 due: None,
+                share_factor: self.share_factor,
                 shared_prefix: self.submit.shared_prefix.clone(),
                 shared_prefix_tokens: self.submit.shared_prefix_tokens,
                 excluded: Vec::new(),
