--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -397,7 +397,9 @@
 
     /// Marks the moment from which on no new work may come.
     pub fn leave(&self) {
-        self.inner().left_at.get_or_insert_with(Instant::now);
+        let mut inner = self.inner();
+        inner.left_at.get_or_insert_with(Instant::now);
+        inner.books.left_at_ms.get_or_insert(unix_now().0);
     }
 
     /// Sets whether work is refused while leaving.
--- a/lab/src/engine_books.rs
+++ b/lab/src/engine_books.rs
@@ -71,6 +71,8 @@
     pub old_fences_obeyed: u64,
     /// Orders with an old fence that were refused.
     pub old_fences_refused: u64,
+    /// Unix time in milliseconds of the word to leave.
+    pub left_at_ms: Option<u64>,
     /// Milliseconds after being told to leave, for each start asked for since.
     pub starts_after_leave: Vec<u64>,
     /// Cancel calls that stopped something.
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod prove_daemon;
 pub mod prove_faults;
 pub mod prove_fleet;
+pub mod prove_leaving;
 pub mod prove_metrics;
 pub mod prove_operators;
 pub mod prove_plan;
--- a/lab/src/prove.rs
+++ b/lab/src/prove.rs
@@ -127,6 +127,7 @@
     let fleet = fleet.into_inner();
     let books = RunBooks {
         faults: runner.counts,
+        blind: runner.blind,
         requests,
         lives: fleet.lives.clone(),
         engines: fleet.engine_books(),
--- a/lab/src/prove_books.rs
+++ b/lab/src/prove_books.rs
@@ -129,6 +129,16 @@
     pub until_ms: u64,
 }
 
+/// A span in which a daemon could not read the instance list: it was frozen, cut off
+/// from the platform, or the platform was down.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BlindBook {
+    /// Unix time of its begin.
+    pub from_ms: u64,
+    /// Unix time by which the list can have been read again.
+    pub until_ms: u64,
+}
+
 /// What became of an operator's change.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ChangeEnd {
@@ -178,6 +188,8 @@
 pub struct RunBooks {
     /// Faults carried out, by kind.
     pub faults: IndexMap<&'static str, u32>,
+    /// Spans of Unix time in which some daemon could not learn who leaves.
+    pub blind: Vec<BlindBook>,
     /// Requests.
     pub requests: Vec<RequestBook>,
     /// Lives of daemons.
--- a/lab/src/prove_faults.rs
+++ b/lab/src/prove_faults.rs
@@ -11,7 +11,7 @@
 use crate::engine_options::EngineFaults;
 use crate::fleet::operator_call;
 use crate::platform::PlatformFaults;
-use crate::prove_books::HoldBook;
+use crate::prove_books::{BlindBook, HoldBook};
 use crate::prove_fleet::{ProveFleet, SharedFleet, operations, unix_ms};
 use crate::prove_plan::{FaultKind, PlannedFault};
 use crate::relay::RelayFault;
@@ -23,6 +23,9 @@
 /// Longest wait for a leaving target to end its work.
 const IDLE_WAIT: Duration = Duration::from_secs(20);
 
+/// Time after an outage until every daemon has read the instance list again.
+const READ_AGAIN: Duration = Duration::from_secs(1);
+
 /// Least time between the word to leave and the end of a target.
 const LEAVE_WAIT: Duration = Duration::from_secs(5);
 
@@ -46,12 +49,22 @@
     tasks: JoinSet<Result<()>>,
     /// Faults carried out, by kind.
     pub counts: IndexMap<&'static str, u32>,
+    /// Spans in which some daemon could not learn who leaves.
+    pub blind: Vec<BlindBook>,
 }
 
 impl FaultRunner {
     /// Begins a fault.
     pub fn begin(&mut self, fleet: &SharedFleet, fault: PlannedFault) {
         *self.counts.entry(fault.kind.as_str()).or_default() += 1;
+        if blinds_daemons(fault.kind) {
+            let from_ms = unix_ms();
+            let span = fault.span + READ_AGAIN;
+            self.blind.push(BlindBook {
+                from_ms,
+                until_ms: from_ms + span.as_millis() as u64,
+            });
+        }
         self.tasks.spawn(carry_out(fleet.clone(), fault));
     }
 
@@ -68,6 +81,17 @@
     }
 }
 
+/// Tells whether a fault keeps a daemon from reading the instance list.
+const fn blinds_daemons(kind: FaultKind) -> bool {
+    matches!(
+        kind,
+        FaultKind::DaemonCutOff
+            | FaultKind::DaemonDeaf
+            | FaultKind::DaemonFreeze
+            | FaultKind::PlatformDown
+    )
+}
+
 async fn carry_out(fleet: SharedFleet, fault: PlannedFault) -> Result<()> {
     match fault.kind {
         FaultKind::DaemonFreeze => freeze_daemon(&fleet, fault).await,
--- a/lab/src/service.rs
+++ b/lab/src/service.rs
@@ -105,6 +105,8 @@
     pub crossed: u64,
     /// Calls ended by a crash before they took effect.
     pub crashed_calls: u64,
+    /// Unix time in milliseconds of the word to leave.
+    pub left_at_ms: Option<u64>,
     /// Milliseconds after being told to leave, for each call received since.
     pub calls_after_leave: Vec<u64>,
 }
@@ -255,7 +257,9 @@
     }
 
     fn leave(&self) {
-        self.state().left_at.get_or_insert_with(Instant::now);
+        let mut state = self.state();
+        state.left_at.get_or_insert_with(Instant::now);
+        state.books.left_at_ms.get_or_insert(unix_now().0);
     }
 
     /// Takes a call; returns the life it belongs to and the time of its run.
--- a/lab/tests/prove.rs
+++ b/lab/tests/prove.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use pistachiowick_lab::prove::{run_books, run_prove};
-use pistachiowick_lab::prove_books::RunBooks;
+use pistachiowick_lab::prove_books::{BlindBook, RunBooks};
 use pistachiowick_lab::prove_plan::{FaultKind, draw_faults};
 use pistachiowick_lab::prove_plants::PlantedMistake;
 use pistachiowick_lab::prove_setup::ProveOptions;
@@ -135,3 +135,47 @@
     let freezes = drawn.iter().filter(|f| f.kind == FaultKind::DaemonFreeze);
     assert_eq!(freezes.count(), 0);
 }
+
+/// Work after the word to leave, with spans in which daemons were blind.
+struct BlindCase {
+    /// Spans in milliseconds after the word to leave.
+    blind: &'static [(u64, u64)],
+    after_ms: u64,
+    is_late: bool,
+}
+
+const TOLD_MS: u64 = 1_000_000;
+
+#[rstest]
+#[case::in_time(BlindCase { blind: &[], after_ms: 30_000, is_late: false })]
+#[case::late(BlindCase { blind: &[], after_ms: 30_001, is_late: true })]
+#[case::blind_throughout(BlindCase { blind: &[(0, 40_000)], after_ms: 35_000, is_late: false })]
+#[case::blind_too_little(BlindCase { blind: &[(0, 4_000)], after_ms: 35_000, is_late: true })]
+#[case::blind_before(BlindCase { blind: &[(40_000, 90_000)], after_ms: 35_000, is_late: true })]
+#[case::counted_once(BlindCase {
+    blind: &[(0, 3_000), (0, 3_000), (1_000, 4_000)],
+    after_ms: 35_000,
+    is_late: true,
+})]
+#[tokio::test(flavor = "multi_thread")]
+async fn late_work_is_excused_only_by_the_time_that_daemons_were_blind(#[case] case: BlindCase) {
+    let mut books = books().await;
+    books.blind = case
+        .blind
+        .iter()
+        .map(|(from, until)| BlindBook {
+            from_ms: TOLD_MS + from,
+            until_ms: TOLD_MS + until,
+        })
+        .collect();
+    let engine = books.engines.first_mut().expect("there are engines");
+    engine.books.left_at_ms = Some(TOLD_MS);
+    engine.books.starts_after_leave = vec![case.after_ms];
+    let report = judge(&options(), &books);
+    assert_eq!(
+        report.late_new_work > 0,
+        case.is_late,
+        "{:?}",
+        report.findings
+    );
+}
