--- a/lab/src/prove_verdict.rs
+++ b/lab/src/prove_verdict.rs
@@ -186,6 +186,7 @@
     for engine in &books.engines {
         judge_orders(&mut report, engine);
     }
+    tell_reasons(&mut report, books);
     judge_leaving(&mut report, options, books);
     judge_config(&mut report, books);
     report.leaks = books.leaks.len() as u64;
@@ -197,6 +198,19 @@
     report
 }
 
+/// Tells people why outcomes were unknown, the most frequent reason first.
+fn tell_reasons(report: &mut ProveReport, books: &RunBooks) {
+    let mut counts: IndexMap<&str, u32> = IndexMap::new();
+    let asks = books.requests.iter().flat_map(|request| &request.asks);
+    for ask in asks.filter(|ask| ask.end == AskEnd::Final(RequestEnd::Unknown)) {
+        *counts.entry(&ask.reason).or_default() += 1;
+    }
+    counts.sort_by(|_, a, _, b| b.cmp(a));
+    for (reason, count) in counts {
+        report.find("unknown", format!("{count} times: {reason}"));
+    }
+}
+
 fn count_request(report: &mut ProveReport, request: &RequestBook) {
     report.requests += 1;
     report.keyed += u64::from(request.kind.is_keyed());
