--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod prove_setup;
 pub mod prove_verdict;
 pub mod quickstart;
+pub mod samples;
 pub mod scenario;
 pub mod service;
 pub mod weight_store;
--- /dev/null
+++ b/tests/fair_queue_order.rs
@@ -0,0 +1,386 @@
+//! The fair queue: shares by weight, urgency within a quantum, no banked time.
+
+use indexmap::IndexMap;
+use pistachiowick::fair_queue::{FairQueue, JobNumber, QueuedJob};
+use pistachiowick::names::{MonoTime, WorkspaceName};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use rstest::rstest;
+
+const QUANTUM: f64 = 1.0;
+const LOOK_AHEAD: usize = 16;
+
+fn job(number: u64, workspace: &str, weight: u32, cost: f64) -> QueuedJob {
+    QueuedJob {
+        number: JobNumber(number),
+        workspace: workspace.into(),
+        weight,
+        priority: 1,
+        latest_start: MonoTime(10_000),
+        cost,
+    }
+}
+
+fn take(queue: &mut FairQueue) -> Option<QueuedJob> {
+    queue.take_first(LOOK_AHEAD, |_| true)
+}
+
+/// Cost served of each workspace, out of `rounds` picks.
+fn serve(queue: &mut FairQueue, rounds: usize) -> IndexMap<WorkspaceName, f64> {
+    let mut served = IndexMap::new();
+    for _ in 0..rounds {
+        let taken = take(queue).expect("work is left");
+        *served.entry(taken.workspace).or_default() += taken.cost;
+    }
+    served
+}
+
+struct ShareCase {
+    weights: &'static [u32],
+    costs: &'static [f64],
+}
+
+// Workspaces that always have work waiting are served in proportion to their weights,
+// in cost, however many requests that takes of each.
+#[rstest]
+#[case::equal(ShareCase { weights: &[1, 1], costs: &[0.1, 0.1] })]
+#[case::weighted(ShareCase { weights: &[3, 1], costs: &[0.1, 0.1] })]
+#[case::dear_requests(ShareCase { weights: &[1, 1], costs: &[0.05, 0.5] })]
+#[case::three_rivals(ShareCase { weights: &[1, 2, 5], costs: &[0.2, 0.1, 0.3] })]
+fn busy_workspaces_share_by_weight(#[case] case: ShareCase) {
+    let mut queue = FairQueue::new(QUANTUM, true);
+    let mut number = 0;
+    for (place, (weight, cost)) in case.weights.iter().zip(case.costs).enumerate() {
+        for _ in 0..4_000 {
+            number += 1;
+            queue.push(job(number, &format!("w{place}"), *weight, *cost));
+        }
+    }
+    let served = serve(&mut queue, 2_000);
+    let total: f64 = served.values().sum();
+    let weights: u32 = case.weights.iter().sum();
+    for (place, weight) in case.weights.iter().enumerate() {
+        let share = served[&WorkspaceName::from(format!("w{place}"))] / total;
+        let due = f64::from(*weight) / f64::from(weights);
+        let slack = (QUANTUM * f64::from(*weight) + case.costs[place]) * 2.0 / total;
+        assert!(
+            (share - due).abs() <= slack,
+            "w{place} got {share:.3} of its due {due:.3}"
+        );
+    }
+}
+
+struct UrgencyCase {
+    charged: f64,
+    urgent_first: bool,
+}
+
+// The urgent request of a workspace goes first while its workspace is within a quantum
+// of the one furthest behind, and waits for its turn beyond that.
+#[rstest]
+#[case::level(UrgencyCase { charged: 0.0, urgent_first: true })]
+#[case::within_quantum(UrgencyCase { charged: 0.9, urgent_first: true })]
+#[case::beyond_quantum(UrgencyCase { charged: 1.1, urgent_first: false })]
+fn urgency_decides_within_a_quantum(#[case] case: UrgencyCase) {
+    let mut queue = FairQueue::new(QUANTUM, true);
+    queue.push(job(1, "patient", 1, 0.1));
+    let urgent = QueuedJob {
+        priority: 0,
+        ..job(2, "hasty", 1, 0.1)
+    };
+    queue.push(urgent);
+    queue.charge(&"hasty".into(), 1, case.charged);
+    let first = take(&mut queue).expect("two requests wait");
+    assert_eq!(first.number == JobNumber(2), case.urgent_first);
+}
+
+// Within one workspace the more urgent class goes first, then the one with less slack,
+// then the one that came first.
+#[rstest]
+#[case::by_priority((1, 10), (0, 99), false)]
+#[case::by_slack((1, 20), (1, 10), false)]
+#[case::by_arrival((1, 10), (1, 10), true)]
+fn own_requests_go_by_urgency(
+    #[case] first: (u32, u64),
+    #[case] second: (u32, u64),
+    #[case] first_wins: bool,
+) {
+    let mut queue = FairQueue::new(QUANTUM, true);
+    for (number, (priority, start)) in [(1, first), (2, second)] {
+        queue.push(QueuedJob {
+            priority,
+            latest_start: MonoTime(start),
+            ..job(number, "w", 1, 0.1)
+        });
+    }
+    let taken = take(&mut queue).expect("two requests wait");
+    assert_eq!(taken.number == JobNumber(1), first_wins);
+}
+
+// One workspace works for long while another is idle. When the other comes back it must
+// not be served alone until it has caught up with the time in which it asked for nothing.
+#[test]
+fn an_idle_workspace_banks_no_time() {
+    let mut queue = FairQueue::new(QUANTUM, true);
+    for number in 0..1_000 {
+        queue.push(job(number, "steady", 1, 0.1));
+    }
+    serve(&mut queue, 500);
+    for number in 1_000..2_000 {
+        queue.push(job(number, "returning", 1, 0.1));
+    }
+    let served = serve(&mut queue, 200);
+    let steady = served.get(&WorkspaceName::from("steady"));
+    assert!(steady.is_some_and(|cost| *cost >= 9.0), "{served:?}");
+}
+
+// Work that other daemons did for a workspace counts against its share here.
+#[test]
+fn work_elsewhere_is_charged() {
+    let mut queue = FairQueue::new(QUANTUM, true);
+    for number in 0..100 {
+        queue.push(job(number * 2, "here", 1, 0.1));
+        queue.push(job(number * 2 + 1, "elsewhere", 1, 0.1));
+    }
+    queue.charge(&"elsewhere".into(), 1, 6.0);
+    let served = serve(&mut queue, 50);
+    let here = served[&WorkspaceName::from("here")];
+    assert!(here >= 4.9, "{served:?}");
+}
+
+#[test]
+fn unfair_queue_serves_in_order_of_urgency_alone() {
+    let mut queue = FairQueue::new(QUANTUM, false);
+    for number in 0..20 {
+        queue.push(job(number, if number < 15 { "a" } else { "b" }, 1, 1.0));
+    }
+    for number in 0..20 {
+        assert_eq!(take(&mut queue).map(|j| j.number), Some(JobNumber(number)));
+    }
+    assert_eq!(take(&mut queue), None);
+}
+
+// No target takes the first requests in line; one further back fits somewhere else. The
+// queue offers it, but looks no further than it was told.
+#[rstest]
+#[case::within_reach(15, true)]
+#[case::out_of_reach(16, false)]
+fn look_ahead_is_bounded(#[case] place: u64, #[case] found: bool) {
+    let mut queue = FairQueue::new(QUANTUM, true);
+    for number in 0..40 {
+        queue.push(job(number, "w", 1, 0.1));
+    }
+    let mut looked = 0;
+    let taken = queue.take_first(LOOK_AHEAD, |job| {
+        looked += 1;
+        job.number == JobNumber(place)
+    });
+    assert_eq!(taken.is_some(), found);
+    assert!(looked <= LOOK_AHEAD);
+    assert_eq!(queue.len(), if found { 39 } else { 40 });
+}
+
+#[test]
+fn counts_and_costs_return_to_zero() {
+    let mut queue = FairQueue::new(QUANTUM, true);
+    let jobs: Vec<QueuedJob> = (0..9)
+        .map(|n| job(n, &format!("w{}", n % 3), 1, 0.3))
+        .collect();
+    for job in &jobs {
+        queue.push(job.clone());
+    }
+    assert_eq!(queue.len_of(&"w1".into()), 3);
+    assert_eq!(queue.overdue(MonoTime(10_000)).len(), 0);
+    assert_eq!(queue.overdue(MonoTime(10_001)).len(), 9);
+    for job in &jobs {
+        assert!(queue.remove(job));
+        assert!(!queue.remove(job), "{job:?} was removed twice");
+    }
+    assert!(queue.is_empty());
+    assert!(queue.overdue(MonoTime(u64::MAX)).is_empty());
+    assert!(queue.cost_before(&"w1".into(), 1, 9) < 1e-9);
+}
+
+struct WaitCase {
+    own: &'static [u32],
+    rivals: usize,
+    priority: u32,
+    expected: f64,
+}
+
+// What a new request has to wait for: its workspace's own more urgent work, stretched
+// by the rivals that are busy, never more than everything that waits.
+#[rstest]
+#[case::nothing_own(WaitCase { own: &[], rivals: 3, priority: 1, expected: 0.0 })]
+#[case::own_alone(WaitCase { own: &[1, 1], rivals: 0, priority: 1, expected: 2.0 })]
+#[case::less_urgent_own(WaitCase { own: &[2, 2], rivals: 0, priority: 1, expected: 0.0 })]
+#[case::stretched(WaitCase { own: &[1], rivals: 1, priority: 1, expected: 2.0 })]
+#[case::at_most_all(WaitCase { own: &[1, 1], rivals: 1, priority: 1, expected: 3.0 })]
+fn cost_before_a_new_request(#[case] case: WaitCase) {
+    let mut queue = FairQueue::new(QUANTUM, true);
+    let mut number = 0;
+    for priority in case.own {
+        number += 1;
+        queue.push(QueuedJob {
+            priority: *priority,
+            ..job(number, "own", 1, 1.0)
+        });
+    }
+    for rival in 0..case.rivals {
+        number += 1;
+        queue.push(job(number, &format!("rival-{rival}"), 1, 1.0));
+    }
+    let before = queue.cost_before(&"own".into(), 1, case.priority);
+    assert!((before - case.expected).abs() < 1e-9, "{before}");
+}
+
+/// A fair queue that looks at everything each time, as the definition reads.
+#[derive(Default)]
+struct PlainQueue {
+    times: IndexMap<WorkspaceName, (f64, f64)>,
+    jobs: Vec<QueuedJob>,
+    floor: f64,
+}
+
+impl PlainQueue {
+    fn push(&mut self, job: QueuedJob) {
+        let busy = self.jobs.iter().any(|j| j.workspace == job.workspace);
+        let (weight, time) = self.times.entry(job.workspace.clone()).or_default();
+        *weight = f64::from(job.weight);
+        if !busy {
+            *time = time.max(self.floor);
+        }
+        self.jobs.push(job);
+    }
+
+    fn remove(&mut self, number: JobNumber) -> Option<QueuedJob> {
+        let at = self.jobs.iter().position(|j| j.number == number)?;
+        Some(self.jobs.remove(at))
+    }
+
+    fn charge(&mut self, workspace: &WorkspaceName, weight: u32, cost: f64) {
+        let floor = self.floor;
+        let (known, time) = self.times.entry(workspace.clone()).or_default();
+        *known = f64::from(weight);
+        *time = time.max(floor) + cost / *known;
+        let lowest = self.lowest();
+        if lowest.is_finite() {
+            self.floor = self.floor.max(lowest);
+        }
+    }
+
+    fn lowest(&self) -> f64 {
+        let busy = self.jobs.iter().map(|j| self.times[&j.workspace].1);
+        busy.fold(f64::INFINITY, f64::min)
+    }
+
+    fn take(&mut self) -> Option<QueuedJob> {
+        let limit = self.lowest() + QUANTUM;
+        let order = |j: &QueuedJob| {
+            let time = self.times[&j.workspace].1;
+            let late = time > limit;
+            (late, if late { time } else { 0.0 })
+        };
+        let first = self.jobs.iter().min_by(|a, b| {
+            let (a_order, b_order) = (order(a), order(b));
+            let rank = |j: &QueuedJob| (j.priority, j.latest_start, j.number);
+            a_order
+                .0
+                .cmp(&b_order.0)
+                .then(a_order.1.total_cmp(&b_order.1))
+                .then(rank(a).cmp(&rank(b)))
+        })?;
+        let job = self.remove(first.number)?;
+        self.charge(&job.workspace, job.weight, job.cost);
+        Some(job)
+    }
+}
+
+#[derive(Clone, Debug)]
+enum QueueStep {
+    Push {
+        workspace: u8,
+        weight: u32,
+        priority: u32,
+        start: u64,
+        cost: u32,
+    },
+    Remove(u8),
+    Charge(u8, u32),
+    Take,
+}
+
+fn steps() -> impl Strategy<Value = Vec<QueueStep>> {
+    let push = (0..6u8, 1..4u32, 0..3u32, 0..50u64, 1..40u32).prop_map(
+        |(workspace, weight, priority, start, cost)| QueueStep::Push {
+            workspace,
+            weight,
+            priority,
+            start,
+            cost,
+        },
+    );
+    let step = prop_oneof![
+        5 => push,
+        1 => any::<u8>().prop_map(QueueStep::Remove),
+        1 => (0..6u8, 1..60u32).prop_map(|(w, c)| QueueStep::Charge(w, c)),
+        4 => Just(QueueStep::Take),
+    ];
+    prop::collection::vec(step, 1..120)
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_261_203),
+        ..Config::default()
+    })]
+
+    // Any mix of arrivals, withdrawals, charges and picks is served in the order that
+    // the definition gives.
+    #[test]
+    fn serves_as_the_plain_definition(steps in steps()) {
+        let mut queue = FairQueue::new(QUANTUM, true);
+        let mut plain = PlainQueue::default();
+        for (number, step) in steps.into_iter().enumerate() {
+            match step {
+                QueueStep::Push { workspace, weight, priority, start, cost } => {
+                    let pushed = QueuedJob {
+                        priority,
+                        latest_start: MonoTime(start),
+                        // Costs that no sum rounds, so that both see the same ties.
+                        ..job(number as u64, &format!("w{workspace}"), 1 << weight, f64::from(cost) / 16.0)
+                    };
+                    queue.push(pushed.clone());
+                    plain.push(pushed);
+                }
+                QueueStep::Remove(pick) if !plain.jobs.is_empty() => {
+                    let at = usize::from(pick) % plain.jobs.len();
+                    let removed = plain.jobs.remove(at);
+                    prop_assert!(queue.remove(&removed));
+                }
+                QueueStep::Remove(_) => {}
+                QueueStep::Charge(workspace, cost) => {
+                    let name = WorkspaceName::from(format!("w{workspace}"));
+                    queue.charge(&name, 2, f64::from(cost) / 16.0);
+                    plain.charge(&name, 2, f64::from(cost) / 16.0);
+                }
+                QueueStep::Take => {
+                    prop_assert_eq!(take(&mut queue), plain.take());
+                }
+            }
+            prop_assert_eq!(queue.len(), plain.jobs.len());
+            let mut overdue: Vec<u64> = queue.overdue(MonoTime(25)).iter().map(|j| j.number.0).collect();
+            overdue.sort_unstable();
+            let mut expected: Vec<u64> = plain
+                .jobs
+                .iter()
+                .filter(|j| j.latest_start < MonoTime(25))
+                .map(|j| j.number.0)
+                .collect();
+            expected.sort_unstable();
+            prop_assert_eq!(overdue, expected);
+        }
+    }
+}
--- /dev/null
+++ b/tests/prefix_index_beliefs.rs
@@ -0,0 +1,114 @@
+//! Beliefs about prefix caches: events come late, doubled and with gaps.
+
+use pistachiowick::names::TargetId;
+use pistachiowick::prefix_index::PrefixIndex;
+use pistachiowick::target_wire::CacheEvent;
+use rstest::rstest;
+
+fn event(sequence: u64, prefix: &str, tokens: u32) -> CacheEvent {
+    CacheEvent {
+        sequence,
+        prefix: prefix.to_owned(),
+        tokens,
+    }
+}
+
+struct EventCase {
+    events: &'static [(u64, &'static str, u32)],
+    expected: f64,
+}
+
+// What the daemon counts on of the prefix "rules" at one engine after its events.
+#[rstest]
+#[case::never_heard(EventCase { events: &[], expected: 0.0 })]
+#[case::cached(EventCase { events: &[(1, "rules", 100)], expected: 100.0 })]
+#[case::first_event_is_no_gap(EventCase { events: &[(7, "rules", 100)], expected: 100.0 })]
+#[case::evicted(EventCase { events: &[(1, "rules", 100), (2, "rules", 0)], expected: 0.0 })]
+#[case::shortened(EventCase { events: &[(1, "rules", 100), (2, "rules", 40)], expected: 40.0 })]
+#[case::other_in_order(EventCase { events: &[(1, "rules", 100), (2, "other", 9)], expected: 100.0 })]
+#[case::gap_halves(EventCase { events: &[(1, "rules", 100), (3, "other", 9)], expected: 50.0 })]
+#[case::two_gaps_quarter(
+    EventCase { events: &[(1, "rules", 100), (3, "other", 9), (9, "other", 9)], expected: 25.0 }
+)]
+#[case::renewed_after_gap(
+    EventCase { events: &[(1, "rules", 100), (3, "other", 9), (4, "rules", 100)], expected: 100.0 }
+)]
+#[case::gap_names_it(EventCase { events: &[(1, "rules", 100), (3, "rules", 80)], expected: 80.0 })]
+#[case::late_event_ignored(
+    EventCase { events: &[(5, "rules", 100), (4, "rules", 0)], expected: 100.0 }
+)]
+#[case::doubled_event_ignored(
+    EventCase { events: &[(5, "rules", 100), (5, "rules", 0)], expected: 100.0 }
+)]
+fn events_form_a_belief(#[case] case: EventCase) {
+    let mut index = PrefixIndex::default();
+    let target = TargetId::from("engine");
+    for (sequence, prefix, tokens) in case.events {
+        index.note_event(&target, &event(*sequence, prefix, *tokens));
+    }
+    let found = index.expected_tokens("rules", &target);
+    assert!((found - case.expected).abs() < 1e-9, "{found}");
+}
+
+#[test]
+fn gap_of_one_engine_leaves_others_alone() {
+    let mut index = PrefixIndex::default();
+    let (gappy, steady) = (TargetId::from("gappy"), TargetId::from("steady"));
+    for target in [&gappy, &steady] {
+        index.note_event(target, &event(1, "rules", 100));
+    }
+    index.note_event(&gappy, &event(5, "other", 10));
+    assert!((index.expected_tokens("rules", &gappy) - 50.0).abs() < 1e-9);
+    assert!((index.expected_tokens("rules", &steady) - 100.0).abs() < 1e-9);
+}
+
+// An engine restarts with an empty cache and counts its events from the start again.
+#[test]
+fn restarted_engine_is_believed_empty() {
+    let mut index = PrefixIndex::default();
+    let target = TargetId::from("engine");
+    index.note_event(&target, &event(90, "rules", 100));
+    index.forget_target(&target);
+    assert!(index.holders("rules").is_empty());
+    index.note_event(&target, &event(1, "rules", 30));
+    assert!((index.expected_tokens("rules", &target) - 30.0).abs() < 1e-9);
+}
+
+#[rstest]
+#[case::no_prefix("", 100)]
+#[case::no_tokens("rules", 0)]
+fn nothing_is_noted_without_a_prefix(#[case] prefix: &str, #[case] tokens: u32) {
+    let mut index = PrefixIndex::default();
+    index.note_read(prefix, &"engine".into(), tokens);
+    assert!(index.holders(prefix).is_empty());
+}
+
+#[test]
+fn holders_of_a_prefix_are_bounded_and_the_oldest_falls_out() {
+    let mut index = PrefixIndex::default();
+    for number in 0..20 {
+        index.note_read("rules", &format!("engine-{number}").into(), 10);
+    }
+    let holders: Vec<&str> = index
+        .holders("rules")
+        .iter()
+        .map(|h| h.target.as_str())
+        .collect();
+    assert_eq!(holders.len(), 8);
+    assert_eq!(holders.last(), Some(&"engine-19"));
+    assert!(!holders.contains(&"engine-0"));
+}
+
+#[test]
+fn prefixes_are_bounded_and_the_one_unused_longest_falls_out() {
+    let mut index = PrefixIndex::default();
+    let target = TargetId::from("engine");
+    for number in 0..4_096 {
+        index.note_read(&format!("prefix-{number}"), &target, 10);
+    }
+    index.note_read("prefix-0", &target, 10);
+    index.note_read("one-more", &target, 10);
+    assert_eq!(index.holders("prefix-0").len(), 1);
+    assert_eq!(index.holders("one-more").len(), 1);
+    assert!(index.holders("prefix-1").is_empty());
+}
--- /dev/null
+++ b/tests/retry_budget_bounds.rs
@@ -0,0 +1,43 @@
+//! The retry budget: retries are a share of first attempts and no more.
+
+use pistachiowick::retry_budget::RetryBudget;
+use rstest::rstest;
+
+struct BudgetCase {
+    share: f64,
+    attempts: usize,
+    most: usize,
+}
+
+// Overload: every attempt fails and asks for a retry. What is granted stays the share of
+// first attempts, plus what a quiet daemon had saved up.
+#[rstest]
+#[case::quiet(BudgetCase { share: 0.1, attempts: 0, most: 5 })]
+#[case::light(BudgetCase { share: 0.1, attempts: 100, most: 15 })]
+#[case::overload(BudgetCase { share: 0.1, attempts: 10_000, most: 1_005 })]
+#[case::none_allowed(BudgetCase { share: 0.0, attempts: 10_000, most: 5 })]
+#[case::all_allowed(BudgetCase { share: 1.0, attempts: 1_000, most: 1_005 })]
+fn retries_stay_a_share_of_attempts(#[case] case: BudgetCase) {
+    let mut budget = RetryBudget::new(case.share);
+    let mut retries = 0;
+    for _ in 0..case.attempts {
+        budget.earn();
+        retries += usize::from(budget.spend());
+    }
+    while budget.spend() {
+        retries += 1;
+    }
+    // Sums of a tenth are rounded; one retry less is no fault.
+    assert!(retries <= case.most, "{retries} retries");
+    assert!(retries + 1 >= case.most, "{retries} retries");
+}
+
+#[test]
+fn savings_of_a_quiet_time_are_bounded() {
+    let mut budget = RetryBudget::new(0.5);
+    for _ in 0..1_000_000 {
+        budget.earn();
+    }
+    let saved = (0..1_000).filter(|_| budget.spend()).count();
+    assert_eq!(saved, 20);
+}
