Name each size of the membership benchmark once

Cause: 12 targets with 8 daemons stood in the list twice, and criterion refuses two benchmarks of one name.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -224,7 +224,7 @@
 fn bench_membership(criterion: &mut Criterion) {
     let mut group = start_group(criterion, "membership");
     let sizes = TARGETS.into_iter().map(|targets| (targets, 8));
-    let sizes = sizes.chain(DAEMONS[1..].iter().map(|daemons| (12, *daemons)));
+    let sizes = sizes.chain(DAEMONS.into_iter().skip(1).map(|daemons| (12, daemons)));
     let sizes = sizes.chain([(12_000, 680)]);
     for (targets, daemons) in sizes {
         let size = format!("{targets}_targets_{daemons}_daemons");
