--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -12,12 +12,13 @@
     BatchSize, BenchmarkGroup, BenchmarkId, Criterion, criterion_group, criterion_main,
 };
 use indexmap::IndexMap;
+use pistachiowick::candidates::CandidateIndex;
 use pistachiowick::config_buckets::ConfigState;
 use pistachiowick::fair_queue::{FairQueue, JobNumber, QueuedJob};
 use pistachiowick::membership::{MembershipLimits, MembershipState, PeerWord, own_view};
 use pistachiowick::names::{MonoTime, ProcessIncarnation, TargetId};
 use pistachiowick::peer_state::PeerTopology;
-use pistachiowick::placement::{CandidateIndex, SharedFleet};
+use pistachiowick::placement::SharedFleet;
 use pistachiowick::role_mix::{MixForecast, WorkAmount, WorkTotals, add_work};
 use pistachiowick::role_plan::{ModelNeed, PlanEngine, RolePlanner};
 use pistachiowick::scheduler::{JobMeasure, ScheduleAction, Scheduler, SchedulerInputs};
--- /dev/null
+++ b/src/candidates.rs
@@ -0,0 +1,183 @@
+//! Targets by pool, in the order that divides reading from writing.
+//!
+//! Everything that admission and placement ask of a pool is worked out once per view
+//! of the fleet, so that neither walks the pool for each request.
+
+use indexmap::{IndexMap, IndexSet};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::fleet::{FleetView, TargetView, UseState};
+use crate::names::{ModelName, TargetId};
+use crate::placement::{ModelLabel, PoolKey, WorkSide};
+use crate::platform_wire::InstanceKind;
+use crate::target_wire::EngineRole;
+
+/// Candidates by pool, rebuilt when the fleet's shape changes.
+///
+/// A pool is in the same order on every daemon: engines that read best first, those
+/// that write best last. The first engines are the reading side, so that all daemons
+/// draw nearly the same line without talking to one another.
+#[derive(Clone, Debug, Default)]
+pub struct CandidateIndex {
+    pools: IndexMap<PoolKey, TargetPool>,
+}
+
+/// Targets of one pool and what is asked of them together.
+#[derive(Clone, Debug, Default)]
+struct TargetPool {
+    targets: IndexSet<TargetId>,
+    /// Number of live targets before each place, and in all.
+    live_before: Vec<usize>,
+    roles: IndexSet<EngineRole>,
+    usable: bool,
+}
+
+impl TargetPool {
+    fn add(&mut self, target: &TargetView) {
+        if self.live_before.is_empty() {
+            self.live_before.push(0);
+        }
+        let live = self.live_before[self.targets.len()];
+        let counts = usize::from(target.state == UseState::Live);
+        self.live_before.push(live + counts);
+        self.targets.insert(target.id.clone());
+        self.roles.extend(target.report.as_ref().map(|r| r.role));
+        self.usable |= target.state <= UseState::Suspect;
+    }
+}
+
+/// Targets of one side of a pool.
+#[derive(Clone, Copy, Debug)]
+pub struct CandidateSide<'a> {
+    pool: &'a TargetPool,
+    first: usize,
+    end: usize,
+}
+
+impl<'a> CandidateSide<'a> {
+    /// Returns the number of targets.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.end - self.first
+    }
+
+    /// Tells whether there is no target.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns the target at a place, which is below [`Self::len`].
+    #[must_use]
+    pub fn get(&self, place: usize) -> Option<&'a TargetId> {
+        let place = self.first + place;
+        (place < self.end)
+            .then(|| self.pool.targets.get_index(place))
+            .flatten()
+    }
+
+    /// Tells whether a target is on this side.
+    #[must_use]
+    pub fn contains(&self, target: &TargetId) -> bool {
+        let place = self.pool.targets.get_index_of(target);
+        place.is_some_and(|at| (self.first..self.end).contains(&at))
+    }
+
+    /// Returns the targets in the order of the pool.
+    pub fn iter(&self) -> impl Iterator<Item = &'a TargetId> + use<'a> {
+        let side = *self;
+        (0..side.len()).filter_map(move |place| side.get(place))
+    }
+
+    /// Returns the number of targets in use.
+    #[must_use]
+    pub fn live(&self) -> usize {
+        let live = &self.pool.live_before;
+        match (live.get(self.first), live.get(self.end)) {
+            (Some(before), Some(until)) => until - before,
+            _ => 0,
+        }
+    }
+}
+
+impl CandidateIndex {
+    /// Builds the index of a fleet.
+    #[must_use]
+    pub fn build(fleet: &FleetView) -> Self {
+        let mut pools: IndexMap<PoolKey, TargetPool> = IndexMap::new();
+        let mut targets: Vec<&TargetView> = fleet.targets.values().collect();
+        targets.sort_by_cached_key(|t| (reading_rank(t), xxh3_64(t.id.as_str().as_bytes())));
+        for target in targets {
+            for pool in pools_of(target) {
+                pools.entry(pool).or_default().add(target);
+            }
+        }
+        Self { pools }
+    }
+
+    /// Tells whether a pool has a target that is in use or only suspected.
+    #[must_use]
+    pub fn is_usable(&self, pool: &PoolKey) -> bool {
+        self.pools.get(pool).is_some_and(|p| p.usable)
+    }
+
+    /// Returns the roles of a pool's engines.
+    pub fn roles(&self, pool: &PoolKey) -> impl Iterator<Item = EngineRole> {
+        let pool = self.pools.get(pool);
+        pool.into_iter().flat_map(|p| p.roles.iter().copied())
+    }
+
+    /// Returns the targets of one side, where `reading_share` of the work is reading;
+    /// `None` for a pool that has none.
+    ///
+    /// A side is never empty while its work exists, nor is a pool of one divided.
+    #[must_use]
+    pub fn side(
+        &self,
+        pool: &PoolKey,
+        side: WorkSide,
+        reading_share: f64,
+    ) -> Option<CandidateSide<'_>> {
+        let pool = self.pools.get(pool)?;
+        let count = pool.targets.len();
+        let (mut first, mut end) = (0, count);
+        if count >= 2 && reading_share > 0.0 && reading_share < 1.0 {
+            let wanted = (reading_share * count as f64).round() as usize;
+            let line = wanted.clamp(1, count - 1);
+            match side {
+                WorkSide::Reading => end = line,
+                WorkSide::Writing => first = line,
+            }
+        }
+        Some(CandidateSide { pool, first, end })
+    }
+}
+
+fn reading_rank(target: &TargetView) -> u8 {
+    match target.report.as_ref().map(|r| r.role) {
+        Some(EngineRole::Prefill) => 0,
+        Some(EngineRole::Mixed) | None => 1,
+        Some(EngineRole::Decode) => 2,
+    }
+}
+
+fn pools_of(target: &TargetView) -> Vec<PoolKey> {
+    match target.kind {
+        InstanceKind::Entry => Vec::new(),
+        InstanceKind::Service => target
+            .service
+            .iter()
+            .cloned()
+            .map(PoolKey::Service)
+            .collect(),
+        InstanceKind::Engine => {
+            let models = target.report.iter().flat_map(|r| r.models.iter());
+            let mut names: Vec<ModelName> = models
+                .map(|label| ModelName::from(ModelLabel::parse(label).name))
+                .collect();
+            names.sort();
+            names.dedup();
+            names.into_iter().map(PoolKey::Model).collect()
+        }
+    }
+}
--- a/src/fair_queue.rs
+++ b/src/fair_queue.rs
@@ -4,6 +4,14 @@
 //! is placed. Workspaces within one quantum of the furthest behind compete by
 //! priority and slack; the others wait. So urgency decides in the short term and
 //! the shares decide over a few quanta.
+//!
+//! No operation walks all workspaces or all requests: busy lanes are ordered by virtual
+//! time, the lanes that compete also by their first request.
+
+use std::cmp::Ordering;
+use std::collections::btree_map::{BTreeMap, Iter};
+use std::iter::Peekable;
+use std::ops::Bound;
 
 use indexmap::IndexMap;
 
@@ -32,21 +40,56 @@
 
 type JobRank = (u32, MonoTime, JobNumber);
 
+/// Rank behind every request.
+const LAST_RANK: JobRank = (u32::MAX, MonoTime(u64::MAX), JobNumber(u64::MAX));
+
+/// Virtual time of a lane with a total order.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct VirtualTime(f64);
+
+impl Eq for VirtualTime {}
+
+impl Ord for VirtualTime {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.0.total_cmp(&other.0)
+    }
+}
+
+impl PartialOrd for VirtualTime {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct WorkspaceLane {
     weight: f64,
-    virtual_time: f64,
-    queued_cost: f64,
-    jobs: std::collections::BTreeMap<JobRank, QueuedJob>,
+    time: VirtualTime,
+    jobs: BTreeMap<JobRank, QueuedJob>,
+}
+
+impl WorkspaceLane {
+    fn first_rank(&self) -> Option<JobRank> {
+        self.jobs.first_key_value().map(|(rank, _)| *rank)
+    }
 }
 
 /// Waiting requests of one pool.
 #[derive(Clone, Debug)]
 pub struct FairQueue {
     lanes: IndexMap<WorkspaceName, WorkspaceLane>,
+    /// Busy lanes by virtual time, then by their first request.
+    by_time: BTreeMap<(VirtualTime, JobRank), WorkspaceName>,
+    /// Lanes within one quantum of the furthest behind, by their first request.
+    competing: BTreeMap<JobRank, WorkspaceName>,
+    /// Virtual time up to which lanes compete.
+    limit: VirtualTime,
+    /// Requests by latest start.
+    by_start: BTreeMap<(MonoTime, JobNumber), QueuedJob>,
+    queued_cost: f64,
+    busy_weight: f64,
     quantum: f64,
     fair: bool,
-    length: usize,
     floor: f64,
 }
 
@@ -57,9 +100,14 @@
     pub fn new(quantum: f64, fair: bool) -> Self {
         Self {
             lanes: IndexMap::new(),
+            by_time: BTreeMap::new(),
+            competing: BTreeMap::new(),
+            limit: VirtualTime(f64::INFINITY),
+            by_start: BTreeMap::new(),
+            queued_cost: 0.0,
+            busy_weight: 0.0,
             quantum,
             fair,
-            length: 0,
             floor: 0.0,
         }
     }
@@ -67,13 +115,13 @@
     /// Returns the number of waiting requests.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.length
+        self.by_start.len()
     }
 
     /// Tells whether nothing waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.length == 0
+        self.by_start.is_empty()
     }
 
     /// Returns the number of waiting requests of one workspace.
@@ -84,40 +132,42 @@
 
     /// Adds a request.
     pub fn push(&mut self, job: QueuedJob) {
+        let workspace = job.workspace.clone();
+        self.unlist(&workspace);
         let floor = self.floor;
-        let lane = self.lanes.entry(job.workspace.clone()).or_default();
+        let lane = self.lanes.entry(workspace.clone()).or_default();
         lane.weight = f64::from(job.weight.max(1));
         if lane.jobs.is_empty() {
             // A workspace that was idle must not spend the time it saved up all at
             // once: the others would starve until it had caught up.
-            lane.virtual_time = lane.virtual_time.max(floor);
+            lane.time.0 = lane.time.0.max(floor);
         }
-        lane.queued_cost += job.cost;
-        lane.jobs
-            .insert((job.priority, job.latest_start, job.number), job);
-        self.length += 1;
+        self.queued_cost += job.cost;
+        self.by_start
+            .insert((job.latest_start, job.number), job.clone());
+        lane.jobs.insert(rank_of(&job), job);
+        self.list(&workspace);
+        self.move_limit();
     }
 
     /// Removes a request that no longer waits for a target.
     pub fn remove(&mut self, job: &QueuedJob) -> bool {
-        let Some(lane) = self.lanes.get_mut(&job.workspace) else {
-            return false;
-        };
-        let rank = (job.priority, job.latest_start, job.number);
-        let Some(found) = lane.jobs.remove(&rank) else {
-            return false;
-        };
-        lane.queued_cost = (lane.queued_cost - found.cost).max(0.0);
-        self.length -= 1;
-        true
+        self.unlist(&job.workspace);
+        let removed = self.take_job(job);
+        self.list(&job.workspace);
+        self.move_limit();
+        removed
     }
 
     /// Charges a workspace for work placed here or, by report, elsewhere.
     pub fn charge(&mut self, workspace: &WorkspaceName, weight: u32, cost: f64) {
+        self.unlist(workspace);
         let floor = self.floor;
         let lane = self.lanes.entry(workspace.clone()).or_default();
         lane.weight = f64::from(weight.max(1));
-        lane.virtual_time = lane.virtual_time.max(floor) + cost / lane.weight;
+        lane.time.0 = lane.time.0.max(floor) + cost / lane.weight;
+        self.list(workspace);
+        self.move_limit();
         self.advance_floor();
     }
 
@@ -126,11 +176,11 @@
     pub fn take_first(
         &mut self,
         most: usize,
-        mut place: impl FnMut(&QueuedJob) -> bool,
+        place: impl FnMut(&QueuedJob) -> bool,
     ) -> Option<QueuedJob> {
-        let order = self.service_order(most);
-        let job = order.into_iter().find(|job| place(job))?;
-        self.remove(&job);
+        let job = self.first_taken(most, place)?.clone();
+        self.unlist(&job.workspace);
+        self.take_job(&job);
         self.charge(&job.workspace, job.weight, job.cost);
         Some(job)
     }
@@ -141,66 +191,147 @@
     /// stretched by the competition, or everything that waits if that is less.
     #[must_use]
     pub fn cost_before(&self, workspace: &WorkspaceName, weight: u32, rank_priority: u32) -> f64 {
-        let total: f64 = self.lanes.values().map(|l| l.queued_cost).sum();
         if !self.fair {
-            return total;
+            return self.queued_cost;
         }
-        let own: f64 = self
-            .lanes
-            .get(workspace)
-            .map_or(0.0, |l| cost_up_to(l, rank_priority));
+        let lane = self.lanes.get(workspace).filter(|l| !l.jobs.is_empty());
+        let own = lane.map_or(0.0, |l| cost_up_to(l, rank_priority));
+        let rivals = self.busy_weight - lane.map_or(0.0, |l| l.weight);
         let weight = f64::from(weight.max(1));
-        let rivals: f64 = self
-            .lanes
-            .iter()
-            .filter(|(name, lane)| *name != workspace && !lane.jobs.is_empty())
-            .map(|(_, lane)| lane.weight)
-            .sum();
-        (own * (weight + rivals) / weight).min(total)
+        (own * (weight + rivals) / weight).min(self.queued_cost)
     }
 
     /// Drops lanes that have been idle and hold no debt.
     pub fn drop_idle_lanes(&mut self) {
         let floor = self.floor;
         self.lanes
-            .retain(|_, lane| !lane.jobs.is_empty() || lane.virtual_time > floor);
+            .retain(|_, lane| !lane.jobs.is_empty() || lane.time.0 > floor);
     }
 
     /// Returns the requests whose latest start has passed.
     #[must_use]
     pub fn overdue(&self, now: MonoTime) -> Vec<QueuedJob> {
-        let jobs = self.lanes.values().flat_map(|l| l.jobs.values());
-        jobs.filter(|job| job.latest_start < now).cloned().collect()
-    }
-
-    fn service_order(&self, most: usize) -> Vec<QueuedJob> {
-        let floor = self.busy_floor();
-        let mut heads: Vec<(bool, f64, JobRank, &QueuedJob)> = Vec::new();
-        for lane in self.lanes.values() {
-            let late = self.fair && lane.virtual_time > floor + self.quantum;
-            let order = if late { lane.virtual_time } else { 0.0 };
-            let first = lane.jobs.iter().take(most);
-            heads.extend(first.map(|(rank, job)| (late, order, *rank, job)));
+        let overdue = self.by_start.range(..(now, JobNumber(0)));
+        overdue.map(|(_, job)| job.clone()).collect()
+    }
+
+    fn first_taken(
+        &self,
+        most: usize,
+        mut place: impl FnMut(&QueuedJob) -> bool,
+    ) -> Option<&QueuedJob> {
+        let mut order = self.service_order(most);
+        order.find(|job| place(job))
+    }
+
+    /// Returns the first `most` requests in their order of service.
+    fn service_order(&self, most: usize) -> impl Iterator<Item = &QueuedJob> {
+        // No lane whose first request ranks behind `most` others can be among them.
+        let names = self.competing.values().take(most);
+        let lanes = names.map(|name| self.lanes[name].jobs.iter().peekable());
+        let competing = merge_by_rank(lanes.collect());
+        let beyond = (self.limit, LAST_RANK);
+        let late = self
+            .by_time
+            .range((Bound::Excluded(beyond), Bound::Unbounded));
+        let late = late.flat_map(move |(_, name)| self.lanes[name].jobs.values().take(most));
+        competing.chain(late).take(most)
+    }
+
+    fn take_job(&mut self, job: &QueuedJob) -> bool {
+        let Some(lane) = self.lanes.get_mut(&job.workspace) else {
+            return false;
+        };
+        let Some(found) = lane.jobs.remove(&rank_of(job)) else {
+            return false;
+        };
+        self.by_start.remove(&(found.latest_start, found.number));
+        self.queued_cost -= found.cost;
+        if self.by_start.is_empty() {
+            // Sums of many costs are rounded; an empty queue costs nothing.
+            self.queued_cost = 0.0;
+        }
+        true
+    }
+
+    /// Takes a lane out of the orders; its fields may be changed then.
+    fn unlist(&mut self, workspace: &WorkspaceName) {
+        let Some(lane) = self.lanes.get(workspace) else {
+            return;
+        };
+        let Some(rank) = lane.first_rank() else {
+            return;
+        };
+        if self.by_time.remove(&(lane.time, rank)).is_some() {
+            self.busy_weight -= lane.weight;
+            self.competing.remove(&rank);
+        }
+    }
+
+    /// Puts a busy lane back into the orders.
+    fn list(&mut self, workspace: &WorkspaceName) {
+        let Some(lane) = self.lanes.get(workspace) else {
+            return;
+        };
+        let Some(rank) = lane.first_rank() else {
+            return;
+        };
+        self.busy_weight += lane.weight;
+        self.by_time.insert((lane.time, rank), workspace.clone());
+        if lane.time <= self.limit {
+            self.competing.insert(rank, workspace.clone());
+        }
+    }
+
+    /// Lets those lanes compete that are within a quantum of the furthest behind.
+    fn move_limit(&mut self) {
+        let Some(floor) = self.busy_floor().filter(|_| self.fair) else {
+            return;
+        };
+        let (old, new) = (self.limit, VirtualTime(floor + self.quantum));
+        self.limit = new;
+        let beyond = |limit| Bound::Excluded((limit, LAST_RANK));
+        let up_to = |limit| Bound::Included((limit, LAST_RANK));
+        if old < new {
+            let moved = self.by_time.range((beyond(old), up_to(new)));
+            let moved = moved.map(|((_, rank), name)| (*rank, name.clone()));
+            self.competing.extend(moved);
+        } else if new < old {
+            for ((_, rank), _) in self.by_time.range((beyond(new), up_to(old))) {
+                self.competing.remove(rank);
+            }
         }
-        heads.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
-        let first = heads.into_iter().take(most);
-        first.map(|(_, _, _, job)| job.clone()).collect()
     }
 
-    fn busy_floor(&self) -> f64 {
-        let busy = self.lanes.values().filter(|l| !l.jobs.is_empty());
-        busy.map(|l| l.virtual_time).fold(f64::INFINITY, f64::min)
+    fn busy_floor(&self) -> Option<f64> {
+        let first = self.by_time.first_key_value();
+        first.map(|((time, _), _)| time.0)
     }
 
     fn advance_floor(&mut self) {
-        let floor = self.busy_floor();
-        if floor.is_finite() {
+        if let Some(floor) = self.busy_floor() {
             self.floor = self.floor.max(floor);
         }
     }
 }
 
+fn rank_of(job: &QueuedJob) -> JobRank {
+    (job.priority, job.latest_start, job.number)
+}
+
+/// Returns the requests of some lanes, the most urgent first.
+fn merge_by_rank<'a>(
+    mut lanes: Vec<Peekable<Iter<'a, JobRank, QueuedJob>>>,
+) -> impl Iterator<Item = &'a QueuedJob> {
+    std::iter::from_fn(move || {
+        let heads = lanes.iter_mut().enumerate();
+        let ranks = heads.filter_map(|(at, lane)| Some((*lane.peek()?.0, at)));
+        let (_, first) = ranks.min()?;
+        lanes[first].next().map(|(_, job)| job)
+    })
+}
+
 fn cost_up_to(lane: &WorkspaceLane, priority: u32) -> f64 {
-    let ahead = lane.jobs.values().filter(|j| j.priority <= priority);
-    ahead.map(|j| j.cost).sum()
+    let last = (priority, LAST_RANK.1, LAST_RANK.2);
+    lane.jobs.range(..=last).map(|(_, job)| job.cost).sum()
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod attempt;
 pub mod authority;
 pub mod authority_actions;
+pub mod candidates;
 pub mod catalogue;
 pub mod client;
 pub mod client_answer;
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -6,13 +6,12 @@
 use indexmap::IndexMap;
 use rand::Rng;
 use rand::rngs::SmallRng;
-use xxhash_rust::xxh3::xxh3_64;
 
+use crate::candidates::CandidateSide;
 use crate::cost::CostModel;
 use crate::fair_queue::JobNumber;
 use crate::fleet::{FleetView, LoadReport, TargetView, UseState};
 use crate::names::{ModelName, MonoTime, ServiceName, TargetId};
-use crate::platform_wire::InstanceKind;
 use crate::prefix_index::PrefixIndex;
 use crate::settings::{PlacementPolicy, PolicySettings};
 use crate::target_wire::EngineRole;
@@ -115,69 +114,12 @@
     Writing,
 }
 
-/// Candidates by pool, rebuilt when the fleet's shape changes.
-///
-/// A pool is in the same order on every daemon: engines that read best first, those
-/// that write best last. The first engines are the reading side, so that all daemons
-/// draw nearly the same line without talking to one another.
-#[derive(Clone, Debug, Default)]
-pub struct CandidateIndex {
-    pools: IndexMap<PoolKey, Vec<TargetId>>,
-}
-
-impl CandidateIndex {
-    /// Builds the index of a fleet.
-    #[must_use]
-    pub fn build(fleet: &FleetView) -> Self {
-        let mut pools: IndexMap<PoolKey, Vec<TargetId>> = IndexMap::new();
-        let mut targets: Vec<&TargetView> = fleet.targets.values().collect();
-        targets.sort_by_cached_key(|t| (reading_rank(t), xxh3_64(t.id.as_str().as_bytes())));
-        for target in targets {
-            for pool in pools_of(target) {
-                pools.entry(pool).or_default().push(target.id.clone());
-            }
-        }
-        Self { pools }
-    }
-
-    /// Returns the targets of a pool.
-    #[must_use]
-    pub fn targets(&self, pool: &PoolKey) -> &[TargetId] {
-        self.pools.get(pool).map_or(&[], Vec::as_slice)
-    }
-
-    /// Returns the targets of one side, where `reading_share` of the work is reading.
-    ///
-    /// A side is never empty while its work exists, nor is a pool of one divided.
-    #[must_use]
-    pub fn side(&self, pool: &PoolKey, side: WorkSide, reading_share: f64) -> &[TargetId] {
-        let targets = self.targets(pool);
-        if targets.len() < 2 || reading_share <= 0.0 || reading_share >= 1.0 {
-            return targets;
-        }
-        let wanted = (reading_share * targets.len() as f64).round() as usize;
-        let line = wanted.clamp(1, targets.len() - 1);
-        match side {
-            WorkSide::Reading => &targets[..line],
-            WorkSide::Writing => &targets[line..],
-        }
-    }
-}
-
-fn reading_rank(target: &TargetView) -> u8 {
-    match target.report.as_ref().map(|r| r.role) {
-        Some(EngineRole::Prefill) => 0,
-        Some(EngineRole::Mixed) | None => 1,
-        Some(EngineRole::Decode) => 2,
-    }
-}
-
 /// Everything a choice looks at.
 pub struct PlacementInputs<'a> {
     /// The fleet.
     pub fleet: &'a FleetView,
     /// Targets to choose from.
-    pub candidates: &'a [TargetId],
+    pub candidates: CandidateSide<'a>,
     /// Expected times.
     pub costs: &'a CostModel,
     /// Beliefs about caches.
@@ -201,24 +143,69 @@
     rng: &mut SmallRng,
 ) -> Option<TargetChoice> {
     let candidates = candidates(need, inputs, rng);
-    let mut choices: Vec<(f64, TargetChoice)> = candidates
-        .iter()
+    let mut estimates: Vec<TargetEstimate<'_>> = candidates
+        .into_iter()
         .filter_map(|target| inputs.fleet.targets.get(target))
         .filter_map(|target| estimate(need, target, inputs))
         .collect();
     let chosen = match inputs.policy.placement {
-        PlacementPolicy::Estimate => least(&choices, |(_, c)| c.finish_s + c.delay_s),
-        PlacementPolicy::LeastInFlight => least(&choices, |(load, _)| *load),
-        PlacementPolicy::RoundRobin => next_in_turn(choices.len(), turn),
+        PlacementPolicy::Estimate => least(&estimates, |e| e.finish_s + e.delay_s),
+        PlacementPolicy::LeastInFlight => least(&estimates, |e| e.load),
+        PlacementPolicy::RoundRobin => next_in_turn(estimates.len(), turn),
     }?;
-    Some(choices.swap_remove(chosen).1)
+    Some(estimates.swap_remove(chosen).choice(need))
+}
+
+/// What a request may expect of one target. Names and reason are copied for the
+/// target chosen only: for all of them they would cost more than the choice.
+struct TargetEstimate<'a> {
+    target: &'a TargetView,
+    role: Option<EngineRole>,
+    model: &'a str,
+    load: f64,
+    uncached: f64,
+    first_token_s: f64,
+    gap_s: f64,
+    finish_s: f64,
+    delay_s: f64,
+}
+
+impl TargetEstimate<'_> {
+    fn choice(&self, need: &PlacementNeed) -> TargetChoice {
+        TargetChoice {
+            target: self.target.id.clone(),
+            address: self.target.address.clone(),
+            model: self.model.to_owned(),
+            first_token_s: self.first_token_s,
+            gap_s: self.gap_s,
+            finish_s: self.finish_s,
+            delay_s: self.delay_s,
+            reason: self.reason(need),
+        }
+    }
+
+    fn reason(&self, need: &PlacementNeed) -> String {
+        let Some(role) = self.role else {
+            return format!("{} own calls in flight", self.load);
+        };
+        format!(
+            "{role:?} engine, about {:.0} in flight, {:.0} of {:.0} prompt tokens to read, \
+             first token in {:.0} ms, whole answer in {:.0} ms, others delayed by {:.0} ms",
+            self.load,
+            self.uncached,
+            need.prompt_tokens,
+            self.first_token_s * 1_000.0,
+            self.finish_s * 1_000.0,
+            self.delay_s * 1_000.0
+        )
+    }
 }
 
 fn least(
-    choices: &[(f64, TargetChoice)],
-    score: impl Fn(&(f64, TargetChoice)) -> f64,
+    estimates: &[TargetEstimate<'_>],
+    score: impl Fn(&TargetEstimate<'_>) -> f64,
 ) -> Option<usize> {
-    let scored = choices.iter().enumerate();
+    let scored = estimates.iter().enumerate();
     scored
         .min_by(|(_, a), (_, b)| score(a).total_cmp(&score(b)))
         .map(|(at, _)| at)
@@ -234,30 +221,30 @@
 
 /// Draws candidates at random, so that daemons with the same lagging view do not
 /// all run to the same target, and adds the holders of the shared prefix.
-fn candidates(
+fn candidates<'a>(
     need: &PlacementNeed,
-    inputs: &PlacementInputs<'_>,
+    inputs: &PlacementInputs<'a>,
     rng: &mut SmallRng,
-) -> Vec<TargetId> {
-    let pool = inputs.candidates;
-    if pool.len() <= MOST_CANDIDATES {
-        return pool.to_vec();
+) -> Vec<&'a TargetId> {
+    let side = inputs.candidates;
+    if side.len() <= MOST_CANDIDATES {
+        return side.iter().collect();
     }
-    let mut drawn: Vec<TargetId> = Vec::with_capacity(MOST_CANDIDATES);
+    let mut drawn: Vec<&TargetId> = Vec::with_capacity(MOST_CANDIDATES);
     let holders = inputs.prefixes.holders(&need.shared_prefix);
     let near = holders.iter().map(|h| &h.target);
-    drawn.extend(near.filter(|t| pool.contains(t)).cloned());
+    drawn.extend(near.filter(|t| side.contains(t)));
     while drawn.len() < MOST_CANDIDATES {
-        drawn.push(pool[rng.random_range(0..pool.len())].clone());
+        drawn.extend(side.get(rng.random_range(0..side.len())));
     }
     drawn
 }
 
-fn estimate(
+fn estimate<'a>(
     need: &PlacementNeed,
-    target: &TargetView,
+    target: &'a TargetView,
     inputs: &PlacementInputs<'_>,
-) -> Option<(f64, TargetChoice)> {
+) -> Option<TargetEstimate<'a>> {
     if target.state != UseState::Live || need.excluded.contains(&target.id) {
         return None;
     }
@@ -267,34 +254,34 @@
     }
 }
 
-fn estimate_service(
-    target: &TargetView,
+fn estimate_service<'a>(
+    target: &'a TargetView,
     inputs: &PlacementInputs<'_>,
-) -> Option<(f64, TargetChoice)> {
+) -> Option<TargetEstimate<'a>> {
     let own = inputs.own.get(&target.id).map_or(0, |o| o.running.len());
     if own >= inputs.policy.service_in_flight {
         return None;
     }
     let load = own as f64;
-    let choice = TargetChoice {
-        target: target.id.clone(),
-        address: target.address.clone(),
-        model: String::new(),
+    Some(TargetEstimate {
+        target,
+        role: None,
+        model: "",
+        load,
+        uncached: 0.0,
         first_token_s: 0.0,
         gap_s: 0.0,
         finish_s: load,
         delay_s: 0.0,
-        reason: format!("{own} own calls in flight"),
-    };
-    Some((load, choice))
+    })
 }
 
-fn estimate_engine(
+fn estimate_engine<'a>(
     need: &PlacementNeed,
     model: &ModelName,
-    target: &TargetView,
+    target: &'a TargetView,
     inputs: &PlacementInputs<'_>,
-) -> Option<(f64, TargetChoice)> {
+) -> Option<TargetEstimate<'a>> {
     let report = target.report.as_ref()?;
     if report.changing {
         return None;
@@ -317,31 +304,20 @@
     let gap_s = mean_gap(target, report, &load, inputs);
     let first_token_s = backlog_s + read_s;
     let finish_s = first_token_s + need.output_tokens * gap_s;
-    let delay_s = load.in_flight * read_s;
     if !in_time(need, finish_s, inputs.now) {
         return None;
     }
-    let choice = TargetChoice {
-        target: target.id.clone(),
-        address: target.address.clone(),
-        model: label.to_owned(),
+    Some(TargetEstimate {
+        target,
+        role: Some(report.role),
+        model: label,
+        load: load.in_flight,
+        uncached,
         first_token_s,
         gap_s,
         finish_s,
-        delay_s,
-        reason: format!(
-            "{:?} engine, about {:.0} in flight, {:.0} of {:.0} prompt tokens to read, \
-             first token in {:.0} ms, whole answer in {:.0} ms, others delayed by {:.0} ms",
-            report.role,
-            load.in_flight,
-            uncached,
-            need.prompt_tokens,
-            first_token_s * 1_000.0,
-            finish_s * 1_000.0,
-            delay_s * 1_000.0
-        ),
-    };
-    Some((load.in_flight, choice))
+        delay_s: load.in_flight * read_s,
+    })
 }
 
 /// Tells whether the answer is expected in time, with a margin for what is unknown.
@@ -425,27 +401,6 @@
     1.0 / inputs.costs.prefill_seconds(&target.id, role, 1.0)
 }
 
-fn pools_of(target: &TargetView) -> Vec<PoolKey> {
-    match target.kind {
-        InstanceKind::Entry => Vec::new(),
-        InstanceKind::Service => target
-            .service
-            .iter()
-            .cloned()
-            .map(PoolKey::Service)
-            .collect(),
-        InstanceKind::Engine => {
-            let models = target.report.iter().flat_map(|r| r.models.iter());
-            let mut names: Vec<ModelName> = models
-                .map(|label| ModelName::from(ModelLabel::parse(label).name))
-                .collect();
-            names.sort();
-            names.dedup();
-            names.into_iter().map(PoolKey::Model).collect()
-        }
-    }
-}
-
 /// Returns the loaded model that fits the request, the last one listed first.
 fn fitting_model<'a>(
     loaded: &'a [String],
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -10,14 +10,15 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::candidates::{CandidateIndex, CandidateSide};
 use crate::cost::{CostModel, SpeedSettings};
 use crate::fair_queue::{FairQueue, JobNumber, QueuedJob};
 use crate::fleet::UseState;
 use crate::invariants::{self, Invariant};
 use crate::names::{ClassName, MonoTime, TargetId, WorkspaceName, millis};
 use crate::placement::{
-    CandidateIndex, OwnWork, PlacementInputs, PlacementNeed, PoolKey, RunningJob, SharedFleet,
-    TargetChoice, WorkSide, choose_target,
+    OwnWork, PlacementInputs, PlacementNeed, PoolKey, RunningJob, SharedFleet, TargetChoice,
+    WorkSide, choose_target,
 };
 use crate::prefix_index::PrefixIndex;
 use crate::settings::{LimitSettings, PlacementPolicy, PolicySettings};
@@ -316,6 +317,10 @@
             if known.is_none_or(|k| k.taken_at < report.taken_at) {
                 let reads = report.prefill_backlog_tokens > 0;
                 self.costs.observe_reading(id, reads);
+                if let Some(own) = self.own.get_mut(id) {
+                    // The report counts them no more, so nothing is left to correct.
+                    own.ended.retain(|(_, ended)| *ended > report.taken_at);
+                }
             }
         }
     }
@@ -336,12 +341,7 @@
     }
 
     fn check_pool(&self, spec: &JobSpec) -> Result<(), JobRefusal> {
-        let targets = self.index.targets(&spec.need.pool);
-        let usable = |t: &&TargetId| {
-            let target = self.fleet.targets.get(*t);
-            target.is_some_and(|t| t.state <= UseState::Suspect)
-        };
-        if targets.iter().any(|t| usable(&t)) {
+        if self.index.is_usable(&spec.need.pool) {
             return Ok(());
         }
         let what = match &spec.need.pool {
@@ -388,15 +388,12 @@
 
     /// Engine-seconds per second that this daemon's share of the targets could give.
     fn capacity(&self, key: &QueueKey) -> f64 {
-        let live = self.candidates(key).iter().filter(|t| {
-            let target = self.fleet.targets.get(*t);
-            target.is_some_and(|t| t.state == UseState::Live)
-        });
+        let live = self.candidates(key).map_or(0, |side| side.live());
         let each = match &key.pool {
             PoolKey::Model(_) => 1.0,
             PoolKey::Service(_) => self.policy.service_in_flight as f64,
         };
-        (live.count() as f64 * each / self.live_daemons as f64).max(0.05)
+        (live as f64 * each / self.live_daemons as f64).max(0.05)
     }
 
     fn queued_job(&mut self, spec: &JobSpec) -> QueuedJob {
@@ -429,9 +426,7 @@
     }
 
     fn roles_in_use(&self, pool: &PoolKey) -> Vec<EngineRole> {
-        let targets = self.index.targets(pool).iter();
-        let reports = targets.filter_map(|t| self.fleet.targets.get(t)?.report.as_ref());
-        let mut roles: Vec<EngineRole> = reports.map(|r| r.role).collect();
+        let mut roles: Vec<EngineRole> = self.index.roles(pool).collect();
         roles.push(EngineRole::Mixed);
         roles.sort_unstable();
         roles.dedup();
@@ -470,7 +465,7 @@
         let share = self.reading_share(&key.pool);
         let inputs = PlacementInputs {
             fleet: &self.fleet,
-            candidates: self.index.side(&key.pool, key.side, share),
+            candidates: self.index.side(&key.pool, key.side, share)?,
             costs: &self.costs,
             prefixes: &self.prefixes,
             own: &self.own,
@@ -585,7 +580,7 @@
         self.mixes.get(pool).map_or(0.0, WorkMix::reading_share)
     }
 
-    fn candidates(&self, key: &QueueKey) -> &[TargetId] {
+    fn candidates(&self, key: &QueueKey) -> Option<CandidateSide<'_>> {
         let share = self.reading_share(&key.pool);
         self.index.side(&key.pool, key.side, share)
     }
--- /dev/null
+++ b/tests/placement_choice.rs
@@ -0,0 +1,407 @@
+//! The choice of a target: who may receive work, and who is the best of them.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use pistachiowick::candidates::CandidateIndex;
+use pistachiowick::cost::{CostModel, SpeedSettings};
+use pistachiowick::fair_queue::JobNumber;
+use pistachiowick::fleet::{FleetView, TargetView, UseState};
+use pistachiowick::names::{MonoTime, TargetId};
+use pistachiowick::placement::{
+    OwnWork, PlacementInputs, PlacementNeed, PoolKey, RunningJob, TargetChoice, WorkSide,
+    choose_target,
+};
+use pistachiowick::platform_wire::InstanceKind;
+use pistachiowick::prefix_index::PrefixIndex;
+use pistachiowick::settings::{PlacementPolicy, PolicySettings};
+use pistachiowick::target_wire::EngineRole;
+use pistachiowick_lab::samples;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+
+const NOW: MonoTime = MonoTime(1_000_000);
+
+/// Everything a choice depends on, to be changed by a case.
+struct PlacementScene {
+    fleet: FleetView,
+    need: PlacementNeed,
+    own: IndexMap<TargetId, OwnWork>,
+    prefixes: PrefixIndex,
+    policy: PolicySettings,
+    live_daemons: usize,
+}
+
+impl PlacementScene {
+    fn new(engines: usize) -> Self {
+        let mut fleet = samples::fleet_view(engines, 1, 1, NOW);
+        for target in fleet.targets.values_mut() {
+            report_of(target).in_flight = 0;
+        }
+        Self {
+            fleet,
+            need: samples::job_spec(0, 300.0, NOW).need,
+            own: IndexMap::new(),
+            prefixes: PrefixIndex::default(),
+            policy: PolicySettings::default(),
+            live_daemons: 1,
+        }
+    }
+
+    fn engine(&mut self, number: usize) -> &mut TargetView {
+        &mut self.fleet.targets[number]
+    }
+
+    fn choose(&self, seed: u64) -> Option<TargetChoice> {
+        let index = CandidateIndex::build(&self.fleet);
+        let costs = CostModel::new(SpeedSettings::default());
+        let inputs = PlacementInputs {
+            fleet: &self.fleet,
+            candidates: index.side(&self.need.pool, WorkSide::Writing, 0.0)?,
+            costs: &costs,
+            prefixes: &self.prefixes,
+            own: &self.own,
+            policy: &self.policy,
+            live_daemons: self.live_daemons,
+            now: NOW,
+        };
+        let mut rng = SmallRng::seed_from_u64(seed);
+        choose_target(&self.need, &inputs, &mut 0, &mut rng)
+    }
+
+    fn chosen(&self) -> Option<usize> {
+        let choice = self.choose(1)?;
+        self.fleet.targets.get_index_of(&choice.target)
+    }
+}
+
+fn report_of(target: &mut TargetView) -> &mut pistachiowick::fleet::LoadReport {
+    target.report.as_mut().expect("a sample has a report")
+}
+
+struct BarredCase {
+    bar: fn(&mut PlacementScene),
+}
+
+// The idle engine 0 may not be used, for one reason or another; engine 1 is busy. The
+// request goes to engine 1 under every policy, and nowhere when there is no other.
+#[rstest]
+#[case::leaving(BarredCase { bar: |s| s.engine(0).state = UseState::Leaving })]
+#[case::gone(BarredCase { bar: |s| s.engine(0).state = UseState::Gone })]
+#[case::drained(BarredCase { bar: |s| s.engine(0).state = UseState::Drained })]
+#[case::suspect(BarredCase { bar: |s| s.engine(0).state = UseState::Suspect })]
+#[case::changing(BarredCase { bar: |s| report_of(s.engine(0)).changing = true })]
+#[case::never_reported(BarredCase { bar: |s| s.engine(0).report = None })]
+#[case::excluded(BarredCase { bar: |s| s.need.excluded.push(samples::engine_name(0).into()) })]
+#[case::other_model(BarredCase { bar: |s| report_of(s.engine(0)).models = vec!["else@1".to_owned()] })]
+#[case::other_version(BarredCase { bar: |s| report_of(s.engine(0)).models = vec!["base@2".to_owned()] })]
+#[case::with_adapter_only(
+    BarredCase { bar: |s| report_of(s.engine(0)).models = vec!["base@1+law".to_owned()] }
+)]
+#[case::full(BarredCase { bar: |s| report_of(s.engine(0)).in_flight = 32 })]
+#[case::reading_for_long(BarredCase { bar: |s| {
+    report_of(s.engine(0)).in_flight = 1;
+    report_of(s.engine(0)).prefill_backlog_tokens = 80_000;
+} })]
+fn barred_engine_receives_nothing(
+    #[case] case: BarredCase,
+    #[values(
+        PlacementPolicy::Estimate,
+        PlacementPolicy::LeastInFlight,
+        PlacementPolicy::RoundRobin
+    )]
+    policy: PlacementPolicy,
+) {
+    let mut scene = PlacementScene::new(2);
+    scene.policy.placement = policy;
+    report_of(scene.engine(1)).in_flight = 5;
+    (case.bar)(&mut scene);
+    for seed in 0..20 {
+        let choice = scene.choose(seed).expect("engine 1 has room");
+        assert_eq!(choice.target.as_str(), samples::engine_name(1));
+    }
+    scene.fleet.targets.truncate(1);
+    assert_eq!(scene.choose(1), None);
+}
+
+// A stream goes on after its engine died. The answer so far came from one version, and
+// another version's words must not be joined to it, however newer or idler its engine.
+#[rstest]
+#[case::held(Some("base@1"), Some(1))]
+#[case::held_nowhere(Some("base@0"), None)]
+#[case::not_pinned(None, Some(0))]
+fn pinned_model_is_kept(#[case] pinned: Option<&str>, #[case] expected: Option<usize>) {
+    let mut scene = PlacementScene::new(2);
+    scene.need.versions = Vec::new();
+    report_of(scene.engine(0)).models = vec!["base@2".to_owned()];
+    report_of(scene.engine(1)).in_flight = 20;
+    scene.need.pinned_model = pinned.map(str::to_owned);
+    assert_eq!(scene.chosen(), expected);
+    if let (Some(model), Some(_)) = (pinned, expected) {
+        assert_eq!(scene.choose(1).map(|c| c.model), Some(model.to_owned()));
+    }
+}
+
+#[rstest]
+#[case::newest_listed_last("", &["base@1", "base@2"], Some("base@2"))]
+#[case::adapter("law", &["base@1", "base@1+law"], Some("base@1+law"))]
+#[case::adapter_missing("law", &["base@1"], None)]
+fn model_sent_is_one_the_engine_holds(
+    #[case] adapter: &str,
+    #[case] models: &[&str],
+    #[case] expected: Option<&str>,
+) {
+    let mut scene = PlacementScene::new(1);
+    scene.need.versions = Vec::new();
+    scene.need.adapter = adapter.to_owned();
+    report_of(scene.engine(0)).models = models.iter().map(|m| (*m).to_owned()).collect();
+    let choice = scene.choose(1);
+    assert_eq!(choice.map(|c| c.model), expected.map(str::to_owned));
+}
+
+struct BestCase {
+    set: fn(&mut PlacementScene),
+    best: usize,
+}
+
+fn own_work(number: u64, placed_at: MonoTime, prefill_tokens: f64) -> RunningJob {
+    RunningJob {
+        number: JobNumber(number),
+        placed_at,
+        prefill_tokens,
+    }
+}
+
+fn add_own(scene: &mut PlacementScene, engine: usize, jobs: u64, placed_at: MonoTime) {
+    let id = TargetId::from(samples::engine_name(engine));
+    let own = scene.own.entry(id).or_default();
+    own.running
+        .extend((0..jobs).map(|n| own_work(n, placed_at, 300.0)));
+}
+
+// Two engines that differ in one thing.
+#[rstest]
+#[case::fewer_in_flight(BestCase { set: |s| report_of(s.engine(0)).in_flight = 25, best: 1 })]
+#[case::less_to_read(
+    BestCase { set: |s| report_of(s.engine(0)).prefill_backlog_tokens = 2_000, best: 1 }
+)]
+#[case::own_work_since_the_report(BestCase {
+    set: |s| add_own(s, 0, 20, NOW.plus(Duration::from_millis(1))),
+    best: 1,
+})]
+#[case::prefix_cached(BestCase {
+    set: |s| {
+        s.need.prompt_tokens = 3_000.0;
+        s.need.shared_prefix = "rules".to_owned();
+        s.need.shared_prefix_tokens = 2_500;
+        s.prefixes.note_read("rules", &samples::engine_name(1).into(), 2_500);
+    },
+    best: 1,
+})]
+#[case::prefix_cached_but_hot(BestCase {
+    set: |s| {
+        s.need.prompt_tokens = 3_000.0;
+        s.need.shared_prefix = "rules".to_owned();
+        s.need.shared_prefix_tokens = 2_500;
+        s.prefixes.note_read("rules", &samples::engine_name(1).into(), 2_500);
+        report_of(s.engine(1)).in_flight = 31;
+        report_of(s.engine(1)).prefill_backlog_tokens = 3_000;
+    },
+    best: 0,
+})]
+#[case::long_prompt_to_the_reader(BestCase {
+    set: |s| {
+        s.need.prompt_tokens = 30_000.0;
+        s.need.output_tokens = 5.0;
+        report_of(s.engine(1)).role = EngineRole::Prefill;
+    },
+    best: 1,
+})]
+#[case::long_answer_to_the_writer(BestCase {
+    set: |s| {
+        s.need.prompt_tokens = 50.0;
+        s.need.output_tokens = 900.0;
+        report_of(s.engine(1)).role = EngineRole::Decode;
+    },
+    best: 1,
+})]
+fn better_engine_is_chosen(#[case] case: BestCase) {
+    let mut scene = PlacementScene::new(2);
+    (case.set)(&mut scene);
+    assert_eq!(scene.chosen(), Some(case.best));
+}
+
+struct AgeCase {
+    age_ms: u64,
+    reported: u32,
+    own: u64,
+    daemons: usize,
+    finds_room: bool,
+}
+
+// A report that says "full" bars the engine only while the report means something. One
+// that is too old gives way to own work, with the other daemons taken to be as busy.
+#[rstest]
+#[case::fresh_and_full(AgeCase { age_ms: 0, reported: 32, own: 0, daemons: 1, finds_room: false })]
+#[case::lagging_and_full(AgeCase { age_ms: 10_000, reported: 32, own: 0, daemons: 1, finds_room: false })]
+#[case::useless(AgeCase { age_ms: 10_001, reported: 32, own: 0, daemons: 1, finds_room: true })]
+#[case::useless_own_full(AgeCase { age_ms: 60_000, reported: 0, own: 32, daemons: 1, finds_room: false })]
+#[case::useless_others_as_busy(AgeCase { age_ms: 60_000, reported: 0, own: 8, daemons: 4, finds_room: false })]
+#[case::useless_others_idle(AgeCase { age_ms: 60_000, reported: 0, own: 7, daemons: 4, finds_room: true })]
+#[case::own_work_counts_beside_report(AgeCase { age_ms: 100, reported: 20, own: 12, daemons: 1, finds_room: false })]
+fn reports_age(#[case] case: AgeCase) {
+    let mut scene = PlacementScene::new(1);
+    scene.live_daemons = case.daemons;
+    report_of(scene.engine(0)).in_flight = case.reported;
+    report_of(scene.engine(0)).taken_at = MonoTime(NOW.0 - case.age_ms);
+    add_own(&mut scene, 0, case.own, NOW);
+    assert_eq!(scene.choose(1).is_some(), case.finds_room);
+}
+
+// A stream that cannot end in time only slows the others down; it waits instead.
+#[rstest]
+#[case::ample(10_000, true)]
+#[case::hopeless(300, false)]
+fn only_what_can_end_in_time_is_placed(#[case] left_ms: u64, #[case] placed: bool) {
+    let mut scene = PlacementScene::new(1);
+    scene.need.due = Some(NOW.plus(Duration::from_millis(left_ms)));
+    assert_eq!(scene.choose(1).is_some(), placed);
+}
+
+#[test]
+fn service_calls_go_to_the_least_called_instance() {
+    let mut scene = PlacementScene::new(3);
+    for target in scene.fleet.targets.values_mut() {
+        target.kind = InstanceKind::Service;
+        target.service = Some("ledger".into());
+        target.report = None;
+    }
+    scene.need.pool = PoolKey::Service("ledger".into());
+    add_own(&mut scene, 0, 2, NOW);
+    add_own(&mut scene, 1, 1, NOW);
+    assert_eq!(scene.chosen(), Some(2));
+    scene.policy.service_in_flight = 1;
+    add_own(&mut scene, 2, 1, NOW);
+    assert_eq!(scene.chosen(), None);
+}
+
+#[test]
+fn round_robin_takes_each_in_turn() {
+    let mut scene = PlacementScene::new(4);
+    scene.policy.placement = PlacementPolicy::RoundRobin;
+    let index = CandidateIndex::build(&scene.fleet);
+    let costs = CostModel::new(SpeedSettings::default());
+    let inputs = PlacementInputs {
+        fleet: &scene.fleet,
+        candidates: index
+            .side(&scene.need.pool, WorkSide::Writing, 0.0)
+            .expect("a pool"),
+        costs: &costs,
+        prefixes: &scene.prefixes,
+        own: &scene.own,
+        policy: &scene.policy,
+        live_daemons: 1,
+        now: NOW,
+    };
+    let (mut turn, mut rng) = (0, SmallRng::seed_from_u64(1));
+    let choices = (0..4).filter_map(|_| choose_target(&scene.need, &inputs, &mut turn, &mut rng));
+    let seen: IndexSet<TargetId> = choices.map(|c| c.target).collect();
+    assert_eq!(seen.len(), 4);
+}
+
+// Daemons draw at random among many engines; with the same lagging view they must not
+// all run to the same one.
+#[test]
+fn daemons_with_the_same_view_spread_out() {
+    let scene = PlacementScene::new(400);
+    let choices = (0..50).filter_map(|seed| scene.choose(seed));
+    let seen: IndexSet<TargetId> = choices.map(|c| c.target).collect();
+    assert!(seen.len() > 25, "only {} engines", seen.len());
+}
+
+// Among many engines the random draw would miss the one that holds the prefix.
+#[test]
+fn holder_of_the_prefix_is_looked_at_in_a_large_fleet() {
+    let mut scene = PlacementScene::new(400);
+    scene.need.prompt_tokens = 3_000.0;
+    scene.need.shared_prefix = "rules".to_owned();
+    scene.need.shared_prefix_tokens = 2_500;
+    let holder = TargetId::from(samples::engine_name(250));
+    scene.prefixes.note_read("rules", &holder, 2_500);
+    for seed in 0..20 {
+        let choice = scene.choose(seed).expect("room");
+        assert_eq!(choice.target, holder);
+    }
+}
+
+// Two daemons learned of the engines in another order. They must divide a pool alike, or
+// one would read long prompts on the engines that the other keeps for answers.
+#[rstest]
+#[case::all_mixed(&[])]
+#[case::some_readers(&[3, 9])]
+fn sides_are_the_same_on_all_daemons(#[case] readers: &[usize]) {
+    let mut fleet = samples::fleet_view(12, 1, 1, NOW);
+    for reader in readers {
+        report_of(&mut fleet.targets[*reader]).role = EngineRole::Prefill;
+    }
+    let mut other = fleet.clone();
+    other.targets.reverse();
+    let pool = PoolKey::Model(samples::SAMPLE_MODEL.into());
+    let (here, there) = (CandidateIndex::build(&fleet), CandidateIndex::build(&other));
+    for share in [0.0, 0.01, 0.3, 0.5, 0.99, 1.0] {
+        let sides = [WorkSide::Reading, WorkSide::Writing].map(|side| {
+            let of = |index: &CandidateIndex| -> Vec<TargetId> {
+                let side = index.side(&pool, side, share).expect("a pool");
+                assert_eq!(side.len(), side.iter().count());
+                assert_eq!(side.live(), side.len());
+                assert!(side.iter().all(|t| side.contains(t)));
+                side.iter().cloned().collect()
+            };
+            assert_eq!(of(&here), of(&there), "share {share}");
+            of(&here)
+        });
+        assert!(sides.iter().all(|side| !side.is_empty()), "share {share}");
+        if share > 0.0 && share < 1.0 {
+            assert_eq!(sides[0].len() + sides[1].len(), 12);
+            assert!(sides[0].iter().all(|t| !sides[1].contains(t)));
+        }
+        if share >= 0.3 && share < 1.0 {
+            for reader in readers {
+                assert!(sides[0].contains(&samples::engine_name(*reader).into()));
+            }
+        }
+    }
+}
+
+#[test]
+fn pool_of_one_is_not_divided() {
+    let fleet = samples::fleet_view(1, 1, 1, NOW);
+    let index = CandidateIndex::build(&fleet);
+    let pool = PoolKey::Model(samples::SAMPLE_MODEL.into());
+    for side in [WorkSide::Reading, WorkSide::Writing] {
+        assert_eq!(index.side(&pool, side, 0.5).map(|s| s.len()), Some(1));
+    }
+    let unknown = PoolKey::Model("unknown".into());
+    assert!(index.side(&unknown, WorkSide::Reading, 0.5).is_none());
+    assert!(!index.is_usable(&unknown));
+}
+
+#[test]
+fn index_counts_live_targets_and_roles() {
+    let mut fleet = samples::fleet_view(6, 1, 1, NOW);
+    fleet.targets[0].state = UseState::Drained;
+    fleet.targets[1].state = UseState::Suspect;
+    report_of(&mut fleet.targets[2]).role = EngineRole::Decode;
+    let index = CandidateIndex::build(&fleet);
+    let pool = PoolKey::Model(samples::SAMPLE_MODEL.into());
+    let all = index.side(&pool, WorkSide::Writing, 0.0).expect("a pool");
+    assert_eq!((all.len(), all.live()), (6, 4));
+    let mut roles: Vec<EngineRole> = index.roles(&pool).collect();
+    roles.sort_unstable();
+    assert_eq!(roles, [EngineRole::Decode, EngineRole::Mixed]);
+    for target in fleet.targets.values_mut() {
+        target.state = UseState::Drained;
+    }
+    assert!(!CandidateIndex::build(&fleet).is_usable(&pool));
+}
--- /dev/null
+++ b/tests/request_checks.rs
@@ -0,0 +1,309 @@
+//! Checks of a caller's message: what is wrong is named with its remedy, and not run.
+
+use pistachiowick::catalogue::{ClassSpec, ClassTarget, ItemSpec, ModelChoice, WorkspaceSpec};
+use pistachiowick::config_view::set_item;
+use pistachiowick::pb::SubmitRequest;
+use pistachiowick::placement::PoolKey;
+use pistachiowick::request::{CallerRequest, RequestFault};
+use pistachiowick::settings::LimitSettings;
+use pistachiowick::snapshot::{ConfigView, ItemRecord};
+use rstest::rstest;
+
+const WORKSPACE: &str = "rowing";
+
+fn class(name: &str, repeatable: bool, target: ClassTarget) -> ItemSpec {
+    ItemSpec::Class(ClassSpec {
+        workspace: WORKSPACE.into(),
+        name: name.into(),
+        deadline_ms: 4_000,
+        priority: 1,
+        repeatable,
+        target,
+    })
+}
+
+fn config() -> ConfigView {
+    let models = ClassTarget::Models(ModelChoice {
+        models: vec!["base".into(), "large".into()],
+        adapters: vec!["law".to_owned()],
+        versions: vec!["1".to_owned(), "2".to_owned()],
+    });
+    let any_version = ClassTarget::Models(ModelChoice {
+        models: vec!["base".into()],
+        ..ModelChoice::default()
+    });
+    let workspace = ItemSpec::Workspace(WorkspaceSpec {
+        name: WORKSPACE.into(),
+        weight: 3,
+        key_hashes: Vec::new(),
+    });
+    let items = [
+        workspace,
+        class("check", true, models),
+        class("any", true, any_version),
+        class("receipt", false, ClassTarget::Service("ledger".into())),
+    ];
+    let mut view = ConfigView::default();
+    for spec in items {
+        let record = ItemRecord {
+            revision: 1,
+            spec: Some(spec.clone()),
+        };
+        set_item(&mut view, &spec.item_name(), Some(record));
+    }
+    view
+}
+
+fn limits() -> LimitSettings {
+    LimitSettings {
+        longest_deadline_ms: 60_000,
+        ..LimitSettings::default()
+    }
+}
+
+fn check(submit: SubmitRequest) -> Result<CallerRequest, RequestFault> {
+    let workspace = WORKSPACE.into();
+    CallerRequest::check("r-1".into(), &workspace, submit, &config(), &limits())
+}
+
+fn model_message() -> SubmitRequest {
+    SubmitRequest {
+        class: "check".to_owned(),
+        prompt: b"is this crew eligible".to_vec(),
+        prompt_tokens: 100,
+        max_output_tokens: 50,
+        ..SubmitRequest::default()
+    }
+}
+
+fn service_message() -> SubmitRequest {
+    SubmitRequest {
+        class: "receipt".to_owned(),
+        key: "receipt-7".to_owned(),
+        key_minted_at_ms: 1_800_000_000_000,
+        prompt: b"issue receipt 7".to_vec(),
+        ..SubmitRequest::default()
+    }
+}
+
+struct FaultCase {
+    spoil: fn(&mut SubmitRequest),
+    field: &'static str,
+    remedy: &'static str,
+}
+
+#[rstest]
+#[case::other_model(FaultCase {
+    spoil: |m| m.model = "huge".to_owned(),
+    field: "model is huge",
+    remedy: "the class may use base, large",
+})]
+#[case::other_adapter(FaultCase {
+    spoil: |m| m.adapter = "tax".to_owned(),
+    field: "adapter is tax",
+    remedy: "the class may use none or law",
+})]
+#[case::other_version(FaultCase {
+    spoil: |m| m.version = "9".to_owned(),
+    field: "version is 9",
+    remedy: "the class may use 1, 2",
+})]
+#[case::no_prompt_length(FaultCase {
+    spoil: |m| m.prompt_tokens = 0,
+    field: "prompt_tokens is 0",
+    remedy: "send the prompt's length in tokens",
+})]
+#[case::no_output(FaultCase {
+    spoil: |m| m.max_output_tokens = 0,
+    field: "max_output_tokens is 0",
+    remedy: "send 1 to 1048576",
+})]
+#[case::endless_output(FaultCase {
+    spoil: |m| m.max_output_tokens = (1 << 20) + 1,
+    field: "max_output_tokens is 1048577",
+    remedy: "send 1 to 1048576",
+})]
+#[case::prefix_longer_than_prompt(FaultCase {
+    spoil: |m| m.shared_prefix_tokens = 101,
+    field: "shared_prefix_tokens is 101",
+    remedy: "send at most prompt_tokens (100)",
+})]
+#[case::deadline_too_far(FaultCase {
+    spoil: |m| m.deadline_ms = 60_001,
+    field: "deadline_ms is 60001",
+    remedy: "send at most 60000 ms",
+})]
+#[case::key_too_long(FaultCase {
+    spoil: |m| m.key = "k".repeat(201),
+    field: "key is 201 bytes long",
+    remedy: "send at most 200 bytes",
+})]
+fn bad_message_to_a_model_is_refused(#[case] case: FaultCase) {
+    let mut message = model_message();
+    (case.spoil)(&mut message);
+    let text = check(message).expect_err("the message is bad").to_string();
+    assert_eq!(text, format!("{}; {}", case.field, case.remedy));
+}
+
+#[rstest]
+#[case::no_key(FaultCase {
+    spoil: |m| m.key = String::new(),
+    field: "key is empty",
+    remedy: "requests of this class may not be repeated and need a key",
+})]
+#[case::key_too_long(FaultCase {
+    spoil: |m| m.key = "é".repeat(101),
+    field: "key is 202 bytes long",
+    remedy: "send at most 200 bytes",
+})]
+#[case::no_time_of_the_key(FaultCase {
+    spoil: |m| m.key_minted_at_ms = 0,
+    field: "key_minted_at_ms is 0",
+    remedy: "send the Unix time in milliseconds at which the key was made",
+})]
+#[case::deadline_too_far(FaultCase {
+    spoil: |m| m.deadline_ms = u32::MAX,
+    field: "deadline_ms is 4294967295",
+    remedy: "send at most 60000 ms",
+})]
+#[case::prefix_without_prompt(FaultCase {
+    spoil: |m| m.shared_prefix_tokens = 1,
+    field: "shared_prefix_tokens is 1",
+    remedy: "send at most prompt_tokens (0)",
+})]
+fn bad_message_to_a_service_is_refused(#[case] case: FaultCase) {
+    let mut message = service_message();
+    (case.spoil)(&mut message);
+    let text = check(message).expect_err("the message is bad").to_string();
+    assert_eq!(text, format!("{}; {}", case.field, case.remedy));
+}
+
+#[rstest]
+#[case::unknown("exam")]
+#[case::empty("")]
+#[case::path("rowing/check")]
+fn class_that_is_not_configured_is_refused(#[case] name: &str) {
+    let message = SubmitRequest {
+        class: name.to_owned(),
+        ..model_message()
+    };
+    let fault = check(message).expect_err("there is no such class");
+    assert!(matches!(fault, RequestFault::UnknownClass { .. }));
+}
+
+// A rival's workspace has no class of that name, though another workspace does.
+#[test]
+fn class_of_another_workspace_is_out_of_reach() {
+    let workspace = "stores".into();
+    let checked = CallerRequest::check(
+        "r-1".into(),
+        &workspace,
+        model_message(),
+        &config(),
+        &limits(),
+    );
+    let fault = checked.expect_err("the class belongs to a rival");
+    assert!(matches!(fault, RequestFault::UnknownClass { .. }));
+}
+
+struct TakenCase {
+    message: fn() -> SubmitRequest,
+    pool: PoolKey,
+    versions: &'static [&'static str],
+    has_intent: bool,
+    deadline_ms: u64,
+}
+
+#[rstest]
+#[case::first_model(TakenCase {
+    message: model_message,
+    pool: PoolKey::Model("base".into()),
+    versions: &["1", "2"],
+    has_intent: false,
+    deadline_ms: 4_000,
+})]
+#[case::named_model_and_version(TakenCase {
+    message: || SubmitRequest {
+        model: "large".to_owned(),
+        version: "2".to_owned(),
+        adapter: "law".to_owned(),
+        ..model_message()
+    },
+    pool: PoolKey::Model("large".into()),
+    versions: &["2"],
+    has_intent: false,
+    deadline_ms: 4_000,
+})]
+#[case::free_version(TakenCase {
+    message: || SubmitRequest {
+        class: "any".to_owned(),
+        version: "9".to_owned(),
+        ..model_message()
+    },
+    pool: PoolKey::Model("base".into()),
+    versions: &["9"],
+    has_intent: false,
+    deadline_ms: 4_000,
+})]
+#[case::own_deadline(TakenCase {
+    message: || SubmitRequest { deadline_ms: 60_000, ..model_message() },
+    pool: PoolKey::Model("base".into()),
+    versions: &["1", "2"],
+    has_intent: false,
+    deadline_ms: 60_000,
+})]
+#[case::key_of_repeatable_class_is_no_intent(TakenCase {
+    message: || SubmitRequest { key: "k".to_owned(), ..model_message() },
+    pool: PoolKey::Model("base".into()),
+    versions: &["1", "2"],
+    has_intent: false,
+    deadline_ms: 4_000,
+})]
+#[case::service(TakenCase {
+    message: service_message,
+    pool: PoolKey::Service("ledger".into()),
+    versions: &[],
+    has_intent: true,
+    deadline_ms: 4_000,
+})]
+fn good_message_is_taken(#[case] case: TakenCase) {
+    let request = check((case.message)()).expect("the message is good");
+    assert_eq!(request.pool, case.pool);
+    assert_eq!(request.versions, case.versions);
+    assert_eq!(request.intent.is_some(), case.has_intent);
+    assert_eq!(request.weight, 3);
+    assert_eq!(request.deadline.0 - request.arrived.0, case.deadline_ms);
+    let job = request.job_spec();
+    assert_eq!(job.need.pool, case.pool);
+    assert_eq!((job.priority, job.weight), (1, 3));
+    assert_eq!(job.deadline, request.deadline);
+}
+
+struct PrintCase {
+    change: fn(&mut SubmitRequest),
+    same: bool,
+}
+
+// A key that comes again with other content is noticed by the fingerprint; what may
+// differ between two sendings of one request is left out of it.
+#[rstest]
+#[case::again(PrintCase { change: |_| {}, same: true })]
+#[case::later(PrintCase { change: |m| m.deadline_ms = 100, same: true })]
+#[case::not_first(PrintCase { change: |m| m.first_submission = true, same: true })]
+#[case::other_body(PrintCase { change: |m| m.prompt.push(b'!'), same: false })]
+#[case::other_model(PrintCase { change: |m| m.model = "large".to_owned(), same: false })]
+#[case::other_length(PrintCase { change: |m| m.max_output_tokens = 51, same: false })]
+#[case::moved_border(PrintCase {
+    change: |m| {
+        m.model = "base".to_owned();
+        m.adapter = "law".to_owned();
+    },
+    same: false,
+})]
+fn fingerprint_tells_contents_apart(#[case] case: PrintCase) {
+    let first = check(model_message()).expect("good").fingerprint();
+    let mut message = model_message();
+    (case.change)(&mut message);
+    let second = check(message).expect("good").fingerprint();
+    assert_eq!(first == second, case.same);
+}
--- /dev/null
+++ b/tests/scheduler_admission.rs
@@ -0,0 +1,463 @@
+//! Admission, refusal and placement of one daemon's requests.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use pistachiowick::fair_queue::JobNumber;
+use pistachiowick::fleet::{FleetView, UseState};
+use pistachiowick::names::{MonoTime, TargetId, WorkspaceName};
+use pistachiowick::placement::PoolKey;
+use pistachiowick::scheduler::{
+    JobGrant, JobMeasure, JobRefusal, JobSpec, ScheduleAction, Scheduler, SchedulerInputs,
+};
+use pistachiowick::settings::{LimitSettings, PolicySettings};
+use pistachiowick::target_wire::{CacheEvent, EngineRole};
+use pistachiowick_lab::samples;
+use rstest::rstest;
+
+const NOW: MonoTime = MonoTime(1_000_000);
+
+fn scheduler(policy: PolicySettings, limits: LimitSettings) -> Scheduler {
+    Scheduler::new(SchedulerInputs {
+        speeds: policy.speeds.clone(),
+        policy,
+        limits,
+        seed: 7,
+    })
+}
+
+fn idle_fleet(engines: usize, version: u64, now: MonoTime) -> FleetView {
+    let mut fleet = samples::fleet_view(engines, 1, version, now);
+    let reports = fleet.targets.values_mut().filter_map(|t| t.report.as_mut());
+    for report in reports {
+        report.in_flight = 0;
+    }
+    fleet
+}
+
+/// A scheduler before engines that take one request each.
+fn narrow(engines: usize) -> Scheduler {
+    let policy = PolicySettings {
+        engine_in_flight: 1,
+        ..PolicySettings::default()
+    };
+    let mut scheduler = scheduler(policy, LimitSettings::default());
+    scheduler.update_fleet(Arc::new(idle_fleet(engines, 1, NOW)), 1, NOW);
+    scheduler
+}
+
+fn spec(workspace: usize) -> JobSpec {
+    samples::job_spec(workspace, 300.0, NOW)
+}
+
+fn grants(actions: Vec<ScheduleAction>) -> Vec<JobGrant> {
+    let grants = actions.into_iter().filter_map(|action| match action {
+        ScheduleAction::Start(grant) => Some(grant),
+        ScheduleAction::GiveUp(..) => None,
+    });
+    grants.collect()
+}
+
+fn whole() -> JobMeasure {
+    JobMeasure {
+        whole_tokens: Some(40),
+        ..JobMeasure::default()
+    }
+}
+
+/// Serves for a while on engines that are always full; returns the cost each workspace got.
+fn serve(
+    scheduler: &mut Scheduler,
+    weights: &[u32],
+    rounds: usize,
+) -> IndexMap<WorkspaceName, f64> {
+    let mut served = IndexMap::new();
+    let mut owners: IndexMap<JobNumber, (WorkspaceName, f64)> = IndexMap::new();
+    let mut now = NOW;
+    for _ in 0..rounds {
+        for (workspace, weight) in weights.iter().enumerate() {
+            // The first asks for long answers, the others for short ones.
+            let job = JobSpec {
+                weight: *weight,
+                max_output_tokens: if workspace == 0 { 500 } else { 50 },
+                ..spec(workspace)
+            };
+            let cost = scheduler.expected_cost(&job);
+            let name = job.workspace.clone();
+            if let Ok(number) = scheduler.admit(job, now) {
+                owners.insert(number, (name, cost));
+            }
+        }
+        for grant in grants(scheduler.pump(now)) {
+            let (workspace, cost) = &owners[&grant.number];
+            *served.entry(workspace.clone()).or_default() += cost;
+            scheduler.finish(grant.number, JobMeasure::default(), now);
+        }
+        now = now.plus(Duration::from_millis(1));
+    }
+    served
+}
+
+// Three workspaces ask for more than one engine gives. Each is served its due in
+// engine-seconds, also the one whose requests are ten times as dear.
+#[rstest]
+#[case::equal(&[1, 1, 1])]
+#[case::weighted(&[4, 2, 1])]
+fn saturated_engines_are_shared_by_weight(#[case] weights: &[u32]) {
+    let policy = PolicySettings {
+        engine_in_flight: 1,
+        refuse_early: false,
+        ..PolicySettings::default()
+    };
+    let mut scheduler = scheduler(policy, LimitSettings::default());
+    scheduler.update_fleet(Arc::new(idle_fleet(1, 1, NOW)), 1, NOW);
+    let served = serve(&mut scheduler, weights, 1_500);
+    let total: f64 = served.values().sum();
+    for (workspace, weight) in weights.iter().enumerate() {
+        let name = WorkspaceName::from(samples::workspace_name(workspace));
+        let due = f64::from(*weight) / f64::from(weights.iter().sum::<u32>());
+        let share = served.get(&name).copied().unwrap_or(0.0) / total;
+        assert!(
+            (share - due).abs() < 0.1 * due,
+            "{name} got {share:.3} of its due {due:.3}: {served:?}"
+        );
+    }
+}
+
+struct RoomCase {
+    per_workspace: usize,
+    length: usize,
+    asks: &'static [usize],
+    refused_at: usize,
+}
+
+// The queue is bounded, for one workspace and in all; a rival that fills its own part
+// leaves room for the others.
+#[rstest]
+#[case::workspace_full(RoomCase { per_workspace: 2, length: 9, asks: &[0, 0, 0], refused_at: 2 })]
+#[case::rival_has_room(RoomCase { per_workspace: 2, length: 9, asks: &[0, 0, 1, 1, 0], refused_at: 4 })]
+#[case::all_full(RoomCase { per_workspace: 2, length: 3, asks: &[0, 0, 1, 2], refused_at: 3 })]
+fn queue_is_bounded(#[case] case: RoomCase) {
+    let limits = LimitSettings {
+        queue_per_workspace: case.per_workspace,
+        queue_length: case.length,
+        ..LimitSettings::default()
+    };
+    let policy = PolicySettings {
+        refuse_early: false,
+        ..PolicySettings::default()
+    };
+    let mut scheduler = scheduler(policy, limits);
+    scheduler.update_fleet(Arc::new(idle_fleet(1, 1, NOW)), 1, NOW);
+    for (place, workspace) in case.asks.iter().enumerate() {
+        let admitted = scheduler.admit(spec(*workspace), NOW);
+        assert_eq!(admitted.is_err(), place == case.refused_at, "ask {place}");
+        if let Err(refusal) = admitted {
+            assert!(refusal.reason.contains("full"), "{}", refusal.reason);
+            assert!(refusal.retry_after >= Duration::from_millis(100));
+        }
+    }
+    assert_eq!(scheduler.counts(), (case.refused_at, 0));
+}
+
+struct PoolCase {
+    state: UseState,
+    admitted: bool,
+}
+
+// Without any engine that could serve it, a request is refused at once: waiting would
+// only use up its deadline. A suspected engine may come back within it.
+#[rstest]
+#[case::live(PoolCase { state: UseState::Live, admitted: true })]
+#[case::suspect(PoolCase { state: UseState::Suspect, admitted: true })]
+#[case::drained(PoolCase { state: UseState::Drained, admitted: false })]
+#[case::leaving(PoolCase { state: UseState::Leaving, admitted: false })]
+#[case::gone(PoolCase { state: UseState::Gone, admitted: false })]
+fn unserved_model_is_refused_at_once(#[case] case: PoolCase) {
+    let mut fleet = idle_fleet(3, 1, NOW);
+    for target in fleet.targets.values_mut() {
+        target.state = case.state;
+    }
+    let mut scheduler = narrow(3);
+    fleet.version = 2;
+    scheduler.update_fleet(Arc::new(fleet), 1, NOW);
+    let admitted = scheduler.admit(spec(0), NOW);
+    assert_eq!(admitted.is_ok(), case.admitted);
+    let placed = grants(scheduler.pump(NOW));
+    assert_eq!(!placed.is_empty(), case.state == UseState::Live);
+    let refusal = admitted.err().map(|r| r.reason);
+    assert!(refusal.is_none_or(|reason| reason.contains("no engine in use holds model base")));
+}
+
+#[test]
+fn unknown_service_is_refused_at_once() {
+    let mut job = spec(0);
+    job.need.pool = PoolKey::Service("ledger".into());
+    let refusal = narrow(1).admit(job, NOW).expect_err("nobody offers it");
+    assert!(refusal.reason.contains("no instance of service ledger"));
+}
+
+/// Fills one engine and its queue until a request is refused; returns how many were
+/// taken, and the refusal.
+fn flood(scheduler: &mut Scheduler, deadline_ms: u64) -> (usize, JobRefusal) {
+    for taken in 0..10_000 {
+        let job = JobSpec {
+            deadline: MonoTime(NOW.0 + deadline_ms),
+            ..spec(0)
+        };
+        if let Err(refusal) = scheduler.admit(job, NOW) {
+            return (taken, refusal);
+        }
+        scheduler.pump(NOW);
+    }
+    panic!("nothing was refused");
+}
+
+// A flood of requests with a deadline. Those that cannot be in time are refused as they
+// come, before they have used any engine; the shorter the deadline, the earlier. Every
+// refusal says when to come back, within bounds.
+#[test]
+fn hopeless_requests_are_refused_early() {
+    let limits = LimitSettings {
+        queue_per_workspace: 10_000,
+        queue_length: 10_000,
+        ..LimitSettings::default()
+    };
+    let mut taken_at = Vec::new();
+    for deadline_ms in [2_000, 8_000, 30_000] {
+        let policy = PolicySettings {
+            engine_in_flight: 1,
+            ..PolicySettings::default()
+        };
+        let mut scheduler = scheduler(policy, limits.clone());
+        scheduler.update_fleet(Arc::new(idle_fleet(1, 1, NOW)), 1, NOW);
+        let (taken, refusal) = flood(&mut scheduler, deadline_ms);
+        assert!(refusal.reason.contains("deadline cannot be met"));
+        assert!(refusal.retry_after >= Duration::from_millis(100));
+        assert!(refusal.retry_after <= Duration::from_secs(30));
+        assert_eq!(scheduler.counts().1, 1, "one runs, the others wait");
+        taken_at.push(taken);
+    }
+    assert!(
+        taken_at.is_sorted() && taken_at[0] < taken_at[2],
+        "{taken_at:?}"
+    );
+}
+
+// A refused request leaves nothing behind that a later one would have to wait for.
+#[test]
+fn refusal_leaves_no_trace() {
+    let mut scheduler = narrow(1);
+    let (taken, _) = flood(&mut scheduler, 2_000);
+    let before = scheduler.counts();
+    for _ in 0..100 {
+        let job = JobSpec {
+            deadline: MonoTime(NOW.0 + 2_000),
+            ..spec(0)
+        };
+        assert!(scheduler.admit(job, NOW).is_err());
+    }
+    assert_eq!(scheduler.counts(), before);
+    assert_eq!(before.0 + before.1, taken);
+}
+
+// Requests wait behind a busy engine until their time is up. Each is given up once, and
+// none of them has been at an engine.
+#[test]
+fn overdue_requests_are_given_up_once() {
+    let mut scheduler = narrow(1);
+    let mut waiting = Vec::new();
+    for _ in 0..3 {
+        let job = JobSpec {
+            deadline: MonoTime(NOW.0 + 5_000),
+            ..spec(0)
+        };
+        waiting.push(scheduler.admit(job, NOW).expect("room"));
+    }
+    let running = grants(scheduler.pump(NOW));
+    assert_eq!(running.len(), 1);
+    let late = MonoTime(NOW.0 + 6_000);
+    let given_up: Vec<JobNumber> = scheduler
+        .pump(late)
+        .into_iter()
+        .map(|action| match action {
+            ScheduleAction::GiveUp(number, refusal) => {
+                assert!(refusal.retry_after >= Duration::from_millis(100));
+                number
+            }
+            ScheduleAction::Start(grant) => panic!("{grant:?} came too late"),
+        })
+        .collect();
+    waiting.retain(|number| *number != running[0].number);
+    assert_eq!(given_up, waiting);
+    assert!(scheduler.pump(late).is_empty());
+    assert!(!scheduler.withdraw(waiting[0]));
+    assert_eq!(scheduler.counts(), (0, 1));
+}
+
+// An engine begins to leave while requests wait for it. Whatever becomes free there, it
+// receives nothing more; the requests go to the engine that stays.
+#[test]
+fn leaving_engine_receives_nothing_more() {
+    let mut scheduler = narrow(2);
+    for _ in 0..6 {
+        scheduler.admit(spec(0), NOW).expect("room");
+    }
+    let running = grants(scheduler.pump(NOW));
+    assert_eq!(running.len(), 2);
+    let mut fleet = idle_fleet(2, 2, NOW);
+    fleet.targets[0].state = UseState::Leaving;
+    let leaving: TargetId = fleet.targets[0].id.clone();
+    let mut started = grants(scheduler.update_fleet(Arc::new(fleet), 1, NOW));
+    let mut running = running;
+    for _ in 0..6 {
+        for grant in running.drain(..) {
+            scheduler.finish(grant.number, whole(), NOW);
+        }
+        started.extend(grants(scheduler.pump(NOW)));
+        assert!(started.iter().all(|g| g.choice.target != leaving));
+        running.append(&mut started);
+    }
+    assert_eq!(scheduler.counts(), (0, 0));
+    assert_eq!(scheduler.own_in_flight(&leaving), 0);
+}
+
+// An attempt failed. Tried again, the request keeps its place before those that came
+// later, and does not go back to the engine that failed it.
+#[test]
+fn retried_request_keeps_its_rank_and_avoids_the_failed_engine() {
+    let mut scheduler = narrow(2);
+    let first = scheduler.admit(spec(0), NOW).expect("room");
+    let failed = grants(scheduler.pump(NOW)).remove(0).choice.target;
+    for _ in 0..3 {
+        scheduler.admit(spec(0), NOW).expect("room");
+    }
+    scheduler.pump(NOW);
+    let mut need = spec(0).need;
+    need.excluded.push(failed.clone());
+    scheduler.retry(first, need);
+    assert_eq!(scheduler.own_in_flight(&failed), 0);
+    let other = scheduler.pump(NOW);
+    assert!(
+        grants(other).iter().all(|g| g.number != first),
+        "the other engine is busy"
+    );
+    let mut fleet = idle_fleet(3, 2, NOW);
+    fleet.targets.retain(|id, _| *id != failed);
+    let started = grants(scheduler.update_fleet(Arc::new(fleet), 1, NOW));
+    assert_eq!(started.first().map(|g| g.number), Some(first));
+    assert!(started.iter().all(|g| g.choice.target != failed));
+}
+
+#[rstest]
+#[case::waiting(0)]
+#[case::placed(1)]
+fn unknown_and_ended_numbers_change_nothing(#[case] engines: usize) {
+    let mut scheduler = narrow(1);
+    for _ in 0..engines {
+        scheduler.admit(spec(0), NOW).expect("room");
+        scheduler.pump(NOW);
+    }
+    let before = scheduler.counts();
+    assert!(!scheduler.withdraw(JobNumber(999)));
+    scheduler.finish(JobNumber(999), whole(), NOW);
+    scheduler.retry(JobNumber(999), spec(0).need);
+    assert_eq!(scheduler.counts(), before);
+}
+
+// Requests whose shared rulebook an engine has read go there again; once it has dropped
+// the rulebook from its cache, its place is no better than another's.
+#[test]
+fn cache_events_move_the_affinity() {
+    let policy = PolicySettings::default();
+    let mut scheduler = scheduler(policy, LimitSettings::default());
+    scheduler.update_fleet(Arc::new(idle_fleet(40, 1, NOW)), 1, NOW);
+    let holder = TargetId::from(samples::engine_name(33));
+    let cached = CacheEvent {
+        sequence: 1,
+        prefix: "rules".to_owned(),
+        tokens: 4_000,
+    };
+    scheduler.note_cache_events(&holder, std::slice::from_ref(&cached));
+    let mut job = spec(0);
+    job.need.prompt_tokens = 4_100.0;
+    job.need.shared_prefix = "rules".to_owned();
+    job.need.shared_prefix_tokens = 4_000;
+    scheduler.admit(job.clone(), NOW).expect("room");
+    let first = grants(scheduler.pump(NOW)).remove(0);
+    assert_eq!(first.choice.target, holder);
+    let expected = first.choice.first_token_s;
+    assert!(expected < 0.1, "{expected}");
+    scheduler.finish(first.number, JobMeasure::default(), NOW);
+    let evicted = CacheEvent {
+        sequence: 2,
+        tokens: 0,
+        ..cached
+    };
+    scheduler.note_cache_events(&holder, &[evicted]);
+    scheduler.admit(job, NOW).expect("room");
+    let second = grants(scheduler.pump(NOW)).remove(0);
+    assert!(second.choice.first_token_s > 0.3, "{second:?}");
+}
+
+// Every daemon sees its own part; the more daemons share the engines, the less work each
+// may take on before it refuses.
+#[test]
+fn capacity_is_divided_among_daemons() {
+    let mut taken = Vec::new();
+    for daemons in [1, 8] {
+        let policy = PolicySettings {
+            engine_in_flight: 1,
+            ..PolicySettings::default()
+        };
+        let limits = LimitSettings {
+            queue_per_workspace: 10_000,
+            queue_length: 10_000,
+            ..LimitSettings::default()
+        };
+        let mut scheduler = scheduler(policy, limits);
+        scheduler.update_fleet(Arc::new(idle_fleet(8, 1, NOW)), daemons, NOW);
+        taken.push(flood(&mut scheduler, 5_000).0);
+    }
+    assert!(taken[1] * 4 < taken[0], "{taken:?}");
+}
+
+// Long prompts go to one side of a pool, short ones to the other; both are served.
+#[test]
+fn long_prompts_keep_to_their_side() {
+    let mut scheduler = scheduler(PolicySettings::default(), LimitSettings::default());
+    scheduler.update_fleet(Arc::new(idle_fleet(10, 1, NOW)), 1, NOW);
+    let mut sides: [Vec<TargetId>; 2] = Default::default();
+    for round in 0..200 {
+        let long = round % 2 == 0;
+        let tokens = if long { 9_000.0 } else { 100.0 };
+        let job = samples::job_spec(0, tokens, NOW);
+        scheduler.admit(job, NOW).expect("room");
+        for grant in grants(scheduler.pump(NOW)) {
+            // The first requests come before the mix is known.
+            if round > 10 {
+                sides[usize::from(!long)].push(grant.choice.target.clone());
+            }
+            scheduler.finish(grant.number, JobMeasure::default(), NOW);
+        }
+    }
+    assert!(!sides[0].is_empty() && !sides[1].is_empty());
+    assert!(sides[0].iter().all(|t| !sides[1].contains(t)), "{sides:?}");
+}
+
+#[test]
+fn role_of_an_engine_is_taken_from_its_report() {
+    let mut fleet = idle_fleet(2, 1, NOW);
+    if let Some(report) = &mut fleet.targets[1].report {
+        report.role = EngineRole::Prefill;
+    }
+    let reader = fleet.targets[1].id.clone();
+    let mut scheduler = scheduler(PolicySettings::default(), LimitSettings::default());
+    scheduler.update_fleet(Arc::new(fleet), 1, NOW);
+    let mut job = samples::job_spec(0, 30_000.0, NOW);
+    job.max_output_tokens = 5;
+    scheduler.admit(job, NOW).expect("room");
+    let grant = grants(scheduler.pump(NOW)).remove(0);
+    assert_eq!(grant.choice.target, reader);
+}
--- /dev/null
+++ b/tests/scheduler_fuzz.rs
@@ -0,0 +1,360 @@
+//! Any order of arrivals, ends, failures and changes of the fleet keeps the books of the
+//! scheduler right.
+
+use std::sync::Arc;
+
+use indexmap::{IndexMap, IndexSet};
+use pistachiowick::fair_queue::JobNumber;
+use pistachiowick::fleet::{FleetView, UseState};
+use pistachiowick::names::{MonoTime, TargetId};
+use pistachiowick::scheduler::{JobMeasure, JobSpec, ScheduleAction, Scheduler, SchedulerInputs};
+use pistachiowick::settings::{LimitSettings, PlacementPolicy, PolicySettings};
+use pistachiowick_lab::samples;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+const ENGINES: usize = 5;
+const MOST_AT_ONCE: usize = 2;
+const QUEUE_LENGTH: usize = 12;
+const QUEUE_PER_WORKSPACE: usize = 6;
+
+#[derive(Clone, Debug)]
+enum SchedulerStep {
+    Admit {
+        workspace: usize,
+        prompt: u32,
+        deadline_ms: u64,
+        excluded: Option<usize>,
+    },
+    Withdraw(usize),
+    Finish {
+        place: usize,
+        first_token_s: f64,
+        whole: bool,
+    },
+    Retry(usize),
+    Target {
+        engine: usize,
+        state: UseState,
+        changing: bool,
+    },
+    Report {
+        engine: usize,
+        in_flight: u32,
+        backlog: u64,
+    },
+    Silence(usize),
+    Wait(u64),
+}
+
+fn states() -> impl Strategy<Value = UseState> {
+    prop::sample::select(vec![
+        UseState::Live,
+        UseState::Live,
+        UseState::Suspect,
+        UseState::Drained,
+        UseState::Leaving,
+        UseState::Gone,
+    ])
+}
+
+fn steps() -> impl Strategy<Value = Vec<SchedulerStep>> {
+    let admit = (
+        0..4usize,
+        1..20_000u32,
+        0..6_000u64,
+        prop::option::of(0..ENGINES),
+    )
+        .prop_map(
+            |(workspace, prompt, deadline_ms, excluded)| SchedulerStep::Admit {
+                workspace,
+                prompt,
+                deadline_ms,
+                excluded,
+            },
+        );
+    let finish =
+        (any::<usize>(), 0.0..30.0f64, any::<bool>()).prop_map(|(place, first_token_s, whole)| {
+            SchedulerStep::Finish {
+                place,
+                first_token_s,
+                whole,
+            }
+        });
+    let target = (0..ENGINES, states(), any::<bool>()).prop_map(|(engine, state, changing)| {
+        SchedulerStep::Target {
+            engine,
+            state,
+            changing,
+        }
+    });
+    let report = (0..ENGINES, 0..4u32, 0..9_000u64).prop_map(|(engine, in_flight, backlog)| {
+        SchedulerStep::Report {
+            engine,
+            in_flight,
+            backlog,
+        }
+    });
+    let step = prop_oneof![
+        8 => admit,
+        2 => any::<usize>().prop_map(SchedulerStep::Withdraw),
+        4 => finish,
+        2 => any::<usize>().prop_map(SchedulerStep::Retry),
+        2 => target,
+        2 => report,
+        1 => (0..ENGINES).prop_map(SchedulerStep::Silence),
+        3 => (1..4_000u64).prop_map(SchedulerStep::Wait),
+    ];
+    prop::collection::vec(step, 1..150)
+}
+
+/// The scheduler with the books that a caller of it would keep.
+struct BookedScheduler {
+    scheduler: Scheduler,
+    fleet: FleetView,
+    now: MonoTime,
+    waiting: IndexMap<JobNumber, JobSpec>,
+    running: IndexMap<JobNumber, (JobSpec, TargetId)>,
+    ended: IndexSet<JobNumber>,
+}
+
+impl BookedScheduler {
+    fn new(policy: PolicySettings) -> Self {
+        let now = MonoTime(1_000_000);
+        let fleet = samples::fleet_view(ENGINES, 1, 1, now);
+        let mut booked = Self {
+            scheduler: Scheduler::new(SchedulerInputs {
+                speeds: policy.speeds.clone(),
+                policy,
+                limits: LimitSettings {
+                    queue_length: QUEUE_LENGTH,
+                    queue_per_workspace: QUEUE_PER_WORKSPACE,
+                    ..LimitSettings::default()
+                },
+                seed: 3,
+            }),
+            fleet,
+            now,
+            waiting: IndexMap::new(),
+            running: IndexMap::new(),
+            ended: IndexSet::new(),
+        };
+        booked.publish();
+        booked
+    }
+
+    fn publish(&mut self) {
+        self.fleet.version += 1;
+        let fleet = Arc::new(self.fleet.clone());
+        let actions = self.scheduler.update_fleet(fleet, 1, self.now);
+        self.carry_out(actions);
+    }
+
+    fn pump(&mut self) {
+        let actions = self.scheduler.pump(self.now);
+        self.carry_out(actions);
+    }
+
+    fn carry_out(&mut self, actions: Vec<ScheduleAction>) {
+        for action in actions {
+            match action {
+                ScheduleAction::Start(grant) => {
+                    let spec = self.waiting.swap_remove(&grant.number);
+                    let spec = spec.expect("only what waits is started");
+                    let target = &self.fleet.targets[&grant.choice.target];
+                    let report = target.report.as_ref().expect("a started engine reported");
+                    assert_eq!(target.state, UseState::Live, "{} started", target.id);
+                    assert!(!report.changing, "{} is in change", target.id);
+                    assert!(!spec.need.excluded.contains(&target.id));
+                    let running = (spec, target.id.clone());
+                    self.running.insert(grant.number, running);
+                }
+                ScheduleAction::GiveUp(number, refusal) => {
+                    let given_up = self.waiting.swap_remove(&number);
+                    assert!(given_up.is_some(), "{number:?} did not wait");
+                    assert!(!refusal.retry_after.is_zero());
+                    assert!(self.ended.insert(number), "{number:?} ended twice");
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, step: SchedulerStep) {
+        match step {
+            SchedulerStep::Admit {
+                workspace,
+                prompt,
+                deadline_ms,
+                excluded,
+            } => self.admit(workspace, prompt, deadline_ms, excluded),
+            SchedulerStep::Withdraw(pick) => self.withdraw(pick),
+            SchedulerStep::Finish {
+                place,
+                first_token_s,
+                whole,
+            } => self.finish(place, first_token_s, whole),
+            SchedulerStep::Retry(pick) => self.retry(pick),
+            SchedulerStep::Target {
+                engine,
+                state,
+                changing,
+            } => {
+                let target = &mut self.fleet.targets[engine];
+                target.state = state;
+                if let Some(report) = &mut target.report {
+                    report.changing = changing;
+                }
+                self.publish();
+            }
+            SchedulerStep::Report {
+                engine,
+                in_flight,
+                backlog,
+            } => {
+                let now = self.now;
+                let mut fresh = samples::engine_view(engine, now).report;
+                if let Some(report) = &mut fresh {
+                    report.in_flight = in_flight;
+                    report.prefill_backlog_tokens = backlog;
+                }
+                self.fleet.targets[engine].report = fresh;
+                self.publish();
+            }
+            SchedulerStep::Silence(engine) => {
+                self.fleet.targets[engine].report = None;
+                self.publish();
+            }
+            SchedulerStep::Wait(ms) => self.now.0 += ms,
+        }
+        self.pump();
+        self.check();
+    }
+
+    fn admit(&mut self, workspace: usize, prompt: u32, deadline_ms: u64, excluded: Option<usize>) {
+        let mut spec = samples::job_spec(workspace, f64::from(prompt), self.now);
+        spec.deadline = MonoTime(self.now.0 + deadline_ms);
+        let excluded = excluded.map(|e| TargetId::from(samples::engine_name(e)));
+        spec.need.excluded.extend(excluded);
+        let own = |s: &&JobSpec| s.workspace == spec.workspace;
+        let own = self.waiting.values().filter(own).count();
+        let is_full = self.waiting.len() >= QUEUE_LENGTH || own >= QUEUE_PER_WORKSPACE;
+        match self.scheduler.admit(spec.clone(), self.now) {
+            Ok(number) => {
+                assert!(!is_full, "{own} of {} wait already", self.waiting.len());
+                assert!(!self.ended.contains(&number) && !self.running.contains_key(&number));
+                assert_eq!(self.waiting.insert(number, spec), None, "a number twice");
+            }
+            Err(refusal) => assert!(!refusal.retry_after.is_zero()),
+        }
+    }
+
+    fn withdraw(&mut self, pick: usize) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let at = pick % self.waiting.len();
+        let (number, _) = self.waiting.swap_remove_index(at).expect("it is there");
+        assert!(self.scheduler.withdraw(number));
+        assert!(!self.scheduler.withdraw(number));
+        assert!(self.ended.insert(number), "{number:?} ended twice");
+    }
+
+    fn finish(&mut self, pick: usize, first_token_s: f64, whole: bool) {
+        if self.running.is_empty() {
+            return;
+        }
+        let at = pick % self.running.len();
+        let (number, _) = self.running.swap_remove_index(at).expect("it is there");
+        let measure = JobMeasure {
+            first_token_s: Some(first_token_s),
+            gap_s: Some(first_token_s / 10.0),
+            whole_tokens: whole.then_some(20),
+        };
+        self.scheduler.finish(number, measure, self.now);
+        self.scheduler.finish(number, measure, self.now);
+        assert!(self.ended.insert(number), "{number:?} ended twice");
+    }
+
+    fn retry(&mut self, pick: usize) {
+        if self.running.is_empty() {
+            return;
+        }
+        let at = pick % self.running.len();
+        let (number, (mut spec, target)) = self.running.swap_remove_index(at).expect("it is there");
+        spec.need.excluded.push(target);
+        self.scheduler.retry(number, spec.need.clone());
+        self.waiting.insert(number, spec);
+    }
+
+    fn check(&self) {
+        let counts = self.scheduler.counts();
+        assert_eq!(counts, (self.waiting.len(), self.running.len()));
+        for target in self.fleet.targets.keys() {
+            let own = self.running.values().filter(|(_, t)| t == target).count();
+            assert_eq!(self.scheduler.own_in_flight(target), own, "{target}");
+            assert!(own <= MOST_AT_ONCE, "{own} at {target}");
+        }
+    }
+
+    /// Lets the deadlines pass and ends what runs: nothing may be left.
+    fn drain(&mut self) {
+        while !self.running.is_empty() {
+            self.finish(0, 0.1, true);
+            self.pump();
+        }
+        self.now.0 += 1_000_000;
+        self.pump();
+        while !self.running.is_empty() {
+            self.finish(0, 0.1, true);
+            self.pump();
+        }
+        assert_eq!(self.scheduler.counts(), (0, 0));
+        self.check();
+    }
+}
+
+fn run(policy: PolicySettings, steps: Vec<SchedulerStep>) {
+    let mut booked = BookedScheduler::new(PolicySettings {
+        engine_in_flight: MOST_AT_ONCE,
+        ..policy
+    });
+    for step in steps {
+        booked.step(step);
+    }
+    booked.drain();
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 192,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_261_205),
+        ..Config::default()
+    })]
+
+    // Every request admitted ends in exactly one of start, give-up and withdrawal, no
+    // engine is given more than it may have or work while it may have none, and in the
+    // end nothing is left.
+    #[test]
+    fn own_policy_keeps_its_books(steps in steps()) {
+        run(PolicySettings::default(), steps);
+    }
+
+    #[test]
+    fn baselines_keep_their_books(steps in steps(), in_turn in any::<bool>()) {
+        let placement = if in_turn {
+            PlacementPolicy::RoundRobin
+        } else {
+            PlacementPolicy::LeastInFlight
+        };
+        run(
+            PolicySettings {
+                placement,
+                refuse_early: false,
+                fair_shares: false,
+                ..PolicySettings::default()
+            },
+            steps,
+        );
+    }
+}
