--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -134,7 +134,7 @@
     QueuedJob {
         number: JobNumber(number),
         workspace: samples::workspace_name(workspace).into(),
-        weight: 1,
+        weight: 1.0,
         priority: 0,
         latest_start: MonoTime(NOW.0 + number % 1_000),
         cost: 0.05,
@@ -174,7 +174,7 @@
         });
         let workspace = samples::workspace_name(0).into();
         group.bench_function(BenchmarkId::new("cost_before", workspaces), |b| {
-            b.iter(|| black_box(queue.cost_before(&workspace, 1, 0)));
+            b.iter(|| black_box(queue.cost_before(&workspace, 1.0, 0)));
         });
     }
     group.finish();
--- a/lab/src/samples.rs
+++ b/lab/src/samples.rs
@@ -148,7 +148,7 @@
     JobSpec {
         workspace: workspace_name(workspace).into(),
         class: "check".into(),
-        weight: 1,
+        weight: 1.0,
         priority: 0,
         deadline: MonoTime(now.0 + u64::from(DEADLINE_MS)),
         max_output_tokens: 50,
--- a/src/fair_queue.rs
+++ b/src/fair_queue.rs
@@ -17,6 +17,9 @@
 
 use crate::names::{MonoTime, WorkspaceName};
 
+/// Least weight of a workspace, so that none is starved.
+const LEAST_WEIGHT: f64 = 0.01;
+
 /// Identifies a waiting or running request within one daemon.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct JobNumber(pub u64);
@@ -28,8 +31,8 @@
     pub number: JobNumber,
     /// Workspace that waits.
     pub workspace: WorkspaceName,
-    /// Share of the workspace.
-    pub weight: u32,
+    /// Share of the workspace, corrected by what it got across the fleet.
+    pub weight: f64,
     /// Urgency; 0 is the most urgent.
     pub priority: u32,
     /// Latest start that still meets the deadline.
@@ -136,7 +139,7 @@
         self.unlist(&workspace);
         let floor = self.floor;
         let lane = self.lanes.entry(workspace.clone()).or_default();
-        lane.weight = f64::from(job.weight.max(1));
+        lane.weight = job.weight.max(LEAST_WEIGHT);
         if lane.jobs.is_empty() {
             // A workspace that was idle must not spend the time it saved up all at
             // once: the others would starve until it had caught up.
@@ -160,11 +163,11 @@
     }
 
     /// Charges a workspace for work placed here or, by report, elsewhere.
-    pub fn charge(&mut self, workspace: &WorkspaceName, weight: u32, cost: f64) {
+    pub fn charge(&mut self, workspace: &WorkspaceName, weight: f64, cost: f64) {
         self.unlist(workspace);
         let floor = self.floor;
         let lane = self.lanes.entry(workspace.clone()).or_default();
-        lane.weight = f64::from(weight.max(1));
+        lane.weight = weight.max(LEAST_WEIGHT);
         lane.time.0 = lane.time.0.max(floor) + cost / lane.weight;
         self.list(workspace);
         self.move_limit();
@@ -190,14 +193,14 @@
     /// Under fair shares that is the cost of the workspace's own more urgent work,
     /// stretched by the competition, or everything that waits if that is less.
     #[must_use]
-    pub fn cost_before(&self, workspace: &WorkspaceName, weight: u32, rank_priority: u32) -> f64 {
+    pub fn cost_before(&self, workspace: &WorkspaceName, weight: f64, rank_priority: u32) -> f64 {
         if !self.fair {
             return self.queued_cost;
         }
         let lane = self.lanes.get(workspace).filter(|l| !l.jobs.is_empty());
         let own = lane.map_or(0.0, |l| cost_up_to(l, rank_priority));
         let rivals = self.busy_weight - lane.map_or(0.0, |l| l.weight);
-        let weight = f64::from(weight.max(1));
+        let weight = weight.max(LEAST_WEIGHT);
         (own * (weight + rivals) / weight).min(self.queued_cost)
     }
 
@@ -266,6 +269,10 @@
             self.busy_weight -= lane.weight;
             self.competing.remove(&rank);
         }
+        if self.by_time.is_empty() {
+            // Weights carry fractions too, and their sum is rounded.
+            self.busy_weight = 0.0;
+        }
     }
 
     /// Puts a busy lane back into the orders.
--- a/tests/fair_queue_order.rs
+++ b/tests/fair_queue_order.rs
@@ -10,7 +10,7 @@
 const QUANTUM: f64 = 1.0;
 const LOOK_AHEAD: usize = 16;
 
-fn job(number: u64, workspace: &str, weight: u32, cost: f64) -> QueuedJob {
+fn job(number: u64, workspace: &str, weight: f64, cost: f64) -> QueuedJob {
     QueuedJob {
         number: JobNumber(number),
         workspace: workspace.into(),
@@ -36,17 +36,17 @@
 }
 
 struct ShareCase {
-    weights: &'static [u32],
+    weights: &'static [f64],
     costs: &'static [f64],
 }
 
 // Workspaces that always have work waiting are served in proportion to their weights,
 // in cost, however many requests that takes of each.
 #[rstest]
-#[case::equal(ShareCase { weights: &[1, 1], costs: &[0.1, 0.1] })]
-#[case::weighted(ShareCase { weights: &[3, 1], costs: &[0.1, 0.1] })]
-#[case::dear_requests(ShareCase { weights: &[1, 1], costs: &[0.05, 0.5] })]
-#[case::three_rivals(ShareCase { weights: &[1, 2, 5], costs: &[0.2, 0.1, 0.3] })]
+#[case::equal(ShareCase { weights: &[1.0, 1.0], costs: &[0.1, 0.1] })]
+#[case::weighted(ShareCase { weights: &[3.0, 1.0], costs: &[0.1, 0.1] })]
+#[case::dear_requests(ShareCase { weights: &[1.0, 1.0], costs: &[0.05, 0.5] })]
+#[case::three_rivals(ShareCase { weights: &[1.0, 2.0, 5.0], costs: &[0.2, 0.1, 0.3] })]
 fn busy_workspaces_share_by_weight(#[case] case: ShareCase) {
     let mut queue = FairQueue::new(QUANTUM, true);
     let mut number = 0;
@@ -58,11 +58,11 @@
     }
     let served = serve(&mut queue, 2_000);
     let total: f64 = served.values().sum();
-    let weights: u32 = case.weights.iter().sum();
+    let weights: f64 = case.weights.iter().sum();
     for (place, weight) in case.weights.iter().enumerate() {
         let share = served[&WorkspaceName::from(format!("w{place}"))] / total;
-        let due = f64::from(*weight) / f64::from(weights);
-        let slack = (QUANTUM * f64::from(*weight) + case.costs[place]) * 2.0 / total;
+        let due = *weight / weights;
+        let slack = (QUANTUM * *weight + case.costs[place]) * 2.0 / total;
         assert!(
             (share - due).abs() <= slack,
             "w{place} got {share:.3} of its due {due:.3}"
@@ -83,13 +83,13 @@
 #[case::beyond_quantum(UrgencyCase { charged: 1.1, urgent_first: false })]
 fn urgency_decides_within_a_quantum(#[case] case: UrgencyCase) {
     let mut queue = FairQueue::new(QUANTUM, true);
-    queue.push(job(1, "patient", 1, 0.1));
+    queue.push(job(1, "patient", 1.0, 0.1));
     let urgent = QueuedJob {
         priority: 0,
-        ..job(2, "hasty", 1, 0.1)
+        ..job(2, "hasty", 1.0, 0.1)
     };
     queue.push(urgent);
-    queue.charge(&"hasty".into(), 1, case.charged);
+    queue.charge(&"hasty".into(), 1.0, case.charged);
     let first = take(&mut queue).expect("two requests wait");
     assert_eq!(first.number == JobNumber(2), case.urgent_first);
 }
@@ -110,7 +110,7 @@
         queue.push(QueuedJob {
             priority,
             latest_start: MonoTime(start),
-            ..job(number, "w", 1, 0.1)
+            ..job(number, "w", 1.0, 0.1)
         });
     }
     let taken = take(&mut queue).expect("two requests wait");
@@ -123,11 +123,11 @@
 fn an_idle_workspace_banks_no_time() {
     let mut queue = FairQueue::new(QUANTUM, true);
     for number in 0..1_000 {
-        queue.push(job(number, "steady", 1, 0.1));
+        queue.push(job(number, "steady", 1.0, 0.1));
     }
     serve(&mut queue, 500);
     for number in 1_000..2_000 {
-        queue.push(job(number, "returning", 1, 0.1));
+        queue.push(job(number, "returning", 1.0, 0.1));
     }
     let served = serve(&mut queue, 200);
     let steady = served.get(&WorkspaceName::from("steady"));
@@ -139,10 +139,10 @@
 fn work_elsewhere_is_charged() {
     let mut queue = FairQueue::new(QUANTUM, true);
     for number in 0..100 {
-        queue.push(job(number * 2, "here", 1, 0.1));
-        queue.push(job(number * 2 + 1, "elsewhere", 1, 0.1));
+        queue.push(job(number * 2, "here", 1.0, 0.1));
+        queue.push(job(number * 2 + 1, "elsewhere", 1.0, 0.1));
     }
-    queue.charge(&"elsewhere".into(), 1, 6.0);
+    queue.charge(&"elsewhere".into(), 1.0, 6.0);
     let served = serve(&mut queue, 50);
     let here = served[&WorkspaceName::from("here")];
     assert!(here >= 4.9, "{served:?}");
@@ -152,7 +152,7 @@
 fn unfair_queue_serves_in_order_of_urgency_alone() {
     let mut queue = FairQueue::new(QUANTUM, false);
     for number in 0..20 {
-        queue.push(job(number, if number < 15 { "a" } else { "b" }, 1, 1.0));
+        queue.push(job(number, if number < 15 { "a" } else { "b" }, 1.0, 1.0));
     }
     for number in 0..20 {
         assert_eq!(take(&mut queue).map(|j| j.number), Some(JobNumber(number)));
@@ -168,7 +168,7 @@
 fn look_ahead_is_bounded(#[case] place: u64, #[case] found: bool) {
     let mut queue = FairQueue::new(QUANTUM, true);
     for number in 0..40 {
-        queue.push(job(number, "w", 1, 0.1));
+        queue.push(job(number, "w", 1.0, 0.1));
     }
     let mut looked = 0;
     let taken = queue.take_first(LOOK_AHEAD, |job| {
@@ -184,7 +184,7 @@
 fn counts_and_costs_return_to_zero() {
     let mut queue = FairQueue::new(QUANTUM, true);
     let jobs: Vec<QueuedJob> = (0..9)
-        .map(|n| job(n, &format!("w{}", n % 3), 1, 0.3))
+        .map(|n| job(n, &format!("w{}", n % 3), 1.0, 0.3))
         .collect();
     for job in &jobs {
         queue.push(job.clone());
@@ -198,7 +198,7 @@
     }
     assert!(queue.is_empty());
     assert!(queue.overdue(MonoTime(u64::MAX)).is_empty());
-    assert!(queue.cost_before(&"w1".into(), 1, 9) < 1e-9);
+    assert!(queue.cost_before(&"w1".into(), 1.0, 9) < 1e-9);
 }
 
 struct WaitCase {
@@ -223,14 +223,14 @@
         number += 1;
         queue.push(QueuedJob {
             priority: *priority,
-            ..job(number, "own", 1, 1.0)
+            ..job(number, "own", 1.0, 1.0)
         });
     }
     for rival in 0..case.rivals {
         number += 1;
-        queue.push(job(number, &format!("rival-{rival}"), 1, 1.0));
+        queue.push(job(number, &format!("rival-{rival}"), 1.0, 1.0));
     }
-    let before = queue.cost_before(&"own".into(), 1, case.priority);
+    let before = queue.cost_before(&"own".into(), 1.0, case.priority);
     assert!((before - case.expected).abs() < 1e-9, "{before}");
 }
 
@@ -246,7 +246,7 @@
     fn push(&mut self, job: QueuedJob) {
         let busy = self.jobs.iter().any(|j| j.workspace == job.workspace);
         let (weight, time) = self.times.entry(job.workspace.clone()).or_default();
-        *weight = f64::from(job.weight);
+        *weight = job.weight;
         if !busy {
             *time = time.max(self.floor);
         }
@@ -258,10 +258,10 @@
         Some(self.jobs.remove(at))
     }
 
-    fn charge(&mut self, workspace: &WorkspaceName, weight: u32, cost: f64) {
+    fn charge(&mut self, workspace: &WorkspaceName, weight: f64, cost: f64) {
         let floor = self.floor;
         let (known, time) = self.times.entry(workspace.clone()).or_default();
-        *known = f64::from(weight);
+        *known = weight;
         *time = time.max(floor) + cost / *known;
         let lowest = self.lowest();
         if lowest.is_finite() {
@@ -350,7 +350,7 @@
                         priority,
                         latest_start: MonoTime(start),
                         // Costs that no sum rounds, so that both see the same ties.
-                        ..job(number as u64, &format!("w{workspace}"), 1 << weight, f64::from(cost) / 16.0)
+                        ..job(number as u64, &format!("w{workspace}"), f64::from(1 << weight), f64::from(cost) / 16.0)
                     };
                     queue.push(pushed.clone());
                     plain.push(pushed);
@@ -363,8 +363,8 @@
                 QueueStep::Remove(_) => {}
                 QueueStep::Charge(workspace, cost) => {
                     let name = WorkspaceName::from(format!("w{workspace}"));
-                    queue.charge(&name, 2, f64::from(cost) / 16.0);
-                    plain.charge(&name, 2, f64::from(cost) / 16.0);
+                    queue.charge(&name, 2.0, f64::from(cost) / 16.0);
+                    plain.charge(&name, 2.0, f64::from(cost) / 16.0);
                 }
                 QueueStep::Take => {
                     prop_assert_eq!(take(&mut queue), plain.take());
--- a/tests/request_checks.rs
+++ b/tests/request_checks.rs
@@ -1,12 +1,14 @@
 //! Checks of a caller's message: what is wrong is named with its remedy, and not run.
 
+use std::sync::Arc;
+
 use pistachiowick::catalogue::{ClassSpec, ClassTarget, ItemSpec, ModelChoice, WorkspaceSpec};
 use pistachiowick::config_view::set_item;
 use pistachiowick::pb::SubmitRequest;
 use pistachiowick::placement::PoolKey;
 use pistachiowick::request::{CallerRequest, RequestFault};
 use pistachiowick::settings::LimitSettings;
-use pistachiowick::snapshot::{ConfigView, ItemRecord};
+use pistachiowick::snapshot::{ConfigView, ControlSnapshot, ItemRecord};
 use rstest::rstest;
 
 const WORKSPACE: &str = "rowing";
@@ -61,9 +63,17 @@
     }
 }
 
+fn check_for(workspace: &str, submit: SubmitRequest) -> Result<CallerRequest, RequestFault> {
+    let snapshot = ControlSnapshot {
+        config: Arc::new(config()),
+        ..ControlSnapshot::default()
+    };
+    let workspace = workspace.into();
+    CallerRequest::check("r-1".into(), &workspace, submit, &snapshot, &limits())
+}
+
 fn check(submit: SubmitRequest) -> Result<CallerRequest, RequestFault> {
-    let workspace = WORKSPACE.into();
-    CallerRequest::check("r-1".into(), &workspace, submit, &config(), &limits())
+    check_for(WORKSPACE, submit)
 }
 
 fn model_message() -> SubmitRequest {
@@ -194,14 +204,7 @@
 // A rival's workspace has no class of that name, though another workspace does.
 #[test]
 fn class_of_another_workspace_is_out_of_reach() {
-    let workspace = "stores".into();
-    let checked = CallerRequest::check(
-        "r-1".into(),
-        &workspace,
-        model_message(),
-        &config(),
-        &limits(),
-    );
+    let checked = check_for("stores", model_message());
     let fault = checked.expect_err("the class belongs to a rival");
     assert!(matches!(fault, RequestFault::UnknownClass { .. }));
 }
@@ -271,11 +274,12 @@
     assert_eq!(request.pool, case.pool);
     assert_eq!(request.versions, case.versions);
     assert_eq!(request.intent.is_some(), case.has_intent);
-    assert_eq!(request.weight, 3);
+    assert!((request.weight - 3.0).abs() < 1e-9);
     assert_eq!(request.deadline.0 - request.arrived.0, case.deadline_ms);
     let job = request.job_spec();
     assert_eq!(job.need.pool, case.pool);
-    assert_eq!((job.priority, job.weight), (1, 3));
+    assert_eq!(job.priority, 1);
+    assert!((job.weight - 3.0).abs() < 1e-9);
     assert_eq!(job.deadline, request.deadline);
 }
 
--- a/tests/scheduler_admission.rs
+++ b/tests/scheduler_admission.rs
@@ -79,7 +79,7 @@
         for (workspace, weight) in weights.iter().enumerate() {
             // The first asks for long answers, the others for short ones.
             let job = JobSpec {
-                weight: *weight,
+                weight: f64::from(*weight),
                 max_output_tokens: if workspace == 0 { 500 } else { 50 },
                 ..spec(workspace)
             };
