--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -15,9 +15,13 @@
 use pistachiowick::candidates::CandidateIndex;
 use pistachiowick::config_buckets::ConfigState;
 use pistachiowick::fair_queue::{FairQueue, JobNumber, QueuedJob};
+use pistachiowick::lease_groups::{
+    GroupCounts, engine_groups, engines_per_centre, initial_count, own_ranks,
+};
 use pistachiowick::membership::{MembershipLimits, MembershipState, PeerWord, own_view};
 use pistachiowick::names::{MonoTime, ProcessIncarnation, TargetId};
-use pistachiowick::peer_state::PeerTopology;
+use pistachiowick::peer_state::{PeerHints, PeerTopology};
+use pistachiowick::peer_wire::{PeerHint, PeerMessage};
 use pistachiowick::placement::SharedFleet;
 use pistachiowick::role_mix::{MixForecast, WorkAmount, WorkTotals, add_work};
 use pistachiowick::role_plan::{ModelNeed, PlanEngine, RolePlanner};
@@ -32,6 +36,9 @@
 const DAEMONS: [usize; 3] = [8, 64, 680];
 const WORKSPACES: [usize; 3] = [3, 500, 5_000];
 
+/// Engines of one lease group, as the settings have it.
+const GROUP_ENGINES: usize = 64;
+
 /// Requests that wait in one daemon while its queue is busy.
 const WAITING_EACH: usize = 4;
 
@@ -268,6 +275,61 @@
     group.finish();
 }
 
+fn bench_lease_groups(criterion: &mut Criterion) {
+    let mut group = start_group(criterion, "lease_groups");
+    for (targets, daemons) in [(12, 8), (1_200, 64), (12_000, 680)] {
+        let fleet = samples::fleet_view(targets, daemons, 1, NOW);
+        let engines = engines_per_centre(&fleet);
+        let counts: GroupCounts = engines
+            .into_iter()
+            .map(|(centre, engines)| (centre, initial_count(engines, GROUP_ENGINES)))
+            .collect();
+        let own = "entry-000".into();
+        let size = format!("{targets}_targets_{daemons}_daemons");
+        group.bench_function(BenchmarkId::new("own_ranks", &size), |b| {
+            b.iter(|| own_ranks(&fleet, &counts, &own));
+        });
+        group.bench_function(BenchmarkId::new("engine_groups", &size), |b| {
+            b.iter(|| engine_groups(&fleet, &counts));
+        });
+    }
+    group.finish();
+}
+
+fn bench_hints(criterion: &mut Criterion) {
+    let mut group = start_group(criterion, "hints");
+    for engines in [0, 64] {
+        let hint = PeerHint {
+            daemon: Some("entry-001".into()),
+            engines: (0..engines)
+                .map(|n| samples::engine_state(n, NOW.0))
+                .collect(),
+            ..PeerHint::default()
+        };
+        let message = PeerMessage::Hint(hint.clone());
+        let bytes = message.encode();
+        group.bench_function(BenchmarkId::new("encode", engines), |b| {
+            b.iter(|| message.encode());
+        });
+        group.bench_function(BenchmarkId::new("decode", engines), |b| {
+            b.iter(|| PeerMessage::decode(black_box(&bytes)));
+        });
+        let mut hints = PeerHints::default();
+        let mut sequence = 0;
+        group.bench_function(BenchmarkId::new("note", engines), |b| {
+            b.iter(|| {
+                sequence += 1;
+                let hint = PeerHint {
+                    sequence,
+                    ..hint.clone()
+                };
+                hints.note(hint, NOW)
+            });
+        });
+    }
+    group.finish();
+}
+
 fn bench_configuration(criterion: &mut Criterion) {
     let mut group = start_group(criterion, "configuration");
     for workspaces in WORKSPACES {
@@ -375,6 +437,8 @@
     bench_fair_queue,
     bench_fleet_update,
     bench_membership,
+    bench_lease_groups,
+    bench_hints,
     bench_configuration,
     bench_role_plan,
     bench_shares
--- a/lab/src/footprint.rs
+++ b/lab/src/footprint.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use eyre::{Result, WrapErr, ensure};
+use getopts::Matches;
 use indexmap::IndexMap;
 use pistachiowick::candidates::CandidateIndex;
 use pistachiowick::config_buckets::ConfigState;
@@ -18,13 +19,17 @@
 use pistachiowick::settings::IntentSettings;
 use serde::Serialize;
 
+use crate::footprint_streams;
 use crate::process_stat::resident_bytes;
+use crate::prove_command;
 use crate::samples;
 
 const NOW: MonoTime = MonoTime(1_000_000);
 const MINTED: UnixTime = UnixTime(1_800_000_000_000);
 /// Copies of each state, so that the growth stands out from the allocator's reserves.
 const COPIES: usize = 8;
+/// Streams that run while the daemon is read.
+const STREAM_COUNTS: (usize, usize) = (200, 2_000);
 
 /// Growth with the number of something.
 #[derive(Clone, Debug, Serialize)]
@@ -264,8 +269,11 @@
 /// # Errors
 ///
 /// Returns what kept the measurement from being made.
-pub fn run_footprint() -> Result<()> {
-    let report = measure_footprint()?;
+pub async fn run(matches: Matches) -> Result<()> {
+    let mut report = measure_footprint()?;
+    let program = prove_command::daemon_program(&matches)?;
+    let streams = footprint_streams::stream_slope(&program, STREAM_COUNTS).await?;
+    report.memory.push(streams);
     slopes_by_name(&report)?;
     let line = serde_json::to_string(&report).wrap_err("cannot write the report")?;
     println!("{line}");
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod events;
 pub mod fleet;
 pub mod footprint;
+pub mod footprint_streams;
 pub mod http;
 pub mod load;
 pub mod load_check;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,7 +8,7 @@
 use pistachiowick_lab::compare::{compare, policy_names, summarise};
 use pistachiowick_lab::control_cost;
 use pistachiowick_lab::engine::EngineStandIn;
-use pistachiowick_lab::footprint::run_footprint;
+use pistachiowick_lab::footprint;
 use pistachiowick_lab::load::run_load;
 use pistachiowick_lab::platform::PlatformStandIn;
 use pistachiowick_lab::prove_command;
@@ -53,7 +53,7 @@
         name: "footprint",
         about: "measure memory and message sizes by count",
         files: 0,
-        run: |_| Box::pin(async { run_footprint() }),
+        run: |matches| Box::pin(footprint::run(matches)),
     },
     LabCommand {
         name: "control-cost",
--- a/lab/src/prove_command.rs
+++ b/lab/src/prove_command.rs
@@ -56,7 +56,11 @@
 }
 
 /// Returns the daemon's program: the one named, or the one beside this program.
-fn daemon_program(matches: &Matches) -> Result<PathBuf> {
+///
+/// # Errors
+///
+/// Returns an error when neither is there.
+pub fn daemon_program(matches: &Matches) -> Result<PathBuf> {
     if let Some(path) = matches.opt_str("daemon") {
         return Ok(PathBuf::from(path));
     }
--- a/lab/src/prove_daemon.rs
+++ b/lab/src/prove_daemon.rs
@@ -137,6 +137,15 @@
         }
     }
 
+    /// Returns the process's number, for one that runs as a process.
+    #[must_use]
+    pub fn process_id(&self) -> Option<u32> {
+        match &self.kind {
+            HostKind::Inside(_) => None,
+            HostKind::Process(child) => child.id(),
+        }
+    }
+
     /// Ends it at once, in the middle of what it does.
     pub async fn kill(self) {
         match self.kind {
