--- /dev/null
+++ b/lab/src/footprint.rs
@@ -0,0 +1,281 @@
+//! Memory and message sizes by count, measured, as slopes in bytes each.
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr, ensure};
+use getopts::Matches;
+use indexmap::IndexMap;
+use pistachiowick::candidates::CandidateIndex;
+use pistachiowick::config_buckets::ConfigState;
+use pistachiowick::intent_wire::encode_ledger;
+use pistachiowick::intents::{
+    AnswerRecord, ClaimEntry, ClaimId, CloseRecord, IntentKey, LedgerLimits, ShardLedger,
+};
+use pistachiowick::membership::{MembershipLimits, MembershipState, own_view};
+use pistachiowick::names::{MonoTime, ProcessIncarnation, UnixTime};
+use pistachiowick::peer_wire::{PeerHint, PeerMessage};
+use pistachiowick::role_mix::{WorkAmount, add_work};
+use pistachiowick::settings::IntentSettings;
+use serde::Serialize;
+
+use crate::footprint_streams;
+use crate::process_stat::resident_bytes;
+use crate::prove_command;
+use crate::samples;
+
+const NOW: MonoTime = MonoTime(1_000_000);
+const MINTED: UnixTime = UnixTime(1_800_000_000_000);
+/// Copies of each state, so that the growth stands out from the allocator's reserves.
+const COPIES: usize = 8;
+/// Streams that run while the daemon is read.
+const STREAM_COUNTS: (usize, usize) = (200, 2_000);
+
+/// Growth with the number of something.
+#[derive(Clone, Debug, Serialize)]
+pub struct SizeSlope {
+    /// What was counted.
+    pub of: &'static str,
+    /// Smaller and larger count.
+    pub counts: (usize, usize),
+    /// Bytes at each.
+    pub bytes: (u64, u64),
+    /// Bytes for each further one.
+    pub bytes_each: f64,
+}
+
+impl SizeSlope {
+    /// Works out the slope between two counts.
+    #[must_use]
+    pub fn new(of: &'static str, counts: (usize, usize), bytes: (u64, u64)) -> Self {
+        let grown = bytes.1 as f64 - bytes.0 as f64;
+        Self {
+            of,
+            counts,
+            bytes,
+            bytes_each: grown / (counts.1 - counts.0) as f64,
+        }
+    }
+}
+
+/// Result of the whole measurement.
+#[derive(Clone, Debug, Serialize)]
+pub struct FootprintReport {
+    /// Resident memory of state held in one daemon.
+    pub memory: Vec<SizeSlope>,
+    /// Sizes of messages and stored values.
+    pub messages: Vec<SizeSlope>,
+}
+
+/// Measures all state that can be built without a running daemon.
+///
+/// # Errors
+///
+/// Returns an error where the kernel tells no resident memory.
+pub fn measure_footprint() -> Result<FootprintReport> {
+    let memory = vec![
+        memory_slope("targets in a fleet view", (1_000, 12_000), |count| {
+            samples::fleet_view(count, 0, 1, NOW)
+        })?,
+        memory_slope("targets in the merged membership", (1_000, 12_000), |n| {
+            merged(n, 0)
+        })?,
+        memory_slope("targets in the candidate index", (1_000, 12_000), |count| {
+            CandidateIndex::build(&samples::fleet_view(count, 0, 1, NOW))
+        })?,
+        memory_slope("daemons in the merged membership", (64, 6_800), |n| {
+            merged(0, n)
+        })?,
+        memory_slope(
+            "workspaces with 3 classes in the configuration",
+            (500, 5_000),
+            configured,
+        )?,
+        memory_slope("answered intents in a ledger", (1_000, 20_000), ledger)?,
+    ];
+    Ok(FootprintReport {
+        memory,
+        messages: message_slopes(),
+    })
+}
+
+fn memory_slope<T>(
+    of: &'static str,
+    counts: (usize, usize),
+    build: impl Fn(usize) -> T,
+) -> Result<SizeSlope> {
+    let few = held_bytes(counts.0, &build)?;
+    let many = held_bytes(counts.1, &build)?;
+    Ok(SizeSlope::new(of, counts, (few, many)))
+}
+
+/// Resident bytes that one copy takes.
+fn held_bytes<T>(count: usize, build: &impl Fn(usize) -> T) -> Result<u64> {
+    // What building leaves behind with the allocator is there before the first reading.
+    drop(black_box(build(count)));
+    let before = resident_bytes(None)?;
+    let held: Vec<T> = (0..COPIES).map(|_| build(count)).collect();
+    let after = resident_bytes(None)?;
+    black_box(&held);
+    Ok(after.saturating_sub(before) / COPIES as u64)
+}
+
+fn merged(targets: usize, daemons: usize) -> MembershipState {
+    let own = own_view(
+        "entry-own".into(),
+        "10.0.0.1:9000".to_owned(),
+        "10.0.0.1:9002".to_owned(),
+        "centre-00".into(),
+        ProcessIncarnation(1),
+    );
+    let mut state = MembershipState::new(own, MembershipLimits::default());
+    state.apply_list(&samples::instance_rows(targets, daemons), NOW);
+    for number in 0..targets {
+        let report = samples::engine_state(number, NOW.0);
+        state.note_state(&report.target, &report, Duration::ZERO, NOW);
+    }
+    state.tick(NOW);
+    state.refresh();
+    state
+}
+
+fn configured(workspaces: usize) -> ConfigState {
+    let mut state = ConfigState::default();
+    for stored in samples::stored_buckets(workspaces) {
+        let applied = state.apply(&stored);
+        debug_assert!(applied.is_ok(), "a sample bucket is readable");
+    }
+    state
+}
+
+fn ledger(entries: usize) -> ShardLedger {
+    let mut ledger = ShardLedger::default();
+    let limits = LedgerLimits {
+        shard_bytes: usize::MAX / 2,
+        ..LedgerLimits::from(&IntentSettings::default())
+    };
+    for number in 0..entries as u64 {
+        let claim = claim_entry(number);
+        ledger.claim(&claim, &limits, MINTED);
+        let answer = CloseRecord::Answered(AnswerRecord {
+            length: 1_000,
+            digest: [9; 32],
+            result: None,
+        });
+        ledger.close(claim.key.entry_id(), claim.claim, &answer, &limits);
+    }
+    ledger
+}
+
+fn claim_entry(number: u64) -> ClaimEntry {
+    ClaimEntry {
+        key: IntentKey {
+            workspace: "workspace-0001".into(),
+            key: format!("6f1c2f5e-0000-4000-8000-{number:012}").into(),
+            minted_at: MINTED,
+        },
+        claim: ClaimId { process: 7, number },
+        fingerprint: [7; 16],
+        claimant: "entry-001/1800000000000".to_owned(),
+        target: "service-00001".into(),
+    }
+}
+
+fn message_slopes() -> Vec<SizeSlope> {
+    let slope = |of, counts: (usize, usize), size: fn(usize) -> usize| {
+        let bytes = (size(counts.0) as u64, size(counts.1) as u64);
+        SizeSlope::new(of, counts, bytes)
+    };
+    vec![
+        slope("rows of the instance list in JSON", (0, 1_000), |count| {
+            let rows = samples::instance_rows(count, 0);
+            serde_json::to_vec(&rows).map_or(0, |text| text.len())
+        }),
+        slope("engines in a peer's hint", (0, 64), |count| {
+            let engines = (0..count).map(|n| samples::engine_state(n, MINTED.0));
+            hint_size(PeerHint {
+                engines: engines.collect(),
+                ..PeerHint::default()
+            })
+        }),
+        slope("models in a peer's hint", (0, 12), |count| {
+            let mut hint = PeerHint::default();
+            let work = WorkAmount {
+                prefill: 0.1,
+                decode: 0.1,
+            };
+            for number in 0..count {
+                add_work(&mut hint.work, &format!("model-{number:02}").into(), work);
+            }
+            hint_size(hint)
+        }),
+        slope("workspaces in a peer's hint", (0, 100), |count| {
+            let costs = (0..count).map(|n| (samples::workspace_name(n).into(), 0.123));
+            hint_size(PeerHint {
+                costs: costs.collect(),
+                ..PeerHint::default()
+            })
+        }),
+        slope(
+            "workspaces in the stored configuration",
+            (500, 5_000),
+            |count| {
+                let stored = samples::stored_buckets(count);
+                stored
+                    .iter()
+                    .filter_map(|s| s.value.as_ref())
+                    .map(Vec::len)
+                    .sum()
+            },
+        ),
+        slope(
+            "answered intents in a stored shard",
+            (100, 5_000),
+            |count| encode_ledger(&ledger(count)).len(),
+        ),
+    ]
+}
+
+fn hint_size(hint: PeerHint) -> usize {
+    let hint = PeerHint {
+        daemon: Some("entry-001".into()),
+        incarnation: ProcessIncarnation(MINTED.0),
+        sequence: 100_000,
+        ..hint
+    };
+    PeerMessage::Hint(hint).encode().len()
+}
+
+/// Returns the slopes by what they count, in bytes each.
+///
+/// # Errors
+///
+/// Returns an error when a slope is no positive number, which says that the counts were
+/// too small to stand out.
+pub fn slopes_by_name(report: &FootprintReport) -> Result<IndexMap<&'static str, f64>> {
+    let all = report.memory.iter().chain(&report.messages);
+    let slopes: IndexMap<&'static str, f64> = all.map(|s| (s.of, s.bytes_each)).collect();
+    for (of, bytes) in &slopes {
+        ensure!(
+            *bytes > 0.0,
+            "{of} take {bytes} bytes each; raise the counts"
+        );
+    }
+    Ok(slopes)
+}
+
+/// Measures and prints one JSON line.
+///
+/// # Errors
+///
+/// Returns what kept the measurement from being made.
+pub async fn run(matches: Matches) -> Result<()> {
+    let mut report = measure_footprint()?;
+    let program = prove_command::daemon_program(&matches)?;
+    let streams = footprint_streams::stream_slope(&program, STREAM_COUNTS).await?;
+    report.memory.push(streams);
+    slopes_by_name(&report)?;
+    let line = serde_json::to_string(&report).wrap_err("cannot write the report")?;
+    println!("{line}");
+    Ok(())
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -6,7 +6,9 @@
 use getopts::{Matches, Options};
 use pistachiowick::ports::PortFuture;
 use pistachiowick_lab::compare::{compare, policy_names, summarise};
+use pistachiowick_lab::control_cost;
 use pistachiowick_lab::engine::EngineStandIn;
+use pistachiowick_lab::footprint;
 use pistachiowick_lab::load::run_load;
 use pistachiowick_lab::platform::PlatformStandIn;
 use pistachiowick_lab::prove_command;
@@ -47,6 +49,18 @@
         files: 1,
         run: |matches| Box::pin(run_compare(matches)),
     },
+    LabCommand {
+        name: "footprint",
+        about: "measure memory and message sizes by count",
+        files: 0,
+        run: |matches| Box::pin(footprint::run(matches)),
+    },
+    LabCommand {
+        name: "control-cost",
+        about: "measure what control costs by the number of daemons",
+        files: 0,
+        run: |matches| Box::pin(control_cost::run(matches)),
+    },
     LabCommand {
         name: "platform",
         about: "run a stand-in for the platform's object service and instance list",
@@ -102,7 +116,7 @@
 fn print_help(name: Option<&str>) -> ExitCode {
     println!("usage: pistachiowick-lab COMMAND [OPTIONS]\n\ncommands:");
     for command in COMMANDS {
-        println!("  {:10} {}", command.name, command.about);
+        println!("  {:12} {}", command.name, command.about);
     }
     println!("\npistachiowick-lab COMMAND --help tells more.");
     match name {
@@ -121,6 +135,7 @@
     options.optopt("a", "address", "IP number and port to listen at", "IP:PORT");
     options.optopt("", "seed", "seed of all random choices; 1 without it", "N");
     prove_command::add_flags(&mut options);
+    control_cost::add_flags(&mut options);
     options.optopt(
         "",
         "policies",
