--- a/tests/placement_choice.rs
+++ b/tests/placement_choice.rs
@@ -366,7 +366,7 @@
             assert_eq!(sides[0].len() + sides[1].len(), 12);
             assert!(sides[0].iter().all(|t| !sides[1].contains(t)));
         }
-        if share >= 0.3 && share < 1.0 {
+        if (0.3..1.0).contains(&share) {
             for reader in readers {
                 assert!(sides[0].contains(&samples::engine_name(*reader).into()));
             }
--- a/tests/scheduler_fuzz.rs
+++ b/tests/scheduler_fuzz.rs
@@ -18,7 +18,7 @@
 const QUEUE_LENGTH: usize = 12;
 const QUEUE_PER_WORKSPACE: usize = 6;
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 enum SchedulerStep {
     Admit {
         workspace: usize,
