--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -17,6 +17,7 @@
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::answers::{AnswerText, TOKEN_BYTES};
 use crate::chance::ChanceSource;
@@ -93,6 +94,7 @@
     highest_fence: FenceNumber,
     last_order: Option<OrderMark>,
     left_at: Option<Instant>,
+    accepts_leaving: bool,
     frozen_until: Option<Instant>,
     model: EngineModel,
     streams: IndexMap<StreamName, Arc<StreamCell>>,
@@ -125,6 +127,7 @@
             highest_fence: FenceNumber::default(),
             last_order: None,
             left_at: None,
+            accepts_leaving: false,
             frozen_until: None,
             model: EngineModel::default(),
             streams: IndexMap::new(),
@@ -331,6 +334,7 @@
         let highest = inner.highest_fence;
         let is_old = order.mark.fence < highest;
         let obeyed = !(is_old && self.options.checks_fence);
+        let outstanding = inner.outstanding(order);
         inner.books.orders.push(OrderBook {
             id: order.mark.id.clone(),
             fence: order.mark.fence,
@@ -339,6 +343,7 @@
             role: order.role,
             models: order.models.clone(),
             at_ms: unix_now().0,
+            outstanding,
             obeyed,
         });
         if !obeyed {
@@ -392,7 +397,14 @@
 
     /// Marks the moment from which on no new work may come.
     pub fn leave(&self) {
-        self.inner().left_at.get_or_insert_with(Instant::now);
+        let mut inner = self.inner();
+        inner.left_at.get_or_insert_with(Instant::now);
+        inner.books.left_at_ms.get_or_insert(unix_now().0);
+    }
+
+    /// Sets whether work is refused while leaving.
+    pub fn set_refusing(&self, refuses: bool) {
+        self.inner().accepts_leaving = !refuses;
     }
 
     /// Takes up work again.
@@ -412,8 +424,8 @@
         self.inner().frozen_until = Some(Instant::now() + span);
     }
 
-    /// Drops everything; returns the streams that were running.
-    fn drop_all(&self) -> u64 {
+    /// Drops everything; returns the life that follows and the streams that were running.
+    fn drop_all(&self) -> (u64, u64) {
         let mut inner = self.inner();
         let running = inner.streams.values().filter(|cell| cell.is_running());
         let dropped = running.count() as u64;
@@ -433,9 +445,10 @@
         if self.options.forgets_fence {
             inner.highest_fence = FenceNumber::default();
         }
+        let life = inner.life;
         drop(inner);
         self.woken.notify_one();
-        dropped
+        (life, dropped)
     }
 
     fn revive(&self) {
@@ -463,7 +476,7 @@
         body: &GenerateBody,
         work: &StreamWork,
     ) -> Option<StartRefusal> {
-        if self.left_at.is_some() {
+        if self.left_at.is_some() && !self.accepts_leaving {
             return Some(StartRefusal::Leaving);
         }
         if self.desired.is_some() {
@@ -505,6 +518,7 @@
                 request_id: name.request_id.clone(),
                 attempt: name.attempt,
                 workspace: body.workspace.clone(),
+                prompt_digest: prompt_digest(body.prompt.as_bytes()),
                 started_at_ms: unix_now().0,
                 offset: body.offset,
                 bytes_generated: 0,
@@ -516,6 +530,13 @@
         cell
     }
 
+    /// Returns the order under way, when another one comes that asks for another state.
+    fn outstanding(&self, order: &OrderBody) -> Option<OrderMark> {
+        let desired = self.desired.as_ref()?;
+        let differs = desired.role != order.role || desired.models != order.models;
+        self.last_order.clone().filter(|_| differs)
+    }
+
     fn obey(&mut self, order: &OrderBody) {
         self.last_order = Some(order.mark.clone());
         let wanted = DesiredState {
@@ -618,6 +639,12 @@
     model == body.model.as_str() && has_version && adapter == body.adapter
 }
 
+/// Returns the digest of a prompt, as sent, under which its streams are booked.
+#[must_use]
+pub fn prompt_digest(encoded: &[u8]) -> u64 {
+    xxh3_64(encoded)
+}
+
 fn book_key(request_id: &str, attempt: u32) -> String {
     format!("{request_id}/{attempt}")
 }
@@ -864,14 +891,17 @@
 
 async fn crash_for(core: &Arc<EngineCore>, server: &HttpServer, down: Duration) {
     server.close();
-    let dropped = core.drop_all();
+    let (life, dropped) = core.drop_all();
     core.book(|books| {
         books.crashes += 1;
         books.dropped_by_crash += dropped;
     });
     tokio::time::sleep(down).await;
+    if core.inner().life != life {
+        // It crashed again meanwhile, or was stopped.
+        return;
+    }
     core.revive();
-    let life = core.inner().life;
     tokio::spawn(run_loop(core.clone(), life));
     if let Err(error) = server.open().await {
         log::error!("an engine stand-in did not come back: {error}");
@@ -935,6 +965,11 @@
         self.core.leave();
     }
 
+    /// Sets whether work is refused while leaving; it is, unless said otherwise.
+    pub fn set_refusing(&self, refuses: bool) {
+        self.core.set_refusing(refuses);
+    }
+
     /// Takes up work again after [`Self::leave`].
     pub fn stay(&self) {
         self.core.stay();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod attempt;
 pub mod authority;
 pub mod authority_actions;
+pub mod candidates;
 pub mod catalogue;
 pub mod client;
 pub mod client_answer;
@@ -38,8 +39,13 @@
 pub mod fair_queue;
 pub mod flags;
 pub mod fleet;
+pub mod intent_driver;
+pub mod intent_forward;
 pub mod intent_link;
+pub mod intent_ops;
 pub mod intent_permit;
+pub mod intent_queue;
+pub mod intent_records;
 pub mod intent_store;
 pub mod intent_wire;
 pub mod intent_writer;
@@ -96,6 +102,7 @@
 pub mod target_wire;
 pub mod telemetry;
 pub mod timer;
+pub mod tls;
 pub mod tool_flags;
 pub mod tool_items;
 pub mod tool_keys;
@@ -104,6 +111,7 @@
 pub mod tool_run;
 pub mod tool_state;
 pub mod traffic;
+pub mod work_mix;
 
 /// The caller and operator interface, generated from `proto/pistachiowick.proto`.
 #[allow(clippy::all, clippy::pedantic, missing_docs)]
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -1,16 +1,17 @@
 //! Chooses a target for one request from a bounded number of candidates.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use rand::Rng;
 use rand::rngs::SmallRng;
 
+use crate::candidates::CandidateSide;
 use crate::cost::CostModel;
 use crate::fair_queue::JobNumber;
 use crate::fleet::{FleetView, LoadReport, TargetView, UseState};
-use crate::names::{CentreName, ModelName, MonoTime, ServiceName, TargetId};
-use crate::platform_wire::InstanceKind;
+use crate::names::{ModelName, MonoTime, ServiceName, TargetId};
 use crate::prefix_index::PrefixIndex;
 use crate::settings::{PlacementPolicy, PolicySettings};
 use crate::target_wire::EngineRole;
@@ -19,6 +20,10 @@
 const MOST_CANDIDATES: usize = 16;
 /// Age from which a load report says nothing any more, in milliseconds.
 const REPORT_USELESS_MS: u64 = 10_000;
+/// Factor on the expected time to the whole answer before it counts as in time.
+const FINISH_MARGIN: f64 = 1.25;
+/// Largest further factor, for workspaces beyond their due share.
+const MOST_SHARE_MARGIN: f64 = 2.0;
 /// Prefill work an engine may have waiting before requests wait here instead,
 /// where shares and deadlines still order them.
 const MOST_PREFILL_WAIT_S: f64 = 0.4;
@@ -47,6 +52,10 @@
     pub prompt_tokens: f64,
     /// Output tokens still expected.
     pub output_tokens: f64,
+    /// When the answer must be whole to be worth placing; `None` places it at any time.
+    pub due: Option<MonoTime>,
+    /// How the workspace's due share compares to what it got: below 1 beyond its due.
+    pub share_factor: f64,
     /// Shared part of the prompt; empty for none.
     pub shared_prefix: String,
     /// Tokens of the shared part.
@@ -70,6 +79,9 @@
     pub gap_s: f64,
     /// Expected seconds to the whole answer.
     pub finish_s: f64,
+    /// Expected seconds by which the other streams there are delayed, all together:
+    /// none of them gains a token while this prompt is read.
+    pub delay_s: f64,
     /// Why it was chosen.
     pub reason: String,
 }
@@ -94,42 +106,24 @@
     pub ended: Vec<(MonoTime, MonoTime)>,
 }
 
-/// Candidates by pool, rebuilt when the fleet's shape changes.
-#[derive(Clone, Debug, Default)]
-pub struct CandidateIndex {
-    pools: IndexMap<PoolKey, Vec<TargetId>>,
-}
-
-impl CandidateIndex {
-    /// Builds the index of a fleet, targets of the own data centre first.
-    #[must_use]
-    pub fn build(fleet: &FleetView, centre: &CentreName) -> Self {
-        let mut pools: IndexMap<PoolKey, Vec<TargetId>> = IndexMap::new();
-        let (near, far): (Vec<_>, Vec<_>) = fleet
-            .targets
-            .values()
-            .partition(|t| t.data_centre == *centre);
-        for target in near.into_iter().chain(far) {
-            for pool in pools_of(target) {
-                pools.entry(pool).or_default().push(target.id.clone());
-            }
-        }
-        Self { pools }
-    }
-
-    /// Returns the targets of a pool.
-    #[must_use]
-    pub fn targets(&self, pool: &PoolKey) -> &[TargetId] {
-        self.pools.get(pool).map_or(&[], Vec::as_slice)
-    }
+/// Whether a request is mostly reading of its prompt or writing of its answer.
+///
+/// No stream of an engine gains a token while a long prompt is read. Kept apart, long
+/// prompts delay one another only, and answers flow at their full pace.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum WorkSide {
+    /// Long prompts.
+    Reading,
+    /// Everything else.
+    Writing,
 }
 
 /// Everything a choice looks at.
 pub struct PlacementInputs<'a> {
     /// The fleet.
     pub fleet: &'a FleetView,
-    /// Candidates by pool.
-    pub index: &'a CandidateIndex,
+    /// Targets to choose from.
+    pub candidates: CandidateSide<'a>,
     /// Expected times.
     pub costs: &'a CostModel,
     /// Beliefs about caches.
@@ -153,24 +147,69 @@
     rng: &mut SmallRng,
 ) -> Option<TargetChoice> {
     let candidates = candidates(need, inputs, rng);
-    let mut choices: Vec<(f64, TargetChoice)> = candidates
-        .iter()
+    let mut estimates: Vec<TargetEstimate<'_>> = candidates
+        .into_iter()
         .filter_map(|target| inputs.fleet.targets.get(target))
         .filter_map(|target| estimate(need, target, inputs))
         .collect();
     let chosen = match inputs.policy.placement {
-        PlacementPolicy::Estimate => least(&choices, |(_, c)| c.finish_s),
-        PlacementPolicy::LeastInFlight => least(&choices, |(load, _)| *load),
-        PlacementPolicy::RoundRobin => next_in_turn(choices.len(), turn),
+        PlacementPolicy::Estimate => least(&estimates, |e| e.finish_s + e.delay_s),
+        PlacementPolicy::LeastInFlight => least(&estimates, |e| e.load),
+        PlacementPolicy::RoundRobin => next_in_turn(estimates.len(), turn),
     }?;
-    Some(choices.swap_remove(chosen).1)
+    Some(estimates.swap_remove(chosen).choice(need))
+}
+
+/// What a request may expect of one target. Names and reason are copied for the
+/// target chosen only: for all of them they would cost more than the choice.
+struct TargetEstimate<'a> {
+    target: &'a TargetView,
+    role: Option<EngineRole>,
+    model: &'a str,
+    load: f64,
+    uncached: f64,
+    first_token_s: f64,
+    gap_s: f64,
+    finish_s: f64,
+    delay_s: f64,
+}
+
+impl TargetEstimate<'_> {
+    fn choice(&self, need: &PlacementNeed) -> TargetChoice {
+        TargetChoice {
+            target: self.target.id.clone(),
+            address: self.target.address.clone(),
+            model: self.model.to_owned(),
+            first_token_s: self.first_token_s,
+            gap_s: self.gap_s,
+            finish_s: self.finish_s,
+            delay_s: self.delay_s,
+            reason: self.reason(need),
+        }
+    }
+
+    fn reason(&self, need: &PlacementNeed) -> String {
+        let Some(role) = self.role else {
+            return format!("{} own calls in flight", self.load);
+        };
+        format!(
+            "{role:?} engine, about {:.0} in flight, {:.0} of {:.0} prompt tokens to read, \
+             first token in {:.0} ms, whole answer in {:.0} ms, others delayed by {:.0} ms",
+            self.load,
+            self.uncached,
+            need.prompt_tokens,
+            self.first_token_s * 1_000.0,
+            self.finish_s * 1_000.0,
+            self.delay_s * 1_000.0
+        )
+    }
 }
 
 fn least(
-    choices: &[(f64, TargetChoice)],
-    score: impl Fn(&(f64, TargetChoice)) -> f64,
+    estimates: &[TargetEstimate<'_>],
+    score: impl Fn(&TargetEstimate<'_>) -> f64,
 ) -> Option<usize> {
-    let scored = choices.iter().enumerate();
+    let scored = estimates.iter().enumerate();
     scored
         .min_by(|(_, a), (_, b)| score(a).total_cmp(&score(b)))
         .map(|(at, _)| at)
@@ -186,29 +225,30 @@
 
 /// Draws candidates at random, so that daemons with the same lagging view do not
 /// all run to the same target, and adds the holders of the shared prefix.
-fn candidates(
+fn candidates<'a>(
     need: &PlacementNeed,
-    inputs: &PlacementInputs<'_>,
+    inputs: &PlacementInputs<'a>,
     rng: &mut SmallRng,
-) -> Vec<TargetId> {
-    let pool = inputs.index.targets(&need.pool);
-    if pool.len() <= MOST_CANDIDATES {
-        return pool.to_vec();
+) -> Vec<&'a TargetId> {
+    let side = inputs.candidates;
+    if side.len() <= MOST_CANDIDATES {
+        return side.iter().collect();
     }
-    let mut drawn: Vec<TargetId> = Vec::with_capacity(MOST_CANDIDATES);
+    let mut drawn: Vec<&TargetId> = Vec::with_capacity(MOST_CANDIDATES);
     let holders = inputs.prefixes.holders(&need.shared_prefix);
-    drawn.extend(holders.iter().map(|h| h.target.clone()));
+    let near = holders.iter().map(|h| &h.target);
+    drawn.extend(near.filter(|t| side.contains(t)));
     while drawn.len() < MOST_CANDIDATES {
-        drawn.push(pool[rng.random_range(0..pool.len())].clone());
+        drawn.extend(side.get(rng.random_range(0..side.len())));
     }
     drawn
 }
 
-fn estimate(
+fn estimate<'a>(
     need: &PlacementNeed,
-    target: &TargetView,
+    target: &'a TargetView,
     inputs: &PlacementInputs<'_>,
-) -> Option<(f64, TargetChoice)> {
+) -> Option<TargetEstimate<'a>> {
     if target.state != UseState::Live || need.excluded.contains(&target.id) {
         return None;
     }
@@ -218,33 +258,34 @@
     }
 }
 
-fn estimate_service(
-    target: &TargetView,
+fn estimate_service<'a>(
+    target: &'a TargetView,
     inputs: &PlacementInputs<'_>,
-) -> Option<(f64, TargetChoice)> {
+) -> Option<TargetEstimate<'a>> {
     let own = inputs.own.get(&target.id).map_or(0, |o| o.running.len());
     if own >= inputs.policy.service_in_flight {
         return None;
     }
     let load = own as f64;
-    let choice = TargetChoice {
-        target: target.id.clone(),
-        address: target.address.clone(),
-        model: String::new(),
+    Some(TargetEstimate {
+        target,
+        role: None,
+        model: "",
+        load,
+        uncached: 0.0,
         first_token_s: 0.0,
         gap_s: 0.0,
         finish_s: load,
-        reason: format!("{own} own calls in flight"),
-    };
-    Some((load, choice))
+        delay_s: 0.0,
+    })
 }
 
-fn estimate_engine(
+fn estimate_engine<'a>(
     need: &PlacementNeed,
     model: &ModelName,
-    target: &TargetView,
+    target: &'a TargetView,
     inputs: &PlacementInputs<'_>,
-) -> Option<(f64, TargetChoice)> {
+) -> Option<TargetEstimate<'a>> {
     let report = target.report.as_ref()?;
     if report.changing {
         return None;
@@ -264,30 +305,51 @@
     let read_s = inputs
         .costs
         .prefill_seconds(&target.id, report.role, uncached);
-    let gap_s = inputs
-        .costs
-        .gap_seconds(&target.id, report.role, load.in_flight);
+    let gap_s = mean_gap(target, report, &load, inputs);
     let first_token_s = backlog_s + read_s;
     let finish_s = first_token_s + need.output_tokens * gap_s;
-    let choice = TargetChoice {
-        target: target.id.clone(),
-        address: target.address.clone(),
-        model: label.to_owned(),
+    if !in_time(need, finish_s, inputs.now) {
+        return None;
+    }
+    Some(TargetEstimate {
+        target,
+        role: Some(report.role),
+        model: label,
+        load: load.in_flight,
+        uncached,
         first_token_s,
         gap_s,
         finish_s,
-        reason: format!(
-            "{:?} engine, about {:.0} in flight, {:.0} of {:.0} prompt tokens to read, \
-             first token in {:.0} ms, whole answer in {:.0} ms",
-            report.role,
-            load.in_flight,
-            uncached,
-            need.prompt_tokens,
-            first_token_s * 1_000.0,
-            finish_s * 1_000.0
-        ),
-    };
-    Some((load.in_flight, choice))
+        delay_s: load.in_flight * read_s,
+    })
+}
+
+/// Tells whether the answer is expected in time, with a margin for what is unknown.
+///
+/// A stream placed where it cannot end in time slows the others down until they miss
+/// their deadlines too; held back, it finds a less busy engine or is refused. A
+/// workspace beyond its due must leave more room: without it a flood of short answers
+/// fills every engine until the longer answers of others are in time nowhere.
+fn in_time(need: &PlacementNeed, finish_s: f64, now: MonoTime) -> bool {
+    let share_margin = (1.0 / need.share_factor).clamp(1.0, MOST_SHARE_MARGIN);
+    let margin_s = finish_s * FINISH_MARGIN * share_margin;
+    let ends_at = now.plus(Duration::from_secs_f64(margin_s));
+    need.due.is_none_or(|due| ends_at <= due)
+}
+
+/// Seconds between tokens, over the times in which the engine reads prompts and those
+/// in which it does not.
+fn mean_gap(
+    target: &TargetView,
+    report: &LoadReport,
+    load: &EngineLoad,
+    inputs: &PlacementInputs<'_>,
+) -> f64 {
+    let (costs, id) = (inputs.costs, &target.id);
+    let reading = costs.reading_share(id);
+    let quiet_s = costs.gap_seconds(id, report.role, load.in_flight);
+    let reading_s = costs.prefill_gap_seconds(id, report.role, load.in_flight);
+    (1.0 - reading) * quiet_s + reading * reading_s
 }
 
 fn uncached_tokens(need: &PlacementNeed, target: &TargetId, prefixes: &PrefixIndex) -> f64 {
@@ -346,27 +408,6 @@
     1.0 / inputs.costs.prefill_seconds(&target.id, role, 1.0)
 }
 
-fn pools_of(target: &TargetView) -> Vec<PoolKey> {
-    match target.kind {
-        InstanceKind::Entry => Vec::new(),
-        InstanceKind::Service => target
-            .service
-            .iter()
-            .cloned()
-            .map(PoolKey::Service)
-            .collect(),
-        InstanceKind::Engine => {
-            let models = target.report.iter().flat_map(|r| r.models.iter());
-            let mut names: Vec<ModelName> = models
-                .map(|label| ModelName::from(ModelLabel::parse(label).name))
-                .collect();
-            names.sort();
-            names.dedup();
-            names.into_iter().map(PoolKey::Model).collect()
-        }
-    }
-}
-
 /// Returns the loaded model that fits the request, the last one listed first.
 fn fitting_model<'a>(
     loaded: &'a [String],
--- a/src/request.rs
+++ b/src/request.rs
@@ -15,7 +15,7 @@
 use crate::placement::{PlacementNeed, PoolKey};
 use crate::scheduler::JobSpec;
 use crate::settings::LimitSettings;
-use crate::snapshot::ConfigView;
+use crate::snapshot::{ConfigView, ControlSnapshot};
 
 /// Longest key in bytes.
 const LONGEST_KEY: usize = 200;
@@ -29,8 +29,10 @@
     pub id: RequestId,
     /// Class of the work.
     pub class: Arc<ClassSpec>,
-    /// Share of the workspace.
-    pub weight: u32,
+    /// Share of the workspace, corrected by what it got across the fleet.
+    pub weight: f64,
+    /// How the workspace's due share compares to what it got: below 1 beyond its due.
+    pub share_factor: f64,
     /// Pool of targets that serve it.
     pub pool: PoolKey,
     /// Versions allowed.
@@ -90,11 +92,14 @@
         id: RequestId,
         workspace: &WorkspaceName,
         submit: pb::SubmitRequest,
-        config: &ConfigView,
+        snapshot: &ControlSnapshot,
         limits: &LimitSettings,
     ) -> Result<Self, RequestFault> {
+        let config = &snapshot.config;
         let class = find_class(workspace, &submit.class, config)?;
-        let weight = config.workspaces.get(workspace).map_or(1, |w| w.weight);
+        let due = config.workspaces.get(workspace).map_or(1, |w| w.weight);
+        let share_factor = snapshot.shares.factor(workspace);
+        let weight = f64::from(due) * share_factor;
         let (pool, versions) = choose_pool(&class, &submit)?;
         check_sizes(&submit, &class)?;
         let span = deadline_span(&submit, &class, limits)?;
@@ -103,6 +108,7 @@
         Ok(Self {
             id,
             weight,
+            share_factor,
             pool,
             versions,
             deadline: arrived.plus(span),
@@ -149,6 +155,8 @@
                 pinned_model: None,
                 prompt_tokens: f64::from(self.submit.prompt_tokens),
                 output_tokens: f64::from(self.submit.max_output_tokens),
+                due: None,
+                share_factor: self.share_factor,
                 shared_prefix: self.submit.shared_prefix.clone(),
                 shared_prefix_tokens: self.submit.shared_prefix_tokens,
                 excluded: Vec::new(),
--- a/src/server.rs
+++ b/src/server.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use eyre::{Result, WrapErr};
@@ -19,11 +19,15 @@
 use crate::control::{ControlEvent, ControlHandle, ControlInputs, start_control};
 use crate::dispatch::JobDispatcher;
 use crate::engine_http::engine_port;
+use crate::fleet::UseState;
+use crate::intent_link::{IntentLink, LinkError, shard_owner};
 use crate::intent_store::{IntentStore, StoreInputs};
 use crate::journal::DecisionJournal;
 use crate::names::ProcessIncarnation;
 use crate::pb::operations_server::OperationsServer;
 use crate::pb::requests_server::RequestsServer;
+use crate::peer_handshake::PeerIdentity;
+use crate::peer_link::{PeerHandle, PeerHandler, PeerInputs, start_peers};
 use crate::platform_http::platform_port;
 use crate::ports::PlatformPort;
 use crate::resume_token::TokenSigner;
@@ -34,6 +38,7 @@
 use crate::service_http::service_port;
 use crate::settings::DaemonSettings;
 use crate::telemetry::{self, Telemetry};
+use crate::tls;
 use crate::traffic::TrafficContext;
 
 /// Decisions kept for `explain`.
@@ -42,6 +47,8 @@
 const CONNECTIONS_AHEAD: usize = 64;
 /// Longest wait for the leases to be handed over.
 const HAND_OVER_TIME: Duration = Duration::from_secs(5);
+/// Longest wait for the ends of claims to be recorded.
+const RECORD_TIME: Duration = Duration::from_secs(10);
 /// Time between looks at whether the last request has ended.
 const FINISH_CHECK: Duration = Duration::from_millis(20);
 
@@ -55,9 +62,10 @@
     pub peer: SocketAddr,
     context: Arc<TrafficContext>,
     closing: watch::Sender<bool>,
-    tasks: Vec<JoinHandle<()>>,
+    ended: watch::Sender<bool>,
+    serving: JoinHandle<()>,
+    pumping: JoinHandle<()>,
     _admin: AdminServer,
-    _peer: StdListener,
 }
 
 /// Serves until `stop` resolves, then shuts down gracefully.
@@ -84,6 +92,7 @@
 /// Returns what kept it from starting: an address in use, a certificate that cannot
 /// be read, no HTTP client.
 pub async fn start_daemon(settings: DaemonSettings) -> Result<RunningDaemon> {
+    tls::install_provider();
     let settings = Arc::new(settings);
     let metrics = telemetry::install_prometheus().wrap_err("cannot set up metrics")?;
     let (rpc, listener) = bind(settings.listen.rpc, "listen.rpc").await?;
@@ -107,11 +116,19 @@
     let admin = admin_http::serve_admin(settings.listen.admin, snapshot, metrics)
         .await
         .wrap_err_with(|| format!("cannot listen on listen.admin {}", settings.listen.admin))?;
-    let context = build_context(&settings, platform, control, journal, incarnation)?;
+    let context = build_context(
+        &settings,
+        platform,
+        control,
+        journal,
+        incarnation,
+        peer_listener,
+    )?;
     let (closing, _) = watch::channel(false);
     let serving = serve(&context, listener, incarnation, &closing)?;
     let dispatcher = context.dispatcher.clone();
-    let pumping = tokio::spawn(dispatcher.run(until_closed(closing.subscribe())));
+    let (ended, _) = watch::channel(false);
+    let pumping = tokio::spawn(dispatcher.run(until_closed(ended.subscribe())));
     log::info!("daemon {} serves on {rpc}", settings.daemon_id);
     Ok(RunningDaemon {
         rpc,
@@ -119,9 +136,10 @@
         peer,
         context,
         closing,
-        tasks: vec![serving, pumping],
+        ended,
+        serving,
+        pumping,
         _admin: admin,
-        _peer: peer_listener,
     })
 }
 
@@ -142,7 +160,7 @@
     ///
     /// The daemon leaves the addressing first and goes on serving for as long as
     /// callers keep an answer that names it; only then does it turn new work away,
-    /// and it ends once the last request has.
+    /// and it ends once the last request has, and the end of each is recorded.
     pub async fn stop(mut self) {
         let settings = Arc::clone(&self.context.settings);
         let (done, handed_over) = oneshot::channel();
@@ -157,26 +175,42 @@
         tokio::time::sleep(keep).await;
         self.context.closing.store(true, Ordering::Relaxed);
         let finish = Duration::from_millis(settings.shutdown.finish_ms);
-        if tokio::time::timeout(finish, self.idle()).await.is_err() {
+        if tokio::time::timeout(finish, self.finish()).await.is_err() {
             let left = self.context.running_count();
             log::warn!("stopping with {left} requests running; raise shutdown.finish_ms");
         }
-        self.closing.send_replace(true);
-        for task in self.tasks.drain(..) {
-            let _ = tokio::time::timeout(HAND_OVER_TIME, task).await;
+        // The end of a claim is recorded after its caller has the answer. One left
+        // out would tell whoever asks for the key again that its outcome is unknown.
+        if !self.context.intents.drain(RECORD_TIME).await {
+            log::warn!("stopping before the end of every claim is recorded");
         }
+        self.ended.send_replace(true);
+        let _ = tokio::time::timeout(HAND_OVER_TIME, &mut self.pumping).await;
         self.context.control.end();
         log::info!("daemon {} stopped", settings.daemon_id);
     }
 
     /// Ends at once, as a crash would: running requests are cut, leases left to expire.
-    pub fn kill(mut self) {
-        for task in self.tasks.drain(..) {
-            task.abort();
-        }
+    pub fn kill(self) {
+        self.serving.abort();
+        self.pumping.abort();
         self.context.control.end();
     }
 
+    /// Waits for the last request, closes the listener and its connections, and waits
+    /// for what came meanwhile.
+    ///
+    /// Callers who come back are served while others still run. Without the second
+    /// wait, one who came just before the close would lose the answer to the end of
+    /// the process.
+    async fn finish(&mut self) {
+        self.idle().await;
+        self.closing.send_replace(true);
+        // A caller that reads nothing more must not hold the stop up.
+        let _ = tokio::time::timeout(HAND_OVER_TIME, &mut self.serving).await;
+        self.idle().await;
+    }
+
     async fn idle(&self) {
         while self.context.running_count() > 0 {
             tokio::time::sleep(FINISH_CHECK).await;
@@ -190,21 +224,38 @@
     control: ControlHandle,
     journal: DecisionJournal,
     incarnation: ProcessIncarnation,
+    peer_listener: StdListener,
 ) -> Result<Arc<TrafficContext>> {
     let scheduler = Scheduler::new(SchedulerInputs {
         policy: settings.policy.clone(),
         limits: settings.limits.clone(),
         speeds: settings.policy.speeds.clone(),
-        centre: settings.data_centre.clone(),
         seed: incarnation.0,
     });
-    let intents = IntentStore::new(&StoreInputs {
+    let records = RecordCell::default();
+    let peers = start_peers(PeerInputs {
+        listener: peer_listener,
+        identity: PeerIdentity {
+            daemon: settings.daemon_id.clone(),
+            incarnation,
+            secret: settings.peers.secret.clone(),
+        },
+        silence: Duration::from_millis(settings.peers.silence_ms),
+        control: control.clone(),
+        handler: record_handler(&records),
+    })
+    .wrap_err("cannot listen for other daemons")?;
+    let inputs = StoreInputs {
         settings: &settings.intents,
         platform,
         daemon: settings.daemon_id.clone(),
         incarnation,
         unix_now: Arc::new(clock::unix_now),
-    });
+    };
+    let link = record_link(settings, &control, peers);
+    let intents = IntentStore::with_link(&inputs, &link);
+    // Set once, here; a failure would mean that this line ran twice.
+    let _ = records.set(intents.clone());
     let dispatcher = JobDispatcher::new(scheduler, control.clone(), journal.clone());
     Ok(Arc::new(TrafficContext {
         daemon: settings.daemon_id.clone(),
@@ -223,6 +274,47 @@
     }))
 }
 
+/// The records, for requests of peers that arrive before they are there.
+type RecordCell = Arc<OnceLock<IntentStore>>;
+
+/// Answers other daemons that hand over their operations on shards.
+fn record_handler(records: &RecordCell) -> PeerHandler {
+    let records = Arc::clone(records);
+    Arc::new(move |(_, body)| {
+        let records = Arc::clone(&records);
+        Box::pin(async move {
+            let store = records.get().ok_or("this daemon is starting")?;
+            store.serve(&body).await.map_err(|e| e.to_string())
+        })
+    })
+}
+
+/// Finds the owner of a shard among the live daemons and reaches it by the links.
+fn record_link(
+    settings: &Arc<DaemonSettings>,
+    control: &ControlHandle,
+    peers: PeerHandle,
+) -> IntentLink {
+    let own = settings.daemon_id.clone();
+    let snapshot = control.snapshot.clone();
+    IntentLink {
+        owner: Arc::new(move |shard| {
+            let snapshot = snapshot.load();
+            let daemons = snapshot.fleet.daemons.values();
+            let live = daemons.filter(|d| d.state == UseState::Live).map(|d| &d.id);
+            shard_owner(shard, live).filter(|d| **d != own).cloned()
+        }),
+        call: Arc::new(move |call| {
+            let reply = (peers.request)(call);
+            Box::pin(async move {
+                reply.await.map_err(|error| LinkError::NoReply {
+                    reason: error.to_string(),
+                })
+            })
+        }),
+    }
+}
+
 fn serve(
     context: &Arc<TrafficContext>,
     listener: TcpListener,
@@ -232,7 +324,14 @@
     let limits = &context.settings.limits;
     let requests = RequestsService::new(Arc::clone(context), incarnation);
     let operations = OperationsService::new(Arc::clone(context));
-    let mut server = Server::builder().max_concurrent_streams(limits.streams_per_connection);
+    // After a pause, the submissions of callers who have given up since are read at
+    // once, each with its reset. Beyond the library's usual 20 that counts as an
+    // attack, and closing the connection would cut every other answer on it. A pause
+    // in which more are given up than a connection has streams still does so.
+    let given_up = usize::try_from(limits.streams_per_connection).ok();
+    let mut server = Server::builder()
+        .max_concurrent_streams(limits.streams_per_connection)
+        .http2_max_pending_accept_reset_streams(given_up);
     if let Some(tls) = &context.settings.listen.tls {
         let identity = Identity::from_pem(&tls.certificate_pem, &tls.key_pem);
         server = server
