Close the key of a caller who comes back and was never claimed

Cause: a caller whose daemon died before it recorded a claim came back by token and was told 'unknown, its record has expired'. Change: a resume waits for half the time left for the claim of a daemon that may still live, then closes the key and says 'not run', for good. Ruled out: closing at once, which would refuse a caller who only changed daemons while the first one was about to claim. Measured: the test was told 'unknown' before and 'not run' after, and the service ran nothing.

--- a/lab/tests/prove_failures.rs
+++ b/lab/tests/prove_failures.rs
@@ -371,3 +371,56 @@
     );
     fleet.stop().await;
 }
+
+// A caller comes back for a receipt and is told that its outcome is unknown, its record
+// having expired: its daemon was killed while it waited to record its claim, so that
+// there never was a record. An absent record can be closed, which makes "not run" true.
+#[tokio::test]
+async fn a_caller_whose_daemon_died_before_its_claim_is_told_not_run() {
+    let fleet = started(small_plan()).await;
+    let mut settings = daemon_settings("entry-9", "centre-a", &fleet.platform.address());
+    // Without links to others, none of them records the claim in its place.
+    settings.peers.secret = String::new();
+    let host = DaemonHost::start_inside(settings).await;
+    let host = host.expect("it starts");
+    let connected = RequestsClient::connect(format!("http://{}", host.addresses.rpc)).await;
+    let mut dying = connected.expect("it listens");
+    let key = workspace_key(WORKSPACE);
+    let begun = Instant::now();
+    let mut number = 0;
+    loop {
+        number += 1;
+        assert!(begun.elapsed() < LIMIT, "the daemon places nothing");
+        let warm = submit("issue", &format!("warm-{number}"));
+        let Ok(events) = dying.submit(with_key(warm, &key)).await else {
+            continue;
+        };
+        if final_of(&mut events.into_inner()).await.outcome() == Outcome::Answered {
+            break;
+        }
+    }
+    fleet.platform.set_faults(PlatformFaults {
+        slow_ms: 60_000,
+        ..PlatformFaults::default()
+    });
+    let issue = submit("issue", "unclaimed");
+    let asked = dying.submit(with_key(issue.clone(), &key)).await;
+    let Event::Accepted(accepted) = next_event(&mut asked.expect("taken").into_inner()).await
+    else {
+        panic!("not accepted");
+    };
+    host.kill().await;
+    fleet.platform.set_faults(PlatformFaults::default());
+    let resume = ResumeRequest {
+        resume_token: accepted.resume_token,
+        offset: 0,
+        submit: Some(issue),
+    };
+    let mut other = client(&fleet, "entry-0").await;
+    let resumed = other.resume(with_key(resume, &key)).await;
+    let last = final_of(&mut resumed.expect("taken").into_inner()).await;
+    assert_eq!(last.outcome(), Outcome::RefusedNotRun, "{}", last.reason);
+    let runs = fleet.services["service-00"].books().runs;
+    assert!(!runs.contains_key("rowing/unclaimed"), "{runs:?}");
+    fleet.stop().await;
+}
--- a/src/run_once.rs
+++ b/src/run_once.rs
@@ -18,7 +18,7 @@
 use crate::clock;
 use crate::dispatch::JobSlot;
 use crate::intent_permit::{DispatchPermit, DispatchedClaim, UndeliveredProof};
-use crate::intent_store::{ClaimResult, IntentClaim};
+use crate::intent_store::{ClaimResult, IntentClaim, LookupError};
 use crate::intents::{AnswerRecord, IntentKey, RecordView};
 use crate::placement::{PoolKey, TargetChoice};
 use crate::request::CallerRequest;
@@ -342,11 +342,34 @@
     let Some(key) = &request.intent else {
         return unknown("the request has no key".to_owned());
     };
-    let record = match context.intents.lookup(key, false).await {
-        Ok(record) => record,
-        Err(error) => return unknown(format!("its record cannot be read: {error}")),
-    };
-    from_record(context, request, sink, record, offset).await
+    match claimed_or_closed(context, request, key).await {
+        Ok(record) => from_record(context, request, sink, record, offset).await,
+        Err(error) => unknown(format!("its record cannot be read: {error}")),
+    }
+}
+
+/// Waits for the claim of a request that was accepted, and closes its key when none
+/// comes: the daemon that accepted it may still claim it, or may have died before.
+/// Left open, the key could only be called unknown.
+async fn claimed_or_closed(
+    context: &TrafficContext,
+    request: &CallerRequest,
+    key: &IntentKey,
+) -> Result<RecordView, LookupError> {
+    let patience = request.time_left() / 2;
+    let begun = clock::mono_now();
+    let mut wait = FIRST_LOOK;
+    loop {
+        let record = context.intents.lookup(key, false).await?;
+        if record != RecordView::Absent {
+            return Ok(record);
+        }
+        if clock::mono_now().since(begun) + wait > patience {
+            return context.intents.lookup(key, true).await;
+        }
+        tokio::time::sleep(wait).await;
+        wait = (wait * 2).min(LONGEST_LOOK);
+    }
 }
 
 /// Answers from the record of a key that somebody claimed before.
