--- a/src/placement.rs
+++ b/src/placement.rs
@@ -24,6 +24,8 @@
 const FINISH_MARGIN: f64 = 1.25;
 /// Largest further factor, for workspaces beyond their due share.
 const MOST_SHARE_MARGIN: f64 = 2.0;
+/// How alike the other daemons' choices since a report are to one's own: 1 is the same.
+const ALIKE: f64 = 0.7;
 /// Prefill work an engine may have waiting before requests wait here instead,
 /// where shares and deadlines still order them.
 const MOST_PREFILL_WAIT_S: f64 = 0.4;
@@ -362,6 +364,9 @@
 }
 
 /// Load of an engine now, from a report that lags and from own work since.
+///
+/// The other daemons act on the same lagging reports. Without counting their share,
+/// every engine that looked free fills up several times over until the next report.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct EngineLoad {
     in_flight: f64,
@@ -384,11 +389,13 @@
             let before = o.ended.iter().filter(|(placed, _)| !since(*placed));
             before.filter(|(_, ended)| since(*ended)).count()
         }) as f64;
-        let in_flight = f64::from(report.in_flight) + placed.len() as f64 - ended;
+        let others = 1.0 + ALIKE * (inputs.live_daemons.max(1) - 1) as f64;
+        let change = (placed.len() as f64 - ended) * others;
+        let in_flight = f64::from(report.in_flight) + change;
         let read = speed(inputs, target, report.role) * age.as_secs_f64();
         let reported = (report.prefill_backlog_tokens as f64 - read).max(0.0);
         let added: f64 = placed.iter().map(|j| j.prefill_tokens).sum();
-        let added = (added - read).max(0.0);
+        let added = (added * others - read).max(0.0);
         Self {
             in_flight: in_flight.max(own_running),
             prefill_tokens: reported + added,
