--- a/src/server.rs
+++ b/src/server.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eyre::{Result, WrapErr};
 use indexmap::IndexMap;
@@ -47,7 +47,7 @@
 const CONNECTIONS_AHEAD: usize = 64;
 /// Longest wait for the leases to be handed over.
 const HAND_OVER_TIME: Duration = Duration::from_secs(5);
-/// Longest wait for the ends of claims to be recorded.
+/// Least wait for the ends of claims to be recorded.
 const RECORD_TIME: Duration = Duration::from_secs(10);
 /// Time between looks at whether the last request has ended.
 const FINISH_CHECK: Duration = Duration::from_millis(20);
@@ -175,14 +175,18 @@
         tokio::time::sleep(keep).await;
         self.context.closing.store(true, Ordering::Relaxed);
         let finish = Duration::from_millis(settings.shutdown.finish_ms);
+        let begun = Instant::now();
         if tokio::time::timeout(finish, self.finish()).await.is_err() {
             let left = self.context.running_count();
             log::warn!("stopping with {left} requests running; raise shutdown.finish_ms");
         }
         // The end of a claim is recorded after its caller has the answer. One left
         // out would tell whoever asks for the key again that its outcome is unknown.
-        if !self.context.intents.drain(RECORD_TIME).await {
-            log::warn!("stopping before the end of every claim is recorded");
+        let rest = finish.saturating_sub(begun.elapsed()).max(RECORD_TIME);
+        if !self.context.intents.drain(rest).await {
+            log::warn!(
+                "stopping before the end of every claim is recorded; raise shutdown.finish_ms"
+            );
         }
         self.ended.send_replace(true);
         let _ = tokio::time::timeout(HAND_OVER_TIME, &mut self.pumping).await;
