Rebuild the candidate index for a new shape only; measure memory apart

Cause: a view with new reports and nothing else made the scheduler sort all targets, 3.7 of 6.5 ms at 12,000, while no request is placed. The footprint read memory that earlier subjects had left with the allocator: 2 bytes for an intent. Change: has_same_shape compares the views; each subject and count is measured in a process of its own.

--- a/lab/src/footprint.rs
+++ b/lab/src/footprint.rs
@@ -1,10 +1,11 @@
 //! Memory and message sizes by count, measured, as slopes in bytes each.
 
 use std::hint::black_box;
+use std::process::Command;
 use std::time::Duration;
 
-use eyre::{Result, WrapErr, ensure};
-use getopts::Matches;
+use eyre::{Result, WrapErr, ensure, eyre};
+use getopts::{Matches, Options};
 use indexmap::IndexMap;
 use pistachiowick::candidates::CandidateIndex;
 use pistachiowick::config_buckets::ConfigState;
@@ -14,6 +15,7 @@
 };
 use pistachiowick::membership::{MembershipLimits, MembershipState, own_view};
 use pistachiowick::names::{MonoTime, ProcessIncarnation, UnixTime};
+use pistachiowick::peer_state::PeerHints;
 use pistachiowick::peer_wire::{PeerHint, PeerMessage};
 use pistachiowick::role_mix::{WorkAmount, add_work};
 use pistachiowick::settings::IntentSettings;
@@ -28,6 +30,8 @@
 const MINTED: UnixTime = UnixTime(1_800_000_000_000);
 /// Copies of each state, so that the growth stands out from the allocator's reserves.
 const COPIES: usize = 8;
+/// Peers whose hints are held.
+const HEARD_PEERS: usize = 100;
 /// Streams that run while the daemon is read.
 const STREAM_COUNTS: (usize, usize) = (200, 2_000);
 
@@ -67,54 +71,100 @@
     pub messages: Vec<SizeSlope>,
 }
 
-/// Measures all state that can be built without a running daemon.
+/// State whose memory is measured.
+struct MemorySubject {
+    /// Name on the command line.
+    name: &'static str,
+    /// What is counted.
+    of: &'static str,
+    counts: (usize, usize),
+    /// Builds copies of the state and returns the resident bytes of one.
+    measure: fn(usize) -> Result<u64>,
+}
+
+const SUBJECTS: &[MemorySubject] = &[
+    MemorySubject {
+        name: "fleet-targets",
+        of: "targets in a fleet view",
+        counts: (1_000, 12_000),
+        measure: |count| held_bytes(|| samples::fleet_view(count, 0, 1, NOW)),
+    },
+    MemorySubject {
+        name: "merged-targets",
+        of: "targets in the merged membership with its view",
+        counts: (1_000, 12_000),
+        measure: |count| held_bytes(|| merged(count, 0)),
+    },
+    MemorySubject {
+        name: "candidates",
+        of: "targets in the candidate index",
+        counts: (1_000, 12_000),
+        measure: |count| {
+            let fleet = samples::fleet_view(count, 0, 1, NOW);
+            held_bytes(|| CandidateIndex::build(&fleet))
+        },
+    },
+    MemorySubject {
+        name: "merged-daemons",
+        of: "daemons in the merged membership with its view",
+        counts: (680, 6_800),
+        measure: |count| held_bytes(|| merged(0, count)),
+    },
+    MemorySubject {
+        name: "workspaces",
+        of: "workspaces with 3 classes in the configuration",
+        counts: (500, 5_000),
+        measure: |count| held_bytes(|| configured(count)),
+    },
+    MemorySubject {
+        name: "hint-costs",
+        of: "workspaces in the hints of 100 peers",
+        counts: (50, 1_000),
+        measure: |count| held_bytes(|| heard(count)),
+    },
+    MemorySubject {
+        name: "intents",
+        of: "answered intents in a ledger",
+        counts: (1_000, 20_000),
+        measure: |count| held_bytes(|| ledger(count)),
+    },
+];
+
+/// Measures each subject at both its counts, every time in a process of its own: what an
+/// earlier one has left with the allocator would hide the growth.
 ///
 /// # Errors
 ///
-/// Returns an error where the kernel tells no resident memory.
+/// Returns an error where a process does not start or tells no number.
 pub fn measure_footprint() -> Result<FootprintReport> {
-    let memory = vec![
-        memory_slope("targets in a fleet view", (1_000, 12_000), |count| {
-            samples::fleet_view(count, 0, 1, NOW)
-        })?,
-        memory_slope("targets in the merged membership", (1_000, 12_000), |n| {
-            merged(n, 0)
-        })?,
-        memory_slope("targets in the candidate index", (1_000, 12_000), |count| {
-            CandidateIndex::build(&samples::fleet_view(count, 0, 1, NOW))
-        })?,
-        memory_slope("daemons in the merged membership", (64, 6_800), |n| {
-            merged(0, n)
-        })?,
-        memory_slope(
-            "workspaces with 3 classes in the configuration",
-            (500, 5_000),
-            configured,
-        )?,
-        memory_slope("answered intents in a ledger", (1_000, 20_000), ledger)?,
-    ];
+    let slopes = SUBJECTS.iter().map(|subject| {
+        let few = measure_apart(subject, subject.counts.0)?;
+        let many = measure_apart(subject, subject.counts.1)?;
+        Ok(SizeSlope::new(subject.of, subject.counts, (few, many)))
+    });
     Ok(FootprintReport {
-        memory,
+        memory: slopes.collect::<Result<_>>()?,
         messages: message_slopes(),
     })
 }
 
-fn memory_slope<T>(
-    of: &'static str,
-    counts: (usize, usize),
-    build: impl Fn(usize) -> T,
-) -> Result<SizeSlope> {
-    let few = held_bytes(counts.0, &build)?;
-    let many = held_bytes(counts.1, &build)?;
-    Ok(SizeSlope::new(of, counts, (few, many)))
+fn measure_apart(subject: &MemorySubject, count: usize) -> Result<u64> {
+    let own = std::env::current_exe().wrap_err("cannot tell where this program is")?;
+    let count = count.to_string();
+    let output = Command::new(own)
+        .args(["footprint", "--of", subject.name, "--count", &count])
+        .output()
+        .wrap_err("cannot start a process")?;
+    let text = String::from_utf8_lossy(&output.stdout);
+    text.trim()
+        .parse()
+        .wrap_err_with(|| format!("{} told {text:?}", subject.name))
 }
 
 /// Resident bytes that one copy takes.
-fn held_bytes<T>(count: usize, build: &impl Fn(usize) -> T) -> Result<u64> {
-    // What building leaves behind with the allocator is there before the first reading.
-    drop(black_box(build(count)));
+fn held_bytes<T>(build: impl Fn() -> T) -> Result<u64> {
     let before = resident_bytes(None)?;
-    let held: Vec<T> = (0..COPIES).map(|_| build(count)).collect();
+    let held: Vec<T> = (0..COPIES).map(|_| build()).collect();
     let after = resident_bytes(None)?;
     black_box(&held);
     Ok(after.saturating_sub(before) / COPIES as u64)
@@ -148,6 +198,25 @@
     state
 }
 
+/// Hints as they arrive: decoded, each with names of its own.
+fn heard(workspaces: usize) -> PeerHints {
+    let mut hints = PeerHints::default();
+    for peer in 0..HEARD_PEERS {
+        let costs = (0..workspaces).map(|n| (samples::workspace_name(n).into(), 0.5));
+        let hint = PeerHint {
+            daemon: Some(format!("entry-{peer:03}").into()),
+            sequence: 1,
+            costs: costs.collect(),
+            ..PeerHint::default()
+        };
+        let bytes = PeerMessage::Hint(hint).encode();
+        if let Ok(PeerMessage::Hint(hint)) = PeerMessage::decode(&bytes) {
+            hints.note(hint, NOW);
+        }
+    }
+    hints
+}
+
 fn ledger(entries: usize) -> ShardLedger {
     let mut ledger = ShardLedger::default();
     let limits = LedgerLimits {
@@ -264,12 +333,29 @@
     Ok(slopes)
 }
 
+/// Adds the command's flags.
+pub fn add_flags(options: &mut Options) {
+    options.optopt("", "of", "measure one kind of state at one count", "NAME");
+    options.optopt("", "count", "the count; 1000 without it", "N");
+}
+
+fn measure_here(name: &str, count: usize) -> Result<()> {
+    let names = SUBJECTS.iter().map(|s| s.name).collect::<Vec<_>>();
+    let subject = SUBJECTS.iter().find(|s| s.name == name);
+    let subject = subject.ok_or_else(|| eyre!("--of has {name:?}; use {}", names.join(", ")))?;
+    println!("{}", (subject.measure)(count)?);
+    Ok(())
+}
+
 /// Measures and prints one JSON line.
 ///
 /// # Errors
 ///
 /// Returns what kept the measurement from being made.
 pub async fn run(matches: Matches) -> Result<()> {
+    if let Some(name) = matches.opt_str("of") {
+        return measure_here(&name, matches.opt_get_default("count", 1_000)?);
+    }
     let mut report = measure_footprint()?;
     let program = prove_command::daemon_program(&matches)?;
     let streams = footprint_streams::stream_slope(&program, STREAM_COUNTS).await?;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -136,6 +136,7 @@
     options.optopt("", "seed", "seed of all random choices; 1 without it", "N");
     prove_command::add_flags(&mut options);
     control_cost::add_flags(&mut options);
+    footprint::add_flags(&mut options);
     options.optopt(
         "",
         "policies",
--- a/src/candidates.rs
+++ b/src/candidates.rs
@@ -6,7 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::fleet::{FleetView, TargetView, UseState};
+use crate::fleet::{FleetView, LoadReport, TargetView, UseState};
 use crate::names::{ModelName, TargetId};
 use crate::placement::{ModelLabel, PoolKey, WorkSide};
 use crate::platform_wire::InstanceKind;
@@ -153,6 +153,33 @@
     }
 }
 
+/// Tells whether two views give the same index: the same targets in the same states,
+/// roles and pools.
+#[must_use]
+pub fn has_same_shape(old: &FleetView, new: &FleetView) -> bool {
+    if old.version == new.version {
+        return old.targets.len() == new.targets.len();
+    }
+    let pairs = old.targets.values().zip(new.targets.values());
+    let mut same = pairs.map(|(old, new)| is_same_target(old, new));
+    old.targets.len() == new.targets.len() && same.all(|same| same)
+}
+
+fn is_same_target(old: &TargetView, new: &TargetView) -> bool {
+    old.id == new.id
+        && old.state == new.state
+        && old.kind == new.kind
+        && old.service == new.service
+        && has_same_offer(old.report.as_ref(), new.report.as_ref())
+}
+
+fn has_same_offer(old: Option<&LoadReport>, new: Option<&LoadReport>) -> bool {
+    match (old, new) {
+        (Some(old), Some(new)) => old.role == new.role && old.models == new.models,
+        (old, new) => old.is_none() && new.is_none(),
+    }
+}
+
 fn reading_rank(target: &TargetView) -> u8 {
     match target.report.as_ref().map(|r| r.role) {
         Some(EngineRole::Prefill) => 0,
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -10,7 +10,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::candidates::{CandidateIndex, CandidateSide};
+use crate::candidates::{self, CandidateIndex, CandidateSide};
 use crate::cost::{CostModel, SpeedSettings};
 use crate::fair_queue::{FairQueue, JobNumber, QueuedJob};
 use crate::fleet::UseState;
@@ -185,7 +185,8 @@
         now: MonoTime,
     ) -> Vec<ScheduleAction> {
         self.live_daemons = live_daemons.max(1);
-        if fleet.version != self.fleet.version || self.fleet.targets.is_empty() {
+        // Most views bring new load reports and nothing else.
+        if !candidates::has_same_shape(&self.fleet, &fleet) {
             self.index = CandidateIndex::build(&fleet);
             self.costs.retain_targets(|t| fleet.targets.contains_key(t));
             self.own
--- a/tests/placement_choice.rs
+++ b/tests/placement_choice.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use pistachiowick::candidates::CandidateIndex;
+use pistachiowick::candidates::{CandidateIndex, has_same_shape};
 use pistachiowick::cost::{CostModel, SpeedSettings};
 use pistachiowick::fair_queue::JobNumber;
 use pistachiowick::fleet::{FleetView, TargetView, UseState};
@@ -405,3 +405,43 @@
     }
     assert!(!CandidateIndex::build(&fleet).is_usable(&pool));
 }
+
+struct ShapeCase {
+    change: fn(&mut FleetView),
+    same: bool,
+}
+
+// New load reports come many times a second; only a view that changes who may receive
+// which work is worth a new index.
+#[rstest]
+#[case::new_load(ShapeCase { change: |f| report_of(&mut f.targets[1]).in_flight = 9, same: true })]
+#[case::new_report(ShapeCase { change: |f| report_of(&mut f.targets[1]).taken_at.0 += 1, same: true })]
+#[case::state(ShapeCase { change: |f| f.targets[1].state = UseState::Suspect, same: false })]
+#[case::role(ShapeCase { change: |f| report_of(&mut f.targets[1]).role = EngineRole::Decode, same: false })]
+#[case::models(ShapeCase { change: |f| report_of(&mut f.targets[1]).models.push("b".to_owned()), same: false })]
+#[case::first_report(ShapeCase { change: |f| f.targets[1].report = None, same: false })]
+#[case::service(ShapeCase { change: |f| f.targets[1].service = Some("ledger".into()), same: false })]
+#[case::one_more(ShapeCase {
+    change: |f| {
+        let target = samples::engine_view(9, NOW);
+        f.targets.insert(target.id.clone(), target);
+    },
+    same: false,
+})]
+#[case::one_less(ShapeCase { change: |f| drop(f.targets.pop()), same: false })]
+#[case::replaced(ShapeCase {
+    change: |f| {
+        f.targets.pop();
+        let target = samples::engine_view(9, NOW);
+        f.targets.insert(target.id.clone(), target);
+    },
+    same: false,
+})]
+fn shape_of_the_fleet(#[case] case: ShapeCase) {
+    let old = samples::fleet_view(3, 1, 1, NOW);
+    let mut new = old.clone();
+    new.version = 2;
+    (case.change)(&mut new);
+    assert_eq!(has_same_shape(&old, &new), case.same);
+    assert_eq!(has_same_shape(&new, &old), case.same);
+}
