Hand a cancel to the daemon that follows the request

Ruled out: telling the following daemon by a mark in the engine's stream (engines have none). Change: requests between daemons carry a kind; a cancel goes to the daemon named in the token, and to the engine only when that daemon is gone.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod orders;
 pub mod peer_handshake;
 pub mod peer_link;
+pub mod peer_requests;
 pub mod peer_state;
 pub mod peer_wire;
 pub mod placement;
--- a/src/rpc_requests.rs
+++ b/src/rpc_requests.rs
@@ -15,10 +15,14 @@
 use crate::addressing;
 use crate::answer_sink::{AnswerEvent, AnswerSink, FinalOutcome};
 use crate::clock;
+use crate::fleet::UseState;
 use crate::intents::{IntentKey, RecordView};
-use crate::names::{ProcessIncarnation, RequestId, RequestKey, UnixTime, WorkspaceName, millis};
+use crate::names::{
+    DaemonId, ProcessIncarnation, RequestId, RequestKey, UnixTime, WorkspaceName, millis,
+};
 use crate::pb;
 use crate::pb::requests_server::Requests;
+use crate::peer_requests::cancel_there;
 use crate::ports::TargetCall;
 use crate::request::CallerRequest;
 use crate::resume_token::ResumeToken;
@@ -163,14 +167,8 @@
     ) -> Result<Response<pb::CancelReply>, Status> {
         let workspace = self.workspace(&request)?;
         let token = self.opened(&workspace, &request.into_inner().resume_token)?;
-        let here = self.context.cancel_here(&token.request_id);
-        // A request that may not be repeated is stopped only where its record is
-        // kept; cutting its engine alone would leave the outcome open.
-        let at_engine = token.key.is_none() && !token.model.is_empty();
-        let there = at_engine && self.cancel_at_engine(&token).await;
-        Ok(Response::new(pb::CancelReply {
-            stopped: here || there,
-        }))
+        let stopped = self.cancel_where_it_runs(&token).await;
+        Ok(Response::new(pb::CancelReply { stopped }))
     }
 
     async fn outcome(
@@ -215,6 +213,36 @@
 }
 
 impl RequestsService {
+    /// Stops a request at the daemon that follows it.
+    ///
+    /// Stopping its engine alone would look to that daemon like a lost engine: it would
+    /// go on elsewhere, and the caller be told "stopped" and then answered. The engine
+    /// is asked only when that daemon is gone, and never for a request that may not be
+    /// repeated, whose outcome would stay open.
+    async fn cancel_where_it_runs(&self, token: &ResumeToken) -> bool {
+        let context = &self.context;
+        if context.cancel_here(&token.request_id) {
+            return true;
+        }
+        if token.daemon != context.daemon {
+            let asked = cancel_there(&context.peers, &token.daemon, &token.request_id).await;
+            if let Ok(stopped) = asked {
+                return stopped;
+            }
+            if self.is_in_use(&token.daemon) {
+                return false;
+            }
+        }
+        let at_engine = token.key.is_none() && !token.model.is_empty();
+        at_engine && self.cancel_at_engine(token).await
+    }
+
+    fn is_in_use(&self, daemon: &DaemonId) -> bool {
+        let snapshot = self.context.control.snapshot.load();
+        let view = snapshot.fleet.daemons.get(daemon);
+        view.is_some_and(|d| d.state != UseState::Gone)
+    }
+
     async fn cancel_at_engine(&self, token: &ResumeToken) -> bool {
         let call = TargetCall {
             address: token.target_address.clone(),
--- a/src/server.rs
+++ b/src/server.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use eyre::{Result, WrapErr};
@@ -20,14 +20,15 @@
 use crate::dispatch::JobDispatcher;
 use crate::engine_http::engine_port;
 use crate::fleet::UseState;
-use crate::intent_link::{IntentLink, LinkError, shard_owner};
+use crate::intent_link::{IntentLink, shard_owner};
 use crate::intent_store::{IntentStore, StoreInputs};
 use crate::journal::DecisionJournal;
 use crate::names::ProcessIncarnation;
 use crate::pb::operations_server::OperationsServer;
 use crate::pb::requests_server::RequestsServer;
 use crate::peer_handshake::PeerIdentity;
-use crate::peer_link::{PeerHandle, PeerHandler, PeerInputs, start_peers};
+use crate::peer_link::{PeerHandle, PeerInputs, start_peers};
+use crate::peer_requests::{TrafficCell, records_call, request_handler};
 use crate::platform_http::platform_port;
 use crate::ports::PlatformPort;
 use crate::resume_token::TokenSigner;
@@ -236,7 +237,7 @@
         speeds: settings.policy.speeds.clone(),
         seed: incarnation.0,
     });
-    let records = RecordCell::default();
+    let traffic = TrafficCell::default();
     let peers = start_peers(PeerInputs {
         listener: peer_listener,
         identity: PeerIdentity {
@@ -246,7 +247,7 @@
         },
         silence: Duration::from_millis(settings.peers.silence_ms),
         control: control.clone(),
-        handler: record_handler(&records),
+        handler: request_handler(&traffic),
     })
     .wrap_err("cannot listen for other daemons")?;
     let inputs = StoreInputs {
@@ -256,12 +257,10 @@
         incarnation,
         unix_now: Arc::new(clock::unix_now),
     };
-    let link = record_link(settings, &control, peers);
+    let link = record_link(settings, &control, &peers);
     let intents = IntentStore::with_link(&inputs, &link);
-    // Set once, here; a failure would mean that this line ran twice.
-    let _ = records.set(intents.clone());
     let dispatcher = JobDispatcher::new(scheduler, control.clone(), journal.clone());
-    Ok(Arc::new(TrafficContext {
+    let context = Arc::new(TrafficContext {
         daemon: settings.daemon_id.clone(),
         dispatcher,
         engines: engine_port()?,
@@ -269,35 +268,24 @@
         control,
         signer: TokenSigner::new(&settings.access.token_secrets)?,
         intents,
+        peers,
         telemetry: Telemetry::new(settings.metrics.tracked_pairs),
         journal,
         budget: Mutex::new(RetryBudget::new(settings.policy.retry_share)),
         running: Mutex::new(IndexMap::new()),
         closing: AtomicBool::new(false),
         settings: Arc::clone(settings),
-    }))
-}
-
-/// The records, for requests of peers that arrive before they are there.
-type RecordCell = Arc<OnceLock<IntentStore>>;
-
-/// Answers other daemons that hand over their operations on shards.
-fn record_handler(records: &RecordCell) -> PeerHandler {
-    let records = Arc::clone(records);
-    Arc::new(move |(_, body)| {
-        let records = Arc::clone(&records);
-        Box::pin(async move {
-            let store = records.get().ok_or("this daemon is starting")?;
-            store.serve(&body).await.map_err(|e| e.to_string())
-        })
-    })
+    });
+    // Set once, here; a failure would mean that this line ran twice.
+    let _ = traffic.set(Arc::downgrade(&context));
+    Ok(context)
 }
 
 /// Finds the owner of a shard among the live daemons and reaches it by the links.
 fn record_link(
     settings: &Arc<DaemonSettings>,
     control: &ControlHandle,
-    peers: PeerHandle,
+    peers: &PeerHandle,
 ) -> IntentLink {
     let own = settings.daemon_id.clone();
     let snapshot = control.snapshot.clone();
@@ -308,14 +296,7 @@
             let live = daemons.filter(|d| d.state == UseState::Live).map(|d| &d.id);
             shard_owner(shard, live).filter(|d| **d != own).cloned()
         }),
-        call: Arc::new(move |call| {
-            let reply = (peers.request)(call);
-            Box::pin(async move {
-                reply.await.map_err(|error| LinkError::NoReply {
-                    reason: error.to_string(),
-                })
-            })
-        }),
+        call: records_call(peers),
     }
 }
 
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -14,6 +14,7 @@
 use crate::intent_store::IntentStore;
 use crate::journal::DecisionJournal;
 use crate::names::{DaemonId, RequestId, TargetId};
+use crate::peer_link::PeerHandle;
 use crate::placement::{PoolKey, TargetChoice};
 use crate::ports::{EnginePort, ServicePort};
 use crate::request::CallerRequest;
@@ -46,6 +47,8 @@
     pub signer: TokenSigner,
     /// Records of requests that may not be repeated.
     pub intents: IntentStore,
+    /// Links to other daemons.
+    pub peers: PeerHandle,
     /// Histograms.
     pub telemetry: Telemetry,
     /// Reasons of decisions.
