--- a/tests/placement_choice.rs
+++ b/tests/placement_choice.rs
@@ -269,6 +269,25 @@
     assert_eq!(scene.choose(1).is_some(), placed);
 }
 
+// A workspace beyond its due leaves more room before its deadline, and gains none by being
+// behind its due.
+#[rstest]
+#[case::at_its_due(1.0, 700, true)]
+#[case::behind_its_due(4.0, 700, true)]
+#[case::behind_but_hopeless(4.0, 300, false)]
+#[case::beyond_its_due(0.5, 700, false)]
+#[case::beyond_with_room(0.5, 2_000, true)]
+fn workspace_beyond_its_due_leaves_room(
+    #[case] share_factor: f64,
+    #[case] left_ms: u64,
+    #[case] placed: bool,
+) {
+    let mut scene = PlacementScene::new(1);
+    scene.need.share_factor = share_factor;
+    scene.need.due = Some(NOW.plus(Duration::from_millis(left_ms)));
+    assert_eq!(scene.choose(1).is_some(), placed);
+}
+
 #[test]
 fn service_calls_go_to_the_least_called_instance() {
     let mut scene = PlacementScene::new(3);
--- a/tests/request_checks.rs
+++ b/tests/request_checks.rs
@@ -2,12 +2,15 @@
 
 use std::sync::Arc;
 
+use indexmap::IndexMap;
 use pistachiowick::catalogue::{ClassSpec, ClassTarget, ItemSpec, ModelChoice, WorkspaceSpec};
 use pistachiowick::config_view::set_item;
+use pistachiowick::names::WorkspaceName;
 use pistachiowick::pb::SubmitRequest;
 use pistachiowick::placement::PoolKey;
 use pistachiowick::request::{CallerRequest, RequestFault};
 use pistachiowick::settings::LimitSettings;
+use pistachiowick::shares::ShareView;
 use pistachiowick::snapshot::{ConfigView, ControlSnapshot, ItemRecord};
 use rstest::rstest;
 
@@ -311,3 +314,26 @@
     let second = check(message).expect("good").fingerprint();
     assert_eq!(first == second, case.same);
 }
+
+// The workspace got twice its due across the fleet; here its weight counts half.
+#[test]
+fn weight_is_corrected_by_the_shares_across_the_fleet() {
+    let workspace: WorkspaceName = WORKSPACE.into();
+    let factors = IndexMap::from([(workspace.clone(), 0.5)]);
+    let snapshot = ControlSnapshot {
+        config: Arc::new(config()),
+        shares: Arc::new(ShareView { factors }),
+        ..ControlSnapshot::default()
+    };
+    let request = CallerRequest::check(
+        "r-1".into(),
+        &workspace,
+        model_message(),
+        &snapshot,
+        &limits(),
+    )
+    .expect("the message is good");
+    let job = request.job_spec();
+    assert!((job.weight - 1.5).abs() < 1e-9, "{}", job.weight);
+    assert!((job.need.share_factor - 0.5).abs() < 1e-9);
+}
