Answer at once for a key whose claimant is gone

Cause: a caller who asked again for a key that a crashed daemon had claimed was kept until the deadline, since the record stays intended for good. Ruled out: taking the claim over or recording 'unknown' in the claimant's place. The claimant may only be cut off; its own record must stay possible. Change: a claimant that is not in the view, out of use, or followed by a later incarnation is not waited for. The record is read once more after that, for an end recorded just before a stop. Claimants' names have a type of their own, in a module of their own. Conclusion: no end is awaited that cannot come; a live or leaving claimant still is.

--- a/src/intent_store.rs
+++ b/src/intent_store.rs
@@ -11,6 +11,7 @@
 pub use crate::intent_permit::{DispatchPermit, DispatchedClaim, LateClaim, UndeliveredProof};
 pub use crate::intents::{AnswerRecord, IntentKey, RecordView};
 
+use crate::claimant::ClaimantLife;
 use crate::intent_driver::{
     OpWaiter, ShardMessage, UNDECIDED_RETRY, start_shard, undecided_result,
 };
@@ -142,9 +143,13 @@
         let shards = (0..inputs.settings.shards.max(1))
             .map(|shard| start_shard(inputs, link.cloned(), shard, process))
             .collect();
+        let claimant = ClaimantLife {
+            daemon: inputs.daemon.clone(),
+            incarnation: inputs.incarnation,
+        };
         Self {
             shards: Arc::new(shards),
-            claimant: format!("{}/{}", inputs.daemon, inputs.incarnation.0).into(),
+            claimant: claimant.to_string().into(),
             process,
             next_claim: Arc::new(AtomicU64::new(0)),
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod authority_actions;
 pub mod candidates;
 pub mod catalogue;
+pub mod claimant;
 pub mod client;
 pub mod client_answer;
 mod client_driver;
--- a/src/run_once.rs
+++ b/src/run_once.rs
@@ -15,6 +15,7 @@
 use crate::answer::AnswerSummary;
 use crate::answer_sink::{AnswerSink, FinalOutcome};
 use crate::attempt::{AttemptFault, AttemptState};
+use crate::claimant::ClaimantLife;
 use crate::clock;
 use crate::dispatch::JobSlot;
 use crate::intent_permit::{DispatchPermit, DispatchedClaim, UndeliveredProof};
@@ -381,14 +382,25 @@
     offset: u64,
 ) -> FinalOutcome {
     let mut wait = FIRST_LOOK;
-    while matches!(record, RecordView::Intended { .. }) && wait < request.time_left() {
-        tokio::time::sleep(wait).await;
-        wait = (wait * 2).min(LONGEST_LOOK);
+    while let RecordView::Intended { claimant, .. } = &record {
+        let gone = is_gone(context, claimant).then(|| claimant.clone());
+        if gone.is_none() {
+            if wait >= request.time_left() {
+                break;
+            }
+            tokio::time::sleep(wait).await;
+            wait = (wait * 2).min(LONGEST_LOOK);
+        }
         let Some(key) = &request.intent else { break };
+        // Also after the claimant was seen gone: it may have recorded its end between
+        // the last look and its stop.
         record = match context.intents.lookup(key, false).await {
             Ok(found) => found,
             Err(error) => return unknown(format!("its record cannot be read: {error}")),
         };
+        if let (Some(claimant), RecordView::Intended { .. }) = (gone, &record) {
+            return unknown(format!("{claimant} dispatched it and is gone"));
+        }
     }
     match record {
         RecordView::NotRun => FinalOutcome::NotRun {
@@ -410,6 +422,19 @@
     }
 }
 
+/// Tells whether a record's claimant is gone, so that no end of it is to be awaited.
+///
+/// Without this, a caller of a crashed daemon would hear nothing until the deadline.
+/// A claimant that is only cut off looks the same and may record its answer later.
+/// "Unknown" stays true even so, since it denies nothing; nobody dispatches the
+/// request again, and whoever asks after that gets the answer from the record.
+fn is_gone(context: &TrafficContext, claimant: &str) -> bool {
+    let snapshot = context.control.snapshot.load();
+    // Before the first whole list, everybody would count as gone.
+    let life = ClaimantLife::parse(claimant).filter(|_| snapshot.ready);
+    life.is_some_and(|l| l.is_gone(&snapshot.fleet))
+}
+
 async fn from_answer(
     sink: &mut AnswerSink,
     length: u64,
--- /dev/null
+++ b/tests/run_once_records.rs
@@ -0,0 +1,192 @@
+//! A key asked again is answered from what its claimant recorded, by whichever daemon.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pistachiowick::clock;
+use pistachiowick::intent_store::{
+    AnswerRecord, ClaimResult, DispatchedClaim, IntentClaim, IntentKey, IntentStore, StoreInputs,
+};
+use pistachiowick::invariants;
+use pistachiowick::names::{DaemonId, ProcessIncarnation, UnixTime};
+use pistachiowick::pb::answer_event::Event;
+use pistachiowick::pb::requests_client::RequestsClient;
+use pistachiowick::pb::{Final, Outcome, SubmitRequest};
+use pistachiowick::platform_http::platform_port;
+use pistachiowick_lab::fleet::{FleetPlan, LabFleet, daemon_settings, with_key};
+use pistachiowick_lab::quickstart::{quickstart_items, workspace_key};
+use rstest::rstest;
+use sha2::{Digest, Sha256};
+
+const WORKSPACE: &str = "stores";
+const CLASS: &str = "issue";
+const KEY: &str = "issue-order-7";
+const ANSWER: &[u8] = b"bearing set issued";
+
+/// Looks at the fleet before a test gives up waiting for a state of it.
+const MOST_LOOKS: usize = 2_000;
+const LOOK_PAUSE: Duration = Duration::from_millis(10);
+
+/// Time in which a daemon looks at an open record more than once.
+const SOME_LOOKS: Duration = Duration::from_millis(500);
+
+async fn started(daemons: usize, services: usize) -> LabFleet {
+    invariants::make_fatal();
+    let plan = FleetPlan {
+        daemons,
+        engines: 0,
+        services,
+        items: quickstart_items(),
+        ..FleetPlan::default()
+    };
+    LabFleet::start(plan).await.expect("the fleet starts")
+}
+
+async fn until(what: &str, done: impl Fn() -> bool) {
+    for _ in 0..MOST_LOOKS {
+        if done() {
+            return;
+        }
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+    panic!("no {what}");
+}
+
+/// Returns the life of a daemon as another one knows it, or zero.
+fn known_life(fleet: &LabFleet, by: &str, daemon: &str) -> ProcessIncarnation {
+    let snapshot = fleet.daemons[by].context().control.snapshot.load();
+    let view = snapshot.fleet.daemons.get(&DaemonId::from(daemon));
+    view.map(|v| v.incarnation).unwrap_or_default()
+}
+
+/// Records a claim in the name of a daemon's process, and its dispatch.
+async fn claim_as(
+    fleet: &LabFleet,
+    daemon: &str,
+    incarnation: ProcessIncarnation,
+    minted_at: UnixTime,
+) -> DispatchedClaim {
+    let settings = daemon_settings(daemon, "centre-a", &fleet.platform.address());
+    let store = IntentStore::new(&StoreInputs {
+        settings: &settings.intents,
+        platform: platform_port(&settings.platform).expect("an address of the laboratory"),
+        daemon: DaemonId::from(daemon),
+        incarnation,
+        unix_now: Arc::new(clock::unix_now),
+    });
+    let claim = IntentClaim {
+        key: IntentKey {
+            workspace: WORKSPACE.into(),
+            key: KEY.into(),
+            minted_at,
+        },
+        fingerprint: [7; 16],
+        target: "service-00".into(),
+        patience: Duration::from_secs(10),
+    };
+    match store.claim(claim).await {
+        ClaimResult::Granted(permit) => permit.dispatch(),
+        other => panic!("the claim is not granted: {other:?}"),
+    }
+}
+
+fn whole_answer() -> AnswerRecord {
+    AnswerRecord {
+        length: ANSWER.len() as u64,
+        digest: Sha256::digest(ANSWER).into(),
+        result: Some(ANSWER.to_vec()),
+    }
+}
+
+/// Asks for the key again and returns the bytes and the final outcome.
+async fn ask_again(fleet: &LabFleet, daemon: &str, minted_at: UnixTime) -> (Vec<u8>, Final) {
+    let address = format!("http://{}", fleet.daemons[daemon].rpc);
+    let mut client = RequestsClient::connect(address).await.expect("it listens");
+    let submit = SubmitRequest {
+        key: KEY.to_owned(),
+        key_minted_at_ms: minted_at.0,
+        first_submission: false,
+        class: CLASS.to_owned(),
+        prompt: b"one bearing set".to_vec(),
+        deadline_ms: 5_000,
+        ..SubmitRequest::default()
+    };
+    let asked = client.submit(with_key(submit, &workspace_key(WORKSPACE)));
+    let mut events = asked.await.expect("a well-formed request").into_inner();
+    let mut data = Vec::new();
+    loop {
+        let event = events.message().await.expect("the daemon lives");
+        let event = event.expect("a final outcome comes before the end");
+        match event.event.expect("an event of a known kind") {
+            Event::Accepted(_) => {}
+            Event::Chunk(chunk) => data.extend_from_slice(&chunk.data),
+            Event::Final(last) => return (data, last),
+        }
+    }
+}
+
+fn runs(fleet: &LabFleet) -> usize {
+    fleet.services.values().map(|s| s.books().runs.len()).sum()
+}
+
+struct GoneCase {
+    /// Daemon in whose name the key was claimed.
+    claimant: &'static str,
+}
+
+/// The caller asks again for an issue order and learns at once that nobody can say
+/// whether it ran.
+///
+/// The process that claimed it has dispatched it and recorded no end; it is not in
+/// the list, or a later process has its name. Its end is never recorded, so waiting
+/// for it would only keep the caller until the deadline.
+#[rstest]
+#[case::not_in_the_list(GoneCase { claimant: "entry-9" })]
+#[case::restarted(GoneCase { claimant: "entry-1" })]
+#[case::former_life_of_the_asked_daemon(GoneCase { claimant: "entry-0" })]
+#[tokio::test(flavor = "multi_thread")]
+async fn key_of_a_claimant_that_is_gone_is_unknown_at_once(#[case] case: GoneCase) {
+    let fleet = started(2, 1).await;
+    until("life of the other daemon", || {
+        known_life(&fleet, "entry-0", "entry-1").0 > 0
+    })
+    .await;
+    let minted_at = clock::unix_now();
+    let claim = claim_as(&fleet, case.claimant, ProcessIncarnation(1), minted_at).await;
+
+    let (data, last) = ask_again(&fleet, "entry-0", minted_at).await;
+
+    assert_eq!(last.outcome(), Outcome::Unknown);
+    assert!(last.reason.contains("is gone"), "told: {}", last.reason);
+    assert_eq!((data.len(), runs(&fleet)), (0, 0));
+    drop(claim);
+    fleet.stop().await;
+}
+
+/// The caller asks again while the order still runs, and gets its answer.
+///
+/// The claimant lives and has dispatched the order; the daemon that is asked waits.
+/// The claimant then records the answer, which is passed on without a second run.
+#[tokio::test(flavor = "multi_thread")]
+async fn key_of_a_live_claimant_is_waited_for() {
+    let fleet = started(2, 1).await;
+    until("life of the other daemon", || {
+        known_life(&fleet, "entry-0", "entry-1").0 > 0
+    })
+    .await;
+    let life = known_life(&fleet, "entry-0", "entry-1");
+    let minted_at = clock::unix_now();
+    let claim = claim_as(&fleet, "entry-1", life, minted_at).await;
+
+    let mut asked = Box::pin(ask_again(&fleet, "entry-0", minted_at));
+    tokio::select! {
+        (_, last) = &mut asked => panic!("not waited for: {last:?}"),
+        () = tokio::time::sleep(SOME_LOOKS) => {}
+    }
+    claim.answered(whole_answer());
+    let (data, last) = asked.await;
+
+    assert_eq!(last.outcome(), Outcome::Answered, "{}", last.reason);
+    assert_eq!((data.as_slice(), runs(&fleet)), (ANSWER, 0));
+    fleet.stop().await;
+}
