Answer a refused key from its record

Cause: run_once::refuse took every record found while closing a key for an open claim and told 'unknown', also when the whole answer was on record. Ruled out: waiting for an open claim here; the daemon was to turn the request away. Change: an answered record is passed on, any other claim is unknown as before. Before: refused_key_is_answered_from_its_record, case answered, was told 'unknown'. After: both cases pass. Conclusion: a caller who asks again gets the recorded answer also where there is no room or target.

--- a/src/run_once.rs
+++ b/src/run_once.rs
@@ -24,7 +24,7 @@
 use crate::placement::{PoolKey, TargetChoice};
 use crate::request::CallerRequest;
 use crate::run_call::{call_service, deliver};
-use crate::scheduler::JobMeasure;
+use crate::scheduler::{JobMeasure, JobRefusal};
 use crate::traffic::{RequestProgress, TrafficContext, until_cancelled};
 
 /// How long a reply is awaited past the caller's deadline, to record it.
@@ -95,19 +95,21 @@
     let ticket = match context.dispatcher.admit(&request.id, request.job_spec()) {
         Ok(ticket) => ticket,
         Err(refusal) => {
-            return Err(refuse(context, request, key, refusal.reason, refusal.retry_after).await);
+            return Err(refuse(context, request, sink, refusal).await);
         }
     };
     let token = context.token(request, None, 0);
     sink.accepted(token, 0, &"".into()).await;
     let waited = tokio::select! {
         granted = ticket.wait() => granted,
-        () = until_cancelled(cancelled) => return Err(cancel_unclaimed(context, request, key).await),
+        () = until_cancelled(cancelled) => {
+            return Err(cancel_unclaimed(context, request, sink).await);
+        }
     };
     let slot = match waited {
         Ok(slot) => slot,
         Err(refusal) => {
-            return Err(refuse(context, request, key, refusal.reason, refusal.retry_after).await);
+            return Err(refuse(context, request, sink, refusal).await);
         }
     };
     let claim = IntentClaim {
@@ -166,21 +168,31 @@
 async fn refuse(
     context: &TrafficContext,
     request: &CallerRequest,
-    key: &IntentKey,
-    reason: String,
-    retry_after: Duration,
+    sink: &mut AnswerSink,
+    refusal: JobRefusal,
 ) -> FinalOutcome {
+    let JobRefusal {
+        reason,
+        retry_after,
+    } = refusal;
     if request.submit.first_submission {
         return FinalOutcome::NotRun {
             reason,
             retry_after,
         };
     }
+    let Some(key) = &request.intent else {
+        return unknown(reason);
+    };
     match context.intents.lookup(key, true).await {
         Ok(RecordView::NotRun) => FinalOutcome::NotRun {
             reason: format!("{reason}; the key is closed, use a new one"),
             retry_after,
         },
+        Ok(record @ RecordView::Answered { .. }) => {
+            from_record(context, request, sink, record, 0).await
+        }
+        // Not waited for: this daemon was to turn the request away.
         Ok(_) => unknown("another daemon has claimed the key".to_owned()),
         Err(error) => unknown(format!("{reason}, and its record is not certain: {error}")),
     }
@@ -189,9 +201,13 @@
 async fn cancel_unclaimed(
     context: &TrafficContext,
     request: &CallerRequest,
-    key: &IntentKey,
+    sink: &mut AnswerSink,
 ) -> FinalOutcome {
-    match refuse(context, request, key, String::new(), Duration::ZERO).await {
+    let cancelled = JobRefusal {
+        reason: "cancelled".to_owned(),
+        retry_after: Duration::ZERO,
+    };
+    match refuse(context, request, sink, cancelled).await {
         FinalOutcome::NotRun { .. } => FinalOutcome::Cancelled,
         other => other,
     }
--- a/tests/run_once_records.rs
+++ b/tests/run_once_records.rs
@@ -14,6 +14,7 @@
 use pistachiowick::pb::{Final, Outcome, SubmitRequest};
 use pistachiowick::platform_http::platform_port;
 use pistachiowick_lab::fleet::{FleetPlan, LabFleet, daemon_settings, with_key};
+use pistachiowick_lab::platform::PlatformFaults;
 use pistachiowick_lab::quickstart::{quickstart_items, workspace_key};
 use rstest::rstest;
 use sha2::{Digest, Sha256};
@@ -30,6 +31,9 @@
 /// Time in which a daemon looks at an open record more than once.
 const SOME_LOOKS: Duration = Duration::from_millis(500);
 
+/// Age of reads in a test of stale ones; the test ends the fault long before.
+const STALE_MS: u64 = 60_000;
+
 async fn started(daemons: usize, services: usize) -> LabFleet {
     invariants::make_fatal();
     let plan = FleetPlan {
@@ -190,3 +194,56 @@
     assert_eq!((data.as_slice(), runs(&fleet)), (ANSWER, 0));
     fleet.stop().await;
 }
+
+struct RefusedCase {
+    /// Whether the claimant has recorded an answer.
+    answered: bool,
+    outcome: Outcome,
+}
+
+/// The caller asks again through a daemon that has nowhere to run the order, and
+/// gets the answer that is on record, if there is one.
+///
+/// The daemon's first read is stale and shows no record, so it looks for a target and
+/// finds none. Closing the key then meets the claim, and what it says goes.
+#[rstest]
+#[case::answered(RefusedCase { answered: true, outcome: Outcome::Answered })]
+#[case::open(RefusedCase { answered: false, outcome: Outcome::Unknown })]
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_key_is_answered_from_its_record(#[case] case: RefusedCase) {
+    let fleet = started(1, 0).await;
+    fleet.platform.set_faults(PlatformFaults {
+        stale_ms: STALE_MS,
+        ..PlatformFaults::default()
+    });
+    let minted_at = clock::unix_now();
+    let written = fleet.platform.books().write;
+    let claim = claim_as(&fleet, "entry-9", ProcessIncarnation(1), minted_at).await;
+    let mut open = Some(claim);
+    if case.answered {
+        open.take()
+            .expect("just put there")
+            .answered(whole_answer());
+        until("write of the answer", || {
+            fleet.platform.books().write >= written + 2
+        })
+        .await;
+    }
+    let conflicts = fleet.platform.books().conflicts;
+
+    let asked = ask_again(&fleet, "entry-0", minted_at);
+    let freshened = async {
+        until("close that meets the claim", || {
+            fleet.platform.books().conflicts > conflicts
+        })
+        .await;
+        fleet.platform.set_faults(PlatformFaults::default());
+    };
+    let ((data, last), ()) = tokio::join!(asked, freshened);
+
+    assert_eq!(last.outcome(), case.outcome, "{}", last.reason);
+    let expected = if case.answered { ANSWER } else { b"" };
+    assert_eq!((data.as_slice(), runs(&fleet)), (expected, 0));
+    drop(open);
+    fleet.stop().await;
+}
