Keep the owners of shards per version of the fleet

Cause: each write of a shard hashed every live daemon to find the shard's owner. Ruled out: finding all owners when the control thread publishes a view; most views change load reports only, and few shards are written between two. Change: OwnerCache keeps the owners found for one version of the view; another version, older or newer, clears them. Conclusion: the cost of a write no longer grows with the number of daemons while the view stands. A view changes with each load report, so it is hashed again then.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod order_record;
 pub mod order_types;
 pub mod orders;
+pub mod owner_cache;
 pub mod peer_handshake;
 pub mod peer_link;
 pub mod peer_state;
--- /dev/null
+++ b/src/owner_cache.rs
@@ -0,0 +1,43 @@
+//! The owners of shards, kept for one version of the fleet.
+
+use std::sync::{Mutex, PoisonError};
+
+use indexmap::IndexMap;
+
+use crate::fleet::{FleetView, UseState};
+use crate::intent_link::shard_owner;
+use crate::names::DaemonId;
+
+/// Owners found for one version of the fleet.
+#[derive(Debug, Default)]
+struct FoundOwners {
+    version: u64,
+    owners: IndexMap<u32, Option<DaemonId>>,
+}
+
+/// Finds the owner of a shard among the live daemons, once per version of the fleet:
+/// hashing each of hundreds of daemons for each write would cost more than the write.
+#[derive(Debug, Default)]
+pub struct OwnerCache {
+    found: Mutex<FoundOwners>,
+}
+
+impl OwnerCache {
+    /// Returns the owner of a shard; `None` when no daemon is live.
+    pub fn owner(&self, shard: u32, fleet: &FleetView) -> Option<DaemonId> {
+        let mut found = self.found.lock().unwrap_or_else(PoisonError::into_inner);
+        // Any other version counts: a thread may come with a view older than the last.
+        if found.version != fleet.version {
+            found.version = fleet.version;
+            found.owners.clear();
+        }
+        let owner = found.owners.entry(shard);
+        owner.or_insert_with(|| live_owner(shard, fleet)).clone()
+    }
+}
+
+fn live_owner(shard: u32, fleet: &FleetView) -> Option<DaemonId> {
+    let daemons = fleet.daemons.values();
+    let live = daemons.filter(|d| d.state == UseState::Live).map(|d| &d.id);
+    shard_owner(shard, live).cloned()
+}
--- a/src/server.rs
+++ b/src/server.rs
@@ -19,11 +19,11 @@
 use crate::control::{ControlEvent, ControlHandle, ControlInputs, start_control};
 use crate::dispatch::JobDispatcher;
 use crate::engine_http::engine_port;
-use crate::fleet::UseState;
-use crate::intent_link::{IntentLink, LinkError, shard_owner};
+use crate::intent_link::{IntentLink, LinkError};
 use crate::intent_store::{IntentStore, StoreInputs};
 use crate::journal::DecisionJournal;
 use crate::names::ProcessIncarnation;
+use crate::owner_cache::OwnerCache;
 use crate::pb::operations_server::OperationsServer;
 use crate::pb::requests_server::RequestsServer;
 use crate::peer_handshake::PeerIdentity;
@@ -297,12 +297,11 @@
 ) -> IntentLink {
     let own = settings.daemon_id.clone();
     let snapshot = control.snapshot.clone();
+    let owners = OwnerCache::default();
     IntentLink {
         owner: Arc::new(move |shard| {
-            let snapshot = snapshot.load();
-            let daemons = snapshot.fleet.daemons.values();
-            let live = daemons.filter(|d| d.state == UseState::Live).map(|d| &d.id);
-            shard_owner(shard, live).filter(|d| **d != own).cloned()
+            let owner = owners.owner(shard, &snapshot.load().fleet);
+            owner.filter(|daemon| *daemon != own)
         }),
         call: Arc::new(move |call| {
             let reply = (peers.request)(call);
