Measure what running at most once costs, by rate

Cause: platform writes a second and added latency were not measured. Ruled out: one deployment for all rates; records of the lower rates would stay in the shards and count against the next.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod load;
 pub mod load_check;
 pub mod load_tally;
+pub mod once_cost;
 pub mod platform;
 pub mod platform_state;
 pub mod process_stat;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -10,6 +10,7 @@
 use pistachiowick_lab::engine::EngineStandIn;
 use pistachiowick_lab::footprint;
 use pistachiowick_lab::load::run_load;
+use pistachiowick_lab::once_cost;
 use pistachiowick_lab::platform::PlatformStandIn;
 use pistachiowick_lab::prove_command;
 use pistachiowick_lab::quickstart::run_quickstart;
@@ -61,6 +62,12 @@
         files: 0,
         run: |matches| Box::pin(control_cost::run(matches)),
     },
+    LabCommand {
+        name: "once-cost",
+        about: "measure what running requests at most once costs, by rate",
+        files: 0,
+        run: |matches| Box::pin(once_cost::run(matches)),
+    },
     LabCommand {
         name: "platform",
         about: "run a stand-in for the platform's object service and instance list",
@@ -136,6 +143,7 @@
     options.optopt("", "seed", "seed of all random choices; 1 without it", "N");
     prove_command::add_flags(&mut options);
     control_cost::add_flags(&mut options);
+    once_cost::add_flags(&mut options);
     options.optopt(
         "",
         "policies",
