--- a/src/run_once.rs
+++ b/src/run_once.rs
@@ -15,6 +15,7 @@
 use crate::answer::AnswerSummary;
 use crate::answer_sink::{AnswerSink, FinalOutcome};
 use crate::attempt::{AttemptFault, AttemptState};
+use crate::claimant::ClaimantLife;
 use crate::clock;
 use crate::dispatch::JobSlot;
 use crate::intent_permit::{DispatchPermit, DispatchedClaim, UndeliveredProof};
@@ -23,7 +24,7 @@
 use crate::placement::{PoolKey, TargetChoice};
 use crate::request::CallerRequest;
 use crate::run_call::{call_service, deliver};
-use crate::scheduler::JobMeasure;
+use crate::scheduler::{JobMeasure, JobRefusal};
 use crate::traffic::{RequestProgress, TrafficContext, until_cancelled};
 
 /// How long a reply is awaited past the caller's deadline, to record it.
@@ -94,19 +95,21 @@
     let ticket = match context.dispatcher.admit(&request.id, request.job_spec()) {
         Ok(ticket) => ticket,
         Err(refusal) => {
-            return Err(refuse(context, request, key, refusal.reason, refusal.retry_after).await);
+            return Err(refuse(context, request, sink, refusal).await);
         }
     };
     let token = context.token(request, None, 0);
     sink.accepted(token, 0, &"".into()).await;
     let waited = tokio::select! {
         granted = ticket.wait() => granted,
-        () = until_cancelled(cancelled) => return Err(cancel_unclaimed(context, request, key).await),
+        () = until_cancelled(cancelled) => {
+            return Err(cancel_unclaimed(context, request, sink).await);
+        }
     };
     let slot = match waited {
         Ok(slot) => slot,
         Err(refusal) => {
-            return Err(refuse(context, request, key, refusal.reason, refusal.retry_after).await);
+            return Err(refuse(context, request, sink, refusal).await);
         }
     };
     let claim = IntentClaim {
@@ -165,21 +168,31 @@
 async fn refuse(
     context: &TrafficContext,
     request: &CallerRequest,
-    key: &IntentKey,
-    reason: String,
-    retry_after: Duration,
+    sink: &mut AnswerSink,
+    refusal: JobRefusal,
 ) -> FinalOutcome {
+    let JobRefusal {
+        reason,
+        retry_after,
+    } = refusal;
     if request.submit.first_submission {
         return FinalOutcome::NotRun {
             reason,
             retry_after,
         };
     }
+    let Some(key) = &request.intent else {
+        return unknown(reason);
+    };
     match context.intents.lookup(key, true).await {
         Ok(RecordView::NotRun) => FinalOutcome::NotRun {
             reason: format!("{reason}; the key is closed, use a new one"),
             retry_after,
         },
+        Ok(record @ RecordView::Answered { .. }) => {
+            from_record(context, request, sink, record, 0).await
+        }
+        // Not waited for: this daemon was to turn the request away.
         Ok(_) => unknown("another daemon has claimed the key".to_owned()),
         Err(error) => unknown(format!("{reason}, and its record is not certain: {error}")),
     }
@@ -188,9 +201,13 @@
 async fn cancel_unclaimed(
     context: &TrafficContext,
     request: &CallerRequest,
-    key: &IntentKey,
+    sink: &mut AnswerSink,
 ) -> FinalOutcome {
-    match refuse(context, request, key, String::new(), Duration::ZERO).await {
+    let cancelled = JobRefusal {
+        reason: "cancelled".to_owned(),
+        retry_after: Duration::ZERO,
+    };
+    match refuse(context, request, sink, cancelled).await {
         FinalOutcome::NotRun { .. } => FinalOutcome::Cancelled,
         other => other,
     }
@@ -381,14 +398,25 @@
     offset: u64,
 ) -> FinalOutcome {
     let mut wait = FIRST_LOOK;
-    while matches!(record, RecordView::Intended { .. }) && wait < request.time_left() {
-        tokio::time::sleep(wait).await;
-        wait = (wait * 2).min(LONGEST_LOOK);
+    while let RecordView::Intended { claimant, .. } = &record {
+        let gone = is_gone(context, claimant).then(|| claimant.clone());
+        if gone.is_none() {
+            if wait >= request.time_left() {
+                break;
+            }
+            tokio::time::sleep(wait).await;
+            wait = (wait * 2).min(LONGEST_LOOK);
+        }
         let Some(key) = &request.intent else { break };
+        // Also after the claimant was seen gone: it may have recorded its end between
+        // the last look and its stop.
         record = match context.intents.lookup(key, false).await {
             Ok(found) => found,
             Err(error) => return unknown(format!("its record cannot be read: {error}")),
         };
+        if let (Some(claimant), RecordView::Intended { .. }) = (gone, &record) {
+            return unknown(format!("{claimant} dispatched it and is gone"));
+        }
     }
     match record {
         RecordView::NotRun => FinalOutcome::NotRun {
@@ -410,6 +438,19 @@
     }
 }
 
+/// Tells whether a record's claimant is gone, so that no end of it is to be awaited.
+///
+/// Without this, a caller of a crashed daemon would hear nothing until the deadline.
+/// A claimant that is only cut off looks the same and may record its answer later.
+/// "Unknown" stays true even so, since it denies nothing; nobody dispatches the
+/// request again, and whoever asks after that gets the answer from the record.
+fn is_gone(context: &TrafficContext, claimant: &str) -> bool {
+    let snapshot = context.control.snapshot.load();
+    // Before the first whole list, everybody would count as gone.
+    let life = ClaimantLife::parse(claimant).filter(|_| snapshot.ready);
+    life.is_some_and(|l| l.is_gone(&snapshot.fleet))
+}
+
 async fn from_answer(
     sink: &mut AnswerSink,
     length: u64,
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -310,6 +310,9 @@
         if fleet.version == self.fleet.version {
             return;
         }
+        self.queues
+            .values_mut()
+            .for_each(FairQueue::drop_idle_lanes);
         for (id, target) in &fleet.targets {
             let known = self.fleet.targets.get(id).and_then(|t| t.report.as_ref());
             let Some(report) = &target.report else {
