Give short work the engines it needs before long prompts

Cause: the line between reading and writing went by shares alone. Change: writing gets its share and at least what its work needs, with some room.

--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -581,7 +581,10 @@
     }
 
     fn reading_share(&self, pool: &PoolKey) -> f64 {
-        self.mixes.get(pool).map_or(0.0, WorkMix::reading_share)
+        let whole = self.index.side(pool, WorkSide::Writing, 0.0);
+        let targets = whole.map_or(0, |side| side.len());
+        let mix = self.mixes.get(pool);
+        mix.map_or(0.0, |mix| mix.reading_part(targets, self.live_daemons))
     }
 
     fn candidates(&self, key: &QueueKey) -> Option<CandidateSide<'_>> {
--- a/src/work_mix.rs
+++ b/src/work_mix.rs
@@ -9,6 +9,11 @@
 /// the mix swings, long against the gaps between requests.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 
+/// Room that writing gets beyond its bare need, for what comes in bursts.
+const WRITING_ROOM: f64 = 1.3;
+/// Least part that reads while there is anything to read.
+const LEAST_PART: f64 = 1e-6;
+
 /// Decayed cost of what was placed, from which the pace of a queue is read.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct PlacedPace {
@@ -80,6 +85,23 @@
         }
     }
 
+    /// Returns the part of a pool's targets that should read, where all daemons together
+    /// see `daemons` times this work.
+    ///
+    /// Writing gets its share of the targets, and at least what its work needs: long
+    /// prompts mostly may wait, and a flood of them must not leave the short, urgent
+    /// requests without engines.
+    #[must_use]
+    pub fn reading_part(&self, targets: usize, daemons: usize) -> f64 {
+        if self.reading <= 0.0 || targets == 0 {
+            return 0.0;
+        }
+        let pace = std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64();
+        let needed = self.writing * pace * daemons as f64 * WRITING_ROOM;
+        let part = 1.0 - needed / targets as f64;
+        self.reading_share().min(part).max(LEAST_PART)
+    }
+
     fn decay(&mut self, now: MonoTime) {
         let left = decay_since(self.at, now);
         self.reading *= left;
