--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -362,7 +362,7 @@
             "event at {} ms names target {:?}; use engine-00 to engine-{:02}",
             event.at_ms,
             event.target,
-            self.engines - 1
+            self.engines.saturating_sub(1)
         );
         Ok(())
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod owner_cache;
 pub mod peer_handshake;
 pub mod peer_link;
+pub mod peer_requests;
 pub mod peer_state;
 pub mod peer_wire;
 pub mod placement;
--- a/src/server.rs
+++ b/src/server.rs
@@ -3,8 +3,8 @@
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, OnceLock};
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use eyre::{Result, WrapErr};
 use indexmap::IndexMap;
@@ -19,7 +19,7 @@
 use crate::control::{ControlEvent, ControlHandle, ControlInputs, start_control};
 use crate::dispatch::JobDispatcher;
 use crate::engine_http::engine_port;
-use crate::intent_link::{IntentLink, LinkError};
+use crate::intent_link::IntentLink;
 use crate::intent_store::{IntentStore, StoreInputs};
 use crate::journal::DecisionJournal;
 use crate::names::ProcessIncarnation;
@@ -27,7 +27,8 @@
 use crate::pb::operations_server::OperationsServer;
 use crate::pb::requests_server::RequestsServer;
 use crate::peer_handshake::PeerIdentity;
-use crate::peer_link::{PeerHandle, PeerHandler, PeerInputs, start_peers};
+use crate::peer_link::{PeerHandle, PeerInputs, start_peers};
+use crate::peer_requests::{TrafficCell, records_call, request_handler};
 use crate::platform_http::platform_port;
 use crate::ports::PlatformPort;
 use crate::resume_token::TokenSigner;
@@ -47,7 +48,7 @@
 const CONNECTIONS_AHEAD: usize = 64;
 /// Longest wait for the leases to be handed over.
 const HAND_OVER_TIME: Duration = Duration::from_secs(5);
-/// Longest wait for the ends of claims to be recorded.
+/// Least wait for the ends of claims to be recorded.
 const RECORD_TIME: Duration = Duration::from_secs(10);
 /// Time between looks at whether the last request has ended.
 const FINISH_CHECK: Duration = Duration::from_millis(20);
@@ -175,14 +176,18 @@
         tokio::time::sleep(keep).await;
         self.context.closing.store(true, Ordering::Relaxed);
         let finish = Duration::from_millis(settings.shutdown.finish_ms);
+        let begun = Instant::now();
         if tokio::time::timeout(finish, self.finish()).await.is_err() {
             let left = self.context.running_count();
             log::warn!("stopping with {left} requests running; raise shutdown.finish_ms");
         }
         // The end of a claim is recorded after its caller has the answer. One left
         // out would tell whoever asks for the key again that its outcome is unknown.
-        if !self.context.intents.drain(RECORD_TIME).await {
-            log::warn!("stopping before the end of every claim is recorded");
+        let rest = finish.saturating_sub(begun.elapsed()).max(RECORD_TIME);
+        if !self.context.intents.drain(rest).await {
+            log::warn!(
+                "stopping before the end of every claim is recorded; raise shutdown.finish_ms"
+            );
         }
         self.ended.send_replace(true);
         let _ = tokio::time::timeout(HAND_OVER_TIME, &mut self.pumping).await;
@@ -232,7 +237,7 @@
         speeds: settings.policy.speeds.clone(),
         seed: incarnation.0,
     });
-    let records = RecordCell::default();
+    let traffic = TrafficCell::default();
     let peers = start_peers(PeerInputs {
         listener: peer_listener,
         identity: PeerIdentity {
@@ -242,7 +247,7 @@
         },
         silence: Duration::from_millis(settings.peers.silence_ms),
         control: control.clone(),
-        handler: record_handler(&records),
+        handler: request_handler(&traffic),
     })
     .wrap_err("cannot listen for other daemons")?;
     let inputs = StoreInputs {
@@ -252,12 +257,10 @@
         incarnation,
         unix_now: Arc::new(clock::unix_now),
     };
-    let link = record_link(settings, &control, peers);
+    let link = record_link(settings, &control, &peers);
     let intents = IntentStore::with_link(&inputs, &link);
-    // Set once, here; a failure would mean that this line ran twice.
-    let _ = records.set(intents.clone());
     let dispatcher = JobDispatcher::new(scheduler, control.clone(), journal.clone());
-    Ok(Arc::new(TrafficContext {
+    let context = Arc::new(TrafficContext {
         daemon: settings.daemon_id.clone(),
         dispatcher,
         engines: engine_port()?,
@@ -265,35 +268,24 @@
         control,
         signer: TokenSigner::new(&settings.access.token_secrets)?,
         intents,
+        peers,
         telemetry: Telemetry::new(settings.metrics.tracked_pairs),
         journal,
         budget: Mutex::new(RetryBudget::new(settings.policy.retry_share)),
         running: Mutex::new(IndexMap::new()),
         closing: AtomicBool::new(false),
         settings: Arc::clone(settings),
-    }))
-}
-
-/// The records, for requests of peers that arrive before they are there.
-type RecordCell = Arc<OnceLock<IntentStore>>;
-
-/// Answers other daemons that hand over their operations on shards.
-fn record_handler(records: &RecordCell) -> PeerHandler {
-    let records = Arc::clone(records);
-    Arc::new(move |(_, body)| {
-        let records = Arc::clone(&records);
-        Box::pin(async move {
-            let store = records.get().ok_or("this daemon is starting")?;
-            store.serve(&body).await.map_err(|e| e.to_string())
-        })
-    })
+    });
+    // Set once, here; a failure would mean that this line ran twice.
+    let _ = traffic.set(Arc::downgrade(&context));
+    Ok(context)
 }
 
 /// Finds the owner of a shard among the live daemons and reaches it by the links.
 fn record_link(
     settings: &Arc<DaemonSettings>,
     control: &ControlHandle,
-    peers: PeerHandle,
+    peers: &PeerHandle,
 ) -> IntentLink {
     let own = settings.daemon_id.clone();
     let snapshot = control.snapshot.clone();
@@ -303,14 +295,7 @@
             let owner = owners.owner(shard, &snapshot.load().fleet);
             owner.filter(|daemon| *daemon != own)
         }),
-        call: Arc::new(move |call| {
-            let reply = (peers.request)(call);
-            Box::pin(async move {
-                reply.await.map_err(|error| LinkError::NoReply {
-                    reason: error.to_string(),
-                })
-            })
-        }),
+        call: records_call(peers),
     }
 }
 
