--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -6,11 +6,9 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use eyre::Result;
 use indexmap::IndexMap;
 use pistachiowick::clock::unix_now;
 use pistachiowick::names::{FenceNumber, ProcessIncarnation, RequestId, millis};
-use pistachiowick::ports::PortFuture;
 use pistachiowick::target_wire::{
     CacheEvent, CacheEvents, EngineRole, EngineState, GenerateBody, OrderBody, OrderMark,
     StreamLine,
@@ -22,19 +20,12 @@
 use crate::answers::{AnswerText, TOKEN_BYTES};
 use crate::chance::ChanceSource;
 use crate::engine_books::{EngineBooks, OrderBook, StreamBook};
-use crate::engine_http;
 use crate::engine_model::{EngineModel, StepResult, StreamName, StreamWork, reserved_tokens};
 use crate::engine_options::{EngineFaults, EngineOptions};
+use crate::engine_steps::import_kv;
 use crate::engine_stream::{StreamCell, StreamProgress};
-use crate::http::{HttpAnswer, HttpServer, encode_segment};
-use crate::weight_store::WeightReply;
 
-/// Steps are merged until they fill this span, since timers are no finer.
-const MERGE_SPAN: Duration = Duration::from_millis(2);
-
-/// Bounds of the pause between two samples of the lagging state.
-const SAMPLE_LEAST: Duration = Duration::from_millis(5);
-const SAMPLE_MOST: Duration = Duration::from_millis(100);
+pub use crate::engine_running::{EngineStandIn, RunningEngine};
 
 /// Cache events kept for readers.
 const EVENTS_KEPT: usize = 10_000;
@@ -42,9 +33,6 @@
 /// Time to come back after a refusal, in engine time.
 const RETRY_MS: f64 = 500.0;
 
-/// Pause before a refused fetch of weights is repeated, at least.
-const FETCH_PAUSE: Duration = Duration::from_millis(20);
-
 /// Request named by crossed lines when no other stream is there.
 const STRANGER: &str = "another-request";
 
@@ -74,9 +62,9 @@
 
 /// What an order asks the engine to be.
 #[derive(Clone, Debug, Eq, PartialEq)]
-struct DesiredState {
-    role: EngineRole,
-    models: Vec<String>,
+pub(crate) struct DesiredState {
+    pub(crate) role: EngineRole,
+    pub(crate) models: Vec<String>,
 }
 
 /// A cache event that becomes visible later.
@@ -85,23 +73,23 @@
     event: CacheEvent,
 }
 
-struct EngineInner {
-    life: u64,
-    incarnation: ProcessIncarnation,
-    role: EngineRole,
-    models: Vec<String>,
-    desired: Option<DesiredState>,
-    highest_fence: FenceNumber,
-    last_order: Option<OrderMark>,
-    left_at: Option<Instant>,
-    accepts_leaving: bool,
-    frozen_until: Option<Instant>,
-    model: EngineModel,
-    streams: IndexMap<StreamName, Arc<StreamCell>>,
+pub(crate) struct EngineInner {
+    pub(crate) life: u64,
+    pub(crate) incarnation: ProcessIncarnation,
+    pub(crate) role: EngineRole,
+    pub(crate) models: Vec<String>,
+    pub(crate) desired: Option<DesiredState>,
+    pub(crate) highest_fence: FenceNumber,
+    pub(crate) last_order: Option<OrderMark>,
+    pub(crate) left_at: Option<Instant>,
+    pub(crate) accepts_leaving: bool,
+    pub(crate) frozen_until: Option<Instant>,
+    pub(crate) model: EngineModel,
+    pub(crate) streams: IndexMap<StreamName, Arc<StreamCell>>,
     events: VecDeque<LateEvent>,
-    samples: VecDeque<(Instant, EngineState)>,
-    faults: EngineFaults,
-    books: EngineBooks,
+    pub(crate) samples: VecDeque<(Instant, EngineState)>,
+    pub(crate) faults: EngineFaults,
+    pub(crate) books: EngineBooks,
 }
 
 /// State that the server, the step loop and the readers share.
@@ -110,14 +98,14 @@
     pub options: EngineOptions,
     /// Random faults.
     pub chance: ChanceSource,
-    inner: Mutex<EngineInner>,
-    woken: Notify,
-    started: Instant,
-    client: reqwest::Client,
+    pub(crate) inner: Mutex<EngineInner>,
+    pub(crate) woken: Notify,
+    pub(crate) started: Instant,
+    pub(crate) client: reqwest::Client,
 }
 
 impl EngineCore {
-    fn new(options: EngineOptions) -> Self {
+    pub(crate) fn new(options: EngineOptions) -> Self {
         let inner = EngineInner {
             life: 0,
             incarnation: ProcessIncarnation(unix_now().0),
@@ -146,7 +134,7 @@
         }
     }
 
-    fn inner(&self) -> MutexGuard<'_, EngineInner> {
+    pub(crate) fn inner(&self) -> MutexGuard<'_, EngineInner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -425,7 +413,7 @@
     }
 
     /// Drops everything; returns the life that follows and the streams that were running.
-    fn drop_all(&self) -> (u64, u64) {
+    pub(crate) fn drop_all(&self) -> (u64, u64) {
         let mut inner = self.inner();
         let running = inner.streams.values().filter(|cell| cell.is_running());
         let dropped = running.count() as u64;
@@ -451,7 +439,7 @@
         (life, dropped)
     }
 
-    fn revive(&self) {
+    pub(crate) fn revive(&self) {
         let mut inner = self.inner();
         let earliest = inner.incarnation.0 + 1;
         inner.incarnation = ProcessIncarnation(unix_now().0.max(earliest));
@@ -551,7 +539,7 @@
     }
 
     /// Ends the change when `desired` is in force and no later order differs.
-    fn settle(&mut self, desired: &DesiredState) -> bool {
+    pub(crate) fn settle(&mut self, desired: &DesiredState) -> bool {
         let is_in_force = desired.role == self.role && desired.models == self.models;
         let is_newest = self.desired.as_ref() == Some(desired);
         if is_in_force && is_newest {
@@ -560,7 +548,7 @@
         is_in_force
     }
 
-    fn state(&self, options: &EngineOptions) -> EngineState {
+    pub(crate) fn state(&self, options: &EngineOptions) -> EngineState {
         let load = self.model.load();
         let now = Instant::now();
         let visible = self.events.iter().rev().find(|late| late.visible_at <= now);
@@ -582,7 +570,7 @@
         }
     }
 
-    fn publish_events(&mut self, core: &EngineCore) {
+    pub(crate) fn publish_events(&mut self, core: &EngineCore) {
         let lag = core.options.scaled_ms(core.options.cache_lag_ms as f64);
         let visible_at = Instant::now() + lag;
         for event in self.model.take_events() {
@@ -595,7 +583,7 @@
         }
     }
 
-    fn book_step(&mut self, result: &StepResult) {
+    pub(crate) fn book_step(&mut self, result: &StepResult) {
         let books = &mut self.books;
         books.steps += 1;
         books.busy_ms += result.span_ms;
@@ -605,7 +593,7 @@
     }
 
     /// Shows readers the tokens that streams gained; returns the streams that ended.
-    fn publish(&mut self, gained: &IndexMap<StreamName, u32>) -> Vec<StreamName> {
+    pub(crate) fn publish(&mut self, gained: &IndexMap<StreamName, u32>) -> Vec<StreamName> {
         let mut ended = Vec::new();
         for (name, tokens) in gained {
             let Some(cell) = self.streams.get(name) else {
@@ -648,330 +636,3 @@
 fn book_key(request_id: &str, attempt: u32) -> String {
     format!("{request_id}/{attempt}")
 }
-
-/// What the loop does next.
-enum LoopTurn {
-    Change(DesiredState),
-    Finish,
-    Step,
-    Wait,
-}
-
-fn next_turn(core: &EngineCore, life: u64) -> LoopTurn {
-    let inner = core.inner();
-    if inner.life != life {
-        return LoopTurn::Finish;
-    }
-    match &inner.desired {
-        Some(desired) if inner.model.is_idle() => LoopTurn::Change(desired.clone()),
-        _ if inner.model.has_work() => LoopTurn::Step,
-        _ => LoopTurn::Wait,
-    }
-}
-
-async fn run_loop(core: Arc<EngineCore>, life: u64) {
-    loop {
-        core.thawed().await;
-        match next_turn(&core, life) {
-            LoopTurn::Change(desired) => change(&core, life, desired).await,
-            LoopTurn::Finish => return,
-            LoopTurn::Step => run_steps(&core, life).await,
-            LoopTurn::Wait => core.woken.notified().await,
-        }
-    }
-}
-
-/// Makes steps until there is nothing to do; keeps to the clock on average.
-async fn run_steps(core: &Arc<EngineCore>, life: u64) {
-    let mut end = Instant::now();
-    loop {
-        let mut gained: IndexMap<StreamName, u32> = IndexMap::new();
-        let merge_until = Instant::now() + MERGE_SPAN;
-        while end < merge_until {
-            let mut inner = core.inner();
-            if inner.life != life || !inner.model.has_work() {
-                break;
-            }
-            let role = inner.role;
-            let result = inner.model.step(&core.options, role);
-            inner.book_step(&result);
-            end += core.options.scaled_ms(result.span_ms);
-            gained.extend(result.gained);
-        }
-        if gained.is_empty() && !has_work(core, life) {
-            return;
-        }
-        tokio::time::sleep_until(end.into()).await;
-        core.thawed().await;
-        end = end.max(Instant::now() - MERGE_SPAN);
-        if !publish(core, life, &gained) {
-            return;
-        }
-    }
-}
-
-fn has_work(core: &EngineCore, life: u64) -> bool {
-    let inner = core.inner();
-    inner.life == life && inner.model.has_work()
-}
-
-fn publish(core: &Arc<EngineCore>, life: u64, gained: &IndexMap<StreamName, u32>) -> bool {
-    let mut inner = core.inner();
-    if inner.life != life {
-        return false;
-    }
-    let ended = inner.publish(gained);
-    inner.publish_events(core);
-    drop(inner);
-    if !ended.is_empty() {
-        tokio::spawn(forget_later(core.clone(), life, ended));
-    }
-    true
-}
-
-async fn forget_later(core: Arc<EngineCore>, life: u64, ended: Vec<StreamName>) {
-    let keep = core.options.scaled_ms(core.options.keep_stream_ms as f64);
-    tokio::time::sleep(keep).await;
-    let mut inner = core.inner();
-    if inner.life == life {
-        inner.streams.retain(|name, _| !ended.contains(name));
-    }
-}
-
-/// Changes role and models; every accepted stream has ended before.
-async fn change(core: &Arc<EngineCore>, life: u64, desired: DesiredState) {
-    let began = Instant::now();
-    if core.inner().settle(&desired) {
-        return;
-    }
-    let pause = core.options.scaled_ms(core.options.change_ms as f64);
-    tokio::time::sleep(pause).await;
-    let held = core.inner().models.clone();
-    for model in &desired.models {
-        if !held.contains(model) {
-            fetch_weights(core, life, model).await;
-        }
-    }
-    core.thawed().await;
-    let mut inner = core.inner();
-    if inner.life != life {
-        return;
-    }
-    let cut = inner.streams.values().filter(|cell| cell.is_running());
-    let cut = cut.count() as u64;
-    inner.books.cut_by_change += cut;
-    if inner.role == desired.role {
-        inner.books.model_changes += 1;
-    } else {
-        inner.books.role_changes += 1;
-    }
-    let idle_ms = began.elapsed().as_secs_f64() * 1_000.0 * core.options.time_scale;
-    inner.books.change_idle_ms += idle_ms as u64;
-    inner.role = desired.role;
-    inner.models.clone_from(&desired.models);
-    inner.settle(&desired);
-}
-
-async fn fetch_weights(core: &EngineCore, life: u64, model: &str) {
-    let options = &core.options;
-    if options.weight_store.is_empty() {
-        return;
-    }
-    let name = encode_segment(model);
-    let url = format!(
-        "http://{}/v1/weights/{name}?bytes={}",
-        options.weight_store, options.model_bytes
-    );
-    while core.inner().life == life {
-        let fetched = core.client.get(&url).send().await;
-        let fetched = fetched.and_then(reqwest::Response::error_for_status);
-        let is_whole = match fetched {
-            Ok(answer) => answer.json::<WeightReply>().await.is_ok(),
-            Err(_) => false,
-        };
-        if is_whole {
-            return;
-        }
-        tokio::time::sleep(core.retry_after().max(FETCH_PAUSE)).await;
-    }
-}
-
-/// Fetches a prompt's KV cache from another engine; without it the prompt is read.
-async fn import_kv(core: Arc<EngineCore>, name: StreamName, body: GenerateBody) {
-    let life = core.inner().life;
-    let mut tokens = kv_of(&core, &body.import_kv_from, body.request_id.as_str()).await;
-    if tokens == 0 && !body.shared_prefix.is_empty() {
-        tokens = kv_of(&core, &body.import_kv_from, &body.shared_prefix).await;
-    }
-    let tokens = tokens.min(body.prompt_tokens);
-    let rate = core.options.kv_transfer_tokens_per_second;
-    let span = core.options.scaled_ms(f64::from(tokens) * 1_000.0 / rate);
-    tokio::time::sleep(span).await;
-    let mut inner = core.inner();
-    if inner.life != life {
-        return;
-    }
-    inner.books.imported_tokens += u64::from(tokens);
-    inner.model.imported(&name, tokens);
-    drop(inner);
-    core.woken.notify_one();
-}
-
-async fn kv_of(core: &EngineCore, address: &str, name: &str) -> u32 {
-    let url = format!("http://{address}/v1/kv/{}", encode_segment(name));
-    let answer = core.client.get(url).send().await;
-    let Ok(answer) = answer.and_then(reqwest::Response::error_for_status) else {
-        return 0;
-    };
-    answer.json::<KvPart>().await.map_or(0, |part| part.tokens)
-}
-
-/// Samples the state, so that reports can be served late.
-async fn run_samples(core: Arc<EngineCore>) {
-    let lag = core.options.scaled_ms(core.options.report_lag_ms as f64);
-    if lag.is_zero() {
-        return;
-    }
-    let mut ticks = tokio::time::interval((lag / 8).clamp(SAMPLE_LEAST, SAMPLE_MOST));
-    loop {
-        ticks.tick().await;
-        core.thawed().await;
-        let now = Instant::now();
-        let mut inner = core.inner();
-        let state = inner.state(&core.options);
-        inner.samples.push_back((now, state));
-        let is_due = |at: &Instant| now.duration_since(*at) >= lag;
-        while inner.samples.get(1).is_some_and(|(at, _)| is_due(at)) {
-            inner.samples.pop_front();
-        }
-    }
-}
-
-/// Stand-in for a model engine.
-pub struct EngineStandIn;
-
-/// A running stand-in.
-pub struct RunningEngine {
-    core: Arc<EngineCore>,
-    server: Arc<HttpServer>,
-    sampler: tokio::task::JoinHandle<()>,
-}
-
-impl EngineStandIn {
-    /// Starts the stand-in.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error when the address cannot be bound.
-    pub async fn start(options: EngineOptions) -> Result<RunningEngine> {
-        let address = options.address.clone();
-        let core = Arc::new(EngineCore::new(options));
-        let handled = core.clone();
-        let (crash, mut crashes) = tokio::sync::mpsc::unbounded_channel();
-        let handler = Arc::new(move |call| -> PortFuture<HttpAnswer> {
-            Box::pin(engine_http::handle(handled.clone(), call, crash.clone()))
-        });
-        let server = Arc::new(HttpServer::start(&address, handler).await?);
-        tokio::spawn(run_loop(core.clone(), 0));
-        let sampler = tokio::spawn(run_samples(core.clone()));
-        let engine = RunningEngine {
-            core,
-            server,
-            sampler,
-        };
-        let crashed = (engine.core.clone(), engine.server.clone());
-        tokio::spawn(async move {
-            while let Some(down) = crashes.recv().await {
-                crash_for(&crashed.0, &crashed.1, down).await;
-            }
-        });
-        Ok(engine)
-    }
-}
-
-async fn crash_for(core: &Arc<EngineCore>, server: &HttpServer, down: Duration) {
-    server.close();
-    let (life, dropped) = core.drop_all();
-    core.book(|books| {
-        books.crashes += 1;
-        books.dropped_by_crash += dropped;
-    });
-    tokio::time::sleep(down).await;
-    if core.inner().life != life {
-        // It crashed again meanwhile, or was stopped.
-        return;
-    }
-    core.revive();
-    tokio::spawn(run_loop(core.clone(), life));
-    if let Err(error) = server.open().await {
-        log::error!("an engine stand-in did not come back: {error}");
-    }
-}
-
-impl RunningEngine {
-    /// Returns the IP number and port.
-    #[must_use]
-    pub fn address(&self) -> String {
-        self.server.address()
-    }
-
-    /// Stops the stand-in at once.
-    pub fn stop(&self) {
-        self.server.close();
-        self.sampler.abort();
-        self.core.drop_all();
-    }
-
-    /// Returns the books.
-    #[must_use]
-    pub fn books(&self) -> EngineBooks {
-        self.core.books()
-    }
-
-    /// Returns the state as it is now, whatever the report lag.
-    #[must_use]
-    pub fn state(&self) -> EngineState {
-        self.core.inner().state(&self.core.options)
-    }
-
-    /// Puts faults in force; one-time faults start at once.
-    pub fn set_faults(&self, faults: EngineFaults) {
-        if let Some(ms) = faults.freeze_ms {
-            self.freeze(ms);
-        }
-        if let Some(ms) = faults.crash_ms {
-            self.crash(ms);
-        }
-        self.core.set_faults(faults);
-    }
-
-    /// Drops everything, refuses connections, and comes back empty.
-    pub fn crash(&self, down_ms: u64) {
-        let core = self.core.clone();
-        let server = self.server.clone();
-        server.close();
-        tokio::spawn(async move {
-            crash_for(&core, &server, Duration::from_millis(down_ms)).await;
-        });
-    }
-
-    /// Does and answers nothing for a time.
-    pub fn freeze(&self, ms: u64) {
-        self.core.freeze(Duration::from_millis(ms));
-    }
-
-    /// Marks the moment from which on no new work may come.
-    pub fn leave(&self) {
-        self.core.leave();
-    }
-
-    /// Sets whether work is refused while leaving; it is, unless said otherwise.
-    pub fn set_refusing(&self, refuses: bool) {
-        self.core.set_refusing(refuses);
-    }
-
-    /// Takes up work again after [`Self::leave`].
-    pub fn stay(&self) {
-        self.core.stay();
-    }
-}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod engine_http;
 pub mod engine_model;
 pub mod engine_options;
+pub mod engine_running;
+pub mod engine_steps;
 pub mod engine_stream;
 pub mod events;
 pub mod fleet;
