Price only the own part of a prompt

Cause: a request was priced with its shared part, though that is cached mostly. Change: the part that others share is left out of price and queue. The line between reading and writing has its table of cases as well.

--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -302,7 +302,8 @@
     #[must_use]
     pub fn expected_cost(&self, spec: &JobSpec) -> f64 {
         let output = self.expected_output(spec);
-        self.costs.engine_seconds(spec.need.prompt_tokens, output)
+        self.costs
+            .engine_seconds(unshared_tokens(&spec.need), output)
     }
 
     /// Takes in the load reports that are newer than the known ones.
@@ -421,9 +422,9 @@
         }
         let output = self.expected_output(spec);
         let nowhere = TargetId::from("");
-        let read = spec.need.prompt_tokens - f64::from(spec.need.shared_prefix_tokens);
+        let read = unshared_tokens(&spec.need);
         let times = self.roles_in_use(&spec.need.pool).into_iter().map(|role| {
-            self.costs.prefill_seconds(&nowhere, role, read.max(0.0))
+            self.costs.prefill_seconds(&nowhere, role, read)
                 + output * self.costs.gap_seconds(&nowhere, role, 0.0)
         });
         times.fold(f64::INFINITY, f64::min)
@@ -556,8 +557,7 @@
 
     fn queue_key(&self, need: &PlacementNeed) -> QueueKey {
         let step_s = self.costs.prefill_step_seconds();
-        let uncached = need.prompt_tokens - f64::from(need.shared_prefix_tokens);
-        let read_s = self.costs.engine_seconds(uncached, 0.0);
+        let read_s = self.costs.engine_seconds(unshared_tokens(need), 0.0);
         let long = read_s > READING_STEPS * step_s;
         let side = if long && self.divides_work() {
             WorkSide::Reading
@@ -600,3 +600,11 @@
         }
     }
 }
+
+/// Tokens of a prompt to be read where its shared part is cached, as it mostly is.
+///
+/// Counted in full, a popular rulebook makes every request look several times as
+/// dear, and requests are refused that would be in time.
+fn unshared_tokens(need: &PlacementNeed) -> f64 {
+    (need.prompt_tokens - f64::from(need.shared_prefix_tokens)).max(0.0)
+}
--- a/tests/scheduler_admission.rs
+++ b/tests/scheduler_admission.rs
@@ -461,3 +461,19 @@
     let grant = grants(scheduler.pump(NOW)).remove(0);
     assert_eq!(grant.choice.target, reader);
 }
+
+/// A caller asks with a long rulebook that many others share, and is refused although
+/// every engine is nearly idle: each request is priced as if the rulebook were read anew,
+/// so a short queue looks too long for the deadline.
+#[test]
+fn shared_part_of_a_prompt_is_not_priced() {
+    let scheduler = narrow(1);
+    let mut plain = spec(0);
+    plain.need.prompt_tokens = 1_000.0;
+    let mut shared = spec(0);
+    shared.need.prompt_tokens = 5_000.0;
+    shared.need.shared_prefix = "rulebook".to_owned();
+    shared.need.shared_prefix_tokens = 4_000;
+    let costs = [&plain, &shared].map(|spec| scheduler.expected_cost(spec));
+    assert!((costs[0] - costs[1]).abs() < 1e-9, "{costs:?}");
+}
--- a/tests/work_mix_pace.rs
+++ b/tests/work_mix_pace.rs
@@ -49,3 +49,35 @@
     pace.note_waiting(false, MonoTime(30_000));
     assert_eq!(pace.rate(MonoTime(30_000)), None);
 }
+
+struct PartCase {
+    reading: f64,
+    writing: f64,
+    daemons: usize,
+    least: f64,
+    most: f64,
+}
+
+/// A batch of long prompts asks for more than the whole fleet; urgent short requests
+/// beside it are refused, since by shares alone nearly all engines read. Writing gets
+/// what its work needs first.
+#[rstest]
+#[case::nothing_to_read(PartCase { reading: 0.0, writing: 5.0, daemons: 7, least: 0.0, most: 0.0 })]
+#[case::only_reading(PartCase { reading: 5.0, writing: 0.0, daemons: 7, least: 1.0, most: 1.0 })]
+#[case::light_work_goes_by_shares(
+    PartCase { reading: 0.3, writing: 0.1, daemons: 1, least: 0.74, most: 0.76 }
+)]
+#[case::flood_of_reading_leaves_what_writing_needs(
+    PartCase { reading: 80.0, writing: 2.0, daemons: 7, least: 0.60, most: 0.70 }
+)]
+#[case::writing_beyond_the_fleet_leaves_the_least(
+    PartCase { reading: 1.0, writing: 50.0, daemons: 7, least: 1e-9, most: 0.01 }
+)]
+fn part_that_reads(#[case] case: PartCase) {
+    let mut mix = WorkMix::default();
+    let now = MonoTime(1);
+    mix.add(WorkSide::Reading, case.reading, now);
+    mix.add(WorkSide::Writing, case.writing, now);
+    let part = mix.reading_part(12, case.daemons);
+    assert!((case.least..=case.most).contains(&part), "{part}");
+}
