--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -12,23 +12,23 @@
     BatchSize, BenchmarkGroup, BenchmarkId, Criterion, criterion_group, criterion_main,
 };
 use indexmap::IndexMap;
-use pistachiowick::candidates::CandidateIndex;
-use pistachiowick::config_buckets::ConfigState;
-use pistachiowick::fair_queue::{FairQueue, JobNumber, QueuedJob};
-use pistachiowick::lease_groups::{
+use pistachiowick::authority::lease_groups::{
     GroupCounts, engine_groups, engines_per_centre, initial_count, own_ranks,
 };
+use pistachiowick::config::buckets::ConfigState;
+use pistachiowick::decide::candidates::CandidateIndex;
+use pistachiowick::decide::fair_queue::{FairQueue, JobNumber, QueuedJob};
+use pistachiowick::decide::placement::SharedFleet;
+use pistachiowick::decide::scheduler::{JobMeasure, ScheduleAction, Scheduler, SchedulerInputs};
+use pistachiowick::decide::shares::ShareState;
 use pistachiowick::membership::{MembershipLimits, MembershipState, PeerWord, own_view};
 use pistachiowick::names::{MonoTime, ProcessIncarnation, TargetId};
-use pistachiowick::peer_state::{PeerHints, PeerTopology};
-use pistachiowick::peer_wire::{PeerHint, PeerMessage};
-use pistachiowick::placement::SharedFleet;
-use pistachiowick::role_mix::{MixForecast, WorkAmount, WorkTotals, add_work};
-use pistachiowick::role_plan::{ModelNeed, PlanEngine, RolePlanner};
-use pistachiowick::scheduler::{JobMeasure, ScheduleAction, Scheduler, SchedulerInputs};
+use pistachiowick::peers::state::{PeerHints, PeerTopology};
+use pistachiowick::peers::wire::{PeerHint, PeerMessage};
+use pistachiowick::roles::mix::{MixForecast, WorkAmount, WorkTotals, add_work};
+use pistachiowick::roles::plan::{ModelNeed, PlanEngine, RolePlanner};
 use pistachiowick::settings::PolicySettings;
-use pistachiowick::shares::ShareState;
-use pistachiowick::target_wire::EngineRole;
+use pistachiowick::targets::wire::EngineRole;
 use pistachiowick_lab::samples;
 
 const NOW: MonoTime = MonoTime(1_000_000);
--- a/benches/intents.rs
+++ b/benches/intents.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
-use pistachiowick::intent_wire::{decode_ledger, encode_ledger};
+use pistachiowick::intents::wire::{decode_ledger, encode_ledger};
 use pistachiowick::intents::{
     AnswerRecord, ClaimEntry, ClaimId, CloseRecord, IntentKey, LedgerLimits, ShardLedger,
 };
--- a/lab/src/control_cost.rs
+++ b/lab/src/control_cost.rs
@@ -6,7 +6,7 @@
 use eyre::{Result, WrapErr, bail, ensure};
 use getopts::{Matches, Options};
 use hdrhistogram::Histogram;
-use pistachiowick::catalogue::{ItemName, ItemSpec};
+use pistachiowick::config::catalogue::{ItemName, ItemSpec};
 use pistachiowick::control::{ControlEvent, ItemChange};
 use serde::Serialize;
 use tokio::sync::oneshot;
--- a/lab/src/direct.rs
+++ b/lab/src/direct.rs
@@ -7,12 +7,12 @@
 use eyre::{Result, bail};
 use futures_util::StreamExt;
 use hdrhistogram::Histogram;
-use pistachiowick::engine_http::engine_port;
 use pistachiowick::pb;
 use pistachiowick::pb::answer_event::Event;
 use pistachiowick::pb::requests_client::RequestsClient;
 use pistachiowick::ports::{EnginePort, TargetCall};
-use pistachiowick::target_wire::GenerateBody;
+use pistachiowick::targets::engine_http::engine_port;
+use pistachiowick::targets::wire::GenerateBody;
 use serde::Serialize;
 use tonic::transport::{Channel, Endpoint};
 
--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use pistachiowick::clock::unix_now;
 use pistachiowick::names::{FenceNumber, ProcessIncarnation, RequestId, millis};
-use pistachiowick::target_wire::{
+use pistachiowick::targets::wire::{
     CacheEvent, CacheEvents, EngineRole, EngineState, GenerateBody, OrderBody, OrderMark,
     StreamLine,
 };
--- a/lab/src/engine_books.rs
+++ b/lab/src/engine_books.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 use pistachiowick::names::{FenceNumber, GroupName, WorkspaceName};
-use pistachiowick::target_wire::{EngineRole, OrderMark};
+use pistachiowick::targets::wire::{EngineRole, OrderMark};
 use serde::{Deserialize, Serialize};
 
 /// One attempt of one request.
--- a/lab/src/engine_http.rs
+++ b/lab/src/engine_http.rs
@@ -6,7 +6,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use pistachiowick::names::FenceNumber;
-use pistachiowick::target_wire::{GenerateBody, OrderBody};
+use pistachiowick::targets::wire::{GenerateBody, OrderBody};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc::UnboundedSender;
 
--- a/lab/src/engine_model.rs
+++ b/lab/src/engine_model.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 
 use indexmap::IndexMap;
-use pistachiowick::target_wire::{CacheEvent, EngineRole};
+use pistachiowick::targets::wire::{CacheEvent, EngineRole};
 
 use crate::engine_options::EngineOptions;
 
--- a/lab/src/engine_options.rs
+++ b/lab/src/engine_options.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use pistachiowick::names::TargetId;
-use pistachiowick::target_wire::EngineRole;
+use pistachiowick::targets::wire::EngineRole;
 use serde::{Deserialize, Serialize};
 
 /// How the stand-in is set up. Times and rates are those of the engine that it
--- a/lab/src/engine_running.rs
+++ b/lab/src/engine_running.rs
@@ -5,7 +5,7 @@
 
 use eyre::Result;
 use pistachiowick::ports::PortFuture;
-use pistachiowick::target_wire::EngineState;
+use pistachiowick::targets::wire::EngineState;
 
 use crate::engine::EngineCore;
 use crate::engine_books::EngineBooks;
--- a/lab/src/engine_steps.rs
+++ b/lab/src/engine_steps.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use pistachiowick::target_wire::GenerateBody;
+use pistachiowick::targets::wire::GenerateBody;
 
 use crate::engine::{DesiredState, EngineCore, KvPart};
 use crate::engine_model::StreamName;
--- a/lab/src/engine_stream.rs
+++ b/lab/src/engine_stream.rs
@@ -8,7 +8,7 @@
 use base64::engine::general_purpose::STANDARD;
 use futures_util::stream::{self, BoxStream, StreamExt};
 use pistachiowick::names::RequestId;
-use pistachiowick::target_wire::{StreamEnd, StreamLine};
+use pistachiowick::targets::wire::{StreamEnd, StreamLine};
 use tokio::sync::watch;
 
 use crate::answers::{AnswerText, TOKEN_BYTES};
--- a/lab/src/events.rs
+++ b/lab/src/events.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use pistachiowick::pb;
-use pistachiowick::platform_wire::InstanceKind;
+use pistachiowick::store::wire::InstanceKind;
 
 use crate::fleet::{LabFleet, operator_call};
 use crate::platform::PlatformFaults;
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -5,14 +5,14 @@
 
 use eyre::{Result, WrapErr, ensure};
 use indexmap::IndexMap;
-use pistachiowick::access::{SecretKey, key_hash};
-use pistachiowick::catalogue::ItemSpec;
+use pistachiowick::config::catalogue::ItemSpec;
 use pistachiowick::names::{CentreName, ServiceName, TargetId};
 use pistachiowick::pb;
 use pistachiowick::pb::operations_client::OperationsClient;
-use pistachiowick::platform_wire::{InstanceKind, InstanceRow, InstanceState};
+use pistachiowick::requests::access::{SecretKey, key_hash};
 use pistachiowick::server::{RunningDaemon, start_daemon};
 use pistachiowick::settings::DaemonSettings;
+use pistachiowick::store::wire::{InstanceKind, InstanceRow, InstanceState};
 use serde_json::json;
 use tonic::transport::{Channel, Endpoint};
 
--- a/lab/src/footprint.rs
+++ b/lab/src/footprint.rs
@@ -7,17 +7,17 @@
 use eyre::{Result, WrapErr, ensure, eyre};
 use getopts::{Matches, Options};
 use indexmap::IndexMap;
-use pistachiowick::candidates::CandidateIndex;
-use pistachiowick::config_buckets::ConfigState;
-use pistachiowick::intent_wire::encode_ledger;
+use pistachiowick::config::buckets::ConfigState;
+use pistachiowick::decide::candidates::CandidateIndex;
+use pistachiowick::intents::wire::encode_ledger;
 use pistachiowick::intents::{
     AnswerRecord, ClaimEntry, ClaimId, CloseRecord, IntentKey, LedgerLimits, ShardLedger,
 };
 use pistachiowick::membership::{MembershipLimits, MembershipState, own_view};
 use pistachiowick::names::{MonoTime, ProcessIncarnation, UnixTime};
-use pistachiowick::peer_state::PeerHints;
-use pistachiowick::peer_wire::{PeerHint, PeerMessage};
-use pistachiowick::role_mix::{WorkAmount, add_work};
+use pistachiowick::peers::state::PeerHints;
+use pistachiowick::peers::wire::{PeerHint, PeerMessage};
+use pistachiowick::roles::mix::{WorkAmount, add_work};
 use pistachiowick::settings::IntentSettings;
 use serde::Serialize;
 
--- a/lab/src/footprint_streams.rs
+++ b/lab/src/footprint_streams.rs
@@ -10,7 +10,7 @@
 use pistachiowick::pb::answer_event::Event;
 use pistachiowick::pb::operations_client::OperationsClient;
 use pistachiowick::pb::requests_client::RequestsClient;
-use pistachiowick::platform_wire::{InstanceKind, InstanceRow};
+use pistachiowick::store::wire::{InstanceKind, InstanceRow};
 use tokio::task::JoinHandle;
 use tonic::transport::{Channel, Endpoint};
 
--- a/lab/src/once_cost.rs
+++ b/lab/src/once_cost.rs
@@ -5,7 +5,7 @@
 
 use eyre::{Result, WrapErr, ensure};
 use getopts::{Matches, Options};
-use pistachiowick::catalogue::{ClassSpec, ClassTarget, ItemSpec, WorkspaceSpec};
+use pistachiowick::config::catalogue::{ClassSpec, ClassTarget, ItemSpec, WorkspaceSpec};
 use serde::Serialize;
 
 use crate::fleet::{FleetPlan, LabFleet, hash_of};
--- a/lab/src/platform.rs
+++ b/lab/src/platform.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use eyre::Result;
-use pistachiowick::platform_wire::{InstanceRow, ObjectList};
 use pistachiowick::ports::PortFuture;
+use pistachiowick::store::wire::{InstanceRow, ObjectList};
 use serde::{Deserialize, Serialize};
 
 use crate::chance::ChanceSource;
--- a/lab/src/platform_state.rs
+++ b/lab/src/platform_state.rs
@@ -7,7 +7,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use indexmap::IndexMap;
-use pistachiowick::platform_wire::{InstanceList, InstanceRow, ObjectList, ObjectRow};
+use pistachiowick::store::wire::{InstanceList, InstanceRow, ObjectList, ObjectRow};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
--- a/lab/src/prove_daemon.rs
+++ b/lab/src/prove_daemon.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use eyre::{Context, ContextCompat, Result, ensure};
+use pistachiowick::requests::traffic::TrafficContext;
 use pistachiowick::server::{RunningDaemon, start_daemon};
 use pistachiowick::settings::DaemonSettings;
-use pistachiowick::traffic::TrafficContext;
 use serde::Deserialize;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::process::{Child, ChildStderr, Command};
--- a/lab/src/prove_fleet.rs
+++ b/lab/src/prove_fleet.rs
@@ -9,7 +9,7 @@
 use pistachiowick::names::ServiceName;
 use pistachiowick::pb;
 use pistachiowick::pb::operations_client::OperationsClient;
-use pistachiowick::platform_wire::{InstanceKind, InstanceRow, InstanceState};
+use pistachiowick::store::wire::{InstanceKind, InstanceRow, InstanceState};
 use tokio::sync::Mutex;
 use tonic::transport::{Channel, Endpoint};
 
--- a/lab/src/prove_plants.rs
+++ b/lab/src/prove_plants.rs
@@ -1,7 +1,7 @@
 //! Mistakes planted on purpose, to show that each check of a randomised run can fail.
 
 use pistachiowick::names::{FenceNumber, GroupName};
-use pistachiowick::target_wire::EngineRole;
+use pistachiowick::targets::wire::EngineRole;
 
 use crate::engine_books::OrderBook;
 use crate::load::PlannedRequest;
--- a/lab/src/prove_setup.rs
+++ b/lab/src/prove_setup.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pistachiowick::catalogue::{ClassSpec, ClassTarget, ItemSpec, ModelChoice};
+use pistachiowick::config::catalogue::{ClassSpec, ClassTarget, ItemSpec, ModelChoice};
 use pistachiowick::settings::DaemonSettings;
 
 use crate::fleet::FleetPlan;
--- a/lab/src/quickstart.rs
+++ b/lab/src/quickstart.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use eyre::{Result, ensure};
-use pistachiowick::catalogue::{
+use pistachiowick::config::catalogue::{
     ClassSpec, ClassTarget, ItemSpec, ModelChoice, ModelSpec, WorkspaceSpec,
 };
 use pistachiowick::invariants::{self, Invariant};
--- a/lab/src/samples.rs
+++ b/lab/src/samples.rs
@@ -1,14 +1,16 @@
 //! Fleets, configurations and requests of any size, for benchmarks and measurements.
 
-use pistachiowick::catalogue::{ClassSpec, ClassTarget, ItemSpec, ModelChoice, WorkspaceSpec};
-use pistachiowick::config_buckets::{BUCKETS, BucketIndex, BucketItem, BucketRecord, CONFIG_KIND};
-use pistachiowick::fleet::{DaemonView, FleetView, LoadReport, TargetView, UseState};
+use pistachiowick::config::buckets::{BUCKETS, BucketIndex, BucketItem, BucketRecord, CONFIG_KIND};
+use pistachiowick::config::catalogue::{
+    ClassSpec, ClassTarget, ItemSpec, ModelChoice, WorkspaceSpec,
+};
+use pistachiowick::decide::placement::{PlacementNeed, PoolKey};
+use pistachiowick::decide::scheduler::JobSpec;
+use pistachiowick::membership::fleet::{DaemonView, FleetView, LoadReport, TargetView, UseState};
 use pistachiowick::names::{CentreName, MonoTime, ProcessIncarnation, TargetId};
-use pistachiowick::placement::{PlacementNeed, PoolKey};
-use pistachiowick::platform_wire::{InstanceKind, InstanceRow, InstanceState};
 use pistachiowick::ports::{ObjectName, ObjectVersion, StoredObject};
-use pistachiowick::scheduler::JobSpec;
-use pistachiowick::target_wire::{EngineRole, EngineState};
+use pistachiowick::store::wire::{InstanceKind, InstanceRow, InstanceState};
+use pistachiowick::targets::wire::{EngineRole, EngineState};
 
 use crate::fleet::hash_of;
 
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -7,7 +7,7 @@
 
 use eyre::{Result, WrapErr, bail, ensure};
 use indexmap::IndexMap;
-use pistachiowick::catalogue::{
+use pistachiowick::config::catalogue::{
     ClassSpec, ClassTarget, ItemSpec, ModelChoice, ModelSpec, WorkspaceSpec,
 };
 use rand::rngs::SmallRng;
--- a/lab/src/service.rs
+++ b/lab/src/service.rs
@@ -10,7 +10,7 @@
 use pistachiowick::clock::unix_now;
 use pistachiowick::names::{RequestId, millis};
 use pistachiowick::ports::PortFuture;
-use pistachiowick::target_wire::{ServiceBody, ServiceReply};
+use pistachiowick::targets::wire::{ServiceBody, ServiceReply};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Semaphore;
 
--- a/lab/tests/engine.rs
+++ b/lab/tests/engine.rs
@@ -5,7 +5,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use pistachiowick::names::{FenceNumber, GroupName, ModelName, RequestId, WorkspaceName};
-use pistachiowick::target_wire::{
+use pistachiowick::targets::wire::{
     CacheEvents, EngineRole, EngineState, GenerateBody, OrderBody, OrderMark, StreamLine,
 };
 use pistachiowick_lab::answers::expected_answer;
--- a/lab/tests/engine_model.rs
+++ b/lab/tests/engine_model.rs
@@ -1,6 +1,6 @@
 //! The engine's batching model by itself: no clock, no sockets.
 
-use pistachiowick::target_wire::EngineRole;
+use pistachiowick::targets::wire::EngineRole;
 use pistachiowick_lab::engine_model::{EngineModel, StreamName, StreamWork};
 use pistachiowick_lab::engine_options::EngineOptions;
 use rstest::rstest;
--- a/lab/tests/platform.rs
+++ b/lab/tests/platform.rs
@@ -5,7 +5,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use pistachiowick::names::CentreName;
-use pistachiowick::platform_wire::{
+use pistachiowick::store::wire::{
     InstanceKind, InstanceList, InstanceRow, InstanceState, ObjectList,
 };
 use pistachiowick_lab::platform::{
--- a/lab/tests/prove_failures.rs
+++ b/lab/tests/prove_failures.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use pistachiowick::clock::unix_now;
-use pistachiowick::fleet::UseState;
 use pistachiowick::invariants::{Invariant, violations};
+use pistachiowick::membership::fleet::UseState;
 use pistachiowick::names::TargetId;
 use pistachiowick::pb::answer_event::Event;
 use pistachiowick::pb::requests_client::RequestsClient;
--- a/lab/tests/service.rs
+++ b/lab/tests/service.rs
@@ -5,7 +5,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use pistachiowick::names::{RequestId, RequestKey, WorkspaceName};
-use pistachiowick::target_wire::{ServiceBody, ServiceReply};
+use pistachiowick::targets::wire::{ServiceBody, ServiceReply};
 use pistachiowick_lab::answers::service_answer;
 use pistachiowick_lab::service::{RunningService, ServiceFaults, ServiceOptions, ServiceStandIn};
 use pistachiowick_lab::weight_store::{WeightOptions, WeightStandIn};
--- a/src/admin_http.rs
+++ b/src/admin_http.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 use tokio::task::JoinHandle;
 
-use crate::snapshot::{ControlSnapshot, SnapshotCell};
+use crate::control::snapshot::{ControlSnapshot, SnapshotCell};
 
 /// Time between two compactions of recorded samples. Without them the memory of
 /// a daemon that nobody scrapes would grow with every request.
--- a/src/authority_actions.rs
+++ b/src/authority/actions.rs
@@ -1,10 +1,10 @@
 //! What the authority of a daemon wants done outside.
 
-use crate::lease_record::lease_object;
-use crate::lease_state::LeaseAction;
+use crate::authority::lease_record::lease_object;
+use crate::authority::lease_state::LeaseAction;
+use crate::authority::order_record::order_object;
+use crate::authority::order_types::OrderAction;
 use crate::names::{CentreName, GroupName, TargetId};
-use crate::order_record::order_object;
-use crate::order_types::OrderAction;
 use crate::ports::{ConditionalWrite, ObjectName};
 
 /// Kind of the objects that record how many groups a data centre has.
--- a/src/lease.rs
+++ b/src/authority/lease.rs
@@ -9,14 +9,14 @@
 
 use indexmap::IndexMap;
 
-use crate::lease_record::{LeaseRecord, lease_object};
-use crate::lease_state::{
+use crate::authority::lease_record::{LeaseRecord, lease_object};
+use crate::authority::lease_state::{
     GroupLease, HeldLease, LeaseAction, LeaseAuthority, LeaseNews, LeaseTimes, ObservedRecord,
     SentWrite,
 };
+use crate::control::snapshot::LeaseView;
 use crate::names::{DaemonId, FenceNumber, GroupName, MonoTime, ProcessIncarnation, millis};
 use crate::ports::{ConditionalWrite, ObjectVersion, PlatformError, StoredObject};
-use crate::snapshot::LeaseView;
 
 const MARKS_KEPT: usize = 8;
 const RENEWALS_PER_LEASE: u32 = 2;
--- a/src/lease_groups.rs
+++ b/src/authority/lease_groups.rs
@@ -3,9 +3,9 @@
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::fleet::{DaemonView, FleetView, UseState};
+use crate::membership::fleet::{DaemonView, FleetView, UseState};
 use crate::names::{CentreName, DaemonId, GroupName, TargetId};
-use crate::platform_wire::InstanceKind;
+use crate::store::wire::InstanceKind;
 
 /// Group whose holder plans roles for the whole fleet; it has no engines.
 pub const PLAN_GROUP: &str = "plan";
--- a/src/lease_state.rs
+++ b/src/authority/lease_state.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::lease_record::LeaseRecord;
+use crate::authority::lease_record::LeaseRecord;
 use crate::names::{FenceNumber, GroupName, MonoTime};
 use crate::ports::{ConditionalWrite, ObjectVersion};
 use crate::settings::LeaseSettings;
--- a/src/authority.rs
+++ b/src/authority/mod.rs
@@ -1,29 +1,38 @@
 //! Joins leases, orders and the plan of one daemon into one decision.
 
+pub mod actions;
+pub mod lease;
+pub mod lease_groups;
+pub mod lease_record;
+pub mod lease_state;
+pub mod order_record;
+pub mod order_types;
+pub mod orders;
+
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
-use crate::authority_actions::{
+use crate::authority::actions::{
     AuthorityAction, COUNT_KIND, CallTag, count_object, lease_action, order_action, platform_action,
 };
-use crate::fleet::FleetView;
-use crate::journal::{DecisionJournal, DecisionKind};
-use crate::lease::LeaseTable;
-use crate::lease_groups::{self, GroupCounts, PLAN_GROUP};
-use crate::lease_state::LeaseTimes;
+use crate::authority::lease::LeaseTable;
+use crate::authority::lease_groups::{GroupCounts, PLAN_GROUP};
+use crate::authority::lease_state::LeaseTimes;
+use crate::authority::order_record::{ORDER_KIND, OrderRecord, order_object};
+use crate::authority::order_types::OrderTimes;
+use crate::authority::orders::OrderBook;
+use crate::control::snapshot::{ConfigView, LeaseView};
+use crate::membership::fleet::FleetView;
 use crate::names::{CentreName, DaemonId, GroupName, MonoTime, ProcessIncarnation, TargetId};
-use crate::order_record::{ORDER_KIND, OrderRecord, order_object};
-use crate::order_types::OrderTimes;
-use crate::orders::OrderBook;
-use crate::plan_book::{PlanBook, wishes_of};
-use crate::plan_inputs::{has, model_needs, plan_engines, want_planned};
 use crate::ports::{ConditionalWrite, ObjectVersion, PlatformError, StoredObject, TargetError};
-use crate::role_mix::MixForecast;
-use crate::role_plan::{PlanDecision, RolePlanner};
+use crate::requests::journal::{DecisionJournal, DecisionKind};
+use crate::roles::mix::MixForecast;
+use crate::roles::plan::{PlanDecision, RolePlanner};
+use crate::roles::plan_book::{PlanBook, wishes_of};
+use crate::roles::plan_inputs::{has, model_needs, plan_engines, want_planned};
 use crate::settings::DaemonSettings;
-use crate::snapshot::{ConfigView, LeaseView};
-use crate::target_wire::{EngineState, OrderBody};
+use crate::targets::wire::{EngineState, OrderBody};
 
 const COUNT_PAUSE: Duration = Duration::from_secs(1);
 const GROUPS_PACE: Duration = Duration::from_millis(500);
--- a/src/order_record.rs
+++ b/src/authority/order_record.rs
@@ -5,7 +5,7 @@
 
 use crate::names::{FenceNumber, GroupName, TargetId};
 use crate::ports::{ObjectName, StoredObject};
-use crate::target_wire::{EngineRole, OrderMark};
+use crate::targets::wire::{EngineRole, OrderMark};
 
 /// Kind of the order objects, and of the plan.
 pub const ORDER_KIND: &str = "orders";
--- a/src/order_types.rs
+++ b/src/authority/order_types.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use crate::lease_state::LeaseTimes;
+use crate::authority::lease_state::LeaseTimes;
+use crate::authority::order_record::OrderRecord;
 use crate::names::{MonoTime, TargetId};
-use crate::order_record::OrderRecord;
 use crate::ports::ConditionalWrite;
 
 /// Times of a change.
@@ -36,16 +36,16 @@
 /// What the book wants done.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum OrderAction {
-    /// Read the group's object; answered by [`crate::orders::OrderBook::note_read`].
+    /// Read the group's object; answered by [`crate::authority::orders::OrderBook::note_read`].
     Read,
-    /// Write it; answered by [`crate::orders::OrderBook::note_write`].
+    /// Write it; answered by [`crate::authority::orders::OrderBook::note_write`].
     Write {
         /// Mark of the write.
         mark: String,
         /// The conditional update.
         write: ConditionalWrite,
     },
-    /// Send the recorded order of an engine, if [`crate::orders::OrderBook::begin_send`] still allows it.
+    /// Send the recorded order of an engine, if [`crate::authority::orders::OrderBook::begin_send`] still allows it.
     Send(TargetId),
 }
 
--- a/src/orders.rs
+++ b/src/authority/orders.rs
@@ -16,15 +16,17 @@
 
 use indexmap::IndexMap;
 
-use crate::invariants::{self, Invariant};
-use crate::lease_state::LeaseAuthority;
-use crate::names::{FenceNumber, GroupName, MonoTime, TargetId};
-use crate::order_record::{EngineWish, OrderEntry, OrderPhase, OrderRecord, order_object};
-use crate::order_types::{
+use crate::authority::lease_state::LeaseAuthority;
+use crate::authority::order_record::{
+    EngineWish, OrderEntry, OrderPhase, OrderRecord, order_object,
+};
+use crate::authority::order_types::{
     ChangeEnd, EngineSeen, OrderAction, OrderNews, OrderTimes, PendingWrite, SendState,
 };
+use crate::invariants::{self, Invariant};
+use crate::names::{FenceNumber, GroupName, MonoTime, TargetId};
 use crate::ports::{ConditionalWrite, ObjectVersion, PlatformError, StoredObject, TargetError};
-use crate::target_wire::{EngineState, OrderBody, OrderMark};
+use crate::targets::wire::{EngineState, OrderBody, OrderMark};
 
 const CALL_PAUSE: Duration = Duration::from_millis(200);
 
--- a/src/bin/pistachiowick.rs
+++ b/src/bin/pistachiowick.rs
@@ -4,5 +4,5 @@
 
 fn main() -> ExitCode {
     let words: Vec<String> = std::env::args().skip(1).collect();
-    ExitCode::from(pistachiowick::tool_run::run_tool(&words))
+    ExitCode::from(pistachiowick::tool::run::run_tool(&words))
 }
--- a/src/client_driver.rs
+++ b/src/client/driver.rs
@@ -7,10 +7,10 @@
 use tokio::time::Instant;
 use tonic::Streaming;
 
+use crate::client::answer::{AnswerAssembly, ChunkFate, FinalCheck};
+use crate::client::error::{CallFailure, ClientError};
+use crate::client::links::DaemonLink;
 use crate::client::{AnswerFinal, AnswerItem, AnswerOutcome, ClientShared};
-use crate::client_answer::{AnswerAssembly, ChunkFate, FinalCheck};
-use crate::client_error::{CallFailure, ClientError};
-use crate::client_links::DaemonLink;
 use crate::pb;
 use crate::pb::answer_event::Event;
 use crate::pb::requests_client::RequestsClient;
--- a/src/client_links.rs
+++ b/src/client/links.rs
@@ -12,7 +12,7 @@
 use tonic::{Request, Status};
 
 use crate::client::ClientOptions;
-use crate::client_error::{CallFailure, ClientError};
+use crate::client::error::{CallFailure, ClientError};
 use crate::pb::requests_client::RequestsClient;
 use crate::pb::{Address, LocateReply, LocateRequest};
 
--- a/src/client.rs
+++ b/src/client/mod.rs
@@ -5,6 +5,12 @@
 //! is whole. A request with a key may not be repeated: it is never sent twice
 //! as a first submission, so that a daemon's "not run" stays true.
 
+pub mod answer;
+mod driver;
+pub mod error;
+mod links;
+pub mod operator;
+
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -12,13 +18,13 @@
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
 
-use crate::client_driver::AnswerDriver;
-use crate::client_error::{CallFailure, ClientError};
-use crate::client_links::{DaemonLink, LinkPool};
+use crate::client::driver::AnswerDriver;
+use crate::client::error::{CallFailure, ClientError};
+use crate::client::links::{DaemonLink, LinkPool};
 use crate::clock;
+use crate::decide::retry_budget::RetryBudget;
 use crate::pb;
 use crate::pb::requests_client::RequestsClient;
-use crate::retry_budget::RetryBudget;
 
 /// Default share of retries to first attempts.
 const RETRY_SHARE: f64 = 0.1;
--- a/src/client_operator.rs
+++ b/src/client/operator.rs
@@ -6,8 +6,8 @@
 use tonic::transport::Channel;
 
 use crate::client::ClientOptions;
-use crate::client_error::{CallFailure, ClientError};
-use crate::client_links::{DaemonLink, LinkPool};
+use crate::client::error::{CallFailure, ClientError};
+use crate::client::links::{DaemonLink, LinkPool};
 use crate::pb;
 use crate::pb::operations_client::OperationsClient;
 
--- a/src/config_buckets.rs
+++ b/src/config/buckets.rs
@@ -13,14 +13,14 @@
 use thiserror::Error;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::catalogue::{ItemKind, ItemName, ItemSpec};
-use crate::config_checks;
-use crate::config_view;
+use crate::config::catalogue::{ItemKind, ItemName, ItemSpec};
+use crate::config::checks;
+use crate::config::view;
+use crate::control::snapshot::{ConfigView, ItemRecord};
 use crate::control::{ChangeError, ItemChange};
 use crate::invariants::{self, Invariant};
 use crate::names::UnixTime;
 use crate::ports::{ObjectName, ObjectVersion, StoredObject};
-use crate::snapshot::{ConfigView, ItemRecord};
 
 /// Number of buckets. The same on every daemon, for good.
 pub const BUCKETS: u16 = 256;
@@ -266,7 +266,7 @@
     now: UnixTime,
 ) -> Result<BucketRecord, ChangeError> {
     check_base(bucket, change)?;
-    config_checks::check_change(bucket, view, change)?;
+    checks::check_change(bucket, view, change)?;
     let mut next = bucket.clone();
     next.sequence += 1;
     let item = BucketItem {
@@ -415,7 +415,7 @@
         }
         let view = Arc::make_mut(&mut self.view);
         for (name, record) in &changes {
-            config_view::set_item(view, name, record.clone());
+            view::set_item(view, name, record.clone());
         }
         changes.into_iter().map(|(name, _)| name).collect()
     }
--- a/src/config_checks.rs
+++ b/src/config/checks.rs
@@ -7,12 +7,12 @@
 use std::fmt::Display;
 use std::ops::RangeInclusive;
 
-use crate::catalogue::{
+use crate::config::buckets::BucketRecord;
+use crate::config::catalogue::{
     ClassSpec, ClassTarget, ItemKind, ItemName, ItemSpec, ModelChoice, ModelSpec, WorkspaceSpec,
 };
-use crate::config_buckets::BucketRecord;
+use crate::control::snapshot::ConfigView;
 use crate::control::{ChangeError, ItemChange};
-use crate::snapshot::ConfigView;
 
 const NAME_LENGTH: usize = 128;
 const REASON_LENGTH: usize = 1_024;
--- a/src/config_store.rs
+++ b/src/config/store.rs
@@ -5,10 +5,10 @@
 use tokio::time::{Instant, sleep};
 
 use crate::clock;
-use crate::config_buckets::{self, BucketIndex, BucketRecord};
+use crate::config::buckets::{self, BucketIndex, BucketRecord};
+use crate::control::snapshot::ConfigView;
 use crate::control::{ChangeError, ItemChange};
 use crate::ports::{ConditionalWrite, ObjectVersion, PlatformError, PlatformPort, StoredObject};
-use crate::snapshot::ConfigView;
 
 /// How long a change is tried.
 #[derive(Clone, Copy, Debug)]
@@ -153,7 +153,7 @@
     let ChangeRequest {
         change, mark, view, ..
     } = request;
-    let next = config_buckets::edit(&found.bucket, view, change, mark, clock::unix_now());
+    let next = buckets::edit(&found.bucket, view, change, mark, clock::unix_now());
     match next {
         // The operator has seen a revision that this read does not show: the read is
         // stale, and a conflict concluded from it would be false.
--- a/src/config_view.rs
+++ b/src/config/view.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use crate::catalogue::{ItemName, ItemSpec, WorkspaceSpec};
+use crate::config::catalogue::{ItemName, ItemSpec, WorkspaceSpec};
+use crate::control::snapshot::{ConfigView, ItemRecord};
 use crate::names::WorkspaceName;
-use crate::snapshot::{ConfigView, ItemRecord};
 
 /// Puts an item into the view; `None` forgets it.
 pub fn set_item(view: &mut ConfigView, name: &ItemName, record: Option<ItemRecord>) {
--- a/src/control_authority.rs
+++ b/src/control/authority_ports.rs
@@ -6,10 +6,10 @@
 use tokio::time::timeout;
 
 use crate::authority::AuthorityState;
-use crate::authority_actions::{AuthorityAction, CallTag};
+use crate::authority::actions::{AuthorityAction, CallTag};
 use crate::clock;
-use crate::control_feeds::FeedEvent;
-use crate::fleet::FleetView;
+use crate::control::feeds::FeedEvent;
+use crate::membership::fleet::FleetView;
 use crate::names::{GroupName, TargetId};
 use crate::ports::{
     ConditionalWrite, EnginePort, ObjectName, PlatformError, PlatformPort, TargetCall, TargetError,
--- a/src/control_changes.rs
+++ b/src/control/changes.rs
@@ -3,17 +3,17 @@
 
 use std::time::Duration;
 
-use crate::catalogue::ItemName;
 use crate::clock;
-use crate::config_buckets::{ApplyResult, BucketIndex};
-use crate::config_store::{self, ChangePatience, ChangeRequest};
+use crate::config::buckets::{ApplyResult, BucketIndex};
+use crate::config::catalogue::ItemName;
+use crate::config::store::{self, ChangePatience, ChangeRequest};
+use crate::control::feeds::{ChangeReply, FeedEvent};
+use crate::control::state::ControlState;
 use crate::control::{ChangeError, ChangeReport, ItemChange};
-use crate::control_feeds::{ChangeReply, FeedEvent};
-use crate::control_state::ControlState;
-use crate::fleet::UseState;
-use crate::journal::DecisionKind;
+use crate::membership::fleet::UseState;
 use crate::names::{DaemonId, MonoTime};
 use crate::ports::{ObjectVersion, StoredObject};
+use crate::requests::journal::DecisionKind;
 
 const MOST_CHANGES: usize = 64;
 const CONFIRMATION_WAIT: Duration = Duration::from_secs(2);
@@ -114,7 +114,7 @@
                 applied,
             };
             let patience = ChangePatience::default();
-            let result = config_store::run_change(&platform, request, patience).await;
+            let result = store::run_change(&platform, request, patience).await;
             let result = result.map(|done| (done.revision, done.stored));
             let _ = feeds.send(FeedEvent::Changed {
                 change,
--- a/src/control_loop.rs
+++ b/src/control/event_loop.rs
@@ -5,12 +5,12 @@
 use tokio::runtime::Builder;
 use tokio::sync::{mpsc, watch};
 
-use crate::config_buckets::CONFIG_KIND;
+use crate::authority::order_record::ORDER_KIND;
+use crate::config::buckets::CONFIG_KIND;
+use crate::control::feeds::{self, FeedEvent};
+use crate::control::snapshot::SnapshotCell;
+use crate::control::state::ControlState;
 use crate::control::{ControlEvent, ControlInputs};
-use crate::control_feeds::{self, FeedEvent};
-use crate::control_state::ControlState;
-use crate::order_record::ORDER_KIND;
-use crate::snapshot::SnapshotCell;
 use crate::timer::{TimerService, TimerTicks};
 
 const TICK: Duration = Duration::from_millis(100);
@@ -83,7 +83,7 @@
     let inputs = &state.inputs;
     let platform = &inputs.settings.platform;
     for (number, kind) in [CONFIG_KIND, ORDER_KIND].into_iter().enumerate() {
-        tokio::spawn(control_feeds::feed_objects(
+        tokio::spawn(feeds::feed_objects(
             inputs.platform.clone(),
             kind,
             Duration::from_millis(platform.watch_ms),
@@ -92,7 +92,7 @@
             feeds.clone(),
         ));
     }
-    tokio::spawn(control_feeds::feed_instances(
+    tokio::spawn(feeds::feed_instances(
         inputs.platform.clone(),
         Duration::from_millis(platform.instances_ms),
         inputs.seed ^ 2,
--- a/src/control_feeds.rs
+++ b/src/control/feeds.rs
@@ -7,18 +7,18 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep;
 
-use crate::authority_actions::CallTag;
+use crate::authority::actions::CallTag;
 use crate::clock;
-use crate::config_buckets::CONFIG_KIND;
+use crate::config::buckets::CONFIG_KIND;
 use crate::control::{ChangeError, ChangeReport, ItemChange};
 use crate::membership;
 use crate::names::{GroupName, TargetId};
-use crate::platform_wire::InstanceRow;
 use crate::ports::{
     ConditionalWrite, EnginePort, ObjectBatch, ObjectVersion, PlatformError, PlatformPort,
     StoredObject, TargetCall, TargetError, WatchQuery,
 };
-use crate::target_wire::EngineState;
+use crate::store::wire::InstanceRow;
+use crate::targets::wire::EngineState;
 
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 const LONGEST_BACKOFF: Duration = Duration::from_secs(5);
--- a/src/control_gossip.rs
+++ b/src/control/gossip.rs
@@ -1,13 +1,13 @@
 //! What links and messages of peers change in the control thread.
 
+use crate::authority::order_record::ORDER_KIND;
 use crate::clock;
-use crate::config_buckets::CONFIG_KIND;
-use crate::control_state::ControlState;
+use crate::config::buckets::CONFIG_KIND;
+use crate::control::state::ControlState;
 use crate::membership::{self, PeerWord};
 use crate::names::{DaemonId, MonoTime, ProcessIncarnation};
-use crate::order_record::ORDER_KIND;
-use crate::peer_link::PeerEvent;
-use crate::peer_wire::{PeerHint, PeerMessage};
+use crate::peers::link::PeerEvent;
+use crate::peers::wire::{PeerHint, PeerMessage};
 use crate::ports::StoredObject;
 
 impl ControlState {
--- a/src/control.rs
+++ b/src/control/mod.rs
@@ -1,5 +1,14 @@
 //! The control thread: owner of configuration, membership, leases and roles.
 
+pub mod authority_ports;
+mod changes;
+pub mod event_loop;
+pub mod feeds;
+mod gossip;
+pub mod peer_desk;
+pub mod snapshot;
+mod state;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
@@ -7,14 +16,13 @@
 
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::catalogue::{ItemName, ItemSpec};
-use crate::control_loop;
-use crate::journal::DecisionJournal;
+use crate::config::catalogue::{ItemName, ItemSpec};
+use crate::control::snapshot::{SnapshotCell, new_cell};
 use crate::names::{ClassName, ModelName, ProcessIncarnation, TargetId, WorkspaceName};
-use crate::peer_link::PeerEvent;
+use crate::peers::link::PeerEvent;
 use crate::ports::{EnginePort, PlatformPort};
+use crate::requests::journal::DecisionJournal;
 use crate::settings::DaemonSettings;
-use crate::snapshot::{SnapshotCell, new_cell};
 
 /// An operator's change of one item.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -185,7 +193,7 @@
     let cell = snapshot.clone();
     let thread = thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || control_loop::run_thread(inputs, cell, inbox, ended))
+        .spawn(move || event_loop::run_thread(inputs, cell, inbox, ended))
         .expect("a thread for control; raise the limit of threads");
     ControlHandle {
         snapshot,
--- a/src/control_peers.rs
+++ b/src/control/peer_desk.rs
@@ -5,15 +5,15 @@
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{mpsc, watch};
 
-use crate::fleet::FleetView;
+use crate::membership::fleet::FleetView;
 use crate::names::{DaemonId, ModelName, MonoTime, ProcessIncarnation, TargetId, WorkspaceName};
-use crate::peer_link::PeerCommand;
-use crate::peer_state::{PeerHints, PeerTopology};
-use crate::peer_wire::{PeerHint, PeerMessage};
+use crate::peers::link::PeerCommand;
+use crate::peers::state::{PeerHints, PeerTopology};
+use crate::peers::wire::{PeerHint, PeerMessage};
 use crate::ports::{ObjectName, ObjectVersion, StoredObject};
-use crate::role_mix::{WorkBins, WorkTotals};
+use crate::roles::mix::{WorkBins, WorkTotals};
 use crate::settings::DaemonSettings;
-use crate::target_wire::EngineState;
+use crate::targets::wire::EngineState;
 
 const NEWS_AGE: Duration = Duration::from_secs(10);
 const BATCH_BYTES: usize = 1 << 20;
--- a/src/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -5,12 +5,12 @@
 use arc_swap::ArcSwap;
 use indexmap::IndexMap;
 
-use crate::catalogue::{ClassSpec, ItemName, ItemSpec, ModelSpec, WorkspaceSpec};
-use crate::fleet::FleetView;
+use crate::config::catalogue::{ClassSpec, ItemName, ItemSpec, ModelSpec, WorkspaceSpec};
+use crate::decide::shares::ShareView;
+use crate::membership::fleet::FleetView;
 use crate::names::{
     ClassName, DaemonId, FenceNumber, GroupName, ModelName, MonoTime, TargetId, WorkspaceName,
 };
-use crate::shares::ShareView;
 
 /// A configured item with its revision.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/src/control_state.rs
+++ b/src/control/state.rs
@@ -8,22 +8,22 @@
 
 use crate::authority::{AuthorityInputs, AuthorityState};
 use crate::clock;
-use crate::config_buckets::{BUCKETS, ConfigState};
+use crate::config::buckets::{BUCKETS, ConfigState};
+use crate::control::authority_ports::AuthorityPorts;
+use crate::control::changes::PendingConfirmation;
+use crate::control::feeds::{self, FeedEvent};
+use crate::control::peer_desk::PeerDesk;
+use crate::control::snapshot::{ControlSnapshot, SnapshotCell};
 use crate::control::{ControlEvent, ControlInputs};
-use crate::control_authority::AuthorityPorts;
-use crate::control_changes::PendingConfirmation;
-use crate::control_feeds::{self, FeedEvent};
-use crate::control_peers::PeerDesk;
-use crate::fleet::UseState;
-use crate::journal::DecisionKind;
+use crate::decide::shares::{ShareState, ShareView};
+use crate::membership::fleet::UseState;
+use crate::membership::suspicion::CallSource;
 use crate::membership::{self, MembershipLimits, MembershipState, StateChange};
 use crate::names::{DaemonId, MonoTime, TargetId, millis};
 use crate::ports::StoredObject;
-use crate::role_mix::{self, MixForecast, WorkAmount, WorkTotals};
-use crate::shares::{ShareState, ShareView};
-use crate::snapshot::{ControlSnapshot, SnapshotCell};
-use crate::suspicion::CallSource;
-use crate::target_wire::EngineState;
+use crate::requests::journal::DecisionKind;
+use crate::roles::mix::{self, MixForecast, WorkAmount, WorkTotals};
+use crate::targets::wire::EngineState;
 
 const LISTS_TO_FORGET: u64 = 60;
 
@@ -126,7 +126,7 @@
             } => {
                 let speeds = &self.inputs.settings.policy.speeds;
                 let work = WorkAmount::of_request(speeds, prefill_tokens, decode_tokens);
-                role_mix::add_work(&mut self.own_work, &model, work);
+                mix::add_work(&mut self.own_work, &model, work);
             }
             ControlEvent::CostSeen {
                 workspace, cost, ..
@@ -263,7 +263,7 @@
             }
             let engines = self.inputs.engines.clone();
             let feeds = self.feeds.clone();
-            tokio::spawn(control_feeds::poll_engine(engines, target, address, feeds));
+            tokio::spawn(feeds::poll_engine(engines, target, address, feeds));
         }
     }
 
--- a/src/candidates.rs
+++ b/src/decide/candidates.rs
@@ -6,11 +6,11 @@
 use indexmap::{IndexMap, IndexSet};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::fleet::{FleetView, LoadReport, TargetView, UseState};
+use crate::decide::placement::{ModelLabel, PoolKey, WorkSide};
+use crate::membership::fleet::{FleetView, LoadReport, TargetView, UseState};
 use crate::names::{ModelName, TargetId};
-use crate::placement::{ModelLabel, PoolKey, WorkSide};
-use crate::platform_wire::InstanceKind;
-use crate::target_wire::EngineRole;
+use crate::store::wire::InstanceKind;
+use crate::targets::wire::EngineRole;
 
 /// Candidates by pool, rebuilt when the fleet's shape changes.
 ///
--- a/src/cost.rs
+++ b/src/decide/cost.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::names::{ClassName, TargetId, WorkspaceName};
-use crate::target_wire::EngineRole;
+use crate::targets::wire::EngineRole;
 
 /// Weight of a new observation in the learned averages.
 const LEARNING_RATE: f64 = 0.05;
--- a/src/placement.rs
+++ b/src/decide/placement.rs
@@ -7,14 +7,14 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use crate::candidates::CandidateSide;
-use crate::cost::CostModel;
-use crate::fair_queue::JobNumber;
-use crate::fleet::{FleetView, LoadReport, TargetView, UseState};
+use crate::decide::candidates::CandidateSide;
+use crate::decide::cost::CostModel;
+use crate::decide::fair_queue::JobNumber;
+use crate::decide::prefix_index::PrefixIndex;
+use crate::membership::fleet::{FleetView, LoadReport, TargetView, UseState};
 use crate::names::{ModelName, MonoTime, ServiceName, TargetId};
-use crate::prefix_index::PrefixIndex;
 use crate::settings::{PlacementPolicy, PolicySettings};
-use crate::target_wire::EngineRole;
+use crate::targets::wire::EngineRole;
 
 /// Candidates looked at for one placement, however large the fleet is.
 const MOST_CANDIDATES: usize = 16;
--- a/src/prefix_index.rs
+++ b/src/decide/prefix_index.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 
 use crate::names::TargetId;
-use crate::target_wire::CacheEvent;
+use crate::targets::wire::CacheEvent;
 
 /// Prefixes remembered; the one unused longest falls out.
 const PREFIXES_REMEMBERED: usize = 4_096;
--- a/src/scheduler.rs
+++ b/src/decide/scheduler.rs
@@ -10,20 +10,20 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::candidates::{self, CandidateIndex, CandidateSide};
-use crate::cost::{CostModel, SpeedSettings};
-use crate::fair_queue::{FairQueue, JobNumber, QueuedJob};
-use crate::fleet::UseState;
-use crate::invariants::{self, Invariant};
-use crate::names::{ClassName, MonoTime, TargetId, WorkspaceName, millis};
-use crate::placement::{
+use crate::decide::candidates::{self, CandidateIndex, CandidateSide};
+use crate::decide::cost::{CostModel, SpeedSettings};
+use crate::decide::fair_queue::{FairQueue, JobNumber, QueuedJob};
+use crate::decide::placement::{
     OwnWork, PlacementInputs, PlacementNeed, PoolKey, RunningJob, SharedFleet, TargetChoice,
     WorkSide, choose_target,
 };
-use crate::prefix_index::PrefixIndex;
+use crate::decide::prefix_index::PrefixIndex;
+use crate::invariants::{self, Invariant};
+use crate::membership::fleet::UseState;
+use crate::names::{ClassName, MonoTime, TargetId, WorkspaceName, millis};
+use crate::roles::work_mix::{PlacedPace, WorkMix};
 use crate::settings::{LimitSettings, PlacementPolicy, PolicySettings};
-use crate::target_wire::{CacheEvent, EngineRole};
-use crate::work_mix::{PlacedPace, WorkMix};
+use crate::targets::wire::{CacheEvent, EngineRole};
 
 /// Waiting requests looked at for one free target.
 const LOOK_AHEAD: usize = 16;
--- a/src/intent_driver.rs
+++ b/src/intents/driver.rs
@@ -9,13 +9,13 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-use crate::intent_forward::{ForwardOp, ForwardStage};
-use crate::intent_link::{IntentLink, LinkError, LinkOutcome, LinkReply};
-use crate::intent_store::{StoreInputs, UnixClock, shard_object};
-use crate::intent_writer::{
+use crate::intents::LedgerLimits;
+use crate::intents::forward::{ForwardOp, ForwardStage};
+use crate::intents::link::{IntentLink, LinkError, LinkOutcome, LinkReply};
+use crate::intents::store::{StoreInputs, UnixClock, shard_object};
+use crate::intents::writer::{
     OpNumber, OpResult, ShardOp, ShardWriter, WriterAction, WriterRules, WriterTime,
 };
-use crate::intents::LedgerLimits;
 use crate::names::{MonoTime, millis};
 use crate::ports::{
     ConditionalWrite, ObjectName, ObjectVersion, PlatformError, PlatformPort, PortFuture,
--- a/src/intent_forward.rs
+++ b/src/intents/forward.rs
@@ -5,11 +5,11 @@
 
 use tokio::time::Instant;
 
-use crate::intent_driver::OpWaiter;
-use crate::intent_link::{
+use crate::intents::driver::OpWaiter;
+use crate::intents::link::{
     IntentLink, LINK_PAUSE, LINK_WAIT, LinkError, LinkOutcome, LinkReply, LinkRequest, MAX_LINK_OPS,
 };
-use crate::intent_writer::ShardOp;
+use crate::intents::writer::ShardOp;
 use crate::ports::{ObjectVersion, PortFuture};
 
 /// An operation that goes to the owner: a claim or a close of this daemon's own.
--- a/src/intent_link.rs
+++ b/src/intents/link.rs
@@ -15,9 +15,9 @@
 use thiserror::Error;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::intent_ops::{OpResult, ShardOp};
-use crate::intent_wire::{CloseWire, IntentWire};
 use crate::intents::ClaimEntry;
+use crate::intents::ops::{OpResult, ShardOp};
+use crate::intents::wire::{CloseWire, IntentWire};
 use crate::names::DaemonId;
 use crate::ports::{ObjectVersion, PortCall};
 
@@ -50,7 +50,7 @@
 }
 
 /// A call to another daemon: its name, and a message to be answered by
-/// [`crate::intent_store::IntentStore::serve`] there.
+/// [`crate::intents::store::IntentStore::serve`] there.
 pub type LinkCall = PortCall<(DaemonId, Vec<u8>), Result<Vec<u8>, LinkError>>;
 
 /// Returns the owner of a shard, or `None` when this daemon writes it directly.
--- a/src/intents.rs
+++ b/src/intents/mod.rs
@@ -4,11 +4,22 @@
 //! update. An entry is there from before the dispatch until its key is too old to
 //! be accepted, so whoever asks finds it, or finds that the key may not be used.
 
+pub mod driver;
+pub mod forward;
+pub mod link;
+pub mod ops;
+pub mod permit;
+pub mod queue;
+pub mod records;
+pub mod store;
+pub mod wire;
+pub mod writer;
+
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
-pub use crate::intent_records::{
+pub use crate::intents::records::{
     AnswerRecord, ClaimEntry, ClaimId, CloseRecord, EntryId, IntentEntry, IntentKey, IntentState,
     KeyFault, MAX_KEY_BYTES, RecordView,
 };
--- a/src/intent_ops.rs
+++ b/src/intents/ops.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::intent_wire::decode_ledger;
+use crate::intents::wire::decode_ledger;
 use crate::intents::{
     ClaimEntry, ClaimId, ClaimStep, CloseRecord, CloseStep, IntentKey, KeyFault, LedgerLimits,
     RecordView, SettleStep, ShardLedger,
--- a/src/intent_queue.rs
+++ b/src/intents/queue.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 
-use crate::intent_ops::{OpNumber, ShardOp};
+use crate::intents::ops::{OpNumber, ShardOp};
 
 /// Operations that may wait for one shard.
 const MAX_OPEN_OPS: usize = 16_384;
--- a/src/intent_store.rs
+++ b/src/intents/store.rs
@@ -8,19 +8,19 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-pub use crate::intent_permit::{DispatchPermit, DispatchedClaim, LateClaim, UndeliveredProof};
+pub use crate::intents::permit::{DispatchPermit, DispatchedClaim, LateClaim, UndeliveredProof};
 pub use crate::intents::{AnswerRecord, IntentKey, RecordView};
 
-use crate::claimant::ClaimantLife;
-use crate::intent_driver::{
+use crate::intents::driver::{
     OpWaiter, ShardMessage, UNDECIDED_RETRY, start_shard, undecided_result,
 };
-use crate::intent_link::{IntentLink, LINK_WAIT, LinkError, LinkOutcome, LinkReply, LinkRequest};
-use crate::intent_permit::ClaimCloser;
-use crate::intent_writer::{OpResult, ShardOp};
+use crate::intents::link::{IntentLink, LINK_WAIT, LinkError, LinkOutcome, LinkReply, LinkRequest};
+use crate::intents::permit::ClaimCloser;
+use crate::intents::writer::{OpResult, ShardOp};
 use crate::intents::{ClaimEntry, ClaimId, CloseRecord};
 use crate::names::{DaemonId, ProcessIncarnation, TargetId, UnixTime};
 use crate::ports::{ObjectName, PlatformPort};
+use crate::requests::claimant::ClaimantLife;
 use crate::settings::IntentSettings;
 
 /// Kind of the platform objects that hold the records.
--- a/src/intent_writer.rs
+++ b/src/intents/writer.rs
@@ -12,11 +12,11 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-pub use crate::intent_ops::{OpNumber, OpResult, ShardOp, WriterAction, WriterRules, WriterTime};
+pub use crate::intents::ops::{OpNumber, OpResult, ShardOp, WriterAction, WriterRules, WriterTime};
 
-use crate::intent_ops::{OpStep, ShardCopy, apply_op, read_ledger, view_result};
-use crate::intent_queue::{OpQueue, OpReach, OpenOp};
-use crate::intent_wire::encode_ledger;
+use crate::intents::ops::{OpStep, ShardCopy, apply_op, read_ledger, view_result};
+use crate::intents::queue::{OpQueue, OpReach, OpenOp};
+use crate::intents::wire::encode_ledger;
 use crate::intents::{ClaimEntry, ClaimId};
 use crate::invariants::{self, Invariant};
 use crate::names::MonoTime;
--- a/src/addressing.rs
+++ b/src/membership/addressing.rs
@@ -2,9 +2,9 @@
 
 use rand::Rng;
 
-use crate::fleet::{DaemonView, UseState};
+use crate::control::snapshot::ControlSnapshot;
+use crate::membership::fleet::{DaemonView, UseState};
 use crate::names::{CentreName, DaemonId};
-use crate::snapshot::ControlSnapshot;
 
 /// Most addresses in one answer.
 pub const MOST_ADDRESSES: usize = 8;
--- a/src/departures.rs
+++ b/src/membership/departures.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 
 use crate::names::{MonoTime, ProcessIncarnation};
-use crate::platform_wire::InstanceState;
+use crate::store::wire::InstanceState;
 
 /// Most departures remembered; beyond it the one unheard of for longest is dropped.
 pub const MOST_DEPARTURES: usize = 20_000;
--- a/src/fleet.rs
+++ b/src/membership/fleet.rs
@@ -3,8 +3,8 @@
 use indexmap::IndexMap;
 
 use crate::names::{CentreName, DaemonId, MonoTime, ProcessIncarnation, ServiceName, TargetId};
-use crate::platform_wire::InstanceKind;
-use crate::target_wire::EngineRole;
+use crate::store::wire::InstanceKind;
+use crate::targets::wire::EngineRole;
 
 /// Whether something may receive new work. Later variants win when views are merged.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -43,7 +43,7 @@
     pub role: EngineRole,
     /// Whether a change is under way.
     pub changing: bool,
-    /// Models loaded, as in [`crate::target_wire::EngineState::models`].
+    /// Models loaded, as in [`crate::targets::wire::EngineState::models`].
     pub models: Vec<String>,
     /// Streams running and waiting.
     pub in_flight: u32,
--- a/src/membership.rs
+++ b/src/membership/mod.rs
@@ -3,20 +3,28 @@
 //! Sources are the instance list, which lags, the calls this daemon makes itself,
 //! what peers and targets say of themselves, and the holds of the configuration.
 
+pub mod addressing;
+pub mod departures;
+pub mod fleet;
+pub mod records;
+pub mod suspicion;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
-use crate::departures::{DepartureTable, LifeKey};
-use crate::fleet::{DaemonView, FleetView, UseState};
-use crate::membership_records::{DaemonRecord, PresenceRecord, TargetRecord, life_of, load_report};
+use crate::membership::departures::{DepartureTable, LifeKey};
+use crate::membership::fleet::{DaemonView, FleetView, UseState};
+use crate::membership::records::{
+    DaemonRecord, PresenceRecord, TargetRecord, life_of, load_report,
+};
+use crate::membership::suspicion::CallSource;
 use crate::names::{
     CentreName, DaemonId, MonoTime, ProcessIncarnation, TargetId, UnixTime, millis,
 };
-use crate::platform_wire::{InstanceKind, InstanceRow, InstanceState};
-use crate::suspicion::CallSource;
-use crate::target_wire::EngineState;
+use crate::store::wire::{InstanceKind, InstanceRow, InstanceState};
+use crate::targets::wire::EngineState;
 
 /// Bounds of the merged view.
 #[derive(Clone, Copy, Debug)]
--- a/src/membership_records.rs
+++ b/src/membership/records.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use crate::departures::LifeKey;
-use crate::fleet::{DaemonView, LoadReport, TargetView, UseState};
+use crate::membership::departures::LifeKey;
+use crate::membership::fleet::{DaemonView, LoadReport, TargetView, UseState};
+use crate::membership::suspicion::SuspicionRecord;
 use crate::names::{DaemonId, MonoTime, ProcessIncarnation, TargetId};
-use crate::platform_wire::{InstanceRow, InstanceState};
-use crate::suspicion::SuspicionRecord;
-use crate::target_wire::EngineState;
+use crate::store::wire::{InstanceRow, InstanceState};
+use crate::targets::wire::EngineState;
 
 /// Whether the instance list names something.
 #[derive(Clone, Debug)]
--- a/src/peer_handshake.rs
+++ b/src/peers/handshake.rs
@@ -9,7 +9,7 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::names::{DaemonId, ProcessIncarnation};
-use crate::peer_wire::HandshakeMessage;
+use crate::peers::wire::HandshakeMessage;
 
 const CHALLENGE_BYTES: usize = 32;
 const CALLER: &str = "caller";
--- a/src/peer_link.rs
+++ b/src/peers/link.rs
@@ -17,8 +17,8 @@
 
 use crate::control::{ControlEvent, ControlHandle};
 use crate::names::{DaemonId, ProcessIncarnation};
-use crate::peer_handshake::{PeerIdentity, greet_caller, greet_listener};
-use crate::peer_wire::{MESSAGE_BYTES, PeerMessage};
+use crate::peers::handshake::{PeerIdentity, greet_caller, greet_listener};
+use crate::peers::wire::{MESSAGE_BYTES, PeerMessage};
 use crate::ports::PortCall;
 use crate::timer::TimerService;
 
--- a/src/peer_requests.rs
+++ b/src/peers/requests.rs
@@ -2,10 +2,10 @@
 
 use std::sync::{Arc, OnceLock, Weak};
 
-use crate::intent_link::{LinkCall, LinkError};
+use crate::intents::link::{LinkCall, LinkError};
 use crate::names::{DaemonId, RequestId};
-use crate::peer_link::{PeerError, PeerHandle, PeerHandler};
-use crate::traffic::TrafficContext;
+use crate::peers::link::{PeerError, PeerHandle, PeerHandler};
+use crate::requests::traffic::TrafficContext;
 
 /// Operations on records, for the owner of their shard.
 const RECORDS: u8 = 0;
--- a/src/peer_state.rs
+++ b/src/peers/state.rs
@@ -8,12 +8,12 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use crate::fleet::{DaemonView, FleetView, UseState};
-use crate::lease_groups::rendezvous;
+use crate::authority::lease_groups::rendezvous;
+use crate::membership::fleet::{DaemonView, FleetView, UseState};
 use crate::names::{CentreName, DaemonId, GroupName, MonoTime, ProcessIncarnation, WorkspaceName};
-use crate::peer_wire::PeerHint;
+use crate::peers::wire::PeerHint;
 use crate::ports::ObjectVersion;
-use crate::role_mix::{WorkAmount, WorkTotals};
+use crate::roles::mix::{WorkAmount, WorkTotals};
 
 const MOST_PEERS: usize = 4_096;
 const MOST_APPLIED: usize = 512;
--- a/src/peer_wire.rs
+++ b/src/peers/wire.rs
@@ -6,8 +6,8 @@
 
 use crate::names::{DaemonId, ModelName, ProcessIncarnation, WorkspaceName};
 use crate::ports::{ObjectName, ObjectVersion, StoredObject};
-use crate::role_mix::{MIX_BINS, WorkAmount, WorkTotals};
-use crate::target_wire::EngineState;
+use crate::roles::mix::{MIX_BINS, WorkAmount, WorkTotals};
+use crate::targets::wire::EngineState;
 
 /// Largest message between daemons.
 pub const MESSAGE_BYTES: usize = 4 << 20;
--- a/src/ports.rs
+++ b/src/ports.rs
@@ -11,8 +11,8 @@
 use thiserror::Error;
 
 use crate::names::{FenceNumber, RequestId};
-use crate::platform_wire::InstanceRow;
-use crate::target_wire::{
+use crate::store::wire::InstanceRow;
+use crate::targets::wire::{
     CacheEvent, EngineState, GenerateBody, OrderBody, ServiceBody, ServiceReply, StreamLine,
 };
 
--- a/src/access.rs
+++ b/src/requests/access.rs
@@ -6,9 +6,9 @@
 use subtle::{Choice, ConstantTimeEq};
 use thiserror::Error;
 
+use crate::control::snapshot::ConfigView;
 use crate::names::WorkspaceName;
 use crate::settings::AccessSettings;
-use crate::snapshot::ConfigView;
 
 /// Longest key in bytes that is looked at.
 const MAX_KEY_BYTES: usize = 512;
--- a/src/answer.rs
+++ b/src/requests/answer.rs
@@ -8,7 +8,7 @@
 
 use crate::invariants::{self, Invariant};
 use crate::names::{RequestId, RequestKey};
-use crate::target_wire::{ServiceReply, StreamEnd, StreamLine};
+use crate::targets::wire::{ServiceReply, StreamEnd, StreamLine};
 
 /// Bytes to hand to the caller.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/src/answer_sink.rs
+++ b/src/requests/answer_sink.rs
@@ -6,10 +6,10 @@
 use tokio::sync::mpsc;
 use tonic::Status;
 
-use crate::answer::{AnswerPart, AnswerSummary};
 use crate::invariants::{self, Invariant};
 use crate::names::{RequestId, TargetId, millis};
 use crate::pb;
+use crate::requests::answer::{AnswerPart, AnswerSummary};
 
 /// Longest wait for a caller that does not read; it then counts as gone.
 const SLOW_CALLER: Duration = Duration::from_secs(10);
--- a/src/attempt.rs
+++ b/src/requests/attempt.rs
@@ -6,17 +6,17 @@
 use base64::engine::general_purpose::STANDARD;
 use futures_util::StreamExt;
 
-use crate::answer::{AnswerAssembly, AnswerPart, AnswerSummary, LineVerdict};
-use crate::answer_sink::AnswerSink;
 use crate::clock;
-use crate::intent_permit::UndeliveredProof;
+use crate::decide::placement::TargetChoice;
+use crate::decide::scheduler::JobMeasure;
+use crate::intents::permit::UndeliveredProof;
 use crate::names::millis;
-use crate::placement::TargetChoice;
 use crate::ports::{LineStream, StreamPosition, TargetCall, TargetError};
-use crate::request::CallerRequest;
-use crate::scheduler::JobMeasure;
-use crate::target_wire::GenerateBody;
-use crate::traffic::{RequestProgress, SIDE_CALL, TrafficContext};
+use crate::requests::answer::{AnswerAssembly, AnswerPart, AnswerSummary, LineVerdict};
+use crate::requests::answer_sink::AnswerSink;
+use crate::requests::request::CallerRequest;
+use crate::requests::traffic::{RequestProgress, SIDE_CALL, TrafficContext};
+use crate::targets::wire::GenerateBody;
 
 /// Silence that is always allowed between lines.
 const LEAST_SILENCE: Duration = Duration::from_secs(2);
--- a/src/claimant.rs
+++ b/src/requests/claimant.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::fleet::{FleetView, UseState};
+use crate::membership::fleet::{FleetView, UseState};
 use crate::names::{DaemonId, ProcessIncarnation};
 
 /// One life of a daemon, as records name it.
--- a/src/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -9,13 +9,13 @@
 
 use crate::clock;
 use crate::control::{ControlEvent, ControlHandle};
-use crate::fair_queue::JobNumber;
-use crate::journal::{DecisionJournal, DecisionKind};
+use crate::decide::fair_queue::JobNumber;
+use crate::decide::placement::{PlacementNeed, TargetChoice};
+use crate::decide::scheduler::{JobMeasure, JobRefusal, JobSpec, ScheduleAction, Scheduler};
 use crate::names::{RequestId, TargetId};
-use crate::placement::{PlacementNeed, TargetChoice};
 use crate::ports::TargetError;
-use crate::scheduler::{JobMeasure, JobRefusal, JobSpec, ScheduleAction, Scheduler};
-use crate::target_wire::CacheEvent;
+use crate::requests::journal::{DecisionJournal, DecisionKind};
+use crate::targets::wire::CacheEvent;
 
 /// Time between looks at the queue when nothing else wakes it.
 const PUMP_INTERVAL: Duration = Duration::from_millis(20);
--- /dev/null
+++ b/src/requests/mod.rs
@@ -0,0 +1,17 @@
+//! The life of one request, from its admission to its last outcome.
+
+pub mod access;
+pub mod answer;
+pub mod answer_sink;
+pub mod attempt;
+pub mod claimant;
+pub mod dispatch;
+pub mod journal;
+pub mod owner_cache;
+pub mod request;
+pub mod resume_token;
+pub mod run_call;
+pub mod run_once;
+pub mod run_resume;
+pub mod run_stream;
+pub mod traffic;
--- a/src/owner_cache.rs
+++ b/src/requests/owner_cache.rs
@@ -4,8 +4,8 @@
 
 use indexmap::IndexMap;
 
-use crate::fleet::{FleetView, UseState};
-use crate::intent_link::shard_owner;
+use crate::intents::link::shard_owner;
+use crate::membership::fleet::{FleetView, UseState};
 use crate::names::DaemonId;
 
 /// Owners found for one version of the fleet.
--- a/src/request.rs
+++ b/src/requests/request.rs
@@ -5,17 +5,17 @@
 
 use sha2::{Digest, Sha256};
 
-use crate::catalogue::{ClassSpec, ClassTarget};
 use crate::clock;
+use crate::config::catalogue::{ClassSpec, ClassTarget};
+use crate::control::snapshot::{ConfigView, ControlSnapshot};
+use crate::decide::placement::{PlacementNeed, PoolKey};
+use crate::decide::scheduler::JobSpec;
 use crate::intents::IntentKey;
 use crate::names::{
     ClassName, ModelName, MonoTime, RequestId, RequestKey, UnixTime, WorkspaceName,
 };
 use crate::pb;
-use crate::placement::{PlacementNeed, PoolKey};
-use crate::scheduler::JobSpec;
 use crate::settings::LimitSettings;
-use crate::snapshot::{ConfigView, ControlSnapshot};
 
 /// Longest key in bytes.
 const LONGEST_KEY: usize = 200;
--- a/src/run_call.rs
+++ b/src/requests/run_call.rs
@@ -7,17 +7,17 @@
 use sha2::{Digest, Sha256};
 use tokio::sync::watch;
 
-use crate::answer::{AnswerPart, AnswerSummary, accept_reply};
-use crate::answer_sink::{AnswerSink, FinalOutcome};
-use crate::attempt::AttemptFault;
 use crate::clock;
+use crate::decide::placement::TargetChoice;
+use crate::decide::scheduler::JobMeasure;
 use crate::names::RequestKey;
-use crate::placement::TargetChoice;
 use crate::ports::{TargetCall, TargetError};
-use crate::request::CallerRequest;
-use crate::scheduler::JobMeasure;
-use crate::target_wire::ServiceBody;
-use crate::traffic::{RequestProgress, TrafficContext, until_cancelled};
+use crate::requests::answer::{AnswerPart, AnswerSummary, accept_reply};
+use crate::requests::answer_sink::{AnswerSink, FinalOutcome};
+use crate::requests::attempt::AttemptFault;
+use crate::requests::request::CallerRequest;
+use crate::requests::traffic::{RequestProgress, TrafficContext, until_cancelled};
+use crate::targets::wire::ServiceBody;
 
 /// Instances tried for one request.
 const MOST_ATTEMPTS: u32 = 3;
--- a/src/run_once.rs
+++ b/src/requests/run_once.rs
@@ -12,20 +12,20 @@
 use sha2::{Digest, Sha256};
 use tokio::sync::{oneshot, watch};
 
-use crate::answer::AnswerSummary;
-use crate::answer_sink::{AnswerSink, FinalOutcome};
-use crate::attempt::{AttemptFault, AttemptState};
-use crate::claimant::ClaimantLife;
 use crate::clock;
-use crate::dispatch::JobSlot;
-use crate::intent_permit::{DispatchPermit, DispatchedClaim, UndeliveredProof};
-use crate::intent_store::{ClaimResult, IntentClaim, LookupError};
+use crate::decide::placement::{PoolKey, TargetChoice};
+use crate::decide::scheduler::{JobMeasure, JobRefusal};
+use crate::intents::permit::{DispatchPermit, DispatchedClaim, UndeliveredProof};
+use crate::intents::store::{ClaimResult, IntentClaim, LookupError};
 use crate::intents::{AnswerRecord, IntentKey, RecordView};
-use crate::placement::{PoolKey, TargetChoice};
-use crate::request::CallerRequest;
-use crate::run_call::{call_service, deliver};
-use crate::scheduler::{JobMeasure, JobRefusal};
-use crate::traffic::{RequestProgress, TrafficContext, until_cancelled};
+use crate::requests::answer::AnswerSummary;
+use crate::requests::answer_sink::{AnswerSink, FinalOutcome};
+use crate::requests::attempt::{AttemptFault, AttemptState};
+use crate::requests::claimant::ClaimantLife;
+use crate::requests::dispatch::JobSlot;
+use crate::requests::request::CallerRequest;
+use crate::requests::run_call::{call_service, deliver};
+use crate::requests::traffic::{RequestProgress, TrafficContext, until_cancelled};
 
 /// How long a reply is awaited past the caller's deadline, to record it.
 const RECORD_PATIENCE: Duration = Duration::from_secs(60);
--- a/src/run_resume.rs
+++ b/src/requests/run_resume.rs
@@ -4,14 +4,14 @@
 
 use tokio::sync::{mpsc, watch};
 
-use crate::answer_sink::{AnswerEvent, AnswerSink, FinalOutcome};
-use crate::attempt::AttemptState;
-use crate::placement::TargetChoice;
-use crate::request::CallerRequest;
-use crate::resume_token::ResumeToken;
-use crate::run_once;
-use crate::run_stream;
-use crate::traffic::{RequestProgress, TrafficContext, until_cancelled};
+use crate::decide::placement::TargetChoice;
+use crate::requests::answer_sink::{AnswerEvent, AnswerSink, FinalOutcome};
+use crate::requests::attempt::AttemptState;
+use crate::requests::request::CallerRequest;
+use crate::requests::resume_token::ResumeToken;
+use crate::requests::run_once;
+use crate::requests::run_stream;
+use crate::requests::traffic::{RequestProgress, TrafficContext, until_cancelled};
 
 /// Expected times at an engine whose load this daemon has not looked at.
 const USUAL_FIRST_TOKEN_S: f64 = 1.0;
--- a/src/run_stream.rs
+++ b/src/requests/run_stream.rs
@@ -5,14 +5,14 @@
 
 use tokio::sync::watch;
 
-use crate::answer_sink::{AnswerSink, FinalOutcome};
-use crate::attempt::{AttemptFault, AttemptState};
+use crate::decide::placement::PlacementNeed;
+use crate::decide::scheduler::{JobMeasure, JobRefusal};
 use crate::names::RequestId;
-use crate::placement::PlacementNeed;
 use crate::ports::TargetCall;
-use crate::request::CallerRequest;
-use crate::scheduler::{JobMeasure, JobRefusal};
-use crate::traffic::{RequestProgress, SIDE_CALL, TrafficContext, until_cancelled};
+use crate::requests::answer_sink::{AnswerSink, FinalOutcome};
+use crate::requests::attempt::{AttemptFault, AttemptState};
+use crate::requests::request::CallerRequest;
+use crate::requests::traffic::{RequestProgress, SIDE_CALL, TrafficContext, until_cancelled};
 
 /// Engines tried for one request.
 const MOST_ATTEMPTS: u32 = 5;
--- a/src/role_capacity.rs
+++ b/src/roles/capacity.rs
@@ -1,8 +1,8 @@
 //! How much of a mix a set of engine roles can serve.
 
-use crate::cost::SpeedSettings;
-use crate::role_mix::{MIX_BINS, WorkAmount, WorkBins};
-use crate::target_wire::EngineRole;
+use crate::decide::cost::SpeedSettings;
+use crate::roles::mix::{MIX_BINS, WorkAmount, WorkBins};
+use crate::targets::wire::EngineRole;
 
 const SEARCH_STEPS: u32 = 24;
 const MOST_SCALE: f64 = 64.0;
--- a/src/role_mix.rs
+++ b/src/roles/mix.rs
@@ -8,7 +8,7 @@
 
 use indexmap::IndexMap;
 
-use crate::cost::SpeedSettings;
+use crate::decide::cost::SpeedSettings;
 use crate::names::{ModelName, MonoTime};
 
 /// Number of kinds of work by their prefill share.
--- a/src/role_plan.rs
+++ b/src/roles/plan.rs
@@ -9,13 +9,13 @@
 
 use indexmap::IndexMap;
 
-use crate::cost::SpeedSettings;
+use crate::authority::order_record::EngineWish;
+use crate::decide::cost::SpeedSettings;
 use crate::names::{ModelName, MonoTime, TargetId};
-use crate::order_record::EngineWish;
-use crate::role_capacity::{RoleCounts, capacity, demand, served_share};
-use crate::role_mix::{MixForecast, MixRates, WorkBins, tilted};
+use crate::roles::capacity::{RoleCounts, capacity, demand, served_share};
+use crate::roles::mix::{MixForecast, MixRates, WorkBins, tilted};
 use crate::settings::{PolicySettings, RolePolicy};
-use crate::target_wire::EngineRole;
+use crate::targets::wire::EngineRole;
 
 const ROLES: [EngineRole; 3] = [EngineRole::Prefill, EngineRole::Mixed, EngineRole::Decode];
 const LEAST_GAIN: f64 = 0.03;
--- a/src/plan_book.rs
+++ b/src/roles/plan_book.rs
@@ -6,10 +6,12 @@
 
 use indexmap::IndexMap;
 
-use crate::lease_groups::PLAN_GROUP;
+use crate::authority::lease_groups::PLAN_GROUP;
+use crate::authority::order_record::{
+    EngineWish, OrderEntry, OrderPhase, OrderRecord, order_object,
+};
+use crate::authority::order_types::OrderAction;
 use crate::names::{FenceNumber, GroupName, MonoTime, TargetId};
-use crate::order_record::{EngineWish, OrderEntry, OrderPhase, OrderRecord, order_object};
-use crate::order_types::OrderAction;
 use crate::ports::{ConditionalWrite, ObjectVersion, PlatformError, StoredObject};
 
 const CALL_PAUSE: Duration = Duration::from_millis(500);
--- a/src/plan_inputs.rs
+++ b/src/roles/plan_inputs.rs
@@ -2,13 +2,13 @@
 
 use indexmap::IndexMap;
 
-use crate::fleet::{FleetView, TargetView, UseState};
+use crate::authority::order_record::EngineWish;
+use crate::authority::orders::OrderBook;
+use crate::control::snapshot::ConfigView;
+use crate::membership::fleet::{FleetView, TargetView, UseState};
 use crate::names::{GroupName, TargetId};
-use crate::order_record::EngineWish;
-use crate::orders::OrderBook;
-use crate::platform_wire::InstanceKind;
-use crate::role_plan::{ModelNeed, PlanEngine};
-use crate::snapshot::ConfigView;
+use crate::roles::plan::{ModelNeed, PlanEngine};
+use crate::store::wire::InstanceKind;
 
 pub(crate) fn want_planned(
     book: &mut OrderBook,
--- a/src/work_mix.rs
+++ b/src/roles/work_mix.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use crate::decide::placement::WorkSide;
 use crate::names::MonoTime;
-use crate::placement::WorkSide;
 
 /// Time in which the weight of past work halves. Short against the minutes in which
 /// the mix swings, long against the gaps between requests.
--- a/src/rpc_access.rs
+++ b/src/rpc/access.rs
@@ -3,10 +3,10 @@
 use tonic::Status;
 use tonic::metadata::MetadataMap;
 
-use crate::access::{self, SecretKey};
+use crate::control::snapshot::ControlSnapshot;
 use crate::names::WorkspaceName;
+use crate::requests::access::{self, SecretKey};
 use crate::settings::AccessSettings;
-use crate::snapshot::ControlSnapshot;
 
 /// Returns the workspace whose key a call carries.
 ///
--- a/src/rpc_items.rs
+++ b/src/rpc/items.rs
@@ -1,13 +1,13 @@
 //! Conversions between configured items and their messages.
 
-use crate::catalogue::{
+use crate::config::catalogue::{
     ClassSpec, ClassTarget, HoldSpec, ItemKind, ItemName, ItemSpec, ModelChoice, ModelSpec,
     WorkspaceSpec,
 };
+use crate::control::snapshot::ItemRecord;
 use crate::names::{ModelName, ServiceName};
 use crate::pb;
 use crate::pb::config_item::Item;
-use crate::snapshot::ItemRecord;
 
 /// Why a message is not an item.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
--- /dev/null
+++ b/src/rpc/mod.rs
@@ -0,0 +1,6 @@
+//! The gRPC interface of callers and operators.
+
+pub mod access;
+pub mod items;
+pub mod operations;
+pub mod requests;
--- a/src/rpc_operations.rs
+++ b/src/rpc/operations.rs
@@ -9,17 +9,17 @@
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status};
 
-use crate::catalogue::{HoldSpec, ItemKind, ItemName, ItemSpec};
 use crate::clock;
+use crate::config::catalogue::{HoldSpec, ItemKind, ItemName, ItemSpec};
+use crate::control::snapshot::{ControlSnapshot, LeaseView};
 use crate::control::{ChangeError, ChangeReport, ControlEvent, ItemChange};
-use crate::journal::DecisionRecord;
 use crate::names::{TargetId, millis};
 use crate::pb;
 use crate::pb::operations_server::Operations;
-use crate::rpc_access::check_operator;
-use crate::rpc_items::{item_kind, item_reply};
-use crate::snapshot::{ControlSnapshot, LeaseView};
-use crate::traffic::TrafficContext;
+use crate::requests::journal::DecisionRecord;
+use crate::requests::traffic::TrafficContext;
+use crate::rpc::access::check_operator;
+use crate::rpc::items::{item_kind, item_reply};
 
 /// Time between looks at the configuration for a watch.
 const WATCH_INTERVAL: Duration = Duration::from_millis(100);
@@ -92,7 +92,7 @@
 fn spec_of(item: Option<pb::ConfigItem>) -> Result<ItemSpec, Status> {
     item.unwrap_or_default()
         .try_into()
-        .map_err(|fault: crate::rpc_items::ItemFault| Status::invalid_argument(fault.to_string()))
+        .map_err(|fault: crate::rpc::items::ItemFault| Status::invalid_argument(fault.to_string()))
 }
 
 fn kind_of(number: i32) -> Result<ItemKind, Status> {
--- a/src/rpc_requests.rs
+++ b/src/rpc/requests.rs
@@ -12,23 +12,23 @@
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status};
 
-use crate::addressing;
-use crate::answer_sink::{AnswerEvent, AnswerSink, FinalOutcome};
 use crate::clock;
-use crate::fleet::UseState;
 use crate::intents::{IntentKey, RecordView};
+use crate::membership::addressing;
+use crate::membership::fleet::UseState;
 use crate::names::{
     DaemonId, ProcessIncarnation, RequestId, RequestKey, UnixTime, WorkspaceName, millis,
 };
 use crate::pb;
 use crate::pb::requests_server::Requests;
-use crate::peer_requests::cancel_there;
+use crate::peers::requests::cancel_there;
 use crate::ports::TargetCall;
-use crate::request::CallerRequest;
-use crate::resume_token::ResumeToken;
-use crate::rpc_access::caller_workspace;
-use crate::run_resume;
-use crate::traffic::{SIDE_CALL, TrafficContext};
+use crate::requests::answer_sink::{AnswerEvent, AnswerSink, FinalOutcome};
+use crate::requests::request::CallerRequest;
+use crate::requests::resume_token::ResumeToken;
+use crate::requests::run_resume;
+use crate::requests::traffic::{SIDE_CALL, TrafficContext};
+use crate::rpc::access::caller_workspace;
 
 /// Events that may wait for a caller who reads slowly.
 const EVENTS_AHEAD: usize = 64;
--- a/src/settings_check.rs
+++ b/src/settings/check.rs
@@ -6,7 +6,7 @@
 use thiserror::Error;
 
 use crate::settings::DaemonSettings;
-use crate::settings_rules;
+use crate::settings::rules;
 
 /// Start of the secrets in the quickstart's settings.
 const QUICKSTART_SECRET: &str = "quickstart-";
@@ -64,7 +64,7 @@
     /// Returns a syntax error, or every unknown, missing, bad or contradictory field at once.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
         let document: Value = serde_json::from_str(text).map_err(|error| syntax_error(&error))?;
-        refuse_faults(settings_rules::document_faults(&document))?;
+        refuse_faults(rules::document_faults(&document))?;
         // Read from the text again: only this way is a field given twice noticed.
         let settings: Self = serde_json::from_str(text).map_err(|error| syntax_error(&error))?;
         refuse_faults(settings.relation_faults())?;
@@ -78,7 +78,7 @@
     /// Returns every bad or contradictory field at once.
     pub fn check(&self) -> Result<(), SettingsError> {
         let document = serde_json::to_value(self).map_err(|error| syntax_error(&error))?;
-        let mut faults = settings_rules::document_faults(&document);
+        let mut faults = rules::document_faults(&document);
         faults.extend(self.relation_faults());
         refuse_faults(faults)
     }
--- a/src/settings.rs
+++ b/src/settings/mod.rs
@@ -1,11 +1,15 @@
 //! The daemon's settings: one JSON document, built once, checked before use.
 
+pub mod check;
+pub mod fields;
+pub mod rules;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::cost::SpeedSettings;
+use crate::decide::cost::SpeedSettings;
 use crate::names::{CentreName, DaemonId};
 
 /// Everything a daemon is told at its start.
--- a/src/settings_rules.rs
+++ b/src/settings/rules.rs
@@ -7,8 +7,8 @@
 
 use serde_json::{Map, Value};
 
-use crate::settings_check::FieldFault;
-use crate::settings_fields::{FIELD_RULES, FieldKind, FieldRule, GROUP_REMEDY};
+use crate::settings::check::FieldFault;
+use crate::settings::fields::{FIELD_RULES, FieldKind, FieldRule, GROUP_REMEDY};
 
 /// Start of the texts in shipped settings that a deployment must replace.
 pub const PLACEHOLDER: &str = "REPLACE-";
--- a/src/platform_http.rs
+++ b/src/store/http.rs
@@ -10,12 +10,12 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
-use crate::platform_wire::{InstanceList, InstanceRow, ObjectList, ObjectRow};
 use crate::ports::{
     ConditionalWrite, ObjectBatch, ObjectName, ObjectVersion, PlatformError, PlatformPort,
     StoredObject, WatchQuery,
 };
 use crate::settings::PlatformSettings;
+use crate::store::wire::{InstanceList, InstanceRow, ObjectList, ObjectRow};
 
 const RETRY_AFTER: &str = "retry-after-ms";
 const DEFAULT_RETRY: Duration = Duration::from_millis(500);
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,4 @@
+//! Adapter of the object service over HTTP.
+
+pub mod http;
+pub mod wire;
--- a/src/engine_http.rs
+++ b/src/targets/engine_http.rs
@@ -10,8 +10,8 @@
 
 use crate::names::RequestId;
 use crate::ports::{EnginePort, LineStream, PortFuture, StreamPosition, TargetCall, TargetError};
-use crate::target_http::{self, broken, lost, send};
-use crate::target_wire::{CacheEvent, CacheEvents, EngineState, OrderBody, StreamLine};
+use crate::targets::call::{self, broken, lost, send};
+use crate::targets::wire::{CacheEvent, CacheEvents, EngineState, OrderBody, StreamLine};
 
 /// Longest line accepted from an engine, in bytes.
 const LONGEST_LINE: usize = 4 << 20;
@@ -22,7 +22,7 @@
 ///
 /// Returns the library's error when the HTTP client cannot be built.
 pub fn engine_port() -> reqwest::Result<EnginePort> {
-    let client = target_http::new_client()?;
+    let client = call::new_client()?;
     let [c1, c2, c3, c4, c5, c6] = std::array::from_fn(|_| client.clone());
     Ok(EnginePort {
         generate: Arc::new(move |call| {
--- a/src/service_http.rs
+++ b/src/targets/service_http.rs
@@ -6,8 +6,8 @@
 use reqwest::RequestBuilder;
 
 use crate::ports::{ServicePort, TargetError};
-use crate::target_http::{self, broken, lost, send};
-use crate::target_wire::ServiceReply;
+use crate::targets::call::{self, broken, lost, send};
+use crate::targets::wire::ServiceReply;
 
 /// Builds the port to plain services.
 ///
@@ -15,7 +15,7 @@
 ///
 /// Returns the library's error when the HTTP client cannot be built.
 pub fn service_port() -> reqwest::Result<ServicePort> {
-    let client = target_http::new_client()?;
+    let client = call::new_client()?;
     Ok(ServicePort {
         call: Arc::new(move |call| {
             let url = format!("http://{}/v1/calls", call.address);
--- a/src/tool_items.rs
+++ b/src/tool/items.rs
@@ -3,13 +3,13 @@
 use serde::de::DeserializeOwned;
 use serde_json::json;
 
-use crate::catalogue::{ClassSpec, ItemSpec, ModelSpec, WorkspaceSpec};
 use crate::client::ClientOptions;
-use crate::client_operator::OperatorClient;
+use crate::client::operator::OperatorClient;
+use crate::config::catalogue::{ClassSpec, ItemSpec, ModelSpec, WorkspaceSpec};
 use crate::pb;
-use crate::tool_flags::{STANDARD_INPUT, ToolCall, UsageError};
-use crate::tool_output::{TextTable, inner_json, item_json, item_summary};
-use crate::tool_run::{ToolError, print_json, print_text, read_file};
+use crate::tool::flags::{STANDARD_INPUT, ToolCall, UsageError};
+use crate::tool::output::{TextTable, inner_json, item_json, item_summary};
+use crate::tool::run::{ToolError, print_json, print_text, read_file};
 
 /// Runs `list`, `show`, `create`, `change` or `delete` on one kind of item.
 ///
--- a/src/tool_keys.rs
+++ b/src/tool/keys.rs
@@ -8,9 +8,9 @@
 use rand::rngs::OsRng;
 use serde_json::json;
 
-use crate::access::{SecretKey, key_hash};
-use crate::tool_flags::ToolCall;
-use crate::tool_run::{ToolError, print_json, print_text};
+use crate::requests::access::{SecretKey, key_hash};
+use crate::tool::flags::ToolCall;
+use crate::tool::run::{ToolError, print_json, print_text};
 
 /// Random bytes of a key.
 const KEY_BYTES: usize = 32;
--- a/src/tool_output.rs
+++ b/src/tool/output.rs
@@ -2,7 +2,7 @@
 
 use serde_json::{Value, json};
 
-use crate::catalogue::{ClassTarget, ItemSpec};
+use crate::config::catalogue::{ClassTarget, ItemSpec};
 use crate::names::ModelName;
 use crate::pb;
 
--- a/src/tool_requests.rs
+++ b/src/tool/requests.rs
@@ -12,10 +12,10 @@
 };
 use crate::clock;
 use crate::pb;
-use crate::tool_flags::{STANDARD_INPUT, ToolCall, UsageError};
-use crate::tool_keys::new_request_key;
-use crate::tool_output::TextTable;
-use crate::tool_run::{ToolError, exit_code, print_json, print_text};
+use crate::tool::flags::{STANDARD_INPUT, ToolCall, UsageError};
+use crate::tool::keys::new_request_key;
+use crate::tool::output::TextTable;
+use crate::tool::run::{ToolError, exit_code, print_json, print_text};
 
 /// Output tokens when the caller names no number.
 const USUAL_OUTPUT_TOKENS: u32 = 256;
--- a/src/tool_run.rs
+++ b/src/tool/run.rs
@@ -4,12 +4,12 @@
 
 use thiserror::Error;
 
+use super::{items, keys, requests, state};
 use crate::client::ClientOptions;
-use crate::client_error::ClientError;
-use crate::tool_flags::{
+use crate::client::error::ClientError;
+use crate::tool::flags::{
     KEY_VARIABLE, STANDARD_INPUT, ToolCall, ToolRequest, UsageError, parse_tool, tool_help,
 };
-use crate::{tool_items, tool_keys, tool_requests, tool_state};
 
 /// Exit codes of the tool.
 pub mod exit_code {
@@ -81,7 +81,7 @@
         ToolRequest::Version => {
             print_text(&format!("pistachiowick {}\n", env!("CARGO_PKG_VERSION")))?;
         }
-        ToolRequest::Call(call) if call.command.name == "key" => tool_keys::print_key(call)?,
+        ToolRequest::Call(call) if call.command.name == "key" => keys::print_key(call)?,
         ToolRequest::Call(call) => return run_call(call),
     }
     Ok(exit_code::OK)
@@ -94,17 +94,17 @@
         .build()?;
     runtime.block_on(async {
         match call.command.name {
-            "submit" => return tool_requests::submit(call, options).await,
-            "resume" => return tool_requests::resume(call, options).await,
-            "cancel" => tool_requests::cancel(call, options).await?,
-            "outcome" => return tool_requests::outcome(call, options).await,
-            "locate" => tool_requests::locate(call, options).await?,
-            "workspaces" | "classes" | "models" => tool_items::run(call, &options).await?,
-            "watch" => tool_items::watch(call, &options).await?,
-            "targets" => tool_state::targets(call, &options).await?,
-            "drain" | "restore" => tool_state::hold(call, &options).await?,
-            "status" => tool_state::status(call, &options).await?,
-            "explain" => tool_state::explain(call, &options).await?,
+            "submit" => return requests::submit(call, options).await,
+            "resume" => return requests::resume(call, options).await,
+            "cancel" => requests::cancel(call, options).await?,
+            "outcome" => return requests::outcome(call, options).await,
+            "locate" => requests::locate(call, options).await?,
+            "workspaces" | "classes" | "models" => items::run(call, &options).await?,
+            "watch" => items::watch(call, &options).await?,
+            "targets" => state::targets(call, &options).await?,
+            "drain" | "restore" => state::hold(call, &options).await?,
+            "status" => state::status(call, &options).await?,
+            "explain" => state::explain(call, &options).await?,
             other => return Err(UsageError(format!("unknown command {other:?}")).into()),
         }
         Ok(exit_code::OK)
--- a/src/tool_state.rs
+++ b/src/tool/state.rs
@@ -5,13 +5,13 @@
 use serde_json::{Value, json};
 
 use crate::client::ClientOptions;
-use crate::client_error::ClientError;
-use crate::client_operator::{DaemonDecisions, OperatorClient};
+use crate::client::error::ClientError;
+use crate::client::operator::{DaemonDecisions, OperatorClient};
 use crate::pb;
-use crate::tool_flags::ToolCall;
-use crate::tool_items::print_change;
-use crate::tool_output::{TextTable, or_dash, status_json, target_json, target_table};
-use crate::tool_run::{ToolError, print_json, print_text};
+use crate::tool::flags::ToolCall;
+use crate::tool::items::print_change;
+use crate::tool::output::{TextTable, or_dash, status_json, target_json, target_table};
+use crate::tool::run::{ToolError, print_json, print_text};
 
 /// Decisions printed when the operator names no number.
 const USUAL_DECISIONS: u32 = 50;
--- a/tests/access_keys.rs
+++ b/tests/access_keys.rs
@@ -1,10 +1,10 @@
 //! Who may call: keys, their hashes and the metadata that carries them.
 
-use pistachiowick::access::{
+use pistachiowick::control::snapshot::ConfigView;
+use pistachiowick::requests::access::{
     AccessError, SecretKey, key_hash, operator_allowed, parse_bearer, workspace_of,
 };
 use pistachiowick::settings::AccessSettings;
-use pistachiowick::snapshot::ConfigView;
 use rstest::rstest;
 
 /// SHA-256 of `abc`, from FIPS 180-2.
--- a/tests/answer_fuzz.rs
+++ b/tests/answer_fuzz.rs
@@ -5,8 +5,8 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use pistachiowick::answer::{AnswerAssembly, AnswerPart, LineVerdict};
-use pistachiowick::target_wire::{StreamEnd, StreamLine};
+use pistachiowick::requests::answer::{AnswerAssembly, AnswerPart, LineVerdict};
+use pistachiowick::targets::wire::{StreamEnd, StreamLine};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use sha2::{Digest, Sha256};
--- a/tests/answer_lines.rs
+++ b/tests/answer_lines.rs
@@ -2,10 +2,10 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use pistachiowick::answer::{
+use pistachiowick::requests::answer::{
     AnswerAssembly, BreakCause, DropCause, LineVerdict, ReplyFault, accept_reply,
 };
-use pistachiowick::target_wire::{ServiceReply, StreamEnd, StreamLine};
+use pistachiowick::targets::wire::{ServiceReply, StreamEnd, StreamLine};
 use rstest::rstest;
 use sha2::{Digest, Sha256};
 
--- a/tests/client_assembly.rs
+++ b/tests/client_assembly.rs
@@ -1,6 +1,6 @@
 //! Whatever order chunks come in, what the caller gets is a prefix of the answer.
 
-use pistachiowick::client_answer::{AnswerAssembly, ChunkFate, FinalCheck};
+use pistachiowick::client::answer::{AnswerAssembly, ChunkFate, FinalCheck};
 use pistachiowick::pb;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
--- a/tests/client_daemon_death.rs
+++ b/tests/client_daemon_death.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use pistachiowick::access::{SecretKey, key_hash};
+use pistachiowick::client::operator::OperatorClient;
 use pistachiowick::client::{
     AnswerFinal, AnswerItem, AnswerOutcome, AnswerStream, ClientOptions, PistachioClient,
 };
-use pistachiowick::client_operator::OperatorClient;
 use pistachiowick::pb;
 use pistachiowick::pb::config_item::Item;
-use pistachiowick::platform_wire::{InstanceKind, InstanceRow};
+use pistachiowick::requests::access::{SecretKey, key_hash};
+use pistachiowick::store::wire::{InstanceKind, InstanceRow};
 use pistachiowick_lab::answers::expected_answer;
 use pistachiowick_lab::fleet::{FleetPlan, LabFleet, OPERATOR_KEY, daemon_settings};
 use process_env::RunningDaemon;
--- a/tests/client_losses.rs
+++ b/tests/client_losses.rs
@@ -3,8 +3,8 @@
 mod fakes;
 
 use fakes::{FakeDaemons, FakeStep, SeenCall, accepted, answered, chunk, digest, ended, refused};
+use pistachiowick::client::error::ClientError;
 use pistachiowick::client::{AnswerOutcome, ClientOptions, PistachioClient};
-use pistachiowick::client_error::ClientError;
 use pistachiowick::pb;
 use rstest::rstest;
 use tonic::Code;
--- a/tests/client_tls.rs
+++ b/tests/client_tls.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
-use pistachiowick::access::{SecretKey, key_hash};
+use pistachiowick::requests::access::{SecretKey, key_hash};
 use process_env::{RunningDaemon, document};
 use rstest::rstest;
 use serde_json::json;
--- a/tests/control_authority.rs
+++ b/tests/control_authority.rs
@@ -6,12 +6,12 @@
 
 use control_fakes::{FakeEngines, FakePlatform, until};
 use pistachiowick::control::{ControlEvent, ControlHandle, ControlInputs, start_control};
-use pistachiowick::fleet::UseState;
 use pistachiowick::invariants::{Invariant, violations};
-use pistachiowick::journal::DecisionJournal;
+use pistachiowick::membership::fleet::UseState;
 use pistachiowick::names::{CentreName, DaemonId, ModelName, ProcessIncarnation, TargetId};
-use pistachiowick::platform_wire::{InstanceKind, InstanceRow, InstanceState};
-use pistachiowick::target_wire::{EngineRole, EngineState};
+use pistachiowick::requests::journal::DecisionJournal;
+use pistachiowick::store::wire::{InstanceKind, InstanceRow, InstanceState};
+use pistachiowick::targets::wire::{EngineRole, EngineState};
 use tokio::sync::oneshot;
 
 fn row(id: &str, kind: InstanceKind) -> InstanceRow {
--- a/tests/control_config.rs
+++ b/tests/control_config.rs
@@ -2,17 +2,17 @@
 
 use std::time::Duration;
 
-use pistachiowick::catalogue::{
+use pistachiowick::config::buckets::{
+    self, ApplyResult, BUCKETS, BucketIndex, BucketRecord, ConfigState, TOMBSTONE_AGE,
+};
+use pistachiowick::config::catalogue::{
     ClassSpec, ClassTarget, HoldSpec, ItemKind, ItemName, ItemSpec, ModelChoice, ModelSpec,
     WorkspaceSpec,
 };
-use pistachiowick::config_buckets::{
-    self, ApplyResult, BUCKETS, BucketIndex, BucketRecord, ConfigState, TOMBSTONE_AGE,
-};
+use pistachiowick::control::snapshot::ConfigView;
 use pistachiowick::control::{ChangeError, ItemChange};
 use pistachiowick::names::{ClassName, ModelName, TargetId, UnixTime, WorkspaceName};
 use pistachiowick::ports::{ObjectName, ObjectVersion, StoredObject};
-use pistachiowick::snapshot::ConfigView;
 use rstest::rstest;
 
 fn workspace(name: &str) -> ItemSpec {
@@ -97,7 +97,7 @@
         let bucket = self.buckets.get(&index).cloned().unwrap_or_default();
         self.version += 1;
         let mark = format!("mark-{}", self.version);
-        let next = config_buckets::edit(&bucket, self.state.view(), change, &mark, now)?;
+        let next = buckets::edit(&bucket, self.state.view(), change, &mark, now)?;
         let object = stored(&change.item, self.version, &next);
         self.buckets.insert(index, next);
         Ok(object)
@@ -330,7 +330,7 @@
     let objects = ["beta", "alpha"].map(|name| {
         let change = put(keyed(name, &hash), 0);
         let bucket = BucketRecord::default();
-        let next = config_buckets::edit(&bucket, &empty, &change, name, UnixTime(1)).unwrap();
+        let next = buckets::edit(&bucket, &empty, &change, name, UnixTime(1)).unwrap();
         stored(&change.item, 1, &next)
     });
     for order in [[0, 1], [1, 0]] {
--- a/tests/control_fakes/mod.rs
+++ b/tests/control_fakes/mod.rs
@@ -8,11 +8,11 @@
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 
-use pistachiowick::platform_wire::InstanceRow;
 use pistachiowick::ports::{
     ConditionalWrite, ObjectBatch, ObjectName, ObjectVersion, PlatformError, PlatformPort,
     StoredObject, WatchQuery,
 };
+use pistachiowick::store::wire::InstanceRow;
 
 /// What happens to the next write.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -255,7 +255,7 @@
 }
 
 /// An engine port whose states come from a shared table.
-pub type StateTable = Arc<Mutex<IndexMap<String, pistachiowick::target_wire::EngineState>>>;
+pub type StateTable = Arc<Mutex<IndexMap<String, pistachiowick::targets::wire::EngineState>>>;
 
 fn not_reached() -> pistachiowick::ports::TargetError {
     pistachiowick::ports::TargetError::NotDelivered {
@@ -267,12 +267,12 @@
 #[derive(Clone, Default)]
 pub struct FakeEngines {
     pub states: StateTable,
-    pub orders: Arc<Mutex<Vec<(String, pistachiowick::target_wire::OrderBody)>>>,
+    pub orders: Arc<Mutex<Vec<(String, pistachiowick::targets::wire::OrderBody)>>>,
     pub checks_fence: bool,
 }
 
 impl FakeEngines {
-    pub fn put(&self, address: &str, state: pistachiowick::target_wire::EngineState) {
+    pub fn put(&self, address: &str, state: pistachiowick::targets::wire::EngineState) {
         self.states
             .lock()
             .unwrap()
@@ -283,8 +283,8 @@
     pub fn take(
         &self,
         address: &str,
-        body: &pistachiowick::target_wire::OrderBody,
-    ) -> Result<pistachiowick::target_wire::EngineState, pistachiowick::ports::TargetError> {
+        body: &pistachiowick::targets::wire::OrderBody,
+    ) -> Result<pistachiowick::targets::wire::EngineState, pistachiowick::ports::TargetError> {
         let mut states = self.states.lock().unwrap();
         let state = states.get_mut(address).ok_or_else(not_reached)?;
         let seen = state.last_order.as_ref().map(|mark| mark.fence);
--- a/tests/control_http.rs
+++ b/tests/control_http.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use pistachiowick::platform_http::platform_port;
 use pistachiowick::ports::{
     ConditionalWrite, ObjectName, ObjectVersion, PlatformError, PlatformPort, WatchQuery,
 };
 use pistachiowick::settings::PlatformSettings;
+use pistachiowick::store::http::platform_port;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
--- a/tests/control_leases.rs
+++ b/tests/control_leases.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use pistachiowick::fleet::{DaemonView, FleetView, UseState};
-use pistachiowick::lease::LeaseTable;
-use pistachiowick::lease_groups::{self, GroupCounts};
-use pistachiowick::lease_record::{LeaseRecord, lease_object};
-use pistachiowick::lease_state::{LeaseAction, LeaseTimes};
+use pistachiowick::authority::lease::LeaseTable;
+use pistachiowick::authority::lease_groups::{self, GroupCounts};
+use pistachiowick::authority::lease_record::{LeaseRecord, lease_object};
+use pistachiowick::authority::lease_state::{LeaseAction, LeaseTimes};
+use pistachiowick::membership::fleet::{DaemonView, FleetView, UseState};
 use pistachiowick::names::{
     CentreName, DaemonId, FenceNumber, GroupName, MonoTime, ProcessIncarnation, TargetId,
 };
--- a/tests/control_membership.rs
+++ b/tests/control_membership.rs
@@ -3,16 +3,16 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use pistachiowick::addressing;
-use pistachiowick::fleet::UseState;
+use pistachiowick::control::snapshot::ControlSnapshot;
+use pistachiowick::membership::addressing;
+use pistachiowick::membership::fleet::UseState;
+use pistachiowick::membership::suspicion::CallSource;
 use pistachiowick::membership::{MembershipLimits, MembershipState, PeerWord, own_view};
 use pistachiowick::names::{
     CentreName, DaemonId, MonoTime, ProcessIncarnation, ServiceName, TargetId,
 };
-use pistachiowick::platform_wire::{InstanceKind, InstanceRow, InstanceState};
-use pistachiowick::snapshot::ControlSnapshot;
-use pistachiowick::suspicion::CallSource;
-use pistachiowick::target_wire::{EngineRole, EngineState};
+use pistachiowick::store::wire::{InstanceKind, InstanceRow, InstanceState};
+use pistachiowick::targets::wire::{EngineRole, EngineState};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rstest::rstest;
--- a/tests/control_orders.rs
+++ b/tests/control_orders.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use pistachiowick::lease_state::{LeaseAuthority, LeaseTimes};
+use pistachiowick::authority::lease_state::{LeaseAuthority, LeaseTimes};
+use pistachiowick::authority::order_record::{EngineWish, OrderPhase, OrderRecord, order_object};
+use pistachiowick::authority::order_types::{OrderAction, OrderTimes};
+use pistachiowick::authority::orders::OrderBook;
 use pistachiowick::names::{FenceNumber, GroupName, MonoTime, ProcessIncarnation, TargetId};
-use pistachiowick::order_record::{EngineWish, OrderPhase, OrderRecord, order_object};
-use pistachiowick::order_types::{OrderAction, OrderTimes};
-use pistachiowick::orders::OrderBook;
 use pistachiowick::ports::{ObjectVersion, PlatformError, StoredObject, TargetError};
-use pistachiowick::target_wire::{EngineRole, EngineState, OrderBody, OrderMark};
+use pistachiowick::targets::wire::{EngineRole, EngineState, OrderBody, OrderMark};
 use rstest::rstest;
 
 const LEASE: LeaseTimes = LeaseTimes {
@@ -522,7 +522,7 @@
             }),
         ),
     ] {
-        let entry = pistachiowick::order_record::OrderEntry {
+        let entry = pistachiowick::authority::order_record::OrderEntry {
             wish: wish(EngineRole::Decode),
             phase,
         };
--- a/tests/control_peers.rs
+++ b/tests/control_peers.rs
@@ -8,23 +8,23 @@
 
 use control_fakes::{FakeEngines, FakePlatform, until};
 use indexmap::{IndexMap, IndexSet};
-use pistachiowick::catalogue::{ItemSpec, WorkspaceSpec};
+use pistachiowick::config::catalogue::{ItemSpec, WorkspaceSpec};
 use pistachiowick::control::{
     ChangeReport, ControlEvent, ControlHandle, ControlInputs, ItemChange, start_control,
 };
-use pistachiowick::fleet::{DaemonView, FleetView, UseState};
-use pistachiowick::journal::DecisionJournal;
+use pistachiowick::decide::shares::ShareState;
+use pistachiowick::membership::fleet::{DaemonView, FleetView, UseState};
 use pistachiowick::names::{
     CentreName, DaemonId, ModelName, MonoTime, ProcessIncarnation, WorkspaceName,
 };
-use pistachiowick::peer_handshake::PeerIdentity;
-use pistachiowick::peer_link::{PeerError, PeerHandle, PeerInputs, start_peers};
-use pistachiowick::peer_state::{PeerHints, PeerTopology};
-use pistachiowick::peer_wire::{PeerHint, PeerMessage};
-use pistachiowick::platform_wire::{InstanceKind, InstanceRow, InstanceState};
+use pistachiowick::peers::handshake::PeerIdentity;
+use pistachiowick::peers::link::{PeerError, PeerHandle, PeerInputs, start_peers};
+use pistachiowick::peers::state::{PeerHints, PeerTopology};
+use pistachiowick::peers::wire::{PeerHint, PeerMessage};
 use pistachiowick::ports::{ObjectName, ObjectVersion, StoredObject};
-use pistachiowick::role_mix::{MIX_BINS, WorkAmount, WorkTotals};
-use pistachiowick::shares::ShareState;
+use pistachiowick::requests::journal::DecisionJournal;
+use pistachiowick::roles::mix::{MIX_BINS, WorkAmount, WorkTotals};
+use pistachiowick::store::wire::{InstanceKind, InstanceRow, InstanceState};
 use rstest::rstest;
 use tokio::sync::oneshot;
 
--- a/tests/control_roles.rs
+++ b/tests/control_roles.rs
@@ -2,13 +2,15 @@
 
 use std::time::Duration;
 
-use pistachiowick::cost::SpeedSettings;
+use pistachiowick::decide::cost::SpeedSettings;
 use pistachiowick::names::{ModelName, MonoTime, TargetId};
-use pistachiowick::role_capacity::{RoleCounts, capacity};
-use pistachiowick::role_mix::{MIX_BINS, MixForecast, WorkAmount, WorkBins, WorkTotals, add_work};
-use pistachiowick::role_plan::{ModelNeed, PlanDecision, PlanEngine, RolePlanner};
+use pistachiowick::roles::capacity::{RoleCounts, capacity};
+use pistachiowick::roles::mix::{
+    MIX_BINS, MixForecast, WorkAmount, WorkBins, WorkTotals, add_work,
+};
+use pistachiowick::roles::plan::{ModelNeed, PlanDecision, PlanEngine, RolePlanner};
 use pistachiowick::settings::{PolicySettings, RolePolicy};
-use pistachiowick::target_wire::EngineRole;
+use pistachiowick::targets::wire::EngineRole;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
--- a/tests/control_store.rs
+++ b/tests/control_store.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use control_fakes::{FakePlatform, WriteFault};
-use pistachiowick::catalogue::{ItemSpec, WorkspaceSpec};
-use pistachiowick::config_buckets::{self, BucketIndex, BucketRecord, ConfigState};
-use pistachiowick::config_store::{ChangePatience, ChangeRequest, StoredChange, run_change};
+use pistachiowick::config::buckets::{self, BucketIndex, BucketRecord, ConfigState};
+use pistachiowick::config::catalogue::{ItemSpec, WorkspaceSpec};
+use pistachiowick::config::store::{ChangePatience, ChangeRequest, StoredChange, run_change};
+use pistachiowick::control::snapshot::ConfigView;
 use pistachiowick::control::{ChangeError, ItemChange};
 use pistachiowick::names::{UnixTime, WorkspaceName};
 use pistachiowick::ports::{ConditionalWrite, ObjectVersion, StoredObject};
-use pistachiowick::snapshot::ConfigView;
 use rstest::rstest;
 
 const PATIENCE: ChangePatience = ChangePatience {
@@ -80,7 +80,7 @@
         Some((version, _)) => (version, bucket_of(on, change)),
     };
     let view = ConfigView::default();
-    let next = config_buckets::edit(&bucket, &view, change, "rival", UnixTime(1)).unwrap();
+    let next = buckets::edit(&bucket, &view, change, "rival", UnixTime(1)).unwrap();
     ConditionalWrite {
         object,
         expected,
--- a/tests/control_thread.rs
+++ b/tests/control_thread.rs
@@ -6,17 +6,17 @@
 use std::time::Duration;
 
 use control_fakes::{FakeEngines, FakePlatform, until};
-use pistachiowick::catalogue::{ItemSpec, WorkspaceSpec};
-use pistachiowick::config_buckets::BucketIndex;
+use pistachiowick::config::buckets::BucketIndex;
+use pistachiowick::config::catalogue::{ItemSpec, WorkspaceSpec};
 use pistachiowick::control::{
     ChangeError, ChangeReport, ControlEvent, ControlHandle, ControlInputs, ItemChange,
     start_control,
 };
-use pistachiowick::fleet::UseState;
-use pistachiowick::journal::DecisionJournal;
+use pistachiowick::membership::fleet::UseState;
 use pistachiowick::names::{CentreName, DaemonId, ProcessIncarnation, TargetId, WorkspaceName};
-use pistachiowick::platform_wire::{InstanceKind, InstanceRow, InstanceState};
-use pistachiowick::target_wire::{EngineRole, EngineState};
+use pistachiowick::requests::journal::DecisionJournal;
+use pistachiowick::store::wire::{InstanceKind, InstanceRow, InstanceState};
+use pistachiowick::targets::wire::{EngineRole, EngineState};
 use pistachiowick::timer::TimerService;
 use tokio::sync::oneshot;
 
--- a/tests/cost_learning.rs
+++ b/tests/cost_learning.rs
@@ -1,8 +1,8 @@
 //! The cost model: first guesses, what it learns, and the bounds of that.
 
-use pistachiowick::cost::{CostModel, SpeedSettings};
+use pistachiowick::decide::cost::{CostModel, SpeedSettings};
 use pistachiowick::names::TargetId;
-use pistachiowick::target_wire::EngineRole;
+use pistachiowick::targets::wire::EngineRole;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use rstest::rstest;
--- a/tests/fair_queue_order.rs
+++ b/tests/fair_queue_order.rs
@@ -1,7 +1,7 @@
 //! The fair queue: shares by weight, urgency within a quantum, no banked time.
 
 use indexmap::IndexMap;
-use pistachiowick::fair_queue::{FairQueue, JobNumber, QueuedJob};
+use pistachiowick::decide::fair_queue::{FairQueue, JobNumber, QueuedJob};
 use pistachiowick::names::{MonoTime, WorkspaceName};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
--- a/tests/intents_link.rs
+++ b/tests/intents_link.rs
@@ -10,11 +10,11 @@
 use intents_support::{
     FakeClock, FakePlatform, WriteFault, claim, grant, inputs, key, settings, store,
 };
-use pistachiowick::intent_link::{
+use pistachiowick::intents::link::{
     IntentLink, LinkError, LinkOutcome, LinkReply, LinkRequest, ShardOwner, shard_owner,
 };
-use pistachiowick::intent_store::{AnswerRecord, ClaimResult, IntentStore, RecordView};
-use pistachiowick::intent_writer::ShardOp;
+use pistachiowick::intents::store::{AnswerRecord, ClaimResult, IntentStore, RecordView};
+use pistachiowick::intents::writer::ShardOp;
 use pistachiowick::intents::{ClaimEntry, ClaimId, CloseRecord};
 use pistachiowick::names::DaemonId;
 use pistachiowick::ports::ObjectVersion;
--- a/tests/intents_permit.rs
+++ b/tests/intents_permit.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pistachiowick::intent_store::UndeliveredProof;
+use pistachiowick::intents::store::UndeliveredProof;
 use pistachiowick::names::FenceNumber;
 use pistachiowick::ports::TargetError;
 use rstest::rstest;
--- a/tests/intents_store.rs
+++ b/tests/intents_store.rs
@@ -7,7 +7,7 @@
 use intents_support::{
     FakeClock, FakePlatform, ReadFault, WriteFault, claim, grant, key, settings, store, store_with,
 };
-use pistachiowick::intent_store::{
+use pistachiowick::intents::store::{
     AnswerRecord, ClaimResult, LookupError, RecordView, UndeliveredProof, shard_object,
 };
 use pistachiowick::names::UnixTime;
--- a/tests/intents_support/mod.rs
+++ b/tests/intents_support/mod.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use pistachiowick::intent_store::{
+use pistachiowick::intents::IntentKey;
+use pistachiowick::intents::store::{
     ClaimResult, DispatchPermit, IntentClaim, IntentStore, StoreInputs,
 };
-use pistachiowick::intents::IntentKey;
 use pistachiowick::names::{ProcessIncarnation, UnixTime};
 use pistachiowick::ports::{
     ConditionalWrite, ObjectBatch, ObjectName, ObjectVersion, PlatformError, PlatformPort,
--- a/tests/intents_support/sim.rs
+++ b/tests/intents_support/sim.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use pistachiowick::intent_link::LinkOutcome;
-use pistachiowick::intent_wire::decode_ledger;
-use pistachiowick::intent_writer::{
+use pistachiowick::intents::link::LinkOutcome;
+use pistachiowick::intents::wire::decode_ledger;
+use pistachiowick::intents::writer::{
     OpNumber, OpResult, ShardOp, ShardWriter, WriterAction, WriterRules, WriterTime,
 };
 use pistachiowick::intents::{
--- a/tests/intents_writer.rs
+++ b/tests/intents_writer.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use pistachiowick::intent_wire::{decode_ledger, encode_ledger};
-use pistachiowick::intent_writer::{
+use pistachiowick::intents::wire::{decode_ledger, encode_ledger};
+use pistachiowick::intents::writer::{
     OpResult, ShardOp, ShardWriter, WriterAction, WriterRules, WriterTime,
 };
 use pistachiowick::intents::{
--- a/tests/placement_choice.rs
+++ b/tests/placement_choice.rs
@@ -3,19 +3,19 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use pistachiowick::candidates::{CandidateIndex, has_same_shape};
-use pistachiowick::cost::{CostModel, SpeedSettings};
-use pistachiowick::fair_queue::JobNumber;
-use pistachiowick::fleet::{FleetView, TargetView, UseState};
-use pistachiowick::names::{MonoTime, TargetId};
-use pistachiowick::placement::{
+use pistachiowick::decide::candidates::{CandidateIndex, has_same_shape};
+use pistachiowick::decide::cost::{CostModel, SpeedSettings};
+use pistachiowick::decide::fair_queue::JobNumber;
+use pistachiowick::decide::placement::{
     OwnWork, PlacementInputs, PlacementNeed, PoolKey, RunningJob, TargetChoice, WorkSide,
     choose_target,
 };
-use pistachiowick::platform_wire::InstanceKind;
-use pistachiowick::prefix_index::PrefixIndex;
+use pistachiowick::decide::prefix_index::PrefixIndex;
+use pistachiowick::membership::fleet::{FleetView, TargetView, UseState};
+use pistachiowick::names::{MonoTime, TargetId};
 use pistachiowick::settings::{PlacementPolicy, PolicySettings};
-use pistachiowick::target_wire::EngineRole;
+use pistachiowick::store::wire::InstanceKind;
+use pistachiowick::targets::wire::EngineRole;
 use pistachiowick_lab::samples;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -76,7 +76,7 @@
     }
 }
 
-fn report_of(target: &mut TargetView) -> &mut pistachiowick::fleet::LoadReport {
+fn report_of(target: &mut TargetView) -> &mut pistachiowick::membership::fleet::LoadReport {
     target.report.as_mut().expect("a sample has a report")
 }
 
--- a/tests/prefix_index_beliefs.rs
+++ b/tests/prefix_index_beliefs.rs
@@ -1,8 +1,8 @@
 //! Beliefs about prefix caches: events come late, doubled and with gaps.
 
+use pistachiowick::decide::prefix_index::PrefixIndex;
 use pistachiowick::names::TargetId;
-use pistachiowick::prefix_index::PrefixIndex;
-use pistachiowick::target_wire::CacheEvent;
+use pistachiowick::targets::wire::CacheEvent;
 use rstest::rstest;
 
 fn event(sequence: u64, prefix: &str, tokens: u32) -> CacheEvent {
--- a/tests/request_checks.rs
+++ b/tests/request_checks.rs
@@ -3,15 +3,17 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use pistachiowick::catalogue::{ClassSpec, ClassTarget, ItemSpec, ModelChoice, WorkspaceSpec};
-use pistachiowick::config_view::set_item;
+use pistachiowick::config::catalogue::{
+    ClassSpec, ClassTarget, ItemSpec, ModelChoice, WorkspaceSpec,
+};
+use pistachiowick::config::view::set_item;
+use pistachiowick::control::snapshot::{ConfigView, ControlSnapshot, ItemRecord};
+use pistachiowick::decide::placement::PoolKey;
+use pistachiowick::decide::shares::ShareView;
 use pistachiowick::names::WorkspaceName;
 use pistachiowick::pb::SubmitRequest;
-use pistachiowick::placement::PoolKey;
-use pistachiowick::request::{CallerRequest, RequestFault};
+use pistachiowick::requests::request::{CallerRequest, RequestFault};
 use pistachiowick::settings::LimitSettings;
-use pistachiowick::shares::ShareView;
-use pistachiowick::snapshot::{ConfigView, ControlSnapshot, ItemRecord};
 use rstest::rstest;
 
 const WORKSPACE: &str = "rowing";
--- a/tests/retry_budget_bounds.rs
+++ b/tests/retry_budget_bounds.rs
@@ -1,6 +1,6 @@
 //! The retry budget: retries are a share of first attempts and no more.
 
-use pistachiowick::retry_budget::RetryBudget;
+use pistachiowick::decide::retry_budget::RetryBudget;
 use rstest::rstest;
 
 struct BudgetCase {
--- a/tests/run_once_claimant.rs
+++ b/tests/run_once_claimant.rs
@@ -1,8 +1,8 @@
 //! Which claimants count as gone.
 
-use pistachiowick::claimant::ClaimantLife;
-use pistachiowick::fleet::{DaemonView, FleetView, UseState};
+use pistachiowick::membership::fleet::{DaemonView, FleetView, UseState};
 use pistachiowick::names::{DaemonId, ProcessIncarnation};
+use pistachiowick::requests::claimant::ClaimantLife;
 use rstest::rstest;
 
 const LIFE: u64 = 500;
--- a/tests/run_once_owners.rs
+++ b/tests/run_once_owners.rs
@@ -1,9 +1,9 @@
 //! The owners of shards follow the fleet, and are found once for each version of it.
 
-use pistachiowick::fleet::{DaemonView, FleetView, UseState};
-use pistachiowick::intent_link::shard_owner;
+use pistachiowick::intents::link::shard_owner;
+use pistachiowick::membership::fleet::{DaemonView, FleetView, UseState};
 use pistachiowick::names::{DaemonId, ProcessIncarnation};
-use pistachiowick::owner_cache::OwnerCache;
+use pistachiowick::requests::owner_cache::OwnerCache;
 use rstest::rstest;
 
 const SHARDS: u32 = 16;
--- a/tests/run_once_records.rs
+++ b/tests/run_once_records.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use pistachiowick::clock;
-use pistachiowick::intent_store::{
+use pistachiowick::intents::store::{
     AnswerRecord, ClaimResult, DispatchedClaim, IntentClaim, IntentKey, IntentStore, StoreInputs,
 };
 use pistachiowick::invariants;
@@ -12,7 +12,7 @@
 use pistachiowick::pb::answer_event::Event;
 use pistachiowick::pb::requests_client::RequestsClient;
 use pistachiowick::pb::{Final, Outcome, SubmitRequest};
-use pistachiowick::platform_http::platform_port;
+use pistachiowick::store::http::platform_port;
 use pistachiowick_lab::fleet::{FleetPlan, LabFleet, daemon_settings, with_key};
 use pistachiowick_lab::platform::PlatformFaults;
 use pistachiowick_lab::quickstart::{quickstart_items, workspace_key};
--- a/tests/scheduler_admission.rs
+++ b/tests/scheduler_admission.rs
@@ -4,15 +4,15 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use pistachiowick::fair_queue::JobNumber;
-use pistachiowick::fleet::{FleetView, UseState};
-use pistachiowick::names::{MonoTime, TargetId, WorkspaceName};
-use pistachiowick::placement::PoolKey;
-use pistachiowick::scheduler::{
+use pistachiowick::decide::fair_queue::JobNumber;
+use pistachiowick::decide::placement::PoolKey;
+use pistachiowick::decide::scheduler::{
     JobGrant, JobMeasure, JobRefusal, JobSpec, ScheduleAction, Scheduler, SchedulerInputs,
 };
+use pistachiowick::membership::fleet::{FleetView, UseState};
+use pistachiowick::names::{MonoTime, TargetId, WorkspaceName};
 use pistachiowick::settings::{LimitSettings, PolicySettings};
-use pistachiowick::target_wire::{CacheEvent, EngineRole};
+use pistachiowick::targets::wire::{CacheEvent, EngineRole};
 use pistachiowick_lab::samples;
 use rstest::rstest;
 
--- a/tests/scheduler_fuzz.rs
+++ b/tests/scheduler_fuzz.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 
 use indexmap::{IndexMap, IndexSet};
-use pistachiowick::fair_queue::JobNumber;
-use pistachiowick::fleet::{FleetView, UseState};
+use pistachiowick::decide::fair_queue::JobNumber;
+use pistachiowick::decide::scheduler::{
+    JobMeasure, JobSpec, ScheduleAction, Scheduler, SchedulerInputs,
+};
+use pistachiowick::membership::fleet::{FleetView, UseState};
 use pistachiowick::names::{MonoTime, TargetId};
-use pistachiowick::scheduler::{JobMeasure, JobSpec, ScheduleAction, Scheduler, SchedulerInputs};
 use pistachiowick::settings::{LimitSettings, PlacementPolicy, PolicySettings};
 use pistachiowick_lab::samples;
 use proptest::prelude::*;
--- a/tests/settings_faults.rs
+++ b/tests/settings_faults.rs
@@ -1,9 +1,9 @@
 //! Bad settings are refused with every fault named, and secrets are never repeated.
 
 use indexmap::IndexSet;
+use pistachiowick::settings::check::SettingsError;
+use pistachiowick::settings::fields::FIELD_RULES;
 use pistachiowick::settings::{DaemonSettings, LeaseSettings};
-use pistachiowick::settings_check::SettingsError;
-use pistachiowick::settings_fields::FIELD_RULES;
 use rstest::rstest;
 use serde_json::{Value, json};
 
--- a/tests/settings_shipped.rs
+++ b/tests/settings_shipped.rs
@@ -3,8 +3,8 @@
 use std::path::Path;
 
 use pistachiowick::settings::DaemonSettings;
-use pistachiowick::settings_fields::{FIELD_RULES, FieldKind};
-use pistachiowick::settings_rules::allowed_text;
+use pistachiowick::settings::fields::{FIELD_RULES, FieldKind};
+use pistachiowick::settings::rules::allowed_text;
 use rstest::rstest;
 use serde_json::Value;
 
--- a/tests/token_fuzz.rs
+++ b/tests/token_fuzz.rs
@@ -4,7 +4,9 @@
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use pistachiowick::intents::IntentKey;
 use pistachiowick::names::UnixTime;
-use pistachiowick::resume_token::{MAX_TOKEN_LENGTH, ResumeToken, TokenError, TokenSigner};
+use pistachiowick::requests::resume_token::{
+    MAX_TOKEN_LENGTH, ResumeToken, TokenError, TokenSigner,
+};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use rstest::rstest;
--- a/tests/tool_commands.rs
+++ b/tests/tool_commands.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
-use pistachiowick::access::{SecretKey, key_hash};
+use pistachiowick::requests::access::{SecretKey, key_hash};
 use pistachiowick_lab::fleet::{FleetPlan, LabFleet, OPERATOR_KEY};
 use serde_json::{Value, json};
 
--- a/tests/tool_usage.rs
+++ b/tests/tool_usage.rs
@@ -2,7 +2,7 @@
 
 use std::process::{Command, Output};
 
-use pistachiowick::access::{SecretKey, key_hash};
+use pistachiowick::requests::access::{SecretKey, key_hash};
 use rstest::rstest;
 use serde_json::Value;
 
--- a/tests/work_mix_pace.rs
+++ b/tests/work_mix_pace.rs
@@ -1,8 +1,8 @@
 //! The mix of reading and writing, and the pace at which a queue is served.
 
+use pistachiowick::decide::placement::WorkSide;
 use pistachiowick::names::MonoTime;
-use pistachiowick::placement::WorkSide;
-use pistachiowick::work_mix::{PlacedPace, WorkMix};
+use pistachiowick::roles::work_mix::{PlacedPace, WorkMix};
 use rstest::rstest;
 
 struct MixCase {
