--- /dev/null
+++ b/src/gateway/control.rs
@@ -0,0 +1,376 @@
+//! The control thread: follows the store and publishes what traffic reads.
+
+use std::io;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::runtime;
+use tokio::sync::{mpsc, watch};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+use crate::clock;
+use crate::gateway::fleet::{FleetCell, FleetView};
+use crate::gateway::members::{DaemonRecord, MemberBook};
+use crate::gateway::model::FleetConfig;
+use crate::gateway::port::GatewayPorts;
+use crate::gateway::registry::TargetRegistry;
+use crate::gateway::routes::RouteTable;
+use crate::names::{MonoTime, TargetId};
+use crate::ports::{
+    ConditionalWrite, ObjectBatch, ObjectName, ObjectVersion, PlatformError, StoredObject,
+    WatchQuery,
+};
+use crate::timer::TimerService;
+
+/// Longest wait of one watch. A connection can fall silent without a reset; a
+/// watch that is not answered by then is begun anew on another connection, so this
+/// also bounds for how long a silent one goes unnoticed.
+const WATCH_WAIT: Duration = Duration::from_millis(3_000);
+/// First pause after a failed call; doubles up to [`LONGEST_BACKOFF`].
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+/// Longest pause after a failed call. Short, since a daemon that missed a
+/// configuration has to have it soon after the store returns.
+const LONGEST_BACKOFF: Duration = Duration::from_millis(800);
+/// How often entries that did not come back are looked for.
+const TICK: Duration = Duration::from_millis(200);
+/// Attempts to write the own record before it is left to the next change.
+const RECORD_ATTEMPTS: u32 = 8;
+
+/// What others tell the control thread.
+#[derive(Debug)]
+pub enum ControlNews {
+    /// A target was not at its address any more.
+    TargetDeparted(TargetId),
+    /// This daemon is stopping.
+    Stopping,
+}
+
+/// What the control thread is started with.
+pub struct ControlSetup {
+    /// Adapter.
+    pub ports: GatewayPorts,
+    /// Where to publish.
+    pub cell: FleetCell,
+    /// This daemon's record.
+    pub record: DaemonRecord,
+}
+
+/// Handle of the control thread.
+pub struct ControlLink {
+    /// Where traffic tells it something.
+    pub news: mpsc::UnboundedSender<ControlNews>,
+    /// The thread; it ends when all senders of news are gone.
+    pub thread: JoinHandle<()>,
+}
+
+/// Starts the control thread.
+///
+/// # Errors
+///
+/// Returns an error when no thread or no runtime can be had.
+pub fn start(setup: ControlSetup) -> io::Result<ControlLink> {
+    let (news, inbox) = mpsc::unbounded_channel();
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let thread = thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            let local = LocalSet::new();
+            local.block_on(&runtime, run(setup, inbox));
+        })?;
+    Ok(ControlLink { news, thread })
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Feed {
+    Config,
+    Targets,
+    Daemons,
+}
+
+enum FeedNews {
+    Listed(Feed, Vec<StoredObject>),
+    Changed(Feed, Vec<StoredObject>),
+    Failed(Feed),
+}
+
+struct ControlState {
+    ports: GatewayPorts,
+    cell: FleetCell,
+    registry: TargetRegistry,
+    members: MemberBook,
+    routes: Option<Arc<RouteTable>>,
+    targets_known: bool,
+}
+
+async fn run(setup: ControlSetup, mut inbox: mpsc::UnboundedReceiver<ControlNews>) {
+    let (feed_sender, mut feeds) = mpsc::unbounded_channel();
+    let (record_sender, record) = watch::channel(setup.record);
+    for feed in [Feed::Config, Feed::Targets, Feed::Daemons] {
+        spawn_local(follow(setup.ports.clone(), feed, feed_sender.clone()));
+    }
+    spawn_local(keep_record(setup.ports.clone(), record));
+    let mut state = ControlState {
+        ports: setup.ports,
+        cell: setup.cell,
+        registry: TargetRegistry::default(),
+        members: MemberBook::default(),
+        routes: None,
+        targets_known: false,
+    };
+    let timer = TimerService::start();
+    let mut ticks = timer.every(TICK);
+    loop {
+        let changed = tokio::select! {
+            news = inbox.recv() => match news {
+                Some(ControlNews::TargetDeparted(id)) => state.note_departed(&id),
+                Some(ControlNews::Stopping) => {
+                    record_sender.send_modify(|record| record.leaving = true);
+                    false
+                }
+                None => return,
+            },
+            news = feeds.recv() => news.is_some_and(|news| state.take(news)),
+            _ = ticks.next() => state.registry.expire(clock::mono_now()),
+        };
+        if changed {
+            state.publish();
+        }
+    }
+}
+
+impl ControlState {
+    fn note_departed(&mut self, id: &TargetId) -> bool {
+        log::info!(target_id = id.as_str(); "target is not at its address any more");
+        self.registry.depart(id, clock::mono_now());
+        true
+    }
+
+    // Whether something changed that traffic has to see.
+    fn take(&mut self, news: FeedNews) -> bool {
+        let now = clock::mono_now();
+        match news {
+            FeedNews::Failed(feed) => {
+                if feed == Feed::Targets {
+                    self.registry.note_store_failure(now);
+                }
+                false
+            }
+            FeedNews::Listed(Feed::Targets, objects) => {
+                let records = objects.iter().filter_map(|o| self.decode_target(o));
+                let records = records.collect();
+                self.registry.replace(records, now);
+                self.targets_known = true;
+                true
+            }
+            FeedNews::Listed(Feed::Daemons, objects) => {
+                self.members.clear();
+                self.take_daemons(&objects)
+            }
+            FeedNews::Changed(Feed::Targets, objects) => {
+                for object in &objects {
+                    self.take_target(object, now);
+                }
+                !objects.is_empty()
+            }
+            FeedNews::Changed(Feed::Daemons, objects) => self.take_daemons(&objects),
+            FeedNews::Listed(Feed::Config, objects) | FeedNews::Changed(Feed::Config, objects) => {
+                let mut changed = false;
+                for object in &objects {
+                    changed |= self.take_config(object);
+                }
+                changed
+            }
+        }
+    }
+
+    fn take_target(&mut self, object: &StoredObject, now: MonoTime) {
+        match (&object.value, self.decode_target(object)) {
+            (Some(_), Some(record)) => self.registry.set(record, now),
+            (Some(_), None) => {}
+            (None, _) => {
+                let id = TargetId::from(object.object.name.as_str());
+                self.registry.remove(&id, now);
+            }
+        }
+    }
+
+    fn decode_target(&self, object: &StoredObject) -> Option<crate::gateway::model::TargetRecord> {
+        let value = object.value.as_ref()?;
+        let decoded = (self.ports.schema.decode_target)(&object.object.name, value);
+        decoded
+            .map_err(|fault| log::warn!(name = object.object.name.as_str(); "target's entry left out: {fault}"))
+            .ok()
+    }
+
+    fn take_daemons(&mut self, objects: &[StoredObject]) -> bool {
+        for object in objects {
+            let name = &object.object.name;
+            let record = object.value.as_ref().and_then(|value| {
+                DaemonRecord::decode(name, value)
+                    .map_err(|fault| log::warn!("{fault}"))
+                    .ok()
+            });
+            self.members.set(name, record);
+        }
+        true
+    }
+
+    fn take_config(&mut self, object: &StoredObject) -> bool {
+        let Some(value) = &object.value else {
+            return false;
+        };
+        match (self.ports.schema.decode_config)(value) {
+            Ok(config) => self.apply_config(config, object.version.0),
+            Err(fault) => {
+                log::error!(revision = object.version.0; "configuration left out, the one before stays: {fault}");
+                false
+            }
+        }
+    }
+
+    fn apply_config(&mut self, config: FleetConfig, revision: u64) -> bool {
+        let running = self.routes.as_ref().map_or(0, |routes| routes.version);
+        if self.routes.is_some() && config.version <= running {
+            return false;
+        }
+        log::info!(version = config.version, before = running, revision = revision; "configuration applied");
+        self.routes = Some(Arc::new(RouteTable::from(config)));
+        true
+    }
+
+    fn publish(&self) {
+        let view = FleetView {
+            routes: self.routes.clone(),
+            targets: self.registry.by_service(),
+            targets_known: self.targets_known,
+            daemons: self.members.all(),
+        };
+        self.cell.store(Arc::new(view));
+    }
+}
+
+// Lists a kind, then watches it, and lists again when the watch cannot go on.
+async fn follow(ports: GatewayPorts, feed: Feed, news: mpsc::UnboundedSender<FeedNews>) {
+    let kind = match feed {
+        Feed::Config => ports.schema.config_kind.clone(),
+        Feed::Targets => ports.schema.target_kind.clone(),
+        Feed::Daemons => ports.schema.daemon_kind.clone(),
+    };
+    let mut backoff = FIRST_BACKOFF;
+    loop {
+        match (ports.store.list)(kind.clone()).await {
+            Ok(batch) => {
+                backoff = FIRST_BACKOFF;
+                let since = batch.revision;
+                if news.send(FeedNews::Listed(feed, batch.objects)).is_err() {
+                    return;
+                }
+                watch_kind(&ports, feed, &kind, since, &news).await;
+            }
+            Err(error) => note_failure(feed, &kind, &error, &news),
+        }
+        pause(&mut backoff).await;
+    }
+}
+
+// Watches until the store says that it cannot go on from here.
+async fn watch_kind(
+    ports: &GatewayPorts,
+    feed: Feed,
+    kind: &str,
+    mut since: u64,
+    news: &mpsc::UnboundedSender<FeedNews>,
+) {
+    let mut backoff = FIRST_BACKOFF;
+    let mut failing = false;
+    loop {
+        let query = WatchQuery {
+            kind: kind.to_owned(),
+            since,
+            wait: WATCH_WAIT,
+        };
+        match (ports.store.watch)(query).await {
+            Ok(ObjectBatch { revision, objects }) => {
+                if failing {
+                    log::info!(kind = kind; "store answers again");
+                    failing = false;
+                }
+                backoff = FIRST_BACKOFF;
+                since = revision.max(since);
+                if news.send(FeedNews::Changed(feed, objects)).is_err() {
+                    return;
+                }
+            }
+            Err(PlatformError::Refused { reason }) => {
+                log::info!(kind = kind, since = since; "watch cannot go on, listing again: {reason}");
+                return;
+            }
+            Err(error) => {
+                failing = true;
+                note_failure(feed, kind, &error, news);
+                pause(&mut backoff).await;
+            }
+        }
+    }
+}
+
+fn note_failure(
+    feed: Feed,
+    kind: &str,
+    error: &PlatformError,
+    news: &mpsc::UnboundedSender<FeedNews>,
+) {
+    metrics::counter!("pistachiowick_store_failures_total").increment(1);
+    log::warn!(kind = kind; "store does not answer: {error}");
+    // The loop that receives this ends only with the thread.
+    let _ = news.send(FeedNews::Failed(feed));
+}
+
+// Differs between daemons, so that they do not all come back in the same instant.
+async fn pause(backoff: &mut Duration) {
+    let part = rand::rng().random_range(0.5..1.0);
+    sleep(backoff.mul_f64(part)).await;
+    *backoff = (*backoff * 2).min(LONGEST_BACKOFF);
+}
+
+// Keeps the own record in the store as it is wanted.
+async fn keep_record(ports: GatewayPorts, mut wanted: watch::Receiver<DaemonRecord>) {
+    let object = ObjectName {
+        kind: ports.schema.daemon_kind.clone(),
+        name: wanted.borrow().id.to_string(),
+    };
+    loop {
+        let record = wanted.borrow_and_update().clone();
+        write_record(&ports, &object, &record).await;
+        if wanted.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn write_record(ports: &GatewayPorts, object: &ObjectName, record: &DaemonRecord) {
+    let mut expected = ObjectVersion(0);
+    let mut backoff = FIRST_BACKOFF;
+    for _ in 0..RECORD_ATTEMPTS {
+        let write = ConditionalWrite {
+            object: object.clone(),
+            expected,
+            value: record.encode(),
+        };
+        match (ports.store.write)(write).await {
+            Ok(_) => return,
+            // The record of an earlier life; only this daemon writes under its name.
+            Err(PlatformError::Conflict { current }) => expected = current,
+            Err(error) => {
+                log::warn!("own record not written: {error}");
+                pause(&mut backoff).await;
+            }
+        }
+    }
+    log::error!(attempts = RECORD_ATTEMPTS; "own record not written; others learn of this daemon late");
+}
--- /dev/null
+++ b/src/gateway/daemon.rs
@@ -0,0 +1,268 @@
+//! What the traffic thread holds, and the life of the process.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use metrics_exporter_prometheus::PrometheusHandle;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
+
+use crate::clock;
+use crate::gateway::affinity::CacheBook;
+use crate::gateway::budget::RepeatBudget;
+use crate::gateway::control::{self, ControlLink, ControlNews, ControlSetup};
+use crate::gateway::entry::{self, PageKind};
+use crate::gateway::fleet::{FleetCell, FleetView};
+use crate::gateway::health::HealthBook;
+use crate::gateway::load::LoadBook;
+use crate::gateway::members::DaemonRecord;
+use crate::gateway::pool::LinkPool;
+use crate::gateway::port::GatewayPorts;
+use crate::gateway::settings::GatewaySettings;
+use crate::names::{DaemonId, TargetId};
+use crate::telemetry;
+use crate::timer::TimerService;
+
+/// State of the traffic thread. Each part is borrowed for one step and never
+/// across a wait.
+pub struct Gateway {
+    /// Settings of this process.
+    pub settings: GatewaySettings,
+    /// Adapter.
+    pub ports: GatewayPorts,
+    /// What the control thread published.
+    pub fleet: FleetCell,
+    /// Kept connections.
+    pub pool: Rc<RefCell<LinkPool>>,
+    /// Which targets answer.
+    pub health: RefCell<HealthBook>,
+    /// Work outstanding.
+    pub load: RefCell<LoadBook>,
+    /// What engines have cached.
+    pub caches: RefCell<CacheBook>,
+    /// Repeats.
+    pub budget: RefCell<RepeatBudget>,
+    /// Draws.
+    pub rng: RefCell<SmallRng>,
+    /// Whether the process is stopping.
+    pub stopping: Cell<bool>,
+    /// Callers' connections that are open.
+    pub serving: Cell<usize>,
+    /// Where the control thread hears what traffic noticed.
+    pub news: mpsc::UnboundedSender<ControlNews>,
+}
+
+impl Gateway {
+    /// Returns the newest picture of the fleet.
+    #[must_use]
+    pub fn view(&self) -> Arc<FleetView> {
+        self.fleet.load_full()
+    }
+
+    /// Tells the control thread that a target is no longer at its address.
+    pub fn tell_departed(&self, target: &TargetId) {
+        // The control thread ends only with the process.
+        let _ = self.news.send(ControlNews::TargetDeparted(target.clone()));
+    }
+
+    /// Daemons that share the fleet's budgets, this one included.
+    #[must_use]
+    pub fn daemon_count(&self) -> usize {
+        self.view().daemons.len().max(1)
+    }
+}
+
+/// Why a daemon could not run.
+#[derive(Debug, Error)]
+pub enum DaemonFault {
+    /// A socket or a thread could not be had.
+    #[error("{what}: {error}; free the address or raise the limit")]
+    Start {
+        /// What was tried.
+        what: String,
+        /// What happened.
+        error: io::Error,
+    },
+    /// The metrics recorder could not be installed.
+    #[error("metrics: {0}")]
+    Metrics(#[from] metrics_exporter_prometheus::BuildError),
+}
+
+/// Time after the request to stop during which connections are still accepted:
+/// callers keep the directory's answer for up to two seconds, and one that finds
+/// a closed port loses a try.
+const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_600);
+/// Time before the end of the grace at which the process ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(400);
+/// How often idle connections and old counts are swept.
+const SWEEP: Duration = Duration::from_millis(500);
+/// How often the end of running requests is looked for while stopping.
+const END_CHECK: Duration = Duration::from_millis(50);
+/// How often recorded samples are compacted.
+const METRICS_UPKEEP: Duration = Duration::from_secs(5);
+
+impl Gateway {
+    /// Creates the state of the traffic thread.
+    #[must_use]
+    pub fn new(
+        settings: GatewaySettings,
+        ports: GatewayPorts,
+        fleet: FleetCell,
+        news: mpsc::UnboundedSender<ControlNews>,
+    ) -> Self {
+        let budget = RepeatBudget::new(settings.budget_rule());
+        Self {
+            settings,
+            ports,
+            fleet,
+            pool: Rc::default(),
+            health: RefCell::default(),
+            load: RefCell::default(),
+            caches: RefCell::default(),
+            budget: RefCell::new(budget),
+            rng: RefCell::new(SmallRng::from_os_rng()),
+            stopping: Cell::new(false),
+            serving: Cell::new(0),
+            news,
+        }
+    }
+
+    /// Whether callers may be sent to a daemon.
+    #[must_use]
+    pub fn is_usable(&self, daemon: &DaemonId) -> bool {
+        *daemon != self.settings.daemon || !self.stopping.get()
+    }
+
+    fn sweep(&self) {
+        let now = clock::mono_now();
+        self.pool.borrow_mut().sweep(tokio::time::Instant::now());
+        self.load.borrow_mut().expire(now);
+        let view = self.view();
+        self.health.borrow_mut().retain(|target| view.holds(target));
+        let mut caches = self.caches.borrow_mut();
+        caches.retain(|target| view.holds(target));
+        let engines = view.routes.iter().flat_map(|routes| routes.services());
+        let tokens = engines
+            .filter_map(|s| s.engine.as_ref())
+            .map(|e| e.cache_tokens);
+        if let Some(tokens) = tokens.max() {
+            caches.set_capacity(tokens);
+        }
+    }
+}
+
+/// Runs a gateway until `stop` completes and its requests have ended.
+///
+/// # Errors
+///
+/// Returns what kept it from starting.
+pub async fn run(
+    settings: GatewaySettings,
+    ports: GatewayPorts,
+    stop: impl Future<Output = ()>,
+) -> Result<(), DaemonFault> {
+    let metrics = telemetry::install_prometheus()?;
+    let fleet: FleetCell = Arc::new(ArcSwap::from_pointee(FleetView::default()));
+    let control = start_control(&settings, &ports, &fleet)?;
+    let grace = Duration::from_secs_f64(settings.bounds.stop_grace_s);
+    let gateway = Rc::new(Gateway::new(settings, ports, fleet, control.news));
+    let (close, closing) = watch::channel(false);
+    let listeners = open_listeners(&gateway, &metrics).await?;
+    for (listener, kind) in listeners {
+        let (gateway, closing) = (gateway.clone(), closing.clone());
+        spawn_local(entry::accept_loop(gateway, listener, kind, closing));
+    }
+    spawn_local(upkeep(gateway.clone(), metrics));
+    log::info!(daemon = gateway.settings.daemon.as_str(), centre = gateway.settings.centre.as_str(); "started");
+    stop.await;
+    stop_gracefully(&gateway, &close, grace).await;
+    Ok(())
+}
+
+// Callers that still hold this address are served and told to close; the others
+// have a new answer of the directory by the time the port closes.
+async fn stop_gracefully(gateway: &Gateway, close: &watch::Sender<bool>, grace: Duration) {
+    let began = tokio::time::Instant::now();
+    log::info!(grace_ms = grace.as_millis() as u64; "stopping: running requests end first");
+    gateway.stopping.set(true);
+    // The control thread ends only with the process.
+    let _ = gateway.news.send(ControlNews::Stopping);
+    let latest = began + grace.saturating_sub(END_MARGIN);
+    tokio::time::sleep_until((began + ACCEPT_AFTER_STOP).min(latest)).await;
+    close.send_replace(true);
+    while gateway.serving.get() > 0 && tokio::time::Instant::now() < latest {
+        tokio::time::sleep(END_CHECK).await;
+    }
+    let left = gateway.serving.get();
+    log::info!(unfinished = left, took_ms = began.elapsed().as_millis() as u64; "stopped");
+}
+
+fn start_control(
+    settings: &GatewaySettings,
+    ports: &GatewayPorts,
+    fleet: &FleetCell,
+) -> Result<ControlLink, DaemonFault> {
+    let callers = settings
+        .listen
+        .callers
+        .unwrap_or_else(|| settings.peer_address());
+    let setup = ControlSetup {
+        ports: ports.clone(),
+        cell: fleet.clone(),
+        record: DaemonRecord {
+            id: settings.daemon.clone(),
+            life: rand::rng().random(),
+            callers,
+            peers: settings.peer_address(),
+            centre: settings.centre.clone(),
+            leaving: false,
+        },
+    };
+    control::start(setup).map_err(|error| DaemonFault::Start {
+        what: "the control thread".to_owned(),
+        error,
+    })
+}
+
+async fn open_listeners(
+    gateway: &Gateway,
+    metrics: &PrometheusHandle,
+) -> Result<Vec<(TcpListener, PageKind)>, DaemonFault> {
+    let listen = &gateway.settings.listen;
+    let pages = || PageKind::Pages(metrics.clone());
+    let mut wanted = vec![(gateway.settings.metrics_address(), pages())];
+    wanted.extend(listen.callers.map(|address| (address, PageKind::Callers)));
+    wanted.extend(listen.readiness.map(|address| (address, pages())));
+    wanted.extend(listen.directory.map(|address| (address, pages())));
+    let mut listeners = Vec::new();
+    for (address, kind) in wanted {
+        let listener = entry::listen(address)
+            .await
+            .map_err(|error| DaemonFault::Start {
+                what: format!("listening on {address}"),
+                error,
+            })?;
+        listeners.push((listener, kind));
+    }
+    Ok(listeners)
+}
+
+async fn upkeep(gateway: Rc<Gateway>, metrics: PrometheusHandle) {
+    let timer = TimerService::start();
+    let mut sweeps = timer.every(SWEEP);
+    let mut compactions = timer.every(METRICS_UPKEEP);
+    loop {
+        tokio::select! {
+            _ = sweeps.next() => gateway.sweep(),
+            _ = compactions.next() => metrics.run_upkeep(),
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/fleet.rs
@@ -0,0 +1,48 @@
+//! What traffic reads of the fleet: routes, targets, other daemons.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use indexmap::IndexMap;
+
+use crate::gateway::members::DaemonRecord;
+use crate::gateway::model::TargetRecord;
+use crate::gateway::routes::RouteTable;
+use crate::names::{ServiceName, TargetId};
+
+/// A consistent picture of the fleet, replaced whole.
+#[derive(Clone, Debug, Default)]
+pub struct FleetView {
+    /// Newest configuration known; `None` until the first one arrived.
+    pub routes: Option<Arc<RouteTable>>,
+    /// Targets that may get work, by service.
+    pub targets: IndexMap<ServiceName, Vec<Arc<TargetRecord>>>,
+    /// Whether the targets were listed once.
+    pub targets_known: bool,
+    /// Other daemons that take callers, as far as known.
+    pub daemons: Vec<DaemonRecord>,
+}
+
+impl FleetView {
+    /// Whether requests can be routed.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.routes.is_some() && self.targets_known
+    }
+
+    /// Targets of a service that may get work.
+    #[must_use]
+    pub fn of_service(&self, service: &ServiceName) -> &[Arc<TargetRecord>] {
+        self.targets.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Whether a target may still get work.
+    #[must_use]
+    pub fn holds(&self, target: &TargetId) -> bool {
+        let mut all = self.targets.values().flatten();
+        all.any(|record| record.id == *target)
+    }
+}
+
+/// Where the control thread publishes and traffic reads.
+pub type FleetCell = Arc<ArcSwap<FleetView>>;
--- /dev/null
+++ b/src/gateway/forward.rs
@@ -0,0 +1,487 @@
+//! Takes one caller's request through routing to its answer; plain services here,
+//! model engines in [`crate::gateway::generate`].
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING};
+use http::request::Parts;
+use http::{HeaderMap, Request};
+use hyper::body::Incoming;
+use rand::Rng;
+use tokio::time::Instant;
+
+use crate::clock;
+use crate::gateway::client::{self, OutgoingRequest};
+use crate::gateway::daemon::Gateway;
+use crate::gateway::fleet::FleetView;
+use crate::gateway::health::{HealthView, SendResult};
+use crate::gateway::model::{CallerRequest, RouteRule, ServiceRule, TargetRecord};
+use crate::gateway::port::{SendMode, SendOrder};
+use crate::gateway::reply::{Failure, FailureKind, Reply, strip_connection_headers, whole_reply};
+use crate::gateway::routes::{RouteTable, choose_service};
+use crate::gateway::sending::{SendOutcome, SendPlan, TargetAnswer};
+use crate::names::{ServiceName, TargetId};
+
+/// Time to come back after a refusal for want of a configuration or a target.
+const NOTHING_YET_WAIT: Duration = Duration::from_millis(250);
+/// Largest answer of a plain service that is held until it is whole, in bytes.
+const MOST_ANSWER_BYTES: usize = 4 << 20;
+/// Answer times above which an idempotent request is asked for elsewhere, as a
+/// multiple of the route's objective: late already, and still in time to be served.
+const HEDGE_OBJECTIVES: u32 = 3;
+/// Sends that may fail before their first byte, for one request.
+const MOST_NOT_SENT: usize = 3;
+
+/// A caller's request, routed and read.
+pub struct RoutedCall {
+    /// Picture of the fleet when it arrived.
+    pub view: Arc<FleetView>,
+    /// Its route.
+    pub route: RouteRule,
+    /// Service chosen for it.
+    pub service: ServiceRule,
+    /// What its head says.
+    pub caller: CallerRequest,
+    /// What is sent on.
+    pub request: OutgoingRequest,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When its time is up, by the caller's patience and the route's limit.
+    pub due: Instant,
+}
+
+impl RoutedCall {
+    /// Time that a target may still spend.
+    #[must_use]
+    pub fn time_left(&self) -> Duration {
+        self.due.saturating_duration_since(Instant::now())
+    }
+
+    /// Plan of a send whose answer is waited for until `until`.
+    #[must_use]
+    pub fn plan(&self, until: Instant) -> SendPlan<'_> {
+        SendPlan {
+            request: &self.request,
+            request_id: &self.caller.id,
+            may_repeat: self.route.repeat.may_repeat(),
+            until: until.min(self.due),
+        }
+    }
+}
+
+impl RoutedCall {
+    /// Logs one send with what decided it.
+    pub fn log_send(&self, target: &TargetRecord, step: &str, outcome: &str, sent: Instant) {
+        log::info!(
+            request = self.caller.id.as_str(),
+            route = self.route.name.as_str(),
+            step = step,
+            target_id = target.id.as_str(),
+            config = self.view.routes.as_ref().map_or(0, |r| r.version),
+            outcome = outcome,
+            took_ms = sent.elapsed().as_millis() as u64,
+            left_ms = self.time_left().as_millis() as u64;
+            "sent"
+        );
+    }
+}
+
+/// Targets that one request was sent to, or could not be sent to.
+#[derive(Clone, Debug, Default)]
+pub struct SendTrail {
+    /// Targets that got the request.
+    pub sent: Vec<TargetId>,
+    /// Targets that no byte reached.
+    pub unreached: Vec<TargetId>,
+}
+
+impl SendTrail {
+    /// Whether a target was tried.
+    #[must_use]
+    pub fn has(&self, target: &TargetId) -> bool {
+        self.sent.contains(target) || self.unreached.contains(target)
+    }
+
+    /// Whether the route allows one more target.
+    #[must_use]
+    pub fn may_send(&self, call: &RoutedCall) -> bool {
+        (self.sent.len() as u32) < call.route.most_targets
+    }
+
+    /// Whether the route allows another target after the next one.
+    #[must_use]
+    pub fn may_add(&self, call: &RoutedCall) -> bool {
+        (self.sent.len() as u32) + 1 < call.route.most_targets
+    }
+}
+
+/// Work counted at a target until it is dropped.
+pub struct WorkGuard {
+    gateway: Rc<Gateway>,
+    target: TargetId,
+    unread_tokens: u32,
+}
+
+impl WorkGuard {
+    /// Counts a request with `unread_tokens` to read.
+    pub fn begin(gateway: &Rc<Gateway>, target: &TargetId, unread_tokens: u32) -> Self {
+        gateway.load.borrow_mut().begin(target, unread_tokens);
+        Self {
+            gateway: gateway.clone(),
+            target: target.clone(),
+            unread_tokens,
+        }
+    }
+
+    /// Notes that the prompt was read.
+    pub fn note_read(&mut self) {
+        let mut load = self.gateway.load.borrow_mut();
+        load.note_read(&self.target, self.unread_tokens);
+        self.unread_tokens = 0;
+    }
+}
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        let mut load = self.gateway.load.borrow_mut();
+        load.end(&self.target, self.unread_tokens);
+    }
+}
+
+impl Gateway {
+    /// Serves one request and logs how it ended.
+    pub async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+        let arrived = Instant::now();
+        let (head, body) = request.into_parts();
+        match self.admit(head, body, arrived).await {
+            Err(failure) => {
+                self.log_failure("", "", &failure, arrived);
+                failure.reply()
+            }
+            Ok(call) => self.run(call).await,
+        }
+    }
+
+    async fn run(self: Rc<Self>, call: RoutedCall) -> Reply {
+        let call = Rc::new(call);
+        self.budget
+            .borrow_mut()
+            .note_request(&call.service.name, clock::mono_now());
+        let generates = call.service.engine.is_some() && call.caller.prompt.is_some();
+        let answered = if generates {
+            self.clone().generate(call.clone()).await
+        } else {
+            self.forward_plain(&call).await
+        };
+        answered.unwrap_or_else(|failure| {
+            self.log_failure(&call.caller.id, &call.route.name, &failure, call.arrived);
+            failure.reply()
+        })
+    }
+
+    fn log_failure(&self, id: &str, route: &str, failure: &Failure, arrived: Instant) {
+        metrics::counter!("pistachiowick_gateway_answers_total", "outcome" => failure.kind.as_str())
+            .increment(1);
+        log::info!(
+            request = id,
+            route = route,
+            outcome = failure.kind.as_str(),
+            reason = failure.reason.as_str(),
+            retry_after_ms = failure.retry_after.map_or(0, |w| w.as_millis() as u64),
+            took_ms = arrived.elapsed().as_millis() as u64;
+            "request failed"
+        );
+    }
+
+    async fn admit(
+        &self,
+        head: Parts,
+        body: Incoming,
+        arrived: Instant,
+    ) -> Result<RoutedCall, Failure> {
+        check_framing(&head.headers)?;
+        let caller = (self.ports.wire.decode_caller)(&head.headers)
+            .map_err(|fault| Failure::new(FailureKind::BadRequest, fault.to_string()))?;
+        let view = self.view();
+        let routes = view
+            .routes
+            .clone()
+            .filter(|_| view.targets_known)
+            .ok_or_else(|| Failure::refused("no configuration yet", NOTHING_YET_WAIT))?;
+        let (route, service) = self.route(&routes, &head)?;
+        let patience = caller.patience.unwrap_or(route.time_limit);
+        let due = arrived + patience.min(route.time_limit);
+        let body = read_request_body(body, &routes, due).await?;
+        let mut headers = head.headers;
+        strip_connection_headers(&mut headers);
+        headers.remove(CONTENT_LENGTH);
+        headers.remove(EXPECT);
+        Ok(RoutedCall {
+            view,
+            route,
+            service,
+            caller,
+            request: OutgoingRequest {
+                method: head.method,
+                uri: head.uri,
+                headers,
+                body,
+            },
+            arrived,
+            due,
+        })
+    }
+
+    fn route(
+        &self,
+        routes: &RouteTable,
+        head: &Parts,
+    ) -> Result<(RouteRule, ServiceRule), Failure> {
+        let host = host_of(head)?;
+        let path = head.uri.path();
+        let no_route = || {
+            let version = routes.version;
+            let reason = format!("no route for {path} in configuration {version}");
+            Failure::new(FailureKind::NoRoute, reason)
+        };
+        let route = routes.find(&host, path).ok_or_else(no_route)?;
+        let draw = self.rng.borrow_mut().random::<f64>();
+        let service = choose_service(route, draw).and_then(|name| routes.service(name));
+        let service = service.ok_or_else(no_route)?;
+        Ok((route.clone(), service.clone()))
+    }
+
+    async fn forward_plain(self: &Rc<Self>, call: &RoutedCall) -> Result<Reply, Failure> {
+        let mut trail = SendTrail::default();
+        let mut last = Err(Failure::refused("no target is known", NOTHING_YET_WAIT));
+        while let Some(target) = self.choose_plain(&call.view, &call.service.name, &trail) {
+            let more = trail.may_add(call) && call.route.repeat.may_repeat();
+            let end = self.send_plain(&target, call, more).await;
+            let again = match &end {
+                PlainEnd::Whole(_) => false,
+                PlainEnd::FailedWhole(_) | PlainEnd::Unclear(_) => {
+                    trail.sent.push(target.id.clone());
+                    more && self.may_repeat(call)
+                }
+                PlainEnd::Refused(_) => {
+                    trail.sent.push(target.id.clone());
+                    trail.may_send(call) && self.may_repeat(call)
+                }
+                PlainEnd::NotSent(_) => {
+                    trail.unreached.push(target.id.clone());
+                    trail.unreached.len() < MOST_NOT_SENT && Instant::now() < call.due
+                }
+            };
+            last = end.into_result(call);
+            if !again {
+                break;
+            }
+        }
+        last
+    }
+
+    async fn send_plain(
+        self: &Rc<Self>,
+        target: &TargetRecord,
+        call: &RoutedCall,
+        more: bool,
+    ) -> PlainEnd {
+        let sent = Instant::now();
+        let until = if more {
+            sent + call.route.objective * HEDGE_OBJECTIVES
+        } else {
+            call.due
+        };
+        let order = plain_order(target, call);
+        let _work = WorkGuard::begin(self, &target.id, 0);
+        let outcome = self.send(target, call.plan(until), &order).await;
+        let end = self.finish_plain(target, call, outcome).await;
+        call.log_send(target, "run", end.as_str(), sent);
+        end
+    }
+
+    /// Takes a repeat from the budget for a request that has time left.
+    #[must_use]
+    pub fn may_repeat(&self, call: &RoutedCall) -> bool {
+        let daemons = self.daemon_count();
+        let mut budget = self.budget.borrow_mut();
+        let service = &call.service.name;
+        Instant::now() < call.due && budget.spend(service, daemons, clock::mono_now())
+    }
+
+    async fn finish_plain(
+        &self,
+        target: &TargetRecord,
+        call: &RoutedCall,
+        outcome: SendOutcome,
+    ) -> PlainEnd {
+        let answer = match outcome {
+            SendOutcome::Answered(answer) => answer,
+            SendOutcome::Refused(reason) => return PlainEnd::Refused(reason),
+            SendOutcome::WrongTarget => return PlainEnd::NotSent("another target".to_owned()),
+            SendOutcome::NotSent(reason) => return PlainEnd::NotSent(reason),
+            SendOutcome::Unclear(reason) => return PlainEnd::Unclear(reason),
+        };
+        let TargetAnswer {
+            head, body, lease, ..
+        } = answer;
+        match client::read_body(body, MOST_ANSWER_BYTES, call.due).await {
+            Err(reason) => {
+                self.note_result(target, SendResult::Failed);
+                PlainEnd::Unclear(format!("{} cut its answer: {reason}", target.id))
+            }
+            Ok(body) => {
+                let failed = head.status.is_server_error();
+                let result = if failed {
+                    SendResult::Failed
+                } else {
+                    SendResult::Answered
+                };
+                self.note_result(target, result);
+                lease.give_back(&head);
+                let reply = whole_reply(head, body);
+                if failed {
+                    PlainEnd::FailedWhole(reply)
+                } else {
+                    PlainEnd::Whole(reply)
+                }
+            }
+        }
+    }
+
+    fn choose_plain(
+        &self,
+        view: &FleetView,
+        service: &ServiceName,
+        trail: &SendTrail,
+    ) -> Option<Arc<TargetRecord>> {
+        let newest = self.view();
+        let now = clock::mono_now();
+        let health = self.health.borrow();
+        let load = self.load.borrow();
+        let mut rng = self.rng.borrow_mut();
+        let untried = view
+            .of_service(service)
+            .iter()
+            .filter(|t| !trail.has(&t.id) && newest.holds(&t.id));
+        let scored = untried.map(|target| {
+            let view = health.view(&target.id, now);
+            let running = load.total(&target.id).running;
+            let tie = rng.random::<f64>() * 0.3;
+            (plain_cost(running, target.slots, view) + tie, target)
+        });
+        let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
+        best.map(|(_, target)| target.clone())
+    }
+}
+
+// Cost of one more request: the share of busy places, worse for targets that fail.
+fn plain_cost(running: u32, slots: u32, health: HealthView) -> f64 {
+    let filled = f64::from(running) / f64::from(slots.max(1));
+    let failing = 4.0 * health.failure_rate;
+    let away = if health.avoided { 100.0 } else { 0.0 };
+    let unproved = if health.unproved { 1.0 } else { 0.0 };
+    filled + failing + away + unproved
+}
+
+fn plain_order(target: &TargetRecord, call: &RoutedCall) -> SendOrder {
+    SendOrder {
+        target: target.id.clone(),
+        time_left: call.time_left(),
+        mode: SendMode::Run,
+        resume_after: call.caller.resume_after,
+        rank: None,
+    }
+}
+
+enum PlainEnd {
+    Whole(Reply),
+    FailedWhole(Reply),
+    Refused(String),
+    NotSent(String),
+    Unclear(String),
+}
+
+impl PlainEnd {
+    fn into_result(self, call: &RoutedCall) -> Result<Reply, Failure> {
+        match self {
+            Self::Whole(reply) | Self::FailedWhole(reply) => Ok(reply),
+            Self::Refused(reason) | Self::NotSent(reason) => {
+                Err(Failure::refused(reason, NOTHING_YET_WAIT))
+            }
+            Self::Unclear(reason) => Err(lost(call, reason)),
+        }
+    }
+
+    fn as_str(&self) -> &'static str {
+        match self {
+            Self::Whole(_) => "answered",
+            Self::FailedWhole(_) => "failed",
+            Self::Refused(_) => "refused",
+            Self::NotSent(_) => "not_sent",
+            Self::Unclear(_) => "unclear",
+        }
+    }
+}
+
+/// Failure for a request that may have run.
+#[must_use]
+pub fn lost(call: &RoutedCall, reason: String) -> Failure {
+    if Instant::now() >= call.due {
+        Failure::new(FailureKind::OutOfTime, reason)
+    } else {
+        Failure::new(FailureKind::Unclear, reason)
+    }
+}
+
+/// Refuses requests whose length can be read in two ways. One reader would take
+/// the rest of the body for another request, which nobody sent.
+fn check_framing(headers: &HeaderMap) -> Result<(), Failure> {
+    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
+    let chunked = headers.contains_key(TRANSFER_ENCODING);
+    if lengths > 1 || (lengths == 1 && chunked) {
+        let reason = "the request states its length twice; send either a length or chunks";
+        return Err(Failure::new(FailureKind::BadRequest, reason));
+    }
+    Ok(())
+}
+
+fn host_of(head: &Parts) -> Result<String, Failure> {
+    let mut hosts = head.headers.get_all(HOST).iter();
+    let host = hosts.next().and_then(|value| value.to_str().ok());
+    let (Some(host), None) = (host, hosts.next()) else {
+        let reason = "the request needs exactly one host header";
+        return Err(Failure::new(FailureKind::BadRequest, reason));
+    };
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    Ok(name.to_ascii_lowercase())
+}
+
+async fn read_request_body(
+    body: Incoming,
+    routes: &RouteTable,
+    due: Instant,
+) -> Result<Bytes, Failure> {
+    let limit = routes.limits.body_bytes;
+    if http_body::Body::is_end_stream(&body) {
+        return Ok(Bytes::new());
+    }
+    let announced = http_body::Body::size_hint(&body).lower();
+    if announced > limit as u64 {
+        return Err(too_large(limit));
+    }
+    match client::read_body(body, limit, due).await {
+        Ok(bytes) => Ok(bytes),
+        Err(reason) if Instant::now() >= due => Err(Failure::new(FailureKind::SlowCaller, reason)),
+        Err(reason) if reason.contains("limit") => Err(too_large(limit)),
+        Err(reason) => Err(Failure::new(FailureKind::BadRequest, reason)),
+    }
+}
+
+fn too_large(limit: usize) -> Failure {
+    let reason = format!("the body is larger than {limit} bytes");
+    Failure::new(FailureKind::TooLarge, reason)
+}
--- /dev/null
+++ b/src/gateway/generate.rs
@@ -0,0 +1,499 @@
+//! Generation on model engines: where the prompt is read, where tokens are made.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::clock;
+use crate::gateway::affinity;
+use crate::gateway::client;
+use crate::gateway::daemon::Gateway;
+use crate::gateway::forward::{RoutedCall, SendTrail, WorkGuard, lost};
+use crate::gateway::health::SendResult;
+use crate::gateway::model::{EngineStage, PromptPart, TargetRecord};
+use crate::gateway::port::{CacheHandle, SendMode, SendOrder};
+use crate::gateway::reply::{Failure, Reply, stream_reply, whole_reply};
+use crate::gateway::sending::{SendOutcome, TargetAnswer};
+use crate::gateway::stream::EventRelay;
+use crate::names::{MonoTime, TargetId};
+
+/// Time to come back after a refusal by an engine.
+const ENGINE_BUSY_WAIT: Duration = Duration::from_millis(200);
+/// Largest answer to a reading of a prompt, in bytes.
+const MOST_READ_ANSWER: usize = 64 * 1024;
+/// Largest failure of an engine that is passed on, in bytes.
+const MOST_FAILURE_BYTES: usize = 1 << 20;
+/// Tokens that a prefill engine reads in a millisecond, before any was measured.
+const READ_RATE: f64 = 50.0;
+/// Part of [`READ_RATE`] that a decode engine reaches beside its other requests.
+const DECODE_READ_SHARE: f64 = 0.5;
+/// Time of a reading beside its tokens, in milliseconds: two calls and a transfer.
+const HAND_OVER_MS: f64 = 25.0;
+/// Weight of a shared part that is read again, in reading times: re-reading costs
+/// other requests their place in the cache as well as the time.
+const REREAD_WEIGHT: f64 = 2.0;
+/// What one more running request costs the next one, in milliseconds.
+const RUNNING_MS: f64 = 2.0;
+/// What a request waits for each one beyond an engine's places, in milliseconds.
+const OVERFULL_MS: f64 = 50.0;
+/// Cost of a target that gave no answers lately, in milliseconds.
+const AVOIDED_MS: f64 = 20_000.0;
+/// Shortest wait for a reading before it is asked for elsewhere.
+const SHORTEST_READ_WAIT: Duration = Duration::from_millis(700);
+/// Longest time, in expected times, for a reading.
+const READ_PATIENCE: f64 = 4.0;
+/// Readings asked for before the decode engine reads itself.
+const MOST_READINGS: u32 = 2;
+
+/// Engines chosen for a request.
+#[derive(Clone, Debug)]
+pub struct EnginePlace {
+    /// Engine that reads the prompt for the other; `None` where one does both.
+    pub reader: Option<Arc<TargetRecord>>,
+    /// Engine that makes the tokens.
+    pub writer: Arc<TargetRecord>,
+    /// Expected time to the first event.
+    pub expected_ms: f64,
+    /// Tokens that the reading engine still has to read.
+    pub unread_tokens: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ReadCost {
+    ms: f64,
+    unread_tokens: u32,
+}
+
+impl Gateway {
+    /// Runs a generation request up to the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure that the caller is told.
+    pub async fn generate(self: Rc<Self>, call: Rc<RoutedCall>) -> Result<Reply, Failure> {
+        let mut trail = SendTrail::default();
+        let mut last = Failure::refused("no engine is known", ENGINE_BUSY_WAIT);
+        while let Some(place) = self.place(&call, &trail) {
+            let handle = self.read_ahead(&call, &place).await;
+            match self.start(&call, &place, handle, &mut trail).await {
+                Started::Reply(reply) => return Ok(reply),
+                Started::Again(failure) => last = failure,
+                Started::Ended(failure) => return Err(failure),
+            }
+        }
+        Err(last)
+    }
+
+    async fn start(
+        self: &Rc<Self>,
+        call: &Rc<RoutedCall>,
+        place: &EnginePlace,
+        mut handle: Option<HandleGuard>,
+        trail: &mut SendTrail,
+    ) -> Started {
+        let writer = &place.writer;
+        let unread = match handle {
+            Some(_) => 0,
+            None => place.unread_tokens,
+        };
+        let mut work = WorkGuard::begin(self, &writer.id, unread);
+        let sent = Instant::now();
+        let mode = handle.as_ref().map_or(SendMode::Run, HandleGuard::mode);
+        let mut outcome = self.send_writer(call, writer, mode, sent).await;
+        if handle.is_some() && matches!(outcome, SendOutcome::Refused(_)) {
+            // The memory could not be had. The same engine can still read by itself,
+            // which is no further target.
+            if let Some(handle) = &mut handle {
+                handle.forget();
+            }
+            if self.may_repeat(call) {
+                outcome = self.send_writer(call, writer, SendMode::Run, sent).await;
+            }
+        }
+        let failure = match outcome {
+            SendOutcome::Answered(answer) => {
+                trail.sent.push(writer.id.clone());
+                if let Some(handle) = &mut handle {
+                    handle.forget();
+                }
+                if !answer.head.status.is_success() {
+                    return self.fail_with(call, writer, answer).await;
+                }
+                self.note_held(call, writer);
+                work.note_read();
+                return Started::Reply(self.relay(call, place, answer, trail.clone(), work));
+            }
+            SendOutcome::NotSent(reason) => {
+                trail.unreached.push(writer.id.clone());
+                return Started::Again(Failure::refused(reason, ENGINE_BUSY_WAIT));
+            }
+            SendOutcome::WrongTarget => {
+                trail.unreached.push(writer.id.clone());
+                let reason = "the engine left its address";
+                return Started::Again(Failure::refused(reason, ENGINE_BUSY_WAIT));
+            }
+            SendOutcome::Refused(reason) => Failure::refused(reason, ENGINE_BUSY_WAIT),
+            SendOutcome::Unclear(reason) => lost(call, reason),
+        };
+        trail.sent.push(writer.id.clone());
+        let refused = failure.retry_after.is_some();
+        let repeats = refused || call.route.repeat.may_repeat();
+        if repeats && trail.may_send(call) && self.may_repeat(call) {
+            return Started::Again(failure);
+        }
+        Started::Ended(failure)
+    }
+
+    async fn send_writer(
+        &self,
+        call: &RoutedCall,
+        writer: &TargetRecord,
+        mode: SendMode,
+        sent: Instant,
+    ) -> SendOutcome {
+        let step = match mode {
+            SendMode::TakeOver(_) => "take_over",
+            _ => "run",
+        };
+        let order = self.order(call, writer, mode, call.caller.resume_after);
+        let outcome = self.send(writer, call.plan(call.due), &order).await;
+        call.log_send(writer, step, outcome.as_str(), sent);
+        outcome
+    }
+
+    /// Makes the order of a send to an engine.
+    #[must_use]
+    pub fn order(
+        &self,
+        call: &RoutedCall,
+        engine: &TargetRecord,
+        mode: SendMode,
+        resume_after: Option<u64>,
+    ) -> SendOrder {
+        SendOrder {
+            target: engine.id.clone(),
+            time_left: call.time_left(),
+            mode,
+            resume_after,
+            rank: Some(call.route.urgency.min(9)),
+        }
+    }
+
+    fn relay(
+        self: &Rc<Self>,
+        call: &Rc<RoutedCall>,
+        place: &EnginePlace,
+        answer: TargetAnswer,
+        trail: SendTrail,
+        work: WorkGuard,
+    ) -> Reply {
+        let head = answer.head.clone();
+        let relay = EventRelay::new(
+            self.clone(),
+            call.clone(),
+            place.writer.clone(),
+            answer,
+            trail,
+            work,
+        );
+        stream_reply(head, relay.into_frames())
+    }
+
+    async fn fail_with(
+        &self,
+        call: &RoutedCall,
+        engine: &TargetRecord,
+        answer: TargetAnswer,
+    ) -> Started {
+        self.note_result(engine, SendResult::Failed);
+        let body = client::read_body(answer.body, MOST_FAILURE_BYTES, call.due).await;
+        match body {
+            Ok(body) => {
+                answer.lease.give_back(&answer.head);
+                Started::Reply(whole_reply(answer.head, body))
+            }
+            Err(reason) => Started::Ended(lost(call, reason)),
+        }
+    }
+
+    async fn read_ahead(
+        self: &Rc<Self>,
+        call: &Rc<RoutedCall>,
+        place: &EnginePlace,
+    ) -> Option<HandleGuard> {
+        let mut reader = place.reader.clone()?;
+        let mut tried: Vec<TargetId> = Vec::new();
+        for reading in 1..=MOST_READINGS {
+            match self.read_prompt(call, &reader, place).await {
+                Some(handle) => return Some(handle),
+                None => tried.push(reader.id.clone()),
+            }
+            if reading == MOST_READINGS || !self.may_repeat(call) {
+                break;
+            }
+            reader = self.choose_reader(call, &tried)?;
+        }
+        None
+    }
+
+    async fn read_prompt(
+        self: &Rc<Self>,
+        call: &Rc<RoutedCall>,
+        reader: &Arc<TargetRecord>,
+        place: &EnginePlace,
+    ) -> Option<HandleGuard> {
+        let sent = Instant::now();
+        let _work = WorkGuard::begin(self, &reader.id, place.unread_tokens);
+        let patience = Duration::from_secs_f64(place.expected_ms * READ_PATIENCE / 1_000.0);
+        let until = sent + patience.max(SHORTEST_READ_WAIT);
+        let order = self.order(call, reader, SendMode::ReadPrompt, None);
+        let outcome = self.send(reader, call.plan(until), &order).await;
+        let read = self
+            .finish_reading(reader, outcome, until.min(call.due))
+            .await;
+        let outcome = if read.is_some() { "read" } else { "not_read" };
+        call.log_send(reader, "read_prompt", outcome, sent);
+        if read.is_some() {
+            self.note_held(call, reader);
+            let taken = sent.elapsed().as_secs_f64() * 1_000.0;
+            let mut health = self.health.borrow_mut();
+            health.note_time(&reader.id, taken, place.expected_ms);
+        }
+        read
+    }
+
+    async fn finish_reading(
+        self: &Rc<Self>,
+        reader: &Arc<TargetRecord>,
+        outcome: SendOutcome,
+        until: Instant,
+    ) -> Option<HandleGuard> {
+        let SendOutcome::Answered(answer) = outcome else {
+            return None;
+        };
+        if !answer.head.status.is_success() {
+            self.note_result(reader, SendResult::Failed);
+            return None;
+        }
+        let body = client::read_body(answer.body, MOST_READ_ANSWER, until).await;
+        let read = body
+            .map_err(|reason| log::debug!("reading cut: {reason}"))
+            .ok()
+            .and_then(|body| (self.ports.wire.decode_read)(&body).ok());
+        let Some(read) = read else {
+            self.note_result(reader, SendResult::Failed);
+            return None;
+        };
+        self.note_result(reader, SendResult::Answered);
+        answer.lease.give_back(&answer.head);
+        let handle = CacheHandle {
+            holder: reader.address,
+            name: read.handle,
+        };
+        Some(HandleGuard::new(self.clone(), reader.clone(), handle))
+    }
+
+    fn note_held(&self, call: &RoutedCall, engine: &TargetRecord) {
+        let Some(prompt) = &call.caller.prompt else {
+            return;
+        };
+        let mut caches = self.caches.borrow_mut();
+        caches.note_held(&engine.id, &prompt.parts, clock::mono_now());
+    }
+
+    /// Chooses the engines of a request.
+    #[must_use]
+    pub fn place(&self, call: &RoutedCall, trail: &SendTrail) -> Option<EnginePlace> {
+        let newest = self.view();
+        let engines = call.view.of_service(&call.service.name);
+        let usable: Vec<&Arc<TargetRecord>> =
+            engines.iter().filter(|e| newest.holds(&e.id)).collect();
+        let writers = usable
+            .iter()
+            .copied()
+            .filter(|e| e.stage != Some(EngineStage::Prefill) && !trail.has(&e.id));
+        let readers: Vec<&Arc<TargetRecord>> = usable
+            .iter()
+            .copied()
+            .filter(|e| e.stage == Some(EngineStage::Prefill))
+            .collect();
+        let now = clock::mono_now();
+        let writers: Vec<&Arc<TargetRecord>> = writers.collect();
+        let direct = self.cheapest(call, &writers, now, true)?;
+        let read = self.cheapest(call, &readers, now, false);
+        let idle = self.least_running(&writers, call, now)?;
+        let direct_ms = direct.1.ms + self.running_ms(direct.0, call, now);
+        let handed_ms =
+            read.map(|(_, cost)| cost.ms + HAND_OVER_MS + self.running_ms(idle, call, now));
+        match (read, handed_ms) {
+            (Some((reader, cost)), Some(ms)) if ms < direct_ms => Some(EnginePlace {
+                reader: Some(reader.clone()),
+                writer: idle.clone(),
+                expected_ms: ms,
+                unread_tokens: cost.unread_tokens,
+            }),
+            _ => Some(EnginePlace {
+                reader: None,
+                writer: direct.0.clone(),
+                expected_ms: direct_ms,
+                unread_tokens: direct.1.unread_tokens,
+            }),
+        }
+    }
+
+    fn choose_reader(&self, call: &RoutedCall, tried: &[TargetId]) -> Option<Arc<TargetRecord>> {
+        let newest = self.view();
+        let engines = call.view.of_service(&call.service.name);
+        let readers: Vec<&Arc<TargetRecord>> = engines
+            .iter()
+            .filter(|e| e.stage == Some(EngineStage::Prefill))
+            .filter(|e| newest.holds(&e.id) && !tried.contains(&e.id))
+            .collect();
+        let best = self.cheapest(call, &readers, clock::mono_now(), false);
+        best.map(|(reader, _)| reader.clone())
+    }
+
+    fn cheapest<'a>(
+        &self,
+        call: &RoutedCall,
+        engines: &[&'a Arc<TargetRecord>],
+        now: MonoTime,
+        decodes: bool,
+    ) -> Option<(&'a Arc<TargetRecord>, ReadCost)> {
+        let parts = call.caller.prompt.as_ref().map_or(&[][..], |p| &p.parts);
+        let home = first_home(parts, engines);
+        let costs = engines.iter().map(|engine| {
+            let is_home = home.is_some_and(|home| home == &engine.id);
+            let cost = self.read_cost(call, engine, is_home, now, decodes);
+            (*engine, cost)
+        });
+        costs.min_by(|a, b| {
+            let of = |(engine, cost): &(&Arc<TargetRecord>, ReadCost)| {
+                cost.ms
+                    + if decodes {
+                        self.running_ms(engine, call, now)
+                    } else {
+                        0.0
+                    }
+            };
+            of(a).total_cmp(&of(b))
+        })
+    }
+
+    fn read_cost(
+        &self,
+        call: &RoutedCall,
+        engine: &TargetRecord,
+        is_home: bool,
+        now: MonoTime,
+        decodes: bool,
+    ) -> ReadCost {
+        let Some(prompt) = &call.caller.prompt else {
+            return ReadCost {
+                ms: 0.0,
+                unread_tokens: 0,
+            };
+        };
+        let shared = affinity::shared_tokens(&prompt.parts);
+        let held = self
+            .caches
+            .borrow()
+            .cached_tokens(&engine.id, &prompt.parts, now);
+        // The home is taken to hold the shared parts: others sent them there too.
+        let held = if is_home { held.max(shared) } else { held };
+        let unread = prompt.prompt_tokens.saturating_sub(held);
+        let reread = shared.saturating_sub(held);
+        let rate = if decodes {
+            READ_RATE * DECODE_READ_SHARE
+        } else {
+            READ_RATE
+        };
+        let waiting = self.load.borrow().total(&engine.id).unread_tokens;
+        let view = self.health.borrow().view(&engine.id, now);
+        let tokens = f64::from(unread) + f64::from(waiting) + REREAD_WEIGHT * f64::from(reread);
+        let mut ms = tokens / rate * view.pace;
+        if view.avoided {
+            ms += AVOIDED_MS;
+        }
+        ms += 1_000.0 * view.failure_rate;
+        ReadCost {
+            ms,
+            unread_tokens: unread,
+        }
+    }
+
+    fn running_ms(&self, engine: &TargetRecord, call: &RoutedCall, now: MonoTime) -> f64 {
+        let running = self.load.borrow().total(&engine.id).running;
+        let slots = call
+            .service
+            .engine
+            .as_ref()
+            .map_or(engine.slots, |e| e.slots);
+        let beyond = f64::from(running.saturating_sub(slots));
+        let view = self.health.borrow().view(&engine.id, now);
+        let away = if view.avoided { AVOIDED_MS } else { 0.0 };
+        f64::from(running) * RUNNING_MS + beyond * OVERFULL_MS + away + 1_000.0 * view.failure_rate
+    }
+
+    fn least_running<'a>(
+        &self,
+        engines: &[&'a Arc<TargetRecord>],
+        call: &RoutedCall,
+        now: MonoTime,
+    ) -> Option<&'a Arc<TargetRecord>> {
+        let costs = engines.iter().map(|e| (self.running_ms(e, call, now), *e));
+        let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
+        best.map(|(_, engine)| engine)
+    }
+}
+
+fn first_home<'a>(parts: &[PromptPart], engines: &[&'a Arc<TargetRecord>]) -> Option<&'a TargetId> {
+    let key = affinity::shared_key(parts)?;
+    let ids = engines.iter().map(|engine| &engine.id);
+    ids.max_by_key(|id| affinity::home_weight(key, id))
+}
+
+enum Started {
+    Reply(Reply),
+    Again(Failure),
+    Ended(Failure),
+}
+
+/// A kept prompt that is freed unless another engine took it.
+struct HandleGuard {
+    gateway: Rc<Gateway>,
+    reader: Arc<TargetRecord>,
+    handle: Option<CacheHandle>,
+}
+
+impl HandleGuard {
+    fn new(gateway: Rc<Gateway>, reader: Arc<TargetRecord>, handle: CacheHandle) -> Self {
+        Self {
+            gateway,
+            reader,
+            handle: Some(handle),
+        }
+    }
+
+    fn mode(&self) -> SendMode {
+        let handle = self.handle.clone();
+        handle.map_or(SendMode::Run, SendMode::TakeOver)
+    }
+
+    fn forget(&mut self) {
+        self.handle = None;
+    }
+}
+
+impl Drop for HandleGuard {
+    fn drop(&mut self) {
+        let Some(handle) = self.handle.take() else {
+            return;
+        };
+        let gateway = self.gateway.clone();
+        let reader = self.reader.clone();
+        tokio::task::spawn_local(async move { gateway.free_handle(&reader, &handle.name).await });
+    }
+}
--- /dev/null
+++ b/src/gateway/load.rs
@@ -0,0 +1,100 @@
+//! Work outstanding at targets: this daemon's own and, from their messages, the others'.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::names::{DaemonId, MonoTime, TargetId};
+
+/// Age from which another daemon's counts are left out.
+const STALE_AFTER: Duration = Duration::from_millis(1_500);
+
+/// Work at one target.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TargetWork {
+    /// Requests sent and not ended.
+    #[serde(rename = "r")]
+    pub running: u32,
+    /// Prompt tokens still to be read.
+    #[serde(rename = "t")]
+    pub unread_tokens: u32,
+}
+
+/// Work by target.
+pub type WorkByTarget = IndexMap<TargetId, TargetWork>;
+
+/// Work of this daemon and of the others.
+#[derive(Clone, Debug, Default)]
+pub struct LoadBook {
+    own: WorkByTarget,
+    others: IndexMap<DaemonId, (MonoTime, WorkByTarget)>,
+    // Sum of the others, kept so that a choice does not add them up anew.
+    sum: WorkByTarget,
+}
+
+impl LoadBook {
+    /// Notes the start of a request with `unread_tokens` to read.
+    pub fn begin(&mut self, target: &TargetId, unread_tokens: u32) {
+        let work = self.own.entry(target.clone()).or_default();
+        work.running += 1;
+        work.unread_tokens += unread_tokens;
+    }
+
+    /// Notes that tokens counted by [`Self::begin`] were read.
+    pub fn note_read(&mut self, target: &TargetId, tokens: u32) {
+        if let Some(work) = self.own.get_mut(target) {
+            work.unread_tokens = work.unread_tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Notes the end of a request, of whose prompt `unread_tokens` were not read.
+    pub fn end(&mut self, target: &TargetId, unread_tokens: u32) {
+        if let Some(work) = self.own.get_mut(target) {
+            work.running = work.running.saturating_sub(1);
+            work.unread_tokens = work.unread_tokens.saturating_sub(unread_tokens);
+            if work.running == 0 {
+                self.own.swap_remove(target);
+            }
+        }
+    }
+
+    /// Takes another daemon's work in place of what it told before.
+    pub fn set_other(&mut self, daemon: DaemonId, work: WorkByTarget, now: MonoTime) {
+        self.others.insert(daemon, (now, work));
+        self.sum_up(now);
+    }
+
+    /// Leaves out what is too old.
+    pub fn expire(&mut self, now: MonoTime) {
+        self.sum_up(now);
+    }
+
+    /// This daemon's own work.
+    #[must_use]
+    pub fn own(&self) -> &WorkByTarget {
+        &self.own
+    }
+
+    /// All work known at a target.
+    #[must_use]
+    pub fn total(&self, target: &TargetId) -> TargetWork {
+        let own = self.own.get(target).copied().unwrap_or_default();
+        let others = self.sum.get(target).copied().unwrap_or_default();
+        TargetWork {
+            running: own.running + others.running,
+            unread_tokens: own.unread_tokens + others.unread_tokens,
+        }
+    }
+
+    fn sum_up(&mut self, now: MonoTime) {
+        self.others
+            .retain(|_, (at, _)| now.since(*at) < STALE_AFTER);
+        self.sum.clear();
+        for (target, work) in self.others.values().flat_map(|(_, work)| work) {
+            let sum = self.sum.entry(target.clone()).or_default();
+            sum.running += work.running;
+            sum.unread_tokens += work.unread_tokens;
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,34 @@
+//! Plain-HTTP gateway: takes callers' requests on their own connections and
+//! forwards them to model engines and plain services.
+//!
+//! The gRPC interface keeps its own path (`requests`). Here each attempt of a
+//! caller arrives on one connection at one process, so nothing has to be recorded
+//! to run it at most once: one send whose outcome is unclear ends the attempt.
+//!
+//! One thread carries traffic; the control thread (`control`) follows the object
+//! store and publishes a [`fleet::FleetView`], which traffic reads without waiting.
+
+pub mod affinity;
+pub mod budget;
+pub mod client;
+pub mod control;
+pub mod daemon;
+pub mod directory;
+pub mod entry;
+pub mod event_split;
+pub mod fleet;
+pub mod forward;
+pub mod generate;
+pub mod health;
+pub mod journal;
+pub mod load;
+pub mod members;
+pub mod model;
+pub mod pool;
+pub mod port;
+pub mod registry;
+pub mod reply;
+pub mod routes;
+pub mod sending;
+pub mod settings;
+pub mod stream;
--- /dev/null
+++ b/src/gateway/port.rs
@@ -0,0 +1,160 @@
+//! Ports of the gateway: what an adapter translates between wire and gateway.
+//!
+//! Each is a pure function; connections, waits and retries are the gateway's own.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode, Uri};
+use thiserror::Error;
+
+use crate::gateway::model::{CallerRequest, FleetConfig, TargetRecord};
+use crate::names::{CentreName, TargetId};
+use crate::ports::PlatformPort;
+
+/// Something on the wire that cannot be read.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("{field}: found {found:?}; expected {expected}")]
+pub struct WireFault {
+    /// Field or header.
+    pub field: &'static str,
+    /// What stood there, shortened.
+    pub found: String,
+    /// What may stand there.
+    pub expected: &'static str,
+}
+
+impl WireFault {
+    /// Creates a fault; keeps the first 80 characters of what was found.
+    #[must_use]
+    pub fn new(field: &'static str, found: &str, expected: &'static str) -> Self {
+        let found = found.chars().take(80).collect();
+        Self {
+            field,
+            found,
+            expected,
+        }
+    }
+}
+
+/// Memory of a prompt that an engine read and keeps for another engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CacheHandle {
+    /// Engine that keeps it.
+    pub holder: SocketAddr,
+    /// The holder's name for it.
+    pub name: String,
+}
+
+/// What a target is asked to do with a caller's request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SendMode {
+    /// Run it from its beginning.
+    Run,
+    /// Read the prompt only and keep its memory.
+    ReadPrompt,
+    /// Run it from the memory of a prompt read elsewhere.
+    TakeOver(CacheHandle),
+}
+
+/// One send of a caller's request to a target.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SendOrder {
+    /// Target meant; any other one at its address refuses.
+    pub target: TargetId,
+    /// Time the target may spend.
+    pub time_left: Duration,
+    /// What to do.
+    pub mode: SendMode,
+    /// Last event already delivered, for a stream that goes on.
+    pub resume_after: Option<u64>,
+    /// Rank at the engine, 0 to 9, 0 first; `None` leaves it to the engine.
+    pub rank: Option<u8>,
+}
+
+/// What an answer's head says beside its status.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct AnswerMarks {
+    /// Attempt that it answers, where it says so.
+    pub request_id: Option<String>,
+    /// The target states that it has not run the request.
+    pub not_run: bool,
+    /// Another target answered at the address.
+    pub wrong_target: bool,
+    /// The answer bears the target's signature.
+    pub signed: bool,
+}
+
+/// A prompt that was read for another engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PromptRead {
+    /// The engine's name for the memory.
+    pub handle: String,
+    /// Tokens it holds.
+    pub tokens: u32,
+}
+
+/// A call to a target that carries no caller's request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TargetQuery {
+    /// HTTP method.
+    pub method: Method,
+    /// Path.
+    pub path: String,
+}
+
+/// A caller's question which address to use.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DirectoryQuestion {
+    /// Data centre the caller is in, or an empty name.
+    pub centre: CentreName,
+}
+
+/// Translation of requests and answers.
+#[derive(Clone)]
+pub struct WirePort {
+    /// Reads what a caller's head says.
+    pub decode_caller: Arc<dyn Fn(&HeaderMap) -> Result<CallerRequest, WireFault> + Send + Sync>,
+    /// Makes the head of a send from the caller's head.
+    pub encode_send: Arc<dyn Fn(&HeaderMap, &SendOrder) -> HeaderMap + Send + Sync>,
+    /// Reads what a target's head says.
+    pub decode_answer: Arc<dyn Fn(StatusCode, &HeaderMap) -> AnswerMarks + Send + Sync>,
+    /// Reads the answer to [`SendMode::ReadPrompt`].
+    pub decode_read: Arc<dyn Fn(&[u8]) -> Result<PromptRead, WireFault> + Send + Sync>,
+    /// Makes the call that frees a kept prompt.
+    pub free_handle: Arc<dyn Fn(&str) -> TargetQuery + Send + Sync>,
+    /// Reads a question to the directory; `None` where the path is another one.
+    pub directory_question: Arc<dyn Fn(&Uri) -> Option<DirectoryQuestion> + Send + Sync>,
+    /// Makes the directory's answer from addresses and the time to keep them.
+    pub directory_answer: Arc<dyn Fn(&[SocketAddr], Duration) -> Bytes + Send + Sync>,
+    /// Whether a path asks if this daemon is ready.
+    pub is_ready_path: Arc<dyn Fn(&str) -> bool + Send + Sync>,
+}
+
+/// Objects of the store and what they hold.
+#[derive(Clone)]
+pub struct StoreSchema {
+    /// Kind of the configuration.
+    pub config_kind: String,
+    /// Kind of the targets' entries.
+    pub target_kind: String,
+    /// Kind of the daemons' records, which is the gateway's own.
+    pub daemon_kind: String,
+    /// Reads a configuration.
+    pub decode_config: Arc<dyn Fn(&[u8]) -> Result<FleetConfig, WireFault> + Send + Sync>,
+    /// Reads a target's entry from its name and value.
+    pub decode_target: Arc<dyn Fn(&str, &[u8]) -> Result<TargetRecord, WireFault> + Send + Sync>,
+}
+
+/// Everything that the gateway needs from its adapter.
+#[derive(Clone)]
+pub struct GatewayPorts {
+    /// Requests and answers.
+    pub wire: WirePort,
+    /// What the store's objects mean.
+    pub schema: StoreSchema,
+    /// The object store.
+    pub store: PlatformPort,
+}
--- /dev/null
+++ b/src/gateway/routes.rs
@@ -0,0 +1,71 @@
+//! Finds the route of a request and the service that serves it.
+
+use indexmap::IndexMap;
+
+use crate::gateway::model::{CallerLimits, FleetConfig, RouteRule, ServiceRule};
+use crate::names::ServiceName;
+
+/// One version of the configuration, arranged for look-ups.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteTable {
+    /// Version that this is.
+    pub version: u64,
+    /// Limits on callers.
+    pub limits: CallerLimits,
+    services: IndexMap<ServiceName, ServiceRule>,
+    // Per host the longest prefixes first, so that the first match is the right one.
+    hosts: IndexMap<String, Vec<RouteRule>>,
+}
+
+impl From<FleetConfig> for RouteTable {
+    fn from(config: FleetConfig) -> Self {
+        let mut hosts: IndexMap<String, Vec<RouteRule>> = IndexMap::new();
+        for route in config.routes {
+            hosts.entry(route.host.clone()).or_default().push(route);
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        let services = config.services.into_iter();
+        Self {
+            version: config.version,
+            limits: config.limits,
+            services: services.map(|s| (s.name.clone(), s)).collect(),
+            hosts,
+        }
+    }
+}
+
+impl RouteTable {
+    /// Finds the route with the longest prefix of `path` among those of `host`.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&RouteRule> {
+        let routes = self.hosts.get(host)?;
+        routes.iter().find(|r| path.starts_with(&r.path_prefix))
+    }
+
+    /// Returns a service's rule.
+    #[must_use]
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceRule> {
+        self.services.get(name)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceRule> {
+        self.services.values()
+    }
+}
+
+/// Chooses a service by weight; `draw` is uniform in 0..1.
+#[must_use]
+pub fn choose_service(route: &RouteRule, draw: f64) -> Option<&ServiceName> {
+    let total: u32 = route.shares.iter().map(|share| share.weight).sum();
+    let mut left = draw * f64::from(total);
+    for share in &route.shares {
+        left -= f64::from(share.weight);
+        if left < 0.0 {
+            return Some(&share.service);
+        }
+    }
+    route.shares.last().map(|share| &share.service)
+}
--- /dev/null
+++ b/src/gateway/sending.rs
@@ -0,0 +1,257 @@
+//! One send of a caller's request to one target, over a kept or a new connection.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::response::Parts;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::clock;
+use crate::gateway::client::{self, HttpLink, OutgoingRequest, SendFault};
+use crate::gateway::daemon::Gateway;
+use crate::gateway::health::SendResult;
+use crate::gateway::model::TargetRecord;
+use crate::gateway::pool::LinkPool;
+use crate::gateway::port::{AnswerMarks, SendOrder};
+
+/// Longest time for a new connection. Connections take a few milliseconds; a
+/// target that needs longer is away, and the request can still go elsewhere.
+const CONNECT_WAIT: Duration = Duration::from_millis(400);
+/// Longest idle time of a connection for a request that may not be repeated: if
+/// the target dropped the connection meanwhile, the request would be lost.
+const SURE_IDLE: Duration = Duration::from_millis(1_500);
+
+/// Time to free a kept prompt; it expires by itself after some seconds.
+const FREE_WAIT: Duration = Duration::from_millis(800);
+/// Largest answer to the freeing of a prompt, in bytes.
+const MOST_FREE_ANSWER: usize = 16 * 1024;
+
+/// What became of a send.
+#[derive(Debug)]
+pub enum SendOutcome {
+    /// The target answered, with a success or a failure of its own.
+    Answered(TargetAnswer),
+    /// The target states that it did not run the request.
+    Refused(String),
+    /// Another target answered at the address and did not run the request.
+    WrongTarget,
+    /// No byte left.
+    NotSent(String),
+    /// It may have run.
+    Unclear(String),
+}
+
+impl SendOutcome {
+    /// Returns the outcome's name in logs.
+    #[must_use]
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Refused(_) => "refused",
+            Self::WrongTarget => "wrong_target",
+            Self::NotSent(_) => "not_sent",
+            Self::Unclear(_) => "unclear",
+        }
+    }
+}
+
+/// The head of an answer, with the body still to be read.
+#[derive(Debug)]
+pub struct TargetAnswer {
+    /// Status and headers.
+    pub head: Parts,
+    /// Body as it arrives.
+    pub body: Incoming,
+    /// What the head says.
+    pub marks: AnswerMarks,
+    /// The connection that it arrives on.
+    pub lease: LinkLease,
+}
+
+/// A connection in use. Dropped before [`LinkLease::give_back`] it is closed, by
+/// which the target learns that nobody waits any more.
+#[derive(Debug)]
+pub struct LinkLease {
+    link: Option<HttpLink>,
+    record: Rc<TargetRecord>,
+    pool: Rc<RefCell<LinkPool>>,
+}
+
+impl LinkLease {
+    fn new(pool: &Rc<RefCell<LinkPool>>, record: &TargetRecord) -> Self {
+        pool.borrow_mut().note_busy(record.address, true);
+        Self {
+            link: None,
+            record: Rc::new(record.clone()),
+            pool: pool.clone(),
+        }
+    }
+
+    /// Keeps the connection for later requests, after a whole answer.
+    pub fn give_back(mut self, head: &Parts) {
+        if let Some(link) = self.link.take() {
+            let address = self.record.address;
+            self.pool.borrow_mut().put(address, link, &head.headers);
+        }
+    }
+}
+
+impl Drop for LinkLease {
+    fn drop(&mut self) {
+        let address = self.record.address;
+        self.pool.borrow_mut().note_busy(address, false);
+    }
+}
+
+fn host_header(target: &TargetRecord) -> http::HeaderMap {
+    let mut headers = http::HeaderMap::new();
+    if let Ok(host) = target.address.to_string().parse() {
+        headers.insert(http::header::HOST, host);
+    }
+    headers
+}
+
+/// A caller's request as it is sent on, and until when.
+#[derive(Clone, Copy, Debug)]
+pub struct SendPlan<'a> {
+    /// The caller's request.
+    pub request: &'a OutgoingRequest,
+    /// Identity of the caller's attempt.
+    pub request_id: &'a str,
+    /// Whether another send may follow an unclear one.
+    pub may_repeat: bool,
+    /// Until when the head of the answer is waited for.
+    pub until: Instant,
+}
+
+impl Gateway {
+    /// Sends a request to a target and waits for the head of its answer.
+    pub async fn send(
+        &self,
+        target: &TargetRecord,
+        plan: SendPlan<'_>,
+        order: &SendOrder,
+    ) -> SendOutcome {
+        let mut request = plan.request.clone();
+        request.headers = (self.ports.wire.encode_send)(&plan.request.headers, order);
+        let mut lease = LinkLease::new(&self.pool, target);
+        let outcome = self.send_on(&mut lease, &request, plan).await;
+        let outcome = match outcome {
+            Ok(response) => self.judge(target, plan.request_id, response, lease),
+            Err(SendFault::NotSent(reason)) => SendOutcome::NotSent(reason),
+            Err(SendFault::Unclear(reason)) => SendOutcome::Unclear(reason),
+        };
+        self.note_outcome(target, &outcome);
+        outcome
+    }
+
+    async fn send_on(
+        &self,
+        lease: &mut LinkLease,
+        request: &OutgoingRequest,
+        plan: SendPlan<'_>,
+    ) -> Result<http::Response<Incoming>, SendFault> {
+        let address = lease.record.address;
+        while let Some(mut kept) = self.pool.borrow_mut().take(address, Instant::now()) {
+            if !plan.may_repeat && kept.idle_since.elapsed() > SURE_IDLE {
+                continue;
+            }
+            match kept.send(request, plan.until).await {
+                // Closed before the first byte: a new connection is no second send.
+                Err(SendFault::NotSent(_)) => {}
+                other => {
+                    lease.link = Some(kept);
+                    return other;
+                }
+            }
+        }
+        let until = plan.until.min(Instant::now() + CONNECT_WAIT);
+        metrics::counter!("pistachiowick_target_connections_total").increment(1);
+        let mut link = HttpLink::open(address, until).await?;
+        let answer = link.send(request, plan.until).await;
+        lease.link = Some(link);
+        answer
+    }
+
+    fn judge(
+        &self,
+        target: &TargetRecord,
+        request_id: &str,
+        response: http::Response<Incoming>,
+        lease: LinkLease,
+    ) -> SendOutcome {
+        let (head, body) = response.into_parts();
+        let marks = (self.ports.wire.decode_answer)(head.status, &head.headers);
+        let foreign = marks.request_id.as_deref();
+        if foreign.is_some_and(|answered| answered != request_id) {
+            return SendOutcome::Unclear(format!("{} answered another request", target.id));
+        }
+        if marks.wrong_target {
+            return SendOutcome::WrongTarget;
+        }
+        if marks.not_run {
+            // The short body of a refusal is not awaited; the connection goes with it.
+            return SendOutcome::Refused(format!("{} said {}", target.id, head.status));
+        }
+        SendOutcome::Answered(TargetAnswer {
+            head,
+            body,
+            marks,
+            lease,
+        })
+    }
+
+    fn note_outcome(&self, target: &TargetRecord, outcome: &SendOutcome) {
+        let result = match outcome {
+            // Whether the answer is whole is known at its end only.
+            SendOutcome::Answered(_) => return,
+            SendOutcome::Refused(_) | SendOutcome::WrongTarget => SendResult::Failed,
+            SendOutcome::NotSent(_) | SendOutcome::Unclear(_) => SendResult::Silent,
+        };
+        self.note_result(target, result);
+        if matches!(outcome, SendOutcome::WrongTarget) {
+            self.tell_departed(&target.id);
+        }
+    }
+
+    /// Frees a prompt that an engine keeps and that nobody will take.
+    pub async fn free_handle(&self, reader: &TargetRecord, name: &str) {
+        let query = (self.ports.wire.free_handle)(name);
+        let until = Instant::now() + FREE_WAIT;
+        let request = OutgoingRequest {
+            method: query.method,
+            uri: query.path.parse().unwrap_or_default(),
+            headers: host_header(reader),
+            body: bytes::Bytes::new(),
+        };
+        let mut lease = LinkLease::new(&self.pool, reader);
+        let kept = self.pool.borrow_mut().take(reader.address, Instant::now());
+        let link = match kept {
+            Some(link) => Ok(link),
+            None => HttpLink::open(reader.address, until).await,
+        };
+        let called = match link {
+            Ok(link) => {
+                let link = lease.link.insert(link);
+                client::call(link, &request, MOST_FREE_ANSWER, until).await
+            }
+            Err(fault) => Err(fault),
+        };
+        match called {
+            Ok((head, _)) => lease.give_back(&head),
+            Err(fault) => {
+                log::debug!(target_id = reader.id.as_str(); "kept prompt not freed, it expires: {fault}");
+            }
+        }
+    }
+
+    /// Notes what came of a send, and logs a target that is avoided from now on.
+    pub fn note_result(&self, target: &TargetRecord, result: SendResult) {
+        let now = clock::mono_now();
+        if self.health.borrow_mut().note(&target.id, result, now) {
+            log::warn!(target_id = target.id.as_str(), address = target.address.to_string(); "target gives no answers; avoided for a while");
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/settings.rs
@@ -0,0 +1,180 @@
+//! Settings of a gateway process, in JSON.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+use thiserror::Error;
+
+use crate::gateway::budget::BudgetRule;
+use crate::names::{CentreName, DaemonId};
+
+/// Settings that cannot be used.
+#[derive(Debug, Error)]
+pub enum SettingsFault {
+    /// The file cannot be read.
+    #[error("settings {path:?} cannot be read ({reason}); name a readable file")]
+    Unreadable {
+        /// Path tried.
+        path: String,
+        /// What happened.
+        reason: String,
+    },
+    /// It is no JSON of the expected form.
+    #[error("settings are not as expected: {0}; compare with docs/SETTINGS.md")]
+    Form(#[from] serde_json::Error),
+    /// A value is out of its range.
+    #[error("{field}: found {found}; expected {expected}")]
+    Range {
+        /// Field.
+        field: &'static str,
+        /// Value found.
+        found: String,
+        /// What it may be.
+        expected: &'static str,
+    },
+}
+
+/// Addresses that a process listens on.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+pub struct ListenSettings {
+    /// Callers' requests.
+    pub callers: Option<SocketAddr>,
+    /// The question whether this process is ready.
+    pub readiness: Option<SocketAddr>,
+    /// Callers' questions which address to use.
+    pub directory: Option<SocketAddr>,
+}
+
+/// Bounds that the deployment states. Times are in the unit that the name ends with.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+pub struct BoundSettings {
+    /// Time between the request to stop and the end of the process by force.
+    pub stop_grace_s: f64,
+    /// Repeated sends per request, for all daemons together.
+    pub repeat_ratio: f64,
+    /// Repeated sends per window beside the ratio, for all daemons together.
+    pub repeat_allowance: f64,
+    /// Window in which repeats are counted.
+    pub repeat_window_s: f64,
+    /// Longest time that callers keep the directory's answer.
+    pub directory_keep_s: f64,
+}
+
+/// Settings of one process.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct GatewaySettings {
+    /// Name of this daemon; its record in the store bears it.
+    pub daemon: DaemonId,
+    /// Address of this instance.
+    pub ip: Ipv4Addr,
+    /// Data centre of this instance.
+    pub centre: CentreName,
+    /// Region of each data centre.
+    #[serde(default)]
+    pub regions: IndexMap<CentreName, String>,
+    /// Where to listen.
+    pub listen: ListenSettings,
+    /// First and last port that daemons may use among themselves.
+    pub internal_ports: (u16, u16),
+    /// The object store.
+    pub store: SocketAddr,
+    /// Bounds of the deployment.
+    pub bounds: BoundSettings,
+    /// Lowest level of log lines: error, warn, info or debug.
+    #[serde(default = "default_level")]
+    pub log_level: String,
+}
+
+fn default_level() -> String {
+    "info".to_owned()
+}
+
+impl GatewaySettings {
+    /// Reads settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong and where.
+    pub fn load(path: &str) -> Result<Self, SettingsFault> {
+        let text = std::fs::read_to_string(path).map_err(|error| SettingsFault::Unreadable {
+            path: path.to_owned(),
+            reason: error.to_string(),
+        })?;
+        Self::parse(&text)
+    }
+
+    /// Reads settings from text.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong and where.
+    pub fn parse(text: &str) -> Result<Self, SettingsFault> {
+        let settings: Self = serde_json::from_str(text)?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsFault> {
+        let bounds = &self.bounds;
+        positive("bounds.stop_grace_s", bounds.stop_grace_s)?;
+        positive("bounds.repeat_window_s", bounds.repeat_window_s)?;
+        positive("bounds.directory_keep_s", bounds.directory_keep_s)?;
+        not_negative("bounds.repeat_ratio", bounds.repeat_ratio)?;
+        not_negative("bounds.repeat_allowance", bounds.repeat_allowance)?;
+        if self.daemon.is_empty() {
+            return Err(out_of_range("daemon", "an empty name", "a name"));
+        }
+        if self.internal_ports.1 < self.internal_ports.0 {
+            let found = format!("{:?}", self.internal_ports);
+            return Err(out_of_range("internal_ports", &found, "[first, last]"));
+        }
+        Ok(())
+    }
+
+    /// Returns the rule of the fleet's budget of repeats.
+    #[must_use]
+    pub fn budget_rule(&self) -> BudgetRule {
+        BudgetRule {
+            ratio: self.bounds.repeat_ratio,
+            allowance: self.bounds.repeat_allowance,
+            window: Duration::from_secs_f64(self.bounds.repeat_window_s),
+        }
+    }
+
+    /// Returns the address that other daemons connect to.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, self.internal_ports.0))
+    }
+
+    /// Returns the address that metrics are served on.
+    #[must_use]
+    pub fn metrics_address(&self) -> SocketAddr {
+        let port = self.internal_ports.0.saturating_add(1);
+        SocketAddr::from((self.ip, port.min(self.internal_ports.1)))
+    }
+}
+
+fn positive(field: &'static str, value: f64) -> Result<(), SettingsFault> {
+    if value > 0.0 && value.is_finite() {
+        return Ok(());
+    }
+    Err(out_of_range(field, &value.to_string(), "a number above 0"))
+}
+
+fn not_negative(field: &'static str, value: f64) -> Result<(), SettingsFault> {
+    if value >= 0.0 && value.is_finite() {
+        return Ok(());
+    }
+    Err(out_of_range(field, &value.to_string(), "0 or more"))
+}
+
+fn out_of_range(field: &'static str, found: &str, expected: &'static str) -> SettingsFault {
+    SettingsFault::Range {
+        field,
+        found: found.to_owned(),
+        expected,
+    }
+}
--- /dev/null
+++ b/src/gateway/stream.rs
@@ -0,0 +1,243 @@
+//! Passes a stream of events on to the caller, and continues it elsewhere when
+//! its engine breaks it off and the route allows that.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::BodyExt;
+use hyper::body::Frame;
+use tokio::time::{Instant, timeout_at};
+
+use crate::gateway::daemon::Gateway;
+use crate::gateway::event_split::EventSplitter;
+use crate::gateway::forward::{RoutedCall, SendTrail, WorkGuard};
+use crate::gateway::health::SendResult;
+use crate::gateway::model::{RepeatRule, TargetRecord};
+use crate::gateway::port::SendMode;
+use crate::gateway::reply::{AnswerCut, FrameStream};
+use crate::gateway::sending::{SendOutcome, TargetAnswer};
+
+/// Silence of an engine after which a resumable stream is continued elsewhere, in
+/// longest allowed pauses. Callers give up after two seconds or more.
+const STALL_GAPS: u32 = 4;
+/// Longest allowed pause where the route states none.
+const DEFAULT_GAP: Duration = Duration::from_millis(300);
+
+/// A stream on its way to the caller. Dropping it ends the engine's work.
+pub struct EventRelay {
+    gateway: Rc<Gateway>,
+    call: Rc<RoutedCall>,
+    engine: Arc<TargetRecord>,
+    answer: Option<TargetAnswer>,
+    splitter: EventSplitter,
+    last_id: Option<u64>,
+    trail: SendTrail,
+    work: Option<WorkGuard>,
+    first_event: Option<Instant>,
+}
+
+enum RelayStep {
+    Bytes(Bytes),
+    Partial,
+    Ended,
+    Broken(String),
+    OutOfTime,
+}
+
+impl EventRelay {
+    /// Starts passing on an answer of `engine`.
+    #[must_use]
+    pub fn new(
+        gateway: Rc<Gateway>,
+        call: Rc<RoutedCall>,
+        engine: Arc<TargetRecord>,
+        answer: TargetAnswer,
+        trail: SendTrail,
+        work: WorkGuard,
+    ) -> Self {
+        let last_id = call.caller.resume_after;
+        Self {
+            gateway,
+            call,
+            engine,
+            answer: Some(answer),
+            splitter: EventSplitter::default(),
+            last_id,
+            trail,
+            work: Some(work),
+            first_event: None,
+        }
+    }
+
+    /// Turns the relay into frames of a body.
+    #[must_use]
+    pub fn into_frames(self) -> FrameStream {
+        Box::pin(stream::unfold(Some(self), |relay| async move {
+            let mut relay = relay?;
+            match relay.next().await {
+                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
+                Ok(None) => None,
+                Err(cut) => Some((Err(cut), None)),
+            }
+        }))
+    }
+
+    async fn next(&mut self) -> Result<Option<Bytes>, AnswerCut> {
+        loop {
+            match self.step().await {
+                RelayStep::Bytes(bytes) => return Ok(Some(bytes)),
+                RelayStep::Partial => {}
+                RelayStep::Ended => {
+                    self.end("answered", SendResult::Answered);
+                    return Ok(None);
+                }
+                RelayStep::OutOfTime => {
+                    self.end("out_of_time", SendResult::Failed);
+                    return Err(AnswerCut("its time is up".to_owned()));
+                }
+                RelayStep::Broken(reason) => {
+                    if !self.resume(&reason).await {
+                        self.end("cut", SendResult::Failed);
+                        return Err(AnswerCut(reason));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn step(&mut self) -> RelayStep {
+        let stall = self.stall_limit();
+        let Some(answer) = &mut self.answer else {
+            return RelayStep::Broken("the engine is gone".to_owned());
+        };
+        let until = self.call.due.min(stall);
+        match timeout_at(until, answer.body.frame()).await {
+            Err(_) if Instant::now() >= self.call.due => RelayStep::OutOfTime,
+            Err(_) => RelayStep::Broken("the engine stalled".to_owned()),
+            Ok(None) => self.take_end(),
+            Ok(Some(Err(error))) => RelayStep::Broken(error.to_string()),
+            Ok(Some(Ok(frame))) => self.take_frame(frame),
+        }
+    }
+
+    fn stall_limit(&self) -> Instant {
+        let now = Instant::now();
+        if !self.may_resume() {
+            return self.call.due;
+        }
+        let gap = self.call.route.gap_objective.unwrap_or(DEFAULT_GAP);
+        let wait = match self.first_event {
+            Some(_) => gap * STALL_GAPS,
+            None => (gap * STALL_GAPS).max(self.call.route.objective * 2),
+        };
+        now + wait
+    }
+
+    fn take_frame(&mut self, frame: Frame<Bytes>) -> RelayStep {
+        let Ok(data) = frame.into_data() else {
+            return RelayStep::Partial;
+        };
+        let Some(batch) = self.splitter.push(&data) else {
+            return if self.splitter.is_overlong() {
+                RelayStep::Broken("an event is too long".to_owned())
+            } else {
+                RelayStep::Partial
+            };
+        };
+        if self.first_event.is_none() {
+            self.first_event = Some(Instant::now());
+            let waited = self.call.arrived.elapsed();
+            metrics::histogram!("pistachiowick_gateway_first_event_seconds", "route" => self.call.route.name.clone())
+                .record(waited);
+        }
+        self.last_id = batch.last_id.or(self.last_id);
+        RelayStep::Bytes(batch.bytes)
+    }
+
+    fn take_end(&mut self) -> RelayStep {
+        let rest = self.splitter.take_rest();
+        if rest.is_empty() {
+            return RelayStep::Ended;
+        }
+        RelayStep::Broken("the engine stopped in the middle of an event".to_owned())
+    }
+
+    fn may_resume(&self) -> bool {
+        self.call.route.repeat == RepeatRule::ResumableStream && self.trail.may_send(&self.call)
+    }
+
+    // Continues after the last whole event that the caller has. The answer keeps
+    // the head of its first engine.
+    async fn resume(&mut self, reason: &str) -> bool {
+        if !self.may_resume() {
+            return false;
+        }
+        self.gateway.note_result(&self.engine, SendResult::Failed);
+        self.answer = None;
+        self.work = None;
+        self.splitter.clear();
+        let Some(place) = self.gateway.place(&self.call, &self.trail) else {
+            return false;
+        };
+        if !self.gateway.may_repeat(&self.call) {
+            return false;
+        }
+        let engine = place.writer;
+        self.trail.sent.push(engine.id.clone());
+        let mut work = WorkGuard::begin(&self.gateway, &engine.id, place.unread_tokens);
+        let order = self
+            .gateway
+            .order(&self.call, &engine, SendMode::Run, self.last_id);
+        let sent = Instant::now();
+        let plan = self.call.plan(self.call.due);
+        let outcome = self.gateway.send(&engine, plan, &order).await;
+        log::info!(
+            request = self.call.caller.id.as_str(),
+            reason = reason,
+            after_event = self.last_id.unwrap_or(0),
+            target_id = engine.id.as_str(),
+            outcome = outcome.as_str(),
+            took_ms = sent.elapsed().as_millis() as u64;
+            "stream continued"
+        );
+        let SendOutcome::Answered(answer) = outcome else {
+            return false;
+        };
+        if !answer.head.status.is_success() {
+            return false;
+        }
+        work.note_read();
+        self.work = Some(work);
+        self.engine = engine;
+        self.answer = Some(answer);
+        true
+    }
+
+    fn end(&mut self, outcome: &'static str, result: SendResult) {
+        self.gateway.note_result(&self.engine, result);
+        metrics::counter!("pistachiowick_gateway_answers_total", "outcome" => outcome).increment(1);
+        let first_ms = self
+            .first_event
+            .map_or(0, |at| (at - self.call.arrived).as_millis() as u64);
+        log::info!(
+            request = self.call.caller.id.as_str(),
+            route = self.call.route.name.as_str(),
+            target_id = self.engine.id.as_str(),
+            outcome = outcome,
+            last_event = self.last_id.unwrap_or(0),
+            first_event_ms = first_ms,
+            took_ms = self.call.arrived.elapsed().as_millis() as u64;
+            "stream ended"
+        );
+        self.work = None;
+        let Some(answer) = self.answer.take() else {
+            return;
+        };
+        if result == SendResult::Answered {
+            answer.lease.give_back(&answer.head);
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod control;
 pub mod decide;
 pub mod flags;
+pub mod gateway;
 pub mod intents;
 pub mod invariants;
 pub mod logging;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -69,7 +69,7 @@
     }
 }
 
-fn json_line(message: &fmt::Arguments<'_>, record: &Record<'_>) -> Value {
+pub(crate) fn json_line(message: &fmt::Arguments<'_>, record: &Record<'_>) -> Value {
     // What a line says of itself comes last, so that no pair can stand in for it.
     let mut fields = record_pairs(record);
     let level = record.level().as_str().to_lowercase();
