Link the gateway's daemons: work, caches and configuration as hints

Change: every daemon sends its outstanding work and what engines came to hold five times a second to each other one.

--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -134,7 +134,12 @@
     }
 }
 
-fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+/// Sets what notices a silent partition soon, and sends small messages at once.
+///
+/// # Errors
+///
+/// Returns the error of the socket.
+pub fn set_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(ACK_WAIT))?;
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -44,6 +44,13 @@
 pub enum ControlNews {
     /// A target was not at its address any more.
     TargetDeparted(TargetId),
+    /// Another daemon sent a configuration.
+    PeerConfig {
+        /// Revision of the store's object.
+        revision: u64,
+        /// Its value.
+        value: Vec<u8>,
+    },
     /// This daemon is stopping.
     Stopping,
 }
@@ -104,6 +111,7 @@
     registry: TargetRegistry,
     members: MemberBook,
     routes: Option<Arc<RouteTable>>,
+    config_source: Option<(u64, Arc<[u8]>)>,
     targets_known: bool,
 }
 
@@ -120,6 +128,7 @@
         registry: TargetRegistry::default(),
         members: MemberBook::default(),
         routes: None,
+        config_source: None,
         targets_known: false,
     };
     let timer = TimerService::start();
@@ -128,6 +137,9 @@
         let changed = tokio::select! {
             news = inbox.recv() => match news {
                 Some(ControlNews::TargetDeparted(id)) => state.note_departed(&id),
+                Some(ControlNews::PeerConfig { revision, value }) => {
+                    state.take_value(revision, &value)
+                }
                 Some(ControlNews::Stopping) => {
                     record_sender.send_modify(|record| record.leaving = true);
                     false
@@ -221,13 +233,21 @@
     }
 
     fn take_config(&mut self, object: &StoredObject) -> bool {
-        let Some(value) = &object.value else {
-            return false;
-        };
+        let value = object.value.as_ref();
+        value.is_some_and(|value| self.take_value(object.version.0, value))
+    }
+
+    fn take_value(&mut self, revision: u64, value: &[u8]) -> bool {
         match (self.ports.schema.decode_config)(value) {
-            Ok(config) => self.apply_config(config, object.version.0),
+            Ok(config) => {
+                let applied = self.apply_config(config, revision);
+                if applied {
+                    self.config_source = Some((revision, Arc::from(value)));
+                }
+                applied
+            }
             Err(fault) => {
-                log::error!(revision = object.version.0; "configuration left out, the one before stays: {fault}");
+                log::error!(revision = revision; "configuration left out, the one before stays: {fault}");
                 false
             }
         }
@@ -248,6 +268,8 @@
             routes: self.routes.clone(),
             targets: self.registry.by_service(),
             targets_known: self.targets_known,
+            config_source: self.config_source.clone(),
+            departed: self.registry.departed().cloned().collect(),
             daemons: self.members.all(),
         };
         self.cell.store(Arc::new(view));
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,6 +25,7 @@
 use crate::gateway::health::HealthBook;
 use crate::gateway::load::LoadBook;
 use crate::gateway::members::DaemonRecord;
+use crate::gateway::peers::{self, PeerBook};
 use crate::gateway::pool::LinkPool;
 use crate::gateway::port::GatewayPorts;
 use crate::gateway::settings::GatewaySettings;
@@ -48,6 +50,10 @@
     pub load: RefCell<LoadBook>,
     /// What engines have cached.
     pub caches: RefCell<CacheBook>,
+    /// The other daemons.
+    pub peers: RefCell<PeerBook>,
+    /// Distinguishes this life of the daemon from others under its name.
+    pub life: u64,
     /// Repeats.
     pub budget: RefCell<RepeatBudget>,
     /// Draws.
@@ -116,6 +122,7 @@
         settings: GatewaySettings,
         ports: GatewayPorts,
         fleet: FleetCell,
+        life: u64,
         news: mpsc::UnboundedSender<ControlNews>,
     ) -> Self {
         let budget = RepeatBudget::new(settings.budget_rule());
@@ -127,6 +134,8 @@
             health: RefCell::default(),
             load: RefCell::default(),
             caches: RefCell::default(),
+            peers: RefCell::default(),
+            life,
             budget: RefCell::new(budget),
             rng: RefCell::new(SmallRng::from_os_rng()),
             stopping: Cell::new(false),
@@ -138,7 +147,10 @@
     /// Whether callers may be sent to a daemon.
     #[must_use]
     pub fn is_usable(&self, daemon: &DaemonId) -> bool {
-        *daemon != self.settings.daemon || !self.stopping.get()
+        if *daemon == self.settings.daemon {
+            return !self.stopping.get();
+        }
+        self.peers.borrow().is_usable(daemon, clock::mono_now())
     }
 
     fn sweep(&self) {
@@ -171,15 +183,18 @@
 ) -> Result<(), DaemonFault> {
     let metrics = telemetry::install_prometheus()?;
     let fleet: FleetCell = Arc::new(ArcSwap::from_pointee(FleetView::default()));
-    let control = start_control(&settings, &ports, &fleet)?;
+    let life = rand::rng().random();
+    let control = start_control(&settings, &ports, &fleet, life)?;
     let grace = Duration::from_secs_f64(settings.bounds.stop_grace_s);
-    let gateway = Rc::new(Gateway::new(settings, ports, fleet, control.news));
+    let gateway = Rc::new(Gateway::new(settings, ports, fleet, life, control.news));
     let (close, closing) = watch::channel(false);
     let listeners = open_listeners(&gateway, &metrics).await?;
     for (listener, kind) in listeners {
         let (gateway, closing) = (gateway.clone(), closing.clone());
         spawn_local(entry::accept_loop(gateway, listener, kind, closing));
     }
+    let peer_listener = listen(gateway.settings.peer_address()).await?;
+    spawn_local(peers::run(gateway.clone(), peer_listener));
     spawn_local(upkeep(gateway.clone(), metrics));
     log::info!(daemon = gateway.settings.daemon.as_str(), centre = gateway.settings.centre.as_str(); "started");
     stop.await;
@@ -209,6 +224,7 @@
     settings: &GatewaySettings,
     ports: &GatewayPorts,
     fleet: &FleetCell,
+    life: u64,
 ) -> Result<ControlLink, DaemonFault> {
     let callers = settings
         .listen
@@ -219,7 +235,7 @@
         cell: fleet.clone(),
         record: DaemonRecord {
             id: settings.daemon.clone(),
-            life: rand::rng().random(),
+            life,
             callers,
             peers: settings.peer_address(),
             centre: settings.centre.clone(),
@@ -236,25 +252,31 @@
     gateway: &Gateway,
     metrics: &PrometheusHandle,
 ) -> Result<Vec<(TcpListener, PageKind)>, DaemonFault> {
-    let listen = &gateway.settings.listen;
+    let addresses = &gateway.settings.listen;
     let pages = || PageKind::Pages(metrics.clone());
     let mut wanted = vec![(gateway.settings.metrics_address(), pages())];
-    wanted.extend(listen.callers.map(|address| (address, PageKind::Callers)));
-    wanted.extend(listen.readiness.map(|address| (address, pages())));
-    wanted.extend(listen.directory.map(|address| (address, pages())));
+    wanted.extend(
+        addresses
+            .callers
+            .map(|address| (address, PageKind::Callers)),
+    );
+    wanted.extend(addresses.readiness.map(|address| (address, pages())));
+    wanted.extend(addresses.directory.map(|address| (address, pages())));
     let mut listeners = Vec::new();
     for (address, kind) in wanted {
-        let listener = entry::listen(address)
-            .await
-            .map_err(|error| DaemonFault::Start {
-                what: format!("listening on {address}"),
-                error,
-            })?;
-        listeners.push((listener, kind));
+        listeners.push((listen(address).await?, kind));
     }
     Ok(listeners)
 }
 
+async fn listen(address: SocketAddr) -> Result<TcpListener, DaemonFault> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| DaemonFault::Start {
+        what: format!("listening on {address}"),
+        error,
+    })
+}
+
 async fn upkeep(gateway: Rc<Gateway>, metrics: PrometheusHandle) {
     let timer = TimerService::start();
     let mut sweeps = timer.every(SWEEP);
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -1,7 +1,6 @@
 //! Listens for callers, questions to the directory, readiness and metrics.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -67,15 +66,6 @@
     }
 }
 
-/// Listens on an address.
-///
-/// # Errors
-///
-/// Returns the error of the socket.
-pub async fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    TcpListener::bind(address).await
-}
-
 async fn serve_stream(
     gateway: Rc<Gateway>,
     stream: TcpStream,
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -19,7 +19,11 @@
     pub targets: IndexMap<ServiceName, Vec<Arc<TargetRecord>>>,
     /// Whether the targets were listed once.
     pub targets_known: bool,
-    /// Other daemons that take callers, as far as known.
+    /// Revision and value of that configuration, for daemons that are behind.
+    pub config_source: Option<(u64, Arc<[u8]>)>,
+    /// Targets that announced their departure lately.
+    pub departed: Vec<TargetId>,
+    /// Daemons with a record in the store, this one included.
     pub daemons: Vec<DaemonRecord>,
 }
 
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -30,7 +30,7 @@
 /// Part of [`READ_RATE`] that a decode engine reaches beside its other requests.
 const DECODE_READ_SHARE: f64 = 0.5;
 /// Time of a reading beside its tokens, in milliseconds: two calls and a transfer.
-const HAND_OVER_MS: f64 = 25.0;
+const HAND_OVER_MS: f64 = 15.0;
 /// Weight of a shared part that is read again, in reading times: re-reading costs
 /// other requests their place in the cache as well as the time.
 const REREAD_WEIGHT: f64 = 2.0;
@@ -41,7 +41,7 @@
 /// Cost of a target that gave no answers lately, in milliseconds.
 const AVOIDED_MS: f64 = 20_000.0;
 /// Shortest wait for a reading before it is asked for elsewhere.
-const SHORTEST_READ_WAIT: Duration = Duration::from_millis(700);
+const SHORTEST_READ_WAIT: Duration = Duration::from_millis(1_500);
 /// Longest time, in expected times, for a reading.
 const READ_PATIENCE: f64 = 4.0;
 /// Readings asked for before the decode engine reads itself.
@@ -76,6 +76,7 @@
         let mut trail = SendTrail::default();
         let mut last = Failure::refused("no engine is known", ENGINE_BUSY_WAIT);
         while let Some(place) = self.place(&call, &trail) {
+            self.log_place(&call, &place);
             let handle = self.read_ahead(&call, &place).await;
             match self.start(&call, &place, handle, &mut trail).await {
                 Started::Reply(reply) => return Ok(reply),
@@ -86,6 +87,26 @@
         Err(last)
     }
 
+    fn log_place(&self, call: &RoutedCall, place: &EnginePlace) {
+        let load = self.load.borrow();
+        let reader = place.reader.as_ref().unwrap_or(&place.writer);
+        let prompt = call.caller.prompt.as_ref();
+        log::info!(
+            request = call.caller.id.as_str(),
+            route = call.route.name.as_str(),
+            reader = reader.id.as_str(),
+            writer = place.writer.id.as_str(),
+            hand_over = place.reader.is_some(),
+            prompt_tokens = prompt.map_or(0, |p| p.prompt_tokens),
+            unread_tokens = place.unread_tokens,
+            waiting_tokens = load.total(&reader.id).unread_tokens,
+            running = load.total(&place.writer.id).running,
+            others_known = load.others(),
+            expected_ms = place.expected_ms as u64;
+            "placed"
+        );
+    }
+
     async fn start(
         self: &Rc<Self>,
         call: &Rc<RoutedCall>,
@@ -301,6 +322,8 @@
         };
         let mut caches = self.caches.borrow_mut();
         caches.note_held(&engine.id, &prompt.parts, clock::mono_now());
+        let mut peers = self.peers.borrow_mut();
+        peers.note_held(&engine.id, &prompt.parts);
     }
 
     /// Chooses the engines of a request.
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -87,6 +87,12 @@
         }
     }
 
+    /// Daemons whose work is known, beside this one.
+    #[must_use]
+    pub fn others(&self) -> usize {
+        self.others.len()
+    }
+
     fn sum_up(&mut self, now: MonoTime) {
         self.others
             .retain(|_, (at, _)| now.since(*at) < STALE_AFTER);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod load;
 pub mod members;
 pub mod model;
+pub mod peers;
 pub mod pool;
 pub mod port;
 pub mod registry;
--- /dev/null
+++ b/src/gateway/peers.rs
@@ -0,0 +1,372 @@
+//! Links between gateway daemons: hints on work and caches, and the configuration
+//! for a daemon that the store does not serve.
+//!
+//! Each daemon opens one link to every other one and sends on it; what it hears
+//! comes over the links that the others open. So each direction is judged alone:
+//! a sender notices by the acknowledgements, a receiver by silence. No promise
+//! rests on what is heard; a daemon cut off decides by what it sees itself.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
+
+use crate::clock;
+use crate::gateway::control::ControlNews;
+use crate::gateway::daemon::Gateway;
+use crate::gateway::load::TargetWork;
+use crate::gateway::members::DaemonRecord;
+use crate::gateway::model::PromptPart;
+use crate::names::{DaemonId, MonoTime, TargetId};
+use crate::timer::TimerService;
+
+/// Time between two hints. Choices of different daemons within it do not know of
+/// each other; at today's rates that is one or two requests a daemon.
+const HINT_EVERY: Duration = Duration::from_millis(200);
+/// Time to open a link and to send one message.
+const LINK_WAIT: Duration = Duration::from_millis(1_000);
+/// Pause before a lost link is opened again.
+const DIAL_PAUSE: Duration = Duration::from_millis(300);
+/// Silence after which a daemon is taken to be away.
+const SILENCE: Duration = Duration::from_millis(1_300);
+/// Silence after which an incoming link is dropped.
+const LINK_SILENCE: Duration = Duration::from_secs(5);
+/// How long a daemon's version may stay behind before it is sent the
+/// configuration: the store has told most daemons by then.
+const CONFIG_PATIENCE: Duration = Duration::from_millis(500);
+/// Largest message, in bytes: a configuration may take a megabyte.
+const MESSAGE_BYTES: usize = 2 << 20;
+/// Most links that a daemon opens. Larger fleets are heard in part.
+const MOST_LINKS: usize = 16;
+
+/// Shared parts of a prompt that an engine now holds.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct HeldNote {
+    /// The engine.
+    pub engine: TargetId,
+    /// Keys and tokens of the parts, in the prompt's order.
+    pub parts: Vec<(u64, u32)>,
+}
+
+/// What a daemon tells the others several times a second.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct PeerHint {
+    /// Who tells it.
+    pub from: DaemonId,
+    /// Its life, as its record in the store names it.
+    pub life: u64,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// Version of the configuration that it runs.
+    pub config_version: u64,
+    /// Its work at targets.
+    pub work: Vec<(TargetId, TargetWork)>,
+    /// What engines came to hold by its requests since the last hint.
+    pub held: Vec<HeldNote>,
+    /// Targets that it knows to be leaving.
+    pub departed: Vec<TargetId>,
+}
+
+/// A message between daemons.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum PeerMessage {
+    /// Hint.
+    Hint(PeerHint),
+    /// A configuration as the store holds it.
+    Config {
+        /// Revision of the store's object.
+        revision: u64,
+        /// Its value.
+        value: Vec<u8>,
+    },
+}
+
+impl PeerMessage {
+    fn encode(&self) -> Message {
+        let mut bytes = Vec::new();
+        // Plain data always encodes into memory.
+        let _ = ciborium::into_writer(self, &mut bytes);
+        Message::binary(bytes)
+    }
+}
+
+/// What was last heard of a daemon.
+#[derive(Clone, Copy, Debug)]
+struct HeardState {
+    at: MonoTime,
+    leaving: bool,
+    config_version: u64,
+    behind_since: Option<MonoTime>,
+}
+
+/// What is heard of the other daemons.
+#[derive(Debug, Default)]
+pub struct PeerBook {
+    heard: IndexMap<DaemonId, HeardState>,
+    pending: Vec<HeldNote>,
+}
+
+impl PeerBook {
+    /// Keeps what an engine came to hold for the next hint.
+    pub fn note_held(&mut self, engine: &TargetId, parts: &[PromptPart]) {
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        if shared.is_empty() {
+            return;
+        }
+        self.pending.push(HeldNote {
+            engine: engine.clone(),
+            parts: shared.iter().map(|part| (part.key, part.tokens)).collect(),
+        });
+    }
+
+    /// Whether callers may be sent to a daemon. One that was never heard may just
+    /// have started, and if none is heard it is this daemon that is cut off.
+    #[must_use]
+    pub fn is_usable(&self, daemon: &DaemonId, now: MonoTime) -> bool {
+        let alive = |state: &HeardState| now.since(state.at) < SILENCE;
+        let Some(state) = self.heard.get(daemon) else {
+            return true;
+        };
+        !state.leaving && (alive(state) || !self.heard.values().any(alive))
+    }
+
+    fn note_hint(&mut self, hint: &PeerHint, own_version: u64, now: MonoTime) {
+        let before = self.heard.get(&hint.from);
+        let behind = hint.config_version < own_version;
+        let behind_since = behind.then(|| before.and_then(|b| b.behind_since).unwrap_or(now));
+        let state = HeardState {
+            at: now,
+            leaving: hint.leaving,
+            config_version: hint.config_version,
+            behind_since,
+        };
+        self.heard.insert(hint.from.clone(), state);
+    }
+
+    fn needs_config(&self, daemon: &DaemonId, own_version: u64, now: MonoTime) -> bool {
+        self.heard.get(daemon).is_some_and(|state| {
+            let waited = state.behind_since.map(|since| now.since(since));
+            state.config_version < own_version && waited.is_some_and(|w| w > CONFIG_PATIENCE)
+        })
+    }
+
+    fn take_held(&mut self) -> Vec<HeldNote> {
+        std::mem::take(&mut self.pending)
+    }
+
+    fn retain(&mut self, keep: impl Fn(&DaemonId) -> bool) {
+        self.heard.retain(|daemon, _| keep(daemon));
+    }
+}
+
+type Link = WebSocketStream<TcpStream>;
+
+/// Runs the links of a daemon until the process ends.
+pub async fn run(gateway: Rc<Gateway>, listener: TcpListener) {
+    spawn_local(accept(gateway.clone(), listener));
+    let (hints, hint) = watch::channel(gateway.hint());
+    let timer = TimerService::start();
+    let mut ticks = timer.every(HINT_EVERY);
+    let mut senders: IndexMap<DaemonId, (SocketAddr, JoinHandle<()>)> = IndexMap::new();
+    while ticks.next().await.is_some() {
+        let wanted = gateway.wanted_links();
+        senders.retain(|id, (address, task)| {
+            let stays = wanted.iter().any(|d| d.id == *id && d.peers == *address);
+            if !stays {
+                task.abort();
+            }
+            stays
+        });
+        for daemon in wanted {
+            senders.entry(daemon.id.clone()).or_insert_with(|| {
+                let sending = keep_sending(gateway.clone(), daemon.clone(), hint.clone());
+                (daemon.peers, spawn_local(sending))
+            });
+        }
+        hints.send_replace(gateway.hint());
+    }
+}
+
+async fn keep_sending(gateway: Rc<Gateway>, daemon: DaemonRecord, hint: watch::Receiver<PeerHint>) {
+    loop {
+        if let Ok(Some(link)) = timeout(LINK_WAIT, dial(daemon.peers)).await {
+            log::info!(peer = daemon.id.as_str(); "link to another daemon is up");
+            send_hints(&gateway, &daemon, link, hint.clone()).await;
+            log::info!(peer = daemon.id.as_str(); "link to another daemon is lost");
+        }
+        sleep(DIAL_PAUSE).await;
+    }
+}
+
+async fn dial(address: SocketAddr) -> Option<Link> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    crate::gateway::client::set_options(&stream).ok()?;
+    let url = format!("ws://{address}/");
+    let opened = client_async_with_config(url, stream, Some(config())).await;
+    opened.ok().map(|(link, _)| link)
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(8 * 1024)
+        .write_buffer_size(0)
+        .max_message_size(Some(MESSAGE_BYTES))
+        .max_frame_size(Some(MESSAGE_BYTES))
+}
+
+async fn send_hints(
+    gateway: &Gateway,
+    daemon: &DaemonRecord,
+    mut link: Link,
+    mut hint: watch::Receiver<PeerHint>,
+) {
+    let mut sent_version = 0;
+    while hint.changed().await.is_ok() {
+        let message = PeerMessage::Hint(hint.borrow_and_update().clone());
+        if !send(&mut link, &message).await {
+            return;
+        }
+        if let Some((version, message)) = gateway.config_for(&daemon.id, sent_version) {
+            log::info!(peer = daemon.id.as_str(), version = version; "configuration sent to a daemon that is behind");
+            if !send(&mut link, &message).await {
+                return;
+            }
+            sent_version = version;
+        }
+    }
+}
+
+async fn send(link: &mut Link, message: &PeerMessage) -> bool {
+    matches!(
+        timeout(LINK_WAIT, link.send(message.encode())).await,
+        Ok(Ok(()))
+    )
+}
+
+async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(receive(gateway.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!("no link accepted ({error}); trying again");
+                sleep(DIAL_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn receive(gateway: Rc<Gateway>, stream: TcpStream) {
+    let opening = accept_async_with_config(stream, Some(config()));
+    let Ok(Ok(mut link)) = timeout(LINK_WAIT, opening).await else {
+        return;
+    };
+    while let Ok(Some(Ok(message))) = timeout(LINK_SILENCE, link.next()).await {
+        let Message::Binary(bytes) = message else {
+            continue;
+        };
+        match ciborium::from_reader::<PeerMessage, _>(&bytes[..]) {
+            Ok(message) => gateway.take_message(message),
+            Err(error) => {
+                log::warn!("message of another daemon cannot be read, link dropped: {error}");
+                return;
+            }
+        }
+    }
+}
+
+impl Gateway {
+    fn hint(&self) -> PeerHint {
+        let view = self.view();
+        let load = self.load.borrow();
+        let work = load.own().iter().map(|(id, work)| (id.clone(), *work));
+        PeerHint {
+            from: self.settings.daemon.clone(),
+            life: self.life,
+            leaving: self.stopping.get(),
+            config_version: view.routes.as_ref().map_or(0, |routes| routes.version),
+            work: work.collect(),
+            held: self.peers.borrow_mut().take_held(),
+            departed: view.departed.clone(),
+        }
+    }
+
+    fn wanted_links(&self) -> Vec<DaemonRecord> {
+        let view = self.view();
+        let own = &self.settings.daemon;
+        self.peers
+            .borrow_mut()
+            .retain(|id| view.daemons.iter().any(|daemon| daemon.id == *id));
+        let others = view.daemons.iter().filter(|daemon| daemon.id != *own);
+        others.take(MOST_LINKS).cloned().collect()
+    }
+
+    fn config_for(&self, daemon: &DaemonId, sent: u64) -> Option<(u64, PeerMessage)> {
+        let view = self.view();
+        let version = view.routes.as_ref()?.version;
+        let now = clock::mono_now();
+        let behind = self.peers.borrow().needs_config(daemon, version, now);
+        let (revision, value) = view.config_source.as_ref().filter(|_| behind)?;
+        (version > sent).then(|| {
+            let message = PeerMessage::Config {
+                revision: *revision,
+                value: value.to_vec(),
+            };
+            (version, message)
+        })
+    }
+
+    fn take_message(&self, message: PeerMessage) {
+        match message {
+            PeerMessage::Hint(hint) => self.take_hint(hint),
+            PeerMessage::Config { revision, value } => {
+                // The control thread ends only with the process.
+                let _ = self.news.send(ControlNews::PeerConfig { revision, value });
+            }
+        }
+    }
+
+    // The life in a hint stands in the sender's record in the store, which only
+    // daemons read: a process that does not know it is not listened to.
+    fn take_hint(&self, hint: PeerHint) {
+        let view = self.view();
+        let known = view
+            .daemons
+            .iter()
+            .any(|d| d.id == hint.from && d.life == hint.life);
+        if !known {
+            return;
+        }
+        let now = clock::mono_now();
+        let own_version = view.routes.as_ref().map_or(0, |routes| routes.version);
+        self.peers.borrow_mut().note_hint(&hint, own_version, now);
+        let mut caches = self.caches.borrow_mut();
+        for note in &hint.held {
+            let parts: Vec<PromptPart> = note
+                .parts
+                .iter()
+                .map(|(key, tokens)| PromptPart {
+                    key: *key,
+                    tokens: *tokens,
+                })
+                .collect();
+            caches.note_held(&note.engine, &parts, now);
+        }
+        for target in hint.departed.iter().filter(|target| view.holds(target)) {
+            self.tell_departed(target);
+        }
+        let work = hint.work.into_iter().collect();
+        self.load.borrow_mut().set_other(hint.from, work, now);
+    }
+}
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -1,6 +1,7 @@
 //! One send of a caller's request to one target, over a kept or a new connection.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -154,7 +155,7 @@
         plan: SendPlan<'_>,
     ) -> Result<http::Response<Incoming>, SendFault> {
         let address = lease.record.address;
-        while let Some(mut kept) = self.pool.borrow_mut().take(address, Instant::now()) {
+        while let Some(mut kept) = self.take_kept(address) {
             if !plan.may_repeat && kept.idle_since.elapsed() > SURE_IDLE {
                 continue;
             }
@@ -175,6 +176,11 @@
         answer
     }
 
+    // A step of its own, so that the pool is not borrowed across a wait.
+    fn take_kept(&self, address: SocketAddr) -> Option<HttpLink> {
+        self.pool.borrow_mut().take(address, Instant::now())
+    }
+
     fn judge(
         &self,
         target: &TargetRecord,
@@ -227,8 +233,7 @@
             body: bytes::Bytes::new(),
         };
         let mut lease = LinkLease::new(&self.pool, reader);
-        let kept = self.pool.borrow_mut().take(reader.address, Instant::now());
-        let link = match kept {
+        let link = match self.take_kept(reader.address) {
             Some(link) => Ok(link),
             None => HttpLink::open(reader.address, until).await,
         };
