--- a/src/gateway/affinity.rs
+++ b/src/gateway/affinity.rs
@@ -17,6 +17,10 @@
 /// least recently used; at the loads met so far parts lived for tens of seconds.
 const BELIEF_TIME: Duration = Duration::from_secs(60);
 
+/// Part of an engine's memory that is taken to be left for cached parts, in
+/// percent, beside running requests.
+const CACHE_SHARE_PERCENT: u64 = 70;
+
 #[derive(Clone, Copy, Debug)]
 struct CachedPart {
     tokens: u32,
@@ -31,9 +35,9 @@
 }
 
 impl CacheBook {
-    /// Sets how many tokens an engine can cache.
+    /// Sets how many tokens an engine's memory holds. Running requests share it.
     pub fn set_capacity(&mut self, tokens: u64) {
-        self.most_tokens = tokens;
+        self.most_tokens = tokens * CACHE_SHARE_PERCENT / 100;
     }
 
     /// Tokens of the leading parts that an engine is believed to have.
@@ -49,6 +53,17 @@
         held.sum()
     }
 
+    /// Engines believed to hold some of the leading `parts`, with the tokens held.
+    pub fn holders<'a>(
+        &'a self,
+        parts: &'a [PromptPart],
+        now: MonoTime,
+    ) -> impl Iterator<Item = (&'a TargetId, u32)> {
+        let engines = self.engines.keys();
+        let held = engines.map(move |engine| (engine, self.cached_tokens(engine, parts, now)));
+        held.filter(|(_, tokens)| *tokens > 0)
+    }
+
     /// Notes that an engine has read, or was given, a prompt.
     pub fn note_held(&mut self, engine: &TargetId, parts: &[PromptPart], now: MonoTime) {
         let cached = self.engines.entry(engine.clone()).or_default();
--- /dev/null
+++ b/src/gateway/engine_choice.rs
@@ -0,0 +1,222 @@
+//! Which engine reads a prompt and which one makes the tokens: a pure choice.
+//!
+//! Prefill engines read fast and cannot generate; decode engines do both and read
+//! slowly beside their other requests. A prompt may be read on a prefill engine
+//! and handed over, or read where its tokens are made. Either engine can copy
+//! shared parts from one that holds them, which takes milliseconds where reading
+//! them again takes hundreds. The choice is the way with the least expected time
+//! to the first token, with a price on what costs others.
+
+use std::sync::Arc;
+
+use crate::gateway::affinity;
+use crate::gateway::health::HealthView;
+use crate::gateway::load::TargetWork;
+use crate::gateway::model::{EngineStage, PromptShape, TargetRecord};
+
+/// Time of a reading beside its tokens, in milliseconds; read off idle engines.
+const READ_BASE_MS: f64 = 95.0;
+/// Tokens that a prefill engine reads in a millisecond under load, in pieces of
+/// about fifty milliseconds each; read off busy engines.
+const PREFILL_RATE: f64 = 42.0;
+/// Tokens that a decode engine reads in a millisecond beside its requests.
+const DECODE_RATE: f64 = 20.0;
+/// Time of a hand-over beside the reading, in milliseconds.
+const HAND_OVER_MS: f64 = 20.0;
+/// Cost of a copied token, in milliseconds: its transfer, and what it costs.
+const COPY_MS: f64 = 0.002;
+/// Weight of shared tokens that are read again, in reading times: they also take
+/// the place of other parts in the cache.
+const REREAD_WEIGHT: f64 = 2.0;
+/// Part of the cost of reading a shared part that its home is spared, so that
+/// daemons that do not know of each other's choice yet make the same one.
+const HOME_DISCOUNT: f64 = 0.5;
+/// What one more running request costs the next one, in milliseconds.
+const RUNNING_MS: f64 = 2.0;
+/// What a request waits for each one beyond an engine's places, in milliseconds.
+const OVERFULL_MS: f64 = 50.0;
+/// Cost of an engine that gave no answers lately, in milliseconds.
+const AVOIDED_MS: f64 = 20_000.0;
+/// Cost of an engine that was avoided and has not answered since.
+const UNPROVED_MS: f64 = 300.0;
+/// Cost of certain failure, in milliseconds.
+const FAILURE_MS: f64 = 1_000.0;
+
+/// One engine as a choice sees it.
+#[derive(Clone, Debug)]
+pub struct EngineState {
+    /// The engine.
+    pub record: Arc<TargetRecord>,
+    /// Leading tokens of the prompt that it is believed to hold.
+    pub held_tokens: u32,
+    /// Work outstanding at it.
+    pub work: TargetWork,
+    /// How it answers.
+    pub health: HealthView,
+    /// Whether another request may be sent to it.
+    pub may_get_work: bool,
+}
+
+impl EngineState {
+    fn is_reader(&self) -> bool {
+        self.record.stage == Some(EngineStage::Prefill)
+    }
+
+    fn trouble_ms(&self) -> f64 {
+        let avoided = if self.health.avoided { AVOIDED_MS } else { 0.0 };
+        let unproved = if self.health.unproved {
+            UNPROVED_MS
+        } else {
+            0.0
+        };
+        avoided + unproved + FAILURE_MS * self.health.failure_rate
+    }
+
+    fn running_ms(&self) -> f64 {
+        let running = self.work.running;
+        let beyond = running.saturating_sub(self.record.slots);
+        f64::from(running) * RUNNING_MS + f64::from(beyond) * OVERFULL_MS
+    }
+}
+
+/// Engines chosen for a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EnginePlace {
+    /// Engine that reads the prompt for the other; `None` where one does both.
+    pub reader: Option<Arc<TargetRecord>>,
+    /// Engine that makes the tokens.
+    pub writer: Arc<TargetRecord>,
+    /// Engine that the reading one copies shared parts from.
+    pub fetch_from: Option<Arc<TargetRecord>>,
+    /// Expected time to the first token, in milliseconds.
+    pub expected_ms: f64,
+    /// Tokens that the reading engine still has to read.
+    pub unread_tokens: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ReadWay<'a> {
+    engine: &'a EngineState,
+    fetch_from: Option<&'a EngineState>,
+    ms: f64,
+    unread_tokens: u32,
+}
+
+/// Chooses engines for a prompt of a rank; `None` without an engine that generates.
+#[must_use]
+pub fn choose(engines: &[EngineState], prompt: &PromptShape, urgency: u8) -> Option<EnginePlace> {
+    let scene = Scene::new(engines, prompt, urgency);
+    let direct = scene.cheapest(|e| !e.is_reader() && e.may_get_work)?;
+    let Some(read) = scene.cheapest(|e| e.is_reader() && e.may_get_work) else {
+        return Some(direct_place(&direct));
+    };
+    let Some((writer, writer_ms)) = scene.writer() else {
+        return Some(direct_place(&direct));
+    };
+    let handed_ms = read.ms + HAND_OVER_MS + writer_ms;
+    if handed_ms >= direct.ms {
+        return Some(direct_place(&direct));
+    }
+    Some(EnginePlace {
+        reader: Some(read.engine.record.clone()),
+        writer: writer.record.clone(),
+        fetch_from: read.fetch_from.map(|holder| holder.record.clone()),
+        expected_ms: handed_ms,
+        unread_tokens: read.unread_tokens,
+    })
+}
+
+fn direct_place(way: &ReadWay<'_>) -> EnginePlace {
+    EnginePlace {
+        reader: None,
+        writer: way.engine.record.clone(),
+        fetch_from: way.fetch_from.map(|holder| holder.record.clone()),
+        expected_ms: way.ms,
+        unread_tokens: way.unread_tokens,
+    }
+}
+
+struct Scene<'a> {
+    engines: &'a [EngineState],
+    prompt: &'a PromptShape,
+    urgency: u8,
+    shared_tokens: u32,
+    home: Option<&'a EngineState>,
+    holder: Option<&'a EngineState>,
+}
+
+impl<'a> Scene<'a> {
+    fn new(engines: &'a [EngineState], prompt: &'a PromptShape, urgency: u8) -> Self {
+        let key = affinity::shared_key(&prompt.parts);
+        let home = key.and_then(|key| {
+            let sound = engines.iter().filter(|e| !e.health.avoided);
+            sound.max_by_key(|e| affinity::home_weight(key, &e.record.id))
+        });
+        let holders = engines.iter().filter(|e| !e.health.avoided);
+        let holder = holders
+            .filter(|e| e.held_tokens > 0)
+            .max_by_key(|e| e.held_tokens);
+        Self {
+            engines,
+            prompt,
+            urgency,
+            shared_tokens: affinity::shared_tokens(&prompt.parts),
+            home,
+            holder,
+        }
+    }
+
+    fn cheapest(&self, fits: impl Fn(&EngineState) -> bool) -> Option<ReadWay<'a>> {
+        let ways = self.engines.iter().filter(|e| fits(e));
+        ways.map(|engine| self.way(engine))
+            .min_by(|a, b| a.ms.total_cmp(&b.ms))
+    }
+
+    fn way(&self, engine: &'a EngineState) -> ReadWay<'a> {
+        let held = engine.held_tokens;
+        let most = self.shared_tokens;
+        let copyable = self.holder.map_or(0, |holder| holder.held_tokens.min(most));
+        let copied = copyable.saturating_sub(held);
+        let fetch_from = self.holder.filter(|_| copied > 0);
+        let unread = self.prompt.prompt_tokens.saturating_sub(held + copied);
+        let reread = self.shared_tokens.saturating_sub(held + copied);
+        let is_home = self
+            .home
+            .is_some_and(|home| home.record.id == engine.record.id);
+        let discount = if is_home { HOME_DISCOUNT } else { 0.0 };
+        let rate = if engine.is_reader() {
+            PREFILL_RATE
+        } else {
+            DECODE_RATE
+        };
+        let waiting = engine.work.unread_before(self.urgency);
+        let tokens = f64::from(unread)
+            + f64::from(waiting)
+            + REREAD_WEIGHT * f64::from(reread) * (1.0 - discount);
+        let reading = READ_BASE_MS + tokens / rate * engine.health.pace;
+        let running = if engine.is_reader() {
+            0.0
+        } else {
+            engine.running_ms()
+        };
+        ReadWay {
+            engine,
+            fetch_from,
+            ms: reading + running + f64::from(copied) * COPY_MS + engine.trouble_ms(),
+            unread_tokens: unread,
+        }
+    }
+
+    // The decode engine that disturbs a handed-over request least.
+    fn writer(&self) -> Option<(&'a EngineState, f64)> {
+        let fits = |e: &&EngineState| !e.is_reader() && e.may_get_work;
+        let costs = self.engines.iter().filter(fits).map(|engine| {
+            let waiting = f64::from(engine.work.unread_before(self.urgency)) / DECODE_RATE;
+            let copied = self.prompt.prompt_tokens.saturating_sub(engine.held_tokens);
+            let copy_ms = f64::from(copied) * COPY_MS;
+            let ms = waiting + copy_ms + engine.running_ms() + engine.trouble_ms();
+            (engine, ms)
+        });
+        costs.min_by(|a, b| a.1.total_cmp(&b.1))
+    }
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -122,16 +122,24 @@
 pub struct WorkGuard {
     gateway: Rc<Gateway>,
     target: TargetId,
+    urgency: u8,
     unread_tokens: u32,
 }
 
 impl WorkGuard {
-    /// Counts a request with `unread_tokens` to read.
-    pub fn begin(gateway: &Rc<Gateway>, target: &TargetId, unread_tokens: u32) -> Self {
-        gateway.load.borrow_mut().begin(target, unread_tokens);
+    /// Counts a request of a rank with `unread_tokens` to read.
+    pub fn begin(
+        gateway: &Rc<Gateway>,
+        target: &TargetId,
+        urgency: u8,
+        unread_tokens: u32,
+    ) -> Self {
+        let mut load = gateway.load.borrow_mut();
+        load.begin(target, urgency, unread_tokens);
         Self {
             gateway: gateway.clone(),
             target: target.clone(),
+            urgency,
             unread_tokens,
         }
     }
@@ -139,7 +147,7 @@
     /// Notes that the prompt was read.
     pub fn note_read(&mut self) {
         let mut load = self.gateway.load.borrow_mut();
-        load.note_read(&self.target, self.unread_tokens);
+        load.note_read(&self.target, self.urgency, self.unread_tokens);
         self.unread_tokens = 0;
     }
 }
@@ -147,7 +155,7 @@
 impl Drop for WorkGuard {
     fn drop(&mut self) {
         let mut load = self.gateway.load.borrow_mut();
-        load.end(&self.target, self.unread_tokens);
+        load.end(&self.target, self.urgency, self.unread_tokens);
     }
 }
 
@@ -296,7 +304,7 @@
             call.due
         };
         let order = plain_order(target, call);
-        let _work = WorkGuard::begin(self, &target.id, 0);
+        let _work = WorkGuard::begin(self, &target.id, 0, 0);
         let outcome = self.send(target, call.plan(until), &order).await;
         let end = self.finish_plain(target, call, outcome).await;
         call.log_send(target, "run", end.as_str(), sent);
@@ -393,6 +401,7 @@
         time_left: call.time_left(),
         mode: SendMode::Run,
         resume_after: call.caller.resume_after,
+        fetch_from: None,
         rank: None,
     }
 }
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -7,17 +7,17 @@
 use tokio::time::Instant;
 
 use crate::clock;
-use crate::gateway::affinity;
 use crate::gateway::client;
 use crate::gateway::daemon::Gateway;
+use crate::gateway::engine_choice::{self, EnginePlace, EngineState};
 use crate::gateway::forward::{RoutedCall, SendTrail, WorkGuard, lost};
 use crate::gateway::health::SendResult;
-use crate::gateway::model::{EngineStage, PromptPart, TargetRecord};
+use crate::gateway::model::TargetRecord;
 use crate::gateway::port::{CacheHandle, SendMode, SendOrder};
 use crate::gateway::reply::{Failure, Reply, stream_reply, whole_reply};
 use crate::gateway::sending::{SendOutcome, TargetAnswer};
 use crate::gateway::stream::EventRelay;
-use crate::names::{MonoTime, TargetId};
+use crate::names::TargetId;
 
 /// Time to come back after a refusal by an engine.
 const ENGINE_BUSY_WAIT: Duration = Duration::from_millis(200);
@@ -25,21 +25,6 @@
 const MOST_READ_ANSWER: usize = 64 * 1024;
 /// Largest failure of an engine that is passed on, in bytes.
 const MOST_FAILURE_BYTES: usize = 1 << 20;
-/// Tokens that a prefill engine reads in a millisecond, before any was measured.
-const READ_RATE: f64 = 50.0;
-/// Part of [`READ_RATE`] that a decode engine reaches beside its other requests.
-const DECODE_READ_SHARE: f64 = 0.5;
-/// Time of a reading beside its tokens, in milliseconds: two calls and a transfer.
-const HAND_OVER_MS: f64 = 15.0;
-/// Weight of a shared part that is read again, in reading times: re-reading costs
-/// other requests their place in the cache as well as the time.
-const REREAD_WEIGHT: f64 = 2.0;
-/// What one more running request costs the next one, in milliseconds.
-const RUNNING_MS: f64 = 2.0;
-/// What a request waits for each one beyond an engine's places, in milliseconds.
-const OVERFULL_MS: f64 = 50.0;
-/// Cost of a target that gave no answers lately, in milliseconds.
-const AVOIDED_MS: f64 = 20_000.0;
 /// Shortest wait for a reading before it is asked for elsewhere.
 const SHORTEST_READ_WAIT: Duration = Duration::from_millis(1_500);
 /// Longest time, in expected times, for a reading.
@@ -47,25 +32,6 @@
 /// Readings asked for before the decode engine reads itself.
 const MOST_READINGS: u32 = 2;
 
-/// Engines chosen for a request.
-#[derive(Clone, Debug)]
-pub struct EnginePlace {
-    /// Engine that reads the prompt for the other; `None` where one does both.
-    pub reader: Option<Arc<TargetRecord>>,
-    /// Engine that makes the tokens.
-    pub writer: Arc<TargetRecord>,
-    /// Expected time to the first event.
-    pub expected_ms: f64,
-    /// Tokens that the reading engine still has to read.
-    pub unread_tokens: u32,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct ReadCost {
-    ms: f64,
-    unread_tokens: u32,
-}
-
 impl Gateway {
     /// Runs a generation request up to the head of its answer.
     ///
@@ -99,7 +65,8 @@
             hand_over = place.reader.is_some(),
             prompt_tokens = prompt.map_or(0, |p| p.prompt_tokens),
             unread_tokens = place.unread_tokens,
-            waiting_tokens = load.total(&reader.id).unread_tokens,
+            waiting_tokens = load.total(&reader.id).unread_before(call.route.urgency),
+            fetch_from = place.fetch_from.as_ref().map_or("", |holder| holder.id.as_str()),
             running = load.total(&place.writer.id).running,
             others_known = load.others(),
             expected_ms = place.expected_ms as u64;
@@ -119,10 +86,12 @@
             Some(_) => 0,
             None => place.unread_tokens,
         };
-        let mut work = WorkGuard::begin(self, &writer.id, unread);
+        let urgency = call.route.urgency;
+        let mut work = WorkGuard::begin(self, &writer.id, urgency, unread);
+        let fetch_from = place.fetch_from.as_deref().filter(|_| handle.is_none());
         let sent = Instant::now();
         let mode = handle.as_ref().map_or(SendMode::Run, HandleGuard::mode);
-        let mut outcome = self.send_writer(call, writer, mode, sent).await;
+        let mut outcome = self.send_writer(call, writer, mode, fetch_from, sent).await;
         if handle.is_some() && matches!(outcome, SendOutcome::Refused(_)) {
             // The memory could not be had. The same engine can still read by itself,
             // which is no further target.
@@ -130,7 +99,10 @@
                 handle.forget();
             }
             if self.may_repeat(call) {
-                outcome = self.send_writer(call, writer, SendMode::Run, sent).await;
+                let fetch_from = Some(place.reader.as_deref().unwrap_or(writer));
+                outcome = self
+                    .send_writer(call, writer, SendMode::Run, fetch_from, sent)
+                    .await;
             }
         }
         let failure = match outcome {
@@ -172,13 +144,15 @@
         call: &RoutedCall,
         writer: &TargetRecord,
         mode: SendMode,
+        fetch_from: Option<&TargetRecord>,
         sent: Instant,
     ) -> SendOutcome {
         let step = match mode {
             SendMode::TakeOver(_) => "take_over",
             _ => "run",
         };
-        let order = self.order(call, writer, mode, call.caller.resume_after);
+        let resume_after = call.caller.resume_after;
+        let order = self.order(call, writer, mode, resume_after, fetch_from);
         let outcome = self.send(writer, call.plan(call.due), &order).await;
         call.log_send(writer, step, outcome.as_str(), sent);
         outcome
@@ -192,12 +166,14 @@
         engine: &TargetRecord,
         mode: SendMode,
         resume_after: Option<u64>,
+        fetch_from: Option<&TargetRecord>,
     ) -> SendOrder {
         SendOrder {
             target: engine.id.clone(),
             time_left: call.time_left(),
             mode,
             resume_after,
+            fetch_from: fetch_from.map(|holder| holder.address),
             rank: Some(call.route.urgency.min(9)),
         }
     }
@@ -254,11 +230,17 @@
             if reading == MOST_READINGS || !self.may_repeat(call) {
                 break;
             }
-            reader = self.choose_reader(call, &tried)?;
+            reader = self.another_reader(call, &tried)?;
         }
         None
     }
 
+    fn another_reader(&self, call: &RoutedCall, tried: &[TargetId]) -> Option<Arc<TargetRecord>> {
+        let engines = self.engine_states(call, |id| !tried.contains(id));
+        let prompt = call.caller.prompt.clone().unwrap_or_default();
+        engine_choice::choose(&engines, &prompt, call.route.urgency)?.reader
+    }
+
     async fn read_prompt(
         self: &Rc<Self>,
         call: &Rc<RoutedCall>,
@@ -266,10 +248,12 @@
         place: &EnginePlace,
     ) -> Option<HandleGuard> {
         let sent = Instant::now();
-        let _work = WorkGuard::begin(self, &reader.id, place.unread_tokens);
+        let urgency = call.route.urgency;
+        let _work = WorkGuard::begin(self, &reader.id, urgency, place.unread_tokens);
         let patience = Duration::from_secs_f64(place.expected_ms * READ_PATIENCE / 1_000.0);
         let until = sent + patience.max(SHORTEST_READ_WAIT);
-        let order = self.order(call, reader, SendMode::ReadPrompt, None);
+        let fetch_from = place.fetch_from.as_deref();
+        let order = self.order(call, reader, SendMode::ReadPrompt, None, fetch_from);
         let outcome = self.send(reader, call.plan(until), &order).await;
         let read = self
             .finish_reading(reader, outcome, until.min(call.due))
@@ -326,156 +310,38 @@
         peers.note_held(&engine.id, &prompt.parts);
     }
 
-    /// Chooses the engines of a request.
+    /// Chooses the engines of a request among those that its trail leaves.
     #[must_use]
     pub fn place(&self, call: &RoutedCall, trail: &SendTrail) -> Option<EnginePlace> {
-        let newest = self.view();
-        let engines = call.view.of_service(&call.service.name);
-        let usable: Vec<&Arc<TargetRecord>> =
-            engines.iter().filter(|e| newest.holds(&e.id)).collect();
-        let writers = usable
-            .iter()
-            .copied()
-            .filter(|e| e.stage != Some(EngineStage::Prefill) && !trail.has(&e.id));
-        let readers: Vec<&Arc<TargetRecord>> = usable
-            .iter()
-            .copied()
-            .filter(|e| e.stage == Some(EngineStage::Prefill))
-            .collect();
-        let now = clock::mono_now();
-        let writers: Vec<&Arc<TargetRecord>> = writers.collect();
-        let direct = self.cheapest(call, &writers, now, true)?;
-        let read = self.cheapest(call, &readers, now, false);
-        let idle = self.least_running(&writers, call, now)?;
-        let direct_ms = direct.1.ms + self.running_ms(direct.0, call, now);
-        let handed_ms =
-            read.map(|(_, cost)| cost.ms + HAND_OVER_MS + self.running_ms(idle, call, now));
-        match (read, handed_ms) {
-            (Some((reader, cost)), Some(ms)) if ms < direct_ms => Some(EnginePlace {
-                reader: Some(reader.clone()),
-                writer: idle.clone(),
-                expected_ms: ms,
-                unread_tokens: cost.unread_tokens,
-            }),
-            _ => Some(EnginePlace {
-                reader: None,
-                writer: direct.0.clone(),
-                expected_ms: direct_ms,
-                unread_tokens: direct.1.unread_tokens,
-            }),
-        }
+        let engines = self.engine_states(call, |id| !trail.has(id));
+        let prompt = call.caller.prompt.clone().unwrap_or_default();
+        engine_choice::choose(&engines, &prompt, call.route.urgency)
     }
 
-    fn choose_reader(&self, call: &RoutedCall, tried: &[TargetId]) -> Option<Arc<TargetRecord>> {
-        let newest = self.view();
-        let engines = call.view.of_service(&call.service.name);
-        let readers: Vec<&Arc<TargetRecord>> = engines
-            .iter()
-            .filter(|e| e.stage == Some(EngineStage::Prefill))
-            .filter(|e| newest.holds(&e.id) && !tried.contains(&e.id))
-            .collect();
-        let best = self.cheapest(call, &readers, clock::mono_now(), false);
-        best.map(|(reader, _)| reader.clone())
-    }
-
-    fn cheapest<'a>(
+    fn engine_states(
         &self,
         call: &RoutedCall,
-        engines: &[&'a Arc<TargetRecord>],
-        now: MonoTime,
-        decodes: bool,
-    ) -> Option<(&'a Arc<TargetRecord>, ReadCost)> {
+        fits: impl Fn(&TargetId) -> bool,
+    ) -> Vec<EngineState> {
+        let newest = self.view();
+        let now = clock::mono_now();
         let parts = call.caller.prompt.as_ref().map_or(&[][..], |p| &p.parts);
-        let home = first_home(parts, engines);
-        let costs = engines.iter().map(|engine| {
-            let is_home = home.is_some_and(|home| home == &engine.id);
-            let cost = self.read_cost(call, engine, is_home, now, decodes);
-            (*engine, cost)
+        let (health, load, caches) = (
+            self.health.borrow(),
+            self.load.borrow(),
+            self.caches.borrow(),
+        );
+        let engines = call.view.of_service(&call.service.name).iter();
+        let staying = engines.filter(|engine| newest.holds(&engine.id));
+        let states = staying.map(|engine| EngineState {
+            record: engine.clone(),
+            held_tokens: caches.cached_tokens(&engine.id, parts, now),
+            work: load.total(&engine.id),
+            health: health.view(&engine.id, now),
+            may_get_work: fits(&engine.id),
         });
-        costs.min_by(|a, b| {
-            let of = |(engine, cost): &(&Arc<TargetRecord>, ReadCost)| {
-                cost.ms
-                    + if decodes {
-                        self.running_ms(engine, call, now)
-                    } else {
-                        0.0
-                    }
-            };
-            of(a).total_cmp(&of(b))
-        })
+        states.collect()
     }
-
-    fn read_cost(
-        &self,
-        call: &RoutedCall,
-        engine: &TargetRecord,
-        is_home: bool,
-        now: MonoTime,
-        decodes: bool,
-    ) -> ReadCost {
-        let Some(prompt) = &call.caller.prompt else {
-            return ReadCost {
-                ms: 0.0,
-                unread_tokens: 0,
-            };
-        };
-        let shared = affinity::shared_tokens(&prompt.parts);
-        let held = self
-            .caches
-            .borrow()
-            .cached_tokens(&engine.id, &prompt.parts, now);
-        // The home is taken to hold the shared parts: others sent them there too.
-        let held = if is_home { held.max(shared) } else { held };
-        let unread = prompt.prompt_tokens.saturating_sub(held);
-        let reread = shared.saturating_sub(held);
-        let rate = if decodes {
-            READ_RATE * DECODE_READ_SHARE
-        } else {
-            READ_RATE
-        };
-        let waiting = self.load.borrow().total(&engine.id).unread_tokens;
-        let view = self.health.borrow().view(&engine.id, now);
-        let tokens = f64::from(unread) + f64::from(waiting) + REREAD_WEIGHT * f64::from(reread);
-        let mut ms = tokens / rate * view.pace;
-        if view.avoided {
-            ms += AVOIDED_MS;
-        }
-        ms += 1_000.0 * view.failure_rate;
-        ReadCost {
-            ms,
-            unread_tokens: unread,
-        }
-    }
-
-    fn running_ms(&self, engine: &TargetRecord, call: &RoutedCall, now: MonoTime) -> f64 {
-        let running = self.load.borrow().total(&engine.id).running;
-        let slots = call
-            .service
-            .engine
-            .as_ref()
-            .map_or(engine.slots, |e| e.slots);
-        let beyond = f64::from(running.saturating_sub(slots));
-        let view = self.health.borrow().view(&engine.id, now);
-        let away = if view.avoided { AVOIDED_MS } else { 0.0 };
-        f64::from(running) * RUNNING_MS + beyond * OVERFULL_MS + away + 1_000.0 * view.failure_rate
-    }
-
-    fn least_running<'a>(
-        &self,
-        engines: &[&'a Arc<TargetRecord>],
-        call: &RoutedCall,
-        now: MonoTime,
-    ) -> Option<&'a Arc<TargetRecord>> {
-        let costs = engines.iter().map(|e| (self.running_ms(e, call, now), *e));
-        let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
-        best.map(|(_, engine)| engine)
-    }
-}
-
-fn first_home<'a>(parts: &[PromptPart], engines: &[&'a Arc<TargetRecord>]) -> Option<&'a TargetId> {
-    let key = affinity::shared_key(parts)?;
-    let ids = engines.iter().map(|engine| &engine.id);
-    ids.max_by_key(|id| affinity::home_weight(key, id))
 }
 
 enum Started {
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -10,15 +10,39 @@
 /// Age from which another daemon's counts are left out.
 const STALE_AFTER: Duration = Duration::from_millis(1_500);
 
+/// Ranks that are told apart; less urgent ones count with the last.
+pub const RANKS: usize = 4;
+
 /// Work at one target.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TargetWork {
     /// Requests sent and not ended.
     #[serde(rename = "r")]
     pub running: u32,
-    /// Prompt tokens still to be read.
+    /// Prompt tokens still to be read, by rank: engines read the more urgent first.
     #[serde(rename = "t")]
-    pub unread_tokens: u32,
+    pub unread: [u32; RANKS],
+}
+
+impl TargetWork {
+    /// Tokens that are read before those of a new request of `urgency`.
+    #[must_use]
+    pub fn unread_before(&self, urgency: u8) -> u32 {
+        self.unread[..=rank_index(urgency)].iter().sum()
+    }
+}
+
+impl TargetWork {
+    fn add(&mut self, other: &Self) {
+        self.running += other.running;
+        for (sum, tokens) in self.unread.iter_mut().zip(other.unread) {
+            *sum += tokens;
+        }
+    }
+}
+
+fn rank_index(urgency: u8) -> usize {
+    usize::from(urgency).min(RANKS - 1)
 }
 
 /// Work by target.
@@ -34,25 +58,26 @@
 }
 
 impl LoadBook {
-    /// Notes the start of a request with `unread_tokens` to read.
-    pub fn begin(&mut self, target: &TargetId, unread_tokens: u32) {
+    /// Notes the start of a request of a rank with `unread_tokens` to read.
+    pub fn begin(&mut self, target: &TargetId, urgency: u8, unread_tokens: u32) {
         let work = self.own.entry(target.clone()).or_default();
         work.running += 1;
-        work.unread_tokens += unread_tokens;
+        work.unread[rank_index(urgency)] += unread_tokens;
     }
 
     /// Notes that tokens counted by [`Self::begin`] were read.
-    pub fn note_read(&mut self, target: &TargetId, tokens: u32) {
+    pub fn note_read(&mut self, target: &TargetId, urgency: u8, tokens: u32) {
         if let Some(work) = self.own.get_mut(target) {
-            work.unread_tokens = work.unread_tokens.saturating_sub(tokens);
+            let unread = &mut work.unread[rank_index(urgency)];
+            *unread = unread.saturating_sub(tokens);
         }
     }
 
     /// Notes the end of a request, of whose prompt `unread_tokens` were not read.
-    pub fn end(&mut self, target: &TargetId, unread_tokens: u32) {
+    pub fn end(&mut self, target: &TargetId, urgency: u8, unread_tokens: u32) {
+        self.note_read(target, urgency, unread_tokens);
         if let Some(work) = self.own.get_mut(target) {
             work.running = work.running.saturating_sub(1);
-            work.unread_tokens = work.unread_tokens.saturating_sub(unread_tokens);
             if work.running == 0 {
                 self.own.swap_remove(target);
             }
@@ -79,12 +104,9 @@
     /// All work known at a target.
     #[must_use]
     pub fn total(&self, target: &TargetId) -> TargetWork {
-        let own = self.own.get(target).copied().unwrap_or_default();
-        let others = self.sum.get(target).copied().unwrap_or_default();
-        TargetWork {
-            running: own.running + others.running,
-            unread_tokens: own.unread_tokens + others.unread_tokens,
-        }
+        let mut total = self.own.get(target).copied().unwrap_or_default();
+        total.add(&self.sum.get(target).copied().unwrap_or_default());
+        total
     }
 
     /// Daemons whose work is known, beside this one.
@@ -98,9 +120,7 @@
             .retain(|_, (at, _)| now.since(*at) < STALE_AFTER);
         self.sum.clear();
         for (target, work) in self.others.values().flat_map(|(_, work)| work) {
-            let sum = self.sum.entry(target.clone()).or_default();
-            sum.running += work.running;
-            sum.unread_tokens += work.unread_tokens;
+            self.sum.entry(target.clone()).or_default().add(work);
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod control;
 pub mod daemon;
 pub mod directory;
+pub mod engine_choice;
 pub mod entry;
 pub mod event_split;
 pub mod fleet;
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -70,6 +70,8 @@
     pub mode: SendMode,
     /// Last event already delivered, for a stream that goes on.
     pub resume_after: Option<u64>,
+    /// Engine from which cached parts of the prompt are copied first.
+    pub fetch_from: Option<SocketAddr>,
     /// Rank at the engine, 0 to 9, 0 first; `None` leaves it to the engine.
     pub rank: Option<u8>,
 }
