--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -11,19 +11,16 @@
 const FEWEST_NEAR: usize = 2;
 
 /// Chooses addresses for a caller in `centre`: the daemons there, or all where
-/// these are too few for one to fail. Daemons for which `usable` is false are
-/// left out unless nothing else is left.
+/// these are too few for one to fail. Daemons that leave or for which `usable`
+/// is false are left out.
 #[must_use]
 pub fn addresses_for(
     daemons: &[DaemonRecord],
     centre: &CentreName,
     usable: impl Fn(&DaemonId) -> bool,
 ) -> Vec<SocketAddr> {
-    let staying = || daemons.iter().filter(|daemon| !daemon.leaving);
-    let mut good: Vec<&DaemonRecord> = staying().filter(|d| usable(&d.id)).collect();
-    if good.is_empty() {
-        good = staying().collect();
-    }
+    let staying = daemons.iter().filter(|daemon| !daemon.leaving);
+    let good: Vec<&DaemonRecord> = staying.filter(|d| usable(&d.id)).collect();
     let near: Vec<&DaemonRecord> = good
         .iter()
         .copied()
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -109,10 +109,16 @@
     behind_since: Option<MonoTime>,
 }
 
+/// Time for a daemon that is new here to be heard. Links are opened both ways
+/// within it, unless the daemon is away and only its record was left behind.
+const FIRST_WORD: Duration = Duration::from_millis(2_500);
+
 /// What is heard of the other daemons.
 #[derive(Debug, Default)]
 pub struct PeerBook {
     heard: IndexMap<DaemonId, HeardState>,
+    // Since when a daemon's record is known.
+    known_since: IndexMap<DaemonId, MonoTime>,
     pending: Vec<HeldNote>,
 }
 
@@ -129,18 +135,30 @@
         });
     }
 
-    /// Whether callers may be sent to a daemon. One that was never heard may just
-    /// have started, and if none is heard it is this daemon that is cut off.
+    /// Whether callers may be sent to a daemon: one that was heard lately, or is new
+    /// here. Records of daemons that are gone stay in the store, and callers sent
+    /// to one lose a second on a connection that nobody answers.
     #[must_use]
     pub fn is_usable(&self, daemon: &DaemonId, now: MonoTime) -> bool {
-        let alive = |state: &HeardState| now.since(state.at) < SILENCE;
-        let Some(state) = self.heard.get(daemon) else {
-            return true;
-        };
-        !state.leaving && (alive(state) || !self.heard.values().any(alive))
+        let is_new = |since: &MonoTime| now.since(*since) < FIRST_WORD;
+        match self.heard.get(daemon) {
+            Some(state) => !state.leaving && now.since(state.at) < SILENCE,
+            None => self.known_since.get(daemon).is_some_and(is_new),
+        }
     }
 
-    fn note_hint(&mut self, hint: &PeerHint, own_version: u64, now: MonoTime) {
+    /// Takes the daemons with a record, in place of those known before.
+    pub fn set_known(&mut self, daemons: &[DaemonRecord], now: MonoTime) {
+        let known = |id: &DaemonId| daemons.iter().any(|daemon| daemon.id == *id);
+        self.heard.retain(|id, _| known(id));
+        self.known_since.retain(|id, _| known(id));
+        for daemon in daemons {
+            self.known_since.entry(daemon.id.clone()).or_insert(now);
+        }
+    }
+
+    /// Takes what a daemon told; `own_version` is the configuration run here.
+    pub fn note_hint(&mut self, hint: &PeerHint, own_version: u64, now: MonoTime) {
         let before = self.heard.get(&hint.from);
         let behind = hint.config_version < own_version;
         let behind_since = behind.then(|| before.and_then(|b| b.behind_since).unwrap_or(now));
@@ -163,10 +181,6 @@
     fn take_held(&mut self) -> Vec<HeldNote> {
         std::mem::take(&mut self.pending)
     }
-
-    fn retain(&mut self, keep: impl Fn(&DaemonId) -> bool) {
-        self.heard.retain(|daemon, _| keep(daemon));
-    }
 }
 
 type Link = WebSocketStream<TcpStream>;
@@ -305,9 +319,8 @@
     fn wanted_links(&self) -> Vec<DaemonRecord> {
         let view = self.view();
         let own = &self.settings.daemon;
-        self.peers
-            .borrow_mut()
-            .retain(|id| view.daemons.iter().any(|daemon| daemon.id == *id));
+        let now = clock::mono_now();
+        self.peers.borrow_mut().set_known(&view.daemons, now);
         let others = view.daemons.iter().filter(|daemon| daemon.id != *own);
         others.take(MOST_LINKS).cloned().collect()
     }
