--- a/src/gateway/engine_choice.rs
+++ b/src/gateway/engine_choice.rs
@@ -126,6 +126,20 @@
     })
 }
 
+/// Chooses the engine that takes over a prompt which was read elsewhere.
+///
+/// Reading takes up to seconds, in which engines leave and loads change, so this is
+/// asked again once the prompt is read.
+#[must_use]
+pub fn choose_writer(
+    engines: &[EngineState],
+    prompt: &PromptShape,
+    urgency: u8,
+) -> Option<Arc<TargetRecord>> {
+    let scene = Scene::new(engines, prompt, urgency);
+    scene.writer().map(|(engine, _)| engine.record.clone())
+}
+
 fn direct_place(way: &ReadWay<'_>) -> EnginePlace {
     EnginePlace {
         reader: None,
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -44,6 +44,7 @@
         while let Some(place) = self.place(&call, &trail) {
             self.log_place(&call, &place);
             let handle = self.read_ahead(&call, &place).await;
+            let place = self.with_writer(&call, place, handle.is_some(), &trail);
             match self.start(&call, &place, handle, &mut trail).await {
                 Started::Reply(reply) => return Ok(reply),
                 Started::Again(failure) => last = failure,
@@ -53,6 +54,23 @@
         Err(last)
     }
 
+    fn with_writer(
+        &self,
+        call: &RoutedCall,
+        mut place: EnginePlace,
+        was_read: bool,
+        trail: &SendTrail,
+    ) -> EnginePlace {
+        if place.reader.is_none() || !was_read {
+            return place;
+        }
+        let engines = self.engine_states(call, |id| !trail.has(id));
+        let prompt = call.caller.prompt.clone().unwrap_or_default();
+        let writer = engine_choice::choose_writer(&engines, &prompt, call.route.urgency);
+        place.writer = writer.unwrap_or(place.writer);
+        place
+    }
+
     fn log_place(&self, call: &RoutedCall, place: &EnginePlace) {
         let load = self.load.borrow();
         let reader = place.reader.as_ref().unwrap_or(&place.writer);
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -135,6 +135,10 @@
         plan: SendPlan<'_>,
         order: &SendOrder,
     ) -> SendOutcome {
+        if !self.view().holds(&target.id) {
+            // It may have announced its departure since it was chosen.
+            return SendOutcome::NotSent(format!("{} has left", target.id));
+        }
         let mut request = plan.request.clone();
         request.headers = (self.ports.wire.encode_send)(&plan.request.headers, order);
         let mut lease = LinkLease::new(&self.pool, target);
