--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -29,6 +29,8 @@
 use crate::gateway::pool::LinkPool;
 use crate::gateway::port::GatewayPorts;
 use crate::gateway::settings::GatewaySettings;
+use crate::gateway::stage_control;
+use crate::gateway::work_meter::WorkMeter;
 use crate::names::{DaemonId, TargetId};
 use crate::telemetry;
 use crate::timer::TimerService;
@@ -54,6 +56,10 @@
     pub peers: RefCell<PeerBook>,
     /// Distinguishes this life of the daemon from others under its name.
     pub life: u64,
+    /// Engines that this daemon is changing.
+    pub own_changing: RefCell<Vec<TargetId>>,
+    /// Work offered to engines.
+    pub work: RefCell<WorkMeter>,
     /// Repeats.
     pub budget: RefCell<RepeatBudget>,
     /// Draws.
@@ -136,6 +142,8 @@
             caches: RefCell::default(),
             peers: RefCell::default(),
             life,
+            own_changing: RefCell::default(),
+            work: RefCell::default(),
             budget: RefCell::new(budget),
             rng: RefCell::new(SmallRng::from_os_rng()),
             stopping: Cell::new(false),
@@ -195,6 +203,7 @@
     }
     let peer_listener = listen(gateway.settings.peer_address()).await?;
     spawn_local(peers::run(gateway.clone(), peer_listener));
+    spawn_local(stage_control::run(gateway.clone()));
     spawn_local(upkeep(gateway.clone(), metrics));
     log::info!(daemon = gateway.settings.daemon.as_str(), centre = gateway.settings.centre.as_str(); "started");
     stop.await;
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -42,7 +42,7 @@
         let mut trail = SendTrail::default();
         let mut last = Failure::refused("no engine is known", ENGINE_BUSY_WAIT);
         while let Some(place) = self.place(&call, &trail) {
-            self.log_place(&call, &place);
+            self.note_placed(&call, &place);
             let handle = self.read_ahead(&call, &place).await;
             let place = self.with_writer(&call, place, handle.is_some(), &trail);
             match self.start(&call, &place, handle, &mut trail).await {
@@ -71,7 +71,10 @@
         place
     }
 
-    fn log_place(&self, call: &RoutedCall, place: &EnginePlace) {
+    fn note_placed(&self, call: &RoutedCall, place: &EnginePlace) {
+        let written = call.caller.prompt.as_ref().map_or(0, |p| p.output_tokens);
+        let mut work = self.work.borrow_mut();
+        work.note(place.unread_tokens, written, clock::mono_now());
         let load = self.load.borrow();
         let reader = place.reader.as_ref().unwrap_or(&place.writer);
         let prompt = call.caller.prompt.as_ref();
@@ -351,12 +354,15 @@
         );
         let engines = call.view.of_service(&call.service.name).iter();
         let staying = engines.filter(|engine| newest.holds(&engine.id));
+        let peers = self.peers.borrow();
+        let own_changing = self.own_changing.borrow();
+        let changing: Vec<&TargetId> = peers.changing(now).chain(own_changing.iter()).collect();
         let states = staying.map(|engine| EngineState {
             record: engine.clone(),
             held_tokens: caches.cached_tokens(&engine.id, parts, now),
             work: load.total(&engine.id),
             health: health.view(&engine.id, now),
-            may_get_work: fits(&engine.id),
+            may_get_work: fits(&engine.id) && !changing.contains(&&engine.id),
         });
         states.collect()
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -33,4 +33,7 @@
 pub mod routes;
 pub mod sending;
 pub mod settings;
+pub mod stage_control;
+pub mod stage_plan;
 pub mod stream;
+pub mod work_meter;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -27,6 +27,7 @@
 use crate::gateway::load::TargetWork;
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::model::PromptPart;
+use crate::gateway::stage_plan::WorkRate;
 use crate::names::{DaemonId, MonoTime, TargetId};
 use crate::timer::TimerService;
 
@@ -75,6 +76,10 @@
     pub held: Vec<HeldNote>,
     /// Targets that it knows to be leaving.
     pub departed: Vec<TargetId>,
+    /// Engines that it is ordering to change their stage.
+    pub changing: Vec<TargetId>,
+    /// Work that it places on engines, in a second.
+    pub rate: WorkRate,
 }
 
 /// A message between daemons.
@@ -101,9 +106,11 @@
 }
 
 /// What was last heard of a daemon.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct HeardState {
     at: MonoTime,
+    changing: Vec<TargetId>,
+    rate: WorkRate,
     leaving: bool,
     config_version: u64,
     behind_since: Option<MonoTime>,
@@ -157,6 +164,24 @@
         }
     }
 
+    /// Engines that other daemons are changing.
+    pub fn changing(&self, now: MonoTime) -> impl Iterator<Item = &TargetId> {
+        let alive = self.heard.values();
+        let alive = alive.filter(move |state| now.since(state.at) < SILENCE);
+        alive.flat_map(|state| &state.changing)
+    }
+
+    /// Work that the other daemons place on engines.
+    #[must_use]
+    pub fn work_rate(&self, now: MonoTime) -> WorkRate {
+        let alive = self.heard.values();
+        let alive = alive.filter(|state| now.since(state.at) < SILENCE);
+        alive.fold(WorkRate::default(), |sum, state| WorkRate {
+            read_tokens: sum.read_tokens + state.rate.read_tokens,
+            written_tokens: sum.written_tokens + state.rate.written_tokens,
+        })
+    }
+
     /// Takes what a daemon told; `own_version` is the configuration run here.
     pub fn note_hint(&mut self, hint: &PeerHint, own_version: u64, now: MonoTime) {
         let before = self.heard.get(&hint.from);
@@ -164,6 +189,8 @@
         let behind_since = behind.then(|| before.and_then(|b| b.behind_since).unwrap_or(now));
         let state = HeardState {
             at: now,
+            changing: hint.changing.clone(),
+            rate: hint.rate,
             leaving: hint.leaving,
             config_version: hint.config_version,
             behind_since,
@@ -301,6 +328,34 @@
 }
 
 impl Gateway {
+    /// Work that all daemons place on engines, as far as heard.
+    #[must_use]
+    pub fn work_rate(&self) -> WorkRate {
+        let now = clock::mono_now();
+        let own = self.work.borrow_mut().rate(now);
+        let others = self.peers.borrow().work_rate(now);
+        WorkRate {
+            read_tokens: own.read_tokens + others.read_tokens,
+            written_tokens: own.written_tokens + others.written_tokens,
+        }
+    }
+
+    /// Whether no daemon has work on engines, as far as heard.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        let rate = self.work_rate();
+        rate.read_tokens + rate.written_tokens < 1.0
+    }
+
+    /// Place of this daemon in an order that all daemons share; 0 is the first.
+    #[must_use]
+    pub fn rank(&self) -> usize {
+        let view = self.view();
+        let own = &self.settings.daemon;
+        let before = view.daemons.iter().filter(|d| d.id < *own && !d.leaving);
+        before.filter(|d| self.is_usable(&d.id)).count()
+    }
+
     fn hint(&self) -> PeerHint {
         let view = self.view();
         let load = self.load.borrow();
@@ -313,6 +368,8 @@
             work: work.collect(),
             held: self.peers.borrow_mut().take_held(),
             departed: view.departed.clone(),
+            changing: self.own_changing.borrow().clone(),
+            rate: self.work.borrow_mut().rate(clock::mono_now()),
         }
     }
 
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -10,8 +10,8 @@
 use http::{HeaderMap, Method, StatusCode, Uri};
 use thiserror::Error;
 
-use crate::gateway::model::{CallerRequest, FleetConfig, TargetRecord};
-use crate::names::{CentreName, TargetId};
+use crate::gateway::model::{CallerRequest, EngineStage, FleetConfig, TargetRecord};
+use crate::names::{CentreName, DaemonId, FenceNumber, TargetId};
 use crate::ports::PlatformPort;
 
 /// Something on the wire that cannot be read.
@@ -105,6 +105,47 @@
     pub method: Method,
     /// Path.
     pub path: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// An order to an engine to change its stage.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineOrder {
+    /// Engine meant.
+    pub target: TargetId,
+    /// Stage that it is to have.
+    pub stage: EngineStage,
+    /// Daemon that orders.
+    pub holder: DaemonId,
+    /// Fence of the holder's lease.
+    pub fence: FenceNumber,
+    /// Orders that the engine must have taken before, or it refuses.
+    pub orders_taken: u64,
+}
+
+/// What became of an order that was answered.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum OrderOutcome {
+    /// It is being carried out.
+    Accepted,
+    /// The engine is as ordered already.
+    Holds,
+    /// It is not carried out.
+    Refused(String),
+}
+
+/// What an engine reports of itself.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct EngineReport {
+    /// Its stage.
+    pub stage: Option<EngineStage>,
+    /// Whether an order is in progress.
+    pub busy: bool,
+    /// Orders taken since its start.
+    pub orders_taken: u64,
 }
 
 /// A caller's question which address to use.
@@ -127,6 +168,14 @@
     pub decode_read: Arc<dyn Fn(&[u8]) -> Result<PromptRead, WireFault> + Send + Sync>,
     /// Makes the call that frees a kept prompt.
     pub free_handle: Arc<dyn Fn(&str) -> TargetQuery + Send + Sync>,
+    /// Makes an order.
+    pub encode_order: Arc<dyn Fn(&EngineOrder) -> TargetQuery + Send + Sync>,
+    /// Reads the answer to an order.
+    pub decode_order: Arc<dyn Fn(StatusCode, &[u8]) -> OrderOutcome + Send + Sync>,
+    /// Makes the question for an engine's report.
+    pub report_query: Arc<dyn Fn() -> TargetQuery + Send + Sync>,
+    /// Reads an engine's report.
+    pub decode_report: Arc<dyn Fn(&[u8]) -> Result<EngineReport, WireFault> + Send + Sync>,
     /// Reads a question to the directory; `None` where the path is another one.
     pub directory_question: Arc<dyn Fn(&Uri) -> Option<DirectoryQuestion> + Send + Sync>,
     /// Makes the directory's answer from addresses and the time to keep them.
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -15,7 +15,7 @@
 use crate::gateway::health::SendResult;
 use crate::gateway::model::TargetRecord;
 use crate::gateway::pool::LinkPool;
-use crate::gateway::port::{AnswerMarks, SendOrder};
+use crate::gateway::port::{AnswerMarks, SendOrder, TargetQuery};
 
 /// Longest time for a new connection. Connections take a few milliseconds; a
 /// target that needs longer is away, and the request can still go elsewhere.
@@ -106,12 +106,20 @@
     }
 }
 
-fn host_header(target: &TargetRecord) -> http::HeaderMap {
-    let mut headers = http::HeaderMap::new();
+/// Makes the request of a call that carries no caller's request.
+#[must_use]
+pub fn query_request(target: &TargetRecord, query: TargetQuery) -> OutgoingRequest {
+    let mut headers = query.headers;
     if let Ok(host) = target.address.to_string().parse() {
         headers.insert(http::header::HOST, host);
     }
-    headers
+    OutgoingRequest {
+        method: query.method,
+        // The adapter's paths are constants and names that engines gave.
+        uri: query.path.parse().unwrap_or_default(),
+        headers,
+        body: query.body,
+    }
 }
 
 /// A caller's request as it is sent on, and until when.
@@ -230,12 +238,7 @@
     pub async fn free_handle(&self, reader: &TargetRecord, name: &str) {
         let query = (self.ports.wire.free_handle)(name);
         let until = Instant::now() + FREE_WAIT;
-        let request = OutgoingRequest {
-            method: query.method,
-            uri: query.path.parse().unwrap_or_default(),
-            headers: host_header(reader),
-            body: bytes::Bytes::new(),
-        };
+        let request = query_request(reader, query);
         let mut lease = LinkLease::new(&self.pool, reader);
         let link = match self.take_kept(reader.address) {
             Some(link) => Ok(link),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -82,11 +82,19 @@
     pub store: SocketAddr,
     /// Bounds of the deployment.
     pub bounds: BoundSettings,
+    /// Share of a service's engines that read prompts while nothing is known of the
+    /// work, from 0 to 1.
+    #[serde(default = "default_prefill_share")]
+    pub prefill_share: f64,
     /// Lowest level of log lines: error, warn, info or debug.
     #[serde(default = "default_level")]
     pub log_level: String,
 }
 
+fn default_prefill_share() -> f64 {
+    0.6
+}
+
 fn default_level() -> String {
     "info".to_owned()
 }
@@ -123,6 +131,10 @@
         positive("bounds.directory_keep_s", bounds.directory_keep_s)?;
         not_negative("bounds.repeat_ratio", bounds.repeat_ratio)?;
         not_negative("bounds.repeat_allowance", bounds.repeat_allowance)?;
+        if !(0.0..=1.0).contains(&self.prefill_share) {
+            let found = self.prefill_share.to_string();
+            return Err(out_of_range("prefill_share", &found, "0 to 1"));
+        }
         if self.daemon.is_empty() {
             return Err(out_of_range("daemon", "an empty name", "a name"));
         }
--- /dev/null
+++ b/src/gateway/stage_plan.rs
@@ -0,0 +1,98 @@
+//! How many engines read prompts and how many generate: a pure plan.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::model::{EngineStage, TargetRecord};
+use crate::names::{CentreName, TargetId};
+
+/// Engines that always stay able to generate: prompts can also be read there, but
+/// nothing can be generated on a prefill engine.
+const FEWEST_WRITERS: usize = 2;
+/// Prompt tokens that a prefill engine reads in a second under load.
+const READ_RATE: f64 = 40_000.0;
+/// Tokens that a decode engine generates in a second for a few dozen requests.
+const WRITE_RATE: f64 = 2_200.0;
+/// Busy share of the engines above which their numbers matter.
+const RELEVANT_LOAD: f64 = 25.0;
+
+/// Work offered to the engines of a service, in a second.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct WorkRate {
+    /// Prompt tokens that had to be read.
+    pub read_tokens: f64,
+    /// Tokens generated.
+    pub written_tokens: f64,
+}
+
+/// An order that the plan wants.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StageWish {
+    /// Engine to change.
+    pub engine: Arc<TargetRecord>,
+    /// Stage that it is to have.
+    pub stage: EngineStage,
+}
+
+/// Returns how many of `engines` should read prompts under `work`, or `initial` of
+/// them while there is too little work to tell.
+#[must_use]
+pub fn wanted_readers(engines: usize, work: WorkRate, initial: f64) -> usize {
+    let reading = work.read_tokens / READ_RATE;
+    let writing = work.written_tokens / WRITE_RATE;
+    let busy = reading + writing;
+    let share = if busy < RELEVANT_LOAD * engines as f64 {
+        initial
+    } else {
+        reading / busy
+    };
+    let most = engines.saturating_sub(FEWEST_WRITERS);
+    let wanted = (share * engines as f64).round() as usize;
+    wanted.clamp(usize::from(most > 0), most.max(usize::from(most > 0)))
+}
+
+/// Returns changes that bring the readers among `engines` to `wanted`, at most
+/// `at_once` of them: the least busy engines first, spread over data centres.
+#[must_use]
+pub fn wishes(
+    engines: &[Arc<TargetRecord>],
+    running: impl Fn(&TargetId) -> u32,
+    wanted: usize,
+    at_once: usize,
+) -> Vec<StageWish> {
+    let readers = engines.iter().filter(|e| is_reader(e)).count();
+    let (stage, count) = if readers < wanted {
+        (EngineStage::Prefill, wanted - readers)
+    } else {
+        (EngineStage::Decode, readers - wanted)
+    };
+    let mut left: Vec<&Arc<TargetRecord>> =
+        engines.iter().filter(|e| e.stage != Some(stage)).collect();
+    let mut in_centre: IndexMap<CentreName, usize> = IndexMap::new();
+    for engine in engines.iter().filter(|e| e.stage == Some(stage)) {
+        *in_centre.entry(engine.centre.clone()).or_default() += 1;
+    }
+    let mut wishes = Vec::new();
+    while wishes.len() < count.min(at_once) && !left.is_empty() {
+        let key = |e: &&Arc<TargetRecord>| {
+            let there = in_centre.get(&e.centre).copied().unwrap_or(0);
+            (there, running(&e.id), e.id.clone())
+        };
+        let Some(at) = (0..left.len()).min_by_key(|at| key(&left[*at])) else {
+            break;
+        };
+        let engine = left.swap_remove(at);
+        *in_centre.entry(engine.centre.clone()).or_default() += 1;
+        wishes.push(StageWish {
+            engine: engine.clone(),
+            stage,
+        });
+    }
+    wishes
+}
+
+fn is_reader(engine: &TargetRecord) -> bool {
+    engine.stage == Some(EngineStage::Prefill)
+}
