Believe parts on their way to an engine; weigh what reading costs running streams

Cause: requests that share parts were read side by side while the first reading was under way, and copies pushed parts out that beliefs still counted. Change: beliefs tell what is on its way from what can be copied, and count each request's own part too.

--- a/src/gateway/affinity.rs
+++ b/src/gateway/affinity.rs
@@ -25,6 +25,8 @@
 struct CachedPart {
     tokens: u32,
     used_at: MonoTime,
+    // Whether it was read or copied whole; until then it is on its way.
+    ready: bool,
 }
 
 /// Beliefs about the caches of engines.
@@ -40,39 +42,61 @@
         self.most_tokens = tokens * CACHE_SHARE_PERCENT / 100;
     }
 
-    /// Tokens of the leading parts that an engine is believed to have.
+    /// Tokens of the leading parts that an engine is believed to have, or to have
+    /// by the time that a request sent now is read.
     #[must_use]
     pub fn cached_tokens(&self, engine: &TargetId, parts: &[PromptPart], now: MonoTime) -> u32 {
+        self.leading_tokens(engine, parts, now, |_| true)
+    }
+
+    /// Tokens of the leading parts that another engine could copy from this one.
+    #[must_use]
+    pub fn ready_tokens(&self, engine: &TargetId, parts: &[PromptPart], now: MonoTime) -> u32 {
+        self.leading_tokens(engine, parts, now, |part| part.ready)
+    }
+
+    fn leading_tokens(
+        &self,
+        engine: &TargetId,
+        parts: &[PromptPart],
+        now: MonoTime,
+        counts: impl Fn(&CachedPart) -> bool,
+    ) -> u32 {
         let Some(cached) = self.engines.get(engine) else {
             return 0;
         };
         let held = parts.iter().map_while(|part| {
             let found = cached.get(&part.key)?;
-            (now.since(found.used_at) < BELIEF_TIME).then_some(found.tokens)
+            let fresh = now.since(found.used_at) < BELIEF_TIME;
+            (fresh && counts(found)).then_some(found.tokens)
         });
         held.sum()
     }
 
-    /// Engines believed to hold some of the leading `parts`, with the tokens held.
-    pub fn holders<'a>(
-        &'a self,
-        parts: &'a [PromptPart],
-        now: MonoTime,
-    ) -> impl Iterator<Item = (&'a TargetId, u32)> {
-        let engines = self.engines.keys();
-        let held = engines.map(move |engine| (engine, self.cached_tokens(engine, parts, now)));
-        held.filter(|(_, tokens)| *tokens > 0)
-    }
-
     /// Notes that an engine has read, or was given, a prompt.
     pub fn note_held(&mut self, engine: &TargetId, parts: &[PromptPart], now: MonoTime) {
+        self.note(engine, parts, now, true);
+    }
+
+    /// Notes that an engine was asked to read a prompt. Requests that share its
+    /// parts had better wait there than have them read a second time elsewhere.
+    pub fn note_coming(&mut self, engine: &TargetId, parts: &[PromptPart], now: MonoTime) {
+        self.note(engine, parts, now, false);
+    }
+
+    fn note(&mut self, engine: &TargetId, parts: &[PromptPart], now: MonoTime, ready: bool) {
         let cached = self.engines.entry(engine.clone()).or_default();
         for part in parts {
             let tokens = part.tokens;
             let used_at = now;
             // Re-inserted at the end: the map's order is the order of last use.
-            cached.shift_remove(&part.key);
-            cached.insert(part.key, CachedPart { tokens, used_at });
+            let before = cached.shift_remove(&part.key);
+            let cached_part = CachedPart {
+                tokens,
+                used_at,
+                ready: ready || before.is_some_and(|part| part.ready),
+            };
+            cached.insert(part.key, cached_part);
         }
         let mut total: u64 = cached.values().map(|part| u64::from(part.tokens)).sum();
         while total > self.most_tokens {
--- a/src/gateway/engine_choice.rs
+++ b/src/gateway/engine_choice.rs
@@ -9,30 +9,13 @@
 
 use std::sync::Arc;
 
+use serde::Deserialize;
+
 use crate::gateway::affinity;
 use crate::gateway::health::HealthView;
 use crate::gateway::load::TargetWork;
 use crate::gateway::model::{EngineStage, PromptShape, TargetRecord};
 
-/// Time of a reading beside its tokens, in milliseconds; read off idle engines.
-const READ_BASE_MS: f64 = 95.0;
-/// Tokens that a prefill engine reads in a millisecond under load, in pieces of
-/// about fifty milliseconds each; read off busy engines.
-const PREFILL_RATE: f64 = 42.0;
-/// Tokens that a decode engine reads in a millisecond beside its requests.
-const DECODE_RATE: f64 = 20.0;
-/// Time of a hand-over beside the reading, in milliseconds.
-const HAND_OVER_MS: f64 = 20.0;
-/// Cost of a copied token, in milliseconds: its transfer, and what it costs.
-const COPY_MS: f64 = 0.002;
-/// Weight of shared tokens that are read again, in reading times: they also take
-/// the place of other parts in the cache.
-const REREAD_WEIGHT: f64 = 2.0;
-/// Part of the cost of reading a shared part that its home is spared, so that
-/// daemons that do not know of each other's choice yet make the same one.
-const HOME_DISCOUNT: f64 = 0.5;
-/// What one more running request costs the next one, in milliseconds.
-const RUNNING_MS: f64 = 2.0;
 /// What a request waits for each one beyond an engine's places, in milliseconds.
 const OVERFULL_MS: f64 = 50.0;
 /// Cost of an engine that gave no answers lately, in milliseconds.
@@ -42,6 +25,51 @@
 /// Cost of certain failure, in milliseconds.
 const FAILURE_MS: f64 = 1_000.0;
 
+/// Weights of the choice. Times are in milliseconds.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlacementWeights {
+    /// Time of a reading beside its tokens; read off idle engines.
+    pub read_base_ms: f64,
+    /// Tokens that a prefill engine reads in a millisecond under load, in pieces of
+    /// about fifty milliseconds each; read off busy engines.
+    pub prefill_rate: f64,
+    /// Tokens that a decode engine reads in a millisecond beside its requests.
+    pub decode_rate: f64,
+    /// Time of a hand-over beside the reading.
+    pub hand_over_ms: f64,
+    /// Cost of a copied token: its transfer, its price, and the place that the copy
+    /// takes in the cache.
+    pub copy_ms: f64,
+    /// Weight of shared tokens that are read again, in reading times: they also take
+    /// the place of other parts in the cache.
+    pub reread_weight: f64,
+    /// Part of the cost of reading a shared part that its home is spared, so that
+    /// daemons that do not know of each other's choice yet make the same one.
+    pub home_discount: f64,
+    /// What one more running request costs the next one.
+    pub running_ms: f64,
+    /// What a reading beside running requests costs each of them, as a share of its
+    /// time: all their tokens wait for its pieces.
+    pub disturbance: f64,
+}
+
+impl Default for PlacementWeights {
+    fn default() -> Self {
+        Self {
+            read_base_ms: 95.0,
+            prefill_rate: 42.0,
+            decode_rate: 20.0,
+            hand_over_ms: 20.0,
+            copy_ms: 0.002,
+            reread_weight: 2.0,
+            home_discount: 0.5,
+            running_ms: 2.0,
+            disturbance: 0.05,
+        }
+    }
+}
+
 /// One engine as a choice sees it.
 #[derive(Clone, Debug)]
 pub struct EngineState {
@@ -49,6 +77,8 @@
     pub record: Arc<TargetRecord>,
     /// Leading tokens of the prompt that it is believed to hold.
     pub held_tokens: u32,
+    /// Leading tokens of the prompt that another engine could copy from it.
+    pub ready_tokens: u32,
     /// Work outstanding at it.
     pub work: TargetWork,
     /// How it answers.
@@ -72,10 +102,10 @@
         avoided + unproved + FAILURE_MS * self.health.failure_rate
     }
 
-    fn running_ms(&self) -> f64 {
+    fn running_ms(&self, each_ms: f64) -> f64 {
         let running = self.work.running;
         let beyond = running.saturating_sub(self.record.slots);
-        f64::from(running) * RUNNING_MS + f64::from(beyond) * OVERFULL_MS
+        f64::from(running) * each_ms + f64::from(beyond) * OVERFULL_MS
     }
 }
 
@@ -104,8 +134,13 @@
 
 /// Chooses engines for a prompt of a rank; `None` without an engine that generates.
 #[must_use]
-pub fn choose(engines: &[EngineState], prompt: &PromptShape, urgency: u8) -> Option<EnginePlace> {
-    let scene = Scene::new(engines, prompt, urgency);
+pub fn choose(
+    weights: &PlacementWeights,
+    engines: &[EngineState],
+    prompt: &PromptShape,
+    urgency: u8,
+) -> Option<EnginePlace> {
+    let scene = Scene::new(weights, engines, prompt, urgency);
     let direct = scene.cheapest(|e| !e.is_reader() && e.may_get_work)?;
     let Some(read) = scene.cheapest(|e| e.is_reader() && e.may_get_work) else {
         return Some(direct_place(&direct));
@@ -113,7 +148,7 @@
     let Some((writer, writer_ms)) = scene.writer() else {
         return Some(direct_place(&direct));
     };
-    let handed_ms = read.ms + HAND_OVER_MS + writer_ms;
+    let handed_ms = read.ms + weights.hand_over_ms + writer_ms;
     if handed_ms >= direct.ms {
         return Some(direct_place(&direct));
     }
@@ -132,11 +167,12 @@
 /// asked again once the prompt is read.
 #[must_use]
 pub fn choose_writer(
+    weights: &PlacementWeights,
     engines: &[EngineState],
     prompt: &PromptShape,
     urgency: u8,
 ) -> Option<Arc<TargetRecord>> {
-    let scene = Scene::new(engines, prompt, urgency);
+    let scene = Scene::new(weights, engines, prompt, urgency);
     scene.writer().map(|(engine, _)| engine.record.clone())
 }
 
@@ -151,6 +187,7 @@
 }
 
 struct Scene<'a> {
+    weights: &'a PlacementWeights,
     engines: &'a [EngineState],
     prompt: &'a PromptShape,
     urgency: u8,
@@ -160,7 +197,12 @@
 }
 
 impl<'a> Scene<'a> {
-    fn new(engines: &'a [EngineState], prompt: &'a PromptShape, urgency: u8) -> Self {
+    fn new(
+        weights: &'a PlacementWeights,
+        engines: &'a [EngineState],
+        prompt: &'a PromptShape,
+        urgency: u8,
+    ) -> Self {
         let key = affinity::shared_key(&prompt.parts);
         let home = key.and_then(|key| {
             let sound = engines.iter().filter(|e| !e.health.avoided);
@@ -168,9 +210,10 @@
         });
         let holders = engines.iter().filter(|e| !e.health.avoided);
         let holder = holders
-            .filter(|e| e.held_tokens > 0)
-            .max_by_key(|e| e.held_tokens);
+            .filter(|e| e.ready_tokens > 0)
+            .max_by_key(|e| e.ready_tokens);
         Self {
+            weights,
             engines,
             prompt,
             urgency,
@@ -189,7 +232,9 @@
     fn way(&self, engine: &'a EngineState) -> ReadWay<'a> {
         let held = engine.held_tokens;
         let most = self.shared_tokens;
-        let copyable = self.holder.map_or(0, |holder| holder.held_tokens.min(most));
+        let copyable = self
+            .holder
+            .map_or(0, |holder| holder.ready_tokens.min(most));
         let copied = copyable.saturating_sub(held);
         let fetch_from = self.holder.filter(|_| copied > 0);
         let unread = self.prompt.prompt_tokens.saturating_sub(held + copied);
@@ -197,26 +242,23 @@
         let is_home = self
             .home
             .is_some_and(|home| home.record.id == engine.record.id);
-        let discount = if is_home { HOME_DISCOUNT } else { 0.0 };
-        let rate = if engine.is_reader() {
-            PREFILL_RATE
-        } else {
-            DECODE_RATE
-        };
-        let waiting = engine.work.unread_before(self.urgency);
-        let tokens = f64::from(unread)
-            + f64::from(waiting)
-            + REREAD_WEIGHT * f64::from(reread) * (1.0 - discount);
-        let reading = READ_BASE_MS + tokens / rate * engine.health.pace;
-        let running = if engine.is_reader() {
-            0.0
+        let weights = self.weights;
+        let discount = if is_home { weights.home_discount } else { 0.0 };
+        let reread = weights.reread_weight * f64::from(reread) * (1.0 - discount);
+        let own = (f64::from(unread) + reread) * engine.health.pace;
+        let waiting = f64::from(engine.work.unread_before(self.urgency)) * engine.health.pace;
+        let reading = if engine.is_reader() {
+            (own + waiting) / weights.prefill_rate
         } else {
-            engine.running_ms()
+            let disturbed = 1.0 + weights.disturbance * f64::from(engine.work.running);
+            (own * disturbed + waiting) / weights.decode_rate
+                + engine.running_ms(weights.running_ms)
         };
+        let copying = f64::from(copied) * weights.copy_ms;
         ReadWay {
             engine,
             fetch_from,
-            ms: reading + running + f64::from(copied) * COPY_MS + engine.trouble_ms(),
+            ms: weights.read_base_ms + reading + copying + engine.trouble_ms(),
             unread_tokens: unread,
         }
     }
@@ -225,10 +267,14 @@
     fn writer(&self) -> Option<(&'a EngineState, f64)> {
         let fits = |e: &&EngineState| !e.is_reader() && e.may_get_work;
         let costs = self.engines.iter().filter(fits).map(|engine| {
-            let waiting = f64::from(engine.work.unread_before(self.urgency)) / DECODE_RATE;
+            let waiting = f64::from(engine.work.unread_before(self.urgency));
+            let waiting = waiting / self.weights.decode_rate;
             let copied = self.prompt.prompt_tokens.saturating_sub(engine.held_tokens);
-            let copy_ms = f64::from(copied) * COPY_MS;
-            let ms = waiting + copy_ms + engine.running_ms() + engine.trouble_ms();
+            let copy_ms = f64::from(copied) * self.weights.copy_ms;
+            let ms = waiting
+                + copy_ms
+                + engine.running_ms(self.weights.running_ms)
+                + engine.trouble_ms();
             (engine, ms)
         });
         costs.min_by(|a, b| a.1.total_cmp(&b.1))
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -66,7 +66,12 @@
         }
         let engines = self.engine_states(call, |id| !trail.has(id));
         let prompt = call.caller.prompt.clone().unwrap_or_default();
-        let writer = engine_choice::choose_writer(&engines, &prompt, call.route.urgency);
+        let writer = engine_choice::choose_writer(
+            &self.settings.placement,
+            &engines,
+            &prompt,
+            call.route.urgency,
+        );
         place.writer = writer.unwrap_or(place.writer);
         place
     }
@@ -75,6 +80,14 @@
         let written = call.caller.prompt.as_ref().map_or(0, |p| p.output_tokens);
         let mut work = self.work.borrow_mut();
         work.note(place.unread_tokens, written, clock::mono_now());
+        drop(work);
+        let reader = place.reader.as_ref().unwrap_or(&place.writer);
+        if let Some(prompt) = &call.caller.prompt {
+            let mut caches = self.caches.borrow_mut();
+            caches.note_coming(&reader.id, &prompt.parts, clock::mono_now());
+            let mut peers = self.peers.borrow_mut();
+            peers.note_held(&reader.id, &prompt.parts, false);
+        }
         let load = self.load.borrow();
         let reader = place.reader.as_ref().unwrap_or(&place.writer);
         let prompt = call.caller.prompt.as_ref();
@@ -259,7 +272,13 @@
     fn another_reader(&self, call: &RoutedCall, tried: &[TargetId]) -> Option<Arc<TargetRecord>> {
         let engines = self.engine_states(call, |id| !tried.contains(id));
         let prompt = call.caller.prompt.clone().unwrap_or_default();
-        engine_choice::choose(&engines, &prompt, call.route.urgency)?.reader
+        engine_choice::choose(
+            &self.settings.placement,
+            &engines,
+            &prompt,
+            call.route.urgency,
+        )?
+        .reader
     }
 
     async fn read_prompt(
@@ -328,7 +347,7 @@
         let mut caches = self.caches.borrow_mut();
         caches.note_held(&engine.id, &prompt.parts, clock::mono_now());
         let mut peers = self.peers.borrow_mut();
-        peers.note_held(&engine.id, &prompt.parts);
+        peers.note_held(&engine.id, &prompt.parts, true);
     }
 
     /// Chooses the engines of a request among those that its trail leaves.
@@ -336,7 +355,12 @@
     pub fn place(&self, call: &RoutedCall, trail: &SendTrail) -> Option<EnginePlace> {
         let engines = self.engine_states(call, |id| !trail.has(id));
         let prompt = call.caller.prompt.clone().unwrap_or_default();
-        engine_choice::choose(&engines, &prompt, call.route.urgency)
+        engine_choice::choose(
+            &self.settings.placement,
+            &engines,
+            &prompt,
+            call.route.urgency,
+        )
     }
 
     fn engine_states(
@@ -360,6 +384,7 @@
         let states = staying.map(|engine| EngineState {
             record: engine.clone(),
             held_tokens: caches.cached_tokens(&engine.id, parts, now),
+            ready_tokens: caches.ready_tokens(&engine.id, parts, now),
             work: load.total(&engine.id),
             health: health.view(&engine.id, now),
             may_get_work: fits(&engine.id) && !changing.contains(&&engine.id),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -50,13 +50,15 @@
 /// Most links that a daemon opens. Larger fleets are heard in part.
 const MOST_LINKS: usize = 16;
 
-/// Shared parts of a prompt that an engine now holds.
+/// Parts of a prompt that an engine holds, or was asked to read.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct HeldNote {
     /// The engine.
     pub engine: TargetId,
     /// Keys and tokens of the parts, in the prompt's order.
     pub parts: Vec<(u64, u32)>,
+    /// Whether it holds them already.
+    pub ready: bool,
 }
 
 /// What a daemon tells the others several times a second.
@@ -130,15 +132,13 @@
 }
 
 impl PeerBook {
-    /// Keeps what an engine came to hold for the next hint.
-    pub fn note_held(&mut self, engine: &TargetId, parts: &[PromptPart]) {
-        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        if shared.is_empty() {
-            return;
-        }
+    /// Keeps what an engine holds, or was asked to read, for the next hint. The part
+    /// of a single request is told too: it takes the place of shared ones.
+    pub fn note_held(&mut self, engine: &TargetId, parts: &[PromptPart], ready: bool) {
         self.pending.push(HeldNote {
             engine: engine.clone(),
-            parts: shared.iter().map(|part| (part.key, part.tokens)).collect(),
+            parts: parts.iter().map(|part| (part.key, part.tokens)).collect(),
+            ready,
         });
     }
 
@@ -431,7 +431,11 @@
                     tokens: *tokens,
                 })
                 .collect();
-            caches.note_held(&note.engine, &parts, now);
+            if note.ready {
+                caches.note_held(&note.engine, &parts, now);
+            } else {
+                caches.note_coming(&note.engine, &parts, now);
+            }
         }
         for target in hint.departed.iter().filter(|target| view.holds(target)) {
             self.tell_departed(target);
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -8,6 +8,7 @@
 use thiserror::Error;
 
 use crate::gateway::budget::BudgetRule;
+use crate::gateway::engine_choice::PlacementWeights;
 use crate::names::{CentreName, DaemonId};
 
 /// Settings that cannot be used.
@@ -86,6 +87,9 @@
     /// work, from 0 to 1.
     #[serde(default = "default_prefill_share")]
     pub prefill_share: f64,
+    /// Weights of the choice of engines.
+    #[serde(default)]
+    pub placement: PlacementWeights,
     /// Lowest level of log lines: error, warn, info or debug.
     #[serde(default = "default_level")]
     pub log_level: String,
