--- a/src/gateway/affinity.rs
+++ b/src/gateway/affinity.rs
@@ -17,9 +17,9 @@
 /// least recently used; at the loads met so far parts lived for tens of seconds.
 const BELIEF_TIME: Duration = Duration::from_secs(60);
 
-/// Part of an engine's memory that is taken to be left for cached parts, in
-/// percent, beside running requests.
-const CACHE_SHARE_PERCENT: u64 = 70;
+/// Tokens that an engine is believed to cache, in percent of its memory. Beliefs
+/// count running prompts too, so this is all of it; 45 and 140 were worse.
+const CACHE_SHARE_PERCENT: u64 = 100;
 
 #[derive(Clone, Copy, Debug)]
 struct CachedPart {
@@ -131,7 +131,13 @@
 /// Weight of an engine as the home of a shared part; the highest is the first home.
 #[must_use]
 pub fn home_weight(key: u64, engine: &TargetId) -> u64 {
-    xxh3_64_with_seed(engine.as_str().as_bytes(), key)
+    weight(key, engine.as_str())
+}
+
+/// Weight of a name for a key in rendezvous hashing.
+#[must_use]
+pub fn weight(key: u64, name: &str) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), key)
 }
 
 /// Hash of a part's identity as callers write it.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -118,6 +118,8 @@
 const SWEEP: Duration = Duration::from_millis(500);
 /// How often the end of running requests is looked for while stopping.
 const END_CHECK: Duration = Duration::from_millis(50);
+/// Exit code of a process of which a part panicked.
+const EXIT_PART_FAILED: i32 = 70;
 /// How often recorded samples are compacted.
 const METRICS_UPKEEP: Duration = Duration::from_secs(5);
 
@@ -202,9 +204,9 @@
         spawn_local(entry::accept_loop(gateway, listener, kind, closing));
     }
     let peer_listener = listen(gateway.settings.peer_address()).await?;
-    spawn_local(peers::run(gateway.clone(), peer_listener));
-    spawn_local(stage_control::run(gateway.clone()));
-    spawn_local(upkeep(gateway.clone(), metrics));
+    supervise("peers", peers::run(gateway.clone(), peer_listener));
+    supervise("stages", stage_control::run(gateway.clone()));
+    supervise("upkeep", upkeep(gateway.clone(), metrics));
     log::info!(daemon = gateway.settings.daemon.as_str(), centre = gateway.settings.centre.as_str(); "started");
     stop.await;
     stop_gracefully(&gateway, &close, grace).await;
@@ -213,6 +215,19 @@
 
 // Callers that still hold this address are served and told to close; the others
 // have a new answer of the directory by the time the port closes.
+// A part that panics would leave a daemon that looks alive and decides without it,
+// for instance without knowing the other daemons' work. Ending the process is
+// enough: it is started again within seconds and keeps nothing that could be lost.
+fn supervise(part: &'static str, task: impl Future<Output = ()> + 'static) {
+    let running = spawn_local(task);
+    spawn_local(async move {
+        if let Err(error) = running.await {
+            eprintln!("{part} ended ({error}); ending the process, to be started again");
+            std::process::exit(EXIT_PART_FAILED);
+        }
+    });
+}
+
 async fn stop_gracefully(gateway: &Gateway, close: &watch::Sender<bool>, grace: Duration) {
     let began = tokio::time::Instant::now();
     log::info!(grace_ms = grace.as_millis() as u64; "stopping: running requests end first");
--- a/src/gateway/engine_choice.rs
+++ b/src/gateway/engine_choice.rs
@@ -62,7 +62,7 @@
             decode_rate: 20.0,
             hand_over_ms: 20.0,
             copy_ms: 0.002,
-            reread_weight: 2.0,
+            reread_weight: 4.0,
             home_discount: 0.5,
             running_ms: 2.0,
             disturbance: 0.05,
@@ -118,10 +118,14 @@
     pub writer: Arc<TargetRecord>,
     /// Engine that the reading one copies shared parts from.
     pub fetch_from: Option<Arc<TargetRecord>>,
+    /// Rank that it was chosen for.
+    pub rank: u8,
     /// Expected time to the first token, in milliseconds.
     pub expected_ms: f64,
     /// Tokens that the reading engine still has to read.
     pub unread_tokens: u32,
+    /// Tokens among them that requests share.
+    pub reread_tokens: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -130,6 +134,7 @@
     fetch_from: Option<&'a EngineState>,
     ms: f64,
     unread_tokens: u32,
+    reread_tokens: u32,
 }
 
 /// Chooses engines for a prompt of a rank; `None` without an engine that generates.
@@ -138,26 +143,28 @@
     weights: &PlacementWeights,
     engines: &[EngineState],
     prompt: &PromptShape,
-    urgency: u8,
+    rank: u8,
 ) -> Option<EnginePlace> {
-    let scene = Scene::new(weights, engines, prompt, urgency);
+    let scene = Scene::new(weights, engines, prompt, rank);
     let direct = scene.cheapest(|e| !e.is_reader() && e.may_get_work)?;
     let Some(read) = scene.cheapest(|e| e.is_reader() && e.may_get_work) else {
-        return Some(direct_place(&direct));
+        return Some(direct_place(&direct, rank));
     };
     let Some((writer, writer_ms)) = scene.writer() else {
-        return Some(direct_place(&direct));
+        return Some(direct_place(&direct, rank));
     };
     let handed_ms = read.ms + weights.hand_over_ms + writer_ms;
     if handed_ms >= direct.ms {
-        return Some(direct_place(&direct));
+        return Some(direct_place(&direct, rank));
     }
     Some(EnginePlace {
         reader: Some(read.engine.record.clone()),
         writer: writer.record.clone(),
         fetch_from: read.fetch_from.map(|holder| holder.record.clone()),
+        rank,
         expected_ms: handed_ms,
         unread_tokens: read.unread_tokens,
+        reread_tokens: read.reread_tokens,
     })
 }
 
@@ -170,19 +177,21 @@
     weights: &PlacementWeights,
     engines: &[EngineState],
     prompt: &PromptShape,
-    urgency: u8,
+    rank: u8,
 ) -> Option<Arc<TargetRecord>> {
-    let scene = Scene::new(weights, engines, prompt, urgency);
+    let scene = Scene::new(weights, engines, prompt, rank);
     scene.writer().map(|(engine, _)| engine.record.clone())
 }
 
-fn direct_place(way: &ReadWay<'_>) -> EnginePlace {
+fn direct_place(way: &ReadWay<'_>, rank: u8) -> EnginePlace {
     EnginePlace {
         reader: None,
         writer: way.engine.record.clone(),
         fetch_from: way.fetch_from.map(|holder| holder.record.clone()),
+        rank,
         expected_ms: way.ms,
         unread_tokens: way.unread_tokens,
+        reread_tokens: way.reread_tokens,
     }
 }
 
@@ -190,7 +199,7 @@
     weights: &'a PlacementWeights,
     engines: &'a [EngineState],
     prompt: &'a PromptShape,
-    urgency: u8,
+    rank: u8,
     shared_tokens: u32,
     home: Option<&'a EngineState>,
     holder: Option<&'a EngineState>,
@@ -201,7 +210,7 @@
         weights: &'a PlacementWeights,
         engines: &'a [EngineState],
         prompt: &'a PromptShape,
-        urgency: u8,
+        rank: u8,
     ) -> Self {
         let key = affinity::shared_key(&prompt.parts);
         let home = key.and_then(|key| {
@@ -216,7 +225,7 @@
             weights,
             engines,
             prompt,
-            urgency,
+            rank,
             shared_tokens: affinity::shared_tokens(&prompt.parts),
             home,
             holder,
@@ -244,9 +253,9 @@
             .is_some_and(|home| home.record.id == engine.record.id);
         let weights = self.weights;
         let discount = if is_home { weights.home_discount } else { 0.0 };
-        let reread = weights.reread_weight * f64::from(reread) * (1.0 - discount);
-        let own = (f64::from(unread) + reread) * engine.health.pace;
-        let waiting = f64::from(engine.work.unread_before(self.urgency)) * engine.health.pace;
+        let reread_cost = weights.reread_weight * f64::from(reread) * (1.0 - discount);
+        let own = (f64::from(unread) + reread_cost) * engine.health.pace;
+        let waiting = f64::from(engine.work.unread_before(self.rank)) * engine.health.pace;
         let reading = if engine.is_reader() {
             (own + waiting) / weights.prefill_rate
         } else {
@@ -260,6 +269,7 @@
             fetch_from,
             ms: weights.read_base_ms + reading + copying + engine.trouble_ms(),
             unread_tokens: unread,
+            reread_tokens: reread,
         }
     }
 
@@ -267,7 +277,7 @@
     fn writer(&self) -> Option<(&'a EngineState, f64)> {
         let fits = |e: &&EngineState| !e.is_reader() && e.may_get_work;
         let costs = self.engines.iter().filter(fits).map(|engine| {
-            let waiting = f64::from(engine.work.unread_before(self.urgency));
+            let waiting = f64::from(engine.work.unread_before(self.rank));
             let waiting = waiting / self.weights.decode_rate;
             let copied = self.prompt.prompt_tokens.saturating_sub(engine.held_tokens);
             let copy_ms = f64::from(copied) * self.weights.copy_ms;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -60,6 +60,13 @@
         self.due.saturating_duration_since(Instant::now())
     }
 
+    /// Time left for an answer of full worth.
+    #[must_use]
+    pub fn objective_left(&self) -> Duration {
+        let waited = self.arrived.elapsed();
+        self.route.objective.saturating_sub(waited)
+    }
+
     /// Plan of a send whose answer is waited for until `until`.
     #[must_use]
     pub fn plan(&self, until: Instant) -> SendPlan<'_> {
@@ -122,24 +129,19 @@
 pub struct WorkGuard {
     gateway: Rc<Gateway>,
     target: TargetId,
-    urgency: u8,
+    rank: u8,
     unread_tokens: u32,
 }
 
 impl WorkGuard {
     /// Counts a request of a rank with `unread_tokens` to read.
-    pub fn begin(
-        gateway: &Rc<Gateway>,
-        target: &TargetId,
-        urgency: u8,
-        unread_tokens: u32,
-    ) -> Self {
+    pub fn begin(gateway: &Rc<Gateway>, target: &TargetId, rank: u8, unread_tokens: u32) -> Self {
         let mut load = gateway.load.borrow_mut();
-        load.begin(target, urgency, unread_tokens);
+        load.begin(target, rank, unread_tokens);
         Self {
             gateway: gateway.clone(),
             target: target.clone(),
-            urgency,
+            rank,
             unread_tokens,
         }
     }
@@ -147,7 +149,7 @@
     /// Notes that the prompt was read.
     pub fn note_read(&mut self) {
         let mut load = self.gateway.load.borrow_mut();
-        load.note_read(&self.target, self.urgency, self.unread_tokens);
+        load.note_read(&self.target, self.rank, self.unread_tokens);
         self.unread_tokens = 0;
     }
 }
@@ -155,7 +157,7 @@
 impl Drop for WorkGuard {
     fn drop(&mut self) {
         let mut load = self.gateway.load.borrow_mut();
-        load.end(&self.target, self.urgency, self.unread_tokens);
+        load.end(&self.target, self.rank, self.unread_tokens);
     }
 }
 
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -25,6 +25,18 @@
 const MOST_READ_ANSWER: usize = 64 * 1024;
 /// Largest failure of an engine that is passed on, in bytes.
 const MOST_FAILURE_BYTES: usize = 1 << 20;
+/// Added to the rank of a request that can no longer be in time.
+const LATE_RANKS: u8 = 5;
+/// Shortest time after which callers give up a stream without a first event, as the
+/// users state it; so are the two below.
+const SHORTEST_PATIENCE: Duration = Duration::from_secs(2);
+const PATIENCE_OBJECTIVES: u32 = 4;
+const PATIENCE_GAPS: u32 = 8;
+/// Part of the expected time that a request is refused on: expectations are high
+/// under load, and a refusal in vain costs more than a late first event.
+const LATE_SHARE: f64 = 0.7;
+/// Time to come back after a refusal for overload.
+const OVERLOAD_WAIT: Duration = Duration::from_millis(900);
 /// Shortest wait for a reading before it is asked for elsewhere.
 const SHORTEST_READ_WAIT: Duration = Duration::from_millis(1_500);
 /// Longest time, in expected times, for a reading.
@@ -42,6 +54,9 @@
         let mut trail = SendTrail::default();
         let mut last = Failure::refused("no engine is known", ENGINE_BUSY_WAIT);
         while let Some(place) = self.place(&call, &trail) {
+            if let Some(refusal) = too_late(&call, &place) {
+                return Err(refusal);
+            }
             self.note_placed(&call, &place);
             let handle = self.read_ahead(&call, &place).await;
             let place = self.with_writer(&call, place, handle.is_some(), &trail);
@@ -99,7 +114,9 @@
             hand_over = place.reader.is_some(),
             prompt_tokens = prompt.map_or(0, |p| p.prompt_tokens),
             unread_tokens = place.unread_tokens,
-            waiting_tokens = load.total(&reader.id).unread_before(call.route.urgency),
+            reread_tokens = place.reread_tokens,
+            rank = place.rank,
+            waiting_tokens = load.total(&reader.id).unread_before(place.rank),
             fetch_from = place.fetch_from.as_ref().map_or("", |holder| holder.id.as_str()),
             running = load.total(&place.writer.id).running,
             others_known = load.others(),
@@ -120,12 +137,13 @@
             Some(_) => 0,
             None => place.unread_tokens,
         };
-        let urgency = call.route.urgency;
-        let mut work = WorkGuard::begin(self, &writer.id, urgency, unread);
+        let mut work = WorkGuard::begin(self, &writer.id, place.rank, unread);
         let fetch_from = place.fetch_from.as_deref().filter(|_| handle.is_none());
         let sent = Instant::now();
         let mode = handle.as_ref().map_or(SendMode::Run, HandleGuard::mode);
-        let mut outcome = self.send_writer(call, writer, mode, fetch_from, sent).await;
+        let mut outcome = self
+            .send_writer(call, writer, mode, fetch_from, place.rank, sent)
+            .await;
         if handle.is_some() && matches!(outcome, SendOutcome::Refused(_)) {
             // The memory could not be had. The same engine can still read by itself,
             // which is no further target.
@@ -135,7 +153,7 @@
             if self.may_repeat(call) {
                 let fetch_from = Some(place.reader.as_deref().unwrap_or(writer));
                 outcome = self
-                    .send_writer(call, writer, SendMode::Run, fetch_from, sent)
+                    .send_writer(call, writer, SendMode::Run, fetch_from, place.rank, sent)
                     .await;
             }
         }
@@ -179,6 +197,7 @@
         writer: &TargetRecord,
         mode: SendMode,
         fetch_from: Option<&TargetRecord>,
+        rank: u8,
         sent: Instant,
     ) -> SendOutcome {
         let step = match mode {
@@ -186,7 +205,7 @@
             _ => "run",
         };
         let resume_after = call.caller.resume_after;
-        let order = self.order(call, writer, mode, resume_after, fetch_from);
+        let order = self.order(call, writer, mode, resume_after, fetch_from, rank);
         let outcome = self.send(writer, call.plan(call.due), &order).await;
         call.log_send(writer, step, outcome.as_str(), sent);
         outcome
@@ -201,6 +220,7 @@
         mode: SendMode,
         resume_after: Option<u64>,
         fetch_from: Option<&TargetRecord>,
+        rank: u8,
     ) -> SendOrder {
         SendOrder {
             target: engine.id.clone(),
@@ -208,7 +228,7 @@
             mode,
             resume_after,
             fetch_from: fetch_from.map(|holder| holder.address),
-            rank: Some(call.route.urgency.min(9)),
+            rank: Some(rank),
         }
     }
 
@@ -288,12 +308,18 @@
         place: &EnginePlace,
     ) -> Option<HandleGuard> {
         let sent = Instant::now();
-        let urgency = call.route.urgency;
-        let _work = WorkGuard::begin(self, &reader.id, urgency, place.unread_tokens);
+        let _work = WorkGuard::begin(self, &reader.id, place.rank, place.unread_tokens);
         let patience = Duration::from_secs_f64(place.expected_ms * READ_PATIENCE / 1_000.0);
         let until = sent + patience.max(SHORTEST_READ_WAIT);
         let fetch_from = place.fetch_from.as_deref();
-        let order = self.order(call, reader, SendMode::ReadPrompt, None, fetch_from);
+        let order = self.order(
+            call,
+            reader,
+            SendMode::ReadPrompt,
+            None,
+            fetch_from,
+            place.rank,
+        );
         let outcome = self.send(reader, call.plan(until), &order).await;
         let read = self
             .finish_reading(reader, outcome, until.min(call.due))
@@ -393,6 +419,21 @@
     }
 }
 
+// A caller of a stream gives up when the first event does not come. Work for it
+// would be in vain and hold up others; told at once, it may come back in time.
+fn too_late(call: &RoutedCall, place: &EnginePlace) -> Option<Failure> {
+    let gap = call.route.gap_objective.unwrap_or_default();
+    let patience = SHORTEST_PATIENCE
+        .max(call.route.objective * PATIENCE_OBJECTIVES)
+        .max(gap * PATIENCE_GAPS);
+    let left = patience.saturating_sub(call.arrived.elapsed());
+    let late = place.expected_ms * LATE_SHARE > left.as_secs_f64() * 1_000.0;
+    late.then(|| {
+        let reason = format!("the first event would take {:.0} ms", place.expected_ms);
+        Failure::refused(reason, OVERLOAD_WAIT)
+    })
+}
+
 enum Started {
     Reply(Reply),
     Again(Failure),
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -10,8 +10,8 @@
 /// Age from which another daemon's counts are left out.
 const STALE_AFTER: Duration = Duration::from_millis(1_500);
 
-/// Ranks that are told apart; less urgent ones count with the last.
-pub const RANKS: usize = 4;
+/// Ranks that engines tell apart; 0 is read first.
+pub const RANKS: usize = 10;
 
 /// Work at one target.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -25,10 +25,10 @@
 }
 
 impl TargetWork {
-    /// Tokens that are read before those of a new request of `urgency`.
+    /// Tokens that are read before those of a new request of `rank`.
     #[must_use]
-    pub fn unread_before(&self, urgency: u8) -> u32 {
-        self.unread[..=rank_index(urgency)].iter().sum()
+    pub fn unread_before(&self, rank: u8) -> u32 {
+        self.unread[..=rank_index(rank)].iter().sum()
     }
 }
 
@@ -41,8 +41,8 @@
     }
 }
 
-fn rank_index(urgency: u8) -> usize {
-    usize::from(urgency).min(RANKS - 1)
+fn rank_index(rank: u8) -> usize {
+    usize::from(rank).min(RANKS - 1)
 }
 
 /// Work by target.
@@ -59,23 +59,23 @@
 
 impl LoadBook {
     /// Notes the start of a request of a rank with `unread_tokens` to read.
-    pub fn begin(&mut self, target: &TargetId, urgency: u8, unread_tokens: u32) {
+    pub fn begin(&mut self, target: &TargetId, rank: u8, unread_tokens: u32) {
         let work = self.own.entry(target.clone()).or_default();
         work.running += 1;
-        work.unread[rank_index(urgency)] += unread_tokens;
+        work.unread[rank_index(rank)] += unread_tokens;
     }
 
     /// Notes that tokens counted by [`Self::begin`] were read.
-    pub fn note_read(&mut self, target: &TargetId, urgency: u8, tokens: u32) {
+    pub fn note_read(&mut self, target: &TargetId, rank: u8, tokens: u32) {
         if let Some(work) = self.own.get_mut(target) {
-            let unread = &mut work.unread[rank_index(urgency)];
+            let unread = &mut work.unread[rank_index(rank)];
             *unread = unread.saturating_sub(tokens);
         }
     }
 
     /// Notes the end of a request, of whose prompt `unread_tokens` were not read.
-    pub fn end(&mut self, target: &TargetId, urgency: u8, unread_tokens: u32) {
-        self.note_read(target, urgency, unread_tokens);
+    pub fn end(&mut self, target: &TargetId, rank: u8, unread_tokens: u32) {
+        self.note_read(target, rank, unread_tokens);
         if let Some(work) = self.own.get_mut(target) {
             work.running = work.running.saturating_sub(1);
             if work.running == 0 {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -360,13 +360,14 @@
         let view = self.view();
         let load = self.load.borrow();
         let work = load.own().iter().map(|(id, work)| (id.clone(), *work));
+        let mut peers = self.peers.borrow_mut();
         PeerHint {
             from: self.settings.daemon.clone(),
             life: self.life,
             leaving: self.stopping.get(),
             config_version: view.routes.as_ref().map_or(0, |routes| routes.version),
             work: work.collect(),
-            held: self.peers.borrow_mut().take_held(),
+            held: peers.take_held(),
             departed: view.departed.clone(),
             changing: self.own_changing.borrow().clone(),
             rate: self.work.borrow_mut().rate(clock::mono_now()),
@@ -437,6 +438,7 @@
                 caches.note_coming(&note.engine, &parts, now);
             }
         }
+        drop(caches);
         for target in hint.departed.iter().filter(|target| view.holds(target)) {
             self.tell_departed(target);
         }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -187,18 +187,14 @@
         }
         let engine = place.writer;
         self.trail.sent.push(engine.id.clone());
-        let mut work = WorkGuard::begin(
-            &self.gateway,
-            &engine.id,
-            self.call.route.urgency,
-            place.unread_tokens,
-        );
+        let mut work = WorkGuard::begin(&self.gateway, &engine.id, place.rank, place.unread_tokens);
         let order = self.gateway.order(
             &self.call,
             &engine,
             SendMode::Run,
             self.last_id,
             place.fetch_from.as_deref(),
+            place.rank,
         );
         let sent = Instant::now();
         let plan = self.call.plan(self.call.due);
