--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -381,12 +381,14 @@
     pub fn place(&self, call: &RoutedCall, trail: &SendTrail) -> Option<EnginePlace> {
         let engines = self.engine_states(call, |id| !trail.has(id));
         let prompt = call.caller.prompt.clone().unwrap_or_default();
-        engine_choice::choose(
-            &self.settings.placement,
-            &engines,
-            &prompt,
-            call.route.urgency,
-        )
+        let weights = &self.settings.placement;
+        let in_time = engine_choice::choose(weights, &engines, &prompt, call.route.urgency)?;
+        if in_time.expected_ms <= call.objective_left().as_secs_f64() * 1_000.0 {
+            return Some(in_time);
+        }
+        // What is late already gives way to what can still be in time.
+        let rank = call.route.urgency.saturating_add(LATE_RANKS).min(9);
+        engine_choice::choose(weights, &engines, &prompt, rank)
     }
 
     fn engine_states(
