Judge lateness by waiting, not by a prompt's own length

Change: expected time and cost are told apart; only time spent waiting for others makes a request late.

--- a/src/gateway/engine_choice.rs
+++ b/src/gateway/engine_choice.rs
@@ -122,6 +122,8 @@
     pub rank: u8,
     /// Expected time to the first token, in milliseconds.
     pub expected_ms: f64,
+    /// Part of it that the request's own reading takes.
+    pub own_ms: f64,
     /// Tokens that the reading engine still has to read.
     pub unread_tokens: u32,
     /// Tokens among them that requests share.
@@ -132,7 +134,10 @@
 struct ReadWay<'a> {
     engine: &'a EngineState,
     fetch_from: Option<&'a EngineState>,
-    ms: f64,
+    // What the choice goes by: the time and a price on what costs others.
+    cost_ms: f64,
+    expected_ms: f64,
+    own_ms: f64,
     unread_tokens: u32,
     reread_tokens: u32,
 }
@@ -153,8 +158,8 @@
     let Some((writer, writer_ms)) = scene.writer() else {
         return Some(direct_place(&direct, rank));
     };
-    let handed_ms = read.ms + weights.hand_over_ms + writer_ms;
-    if handed_ms >= direct.ms {
+    let hand_over_ms = weights.hand_over_ms + writer_ms;
+    if read.cost_ms + hand_over_ms >= direct.cost_ms {
         return Some(direct_place(&direct, rank));
     }
     Some(EnginePlace {
@@ -162,7 +167,8 @@
         writer: writer.record.clone(),
         fetch_from: read.fetch_from.map(|holder| holder.record.clone()),
         rank,
-        expected_ms: handed_ms,
+        expected_ms: read.expected_ms + hand_over_ms,
+        own_ms: read.own_ms,
         unread_tokens: read.unread_tokens,
         reread_tokens: read.reread_tokens,
     })
@@ -189,7 +195,8 @@
         writer: way.engine.record.clone(),
         fetch_from: way.fetch_from.map(|holder| holder.record.clone()),
         rank,
-        expected_ms: way.ms,
+        expected_ms: way.expected_ms,
+        own_ms: way.own_ms,
         unread_tokens: way.unread_tokens,
         reread_tokens: way.reread_tokens,
     }
@@ -235,7 +242,7 @@
     fn cheapest(&self, fits: impl Fn(&EngineState) -> bool) -> Option<ReadWay<'a>> {
         let ways = self.engines.iter().filter(|e| fits(e));
         ways.map(|engine| self.way(engine))
-            .min_by(|a, b| a.ms.total_cmp(&b.ms))
+            .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
     }
 
     fn way(&self, engine: &'a EngineState) -> ReadWay<'a> {
@@ -254,20 +261,25 @@
         let weights = self.weights;
         let discount = if is_home { weights.home_discount } else { 0.0 };
         let reread_cost = weights.reread_weight * f64::from(reread) * (1.0 - discount);
-        let own = (f64::from(unread) + reread_cost) * engine.health.pace;
-        let waiting = f64::from(engine.work.unread_before(self.rank)) * engine.health.pace;
-        let reading = if engine.is_reader() {
-            (own + waiting) / weights.prefill_rate
+        let pace = engine.health.pace;
+        let waiting = f64::from(engine.work.unread_before(self.rank)) * pace;
+        let (rate, disturbed, running) = if engine.is_reader() {
+            (weights.prefill_rate, 1.0, 0.0)
         } else {
             let disturbed = 1.0 + weights.disturbance * f64::from(engine.work.running);
-            (own * disturbed + waiting) / weights.decode_rate
-                + engine.running_ms(weights.running_ms)
+            let running = engine.running_ms(weights.running_ms);
+            (weights.decode_rate, disturbed, running)
         };
+        let own_ms = f64::from(unread) * pace / rate;
+        let expected_ms = weights.read_base_ms + own_ms + waiting / rate + engine.trouble_ms();
+        let others_ms = (own_ms + reread_cost * pace / rate) * disturbed - own_ms;
         let copying = f64::from(copied) * weights.copy_ms;
         ReadWay {
             engine,
             fetch_from,
-            ms: weights.read_base_ms + reading + copying + engine.trouble_ms(),
+            cost_ms: expected_ms + others_ms + running + copying,
+            expected_ms,
+            own_ms,
             unread_tokens: unread,
             reread_tokens: reread,
         }
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -32,8 +32,8 @@
 const SHORTEST_PATIENCE: Duration = Duration::from_secs(2);
 const PATIENCE_OBJECTIVES: u32 = 4;
 const PATIENCE_GAPS: u32 = 8;
-/// Part of the expected time that a request is refused on: expectations are high
-/// under load, and a refusal in vain costs more than a late first event.
+/// Part of that time which a request may spend waiting for others. Its own reading
+/// is not counted, or the largest prompts would be refused first.
 const LATE_SHARE: f64 = 0.7;
 /// Time to come back after a refusal for overload.
 const OVERLOAD_WAIT: Duration = Duration::from_millis(900);
@@ -383,10 +383,12 @@
         let prompt = call.caller.prompt.clone().unwrap_or_default();
         let weights = &self.settings.placement;
         let in_time = engine_choice::choose(weights, &engines, &prompt, call.route.urgency)?;
-        if in_time.expected_ms <= call.objective_left().as_secs_f64() * 1_000.0 {
+        // What waits too long to be in time gives way to what can still be. A prompt
+        // that is late by its own length does not: the largest would never be read.
+        let waiting_ms = in_time.expected_ms - in_time.own_ms;
+        if waiting_ms <= call.objective_left().as_secs_f64() * 1_000.0 {
             return Some(in_time);
         }
-        // What is late already gives way to what can still be in time.
         let rank = call.route.urgency.saturating_add(LATE_RANKS).min(9);
         engine_choice::choose(weights, &engines, &prompt, rank)
     }
@@ -429,7 +431,8 @@
         .max(call.route.objective * PATIENCE_OBJECTIVES)
         .max(gap * PATIENCE_GAPS);
     let left = patience.saturating_sub(call.arrived.elapsed());
-    let late = place.expected_ms * LATE_SHARE > left.as_secs_f64() * 1_000.0;
+    let waiting_ms = place.expected_ms - place.own_ms;
+    let late = waiting_ms > left.as_secs_f64() * 1_000.0 * LATE_SHARE;
     late.then(|| {
         let reason = format!("the first event would take {:.0} ms", place.expected_ms);
         Failure::refused(reason, OVERLOAD_WAIT)
