--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Sets what the fleet may repeat from now on.
+    pub fn set_rule(&mut self, rule: BudgetRule) {
+        self.rule = rule;
+    }
+
     /// Notes a caller's request for a service.
     pub fn note_request(&mut self, service: &ServiceName, now: MonoTime) {
         let span = self.span(now);
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -18,7 +18,7 @@
 use crate::gateway::port::GatewayPorts;
 use crate::gateway::registry::TargetRegistry;
 use crate::gateway::routes::RouteTable;
-use crate::names::{MonoTime, TargetId};
+use crate::names::{DaemonId, MonoTime, TargetId};
 use crate::ports::{
     ConditionalWrite, ObjectBatch, ObjectName, ObjectVersion, PlatformError, StoredObject,
     WatchQuery,
@@ -113,6 +113,7 @@
     routes: Option<Arc<RouteTable>>,
     config_source: Option<(u64, Arc<[u8]>)>,
     targets_known: bool,
+    own_record_seen: bool,
 }
 
 async fn run(setup: ControlSetup, mut inbox: mpsc::UnboundedReceiver<ControlNews>) {
@@ -130,6 +131,7 @@
         routes: None,
         config_source: None,
         targets_known: false,
+        own_record_seen: false,
     };
     let timer = TimerService::start();
     let mut ticks = timer.every(TICK);
@@ -146,7 +148,13 @@
                 }
                 None => return,
             },
-            news = feeds.recv() => news.is_some_and(|news| state.take(news)),
+            news = feeds.recv() => {
+                let changed = news.is_some_and(|news| state.take(news));
+                if state.lost_own_record(&record_sender.borrow().id) {
+                    record_sender.send_modify(|_| {});
+                }
+                changed
+            }
             _ = ticks.next() => state.registry.expire(clock::mono_now()),
         };
         if changed {
@@ -162,6 +170,14 @@
         true
     }
 
+    // Whether the daemons were listed and the own record, seen before, is not there.
+    fn lost_own_record(&mut self, own: &DaemonId) -> bool {
+        let holds = self.members.holds(own);
+        let lost = self.own_record_seen && !holds;
+        self.own_record_seen = holds;
+        lost
+    }
+
     // Whether something changed that traffic has to see.
     fn take(&mut self, news: FeedNews) -> bool {
         let now = clock::mono_now();
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -28,18 +28,21 @@
 use crate::gateway::peers::{self, PeerBook};
 use crate::gateway::pool::LinkPool;
 use crate::gateway::port::GatewayPorts;
+use crate::gateway::reload;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::stage_control;
 use crate::gateway::work_meter::WorkMeter;
 use crate::names::{DaemonId, TargetId};
+use crate::ports::ObjectName;
 use crate::telemetry;
 use crate::timer::TimerService;
 
 /// State of the traffic thread. Each part is borrowed for one step and never
 /// across a wait.
 pub struct Gateway {
-    /// Settings of this process.
-    pub settings: GatewaySettings,
+    settings: RefCell<Rc<GatewaySettings>>,
+    /// Name of this daemon.
+    pub daemon: DaemonId,
     /// Adapter.
     pub ports: GatewayPorts,
     /// What the control thread published.
@@ -73,6 +76,17 @@
 }
 
 impl Gateway {
+    /// Returns the settings in force.
+    #[must_use]
+    pub fn settings(&self) -> Rc<GatewaySettings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Puts settings in force.
+    pub fn set_settings(&self, settings: GatewaySettings) {
+        *self.settings.borrow_mut() = Rc::new(settings);
+    }
+
     /// Returns the newest picture of the fleet.
     #[must_use]
     pub fn view(&self) -> Arc<FleetView> {
@@ -120,6 +134,8 @@
 const END_CHECK: Duration = Duration::from_millis(50);
 /// Exit code of a process of which a part panicked.
 const EXIT_PART_FAILED: i32 = 70;
+/// How often records of daemons that are gone are looked for.
+const RECORD_SWEEP: Duration = Duration::from_secs(20);
 /// How often recorded samples are compacted.
 const METRICS_UPKEEP: Duration = Duration::from_secs(5);
 
@@ -135,7 +151,8 @@
     ) -> Self {
         let budget = RepeatBudget::new(settings.budget_rule());
         Self {
-            settings,
+            daemon: settings.daemon.clone(),
+            settings: RefCell::new(Rc::new(settings)),
             ports,
             fleet,
             pool: Rc::default(),
@@ -157,12 +174,43 @@
     /// Whether callers may be sent to a daemon.
     #[must_use]
     pub fn is_usable(&self, daemon: &DaemonId) -> bool {
-        if *daemon == self.settings.daemon {
+        if *daemon == self.daemon {
             return !self.stopping.get();
         }
         self.peers.borrow().is_usable(daemon, clock::mono_now())
     }
 
+    // Instances are replaced for good, and nothing in the store expires by itself.
+    // One daemon removes the records of those that nobody heard for long; one that
+    // lives after all writes its record anew when it sees it gone.
+    async fn remove_left_records(&self) {
+        if self.rank() != 0 || self.stopping.get() {
+            return;
+        }
+        let view = self.view();
+        let silent = self.peers.borrow().long_silent(clock::mono_now());
+        let left = view.daemons.iter().filter(|d| silent.contains(&d.id));
+        for record in left {
+            self.remove_record(record).await;
+        }
+    }
+
+    async fn remove_record(&self, record: &DaemonRecord) {
+        let object = ObjectName {
+            kind: self.ports.schema.daemon_kind.clone(),
+            name: record.id.to_string(),
+        };
+        let Ok(Some(stored)) = (self.ports.store.read)(object.clone()).await else {
+            return;
+        };
+        let value = stored.value.unwrap_or_default();
+        let same = DaemonRecord::decode(&object.name, &value).is_ok_and(|r| r.life == record.life);
+        if same {
+            let removed = (self.ports.remove)((object, stored.version)).await;
+            log::info!(daemon = record.id.as_str(), removed = removed.is_ok(); "record of a daemon that is gone");
+        }
+    }
+
     fn sweep(&self) {
         let now = clock::mono_now();
         self.pool.borrow_mut().sweep(tokio::time::Instant::now());
@@ -181,7 +229,17 @@
     }
 }
 
-/// Runs a gateway until `stop` completes and its requests have ended.
+/// What a daemon is told from outside while it runs.
+pub struct DaemonSignals<S> {
+    /// Completes when the daemon is to stop.
+    pub stop: S,
+    /// Asks for a look at the settings.
+    pub reload: mpsc::UnboundedReceiver<()>,
+    /// Where the settings are.
+    pub settings_path: String,
+}
+
+/// Runs a gateway until its stop is asked for and its requests have ended.
 ///
 /// # Errors
 ///
@@ -189,12 +247,13 @@
 pub async fn run(
     settings: GatewaySettings,
     ports: GatewayPorts,
-    stop: impl Future<Output = ()>,
+    signals: DaemonSignals<impl Future<Output = ()>>,
 ) -> Result<(), DaemonFault> {
     let metrics = telemetry::install_prometheus()?;
     let fleet: FleetCell = Arc::new(ArcSwap::from_pointee(FleetView::default()));
     let life = rand::rng().random();
     let control = start_control(&settings, &ports, &fleet, life)?;
+    let centre = settings.centre.clone();
     let grace = Duration::from_secs_f64(settings.bounds.stop_grace_s);
     let gateway = Rc::new(Gateway::new(settings, ports, fleet, life, control.news));
     let (close, closing) = watch::channel(false);
@@ -203,12 +262,14 @@
         let (gateway, closing) = (gateway.clone(), closing.clone());
         spawn_local(entry::accept_loop(gateway, listener, kind, closing));
     }
-    let peer_listener = listen(gateway.settings.peer_address()).await?;
+    let peer_listener = listen(gateway.settings().peer_address()).await?;
     supervise("peers", peers::run(gateway.clone(), peer_listener));
     supervise("stages", stage_control::run(gateway.clone()));
+    let reloading = reload::run(gateway.clone(), signals.settings_path, signals.reload);
+    supervise("settings", reloading);
     supervise("upkeep", upkeep(gateway.clone(), metrics));
-    log::info!(daemon = gateway.settings.daemon.as_str(), centre = gateway.settings.centre.as_str(); "started");
-    stop.await;
+    log::info!(daemon = gateway.daemon.as_str(), centre = centre.as_str(); "started");
+    signals.stop.await;
     stop_gracefully(&gateway, &close, grace).await;
     Ok(())
 }
@@ -276,9 +337,10 @@
     gateway: &Gateway,
     metrics: &PrometheusHandle,
 ) -> Result<Vec<(TcpListener, PageKind)>, DaemonFault> {
-    let addresses = &gateway.settings.listen;
+    let settings = gateway.settings();
+    let addresses = &settings.listen;
     let pages = || PageKind::Pages(metrics.clone());
-    let mut wanted = vec![(gateway.settings.metrics_address(), pages())];
+    let mut wanted = vec![(settings.metrics_address(), pages())];
     wanted.extend(
         addresses
             .callers
@@ -303,12 +365,14 @@
 
 async fn upkeep(gateway: Rc<Gateway>, metrics: PrometheusHandle) {
     let timer = TimerService::start();
+    let mut removals = timer.every(RECORD_SWEEP);
     let mut sweeps = timer.every(SWEEP);
     let mut compactions = timer.every(METRICS_UPKEEP);
     loop {
         tokio::select! {
             _ = sweeps.next() => gateway.sweep(),
             _ = compactions.next() => metrics.run_upkeep(),
+            _ = removals.next() => gateway.remove_left_records().await,
         }
     }
 }
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::StreamExt;
 use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use http::{Request, Response, StatusCode};
-use http_body_util::{Either, Full};
+use http_body_util::{Either, Full, StreamBody};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -19,10 +20,12 @@
 
 use crate::gateway::daemon::Gateway;
 use crate::gateway::directory;
-use crate::gateway::reply::{Failure, FailureKind, Reply};
+use crate::gateway::head_clock::{HeadClock, TimedStream};
+use crate::gateway::reply::{Failure, FailureKind, FrameStream, Reply};
 
 /// Limits before the first configuration says otherwise.
 const FIRST_IDLE_TIME: Duration = Duration::from_secs(15);
+const FIRST_HEAD_TIME: Duration = Duration::from_secs(3);
 const FIRST_HEAD_BYTES: usize = 16 * 1024;
 /// Smallest buffer of a connection, in bytes.
 const LEAST_BUFFER: usize = 8 * 1024;
@@ -81,21 +84,33 @@
     let limits = view.routes.as_ref().map(|routes| routes.limits);
     let idle = limits.map_or(FIRST_IDLE_TIME, |limits| limits.idle_time);
     let head_bytes = limits.map_or(FIRST_HEAD_BYTES, |limits| limits.head_bytes);
-    let served = gateway.clone();
+    let head_time = limits.map_or(FIRST_HEAD_TIME, |limits| limits.head_time);
+    let clock = Rc::new(HeadClock::default());
+    let (served, ticking) = (gateway.clone(), clock.clone());
     let service = service_fn(move |request| {
-        let gateway = served.clone();
-        let kind = kind.clone();
-        async move { Ok::<Reply, Infallible>(respond(gateway, kind, request).await) }
+        let (gateway, kind, clock) = (served.clone(), kind.clone(), ticking.clone());
+        async move {
+            clock.note_head();
+            let reply = respond(gateway, kind, request).await;
+            Ok::<Reply, Infallible>(when_sent(reply, clock))
+        }
     });
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(head_bytes.max(LEAST_BUFFER));
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let connection = builder.serve_connection(
+        TokioIo::new(TimedStream::new(stream, clock.clone())),
+        service,
+    );
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
+        () = clock.overdue(head_time) => {
+            log::info!(limit_ms = head_time.as_millis() as u64; "connection closed: its caller sent no whole head in time");
+            return;
+        }
         _ = closing.wait_for(|close| *close) => {
             connection.as_mut().graceful_shutdown();
             connection.as_mut().await
@@ -106,6 +121,34 @@
     }
 }
 
+// The next head counts from the end of this answer, which for a stream is its last
+// event.
+fn when_sent(reply: Reply, clock: Rc<HeadClock>) -> Reply {
+    let (head, body) = reply.into_parts();
+    let body = match body {
+        Either::Left(whole) => {
+            clock.note_answered();
+            Either::Left(whole)
+        }
+        Either::Right(frames) => {
+            let guard = AnswerGuard(clock);
+            let frames: FrameStream = Box::pin(frames.inspect(move |_| {
+                let _held = &guard;
+            }));
+            Either::Right(StreamBody::new(frames))
+        }
+    };
+    Response::from_parts(head, body)
+}
+
+struct AnswerGuard(Rc<HeadClock>);
+
+impl Drop for AnswerGuard {
+    fn drop(&mut self) {
+        self.0.note_answered();
+    }
+}
+
 // Counts a caller's connection while it is open.
 struct OpenCount(Rc<Gateway>);
 
@@ -153,7 +196,7 @@
             let addresses = directory::addresses_for(&view.daemons, &question.centre, |id| {
                 gateway.is_usable(id)
             });
-            let keep = gateway.settings.bounds.directory_keep_s;
+            let keep = gateway.settings().bounds.directory_keep_s;
             let keep = DIRECTORY_KEEP.min(Duration::from_secs_f64(keep));
             let body = (gateway.ports.wire.directory_answer)(&addresses, keep);
             bytes_page(StatusCode::OK, "application/json", body)
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING};
+use http::Request;
+use http::header::{CONTENT_LENGTH, EXPECT, HOST};
 use http::request::Parts;
-use http::{HeaderMap, Request};
 use hyper::body::Incoming;
 use rand::Rng;
 use tokio::time::Instant;
@@ -212,7 +212,6 @@
         body: Incoming,
         arrived: Instant,
     ) -> Result<RoutedCall, Failure> {
-        check_framing(&head.headers)?;
         let caller = (self.ports.wire.decode_caller)(&head.headers)
             .map_err(|fault| Failure::new(FailureKind::BadRequest, fault.to_string()))?;
         let view = self.view();
@@ -337,7 +336,7 @@
         };
         let TargetAnswer {
             head, body, lease, ..
-        } = answer;
+        } = *answer;
         match client::read_body(body, MOST_ANSWER_BYTES, call.due).await {
             Err(reason) => {
                 self.note_result(target, SendResult::Failed);
@@ -448,18 +447,6 @@
     }
 }
 
-/// Refuses requests whose length can be read in two ways. One reader would take
-/// the rest of the body for another request, which nobody sent.
-fn check_framing(headers: &HeaderMap) -> Result<(), Failure> {
-    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
-    let chunked = headers.contains_key(TRANSFER_ENCODING);
-    if lengths > 1 || (lengths == 1 && chunked) {
-        let reason = "the request states its length twice; send either a length or chunks";
-        return Err(Failure::new(FailureKind::BadRequest, reason));
-    }
-    Ok(())
-}
-
 fn host_of(head: &Parts) -> Result<String, Failure> {
     let mut hosts = head.headers.get_all(HOST).iter();
     let host = hosts.next().and_then(|value| value.to_str().ok());
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -82,7 +82,7 @@
         let engines = self.engine_states(call, |id| !trail.has(id));
         let prompt = call.caller.prompt.clone().unwrap_or_default();
         let writer = engine_choice::choose_writer(
-            &self.settings.placement,
+            &self.settings().placement,
             &engines,
             &prompt,
             call.route.urgency,
@@ -164,11 +164,11 @@
                     handle.forget();
                 }
                 if !answer.head.status.is_success() {
-                    return self.fail_with(call, writer, answer).await;
+                    return self.fail_with(call, writer, *answer).await;
                 }
                 self.note_held(call, writer);
                 work.note_read();
-                return Started::Reply(self.relay(call, place, answer, trail.clone(), work));
+                return Started::Reply(self.relay(call, place, *answer, trail.clone(), work));
             }
             SendOutcome::NotSent(reason) => {
                 trail.unreached.push(writer.id.clone());
@@ -293,7 +293,7 @@
         let engines = self.engine_states(call, |id| !tried.contains(id));
         let prompt = call.caller.prompt.clone().unwrap_or_default();
         engine_choice::choose(
-            &self.settings.placement,
+            &self.settings().placement,
             &engines,
             &prompt,
             call.route.urgency,
@@ -381,7 +381,8 @@
     pub fn place(&self, call: &RoutedCall, trail: &SendTrail) -> Option<EnginePlace> {
         let engines = self.engine_states(call, |id| !trail.has(id));
         let prompt = call.caller.prompt.clone().unwrap_or_default();
-        let weights = &self.settings.placement;
+        let settings = self.settings();
+        let weights = &settings.placement;
         let in_time = engine_choice::choose(weights, &engines, &prompt, call.route.urgency)?;
         // What waits too long to be in time gives way to what can still be. A prompt
         // that is late by its own length does not: the largest would never be read.
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -83,6 +83,12 @@
         self.records.clear();
     }
 
+    /// Whether a daemon has a record.
+    #[must_use]
+    pub fn holds(&self, daemon: &DaemonId) -> bool {
+        self.records.contains_key(daemon.as_str())
+    }
+
     /// All records, in the order of their names, so that all daemons see the same order.
     #[must_use]
     pub fn all(&self) -> Vec<DaemonRecord> {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -118,6 +118,8 @@
     behind_since: Option<MonoTime>,
 }
 
+/// Silence after which the record of a daemon is removed; partitions are shorter.
+const LONG_SILENCE: Duration = Duration::from_secs(60);
 /// Time for a daemon that is new here to be heard. Links are opened both ways
 /// within it, unless the daemon is away and only its record was left behind.
 const FIRST_WORD: Duration = Duration::from_millis(2_500);
@@ -154,16 +156,27 @@
         }
     }
 
-    /// Takes the daemons with a record, in place of those known before.
-    pub fn set_known(&mut self, daemons: &[DaemonRecord], now: MonoTime) {
+    /// Takes the daemons with a record beside the own one, in place of those known.
+    pub fn set_known(&mut self, own: &DaemonId, daemons: &[DaemonRecord], now: MonoTime) {
         let known = |id: &DaemonId| daemons.iter().any(|daemon| daemon.id == *id);
         self.heard.retain(|id, _| known(id));
         self.known_since.retain(|id, _| known(id));
-        for daemon in daemons {
+        for daemon in daemons.iter().filter(|daemon| daemon.id != *own) {
             self.known_since.entry(daemon.id.clone()).or_insert(now);
         }
     }
 
+    /// Daemons with a record that were not heard for long.
+    #[must_use]
+    pub fn long_silent(&self, now: MonoTime) -> Vec<DaemonId> {
+        let known = self.known_since.iter();
+        let silent = known.filter(|(id, since)| {
+            let last = self.heard.get(*id).map_or(**since, |state| state.at);
+            now.since(last) > LONG_SILENCE
+        });
+        silent.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Engines that other daemons are changing.
     pub fn changing(&self, now: MonoTime) -> impl Iterator<Item = &TargetId> {
         let alive = self.heard.values();
@@ -351,7 +364,7 @@
     #[must_use]
     pub fn rank(&self) -> usize {
         let view = self.view();
-        let own = &self.settings.daemon;
+        let own = &self.daemon;
         let before = view.daemons.iter().filter(|d| d.id < *own && !d.leaving);
         before.filter(|d| self.is_usable(&d.id)).count()
     }
@@ -362,7 +375,7 @@
         let work = load.own().iter().map(|(id, work)| (id.clone(), *work));
         let mut peers = self.peers.borrow_mut();
         PeerHint {
-            from: self.settings.daemon.clone(),
+            from: self.daemon.clone(),
             life: self.life,
             leaving: self.stopping.get(),
             config_version: view.routes.as_ref().map_or(0, |routes| routes.version),
@@ -376,9 +389,9 @@
 
     fn wanted_links(&self) -> Vec<DaemonRecord> {
         let view = self.view();
-        let own = &self.settings.daemon;
+        let own = &self.daemon;
         let now = clock::mono_now();
-        self.peers.borrow_mut().set_known(&view.daemons, now);
+        self.peers.borrow_mut().set_known(own, &view.daemons, now);
         let others = view.daemons.iter().filter(|daemon| daemon.id != *own);
         others.take(MOST_LINKS).cloned().collect()
     }
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -1,9 +1,8 @@
 //! Ports of the gateway: what an adapter translates between wire and gateway.
 //!
-//! Each is a pure function; connections, waits and retries are the gateway's own.
+//! Each is a pure function, so a plain pointer to it; connections, waits and retries are the gateway's own.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,7 +11,7 @@
 
 use crate::gateway::model::{CallerRequest, EngineStage, FleetConfig, TargetRecord};
 use crate::names::{CentreName, DaemonId, FenceNumber, TargetId};
-use crate::ports::PlatformPort;
+use crate::ports::{ObjectName, ObjectVersion, PlatformError, PlatformPort, PortCall};
 
 /// Something on the wire that cannot be read.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
@@ -159,29 +158,29 @@
 #[derive(Clone)]
 pub struct WirePort {
     /// Reads what a caller's head says.
-    pub decode_caller: Arc<dyn Fn(&HeaderMap) -> Result<CallerRequest, WireFault> + Send + Sync>,
+    pub decode_caller: fn(&HeaderMap) -> Result<CallerRequest, WireFault>,
     /// Makes the head of a send from the caller's head.
-    pub encode_send: Arc<dyn Fn(&HeaderMap, &SendOrder) -> HeaderMap + Send + Sync>,
+    pub encode_send: fn(&HeaderMap, &SendOrder) -> HeaderMap,
     /// Reads what a target's head says.
-    pub decode_answer: Arc<dyn Fn(StatusCode, &HeaderMap) -> AnswerMarks + Send + Sync>,
+    pub decode_answer: fn(StatusCode, &HeaderMap) -> AnswerMarks,
     /// Reads the answer to [`SendMode::ReadPrompt`].
-    pub decode_read: Arc<dyn Fn(&[u8]) -> Result<PromptRead, WireFault> + Send + Sync>,
+    pub decode_read: fn(&[u8]) -> Result<PromptRead, WireFault>,
     /// Makes the call that frees a kept prompt.
-    pub free_handle: Arc<dyn Fn(&str) -> TargetQuery + Send + Sync>,
+    pub free_handle: fn(&str) -> TargetQuery,
     /// Makes an order.
-    pub encode_order: Arc<dyn Fn(&EngineOrder) -> TargetQuery + Send + Sync>,
+    pub encode_order: fn(&EngineOrder) -> TargetQuery,
     /// Reads the answer to an order.
-    pub decode_order: Arc<dyn Fn(StatusCode, &[u8]) -> OrderOutcome + Send + Sync>,
+    pub decode_order: fn(StatusCode, &[u8]) -> OrderOutcome,
     /// Makes the question for an engine's report.
-    pub report_query: Arc<dyn Fn() -> TargetQuery + Send + Sync>,
+    pub report_query: fn() -> TargetQuery,
     /// Reads an engine's report.
-    pub decode_report: Arc<dyn Fn(&[u8]) -> Result<EngineReport, WireFault> + Send + Sync>,
+    pub decode_report: fn(&[u8]) -> Result<EngineReport, WireFault>,
     /// Reads a question to the directory; `None` where the path is another one.
-    pub directory_question: Arc<dyn Fn(&Uri) -> Option<DirectoryQuestion> + Send + Sync>,
+    pub directory_question: fn(&Uri) -> Option<DirectoryQuestion>,
     /// Makes the directory's answer from addresses and the time to keep them.
-    pub directory_answer: Arc<dyn Fn(&[SocketAddr], Duration) -> Bytes + Send + Sync>,
+    pub directory_answer: fn(&[SocketAddr], Duration) -> Bytes,
     /// Whether a path asks if this daemon is ready.
-    pub is_ready_path: Arc<dyn Fn(&str) -> bool + Send + Sync>,
+    pub is_ready_path: fn(&str) -> bool,
 }
 
 /// Objects of the store and what they hold.
@@ -194,9 +193,9 @@
     /// Kind of the daemons' records, which is the gateway's own.
     pub daemon_kind: String,
     /// Reads a configuration.
-    pub decode_config: Arc<dyn Fn(&[u8]) -> Result<FleetConfig, WireFault> + Send + Sync>,
+    pub decode_config: fn(&[u8]) -> Result<FleetConfig, WireFault>,
     /// Reads a target's entry from its name and value.
-    pub decode_target: Arc<dyn Fn(&str, &[u8]) -> Result<TargetRecord, WireFault> + Send + Sync>,
+    pub decode_target: fn(&str, &[u8]) -> Result<TargetRecord, WireFault>,
 }
 
 /// Everything that the gateway needs from its adapter.
@@ -208,4 +207,6 @@
     pub schema: StoreSchema,
     /// The object store.
     pub store: PlatformPort,
+    /// Removes an object of the store if it has the version.
+    pub remove: PortCall<(ObjectName, ObjectVersion), Result<(), PlatformError>>,
 }
--- /dev/null
+++ b/src/gateway/reload.rs
@@ -0,0 +1,62 @@
+//! Takes changed settings while the process runs.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+
+use crate::gateway::daemon::Gateway;
+use crate::gateway::settings::GatewaySettings;
+use crate::timer::TimerService;
+
+/// How often the file is looked at: it may change without a signal.
+const LOOK_EVERY: Duration = Duration::from_secs(2);
+
+/// Follows the settings file until the process ends; each message asks for a look
+/// at once.
+pub async fn run(gateway: Rc<Gateway>, path: String, mut asked: mpsc::UnboundedReceiver<()>) {
+    let timer = TimerService::start();
+    let mut ticks = timer.every(LOOK_EVERY);
+    let mut known = std::fs::read_to_string(&path).unwrap_or_default();
+    loop {
+        let by_signal = tokio::select! {
+            _ = ticks.next() => false,
+            signal = asked.recv() => signal.is_some(),
+        };
+        let text = match std::fs::read_to_string(&path) {
+            Ok(text) => text,
+            Err(error) => {
+                log::warn!(path = path.as_str(); "settings cannot be read ({error}); those before stay");
+                continue;
+            }
+        };
+        if text == known && !by_signal {
+            continue;
+        }
+        known = text;
+        gateway.take_settings(&known);
+    }
+}
+
+impl Gateway {
+    /// Takes settings that may change while the process runs; a faulty text and
+    /// changes that need a new start are logged and left.
+    pub fn take_settings(&self, text: &str) {
+        let fresh = match GatewaySettings::parse(text) {
+            Ok(fresh) => fresh,
+            Err(fault) => {
+                log::error!("settings cannot be used, those before stay: {fault}");
+                return;
+            }
+        };
+        let before = self.settings();
+        if !fresh.same_place(&before) {
+            log::warn!("name, addresses and store of a daemon change with its next start only");
+            return;
+        }
+        let changed = fresh != *before;
+        self.budget.borrow_mut().set_rule(fresh.budget_rule());
+        self.set_settings(fresh);
+        log::info!(changed = changed; "settings read again");
+    }
+}
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -33,7 +33,7 @@
 #[derive(Debug)]
 pub enum SendOutcome {
     /// The target answered, with a success or a failure of its own.
-    Answered(TargetAnswer),
+    Answered(Box<TargetAnswer>),
     /// The target states that it did not run the request.
     Refused(String),
     /// Another target answered at the address and did not run the request.
@@ -213,12 +213,12 @@
             // The short body of a refusal is not awaited; the connection goes with it.
             return SendOutcome::Refused(format!("{} said {}", target.id, head.status));
         }
-        SendOutcome::Answered(TargetAnswer {
+        SendOutcome::Answered(Box::new(TargetAnswer {
             head,
             body,
             marks,
             lease,
-        })
+        }))
     }
 
     fn note_outcome(&self, target: &TargetRecord, outcome: &SendOutcome) {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -149,6 +149,14 @@
         Ok(())
     }
 
+    /// Whether both are for the same daemon at the same addresses.
+    #[must_use]
+    pub fn same_place(&self, other: &Self) -> bool {
+        let ports = self.internal_ports == other.internal_ports;
+        let store = self.store == other.store && self.listen == other.listen;
+        self.daemon == other.daemon && self.ip == other.ip && ports && store
+    }
+
     /// Returns the rule of the fleet's budget of repeats.
     #[must_use]
     pub fn budget_rule(&self) -> BudgetRule {
--- a/src/gateway/stage_control.rs
+++ b/src/gateway/stage_control.rs
@@ -91,7 +91,7 @@
     };
     let incarnation = ProcessIncarnation(gateway.life);
     let mut desk = StageDesk {
-        lease: LeaseTable::new(gateway.settings.daemon.clone(), incarnation, times),
+        lease: LeaseTable::new(gateway.daemon.clone(), incarnation, times),
         gateway,
         group: GroupName::from(GROUP),
         held_since: None,
@@ -173,7 +173,7 @@
             DeskNews::Written(mark, result) => {
                 self.lease.note_write(&self.group, &mark, &result, now);
             }
-            DeskNews::Ordered(id, stage, result) => self.note_ordered(&id, stage, result, now),
+            DeskNews::Ordered(id, stage, result) => self.note_ordered(&id, stage, &result, now),
         }
     }
 
@@ -181,7 +181,7 @@
         &mut self,
         id: &TargetId,
         stage: EngineStage,
-        result: Result<OrderOutcome, SendFault>,
+        result: &Result<OrderOutcome, SendFault>,
         now: MonoTime,
     ) {
         log::info!(target_id = id.as_str(), stage = format!("{stage:?}"), outcome = format!("{result:?}"); "engine ordered to change its stage");
@@ -214,7 +214,7 @@
     fn wishes(&self) -> Vec<StageWish> {
         let mut wishes = Vec::new();
         let work = self.gateway.work_rate();
-        let initial = self.gateway.settings.prefill_share;
+        let initial = self.gateway.settings().prefill_share;
         let load = self.gateway.load.borrow();
         for (_, engines) in self.engines() {
             let after: Vec<Arc<TargetRecord>> =
@@ -347,7 +347,7 @@
         let order = EngineOrder {
             target: engine.id.clone(),
             stage,
-            holder: self.settings.daemon.clone(),
+            holder: self.daemon.clone(),
             fence,
             orders_taken: report.orders_taken,
         };
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -217,7 +217,7 @@
         work.note_read();
         self.work = Some(work);
         self.engine = engine;
-        self.answer = Some(answer);
+        self.answer = Some(*answer);
         true
     }
 
