--- /dev/null
+++ b/tests/gateway_samples/mod.rs
@@ -0,0 +1,83 @@
+//! Sample routes, targets and configurations of the gateway's tests.
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use pistachiowick::gateway::model::{
+    CallerLimits, EngineLimits, EngineStage, FleetConfig, RepeatRule, RouteRule, ServiceRule,
+    ServiceShare, TargetRecord,
+};
+use pistachiowick::names::{CentreName, ServiceName, TargetId};
+
+/// Service of the sample routes.
+pub const SERVICE: &str = "ledger";
+
+/// A route for idempotent requests to [`SERVICE`], two targets at most.
+pub fn route(name: &str, host: &str, path_prefix: &str) -> RouteRule {
+    RouteRule {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        repeat: RepeatRule::Idempotent,
+        time_limit: Duration::from_secs(4),
+        objective: Duration::from_millis(400),
+        gap_objective: Some(Duration::from_millis(300)),
+        urgency: 1,
+        most_targets: 2,
+        shares: vec![ServiceShare {
+            service: ServiceName::from(SERVICE),
+            weight: 1,
+        }],
+    }
+}
+
+/// A configuration with [`SERVICE`] as a plain service.
+pub fn config(version: u64, routes: Vec<RouteRule>) -> FleetConfig {
+    FleetConfig {
+        version,
+        routes,
+        services: vec![ServiceRule {
+            name: ServiceName::from(SERVICE),
+            most_connections: 100,
+            engine: None,
+        }],
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 65_536,
+            head_time: Duration::from_secs(1),
+            idle_time: Duration::from_secs(5),
+        },
+    }
+}
+
+/// The same with [`SERVICE`] offered by model engines.
+pub fn engine_config(version: u64, routes: Vec<RouteRule>) -> FleetConfig {
+    let mut config = config(version, routes);
+    config.services[0].engine = Some(EngineLimits {
+        slots: 64,
+        cache_tokens: 400_000,
+        handle_life: Duration::from_secs(5),
+    });
+    config
+}
+
+/// A target of [`SERVICE`] that stays.
+pub fn target(id: &str, address: &str) -> TargetRecord {
+    TargetRecord {
+        id: TargetId::from(id),
+        service: ServiceName::from(SERVICE),
+        address: address.parse().expect("an address"),
+        centre: CentreName::from("hall-a"),
+        slots: 8,
+        leaving: false,
+        stage: None,
+    }
+}
+
+/// A model engine of [`SERVICE`].
+pub fn engine(id: &str, stage: EngineStage) -> TargetRecord {
+    let mut record = target(id, "127.0.0.1:9");
+    record.stage = Some(stage);
+    record.slots = 64;
+    record
+}
