--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -251,18 +251,24 @@
 ) -> Result<(), DaemonFault> {
     let metrics = telemetry::install_prometheus()?;
     let fleet: FleetCell = Arc::new(ArcSwap::from_pointee(FleetView::default()));
-    let life = rand::rng().random();
-    let control = start_control(&settings, &ports, &fleet, life)?;
     let centre = settings.centre.clone();
     let grace = Duration::from_secs_f64(settings.bounds.stop_grace_s);
+    let listeners = open_listeners(&settings, &metrics).await?;
+    let peer_listener = listen("peers", settings.peer_address()).await?;
+    let life = rand::rng().random();
+    let record = own_record(&settings, &listeners, &peer_listener, life);
+    let control = start_control(&ports, &fleet, record)?;
     let gateway = Rc::new(Gateway::new(settings, ports, fleet, life, control.news));
     let (close, closing) = watch::channel(false);
-    let listeners = open_listeners(&gateway, &metrics).await?;
-    for (listener, kind) in listeners {
+    for open in listeners {
         let (gateway, closing) = (gateway.clone(), closing.clone());
-        spawn_local(entry::accept_loop(gateway, listener, kind, closing));
+        spawn_local(entry::accept_loop(
+            gateway,
+            open.listener,
+            open.kind,
+            closing,
+        ));
     }
-    let peer_listener = listen(gateway.settings().peer_address()).await?;
     supervise("peers", peers::run(gateway.clone(), peer_listener));
     supervise("stages", stage_control::run(gateway.clone()));
     let reloading = reload::run(gateway.clone(), signals.settings_path, signals.reload);
@@ -306,26 +312,14 @@
 }
 
 fn start_control(
-    settings: &GatewaySettings,
     ports: &GatewayPorts,
     fleet: &FleetCell,
-    life: u64,
+    record: DaemonRecord,
 ) -> Result<ControlLink, DaemonFault> {
-    let callers = settings
-        .listen
-        .callers
-        .unwrap_or_else(|| settings.peer_address());
     let setup = ControlSetup {
         ports: ports.clone(),
         cell: fleet.clone(),
-        record: DaemonRecord {
-            id: settings.daemon.clone(),
-            life,
-            callers,
-            peers: settings.peer_address(),
-            centre: settings.centre.clone(),
-            leaving: false,
-        },
+        record,
     };
     control::start(setup).map_err(|error| DaemonFault::Start {
         what: "the control thread".to_owned(),
@@ -333,34 +327,64 @@
     })
 }
 
+fn own_record(
+    settings: &GatewaySettings,
+    listeners: &[OpenListener],
+    peers: &TcpListener,
+    life: u64,
+) -> DaemonRecord {
+    let bound = |listener: &TcpListener| listener.local_addr().ok();
+    let callers = listeners
+        .iter()
+        .find(|open| matches!(open.kind, PageKind::Callers));
+    let callers = callers.and_then(|open| bound(&open.listener));
+    let peers = bound(peers).unwrap_or_else(|| settings.peer_address());
+    DaemonRecord {
+        id: settings.daemon.clone(),
+        life,
+        callers: callers.unwrap_or(peers),
+        peers,
+        centre: settings.centre.clone(),
+        leaving: false,
+    }
+}
+
+struct OpenListener {
+    listener: TcpListener,
+    kind: PageKind,
+}
+
 async fn open_listeners(
-    gateway: &Gateway,
+    settings: &GatewaySettings,
     metrics: &PrometheusHandle,
-) -> Result<Vec<(TcpListener, PageKind)>, DaemonFault> {
-    let settings = gateway.settings();
+) -> Result<Vec<OpenListener>, DaemonFault> {
     let addresses = &settings.listen;
     let pages = || PageKind::Pages(metrics.clone());
-    let mut wanted = vec![(settings.metrics_address(), pages())];
-    wanted.extend(
-        addresses
-            .callers
-            .map(|address| (address, PageKind::Callers)),
-    );
-    wanted.extend(addresses.readiness.map(|address| (address, pages())));
-    wanted.extend(addresses.directory.map(|address| (address, pages())));
+    let wanted = [
+        ("metrics", Some(settings.metrics_address()), pages()),
+        ("callers", addresses.callers, PageKind::Callers),
+        ("readiness", addresses.readiness, pages()),
+        ("directory", addresses.directory, pages()),
+    ];
     let mut listeners = Vec::new();
-    for (address, kind) in wanted {
-        listeners.push((listen(address).await?, kind));
+    for (name, address, kind) in wanted {
+        if let Some(address) = address {
+            let listener = listen(name, address).await?;
+            listeners.push(OpenListener { listener, kind });
+        }
     }
     Ok(listeners)
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, DaemonFault> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|error| DaemonFault::Start {
+async fn listen(name: &str, address: SocketAddr) -> Result<TcpListener, DaemonFault> {
+    let fault = |error| DaemonFault::Start {
         what: format!("listening on {address}"),
         error,
-    })
+    };
+    let listener = TcpListener::bind(address).await.map_err(fault)?;
+    let bound = listener.local_addr().map_err(fault)?;
+    log::info!(pages = name, address = bound.to_string(); "listening");
+    Ok(listener)
 }
 
 async fn upkeep(gateway: Rc<Gateway>, metrics: PrometheusHandle) {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -37,6 +37,7 @@
     trail: SendTrail,
     work: Option<WorkGuard>,
     first_event: Option<Instant>,
+    ended: bool,
 }
 
 enum RelayStep {
@@ -69,6 +70,7 @@
             trail,
             work: Some(work),
             first_event: None,
+            ended: false,
         }
     }
 
@@ -221,8 +223,7 @@
         true
     }
 
-    fn end(&mut self, outcome: &'static str, result: SendResult) {
-        self.gateway.note_result(&self.engine, result);
+    fn log_end(&self, outcome: &'static str) {
         metrics::counter!("pistachiowick_gateway_answers_total", "outcome" => outcome).increment(1);
         let first_ms = self
             .first_event
@@ -237,6 +238,12 @@
             took_ms = self.call.arrived.elapsed().as_millis() as u64;
             "stream ended"
         );
+    }
+
+    fn end(&mut self, outcome: &'static str, result: SendResult) {
+        self.gateway.note_result(&self.engine, result);
+        self.log_end(outcome);
+        self.ended = true;
         self.work = None;
         let Some(answer) = self.answer.take() else {
             return;
@@ -246,3 +253,11 @@
         }
     }
 }
+
+impl Drop for EventRelay {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.log_end("caller_left");
+        }
+    }
+}
