Let one daemon of each data centre speak for it in large fleets

Change: hubs sum up their members' hints, exchange sums, and pass on the store's objects; members watch only while no hub is heard.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 use tokio::runtime;
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
@@ -15,6 +16,7 @@
 use crate::gateway::fleet::{FleetCell, FleetView};
 use crate::gateway::members::{DaemonRecord, MemberBook};
 use crate::gateway::model::FleetConfig;
+use crate::gateway::peers::wire::FeedObjects;
 use crate::gateway::port::GatewayPorts;
 use crate::gateway::registry::TargetRegistry;
 use crate::gateway::routes::RouteTable;
@@ -51,6 +53,10 @@
         /// Its value.
         value: Vec<u8>,
     },
+    /// A hub passed on objects of the store.
+    PeerObjects(FeedObjects),
+    /// Whether a hub passes on the store's objects, so that they need not be watched.
+    Fed(bool),
     /// This daemon is stopping.
     Stopping,
 }
@@ -69,6 +75,8 @@
 pub struct ControlLink {
     /// Where traffic tells it something.
     pub news: mpsc::UnboundedSender<ControlNews>,
+    /// What it reads of the store, for hubs to pass on.
+    pub relays: mpsc::UnboundedReceiver<FeedObjects>,
     /// The thread; it ends when all senders of news are gone.
     pub thread: JoinHandle<()>,
 }
@@ -80,6 +88,7 @@
 /// Returns an error when no thread or no runtime can be had.
 pub fn start(setup: ControlSetup) -> io::Result<ControlLink> {
     let (news, inbox) = mpsc::unbounded_channel();
+    let (relay, relays) = mpsc::unbounded_channel();
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -87,15 +96,23 @@
         .name("control".to_owned())
         .spawn(move || {
             let local = LocalSet::new();
-            local.block_on(&runtime, run(setup, inbox));
+            local.block_on(&runtime, run(setup, inbox, relay));
         })?;
-    Ok(ControlLink { news, thread })
+    Ok(ControlLink {
+        news,
+        relays,
+        thread,
+    })
 }
 
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Feed {
+/// Kinds of objects that are followed.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub enum Feed {
+    /// The configuration.
     Config,
+    /// Targets' entries.
     Targets,
+    /// Daemons' records.
     Daemons,
 }
 
@@ -105,6 +122,24 @@
     Failed(Feed),
 }
 
+impl FeedNews {
+    // What hubs pass on of it.
+    fn relayed(&self) -> Option<FeedObjects> {
+        let (feed, whole, objects) = match self {
+            Self::Listed(feed, objects) => (*feed, true, objects),
+            Self::Changed(feed, objects) if !objects.is_empty() => (*feed, false, objects),
+            Self::Changed(..) | Self::Failed(_) => return None,
+        };
+        let objects = objects.iter();
+        let objects = objects.map(|o| (o.object.name.clone(), o.version.0, o.value.clone()));
+        Some(FeedObjects {
+            feed,
+            whole,
+            objects: objects.collect(),
+        })
+    }
+}
+
 struct ControlState {
     ports: GatewayPorts,
     cell: FleetCell,
@@ -116,11 +151,17 @@
     own_record_seen: bool,
 }
 
-async fn run(setup: ControlSetup, mut inbox: mpsc::UnboundedReceiver<ControlNews>) {
+async fn run(
+    setup: ControlSetup,
+    mut inbox: mpsc::UnboundedReceiver<ControlNews>,
+    relay: mpsc::UnboundedSender<FeedObjects>,
+) {
+    let (fed_sender, fed) = watch::channel(false);
     let (feed_sender, mut feeds) = mpsc::unbounded_channel();
     let (record_sender, record) = watch::channel(setup.record);
     for feed in [Feed::Config, Feed::Targets, Feed::Daemons] {
-        spawn_local(follow(setup.ports.clone(), feed, feed_sender.clone()));
+        let following = follow(setup.ports.clone(), feed, feed_sender.clone(), fed.clone());
+        spawn_local(following);
     }
     spawn_local(keep_record(setup.ports.clone(), record));
     let mut state = ControlState {
@@ -142,6 +183,11 @@
                 Some(ControlNews::PeerConfig { revision, value }) => {
                     state.take_value(revision, &value)
                 }
+                Some(ControlNews::PeerObjects(objects)) => state.take_relayed(objects),
+                Some(ControlNews::Fed(now_fed)) => {
+                    fed_sender.send_replace(now_fed);
+                    false
+                }
                 Some(ControlNews::Stopping) => {
                     record_sender.send_modify(|record| record.leaving = true);
                     false
@@ -149,6 +195,10 @@
                 None => return,
             },
             news = feeds.recv() => {
+                if let Some(objects) = news.as_ref().and_then(FeedNews::relayed) {
+                    // The traffic thread ends only with the process.
+                    let _ = relay.send(objects);
+                }
                 let changed = news.is_some_and(|news| state.take(news));
                 if state.lost_own_record(&record_sender.borrow().id) {
                     record_sender.send_modify(|_| {});
@@ -170,6 +220,30 @@
         true
     }
 
+    fn take_relayed(&mut self, relayed: FeedObjects) -> bool {
+        let FeedObjects {
+            feed,
+            whole,
+            objects,
+        } = relayed;
+        let stored = objects
+            .into_iter()
+            .map(|(name, version, value)| StoredObject {
+                object: ObjectName {
+                    kind: String::new(),
+                    name,
+                },
+                version: ObjectVersion(version),
+                value,
+            });
+        let stored = stored.collect();
+        self.take(if whole {
+            FeedNews::Listed(feed, stored)
+        } else {
+            FeedNews::Changed(feed, stored)
+        })
+    }
+
     // Whether the daemons were listed and the own record, seen before, is not there.
     fn lost_own_record(&mut self, own: &DaemonId) -> bool {
         let holds = self.members.holds(own);
@@ -293,7 +367,12 @@
 }
 
 // Lists a kind, then watches it, and lists again when the watch cannot go on.
-async fn follow(ports: GatewayPorts, feed: Feed, news: mpsc::UnboundedSender<FeedNews>) {
+async fn follow(
+    ports: GatewayPorts,
+    feed: Feed,
+    news: mpsc::UnboundedSender<FeedNews>,
+    mut fed: watch::Receiver<bool>,
+) {
     let kind = match feed {
         Feed::Config => ports.schema.config_kind.clone(),
         Feed::Targets => ports.schema.target_kind.clone(),
@@ -301,6 +380,8 @@
     };
     let mut backoff = FIRST_BACKOFF;
     loop {
+        // The sender lives as long as the thread.
+        let _ = fed.wait_for(|fed| !*fed).await;
         match (ports.store.list)(kind.clone()).await {
             Ok(batch) => {
                 backoff = FIRST_BACKOFF;
@@ -308,7 +389,7 @@
                 if news.send(FeedNews::Listed(feed, batch.objects)).is_err() {
                     return;
                 }
-                watch_kind(&ports, feed, &kind, since, &news).await;
+                watch_kind(&ports, feed, &kind, since, &news, &fed).await;
             }
             Err(error) => note_failure(feed, &kind, &error, &news),
         }
@@ -323,10 +404,11 @@
     kind: &str,
     mut since: u64,
     news: &mpsc::UnboundedSender<FeedNews>,
+    fed: &watch::Receiver<bool>,
 ) {
     let mut backoff = FIRST_BACKOFF;
     let mut failing = false;
-    loop {
+    while !*fed.borrow() {
         let query = WatchQuery {
             kind: kind.to_owned(),
             since,
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -13,8 +13,9 @@
 use rand::{Rng, SeedableRng};
 use thiserror::Error;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{broadcast, mpsc, watch};
 use tokio::task::spawn_local;
+use tokio_tungstenite::tungstenite::Message;
 
 use crate::clock;
 use crate::gateway::affinity::CacheBook;
@@ -23,8 +24,9 @@
 use crate::gateway::entry::{self, PageKind};
 use crate::gateway::fleet::{FleetCell, FleetView};
 use crate::gateway::health::HealthBook;
-use crate::gateway::load::LoadBook;
+use crate::gateway::load::{LoadBook, WorkByTarget};
 use crate::gateway::members::DaemonRecord;
+use crate::gateway::peers::hub::{FeedStock, HubBook, RelayedHeld};
 use crate::gateway::peers::{self, PeerBook};
 use crate::gateway::pool::LinkPool;
 use crate::gateway::port::GatewayPorts;
@@ -57,6 +59,18 @@
     pub caches: RefCell<CacheBook>,
     /// The other daemons.
     pub peers: RefCell<PeerBook>,
+    /// Who is whose hub.
+    pub hubs: RefCell<HubBook>,
+    /// What engines came to hold, to be passed on by a hub.
+    pub relayed_held: RefCell<RelayedHeld>,
+    /// Own work as last told.
+    pub last_hint_work: RefCell<WorkByTarget>,
+    /// The store's objects, to be passed on by a hub.
+    pub stock: RefCell<FeedStock>,
+    /// Changes of the store's objects for links to members.
+    pub feed_changes: broadcast::Sender<Message>,
+    /// Whether a hub passes on the store's objects.
+    pub is_fed: Cell<bool>,
     /// Distinguishes this life of the daemon from others under its name.
     pub life: u64,
     /// Engines that this daemon is changing.
@@ -160,6 +174,12 @@
             load: RefCell::default(),
             caches: RefCell::default(),
             peers: RefCell::default(),
+            hubs: RefCell::default(),
+            relayed_held: RefCell::default(),
+            last_hint_work: RefCell::default(),
+            stock: RefCell::default(),
+            feed_changes: broadcast::channel(peers::FEED_QUEUE).0,
+            is_fed: Cell::new(false),
             life,
             own_changing: RefCell::default(),
             work: RefCell::default(),
@@ -269,7 +289,8 @@
             closing,
         ));
     }
-    supervise("peers", peers::run(gateway.clone(), peer_listener));
+    let linking = peers::run(gateway.clone(), peer_listener, control.relays);
+    supervise("peers", linking);
     supervise("stages", stage_control::run(gateway.clone()));
     let reloading = reload::run(gateway.clone(), signals.settings_path, signals.reload);
     supervise("settings", reloading);
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -33,6 +33,14 @@
 }
 
 impl TargetWork {
+    /// Takes work out of a sum that contains it.
+    pub fn subtract(&mut self, other: &Self) {
+        self.running = self.running.saturating_sub(other.running);
+        for (sum, tokens) in self.unread.iter_mut().zip(other.unread) {
+            *sum = sum.saturating_sub(tokens);
+        }
+    }
+
     fn add(&mut self, other: &Self) {
         self.running += other.running;
         for (sum, tokens) in self.unread.iter_mut().zip(other.unread) {
@@ -101,6 +109,17 @@
         &self.own
     }
 
+    /// This daemon's own work and that of the others for which `counts`, summed.
+    #[must_use]
+    pub fn summed(&self, counts: impl Fn(&DaemonId) -> bool) -> WorkByTarget {
+        let mut sum = self.own.clone();
+        let others = self.others.iter().filter(|(daemon, _)| counts(daemon));
+        for (target, work) in others.flat_map(|(_, (_, work))| work) {
+            sum.entry(target.clone()).or_default().add(work);
+        }
+        sum
+    }
+
     /// All work known at a target.
     #[must_use]
     pub fn total(&self, target: &TargetId) -> TargetWork {
--- /dev/null
+++ b/src/gateway/peers/mod.rs
@@ -0,0 +1,479 @@
+//! Links between gateway daemons: hints on work and caches, and the configuration
+//! for a daemon that the store does not serve.
+//!
+//! Each daemon opens one link to every other one and sends on it; what it hears
+//! comes over the links that the others open. So each direction is judged alone:
+//! a sender notices by the acknowledgements, a receiver by silence. No promise
+//! rests on what is heard; a daemon cut off decides by what it sees itself.
+//!
+//! In large fleets one daemon of each data centre is its hub ([`hub`]): the others
+//! talk to it only, and hubs talk to each other.
+
+pub mod book;
+pub mod hub;
+pub mod wire;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use indexmap::IndexMap;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{broadcast, watch};
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
+
+pub use crate::gateway::peers::book::PeerBook;
+
+use crate::clock;
+use crate::gateway::control::ControlNews;
+use crate::gateway::daemon::Gateway;
+use crate::gateway::load::WorkByTarget;
+use crate::gateway::members::DaemonRecord;
+use crate::gateway::model::PromptPart;
+use crate::gateway::peers::hub::{LinkKind, PeerRole};
+use crate::gateway::peers::wire::{FeedObjects, HeldNote, PeerHint, PeerMessage, PeerSummary};
+use crate::gateway::stage_plan::WorkRate;
+use crate::names::{DaemonId, TargetId};
+use crate::timer::TimerService;
+
+/// Time between two hints. Choices of different daemons within it do not know of
+/// each other; at today's rates that is one or two requests a daemon.
+const HINT_EVERY: Duration = Duration::from_millis(200);
+/// Time to open a link and to send one message.
+const LINK_WAIT: Duration = Duration::from_millis(1_000);
+/// Pause before a lost link is opened again.
+const DIAL_PAUSE: Duration = Duration::from_millis(300);
+/// Silence after which an incoming link is dropped.
+const LINK_SILENCE: Duration = Duration::from_secs(5);
+/// Largest message, in bytes: a configuration may take a megabyte.
+const MESSAGE_BYTES: usize = 4 << 20;
+/// Changes of objects that may wait for a slow link before it gets all anew.
+pub(super) const FEED_QUEUE: usize = 64;
+
+type Link = WebSocketStream<TcpStream>;
+
+/// What goes out at a tick, encoded once for all links.
+#[derive(Clone)]
+struct OutgoingWord {
+    hint: Message,
+    centre: Option<Message>,
+    fleet: Option<Message>,
+}
+
+impl OutgoingWord {
+    fn for_link(&self, kind: LinkKind) -> Option<&Message> {
+        match kind {
+            LinkKind::Hint => Some(&self.hint),
+            LinkKind::OtherHub => self.centre.as_ref(),
+            LinkKind::Member => self.fleet.as_ref(),
+        }
+    }
+}
+
+/// Runs the links of a daemon until the process ends.
+pub async fn run(gateway: Rc<Gateway>, listener: TcpListener, relays: hub::RelayInbox) {
+    spawn_local(accept(gateway.clone(), listener));
+    spawn_local(stock_up(gateway.clone(), relays));
+    let (words, word) = watch::channel(gateway.word(&PeerRole::Mesh));
+    let timer = TimerService::start();
+    let mut ticks = timer.every(HINT_EVERY);
+    let mut senders: IndexMap<DaemonId, (SocketAddr, LinkKind, JoinHandle<()>)> = IndexMap::new();
+    while ticks.next().await.is_some() {
+        let role = gateway.update_role();
+        let wanted = gateway.wanted_links(&role);
+        senders.retain(|id, (address, kind, task)| {
+            let same =
+                |(d, k): &(DaemonRecord, LinkKind)| d.id == *id && d.peers == *address && k == kind;
+            let stays = wanted.iter().any(same);
+            if !stays {
+                task.abort();
+            }
+            stays
+        });
+        for (daemon, kind) in wanted {
+            senders.entry(daemon.id.clone()).or_insert_with(|| {
+                let sending = keep_sending(gateway.clone(), daemon.clone(), kind, word.clone());
+                (daemon.peers, kind, spawn_local(sending))
+            });
+        }
+        words.send_replace(gateway.word(&role));
+    }
+}
+
+// Keeps what the control thread read of the store for members that link up.
+async fn stock_up(gateway: Rc<Gateway>, mut relays: hub::RelayInbox) {
+    while let Some(objects) = relays.recv().await {
+        gateway.stock.borrow_mut().take(&objects);
+        // Nobody listens while this daemon is no hub.
+        let _ = gateway
+            .feed_changes
+            .send(PeerMessage::Objects(objects).encode());
+    }
+}
+
+async fn keep_sending(
+    gateway: Rc<Gateway>,
+    daemon: DaemonRecord,
+    kind: LinkKind,
+    word: watch::Receiver<OutgoingWord>,
+) {
+    loop {
+        if let Ok(Some(link)) = timeout(LINK_WAIT, dial(daemon.peers)).await {
+            log::info!(peer = daemon.id.as_str(), kind = format!("{kind:?}"); "link to another daemon is up");
+            send_words(&gateway, &daemon, kind, link, word.clone()).await;
+            log::info!(peer = daemon.id.as_str(); "link to another daemon is lost");
+        }
+        sleep(DIAL_PAUSE).await;
+    }
+}
+
+async fn dial(address: SocketAddr) -> Option<Link> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    crate::gateway::client::set_options(&stream).ok()?;
+    let url = format!("ws://{address}/");
+    let opened = client_async_with_config(url, stream, Some(config())).await;
+    opened.ok().map(|(link, _)| link)
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(8 * 1024)
+        .write_buffer_size(0)
+        .max_message_size(Some(MESSAGE_BYTES))
+        .max_frame_size(Some(MESSAGE_BYTES))
+}
+
+async fn send_words(
+    gateway: &Gateway,
+    daemon: &DaemonRecord,
+    kind: LinkKind,
+    mut link: Link,
+    mut word: watch::Receiver<OutgoingWord>,
+) {
+    let mut changes = gateway.feed_changes.subscribe();
+    if kind == LinkKind::Member && !send_stock(gateway, &mut link).await {
+        return;
+    }
+    let mut sent_version = 0;
+    loop {
+        tokio::select! {
+            changed = word.changed() => {
+                let message = word.borrow_and_update().for_link(kind).cloned();
+                let sent = match message {
+                    Some(message) => send(&mut link, message).await,
+                    None => true,
+                };
+                if changed.is_err() || !sent {
+                    return;
+                }
+                if let Some((version, message)) = gateway.config_for(&daemon.id, sent_version) {
+                    log::info!(peer = daemon.id.as_str(), version = version; "configuration sent to a daemon that is behind");
+                    if !send(&mut link, message.encode()).await {
+                        return;
+                    }
+                    sent_version = version;
+                }
+            }
+            change = changes.recv(), if kind == LinkKind::Member => {
+                let sent = match change {
+                    Ok(message) => send(&mut link, message).await,
+                    // The link was too slow for the changes: it gets everything anew.
+                    Err(broadcast::error::RecvError::Lagged(_)) => send_stock(gateway, &mut link).await,
+                    Err(broadcast::error::RecvError::Closed) => false,
+                };
+                if !sent {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+async fn send_stock(gateway: &Gateway, link: &mut Link) -> bool {
+    let stock = gateway.stock.borrow().all();
+    for objects in stock {
+        if !send(link, PeerMessage::Objects(objects).encode()).await {
+            return false;
+        }
+    }
+    true
+}
+
+async fn send(link: &mut Link, message: Message) -> bool {
+    matches!(timeout(LINK_WAIT, link.send(message)).await, Ok(Ok(())))
+}
+
+async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(receive(gateway.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!("no link accepted ({error}); trying again");
+                sleep(DIAL_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn receive(gateway: Rc<Gateway>, stream: TcpStream) {
+    let opening = accept_async_with_config(stream, Some(config()));
+    let Ok(Ok(mut link)) = timeout(LINK_WAIT, opening).await else {
+        return;
+    };
+    while let Ok(Some(Ok(message))) = timeout(LINK_SILENCE, link.next()).await {
+        let Message::Binary(bytes) = message else {
+            continue;
+        };
+        match ciborium::from_reader::<PeerMessage, _>(&bytes[..]) {
+            Ok(message) => gateway.take_message(message),
+            Err(error) => {
+                log::warn!("message of another daemon cannot be read, link dropped: {error}");
+                return;
+            }
+        }
+    }
+}
+
+impl Gateway {
+    /// Work that all daemons place on engines, as far as heard.
+    #[must_use]
+    pub fn work_rate(&self) -> WorkRate {
+        let now = clock::mono_now();
+        let own = self.work.borrow_mut().rate(now);
+        let others = self.peers.borrow().work_rate(now);
+        WorkRate {
+            read_tokens: own.read_tokens + others.read_tokens,
+            written_tokens: own.written_tokens + others.written_tokens,
+        }
+    }
+
+    /// Whether no daemon has work on engines, as far as heard.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        let rate = self.work_rate();
+        rate.read_tokens + rate.written_tokens < 1.0
+    }
+
+    /// Place of this daemon in an order that all daemons share; 0 is the first.
+    #[must_use]
+    pub fn rank(&self) -> usize {
+        let view = self.view();
+        let own = &self.daemon;
+        let before = view.daemons.iter().filter(|d| d.id < *own && !d.leaving);
+        before.filter(|d| self.is_usable(&d.id)).count()
+    }
+
+    fn hint(&self) -> PeerHint {
+        let view = self.view();
+        let load = self.load.borrow();
+        let work = load.own().iter().map(|(id, work)| (id.clone(), *work));
+        let mut peers = self.peers.borrow_mut();
+        PeerHint {
+            from: self.daemon.clone(),
+            life: self.life,
+            leaving: self.stopping.get(),
+            config_version: view.routes.as_ref().map_or(0, |routes| routes.version),
+            work: work.collect(),
+            held: peers.take_held(),
+            departed: view.departed.clone(),
+            changing: self.own_changing.borrow().clone(),
+            rate: self.work.borrow_mut().rate(clock::mono_now()),
+        }
+    }
+
+    // The word of this tick. What engines came to hold goes out once, to whoever
+    // this daemon talks to.
+    fn word(&self, role: &PeerRole) -> OutgoingWord {
+        let hint = self.hint();
+        let (centre, fleet) = match role {
+            PeerRole::Hub => {
+                let mut relayed = self.relayed_held.borrow_mut();
+                let from_members = std::mem::take(&mut relayed.members);
+                let from_hubs = std::mem::take(&mut relayed.hubs);
+                let mut held = hint.held.clone();
+                held.extend(from_members);
+                let centre = self.summary(&hint, false, held.clone());
+                held.extend(from_hubs);
+                let fleet = self.summary(&hint, true, held);
+                (Some(centre), Some(fleet))
+            }
+            PeerRole::Mesh | PeerRole::Member(_) => (None, None),
+        };
+        *self.last_hint_work.borrow_mut() = hint.work.iter().cloned().collect();
+        OutgoingWord {
+            hint: PeerMessage::Hint(hint).encode(),
+            centre: centre.map(|summary| PeerMessage::Summary(summary).encode()),
+            fleet: fleet.map(|summary| PeerMessage::Summary(summary).encode()),
+        }
+    }
+
+    fn summary(&self, hint: &PeerHint, whole: bool, held: Vec<HeldNote>) -> PeerSummary {
+        let now = clock::mono_now();
+        let peers = self.peers.borrow();
+        let mut members = if whole {
+            peers.all_notes(now)
+        } else {
+            peers.direct_notes(now)
+        };
+        members.push(hub::own_note(hint));
+        let direct: Vec<&DaemonId> = members.iter().map(|note| &note.id).collect();
+        let counts = |id: &DaemonId| whole || direct.contains(&id);
+        let work = self.load.borrow().summed(counts);
+        PeerSummary {
+            from: hint.from.clone(),
+            life: hint.life,
+            whole,
+            work: work.into_iter().collect(),
+            held,
+            departed: hint.departed.clone(),
+            rate: if whole { self.work_rate() } else { hint.rate },
+            members,
+        }
+    }
+
+    fn update_role(&self) -> PeerRole {
+        let view = self.view();
+        let now = clock::mono_now();
+        let mut peers = self.peers.borrow_mut();
+        peers.set_known(&self.daemon, &view.daemons, now);
+        let mut hubs = self.hubs.borrow_mut();
+        let role = hubs.role(&self.daemon, &view.daemons, &peers, now);
+        let fed = matches!(&role, PeerRole::Member(hub) if peers.is_heard_directly(hub, now));
+        if self.is_fed.replace(fed) != fed {
+            log::info!(fed = fed, role = role.as_str(); "source of the store's objects changed");
+            // The control thread ends only with the process.
+            let _ = self.news.send(ControlNews::Fed(fed));
+        }
+        role
+    }
+
+    fn wanted_links(&self, role: &PeerRole) -> Vec<(DaemonRecord, LinkKind)> {
+        let view = self.view();
+        self.hubs.borrow().links(role, &self.daemon, &view.daemons)
+    }
+
+    fn config_for(&self, daemon: &DaemonId, sent: u64) -> Option<(u64, PeerMessage)> {
+        let view = self.view();
+        let version = view.routes.as_ref()?.version;
+        let now = clock::mono_now();
+        let behind = self.peers.borrow().needs_config(daemon, version, now);
+        let (revision, value) = view.config_source.as_ref().filter(|_| behind)?;
+        (version > sent).then(|| {
+            let message = PeerMessage::Config {
+                revision: *revision,
+                value: value.to_vec(),
+            };
+            (version, message)
+        })
+    }
+
+    fn take_message(&self, message: PeerMessage) {
+        match message {
+            PeerMessage::Hint(hint) => self.take_hint(hint),
+            PeerMessage::Summary(summary) => self.take_summary(summary),
+            PeerMessage::Objects(objects) => self.take_objects(objects),
+            PeerMessage::Config { revision, value } => {
+                // The control thread ends only with the process.
+                let _ = self.news.send(ControlNews::PeerConfig { revision, value });
+            }
+        }
+    }
+
+    // The life in a hint stands in the sender's record in the store, which only
+    // daemons read: a process that does not know it is not listened to.
+    fn take_hint(&self, hint: PeerHint) {
+        let view = self.view();
+        let known = view
+            .daemons
+            .iter()
+            .any(|d| d.id == hint.from && d.life == hint.life);
+        if !known {
+            return;
+        }
+        let now = clock::mono_now();
+        let own_version = view.routes.as_ref().map_or(0, |routes| routes.version);
+        self.peers.borrow_mut().note_hint(&hint, own_version, now);
+        self.take_held_notes(&hint.held);
+        self.hubs.borrow_mut().note_hint(&hint.from, now);
+        self.relayed_held.borrow_mut().keep_member(&hint.held);
+        self.take_departed(&hint.departed);
+        let work = hint.work.into_iter().collect();
+        self.load.borrow_mut().set_other(hint.from, work, now);
+    }
+
+    fn take_held_notes(&self, notes: &[HeldNote]) {
+        let now = clock::mono_now();
+        let mut caches = self.caches.borrow_mut();
+        for note in notes {
+            let parts: Vec<PromptPart> = note
+                .parts
+                .iter()
+                .map(|(key, tokens)| PromptPart {
+                    key: *key,
+                    tokens: *tokens,
+                })
+                .collect();
+            if note.ready {
+                caches.note_held(&note.engine, &parts, now);
+            } else {
+                caches.note_coming(&note.engine, &parts, now);
+            }
+        }
+    }
+
+    fn take_departed(&self, departed: &[TargetId]) {
+        let view = self.view();
+        for target in departed.iter().filter(|target| view.holds(target)) {
+            self.tell_departed(target);
+        }
+    }
+
+    fn take_summary(&self, summary: PeerSummary) {
+        let view = self.view();
+        let sender = (&summary.from, summary.life);
+        let known = view.daemons.iter().any(|d| (&d.id, d.life) == sender);
+        let is_hub = self.hubs.borrow().is_hub();
+        // A hub adds up its members itself: the sum for members would count twice.
+        if !known || (summary.whole && is_hub) {
+            return;
+        }
+        let now = clock::mono_now();
+        for note in summary.members.iter().filter(|note| note.id != self.daemon) {
+            let rate = if note.id == summary.from {
+                summary.rate
+            } else {
+                WorkRate::default()
+            };
+            let mut peers = self.peers.borrow_mut();
+            if note.id == summary.from {
+                peers.note_hub(note, rate, now);
+            } else {
+                peers.note_member(note, rate, now);
+            }
+        }
+        self.take_held_notes(&summary.held);
+        if !summary.whole {
+            self.relayed_held.borrow_mut().keep_hub(&summary.held);
+        }
+        self.take_departed(&summary.departed);
+        let mut work: WorkByTarget = summary.work.into_iter().collect();
+        if summary.whole {
+            hub::subtract(&mut work, &self.last_hint_work.borrow());
+        }
+        self.load.borrow_mut().set_other(summary.from, work, now);
+    }
+
+    fn take_objects(&self, objects: FeedObjects) {
+        if self.is_fed.get() {
+            // The control thread ends only with the process.
+            let _ = self.news.send(ControlNews::PeerObjects(objects));
+        }
+    }
+}
