Follow the store without the hub when the hub does not hear it

Change: a hub tells when it last heard the store; after 1.7 s members watch themselves; a hub's watch waits 0.9 s. Failing test first: a_hub_that_hears_nothing_of_the_store_feeds_nobody.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -27,6 +28,9 @@
 };
 use crate::timer::TimerService;
 
+/// Longest wait of one watch of a hub. Others rely on it, and have to notice within
+/// their own bounds that it hears nothing of the store any more.
+const HUB_WATCH_WAIT: Duration = Duration::from_millis(900);
 /// Longest wait of one watch. A connection can fall silent without a reset; a
 /// watch that is not answered by then is begun anew on another connection, so this
 /// also bounds for how long a silent one goes unnoticed.
@@ -55,18 +59,59 @@
     },
     /// A hub passed on objects of the store.
     PeerObjects(FeedObjects),
-    /// Whether a hub passes on the store's objects, so that they need not be watched.
-    Fed(bool),
+    /// How this daemon is to follow the store.
+    Duty(WatchDuty),
     /// This daemon is stopping.
     Stopping,
 }
 
+/// How a daemon follows the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WatchDuty {
+    /// For itself.
+    Alone,
+    /// For the members of its data centre too.
+    ForOthers,
+    /// Not at all: a hub passes on what it reads.
+    Fed,
+}
+
+impl WatchDuty {
+    fn wait(self) -> Duration {
+        match self {
+            Self::Alone | Self::Fed => WATCH_WAIT,
+            Self::ForOthers => HUB_WATCH_WAIT,
+        }
+    }
+}
+
+/// When the store was last heard, by kind of object.
+#[derive(Debug, Default)]
+pub struct StorePulse {
+    heard: [AtomicU64; 3],
+}
+
+impl StorePulse {
+    fn note(&self, feed: Feed) {
+        self.heard[feed as usize].store(clock::mono_now().0, Ordering::Relaxed);
+    }
+
+    /// Time since the kind of object that was heard longest ago.
+    #[must_use]
+    pub fn age(&self, now: MonoTime) -> Duration {
+        let heard = self.heard.iter().map(|at| at.load(Ordering::Relaxed));
+        now.since(MonoTime(heard.min().unwrap_or(0)))
+    }
+}
+
 /// What the control thread is started with.
 pub struct ControlSetup {
     /// Adapter.
     pub ports: GatewayPorts,
     /// Where to publish.
     pub cell: FleetCell,
+    /// Where to note that the store was heard.
+    pub pulse: Arc<StorePulse>,
     /// This daemon's record.
     pub record: DaemonRecord,
 }
@@ -156,12 +201,19 @@
     mut inbox: mpsc::UnboundedReceiver<ControlNews>,
     relay: mpsc::UnboundedSender<FeedObjects>,
 ) {
-    let (fed_sender, fed) = watch::channel(false);
+    let (duty_sender, duty) = watch::channel(WatchDuty::Alone);
     let (feed_sender, mut feeds) = mpsc::unbounded_channel();
     let (record_sender, record) = watch::channel(setup.record);
     for feed in [Feed::Config, Feed::Targets, Feed::Daemons] {
-        let following = follow(setup.ports.clone(), feed, feed_sender.clone(), fed.clone());
-        spawn_local(following);
+        let follower = Follower {
+            ports: setup.ports.clone(),
+            feed,
+            kind: kind_of(&setup.ports, feed),
+            news: feed_sender.clone(),
+            duty: duty.clone(),
+            pulse: setup.pulse.clone(),
+        };
+        spawn_local(follower.run());
     }
     spawn_local(keep_record(setup.ports.clone(), record));
     let mut state = ControlState {
@@ -184,8 +236,8 @@
                     state.take_value(revision, &value)
                 }
                 Some(ControlNews::PeerObjects(objects)) => state.take_relayed(objects),
-                Some(ControlNews::Fed(now_fed)) => {
-                    fed_sender.send_replace(now_fed);
+                Some(ControlNews::Duty(duty)) => {
+                    duty_sender.send_replace(duty);
                     false
                 }
                 Some(ControlNews::Stopping) => {
@@ -366,89 +418,92 @@
     }
 }
 
-// Lists a kind, then watches it, and lists again when the watch cannot go on.
-async fn follow(
+fn kind_of(ports: &GatewayPorts, feed: Feed) -> String {
+    let schema = &ports.schema;
+    match feed {
+        Feed::Config => schema.config_kind.clone(),
+        Feed::Targets => schema.target_kind.clone(),
+        Feed::Daemons => schema.daemon_kind.clone(),
+    }
+}
+
+/// Follows one kind of objects.
+struct Follower {
     ports: GatewayPorts,
     feed: Feed,
+    kind: String,
     news: mpsc::UnboundedSender<FeedNews>,
-    mut fed: watch::Receiver<bool>,
-) {
-    let kind = match feed {
-        Feed::Config => ports.schema.config_kind.clone(),
-        Feed::Targets => ports.schema.target_kind.clone(),
-        Feed::Daemons => ports.schema.daemon_kind.clone(),
-    };
-    let mut backoff = FIRST_BACKOFF;
-    loop {
-        // The sender lives as long as the thread.
-        let _ = fed.wait_for(|fed| !*fed).await;
-        match (ports.store.list)(kind.clone()).await {
-            Ok(batch) => {
-                backoff = FIRST_BACKOFF;
-                let since = batch.revision;
-                if news.send(FeedNews::Listed(feed, batch.objects)).is_err() {
-                    return;
+    duty: watch::Receiver<WatchDuty>,
+    pulse: Arc<StorePulse>,
+}
+
+impl Follower {
+    // Lists, then watches, and lists again when the watch cannot go on.
+    async fn run(mut self) {
+        let mut backoff = FIRST_BACKOFF;
+        loop {
+            // The sender lives as long as the thread.
+            let _ = self.duty.wait_for(|duty| *duty != WatchDuty::Fed).await;
+            match (self.ports.store.list)(self.kind.clone()).await {
+                Ok(batch) => {
+                    backoff = FIRST_BACKOFF;
+                    self.tell(FeedNews::Listed(self.feed, batch.objects));
+                    self.watch_from(batch.revision).await;
                 }
-                watch_kind(&ports, feed, &kind, since, &news, &fed).await;
+                Err(error) => self.note_failure(&error),
             }
-            Err(error) => note_failure(feed, &kind, &error, &news),
+            pause(&mut backoff).await;
         }
-        pause(&mut backoff).await;
     }
-}
 
-// Watches until the store says that it cannot go on from here.
-async fn watch_kind(
-    ports: &GatewayPorts,
-    feed: Feed,
-    kind: &str,
-    mut since: u64,
-    news: &mpsc::UnboundedSender<FeedNews>,
-    fed: &watch::Receiver<bool>,
-) {
-    let mut backoff = FIRST_BACKOFF;
-    let mut failing = false;
-    while !*fed.borrow() {
-        let query = WatchQuery {
-            kind: kind.to_owned(),
-            since,
-            wait: WATCH_WAIT,
-        };
-        match (ports.store.watch)(query).await {
-            Ok(ObjectBatch { revision, objects }) => {
-                if failing {
-                    log::info!(kind = kind; "store answers again");
-                    failing = false;
+    // Watches until the store says that it cannot go on from here, or a hub does it.
+    async fn watch_from(&self, mut since: u64) {
+        let mut backoff = FIRST_BACKOFF;
+        let mut failing = false;
+        loop {
+            let duty = *self.duty.borrow();
+            if duty == WatchDuty::Fed {
+                return;
+            }
+            let query = WatchQuery {
+                kind: self.kind.clone(),
+                since,
+                wait: duty.wait(),
+            };
+            match (self.ports.store.watch)(query).await {
+                Ok(ObjectBatch { revision, objects }) => {
+                    if failing {
+                        log::info!(kind = self.kind.as_str(); "store answers again");
+                        failing = false;
+                    }
+                    backoff = FIRST_BACKOFF;
+                    since = revision.max(since);
+                    self.tell(FeedNews::Changed(self.feed, objects));
                 }
-                backoff = FIRST_BACKOFF;
-                since = revision.max(since);
-                if news.send(FeedNews::Changed(feed, objects)).is_err() {
+                Err(PlatformError::Refused { reason }) => {
+                    log::info!(kind = self.kind.as_str(), since = since; "watch cannot go on, listing again: {reason}");
                     return;
                 }
-            }
-            Err(PlatformError::Refused { reason }) => {
-                log::info!(kind = kind, since = since; "watch cannot go on, listing again: {reason}");
-                return;
-            }
-            Err(error) => {
-                failing = true;
-                note_failure(feed, kind, &error, news);
-                pause(&mut backoff).await;
+                Err(error) => {
+                    failing = true;
+                    self.note_failure(&error);
+                    pause(&mut backoff).await;
+                }
             }
         }
     }
-}
 
-fn note_failure(
-    feed: Feed,
-    kind: &str,
-    error: &PlatformError,
-    news: &mpsc::UnboundedSender<FeedNews>,
-) {
-    metrics::counter!("pistachiowick_store_failures_total").increment(1);
-    log::warn!(kind = kind; "store does not answer: {error}");
-    // The loop that receives this ends only with the thread.
-    let _ = news.send(FeedNews::Failed(feed));
+    fn tell(&self, news: FeedNews) {
+        self.pulse.note(self.feed);
+        // The loop that receives this ends only with the thread.
+        let _ = self.news.send(news);
+    }
+
+    fn note_failure(&self, error: &PlatformError) {
+        metrics::counter!("pistachiowick_store_failures_total").increment(1);
+        log::warn!(kind = self.kind.as_str(); "store does not answer: {error}");
+        let _ = self.news.send(FeedNews::Failed(self.feed));
+    }
 }
 
 // Differs between daemons, so that they do not all come back in the same instant.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -20,7 +20,9 @@
 use crate::clock;
 use crate::gateway::affinity::CacheBook;
 use crate::gateway::budget::RepeatBudget;
-use crate::gateway::control::{self, ControlLink, ControlNews, ControlSetup};
+use crate::gateway::control::{
+    self, ControlLink, ControlNews, ControlSetup, StorePulse, WatchDuty,
+};
 use crate::gateway::entry::{self, PageKind};
 use crate::gateway::fleet::{FleetCell, FleetView};
 use crate::gateway::health::HealthBook;
@@ -69,8 +71,10 @@
     pub stock: RefCell<FeedStock>,
     /// Changes of the store's objects for links to members.
     pub feed_changes: broadcast::Sender<Message>,
-    /// Whether a hub passes on the store's objects.
-    pub is_fed: Cell<bool>,
+    /// How this daemon follows the store.
+    pub duty: Cell<WatchDuty>,
+    /// When the store was last heard.
+    pub pulse: Arc<StorePulse>,
     /// Distinguishes this life of the daemon from others under its name.
     pub life: u64,
     /// Engines that this daemon is changing.
@@ -179,7 +183,8 @@
             last_hint_work: RefCell::default(),
             stock: RefCell::default(),
             feed_changes: broadcast::channel(peers::FEED_QUEUE).0,
-            is_fed: Cell::new(false),
+            duty: Cell::new(WatchDuty::Alone),
+            pulse: Arc::default(),
             life,
             own_changing: RefCell::default(),
             work: RefCell::default(),
@@ -277,8 +282,11 @@
     let peer_listener = listen("peers", settings.peer_address()).await?;
     let life = rand::rng().random();
     let record = own_record(&settings, &listeners, &peer_listener, life);
-    let control = start_control(&ports, &fleet, record)?;
-    let gateway = Rc::new(Gateway::new(settings, ports, fleet, life, control.news));
+    let pulse = Arc::new(StorePulse::default());
+    let control = start_control(&ports, &fleet, record, &pulse)?;
+    let mut gateway = Gateway::new(settings, ports, fleet, life, control.news);
+    gateway.pulse = pulse;
+    let gateway = Rc::new(gateway);
     let (close, closing) = watch::channel(false);
     for open in listeners {
         let (gateway, closing) = (gateway.clone(), closing.clone());
@@ -336,10 +344,12 @@
     ports: &GatewayPorts,
     fleet: &FleetCell,
     record: DaemonRecord,
+    pulse: &Arc<StorePulse>,
 ) -> Result<ControlLink, DaemonFault> {
     let setup = ControlSetup {
         ports: ports.clone(),
         cell: fleet.clone(),
+        pulse: pulse.clone(),
         record,
     };
     control::start(setup).map_err(|error| DaemonFault::Start {
--- a/src/gateway/peers/hub.rs
+++ b/src/gateway/peers/hub.rs
@@ -25,6 +25,10 @@
 const MOST_WITHOUT_HUBS: usize = 16;
 /// Silence after which another daemon is taken for the hub.
 const HUB_SILENCE: Duration = Duration::from_millis(1_200);
+/// Silence of the store at a hub after which its members follow the store themselves.
+/// A hub that is cut from the store would otherwise keep its whole data centre on an
+/// old configuration; with the time to list, this stays below the users' bounds.
+const STORE_SILENCE: Duration = Duration::from_millis(1_700);
 /// Time for a new hub to be heard.
 const HUB_START: Duration = Duration::from_millis(2_500);
 /// Time for which a silent hub is passed over.
@@ -76,6 +80,8 @@
     hub_since: Option<(DaemonId, MonoTime)>,
     passed_over: IndexMap<DaemonId, MonoTime>,
     last_hints: IndexMap<DaemonId, MonoTime>,
+    // The hub that spoke last, and when it had heard the store.
+    store_heard: Option<(DaemonId, MonoTime)>,
 }
 
 impl HubBook {
@@ -84,6 +90,20 @@
         self.last_hints.insert(from.clone(), now);
     }
 
+    /// Notes how long ago a hub had heard the store.
+    pub fn note_store(&mut self, hub: &DaemonId, age: Duration, now: MonoTime) {
+        let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        let heard = MonoTime(now.0.saturating_sub(age));
+        self.store_heard = Some((hub.clone(), heard));
+    }
+
+    /// Whether a hub passes on a store that it hears itself.
+    #[must_use]
+    pub fn is_fed_by(&self, hub: &DaemonId, now: MonoTime) -> bool {
+        let heard = self.store_heard.as_ref();
+        heard.is_some_and(|(from, at)| from == hub && now.since(*at) < STORE_SILENCE)
+    }
+
     /// Whether this daemon acts as a hub.
     #[must_use]
     pub fn is_hub(&self) -> bool {
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -30,7 +30,7 @@
 pub use crate::gateway::peers::book::PeerBook;
 
 use crate::clock;
-use crate::gateway::control::ControlNews;
+use crate::gateway::control::{ControlNews, WatchDuty};
 use crate::gateway::daemon::Gateway;
 use crate::gateway::load::WorkByTarget;
 use crate::gateway::members::DaemonRecord;
@@ -333,6 +333,7 @@
             work: work.into_iter().collect(),
             held,
             departed: hint.departed.clone(),
+            store_age_ms: u32::try_from(self.pulse.age(now).as_millis()).unwrap_or(u32::MAX),
             rate: if whole { self.work_rate() } else { hint.rate },
             members,
         }
@@ -345,11 +346,16 @@
         peers.set_known(&self.daemon, &view.daemons, now);
         let mut hubs = self.hubs.borrow_mut();
         let role = hubs.role(&self.daemon, &view.daemons, &peers, now);
-        let fed = matches!(&role, PeerRole::Member(hub) if peers.is_heard_directly(hub, now));
-        if self.is_fed.replace(fed) != fed {
-            log::info!(fed = fed, role = role.as_str(); "source of the store's objects changed");
+        let duty = match &role {
+            PeerRole::Mesh => WatchDuty::Alone,
+            PeerRole::Hub => WatchDuty::ForOthers,
+            PeerRole::Member(hub) if hubs.is_fed_by(hub, now) => WatchDuty::Fed,
+            PeerRole::Member(_) => WatchDuty::Alone,
+        };
+        if self.duty.replace(duty) != duty {
+            log::info!(duty = format!("{duty:?}"), role = role.as_str(); "way of following the store changed");
             // The control thread ends only with the process.
-            let _ = self.news.send(ControlNews::Fed(fed));
+            let _ = self.news.send(ControlNews::Duty(duty));
         }
         role
     }
@@ -445,6 +451,12 @@
             return;
         }
         let now = clock::mono_now();
+        if summary.whole {
+            let store_age = Duration::from_millis(u64::from(summary.store_age_ms));
+            self.hubs
+                .borrow_mut()
+                .note_store(&summary.from, store_age, now);
+        }
         for note in summary.members.iter().filter(|note| note.id != self.daemon) {
             let rate = if note.id == summary.from {
                 summary.rate
@@ -471,7 +483,7 @@
     }
 
     fn take_objects(&self, objects: FeedObjects) {
-        if self.is_fed.get() {
+        if self.duty.get() == WatchDuty::Fed {
             // The control thread ends only with the process.
             let _ = self.news.send(ControlNews::PeerObjects(objects));
         }
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -94,6 +94,8 @@
     pub departed: Vec<TargetId>,
     /// Work that they place on engines, in a second.
     pub rate: WorkRate,
+    /// Milliseconds since the hub heard the store.
+    pub store_age_ms: u32,
 }
 
 /// Objects of the store as a hub passes them on.
--- /dev/null
+++ b/tests/gateway_hubs.rs
@@ -0,0 +1,193 @@
+//! Which daemon speaks for a data centre, and what goes through it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pistachiowick::gateway::control::Feed;
+use pistachiowick::gateway::load::LoadBook;
+use pistachiowick::gateway::members::DaemonRecord;
+use pistachiowick::gateway::peers::PeerBook;
+use pistachiowick::gateway::peers::hub::{FeedStock, HubBook, LinkKind, PeerRole, subtract};
+use pistachiowick::gateway::peers::wire::{FeedObjects, MemberNote, PeerHint};
+use pistachiowick::gateway::stage_plan::WorkRate;
+use pistachiowick::names::{CentreName, DaemonId, MonoTime, TargetId};
+use rstest::rstest;
+
+fn daemon(centre: &str, number: usize) -> DaemonRecord {
+    let address: SocketAddr = ([127, 0, 0, 1], 1_000).into();
+    DaemonRecord {
+        id: DaemonId::from(format!("{centre}-{number:02}")),
+        life: 1,
+        callers: address,
+        peers: address,
+        centre: CentreName::from(centre),
+        leaving: false,
+    }
+}
+
+fn fleet(each: usize) -> Vec<DaemonRecord> {
+    let centres = ["a", "b", "c"];
+    let all = centres
+        .iter()
+        .flat_map(|c| (1..=each).map(|n| daemon(c, n)));
+    all.collect()
+}
+
+fn hint(from: &str) -> PeerHint {
+    PeerHint {
+        from: DaemonId::from(from),
+        life: 1,
+        leaving: false,
+        config_version: 1,
+        work: Vec::new(),
+        held: Vec::new(),
+        departed: Vec::new(),
+        changing: Vec::new(),
+        rate: WorkRate::default(),
+    }
+}
+
+fn note(id: &str, age_ms: u32) -> MemberNote {
+    MemberNote {
+        id: DaemonId::from(id),
+        age_ms,
+        leaving: false,
+        config_version: 1,
+        changing: Vec::new(),
+    }
+}
+
+struct RoleCase {
+    each: usize,
+    own: &'static str,
+    role: fn() -> PeerRole,
+    links: usize,
+}
+
+#[rstest]
+#[case::small_fleet(RoleCase { each: 5, own: "a-03", role: || PeerRole::Mesh, links: 14 })]
+#[case::member(RoleCase { each: 10, own: "a-03", role: || PeerRole::Member(DaemonId::from("a-01")), links: 1 })]
+#[case::hub(RoleCase { each: 10, own: "a-01", role: || PeerRole::Hub, links: 9 + 2 })]
+#[case::other_hub(RoleCase { each: 10, own: "b-01", role: || PeerRole::Hub, links: 9 + 2 })]
+fn who_speaks_for_whom(#[case] case: RoleCase) {
+    let daemons = fleet(case.each);
+    let own = DaemonId::from(case.own);
+    let mut hubs = HubBook::default();
+    let role = hubs.role(&own, &daemons, &PeerBook::default(), MonoTime(0));
+    assert_eq!(role, (case.role)());
+    assert_eq!(hubs.links(&role, &own, &daemons).len(), case.links);
+}
+
+// The hub of a data centre dies. Its members hear nothing from it, take the next
+// daemon, and come back to the first one after a while. The one they take learns by
+// their hints that it is a hub now, whatever it thought itself.
+#[test]
+fn a_silent_hub_is_replaced() {
+    let daemons = fleet(10);
+    let (member, next) = (DaemonId::from("a-03"), DaemonId::from("a-02"));
+    let mut hubs = HubBook::default();
+    let mut peers = PeerBook::default();
+    let first = PeerRole::Member(DaemonId::from("a-01"));
+    assert_eq!(hubs.role(&member, &daemons, &peers, MonoTime(0)), first);
+    peers.note_hub(&note("a-01", 0), WorkRate::default(), MonoTime(2_000));
+    assert_eq!(hubs.role(&member, &daemons, &peers, MonoTime(3_000)), first);
+    let replaced = hubs.role(&member, &daemons, &peers, MonoTime(3_300));
+    assert_eq!(replaced, PeerRole::Member(next.clone()));
+    let mut of_next = HubBook::default();
+    of_next.note_hint(&member, MonoTime(3_400));
+    let role = of_next.role(&next, &daemons, &PeerBook::default(), MonoTime(3_500));
+    assert_eq!(role, PeerRole::Hub);
+    let links = of_next.links(&role, &next, &daemons);
+    let to_member = links.iter().find(|(d, _)| d.id == member);
+    assert_eq!(to_member.map(|(_, kind)| *kind), Some(LinkKind::Member));
+    peers.note_hub(&note("a-02", 0), WorkRate::default(), MonoTime(9_000));
+    assert_eq!(hubs.role(&member, &daemons, &peers, MonoTime(9_400)), first);
+}
+
+// A hub is cut from the store and still heard. Its members would stay on an old
+// configuration with it; they follow the store themselves until it hears it again.
+#[test]
+fn a_hub_that_hears_nothing_of_the_store_feeds_nobody() {
+    let hub = DaemonId::from("a-01");
+    let mut hubs = HubBook::default();
+    assert!(!hubs.is_fed_by(&hub, MonoTime(0)));
+    hubs.note_store(&hub, Duration::from_millis(900), MonoTime(5_000));
+    assert!(hubs.is_fed_by(&hub, MonoTime(5_700)));
+    hubs.note_store(&hub, Duration::from_millis(1_500), MonoTime(5_800));
+    assert!(!hubs.is_fed_by(&hub, MonoTime(6_000)));
+    assert!(!hubs.is_fed_by(&DaemonId::from("a-02"), MonoTime(5_700)));
+    hubs.note_store(&hub, Duration::ZERO, MonoTime(7_000));
+    assert!(hubs.is_fed_by(&hub, MonoTime(7_100)));
+}
+
+// A hub tells other hubs of those that report to it. Were it to tell of other hubs as
+// well, each sum would come back in the next one and grow without end.
+#[test]
+fn a_hub_does_not_pass_on_other_hubs() {
+    let now = MonoTime(1_000);
+    let mut peers = PeerBook::default();
+    peers.note_hint(&hint("a-02"), 1, now);
+    peers.note_hub(&note("b-01", 0), WorkRate::default(), now);
+    peers.note_member(&note("b-02", 100), WorkRate::default(), now);
+    let direct: Vec<DaemonId> = peers.direct_notes(now).into_iter().map(|n| n.id).collect();
+    assert_eq!(direct, [DaemonId::from("a-02")]);
+    assert_eq!(peers.all_notes(now).len(), 3);
+}
+
+#[test]
+fn own_hearing_goes_before_what_a_hub_tells() {
+    let daemons = fleet(10);
+    let mut peers = PeerBook::default();
+    let own = DaemonId::from("a-01");
+    peers.set_known(&own, &daemons, MonoTime(0));
+    let heard = DaemonId::from("a-02");
+    peers.note_hint(&hint("a-02"), 1, MonoTime(5_000));
+    let mut left = note("a-02", 0);
+    left.leaving = true;
+    peers.note_member(&left, WorkRate::default(), MonoTime(5_100));
+    assert!(peers.is_usable(&heard, MonoTime(5_200)));
+    assert!(!peers.is_usable(&heard, MonoTime(6_500)));
+    peers.note_member(&note("a-02", 400), WorkRate::default(), MonoTime(7_000));
+    assert!(peers.is_usable(&heard, MonoTime(9_000)));
+    assert!(!peers.is_usable(&heard, MonoTime(9_300)));
+}
+
+#[test]
+fn a_member_takes_its_own_work_out_of_the_sum() {
+    let target = TargetId::from("e");
+    let mut own = LoadBook::default();
+    own.begin(&target, 1, 300);
+    let mut all = LoadBook::default();
+    all.begin(&target, 1, 300);
+    all.begin(&target, 1, 500);
+    let mut sum = all.summed(|_| true);
+    subtract(&mut sum, own.own());
+    own.set_other(DaemonId::from("hub"), sum, MonoTime(0));
+    assert_eq!(own.total(&target).running, 2);
+    assert_eq!(own.total(&target).unread_before(1), 800);
+}
+
+#[test]
+fn a_new_link_gets_what_the_store_holds_now() {
+    let objects = |whole, objects: &[(&str, Option<&[u8]>)]| FeedObjects {
+        feed: Feed::Targets,
+        whole,
+        objects: objects
+            .iter()
+            .map(|(name, value)| ((*name).to_owned(), 1, value.map(<[u8]>::to_vec)))
+            .collect(),
+    };
+    let mut stock = FeedStock::default();
+    stock.take(&objects(true, &[("gone", Some(b"1")), ("old", Some(b"2"))]));
+    stock.take(&objects(true, &[("a", Some(b"1")), ("b", Some(b"2"))]));
+    stock.take(&objects(false, &[("b", None), ("c", Some(b"3"))]));
+    let all = stock.all();
+    assert_eq!(all.len(), 1);
+    let names: Vec<&str> = all[0]
+        .objects
+        .iter()
+        .map(|(name, _, _)| name.as_str())
+        .collect();
+    assert!(all[0].whole);
+    assert_eq!(names, ["a", "c"]);
+}
