--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -29,6 +29,9 @@
 /// Largest answer to the freeing of a prompt, in bytes.
 const MOST_FREE_ANSWER: usize = 16 * 1024;
 
+/// Connections to one target that a daemon may always have.
+const FEWEST_CONNECTIONS: u32 = 2;
+
 /// What became of a send.
 #[derive(Debug)]
 pub enum SendOutcome {
@@ -180,6 +183,11 @@
                 }
             }
         }
+        if self.pool.borrow().open(address) > self.connection_share(&lease.record) {
+            return Err(SendFault::NotSent(format!(
+                "{address} has this daemon's share of connections"
+            )));
+        }
         let until = plan.until.min(Instant::now() + CONNECT_WAIT);
         metrics::counter!("pistachiowick_target_connections_total").increment(1);
         let mut link = HttpLink::open(address, until).await?;
@@ -188,6 +196,17 @@
         answer
     }
 
+    // Targets reset connections beyond what they accept from all daemons together, and
+    // the requests on them with it. Staying within one's part needs no message.
+    fn connection_share(&self, target: &TargetRecord) -> u32 {
+        let view = self.view();
+        let routes = view.routes.as_ref();
+        let rule = routes.and_then(|routes| routes.service(&target.service));
+        let accepted = rule.map_or(u32::MAX, |rule| rule.most_connections);
+        let daemons = u32::try_from(self.daemon_count()).unwrap_or(u32::MAX);
+        (accepted / daemons).max(FEWEST_CONNECTIONS)
+    }
+
     // A step of its own, so that the pool is not borrowed across a wait.
     fn take_kept(&self, address: SocketAddr) -> Option<HttpLink> {
         self.pool.borrow_mut().take(address, Instant::now())
