--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -20,9 +20,7 @@
 use crate::clock;
 use crate::gateway::affinity::CacheBook;
 use crate::gateway::budget::RepeatBudget;
-use crate::gateway::control::{
-    self, ControlLink, ControlNews, ControlSetup, StorePulse, WatchDuty,
-};
+use crate::gateway::control::{self, ControlLink, ControlNews, ControlSetup};
 use crate::gateway::entry::{self, PageKind};
 use crate::gateway::fleet::{FleetCell, FleetView};
 use crate::gateway::health::HealthBook;
@@ -35,6 +33,7 @@
 use crate::gateway::reload;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::stage_control;
+use crate::gateway::store_follow::{StorePulse, WatchDuty};
 use crate::gateway::work_meter::WorkMeter;
 use crate::names::{DaemonId, TargetId};
 use crate::ports::ObjectName;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,5 +37,6 @@
 pub mod settings;
 pub mod stage_control;
 pub mod stage_plan;
+pub mod store_follow;
 pub mod stream;
 pub mod work_meter;
--- a/src/gateway/peers/hub.rs
+++ b/src/gateway/peers/hub.rs
@@ -13,11 +13,11 @@
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
 
-use crate::gateway::control::Feed;
 use crate::gateway::load::WorkByTarget;
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::peers::book::PeerBook;
 use crate::gateway::peers::wire::{FeedObjects, HeldNote, MemberNote, PeerHint};
+use crate::gateway::store_follow::Feed;
 use crate::names::{CentreName, DaemonId, MonoTime};
 
 /// Largest fleet without hubs: below it, links to all cost less than the delay of
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -30,7 +30,7 @@
 pub use crate::gateway::peers::book::PeerBook;
 
 use crate::clock;
-use crate::gateway::control::{ControlNews, WatchDuty};
+use crate::gateway::control::ControlNews;
 use crate::gateway::daemon::Gateway;
 use crate::gateway::load::WorkByTarget;
 use crate::gateway::members::DaemonRecord;
@@ -38,6 +38,7 @@
 use crate::gateway::peers::hub::{LinkKind, PeerRole};
 use crate::gateway::peers::wire::{FeedObjects, HeldNote, PeerHint, PeerMessage, PeerSummary};
 use crate::gateway::stage_plan::WorkRate;
+use crate::gateway::store_follow::WatchDuty;
 use crate::names::{DaemonId, TargetId};
 use crate::timer::TimerService;
 
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -3,9 +3,9 @@
 use serde::{Deserialize, Serialize};
 use tokio_tungstenite::tungstenite::Message;
 
-use crate::gateway::control::Feed;
 use crate::gateway::load::TargetWork;
 use crate::gateway::stage_plan::WorkRate;
+use crate::gateway::store_follow::Feed;
 use crate::names::{DaemonId, TargetId};
 
 /// Parts of a prompt that an engine holds, or was asked to read.
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use pistachiowick::gateway::control::Feed;
 use pistachiowick::gateway::load::LoadBook;
 use pistachiowick::gateway::members::DaemonRecord;
 use pistachiowick::gateway::peers::PeerBook;
 use pistachiowick::gateway::peers::hub::{FeedStock, HubBook, LinkKind, PeerRole, subtract};
 use pistachiowick::gateway::peers::wire::{FeedObjects, MemberNote, PeerHint};
 use pistachiowick::gateway::stage_plan::WorkRate;
+use pistachiowick::gateway::store_follow::Feed;
 use pistachiowick::names::{CentreName, DaemonId, MonoTime, TargetId};
 use rstest::rstest;
 
