--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread;
+use std::time::{Duration, Instant};
 
 use fern::Dispatch;
 use log::LevelFilter;
@@ -17,16 +18,49 @@
 /// Lines that may wait to be written; about half a megabyte.
 const QUEUE_LINES: usize = 2_048;
 
+/// Longest wait for the last lines at the end of the process.
+const FLUSH_WAIT: Duration = Duration::from_millis(500);
+/// How often it is looked whether they are written.
+const FLUSH_STEP: Duration = Duration::from_millis(2);
+
+/// Lines handed over, written and dropped.
+#[derive(Debug, Default)]
+struct LineCounts {
+    queued: AtomicU64,
+    written: AtomicU64,
+    dropped: AtomicU64,
+}
+
+/// Handle of the log.
+#[derive(Debug)]
+pub struct JournalHandle(Arc<LineCounts>);
+
+impl JournalHandle {
+    /// Waits until the lines so far are written, for half a second at most.
+    ///
+    /// The writing thread ends with the process. Without this the last lines, which
+    /// tell why a process ended, would be lost.
+    pub fn flush(&self) {
+        let until = Instant::now() + FLUSH_WAIT;
+        let queued = self.0.queued.load(Ordering::Acquire);
+        while self.0.written.load(Ordering::Acquire) < queued && Instant::now() < until {
+            thread::sleep(FLUSH_STEP);
+        }
+    }
+}
+
 /// Writer that hands each line to the queue.
 struct QueueWriter {
     lines: SyncSender<Vec<u8>>,
-    dropped: Arc<AtomicU64>,
+    counts: Arc<LineCounts>,
 }
 
 impl Write for QueueWriter {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        if self.lines.try_send(bytes.to_vec()).is_err() {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+        if self.lines.try_send(bytes.to_vec()).is_ok() {
+            self.counts.queued.fetch_add(1, Ordering::Release);
+        } else {
+            self.counts.dropped.fetch_add(1, Ordering::Relaxed);
             metrics::counter!("pistachiowick_log_lines_dropped_total").increment(1);
         }
         Ok(bytes.len())
@@ -42,19 +76,20 @@
 /// # Errors
 ///
 /// Returns an error for an unknown level, or when a logger is already installed.
-pub fn install(level: &str) -> Result<(), LogError> {
+pub fn install(level: &str) -> Result<JournalHandle, LogError> {
     let level: LevelFilter = level.parse().map_err(|_| LogError::Level {
         found: level.to_owned(),
     })?;
     let (lines, queue) = sync_channel(QUEUE_LINES);
-    let dropped = Arc::new(AtomicU64::new(0));
-    let counted = dropped.clone();
+    let counts = Arc::new(LineCounts::default());
+    let handle = JournalHandle(counts.clone());
+    let counted = counts.clone();
     // Without the thread there are no lines; the process itself can still serve.
     let _ = thread::Builder::new()
         .name("log".to_owned())
         .stack_size(128 * 1024)
         .spawn(move || write_lines(&queue, &counted));
-    let writer = QueueWriter { lines, dropped };
+    let writer = QueueWriter { lines, counts };
     let boxed: Box<dyn Write + Send> = Box::new(writer);
     Dispatch::new()
         .format(|out, message, record| {
@@ -67,28 +102,27 @@
         .chain(boxed)
         .apply()
         .map_err(fern::InitError::from)?;
-    Ok(())
+    Ok(handle)
 }
 
-fn write_lines(queue: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+fn write_lines(queue: &Receiver<Vec<u8>>, counts: &LineCounts) {
     let mut out = BufWriter::new(io::stdout());
     let mut told = 0;
     while let Ok(line) = queue.recv() {
+        let mut batch = 1;
         let mut wrote = out.write_all(&line);
         while let Ok(line) = queue.try_recv() {
+            batch += 1;
             wrote = wrote.and_then(|()| out.write_all(&line));
         }
-        let lost = dropped.load(Ordering::Relaxed);
+        let lost = counts.dropped.load(Ordering::Relaxed);
         if lost > told {
             told = lost;
-            wrote = wrote.and_then(|()| {
-                writeln!(
-                    out,
-                    "{{\"message\":\"log lines dropped\",\"count\":{lost}}}"
-                )
-            });
+            let line = format!("{{\"message\":\"log lines dropped\",\"count\":{lost}}}\n");
+            wrote = wrote.and_then(|()| out.write_all(line.as_bytes()));
         }
         // Standard output that is gone leaves nowhere to say so.
         let _ = wrote.and_then(|()| out.flush());
+        counts.written.fetch_add(batch, Ordering::Release);
     }
 }
