Do not pass on a later refusal when an earlier send may have run

Cause: on routes that may repeat, a second target's refusal became 503 although the first target had failed the request, or had given no answer. Found by reading; the test a_later_refusal_does_not_unsay_an_earlier_send failed with 503 in all three cases before.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -103,6 +103,9 @@
     pub sent: Vec<TargetId>,
     /// Targets that no byte reached.
     pub unreached: Vec<TargetId>,
+    /// Whether one of them ran the request or may have. Whatever a later target says,
+    /// the caller must not be told then that nothing ran.
+    pub may_have_run: bool,
 }
 
 impl SendTrail {
@@ -273,6 +276,7 @@
                 PlainEnd::Whole(_) => false,
                 PlainEnd::FailedWhole(_) | PlainEnd::Unclear(_) => {
                     trail.sent.push(target.id.clone());
+                    trail.may_have_run = true;
                     more && self.may_repeat(call)
                 }
                 PlainEnd::Refused(_) => {
@@ -284,7 +288,9 @@
                     trail.unreached.len() < MOST_NOT_SENT && Instant::now() < call.due
                 }
             };
-            last = end.into_result(call);
+            if !(trail.may_have_run && end.says_not_run()) {
+                last = end.into_result(call);
+            }
             if !again {
                 break;
             }
@@ -416,6 +422,10 @@
 }
 
 impl PlainEnd {
+    fn says_not_run(&self) -> bool {
+        matches!(self, Self::Refused(_) | Self::NotSent(_))
+    }
+
     fn into_result(self, call: &RoutedCall) -> Result<Reply, Failure> {
         match self {
             Self::Whole(reply) | Self::FailedWhole(reply) => Ok(reply),
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -52,15 +52,27 @@
     /// Returns the failure that the caller is told.
     pub async fn generate(self: Rc<Self>, call: Rc<RoutedCall>) -> Result<Reply, Failure> {
         let mut trail = SendTrail::default();
+        let started = self.generate_along(&call, &mut trail).await;
+        started.map_err(|failure| match failure.retry_after {
+            Some(_) if trail.may_have_run => lost(&call, failure.reason),
+            _ => failure,
+        })
+    }
+
+    async fn generate_along(
+        self: &Rc<Self>,
+        call: &Rc<RoutedCall>,
+        trail: &mut SendTrail,
+    ) -> Result<Reply, Failure> {
         let mut last = Failure::refused("no engine is known", ENGINE_BUSY_WAIT);
-        while let Some(place) = self.place(&call, &trail) {
-            if let Some(refusal) = too_late(&call, &place) {
+        while let Some(place) = self.place(call, trail) {
+            if let Some(refusal) = too_late(call, &place) {
                 return Err(refusal);
             }
-            self.note_placed(&call, &place);
-            let handle = self.read_ahead(&call, &place).await;
-            let place = self.with_writer(&call, place, handle.is_some(), &trail);
-            match self.start(&call, &place, handle, &mut trail).await {
+            self.note_placed(call, &place);
+            let handle = self.read_ahead(call, &place).await;
+            let place = self.with_writer(call, place, handle.is_some(), trail);
+            match self.start(call, &place, handle, trail).await {
                 Started::Reply(reply) => return Ok(reply),
                 Started::Again(failure) => last = failure,
                 Started::Ended(failure) => return Err(failure),
@@ -180,7 +192,10 @@
                 return Started::Again(Failure::refused(reason, ENGINE_BUSY_WAIT));
             }
             SendOutcome::Refused(reason) => Failure::refused(reason, ENGINE_BUSY_WAIT),
-            SendOutcome::Unclear(reason) => lost(call, reason),
+            SendOutcome::Unclear(reason) => {
+                trail.may_have_run = true;
+                lost(call, reason)
+            }
         };
         trail.sent.push(writer.id.clone());
         let refused = failure.retry_after.is_some();
