Count sends after a failed reading as repeats; do not pass on unsigned successes

Ruled out: sends that never left (they draw nothing, rightly). Change: each send after a failed reading draws; without a repeat left the caller is told that nothing ran and when to come back. A success without the target's signature is unclear, except for readings, whose answers stay here.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -106,6 +106,9 @@
     /// Whether one of them ran the request or may have. Whatever a later target says,
     /// the caller must not be told then that nothing ran.
     pub may_have_run: bool,
+    /// Whether an engine has read the prompt for another one. The fleet's budget of
+    /// repeats allows that once.
+    pub prompt_read: bool,
 }
 
 impl SendTrail {
@@ -287,6 +290,11 @@
                     trail.unreached.push(target.id.clone());
                     trail.unreached.len() < MOST_NOT_SENT && Instant::now() < call.due
                 }
+                // It is no target of the request, but the request arrived there.
+                PlainEnd::Astray(_) => {
+                    trail.unreached.push(target.id.clone());
+                    trail.unreached.len() < MOST_NOT_SENT && self.may_repeat(call)
+                }
             };
             if !(trail.may_have_run && end.says_not_run()) {
                 last = end.into_result(call);
@@ -336,7 +344,9 @@
         let answer = match outcome {
             SendOutcome::Answered(answer) => answer,
             SendOutcome::Refused(reason) => return PlainEnd::Refused(reason),
-            SendOutcome::WrongTarget => return PlainEnd::NotSent("another target".to_owned()),
+            SendOutcome::WrongTarget => {
+                return PlainEnd::Astray(format!("{} left its address", target.id));
+            }
             SendOutcome::NotSent(reason) => return PlainEnd::NotSent(reason),
             SendOutcome::Unclear(reason) => return PlainEnd::Unclear(reason),
         };
@@ -418,18 +428,20 @@
     FailedWhole(Reply),
     Refused(String),
     NotSent(String),
+    // Another target answered at the address and did not run it.
+    Astray(String),
     Unclear(String),
 }
 
 impl PlainEnd {
     fn says_not_run(&self) -> bool {
-        matches!(self, Self::Refused(_) | Self::NotSent(_))
+        matches!(self, Self::Refused(_) | Self::NotSent(_) | Self::Astray(_))
     }
 
     fn into_result(self, call: &RoutedCall) -> Result<Reply, Failure> {
         match self {
             Self::Whole(reply) | Self::FailedWhole(reply) => Ok(reply),
-            Self::Refused(reason) | Self::NotSent(reason) => {
+            Self::Refused(reason) | Self::NotSent(reason) | Self::Astray(reason) => {
                 Err(Failure::refused(reason, NOTHING_YET_WAIT))
             }
             Self::Unclear(reason) => Err(lost(call, reason)),
@@ -442,6 +454,7 @@
             Self::FailedWhole(_) => "failed",
             Self::Refused(_) => "refused",
             Self::NotSent(_) => "not_sent",
+            Self::Astray(_) => "wrong_target",
             Self::Unclear(_) => "unclear",
         }
     }
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -70,7 +70,7 @@
                 return Err(refusal);
             }
             self.note_placed(call, &place);
-            let handle = self.read_ahead(call, &place).await;
+            let handle = self.read_ahead(call, &place, trail).await?;
             let place = self.with_writer(call, place, handle.is_some(), trail);
             match self.start(call, &place, handle, trail).await {
                 Started::Reply(reply) => return Ok(reply),
@@ -189,7 +189,13 @@
             SendOutcome::WrongTarget => {
                 trail.unreached.push(writer.id.clone());
                 let reason = "the engine left its address";
-                return Started::Again(Failure::refused(reason, ENGINE_BUSY_WAIT));
+                let failure = Failure::refused(reason, ENGINE_BUSY_WAIT);
+                // The next send is a repeat, as this one arrived somewhere.
+                return if self.may_repeat(call) {
+                    Started::Again(failure)
+                } else {
+                    Started::Ended(failure)
+                };
             }
             SendOutcome::Refused(reason) => Failure::refused(reason, ENGINE_BUSY_WAIT),
             SendOutcome::Unclear(reason) => {
@@ -284,24 +290,42 @@
         }
     }
 
+    // Reads the prompt where that pays. One reading that an engine takes up is no
+    // repeat. Any send after one that came to nothing is, also the run: without a
+    // repeat left the request is refused, or failing readers would have the fleet
+    // send every request twice.
     async fn read_ahead(
         self: &Rc<Self>,
         call: &Rc<RoutedCall>,
         place: &EnginePlace,
-    ) -> Option<HandleGuard> {
-        let mut reader = place.reader.clone()?;
+        trail: &mut SendTrail,
+    ) -> Result<Option<HandleGuard>, Failure> {
+        let Some(mut reader) = place.reader.clone() else {
+            return Ok(None);
+        };
+        if trail.prompt_read && !self.may_repeat(call) {
+            return Ok(None);
+        }
         let mut tried: Vec<TargetId> = Vec::new();
-        for reading in 1..=MOST_READINGS {
+        for _ in 0..MOST_READINGS {
             match self.read_prompt(call, &reader, place).await {
-                Some(handle) => return Some(handle),
-                None => tried.push(reader.id.clone()),
+                Reading::Kept(handle) => {
+                    trail.prompt_read = true;
+                    return Ok(Some(handle));
+                }
+                Reading::NotSent => {}
+                Reading::Failed(reason) if !self.may_repeat(call) => {
+                    return Err(Failure::refused(reason, ENGINE_BUSY_WAIT));
+                }
+                Reading::Failed(_) => {}
             }
-            if reading == MOST_READINGS || !self.may_repeat(call) {
+            tried.push(reader.id.clone());
+            let Some(next) = self.another_reader(call, &tried) else {
                 break;
-            }
-            reader = self.another_reader(call, &tried)?;
+            };
+            reader = next;
         }
-        None
+        Ok(None)
     }
 
     fn another_reader(&self, call: &RoutedCall, tried: &[TargetId]) -> Option<Arc<TargetRecord>> {
@@ -321,7 +345,7 @@
         call: &Rc<RoutedCall>,
         reader: &Arc<TargetRecord>,
         place: &EnginePlace,
-    ) -> Option<HandleGuard> {
+    ) -> Reading {
         let sent = Instant::now();
         let _work = WorkGuard::begin(self, &reader.id, place.rank, place.unread_tokens);
         let patience = Duration::from_secs_f64(place.expected_ms * READ_PATIENCE / 1_000.0);
@@ -336,18 +360,16 @@
             place.rank,
         );
         let outcome = self.send(reader, call.plan(until), &order).await;
-        let read = self
-            .finish_reading(reader, outcome, until.min(call.due))
-            .await;
-        let outcome = if read.is_some() { "read" } else { "not_read" };
-        call.log_send(reader, "read_prompt", outcome, sent);
-        if read.is_some() {
+        let until = until.min(call.due);
+        let reading = self.finish_reading(reader, outcome, until).await;
+        call.log_send(reader, "read_prompt", reading.as_str(), sent);
+        if let Reading::Kept(_) = reading {
             self.note_held(call, reader);
             let taken = sent.elapsed().as_secs_f64() * 1_000.0;
             let mut health = self.health.borrow_mut();
             health.note_time(&reader.id, taken, place.expected_ms);
         }
-        read
+        reading
     }
 
     async fn finish_reading(
@@ -355,22 +377,32 @@
         reader: &Arc<TargetRecord>,
         outcome: SendOutcome,
         until: Instant,
-    ) -> Option<HandleGuard> {
-        let SendOutcome::Answered(answer) = outcome else {
-            return None;
+    ) -> Reading {
+        let answer = match outcome {
+            SendOutcome::Answered(answer) => answer,
+            SendOutcome::NotSent(_) => return Reading::NotSent,
+            SendOutcome::WrongTarget => {
+                return Reading::Failed(format!("{} left its address", reader.id));
+            }
+            SendOutcome::Refused(reason) | SendOutcome::Unclear(reason) => {
+                return Reading::Failed(reason);
+            }
         };
         if !answer.head.status.is_success() {
             self.note_result(reader, SendResult::Failed);
-            return None;
+            return Reading::Failed(format!("{} said {}", reader.id, answer.head.status));
         }
-        let body = client::read_body(answer.body, MOST_READ_ANSWER, until).await;
-        let read = body
-            .map_err(|reason| log::debug!("reading cut: {reason}"))
-            .ok()
-            .and_then(|body| (self.ports.wire.decode_read)(&body).ok());
-        let Some(read) = read else {
-            self.note_result(reader, SendResult::Failed);
-            return None;
+        let read = client::read_body(answer.body, MOST_READ_ANSWER, until).await;
+        let read = read.and_then(|body| {
+            let decoded = (self.ports.wire.decode_read)(&body);
+            decoded.map_err(|fault| fault.to_string())
+        });
+        let read = match read {
+            Ok(read) => read,
+            Err(reason) => {
+                self.note_result(reader, SendResult::Failed);
+                return Reading::Failed(reason);
+            }
         };
         self.note_result(reader, SendResult::Answered);
         answer.lease.give_back(&answer.head);
@@ -378,7 +410,7 @@
             holder: reader.address,
             name: read.handle,
         };
-        Some(HandleGuard::new(self.clone(), reader.clone(), handle))
+        Reading::Kept(HandleGuard::new(self.clone(), reader.clone(), handle))
     }
 
     fn note_held(&self, call: &RoutedCall, engine: &TargetRecord) {
@@ -461,6 +493,25 @@
     Ended(Failure),
 }
 
+// What became of the reading of a prompt; nothing has run in any case.
+enum Reading {
+    Kept(HandleGuard),
+    // No byte left.
+    NotSent,
+    // It arrived at an engine and came to nothing.
+    Failed(String),
+}
+
+impl Reading {
+    fn as_str(&self) -> &'static str {
+        match self {
+            Self::Kept(_) => "read",
+            Self::NotSent => "not_sent",
+            Self::Failed(_) => "not_read",
+        }
+    }
+}
+
 /// A kept prompt that is freed unless another engine took it.
 struct HandleGuard {
     gateway: Rc<Gateway>,
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -15,7 +15,7 @@
 use crate::gateway::health::SendResult;
 use crate::gateway::model::TargetRecord;
 use crate::gateway::pool::LinkPool;
-use crate::gateway::port::{AnswerMarks, SendOrder, TargetQuery};
+use crate::gateway::port::{SendMode, SendOrder, TargetQuery};
 
 /// Longest time for a new connection. Connections take a few milliseconds; a
 /// target that needs longer is away, and the request can still go elsewhere.
@@ -68,8 +68,6 @@
     pub head: Parts,
     /// Body as it arrives.
     pub body: Incoming,
-    /// What the head says.
-    pub marks: AnswerMarks,
     /// The connection that it arrives on.
     pub lease: LinkLease,
 }
@@ -155,7 +153,7 @@
         let mut lease = LinkLease::new(&self.pool, target);
         let outcome = self.send_on(&mut lease, &request, plan).await;
         let outcome = match outcome {
-            Ok(response) => self.judge(target, plan.request_id, response, lease),
+            Ok(response) => self.judge(target, plan.request_id, order, response, lease),
             Err(SendFault::NotSent(reason)) => SendOutcome::NotSent(reason),
             Err(SendFault::Unclear(reason)) => SendOutcome::Unclear(reason),
         };
@@ -216,6 +214,7 @@
         &self,
         target: &TargetRecord,
         request_id: &str,
+        order: &SendOrder,
         response: http::Response<Incoming>,
         lease: LinkLease,
     ) -> SendOutcome {
@@ -232,12 +231,12 @@
             // The short body of a refusal is not awaited; the connection goes with it.
             return SendOutcome::Refused(format!("{} said {}", target.id, head.status));
         }
-        SendOutcome::Answered(Box::new(TargetAnswer {
-            head,
-            body,
-            marks,
-            lease,
-        }))
+        // The answer to a reading is for this daemon alone; callers get signed ones only.
+        let is_run = order.mode != SendMode::ReadPrompt;
+        if is_run && head.status.is_success() && !marks.signed {
+            return SendOutcome::Unclear(format!("{} did not sign its answer", target.id));
+        }
+        SendOutcome::Answered(Box::new(TargetAnswer { head, body, lease }))
     }
 
     fn note_outcome(&self, target: &TargetRecord, outcome: &SendOutcome) {
