--- a/lab/src/prove_faults.rs
+++ b/lab/src/prove_faults.rs
@@ -421,6 +421,7 @@
     let relay_fault = RelayFault {
         mutes_calls: !deaf,
         mutes_answers: true,
+        delay: std::time::Duration::ZERO,
     };
     let of_daemon = matches!(fault.kind, FaultKind::DaemonCutOff | FaultKind::DaemonDeaf);
     let (name, number) = {
--- a/lab/src/relay.rs
+++ b/lab/src/relay.rs
@@ -1,8 +1,9 @@
-//! A relay of TCP connections that can be cut or silenced in either direction: a
-//! network partition between one process and another.
+//! A relay of TCP connections that can be reset, delayed, or silenced in either
+//! direction: a bad network between one process and another.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use eyre::{Result, WrapErr};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -23,6 +24,8 @@
     pub mutes_calls: bool,
     /// Bytes back are held back: calls have their effect, and no answer comes.
     pub mutes_answers: bool,
+    /// Wait before each chunk of bytes is passed on, in either direction.
+    pub delay: Duration,
 }
 
 impl RelayFault {
@@ -33,10 +36,16 @@
     }
 }
 
+/// Where a relay leads now.
+type BehindCell = Arc<Mutex<String>>;
+
 /// A running relay.
 pub struct RunningRelay {
     address: SocketAddr,
     fault: Arc<watch::Sender<RelayFault>>,
+    // Raised to break the connections that are open.
+    resets: Arc<watch::Sender<u64>>,
+    behind: BehindCell,
     task: JoinHandle<()>,
 }
 
@@ -52,14 +61,29 @@
         let address = listener.local_addr()?;
         let (fault, _) = watch::channel(RelayFault::default());
         let fault = Arc::new(fault);
-        let task = tokio::spawn(accept(listener, behind.to_owned(), fault.clone()));
+        let resets = Arc::new(watch::channel(0).0);
+        let behind = Arc::new(Mutex::new(behind.to_owned()));
+        let accepting = accept(listener, behind.clone(), fault.clone(), resets.clone());
         Ok(Self {
             address,
             fault,
-            task,
+            resets,
+            behind,
+            task: tokio::spawn(accepting),
         })
     }
 
+    /// Breaks the connections that are open; new ones go through.
+    pub fn reset_connections(&self) {
+        self.resets.send_modify(|resets| *resets += 1);
+    }
+
+    /// Leads new connections to another address.
+    pub fn lead_to(&self, behind: &str) {
+        let mut cell = self.behind.lock().unwrap_or_else(PoisonError::into_inner);
+        behind.clone_into(&mut cell);
+    }
+
     /// Returns the IP number and port to connect to.
     #[must_use]
     pub fn address(&self) -> String {
@@ -78,9 +102,24 @@
     }
 }
 
-async fn accept(listener: TcpListener, behind: String, fault: Arc<watch::Sender<RelayFault>>) {
+async fn accept(
+    listener: TcpListener,
+    behind: BehindCell,
+    fault: Arc<watch::Sender<RelayFault>>,
+    resets: Arc<watch::Sender<u64>>,
+) {
     while let Ok((near, _)) = listener.accept().await {
-        tokio::spawn(connect(near, behind.clone(), fault.subscribe()));
+        let target = behind
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        let (fault, mut reset) = (fault.subscribe(), resets.subscribe());
+        tokio::spawn(async move {
+            tokio::select! {
+                () = connect(near, target, fault) => {}
+                _ = reset.changed() => {}
+            }
+        });
     }
 }
 
@@ -119,7 +158,11 @@
         let Ok(count) = from.read(&mut chunk).await else {
             return;
         };
-        if is_muted(&fault.borrow_and_update()) {
+        let now = *fault.borrow_and_update();
+        if !now.delay.is_zero() {
+            tokio::time::sleep(now.delay).await;
+        }
+        if is_muted(&now) {
             let _ = fault.wait_for(|fault| !is_muted(fault)).await;
             return;
         }
