Hubs place the requests of their members; followers of the store gather changes

Daemons hear of each other's choices after hundreds of milliseconds and take the same engine. Ruled out: copies of shared parts (the same times without one), engines too busy on the whole (60 % of their reading rate at the most). Change: a member asks its hub, which makes the choice with all of its members' work, counts it at once, and answers within a round trip. A hub that is silent for 40 ms is not asked for a second, and the member chooses by itself. Engines that the member avoids or does not know are not taken. Followers pause 150 ms after changes of targets and daemons; the configuration is followed as before.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -27,6 +27,7 @@
 use crate::gateway::load::{LoadBook, WorkByTarget};
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::peers::hub::{FeedStock, HubBook, RelayedHeld};
+use crate::gateway::peers::placing::PlacingDesk;
 use crate::gateway::peers::{self, PeerBook};
 use crate::gateway::pool::LinkPool;
 use crate::gateway::port::GatewayPorts;
@@ -60,6 +61,8 @@
     pub caches: RefCell<CacheBook>,
     /// The other daemons.
     pub peers: RefCell<PeerBook>,
+    /// Whom to ask for places on engines.
+    pub placing: RefCell<PlacingDesk>,
     /// Who is whose hub.
     pub hubs: RefCell<HubBook>,
     /// What engines came to hold, to be passed on by a hub.
@@ -177,6 +180,7 @@
             load: RefCell::default(),
             caches: RefCell::default(),
             peers: RefCell::default(),
+            placing: RefCell::default(),
             hubs: RefCell::default(),
             relayed_held: RefCell::default(),
             last_hint_work: RefCell::default(),
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -12,7 +12,7 @@
 use crate::gateway::engine_choice::{self, EnginePlace, EngineState};
 use crate::gateway::forward::{RoutedCall, SendTrail, WorkGuard, lost};
 use crate::gateway::health::SendResult;
-use crate::gateway::model::TargetRecord;
+use crate::gateway::model::{PromptPart, PromptShape, TargetRecord};
 use crate::gateway::port::{CacheHandle, SendMode, SendOrder};
 use crate::gateway::reply::{Failure, Reply, stream_reply, whole_reply};
 use crate::gateway::sending::{SendOutcome, TargetAnswer};
@@ -65,7 +65,7 @@
         trail: &mut SendTrail,
     ) -> Result<Reply, Failure> {
         let mut last = Failure::refused("no engine is known", ENGINE_BUSY_WAIT);
-        while let Some(place) = self.place(call, trail) {
+        while let Some(place) = self.place_by_fleet(call, trail).await {
             if let Some(refusal) = too_late(call, &place) {
                 return Err(refusal);
             }
@@ -91,7 +91,7 @@
         if place.reader.is_none() || !was_read {
             return place;
         }
-        let engines = self.engine_states(call, |id| !trail.has(id));
+        let engines = self.call_states(call, |id| !trail.has(id));
         let prompt = call.caller.prompt.clone().unwrap_or_default();
         let writer = engine_choice::choose_writer(
             &self.settings().placement,
@@ -329,7 +329,7 @@
     }
 
     fn another_reader(&self, call: &RoutedCall, tried: &[TargetId]) -> Option<Arc<TargetRecord>> {
-        let engines = self.engine_states(call, |id| !tried.contains(id));
+        let engines = self.call_states(call, |id| !tried.contains(id));
         let prompt = call.caller.prompt.clone().unwrap_or_default();
         engine_choice::choose(
             &self.settings().placement,
@@ -426,36 +426,50 @@
     /// Chooses the engines of a request among those that its trail leaves.
     #[must_use]
     pub fn place(&self, call: &RoutedCall, trail: &SendTrail) -> Option<EnginePlace> {
-        let engines = self.engine_states(call, |id| !trail.has(id));
-        let prompt = call.caller.prompt.clone().unwrap_or_default();
+        let order = PlaceOrder {
+            engines: call.view.of_service(&call.service.name),
+            prompt: call.caller.prompt.clone().unwrap_or_default(),
+            urgency: call.route.urgency,
+            objective_left: call.objective_left(),
+        };
+        self.place_order(&order, |id| !trail.has(id))
+    }
+
+    /// Chooses engines among those for which `fits`.
+    #[must_use]
+    pub fn place_order(
+        &self,
+        order: &PlaceOrder<'_>,
+        fits: impl Fn(&TargetId) -> bool,
+    ) -> Option<EnginePlace> {
+        let engines = self.engine_states(order.engines, &order.prompt.parts, fits);
         let settings = self.settings();
         let weights = &settings.placement;
-        let in_time = engine_choice::choose(weights, &engines, &prompt, call.route.urgency)?;
+        let in_time = engine_choice::choose(weights, &engines, &order.prompt, order.urgency)?;
         // What waits too long to be in time gives way to what can still be. A prompt
         // that is late by its own length does not: the largest would never be read.
         let waiting_ms = in_time.expected_ms - in_time.own_ms;
-        if waiting_ms <= call.objective_left().as_secs_f64() * 1_000.0 {
+        if waiting_ms <= order.objective_left.as_secs_f64() * 1_000.0 {
             return Some(in_time);
         }
-        let rank = call.route.urgency.saturating_add(LATE_RANKS).min(9);
-        engine_choice::choose(weights, &engines, &prompt, rank)
+        let rank = order.urgency.saturating_add(LATE_RANKS).min(9);
+        engine_choice::choose(weights, &engines, &order.prompt, rank)
     }
 
     fn engine_states(
         &self,
-        call: &RoutedCall,
+        engines: &[Arc<TargetRecord>],
+        parts: &[PromptPart],
         fits: impl Fn(&TargetId) -> bool,
     ) -> Vec<EngineState> {
         let newest = self.view();
         let now = clock::mono_now();
-        let parts = call.caller.prompt.as_ref().map_or(&[][..], |p| &p.parts);
         let (health, load, caches) = (
             self.health.borrow(),
             self.load.borrow(),
             self.caches.borrow(),
         );
-        let engines = call.view.of_service(&call.service.name).iter();
-        let staying = engines.filter(|engine| newest.holds(&engine.id));
+        let staying = engines.iter().filter(|engine| newest.holds(&engine.id));
         let peers = self.peers.borrow();
         let own_changing = self.own_changing.borrow();
         let changing: Vec<&TargetId> = peers.changing(now).chain(own_changing.iter()).collect();
@@ -469,6 +483,24 @@
         });
         states.collect()
     }
+
+    fn call_states(&self, call: &RoutedCall, fits: impl Fn(&TargetId) -> bool) -> Vec<EngineState> {
+        let engines = call.view.of_service(&call.service.name);
+        let parts = call.caller.prompt.as_ref().map_or(&[][..], |p| &p.parts);
+        self.engine_states(engines, parts, fits)
+    }
+}
+
+/// A request as the choice of its engines sees it.
+pub struct PlaceOrder<'a> {
+    /// Engines of its service.
+    pub engines: &'a [Arc<TargetRecord>],
+    /// Its prompt.
+    pub prompt: PromptShape,
+    /// Rank of its route; 0 is the most urgent.
+    pub urgency: u8,
+    /// Time left for an answer of full worth.
+    pub objective_left: Duration,
 }
 
 // A caller of a stream gives up when the first event does not come. Work for it
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -56,11 +56,24 @@
 /// Work by target.
 pub type WorkByTarget = IndexMap<TargetId, TargetWork>;
 
+/// Work that another daemon was told to place and has not told of itself yet.
+#[derive(Clone, Debug)]
+struct PromisedWork {
+    number: u64,
+    target: TargetId,
+    work: TargetWork,
+    at: MonoTime,
+}
+
+/// Age from which promised work is left out: its daemon has told of it, or is gone.
+const PROMISE_TIME: Duration = Duration::from_millis(800);
+
 /// Work of this daemon and of the others.
 #[derive(Clone, Debug, Default)]
 pub struct LoadBook {
     own: WorkByTarget,
     others: IndexMap<DaemonId, (MonoTime, WorkByTarget)>,
+    promised: IndexMap<DaemonId, Vec<PromisedWork>>,
     // Sum of the others, kept so that a choice does not add them up anew.
     sum: WorkByTarget,
 }
@@ -98,6 +111,37 @@
         self.sum_up(now);
     }
 
+    /// Notes work, as rank and unread tokens, that another daemon is told to place, by
+    /// the number of its question.
+    pub fn promise(
+        &mut self,
+        (daemon, number): (&DaemonId, u64),
+        target: &TargetId,
+        (rank, unread_tokens): (u8, u32),
+        now: MonoTime,
+    ) {
+        let mut work = TargetWork {
+            running: 1,
+            ..TargetWork::default()
+        };
+        work.unread[rank_index(rank)] = unread_tokens;
+        self.sum.entry(target.clone()).or_default().add(&work);
+        let promised = self.promised.entry(daemon.clone()).or_default();
+        promised.push(PromisedWork {
+            number,
+            target: target.clone(),
+            work,
+            at: now,
+        });
+    }
+
+    /// Leaves out promises of a daemon that its own word contains by now.
+    pub fn settle_promises(&mut self, daemon: &DaemonId, through: u64) {
+        if let Some(promised) = self.promised.get_mut(daemon) {
+            promised.retain(|promise| promise.number > through);
+        }
+    }
+
     /// Leaves out what is too old.
     pub fn expire(&mut self, now: MonoTime) {
         self.sum_up(now);
@@ -117,6 +161,11 @@
         for (target, work) in others.flat_map(|(_, (_, work))| work) {
             sum.entry(target.clone()).or_default().add(work);
         }
+        let promised = self.promised.iter().filter(|(daemon, _)| counts(daemon));
+        for promise in promised.flat_map(|(_, promised)| promised) {
+            let total = sum.entry(promise.target.clone()).or_default();
+            total.add(&promise.work);
+        }
         sum
     }
 
@@ -141,5 +190,13 @@
         for (target, work) in self.others.values().flat_map(|(_, work)| work) {
             self.sum.entry(target.clone()).or_default().add(work);
         }
+        for promised in self.promised.values_mut() {
+            promised.retain(|promise| now.since(promise.at) < PROMISE_TIME);
+        }
+        self.promised.retain(|_, promised| !promised.is_empty());
+        for promise in self.promised.values().flatten() {
+            let total = self.sum.entry(promise.target.clone()).or_default();
+            total.add(&promise.work);
+        }
     }
 }
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod book;
 pub mod hub;
+pub mod placing;
 pub mod wire;
 
 use std::net::SocketAddr;
@@ -157,6 +158,7 @@
     mut word: watch::Receiver<OutgoingWord>,
 ) {
     let mut changes = gateway.feed_changes.subscribe();
+    let mut urgent = gateway.placing.borrow_mut().open_link(&daemon.id);
     if kind == LinkKind::Member && !send_stock(gateway, &mut link).await {
         return;
     }
@@ -180,6 +182,11 @@
                     sent_version = version;
                 }
             }
+            Some(message) = urgent.recv() => {
+                if !send(&mut link, message).await {
+                    return;
+                }
+            }
             change = changes.recv(), if kind == LinkKind::Member => {
                 let sent = match change {
                     Ok(message) => send(&mut link, message).await,
@@ -286,6 +293,7 @@
             departed: view.departed.clone(),
             changing: self.own_changing.borrow().clone(),
             rate: self.work.borrow_mut().rate(clock::mono_now()),
+            placed_through: self.placing.borrow().taken_through(),
         }
     }
 
@@ -347,6 +355,11 @@
         peers.set_known(&self.daemon, &view.daemons, now);
         let mut hubs = self.hubs.borrow_mut();
         let role = hubs.role(&self.daemon, &view.daemons, &peers, now);
+        let placer = match &role {
+            PeerRole::Member(hub) => Some(hub.clone()),
+            PeerRole::Hub | PeerRole::Mesh => None,
+        };
+        self.placing.borrow_mut().set_placer(placer);
         let duty = match &role {
             PeerRole::Mesh => WatchDuty::Alone,
             PeerRole::Hub => WatchDuty::ForOthers,
@@ -386,6 +399,8 @@
             PeerMessage::Hint(hint) => self.take_hint(hint),
             PeerMessage::Summary(summary) => self.take_summary(summary),
             PeerMessage::Objects(objects) => self.take_objects(objects),
+            PeerMessage::Place(question) => self.answer_place(question),
+            PeerMessage::Placed(answer) => self.take_place(answer),
             PeerMessage::Config { revision, value } => {
                 // The control thread ends only with the process.
                 let _ = self.news.send(ControlNews::PeerConfig { revision, value });
@@ -412,7 +427,9 @@
         self.relayed_held.borrow_mut().keep_member(&hint.held);
         self.take_departed(&hint.departed);
         let work = hint.work.into_iter().collect();
-        self.load.borrow_mut().set_other(hint.from, work, now);
+        let mut load = self.load.borrow_mut();
+        load.settle_promises(&hint.from, hint.placed_through);
+        load.set_other(hint.from, work, now);
     }
 
     fn take_held_notes(&self, notes: &[HeldNote]) {
--- /dev/null
+++ b/src/gateway/peers/placing.rs
@@ -0,0 +1,261 @@
+//! One daemon of a data centre places the requests of all its daemons.
+//!
+//! Daemons that each choose engines by hints choose alike: within the hundreds of
+//! milliseconds until they hear of each other's choices, they all take the engine
+//! that looked free. The hub sees every choice at once, because it makes them; a
+//! question costs one round trip inside the data centre. A daemon whose hub does not
+//! answer soon chooses by itself, so nothing but time to the first token hangs on it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+use tokio_tungstenite::tungstenite::Message;
+
+use crate::clock;
+use crate::gateway::daemon::Gateway;
+use crate::gateway::engine_choice::EnginePlace;
+use crate::gateway::forward::{RoutedCall, SendTrail};
+use crate::gateway::generate::PlaceOrder;
+use crate::gateway::model::{PromptPart, PromptShape, TargetRecord};
+use crate::gateway::peers::wire::{PeerMessage, PlaceAnswer, PlaceQuestion, PlacedEngines};
+use crate::names::{DaemonId, MonoTime, TargetId};
+
+/// Longest wait for an answer: a round trip takes 1 to 3 ms, and waiting longer than
+/// a choice without the others' knowledge costs, 100 ms and more, buys nothing.
+const ANSWER_WAIT: Duration = Duration::from_millis(40);
+/// Time for which a daemon that did not answer is not asked.
+const NOT_ASKED: Duration = Duration::from_millis(1_000);
+
+/// Where the answer to a question will come.
+pub type PlaceWait = oneshot::Receiver<Option<PlacedEngines>>;
+
+/// What a daemon keeps to ask another one for places.
+#[derive(Debug, Default)]
+pub struct PlacingDesk {
+    // Whom to ask; `None` where this daemon places by itself.
+    placer: Option<DaemonId>,
+    links: IndexMap<DaemonId, mpsc::UnboundedSender<Message>>,
+    last_number: u64,
+    taken_through: u64,
+    waiting: IndexMap<u64, oneshot::Sender<Option<PlacedEngines>>>,
+    not_before: Option<MonoTime>,
+}
+
+impl PlacingDesk {
+    /// Sets whom to ask.
+    pub fn set_placer(&mut self, placer: Option<DaemonId>) {
+        if self.placer != placer {
+            self.placer = placer;
+            self.not_before = None;
+        }
+    }
+
+    /// Opens a queue of messages that a link sends between its regular ones.
+    pub fn open_link(&mut self, daemon: &DaemonId) -> mpsc::UnboundedReceiver<Message> {
+        let (sender, queue) = mpsc::unbounded_channel();
+        self.links.insert(daemon.clone(), sender);
+        queue
+    }
+
+    /// Number of the last question whose answer was taken; the work that it brought
+    /// is in this daemon's hints from now on.
+    #[must_use]
+    pub fn taken_through(&self) -> u64 {
+        self.taken_through
+    }
+
+    fn send(&self, to: &DaemonId, message: &PeerMessage) -> bool {
+        let link = self.links.get(to);
+        link.is_some_and(|link| link.send(message.encode()).is_ok())
+    }
+
+    /// Sends a question and returns its number and where the answer will come; `None`
+    /// where nobody is to be asked, or nobody can be now.
+    pub fn ask(&mut self, question: PlaceQuestion, now: MonoTime) -> Option<(u64, PlaceWait)> {
+        let placer = self.placer.clone()?;
+        if self.not_before.is_some_and(|until| now < until) {
+            return None;
+        }
+        let number = self.last_number + 1;
+        let question = PlaceQuestion { number, ..question };
+        if !self.send(&placer, &PeerMessage::Place(question)) {
+            return None;
+        }
+        self.last_number = number;
+        let (answer, waits) = oneshot::channel();
+        self.waiting.insert(number, answer);
+        Some((number, waits))
+    }
+
+    /// Hands an answer to the request that waits for it.
+    pub fn take_answer(&mut self, answer: PlaceAnswer) {
+        if let Some(waiting) = self.waiting.swap_remove(&answer.number) {
+            // Who asked may have given up meanwhile.
+            let _ = waiting.send(answer.engines);
+        }
+    }
+
+    /// Notes that a request goes by the answer to a question from now on.
+    pub fn note_taken(&mut self, number: u64) {
+        self.taken_through = self.taken_through.max(number);
+    }
+
+    /// Notes that a question was not answered in time.
+    pub fn note_silence(&mut self, number: u64, now: MonoTime) {
+        self.waiting.swap_remove(&number);
+        self.not_before = Some(now.plus(NOT_ASKED));
+    }
+}
+
+impl Gateway {
+    /// Chooses the engines of a request: the daemon that places for this one is asked,
+    /// and this one chooses where it does not answer or knows other engines.
+    pub async fn place_by_fleet(
+        &self,
+        call: &RoutedCall,
+        trail: &SendTrail,
+    ) -> Option<EnginePlace> {
+        match self.ask_placer(call, trail).await {
+            Some(place) => Some(place),
+            None => self.place(call, trail),
+        }
+    }
+
+    async fn ask_placer(&self, call: &RoutedCall, trail: &SendTrail) -> Option<EnginePlace> {
+        let now = clock::mono_now();
+        let question = self.question(call, trail);
+        let (number, answer) = self.placing.borrow_mut().ask(question, now)?;
+        let answer = timeout(ANSWER_WAIT, answer).await;
+        let mut placing = self.placing.borrow_mut();
+        let Ok(Ok(engines)) = answer else {
+            placing.note_silence(number, clock::mono_now());
+            metrics::counter!("pistachiowick_place_questions_total", "outcome" => "silence")
+                .increment(1);
+            return None;
+        };
+        placing.note_taken(number);
+        metrics::counter!("pistachiowick_place_questions_total", "outcome" => "answered")
+            .increment(1);
+        self.resolve(call, engines?)
+    }
+
+    fn question(&self, call: &RoutedCall, trail: &SendTrail) -> PlaceQuestion {
+        let prompt = call.caller.prompt.clone().unwrap_or_default();
+        let now = clock::mono_now();
+        let health = self.health.borrow();
+        let engines = call.view.of_service(&call.service.name).iter();
+        let avoided = engines.filter(|e| trail.has(&e.id) || health.view(&e.id, now).avoided);
+        PlaceQuestion {
+            from: self.daemon.clone(),
+            life: self.life,
+            number: 0,
+            service: call.service.name.clone(),
+            avoided: avoided.map(|engine| engine.id.clone()).collect(),
+            prompt_tokens: prompt.prompt_tokens,
+            output_tokens: prompt.output_tokens,
+            parts: prompt.parts.iter().map(|p| (p.key, p.tokens)).collect(),
+            urgency: call.route.urgency,
+            objective_left_ms: u32::try_from(call.objective_left().as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+
+    // The answer counts only with engines that this daemon knows for the request's own
+    // route, whatever configuration the other one runs.
+    fn resolve(&self, call: &RoutedCall, engines: PlacedEngines) -> Option<EnginePlace> {
+        let newest = self.view();
+        let known = call.view.of_service(&call.service.name);
+        let find = |id: &TargetId| -> Option<Arc<TargetRecord>> {
+            let found = known.iter().find(|engine| engine.id == *id)?;
+            newest.holds(id).then(|| found.clone())
+        };
+        let reader = match &engines.reader {
+            Some(id) => Some(find(id)?),
+            None => None,
+        };
+        Some(EnginePlace {
+            reader,
+            writer: find(&engines.writer)?,
+            fetch_from: engines.fetch_from.as_ref().and_then(find),
+            rank: engines.rank,
+            expected_ms: engines.expected_ms,
+            own_ms: engines.own_ms,
+            unread_tokens: engines.unread_tokens,
+            reread_tokens: engines.reread_tokens,
+        })
+    }
+
+    /// Answers a daemon that asks for a place.
+    pub fn answer_place(&self, question: PlaceQuestion) {
+        let view = self.view();
+        let asker = (&question.from, question.life);
+        if !view.daemons.iter().any(|d| (&d.id, d.life) == asker) {
+            return;
+        }
+        let order = PlaceOrder {
+            engines: view.of_service(&question.service),
+            prompt: PromptShape {
+                model: String::new(),
+                prompt_tokens: question.prompt_tokens,
+                output_tokens: question.output_tokens,
+                parts: parts_of(&question.parts),
+            },
+            urgency: question.urgency,
+            objective_left: Duration::from_millis(u64::from(question.objective_left_ms)),
+        };
+        let place = self.place_order(&order, |id| !question.avoided.contains(id));
+        if let Some(place) = &place {
+            self.count_place(&question, &order.prompt, place);
+        }
+        let answer = PeerMessage::Placed(PlaceAnswer {
+            number: question.number,
+            engines: place.map(|place| PlacedEngines::from(&place)),
+        });
+        // An asker whose link is not up yet places by itself.
+        self.placing.borrow().send(&question.from, &answer);
+    }
+
+    // The next choice has to know of this one before the asker's hint tells of it.
+    fn count_place(&self, question: &PlaceQuestion, prompt: &PromptShape, place: &EnginePlace) {
+        let now = clock::mono_now();
+        let reader = place.reader.as_ref().unwrap_or(&place.writer);
+        let mut load = self.load.borrow_mut();
+        let asker = (&question.from, question.number);
+        load.promise(asker, &reader.id, (place.rank, place.unread_tokens), now);
+        if place.reader.is_some() {
+            load.promise(asker, &place.writer.id, (place.rank, 0), now);
+        }
+        let mut caches = self.caches.borrow_mut();
+        caches.note_coming(&reader.id, &prompt.parts, now);
+    }
+
+    /// Hands an answer to the request that waits for it.
+    pub fn take_place(&self, answer: PlaceAnswer) {
+        self.placing.borrow_mut().take_answer(answer);
+    }
+}
+
+fn parts_of(parts: &[(u64, u32)]) -> Vec<PromptPart> {
+    let parts = parts.iter().map(|(key, tokens)| PromptPart {
+        key: *key,
+        tokens: *tokens,
+    });
+    parts.collect()
+}
+
+impl From<&EnginePlace> for PlacedEngines {
+    fn from(place: &EnginePlace) -> Self {
+        Self {
+            reader: place.reader.as_ref().map(|reader| reader.id.clone()),
+            writer: place.writer.id.clone(),
+            fetch_from: place.fetch_from.as_ref().map(|holder| holder.id.clone()),
+            rank: place.rank,
+            expected_ms: place.expected_ms,
+            own_ms: place.own_ms,
+            unread_tokens: place.unread_tokens,
+            reread_tokens: place.reread_tokens,
+        }
+    }
+}
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -6,7 +6,7 @@
 use crate::gateway::load::TargetWork;
 use crate::gateway::stage_plan::WorkRate;
 use crate::gateway::store_follow::Feed;
-use crate::names::{DaemonId, TargetId};
+use crate::names::{DaemonId, ServiceName, TargetId};
 
 /// Parts of a prompt that an engine holds, or was asked to read.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -40,6 +40,8 @@
     pub changing: Vec<TargetId>,
     /// Work that it places on engines, in a second.
     pub rate: WorkRate,
+    /// Last question for a place whose work this hint contains.
+    pub placed_through: u64,
 }
 
 /// A message between daemons.
@@ -58,6 +60,65 @@
     Summary(PeerSummary),
     /// Objects of the store, from a hub that watches it.
     Objects(FeedObjects),
+    /// A question for the engines of a request.
+    Place(PlaceQuestion),
+    /// The answer to such a question.
+    Placed(PlaceAnswer),
+}
+
+/// A question for the engines of a request.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct PlaceQuestion {
+    /// Who asks.
+    pub from: DaemonId,
+    /// Its life, as its record in the store names it.
+    pub life: u64,
+    /// Number of the question in that life.
+    pub number: u64,
+    /// Service that the request is for.
+    pub service: ServiceName,
+    /// Engines that the asker does not want.
+    pub avoided: Vec<TargetId>,
+    /// Tokens of the whole prompt.
+    pub prompt_tokens: u32,
+    /// Most tokens to generate.
+    pub output_tokens: u32,
+    /// Keys and tokens of the prompt's parts, in order.
+    pub parts: Vec<(u64, u32)>,
+    /// Rank of the route; 0 is the most urgent.
+    pub urgency: u8,
+    /// Milliseconds left for an answer of full worth.
+    pub objective_left_ms: u32,
+}
+
+/// Engines chosen for a request.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PlacedEngines {
+    /// Engine that reads the prompt for the other.
+    pub reader: Option<TargetId>,
+    /// Engine that makes the tokens.
+    pub writer: TargetId,
+    /// Engine that the reading one copies shared parts from.
+    pub fetch_from: Option<TargetId>,
+    /// Rank that it was chosen for.
+    pub rank: u8,
+    /// Expected time to the first token, in milliseconds.
+    pub expected_ms: f64,
+    /// Part of it that the request's own reading takes.
+    pub own_ms: f64,
+    /// Tokens that the reading engine still has to read.
+    pub unread_tokens: u32,
+    /// Tokens among them that requests share.
+    pub reread_tokens: u32,
+}
+
+/// The answer to a question for engines.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct PlaceAnswer {
+    /// Number of the question.
+    pub number: u64,
+    /// The engines, where there are any.
+    pub engines: Option<PlacedEngines>,
 }
 
 /// What a hub tells of one daemon.
--- a/src/gateway/store_follow.rs
+++ b/src/gateway/store_follow.rs
@@ -29,6 +29,12 @@
 /// configuration has to have it soon after the store returns.
 const LONGEST_BACKOFF: Duration = Duration::from_millis(800);
 
+/// Pause after changes before more are asked for, so that many at once, as when a whole
+/// fleet starts, take a call together instead of one each. Calls are shared by all
+/// daemons and priced; the pause is a small part of the time in which a target's
+/// departure has to be acted on.
+const GATHER_PAUSE: Duration = Duration::from_millis(150);
+
 /// Kinds of objects that are followed.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum Feed {
@@ -177,7 +183,11 @@
                     }
                     backoff = FIRST_BACKOFF;
                     since = revision.max(since);
+                    let gathers = !objects.is_empty() && self.feed != Feed::Config;
                     self.tell(FeedNews::Changed(self.feed, objects));
+                    if gathers {
+                        sleep(GATHER_PAUSE).await;
+                    }
                 }
                 Err(PlatformError::Refused { reason }) => {
                     log::info!(kind = self.kind.as_str(), since = since; "watch cannot go on, listing again: {reason}");
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -44,6 +44,7 @@
         departed: Vec::new(),
         changing: Vec::new(),
         rate: WorkRate::default(),
+        placed_through: 0,
     }
 }
 
--- /dev/null
+++ b/tests/gateway_placing.rs
@@ -0,0 +1,130 @@
+//! Places on engines that one daemon gives out for others.
+
+use std::time::Duration;
+
+use pistachiowick::gateway::load::LoadBook;
+use pistachiowick::gateway::peers::placing::PlacingDesk;
+use pistachiowick::gateway::peers::wire::{PlaceAnswer, PlaceQuestion, PlacedEngines};
+use pistachiowick::names::{DaemonId, MonoTime, ServiceName, TargetId};
+use rstest::rstest;
+
+const NOW: MonoTime = MonoTime(10_000);
+
+fn after(ms: u64) -> MonoTime {
+    NOW.plus(Duration::from_millis(ms))
+}
+
+fn question() -> PlaceQuestion {
+    PlaceQuestion {
+        from: DaemonId::from("member"),
+        life: 1,
+        number: 0,
+        service: ServiceName::from("engines"),
+        avoided: Vec::new(),
+        prompt_tokens: 1_000,
+        output_tokens: 10,
+        parts: vec![(7, 1_000)],
+        urgency: 1,
+        objective_left_ms: 600,
+    }
+}
+
+fn engines(writer: &str) -> PlacedEngines {
+    PlacedEngines {
+        reader: None,
+        writer: TargetId::from(writer),
+        fetch_from: None,
+        rank: 1,
+        expected_ms: 100.0,
+        own_ms: 10.0,
+        unread_tokens: 1_000,
+        reread_tokens: 0,
+    }
+}
+
+struct PromiseCase {
+    // Number of the last question that the member's own word contains, if it comes.
+    told: Option<u64>,
+    // Unread tokens in that word.
+    told_tokens: u32,
+    wait_ms: u64,
+    unread: u32,
+}
+
+// A hub gives a member a place (question 4) and hears of the work itself by the member's
+// next hint. In between the place counts, so that the next request is put elsewhere;
+// afterwards it must not count twice, and a member that is gone leaves nothing behind.
+#[rstest]
+#[case::not_told_yet(PromiseCase { told: None, told_tokens: 0, wait_ms: 100, unread: 1_000 })]
+#[case::older_word(PromiseCase { told: Some(3), told_tokens: 500, wait_ms: 100, unread: 1_500 })]
+#[case::told(PromiseCase { told: Some(4), told_tokens: 1_000, wait_ms: 100, unread: 1_000 })]
+#[case::told_and_read(PromiseCase { told: Some(5), told_tokens: 0, wait_ms: 100, unread: 0 })]
+#[case::member_is_gone(PromiseCase { told: None, told_tokens: 0, wait_ms: 1_000, unread: 0 })]
+fn a_place_counts_once(#[case] case: PromiseCase) {
+    let (member, engine) = (DaemonId::from("member"), TargetId::from("e1"));
+    let mut load = LoadBook::default();
+    load.promise((&member, 4), &engine, (1, 1_000), NOW);
+    if let Some(through) = case.told {
+        let mut own = LoadBook::default();
+        own.begin(&engine, 1, case.told_tokens);
+        load.settle_promises(&member, through);
+        load.set_other(member, own.own().clone(), after(50));
+    }
+    load.expire(after(case.wait_ms));
+    assert_eq!(load.total(&engine).unread_before(1), case.unread);
+    let summed = load.summed(|_| true);
+    let summed = summed.get(&engine).map_or(0, |work| work.unread_before(1));
+    assert_eq!(summed, case.unread);
+}
+
+#[test]
+fn an_answer_reaches_its_own_question() {
+    let hub = DaemonId::from("hub");
+    let mut desk = PlacingDesk::default();
+    let mut queue = desk.open_link(&hub);
+    assert!(desk.ask(question(), NOW).is_none(), "nobody to ask");
+    desk.set_placer(Some(hub));
+    let (first, mut first_wait) = desk.ask(question(), NOW).expect("a question");
+    let (second, mut second_wait) = desk.ask(question(), NOW).expect("a question");
+    assert!(queue.try_recv().is_ok() && queue.try_recv().is_ok());
+    for (number, writer) in [
+        (second, "e2"),
+        (first, "e1"),
+        (first, "late"),
+        (99, "stray"),
+    ] {
+        let engines = Some(engines(writer));
+        desk.take_answer(PlaceAnswer { number, engines });
+    }
+    let writer = |placed: Option<PlacedEngines>| placed.map(|p| p.writer);
+    let first = first_wait.try_recv().expect("an answer");
+    let second = second_wait.try_recv().expect("an answer");
+    assert_eq!(writer(first), Some(TargetId::from("e1")));
+    assert_eq!(writer(second), Some(TargetId::from("e2")));
+}
+
+// The hub stands still. One request waits for it, the others do not.
+#[test]
+fn a_silent_placer_is_not_asked_for_a_while() {
+    let mut desk = PlacingDesk::default();
+    let _queue = desk.open_link(&DaemonId::from("hub"));
+    desk.set_placer(Some(DaemonId::from("hub")));
+    let (number, _wait) = desk.ask(question(), NOW).expect("a question");
+    desk.note_silence(number, NOW);
+    assert!(desk.ask(question(), after(500)).is_none());
+    assert!(desk.ask(question(), after(1_100)).is_some());
+    desk.note_silence(number, after(1_100));
+    let _other = desk.open_link(&DaemonId::from("other"));
+    desk.set_placer(Some(DaemonId::from("other")));
+    assert!(desk.ask(question(), after(1_200)).is_some());
+}
+
+#[test]
+fn a_link_that_ended_is_not_asked_over() {
+    let hub = DaemonId::from("hub");
+    let mut desk = PlacingDesk::default();
+    desk.set_placer(Some(hub.clone()));
+    assert!(desk.ask(question(), NOW).is_none(), "no link yet");
+    drop(desk.open_link(&hub));
+    assert!(desk.ask(question(), NOW).is_none(), "the link is lost");
+}
