--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -399,7 +399,7 @@
             PeerMessage::Hint(hint) => self.take_hint(hint),
             PeerMessage::Summary(summary) => self.take_summary(summary),
             PeerMessage::Objects(objects) => self.take_objects(objects),
-            PeerMessage::Place(question) => self.answer_place(question),
+            PeerMessage::Place(question) => self.answer_place(&question),
             PeerMessage::Placed(answer) => self.take_place(answer),
             PeerMessage::Config { revision, value } => {
                 // The control thread ends only with the process.
--- a/src/gateway/peers/placing.rs
+++ b/src/gateway/peers/placing.rs
@@ -139,7 +139,7 @@
         placing.note_taken(number);
         metrics::counter!("pistachiowick_place_questions_total", "outcome" => "answered")
             .increment(1);
-        self.resolve(call, engines?)
+        self.resolve(call, &engines?)
     }
 
     fn question(&self, call: &RoutedCall, trail: &SendTrail) -> PlaceQuestion {
@@ -164,7 +164,7 @@
 
     // The answer counts only with engines that this daemon knows for the request's own
     // route, whatever configuration the other one runs.
-    fn resolve(&self, call: &RoutedCall, engines: PlacedEngines) -> Option<EnginePlace> {
+    fn resolve(&self, call: &RoutedCall, engines: &PlacedEngines) -> Option<EnginePlace> {
         let newest = self.view();
         let known = call.view.of_service(&call.service.name);
         let find = |id: &TargetId| -> Option<Arc<TargetRecord>> {
@@ -188,7 +188,7 @@
     }
 
     /// Answers a daemon that asks for a place.
-    pub fn answer_place(&self, question: PlaceQuestion) {
+    pub fn answer_place(&self, question: &PlaceQuestion) {
         let view = self.view();
         let asker = (&question.from, question.life);
         if !view.daemons.iter().any(|d| (&d.id, d.life) == asker) {
@@ -207,7 +207,7 @@
         };
         let place = self.place_order(&order, |id| !question.avoided.contains(id));
         if let Some(place) = &place {
-            self.count_place(&question, &order.prompt, place);
+            self.count_place(question, &order.prompt, place);
         }
         let answer = PeerMessage::Placed(PlaceAnswer {
             number: question.number,
