A member relies on a hub from the hub's answer to its question on

Cause, from the logs: a member was cut from the store and from its hub for 12 s. Its hub relisted the store first and passed the removal of the entry on while the member still followed the store itself and left the hub's objects out. Then the member took the hub for its source and never listed. Targets that announce their departure are told in every hint; this one's entry had been removed by then, which is not told again. Ruled out: the placing by hubs (the writer is chosen by the member's own list) and the new pause of followers (the store's link of the member was still away). Change: a member asks its hub for all it has and goes on following the store until the answer to its newest question is there; an answer from before a cut does not count.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -26,7 +26,7 @@
 use crate::gateway::health::HealthBook;
 use crate::gateway::load::{LoadBook, WorkByTarget};
 use crate::gateway::members::DaemonRecord;
-use crate::gateway::peers::hub::{FeedStock, HubBook, RelayedHeld};
+use crate::gateway::peers::hub::{FeedJoin, FeedStock, HubBook, RelayedHeld};
 use crate::gateway::peers::placing::PlacingDesk;
 use crate::gateway::peers::{self, PeerBook};
 use crate::gateway::pool::LinkPool;
@@ -65,6 +65,8 @@
     pub placing: RefCell<PlacingDesk>,
     /// Who is whose hub.
     pub hubs: RefCell<HubBook>,
+    /// Whether a hub is relied on for the store's objects.
+    pub joins: RefCell<FeedJoin>,
     /// What engines came to hold, to be passed on by a hub.
     pub relayed_held: RefCell<RelayedHeld>,
     /// Own work as last told.
@@ -182,6 +184,7 @@
             peers: RefCell::default(),
             placing: RefCell::default(),
             hubs: RefCell::default(),
+            joins: RefCell::default(),
             relayed_held: RefCell::default(),
             last_hint_work: RefCell::default(),
             stock: RefCell::default(),
--- a/src/gateway/peers/hub.rs
+++ b/src/gateway/peers/hub.rs
@@ -215,6 +215,64 @@
     }
 }
 
+/// Time after which a hub that did not answer is asked for its stock again.
+const ASK_AGAIN: Duration = Duration::from_millis(1_000);
+
+/// When a member may stop following the store itself.
+///
+/// What a hub passed on before may have been lost or left out here, for instance while
+/// this daemon was cut off and followed the store itself: a target that announced its
+/// departure in that time would get work until it ends. So the member asks, and relies
+/// on the hub from the answer to its newest question on.
+#[derive(Debug, Default)]
+pub struct FeedJoin {
+    joined: Option<DaemonId>,
+    asked: Option<(DaemonId, MonoTime)>,
+    last_number: u64,
+}
+
+impl FeedJoin {
+    /// Takes the hub that could feed this daemon now, if one could; returns the number
+    /// of a question to send to it.
+    pub fn rely_on(&mut self, hub: Option<&DaemonId>, now: MonoTime) -> Option<u64> {
+        let Some(hub) = hub else {
+            *self = Self {
+                last_number: self.last_number,
+                ..Self::default()
+            };
+            return None;
+        };
+        if self.joined.as_ref() == Some(hub) {
+            return None;
+        }
+        self.joined = None;
+        let waits = |(asked, at): &(DaemonId, MonoTime)| asked == hub && now.since(*at) < ASK_AGAIN;
+        if self.asked.as_ref().is_some_and(waits) {
+            return None;
+        }
+        self.asked = Some((hub.clone(), now));
+        self.last_number += 1;
+        Some(self.last_number)
+    }
+
+    /// Takes an answer; true when it is the one that is waited for.
+    pub fn take_stock(&mut self, from: &DaemonId, number: u64) -> bool {
+        let asked = self.asked.as_ref().is_some_and(|(hub, _)| hub == from);
+        let counts = asked && number == self.last_number;
+        if counts {
+            self.joined = Some(from.clone());
+            self.asked = None;
+        }
+        counts
+    }
+
+    /// Whether what a hub passes on counts.
+    #[must_use]
+    pub fn is_joined(&self) -> bool {
+        self.joined.is_some()
+    }
+}
+
 /// What engines came to hold, on its way through a hub.
 #[derive(Debug, Default)]
 pub struct RelayedHeld {
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -37,10 +37,12 @@
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::model::PromptPart;
 use crate::gateway::peers::hub::{LinkKind, PeerRole};
-use crate::gateway::peers::wire::{FeedObjects, HeldNote, PeerHint, PeerMessage, PeerSummary};
+use crate::gateway::peers::wire::{
+    FeedObjects, HeldNote, PeerHint, PeerMessage, PeerSummary, StockAnswer, StockQuestion,
+};
 use crate::gateway::stage_plan::WorkRate;
 use crate::gateway::store_follow::WatchDuty;
-use crate::names::{DaemonId, TargetId};
+use crate::names::{DaemonId, MonoTime, TargetId};
 use crate::timer::TimerService;
 
 /// Time between two hints. Choices of different daemons within it do not know of
@@ -360,11 +362,15 @@
             PeerRole::Hub | PeerRole::Mesh => None,
         };
         self.placing.borrow_mut().set_placer(placer);
+        let feeding = match &role {
+            PeerRole::Member(hub) if hubs.is_fed_by(hub, now) => Some(hub),
+            _ => None,
+        };
+        self.rely_on(feeding, now);
         let duty = match &role {
-            PeerRole::Mesh => WatchDuty::Alone,
             PeerRole::Hub => WatchDuty::ForOthers,
-            PeerRole::Member(hub) if hubs.is_fed_by(hub, now) => WatchDuty::Fed,
-            PeerRole::Member(_) => WatchDuty::Alone,
+            PeerRole::Member(_) if self.joins.borrow().is_joined() => WatchDuty::Fed,
+            PeerRole::Mesh | PeerRole::Member(_) => WatchDuty::Alone,
         };
         if self.duty.replace(duty) != duty {
             log::info!(duty = format!("{duty:?}"), role = role.as_str(); "way of following the store changed");
@@ -399,6 +405,8 @@
             PeerMessage::Hint(hint) => self.take_hint(hint),
             PeerMessage::Summary(summary) => self.take_summary(summary),
             PeerMessage::Objects(objects) => self.take_objects(objects),
+            PeerMessage::WantStock(question) => self.answer_stock(&question),
+            PeerMessage::Stock(answer) => self.take_stock(answer),
             PeerMessage::Place(question) => self.answer_place(&question),
             PeerMessage::Placed(answer) => self.take_place(answer),
             PeerMessage::Config { revision, value } => {
@@ -500,8 +508,50 @@
         self.load.borrow_mut().set_other(summary.from, work, now);
     }
 
+    fn rely_on(&self, hub: Option<&DaemonId>, now: MonoTime) {
+        let number = self.joins.borrow_mut().rely_on(hub, now);
+        let (Some(hub), Some(number)) = (hub, number) else {
+            return;
+        };
+        let question = PeerMessage::WantStock(StockQuestion {
+            from: self.daemon.clone(),
+            life: self.life,
+            number,
+        });
+        // Without a link it is asked again in a second.
+        self.placing.borrow().send(hub, &question);
+    }
+
+    fn answer_stock(&self, question: &StockQuestion) {
+        let view = self.view();
+        let asker = (&question.from, question.life);
+        if !view.daemons.iter().any(|d| (&d.id, d.life) == asker) {
+            return;
+        }
+        let answer = PeerMessage::Stock(StockAnswer {
+            from: self.daemon.clone(),
+            number: question.number,
+            feeds: self.stock.borrow().all(),
+        });
+        // An asker whose link is not up yet asks again.
+        self.placing.borrow().send(&question.from, &answer);
+    }
+
+    fn take_stock(&self, answer: StockAnswer) {
+        if self
+            .joins
+            .borrow_mut()
+            .take_stock(&answer.from, answer.number)
+        {
+            for objects in answer.feeds {
+                // The control thread ends only with the process.
+                let _ = self.news.send(ControlNews::PeerObjects(objects));
+            }
+        }
+    }
+
     fn take_objects(&self, objects: FeedObjects) {
-        if self.duty.get() == WatchDuty::Fed {
+        if self.joins.borrow().is_joined() {
             // The control thread ends only with the process.
             let _ = self.news.send(ControlNews::PeerObjects(objects));
         }
--- a/src/gateway/peers/placing.rs
+++ b/src/gateway/peers/placing.rs
@@ -67,7 +67,8 @@
         self.taken_through
     }
 
-    fn send(&self, to: &DaemonId, message: &PeerMessage) -> bool {
+    /// Sends a message between the regular ones; false where no link is up.
+    pub fn send(&self, to: &DaemonId, message: &PeerMessage) -> bool {
         let link = self.links.get(to);
         link.is_some_and(|link| link.send(message.encode()).is_ok())
     }
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -60,12 +60,38 @@
     Summary(PeerSummary),
     /// Objects of the store, from a hub that watches it.
     Objects(FeedObjects),
+    /// A member's question for all objects that its hub has of the store.
+    WantStock(StockQuestion),
+    /// The answer to it.
+    Stock(StockAnswer),
     /// A question for the engines of a request.
     Place(PlaceQuestion),
     /// The answer to such a question.
     Placed(PlaceAnswer),
 }
 
+/// A question for all objects that a hub has of the store.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct StockQuestion {
+    /// Who asks.
+    pub from: DaemonId,
+    /// Its life, as its record in the store names it.
+    pub life: u64,
+    /// Number of the question in that life.
+    pub number: u64,
+}
+
+/// All objects that a hub has of the store.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct StockAnswer {
+    /// The hub.
+    pub from: DaemonId,
+    /// Number of the question.
+    pub number: u64,
+    /// The objects, by feed.
+    pub feeds: Vec<FeedObjects>,
+}
+
 /// A question for the engines of a request.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct PlaceQuestion {
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -6,7 +6,9 @@
 use pistachiowick::gateway::load::LoadBook;
 use pistachiowick::gateway::members::DaemonRecord;
 use pistachiowick::gateway::peers::PeerBook;
-use pistachiowick::gateway::peers::hub::{FeedStock, HubBook, LinkKind, PeerRole, subtract};
+use pistachiowick::gateway::peers::hub::{
+    FeedJoin, FeedStock, HubBook, LinkKind, PeerRole, subtract,
+};
 use pistachiowick::gateway::peers::wire::{FeedObjects, MemberNote, PeerHint};
 use pistachiowick::gateway::stage_plan::WorkRate;
 use pistachiowick::gateway::store_follow::Feed;
@@ -192,3 +194,47 @@
     assert!(all[0].whole);
     assert_eq!(names, ["a", "c"]);
 }
+
+struct JoinCase {
+    // Hub that could feed the member, by second; `None` where none could.
+    feeding: &'static [Option<&'static str>],
+    // Answers that come afterwards: hub and number of the question.
+    answers: &'static [(&'static str, u64)],
+    joined: bool,
+}
+
+// A member was cut off and followed the store itself. What its hub passed on meanwhile
+// reaches it late or never, among it the departure of a target, which would get work
+// for many seconds. It relies on the hub again from the answer to its newest question.
+#[rstest]
+#[case::not_answered(JoinCase { feeding: &[Some("hub")], answers: &[], joined: false })]
+#[case::answered(JoinCase { feeding: &[Some("hub")], answers: &[("hub", 1)], joined: true })]
+#[case::answer_from_before_the_cut(JoinCase { feeding: &[Some("hub"), None, Some("hub")], answers: &[("hub", 1)], joined: false })]
+#[case::answered_after_the_cut(JoinCase { feeding: &[Some("hub"), None, Some("hub")], answers: &[("hub", 1), ("hub", 2)], joined: true })]
+#[case::asked_again(JoinCase { feeding: &[Some("hub"), Some("hub")], answers: &[("hub", 2)], joined: true })]
+#[case::other_hub(JoinCase { feeding: &[Some("hub"), Some("next")], answers: &[("hub", 1)], joined: false })]
+#[case::other_hub_answered(JoinCase { feeding: &[Some("hub"), Some("next")], answers: &[("next", 2)], joined: true })]
+fn a_hub_is_relied_on_from_its_answer_on(#[case] case: JoinCase) {
+    let mut join = FeedJoin::default();
+    for (second, hub) in case.feeding.iter().enumerate() {
+        let now = MonoTime(10_000 + 1_000 * second as u64);
+        join.rely_on(hub.map(DaemonId::from).as_ref(), now);
+    }
+    for (hub, number) in case.answers {
+        join.take_stock(&DaemonId::from(*hub), *number);
+    }
+    assert_eq!(join.is_joined(), case.joined);
+}
+
+#[test]
+fn a_hub_that_cannot_feed_is_relied_on_no_longer() {
+    let hub = DaemonId::from("hub");
+    let mut join = FeedJoin::default();
+    assert_eq!(join.rely_on(Some(&hub), MonoTime(1_000)), Some(1));
+    assert_eq!(join.rely_on(Some(&hub), MonoTime(1_200)), None);
+    assert!(join.take_stock(&hub, 1));
+    assert_eq!(join.rely_on(Some(&hub), MonoTime(1_400)), None);
+    join.rely_on(None, MonoTime(1_600));
+    assert!(!join.is_joined());
+    assert!(!join.take_stock(&hub, 1));
+}
