One reader of the daemons' flags; fields that nobody reads are gone

Removed: EngineLimits.handle_life, PromptRead, GatewaySettings.regions. Tried and reverted: in fleets without hubs, the first daemon places the requests of all.

--- a/src/flags.rs
+++ b/src/flags.rs
@@ -54,7 +54,21 @@
 ///
 /// Returns an error that names the flag at fault.
 pub fn parse_daemon(words: &[String]) -> Result<DaemonCommand, FlagError> {
-    let matches = daemon_options().parse(words)?;
+    read_command(&daemon_options(), words, None)
+}
+
+/// Reads the command line of a program with a daemon's flags, by its own texts for
+/// them. Without the flag, the settings are those of `default_file`.
+///
+/// # Errors
+///
+/// Returns an error that names the flag at fault.
+pub fn read_command(
+    options: &Options,
+    words: &[String],
+    default_file: Option<String>,
+) -> Result<DaemonCommand, FlagError> {
+    let matches = options.parse(words)?;
     if matches.opt_present("help") {
         return Ok(DaemonCommand::Help);
     }
@@ -66,7 +80,8 @@
             found: found.clone(),
         });
     }
-    let file = matches.opt_str("settings").ok_or(FlagError::NoSettings)?;
+    let file = matches.opt_str("settings").or(default_file);
+    let file = file.ok_or(FlagError::NoSettings)?;
     if matches.opt_present("check") {
         return Ok(DaemonCommand::Check(file));
     }
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -397,8 +397,8 @@
             let decoded = (self.ports.wire.decode_read)(&body);
             decoded.map_err(|fault| fault.to_string())
         });
-        let read = match read {
-            Ok(read) => read,
+        let name = match read {
+            Ok(name) => name,
             Err(reason) => {
                 self.note_result(reader, SendResult::Failed);
                 return Reading::Failed(reason);
@@ -408,7 +408,7 @@
         answer.lease.give_back(&answer.head);
         let handle = CacheHandle {
             holder: reader.address,
-            name: read.handle,
+            name,
         };
         Reading::Kept(HandleGuard::new(self.clone(), reader.clone(), handle))
     }
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -73,8 +73,6 @@
     pub slots: u32,
     /// Tokens of KV cache on one engine.
     pub cache_tokens: u64,
-    /// How long an engine keeps a prompt that it read for another engine.
-    pub handle_life: Duration,
 }
 
 /// A service that targets offer.
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -88,15 +88,6 @@
     pub signed: bool,
 }
 
-/// A prompt that was read for another engine.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct PromptRead {
-    /// The engine's name for the memory.
-    pub handle: String,
-    /// Tokens it holds.
-    pub tokens: u32,
-}
-
 /// A call to a target that carries no caller's request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TargetQuery {
@@ -163,8 +154,8 @@
     pub encode_send: fn(&HeaderMap, &SendOrder) -> HeaderMap,
     /// Reads what a target's head says.
     pub decode_answer: fn(StatusCode, &HeaderMap) -> AnswerMarks,
-    /// Reads the answer to [`SendMode::ReadPrompt`].
-    pub decode_read: fn(&[u8]) -> Result<PromptRead, WireFault>,
+    /// Reads the engine's name for the memory from the answer to [`SendMode::ReadPrompt`].
+    pub decode_read: fn(&[u8]) -> Result<String, WireFault>,
     /// Makes the call that frees a kept prompt.
     pub free_handle: fn(&str) -> TargetQuery,
     /// Makes an order.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -3,7 +3,6 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use indexmap::IndexMap;
 use serde::Deserialize;
 use thiserror::Error;
 
@@ -72,9 +71,6 @@
     pub ip: Ipv4Addr,
     /// Data centre of this instance.
     pub centre: CentreName,
-    /// Region of each data centre.
-    #[serde(default)]
-    pub regions: IndexMap<CentreName, String>,
     /// Where to listen.
     pub listen: ListenSettings,
     /// First and last port that daemons may use among themselves.
--- a/tests/gateway_samples/mod.rs
+++ b/tests/gateway_samples/mod.rs
@@ -56,7 +56,6 @@
     config.services[0].engine = Some(EngineLimits {
         slots: 64,
         cache_tokens: 400_000,
-        handle_life: Duration::from_secs(5),
     });
     config
 }
