Hubs send members everything once, on a question, and values as bytes

Change: nothing is sent when a link opens but the note that it is new, upon which the member asks; values are bytes in messages (lists of numbers before).

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -196,7 +196,7 @@
                     name,
                 },
                 version: ObjectVersion(version),
-                value,
+                value: value.map(serde_bytes::ByteBuf::into_vec),
             });
         let stored = stored.collect();
         self.take(if whole {
--- a/src/gateway/peers/hub.rs
+++ b/src/gateway/peers/hub.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use serde_bytes::ByteBuf;
 use tokio::sync::mpsc;
 
 use crate::gateway::load::WorkByTarget;
@@ -255,6 +256,14 @@
         Some(self.last_number)
     }
 
+    /// Notes that a hub opened a link anew: what it said on the one before may be lost.
+    pub fn note_new_link(&mut self, from: &DaemonId) {
+        if self.joined.as_ref() == Some(from) {
+            self.joined = None;
+        }
+        self.asked = self.asked.take().filter(|(hub, _)| hub != from);
+    }
+
     /// Takes an answer; true when it is the one that is waited for.
     pub fn take_stock(&mut self, from: &DaemonId, number: u64) -> bool {
         let asked = self.asked.as_ref().is_some_and(|(hub, _)| hub == from);
@@ -320,7 +329,7 @@
         for (name, version, value) in &read.objects {
             match value {
                 Some(value) => {
-                    feed.insert(name.clone(), (*version, value.clone()));
+                    feed.insert(name.clone(), (*version, value.clone().into_vec()));
                 }
                 None => {
                     feed.swap_remove(name);
@@ -337,7 +346,9 @@
             whole: true,
             objects: objects
                 .iter()
-                .map(|(name, (version, value))| (name.clone(), *version, Some(value.clone())))
+                .map(|(name, (version, value))| {
+                    (name.clone(), *version, Some(ByteBuf::from(value.clone())))
+                })
                 .collect(),
         });
         feeds.collect()
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -166,8 +166,11 @@
 ) {
     let mut changes = gateway.feed_changes.subscribe();
     let mut urgent = gateway.placing.borrow_mut().open_link(&daemon.id);
-    if kind == LinkKind::Member && !send_stock(gateway, &mut link).await {
-        return;
+    if kind == LinkKind::Member {
+        let from = gateway.daemon.clone();
+        if !send(&mut link, PeerMessage::NewLink { from }.encode()).await {
+            return;
+        }
     }
     let mut sent_version = 0;
     loop {
@@ -413,6 +416,7 @@
             PeerMessage::Hint(hint) => self.take_hint(hint),
             PeerMessage::Summary(summary) => self.take_summary(summary),
             PeerMessage::Objects(objects) => self.take_objects(objects),
+            PeerMessage::NewLink { from } => self.joins.borrow_mut().note_new_link(&from),
             PeerMessage::WantStock(question) => self.answer_stock(&question),
             PeerMessage::Stock(answer) => self.take_stock(answer),
             PeerMessage::Place(question) => self.answer_place(&question),
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -1,6 +1,7 @@
 //! Messages between daemons.
 
 use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::gateway::load::TargetWork;
@@ -54,12 +55,18 @@
         /// Revision of the store's object.
         revision: u64,
         /// Its value.
+        #[serde(with = "serde_bytes")]
         value: Vec<u8>,
     },
     /// What a hub knows.
     Summary(PeerSummary),
     /// Objects of the store, from a hub that watches it.
     Objects(FeedObjects),
+    /// The first message of a hub on a new link to a member.
+    NewLink {
+        /// The hub.
+        from: DaemonId,
+    },
     /// A member's question for all objects that its hub has of the store.
     WantStock(StockQuestion),
     /// The answer to it.
@@ -224,8 +231,9 @@
     pub feed: Feed,
     /// Whether these are all there are.
     pub whole: bool,
-    /// Name, version and value of each; without a value it was deleted.
-    pub objects: Vec<(String, u64, Option<Vec<u8>>)>,
+    /// Name, version and value of each; without a value it was deleted. Kept as bytes:
+    /// as a list of numbers a value takes nearly twice the room on the link.
+    pub objects: Vec<(String, u64, Option<ByteBuf>)>,
 }
 
 impl PeerMessage {
--- a/src/gateway/store_follow.rs
+++ b/src/gateway/store_follow.rs
@@ -7,6 +7,7 @@
 
 use rand::Rng;
 use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
@@ -67,7 +68,13 @@
             Self::Changed(..) | Self::Failed(_) => return None,
         };
         let objects = objects.iter();
-        let objects = objects.map(|o| (o.object.name.clone(), o.version.0, o.value.clone()));
+        let objects = objects.map(|o| {
+            (
+                o.object.name.clone(),
+                o.version.0,
+                o.value.clone().map(ByteBuf::from),
+            )
+        });
         Some(FeedObjects {
             feed,
             whole,
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -9,11 +9,12 @@
 use pistachiowick::gateway::peers::hub::{
     FeedJoin, FeedStock, HubBook, LinkKind, PeerRole, subtract,
 };
-use pistachiowick::gateway::peers::wire::{FeedObjects, MemberNote, PeerHint};
+use pistachiowick::gateway::peers::wire::{FeedObjects, MemberNote, PeerHint, PeerMessage};
 use pistachiowick::gateway::stage_plan::WorkRate;
 use pistachiowick::gateway::store_follow::Feed;
 use pistachiowick::names::{CentreName, DaemonId, MonoTime, TargetId};
 use rstest::rstest;
+use serde_bytes::ByteBuf;
 
 fn daemon(centre: &str, number: usize) -> DaemonRecord {
     let address: SocketAddr = ([127, 0, 0, 1], 1_000).into();
@@ -177,7 +178,13 @@
         whole,
         objects: objects
             .iter()
-            .map(|(name, value)| ((*name).to_owned(), 1, value.map(<[u8]>::to_vec)))
+            .map(|(name, value)| {
+                (
+                    (*name).to_owned(),
+                    1,
+                    value.map(|v| ByteBuf::from(v.to_vec())),
+                )
+            })
             .collect(),
     };
     let mut stock = FeedStock::default();
@@ -195,6 +202,22 @@
     assert_eq!(names, ["a", "c"]);
 }
 
+// A daemon that becomes a hub sends all members everything at once, over a link that may
+// be narrow. Requests on the same link wait for it, so values take no more than their room.
+#[test]
+fn objects_take_their_own_room_on_the_link() {
+    let value = vec![b'x'; 300];
+    let names = (0..100).map(|number| format!("target-{number:02}"));
+    let objects = names.map(|name| (name, 7, Some(ByteBuf::from(value.clone()))));
+    let message = PeerMessage::Objects(FeedObjects {
+        feed: Feed::Targets,
+        whole: true,
+        objects: objects.collect(),
+    });
+    let size = message.encode().len();
+    assert!(size < 100 * (300 + 20), "{size} bytes");
+}
+
 struct JoinCase {
     // Hub that could feed the member, by second; `None` where none could.
     feeding: &'static [Option<&'static str>],
@@ -234,7 +257,19 @@
     assert_eq!(join.rely_on(Some(&hub), MonoTime(1_200)), None);
     assert!(join.take_stock(&hub, 1));
     assert_eq!(join.rely_on(Some(&hub), MonoTime(1_400)), None);
+    join.note_new_link(&DaemonId::from("other"));
+    assert!(join.is_joined());
+    join.note_new_link(&hub);
+    assert!(!join.is_joined(), "what it passed on before may be lost");
+    assert_eq!(join.rely_on(Some(&hub), MonoTime(1_500)), Some(2));
+    join.note_new_link(&hub);
+    assert_eq!(
+        join.rely_on(Some(&hub), MonoTime(1_550)),
+        Some(3),
+        "so may the question's answer be"
+    );
+    assert!(join.take_stock(&hub, 3));
     join.rely_on(None, MonoTime(1_600));
     assert!(!join.is_joined());
-    assert!(!join.take_stock(&hub, 1));
+    assert!(!join.take_stock(&hub, 3));
 }
