A hub sends members only what they have not

Requests on the same link reached their engines a second late, and so did the news that callers had left. Ruled out: that leaving is not noticed in the daemon (requests before and after were ended). Change: the question carries a digest of names and versions by feed, and only feeds that differ are sent; members keep what they are passed on. Test: only_what_differs_is_sent.

--- a/src/gateway/peers/hub.rs
+++ b/src/gateway/peers/hub.rs
@@ -13,6 +13,7 @@
 use indexmap::IndexMap;
 use serde_bytes::ByteBuf;
 use tokio::sync::mpsc;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::gateway::load::WorkByTarget;
 use crate::gateway::members::DaemonRecord;
@@ -338,6 +339,29 @@
         }
     }
 
+    /// Returns a digest of the names and versions of each feed.
+    #[must_use]
+    pub fn digests(&self) -> Vec<(Feed, u64)> {
+        let feeds = self.feeds.iter();
+        feeds
+            .map(|(feed, objects)| (*feed, digest(objects)))
+            .collect()
+    }
+
+    /// Returns the feeds that differ from those of these digests. Members mostly have
+    /// what a new hub has; sending all of it to all of them fills a narrow link for a
+    /// second, in which the hub's callers are not served and their leaving is not heard.
+    #[must_use]
+    pub fn missing(&self, known: &[(Feed, u64)]) -> Vec<FeedObjects> {
+        let mut all = self.all();
+        let digests = self.digests();
+        all.retain(|objects| {
+            let own = digests.iter().find(|(feed, _)| *feed == objects.feed);
+            own.is_none_or(|own| !known.contains(own))
+        });
+        all
+    }
+
     /// Returns everything.
     #[must_use]
     pub fn all(&self) -> Vec<FeedObjects> {
@@ -375,3 +399,17 @@
         }
     }
 }
+
+fn digest(objects: &IndexMap<String, (u64, Vec<u8>)>) -> u64 {
+    let mut versions: Vec<(&str, u64)> = objects
+        .iter()
+        .map(|(name, (version, _))| (name.as_str(), *version))
+        .collect();
+    versions.sort_unstable();
+    let mut hasher = Xxh3::new();
+    for (name, version) in versions {
+        hasher.update(name.as_bytes());
+        hasher.update(&version.to_le_bytes());
+    }
+    hasher.digest()
+}
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -534,6 +534,7 @@
             from: self.daemon.clone(),
             life: self.life,
             number,
+            known: self.stock.borrow().digests(),
         });
         // Without a link it is asked again in a second.
         self.placing.borrow().send(hub, &question);
@@ -548,29 +549,33 @@
         let answer = PeerMessage::Stock(StockAnswer {
             from: self.daemon.clone(),
             number: question.number,
-            feeds: self.stock.borrow().all(),
+            feeds: self.stock.borrow().missing(&question.known),
         });
         // An asker whose link is not up yet asks again.
         self.placing.borrow().send(&question.from, &answer);
     }
 
     fn take_stock(&self, answer: StockAnswer) {
-        if self
-            .joins
-            .borrow_mut()
-            .take_stock(&answer.from, answer.number)
-        {
+        let counts = {
+            let mut joins = self.joins.borrow_mut();
+            joins.take_stock(&answer.from, answer.number)
+        };
+        if counts {
             for objects in answer.feeds {
-                // The control thread ends only with the process.
-                let _ = self.news.send(ControlNews::PeerObjects(objects));
+                self.pass_on(objects);
             }
         }
     }
 
     fn take_objects(&self, objects: FeedObjects) {
         if self.joins.borrow().is_joined() {
-            // The control thread ends only with the process.
-            let _ = self.news.send(ControlNews::PeerObjects(objects));
+            self.pass_on(objects);
         }
     }
+
+    fn pass_on(&self, objects: FeedObjects) {
+        self.stock.borrow_mut().take(&objects);
+        // The control thread ends only with the process.
+        let _ = self.news.send(ControlNews::PeerObjects(objects));
+    }
 }
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -67,7 +67,7 @@
         /// The hub.
         from: DaemonId,
     },
-    /// A member's question for all objects that its hub has of the store.
+    /// A member's question for what its hub has of the store.
     WantStock(StockQuestion),
     /// The answer to it.
     Stock(StockAnswer),
@@ -107,7 +107,7 @@
     pub placed: Vec<PlacementNote>,
 }
 
-/// A question for all objects that a hub has of the store.
+/// A question for what a hub has of the store.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct StockQuestion {
     /// Who asks.
@@ -116,16 +116,18 @@
     pub life: u64,
     /// Number of the question in that life.
     pub number: u64,
+    /// Digests of what the asker has.
+    pub known: Vec<(Feed, u64)>,
 }
 
-/// All objects that a hub has of the store.
+/// What a hub has of the store and the asker has not.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct StockAnswer {
     /// The hub.
     pub from: DaemonId,
     /// Number of the question.
     pub number: u64,
-    /// The objects, by feed.
+    /// All objects of the feeds that differ.
     pub feeds: Vec<FeedObjects>,
 }
 
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -202,6 +202,38 @@
     assert_eq!(names, ["a", "c"]);
 }
 
+struct DigestCase {
+    known: &'static [(&'static str, u64)],
+    missing: usize,
+}
+
+// A member asks a daemon that has just become its hub. What the member has already is not
+// sent again: with a narrow link, the hub's callers would wait for it.
+#[rstest]
+#[case::nothing(DigestCase { known: &[], missing: 1 })]
+#[case::the_same_in_another_order(DigestCase { known: &[("b", 2), ("a", 1)], missing: 0 })]
+#[case::an_older_version(DigestCase { known: &[("a", 1), ("b", 1)], missing: 1 })]
+#[case::one_more(DigestCase { known: &[("a", 1), ("b", 2), ("c", 1)], missing: 1 })]
+#[case::one_less(DigestCase { known: &[("a", 1)], missing: 1 })]
+fn only_what_differs_is_sent(#[case] case: DigestCase) {
+    let stock = |objects: &[(&str, u64)]| {
+        let objects = objects.iter();
+        let value = || Some(ByteBuf::from(b"1".to_vec()));
+        let mut stock = FeedStock::default();
+        stock.take(&FeedObjects {
+            feed: Feed::Targets,
+            whole: true,
+            objects: objects
+                .map(|(name, version)| ((*name).to_owned(), *version, value()))
+                .collect(),
+        });
+        stock
+    };
+    let hub = stock(&[("a", 1), ("b", 2)]);
+    let missing = hub.missing(&stock(case.known).digests());
+    assert_eq!(missing.len(), case.missing);
+}
+
 // A daemon that becomes a hub sends all members everything at once, over a link that may
 // be narrow. Requests on the same link wait for it, so values take no more than their room.
 #[test]
