--- a/src/gateway/affinity.rs
+++ b/src/gateway/affinity.rs
@@ -11,7 +11,8 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::gateway::model::PromptPart;
-use crate::names::{MonoTime, TargetId};
+use crate::gateway::target_life::TargetLife;
+use crate::names::MonoTime;
 
 /// Age from which a part is no longer believed to be cached. Engines drop what was
 /// least recently used; at the loads met so far parts lived for tens of seconds.
@@ -32,7 +33,7 @@
 /// Beliefs about the caches of engines.
 #[derive(Clone, Debug, Default)]
 pub struct CacheBook {
-    engines: IndexMap<TargetId, IndexMap<u64, CachedPart>>,
+    engines: IndexMap<TargetLife, IndexMap<u64, CachedPart>>,
     most_tokens: u64,
 }
 
@@ -45,19 +46,19 @@
     /// Tokens of the leading parts that an engine is believed to have, or to have
     /// by the time that a request sent now is read.
     #[must_use]
-    pub fn cached_tokens(&self, engine: &TargetId, parts: &[PromptPart], now: MonoTime) -> u32 {
+    pub fn cached_tokens(&self, engine: &TargetLife, parts: &[PromptPart], now: MonoTime) -> u32 {
         self.leading_tokens(engine, parts, now, |_| true)
     }
 
     /// Tokens of the leading parts that another engine could copy from this one.
     #[must_use]
-    pub fn ready_tokens(&self, engine: &TargetId, parts: &[PromptPart], now: MonoTime) -> u32 {
+    pub fn ready_tokens(&self, engine: &TargetLife, parts: &[PromptPart], now: MonoTime) -> u32 {
         self.leading_tokens(engine, parts, now, |part| part.ready)
     }
 
     fn leading_tokens(
         &self,
-        engine: &TargetId,
+        engine: &TargetLife,
         parts: &[PromptPart],
         now: MonoTime,
         counts: impl Fn(&CachedPart) -> bool,
@@ -74,17 +75,17 @@
     }
 
     /// Notes that an engine has read, or was given, a prompt.
-    pub fn note_held(&mut self, engine: &TargetId, parts: &[PromptPart], now: MonoTime) {
+    pub fn note_held(&mut self, engine: &TargetLife, parts: &[PromptPart], now: MonoTime) {
         self.note(engine, parts, now, true);
     }
 
     /// Notes that an engine was asked to read a prompt. Requests that share its
     /// parts had better wait there than have them read a second time elsewhere.
-    pub fn note_coming(&mut self, engine: &TargetId, parts: &[PromptPart], now: MonoTime) {
+    pub fn note_coming(&mut self, engine: &TargetLife, parts: &[PromptPart], now: MonoTime) {
         self.note(engine, parts, now, false);
     }
 
-    fn note(&mut self, engine: &TargetId, parts: &[PromptPart], now: MonoTime, ready: bool) {
+    fn note(&mut self, engine: &TargetLife, parts: &[PromptPart], now: MonoTime, ready: bool) {
         let cached = self.engines.entry(engine.clone()).or_default();
         for part in parts {
             let tokens = part.tokens;
@@ -108,7 +109,7 @@
     }
 
     /// Forgets engines for which `keep` is false.
-    pub fn retain(&mut self, keep: impl Fn(&TargetId) -> bool) {
+    pub fn retain(&mut self, keep: impl Fn(&TargetLife) -> bool) {
         self.engines.retain(|engine, _| keep(engine));
     }
 }
@@ -130,7 +131,7 @@
 
 /// Weight of an engine as the home of a shared part; the highest is the first home.
 #[must_use]
-pub fn home_weight(key: u64, engine: &TargetId) -> u64 {
+pub fn home_weight(key: u64, engine: &TargetLife) -> u64 {
     weight(key, engine.as_str())
 }
 
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -10,17 +10,18 @@
 use tokio::task::{LocalSet, spawn_local};
 
 use crate::clock;
-use crate::gateway::fleet::{FleetCell, FleetView};
+use crate::gateway::fleet::{self, FleetCell, FleetView};
 use crate::gateway::members::{DaemonRecord, MemberBook};
 use crate::gateway::model::FleetConfig;
 use crate::gateway::peers::wire::FeedObjects;
 use crate::gateway::port::GatewayPorts;
-use crate::gateway::registry::TargetRegistry;
+use crate::gateway::registry::{EntryContent, EntryNews, EntrySource, TargetRegistry};
 use crate::gateway::routes::RouteTable;
 use crate::gateway::store_follow::{
     FIRST_BACKOFF, Feed, FeedNews, Follower, StorePulse, WatchDuty, kind_of, pause,
 };
-use crate::names::{DaemonId, MonoTime, TargetId};
+use crate::gateway::target_life::TargetLife;
+use crate::names::{DaemonId, TargetId};
 use crate::ports::{ConditionalWrite, ObjectName, ObjectVersion, PlatformError, StoredObject};
 use crate::timer::TimerService;
 
@@ -33,7 +34,7 @@
 #[derive(Debug)]
 pub enum ControlNews {
     /// A target was not at its address any more.
-    TargetDeparted(TargetId),
+    TargetDeparted(TargetLife),
     /// Another daemon sent a configuration.
     PeerConfig {
         /// Revision of the store's object.
@@ -161,7 +162,7 @@
                     // The traffic thread ends only with the process.
                     let _ = relay.send(objects);
                 }
-                let changed = news.is_some_and(|news| state.take(news));
+                let changed = news.is_some_and(|news| state.take(news, EntrySource::Store));
                 if state.lost_own_record(&record_sender.borrow().id) {
                     record_sender.send_modify(|_| {});
                 }
@@ -176,7 +177,7 @@
 }
 
 impl ControlState {
-    fn note_departed(&mut self, id: &TargetId) -> bool {
+    fn note_departed(&mut self, id: &TargetLife) -> bool {
         log::info!(target_id = id.as_str(); "target is not at its address any more");
         self.registry.depart(id, clock::mono_now());
         true
@@ -199,11 +200,12 @@
                 value: value.map(serde_bytes::ByteBuf::into_vec),
             });
         let stored = stored.collect();
-        self.take(if whole {
+        let news = if whole {
             FeedNews::Listed(feed, stored)
         } else {
             FeedNews::Changed(feed, stored)
-        })
+        };
+        self.take(news, EntrySource::Hub)
     }
 
     // Whether the daemons were listed and the own record, seen before, is not there.
@@ -215,7 +217,7 @@
     }
 
     // Whether something changed that traffic has to see.
-    fn take(&mut self, news: FeedNews) -> bool {
+    fn take(&mut self, news: FeedNews, source: EntrySource) -> bool {
         let now = clock::mono_now();
         match news {
             FeedNews::Failed(feed) => {
@@ -225,9 +227,9 @@
                 false
             }
             FeedNews::Listed(Feed::Targets, objects) => {
-                let records = objects.iter().filter_map(|o| self.decode_target(o));
-                let records = records.collect();
-                self.registry.replace(records, now);
+                let listing = objects.iter().map(|object| self.decode_target(object));
+                let listing = listing.collect();
+                self.registry.replace(listing, source, now);
                 self.targets_known = true;
                 true
             }
@@ -237,7 +239,8 @@
             }
             FeedNews::Changed(Feed::Targets, objects) => {
                 for object in &objects {
-                    self.take_target(object, now);
+                    let news = self.decode_target(object);
+                    self.registry.take(news, source, now);
                 }
                 !objects.is_empty()
             }
@@ -252,25 +255,23 @@
         }
     }
 
-    fn take_target(&mut self, object: &StoredObject, now: MonoTime) {
-        match (&object.value, self.decode_target(object)) {
-            (Some(_), Some(record)) => self.registry.set(record, now),
-            (Some(_), None) => {}
-            (None, _) => {
-                let id = TargetId::from(object.object.name.as_str());
-                self.registry.remove(&id, now);
-            }
+    fn decode_target(&self, object: &StoredObject) -> EntryNews {
+        let name = &object.object.name;
+        let decode = self.ports.schema.decode_target;
+        let content = match &object.value {
+            None => EntryContent::Gone,
+            Some(value) => match decode(name, value) {
+                Ok(record) => EntryContent::Named(record),
+                Err(fault) => EntryContent::Unreadable(fault),
+            },
+        };
+        EntryNews {
+            name: TargetId::from(name.as_str()),
+            revision: object.version.0,
+            content,
         }
     }
 
-    fn decode_target(&self, object: &StoredObject) -> Option<crate::gateway::model::TargetRecord> {
-        let value = object.value.as_ref()?;
-        let decoded = (self.ports.schema.decode_target)(&object.object.name, value);
-        decoded
-            .map_err(|fault| log::warn!(name = object.object.name.as_str(); "target's entry left out: {fault}"))
-            .ok()
-    }
-
     fn take_daemons(&mut self, objects: &[StoredObject]) -> bool {
         for object in objects {
             let name = &object.object.name;
@@ -284,8 +285,10 @@
         true
     }
 
+    // An object beside the operator's one is somebody else's.
     fn take_config(&mut self, object: &StoredObject) -> bool {
-        let value = object.value.as_ref();
+        let named = object.object.name == self.ports.schema.config_name;
+        let value = object.value.as_ref().filter(|_| named);
         value.is_some_and(|value| self.take_value(object.version.0, value))
     }
 
@@ -316,9 +319,13 @@
     }
 
     fn publish(&self) {
+        let mut targets = self.registry.by_service();
+        if let Some(routes) = &self.routes {
+            fleet::leave_out_strangers(&mut targets, routes);
+        }
         let view = FleetView {
             routes: self.routes.clone(),
-            targets: self.registry.by_service(),
+            targets,
             targets_known: self.targets_known,
             config_source: self.config_source.clone(),
             departed: self.registry.departed().cloned().collect(),
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -35,8 +35,9 @@
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::stage_control;
 use crate::gateway::store_follow::{StorePulse, WatchDuty};
+use crate::gateway::target_life::TargetLife;
 use crate::gateway::work_meter::WorkMeter;
-use crate::names::{DaemonId, TargetId};
+use crate::names::DaemonId;
 use crate::ports::ObjectName;
 use crate::telemetry;
 use crate::timer::TimerService;
@@ -88,7 +89,7 @@
     /// Distinguishes this life of the daemon from others under its name.
     pub life: u64,
     /// Engines that this daemon is changing.
-    pub own_changing: RefCell<Vec<TargetId>>,
+    pub own_changing: RefCell<Vec<TargetLife>>,
     /// Work offered to engines.
     pub work: RefCell<WorkMeter>,
     /// Repeats.
@@ -122,7 +123,7 @@
     }
 
     /// Tells the control thread that a target is no longer at its address.
-    pub fn tell_departed(&self, target: &TargetId) {
+    pub fn tell_departed(&self, target: &TargetLife) {
         // The control thread ends only with the process.
         let _ = self.news.send(ControlNews::TargetDeparted(target.clone()));
     }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -8,7 +8,11 @@
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::model::TargetRecord;
 use crate::gateway::routes::RouteTable;
-use crate::names::{ServiceName, TargetId};
+use crate::gateway::target_life::TargetLife;
+use crate::names::ServiceName;
+
+/// Targets by the service that they offer.
+pub type TargetsByService = IndexMap<ServiceName, Vec<Arc<TargetRecord>>>;
 
 /// A consistent picture of the fleet, replaced whole.
 #[derive(Clone, Debug, Default)]
@@ -16,13 +20,13 @@
     /// Newest configuration known; `None` until the first one arrived.
     pub routes: Option<Arc<RouteTable>>,
     /// Targets that may get work, by service.
-    pub targets: IndexMap<ServiceName, Vec<Arc<TargetRecord>>>,
+    pub targets: TargetsByService,
     /// Whether the targets were listed once.
     pub targets_known: bool,
     /// Revision and value of that configuration, for daemons that are behind.
     pub config_source: Option<(u64, Arc<[u8]>)>,
     /// Targets that announced their departure lately.
-    pub departed: Vec<TargetId>,
+    pub departed: Vec<TargetLife>,
     /// Daemons with a record in the store, this one included.
     pub daemons: Vec<DaemonRecord>,
 }
@@ -42,11 +46,28 @@
 
     /// Whether a target may still get work.
     #[must_use]
-    pub fn holds(&self, target: &TargetId) -> bool {
+    pub fn holds(&self, target: &TargetLife) -> bool {
         let mut all = self.targets.values().flatten();
         all.any(|record| record.id == *target)
     }
 }
 
+/// Leaves out records that name no target of a configuration, whoever wrote them: those
+/// of services that it does not name, and entries without a stage among the engines of a
+/// service, which all tell theirs. Orders to change stages would go there, and work that
+/// comes back as a failure.
+pub fn leave_out_strangers(targets: &mut TargetsByService, routes: &RouteTable) {
+    targets.retain(|service, records| {
+        let Some(rule) = routes.service(service) else {
+            return false;
+        };
+        let staged = records.iter().any(|record| record.stage.is_some());
+        if rule.engine.is_some() && staged {
+            records.retain(|record| record.stage.is_some());
+        }
+        true
+    });
+}
+
 /// Where the control thread publishes and traffic reads.
 pub type FleetCell = Arc<ArcSwap<FleetView>>;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -23,7 +23,8 @@
 use crate::gateway::reply::{Failure, FailureKind, Reply, strip_connection_headers, whole_reply};
 use crate::gateway::routes::{RouteTable, choose_service};
 use crate::gateway::sending::{SendOutcome, SendPlan, TargetAnswer};
-use crate::names::{ServiceName, TargetId};
+use crate::gateway::target_life::TargetLife;
+use crate::names::ServiceName;
 
 /// Time to come back after a refusal for want of a configuration or a target.
 const NOTHING_YET_WAIT: Duration = Duration::from_millis(250);
@@ -100,9 +101,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct SendTrail {
     /// Targets that got the request.
-    pub sent: Vec<TargetId>,
+    pub sent: Vec<TargetLife>,
     /// Targets that no byte reached.
-    pub unreached: Vec<TargetId>,
+    pub unreached: Vec<TargetLife>,
     /// Whether one of them ran the request or may have. Whatever a later target says,
     /// the caller must not be told then that nothing ran.
     pub may_have_run: bool,
@@ -114,7 +115,7 @@
 impl SendTrail {
     /// Whether a target was tried.
     #[must_use]
-    pub fn has(&self, target: &TargetId) -> bool {
+    pub fn has(&self, target: &TargetLife) -> bool {
         self.sent.contains(target) || self.unreached.contains(target)
     }
 
@@ -134,14 +135,14 @@
 /// Work counted at a target until it is dropped.
 pub struct WorkGuard {
     gateway: Rc<Gateway>,
-    target: TargetId,
+    target: TargetLife,
     rank: u8,
     unread_tokens: u32,
 }
 
 impl WorkGuard {
     /// Counts a request of a rank with `unread_tokens` to read.
-    pub fn begin(gateway: &Rc<Gateway>, target: &TargetId, rank: u8, unread_tokens: u32) -> Self {
+    pub fn begin(gateway: &Rc<Gateway>, target: &TargetLife, rank: u8, unread_tokens: u32) -> Self {
         let mut load = gateway.load.borrow_mut();
         load.begin(target, rank, unread_tokens);
         Self {
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -17,7 +17,7 @@
 use crate::gateway::reply::{Failure, Reply, stream_reply, whole_reply};
 use crate::gateway::sending::{SendOutcome, TargetAnswer};
 use crate::gateway::stream::EventRelay;
-use crate::names::TargetId;
+use crate::gateway::target_life::TargetLife;
 
 /// Time to come back after a refusal by an engine.
 const ENGINE_BUSY_WAIT: Duration = Duration::from_millis(200);
@@ -306,7 +306,7 @@
         if trail.prompt_read && !self.may_repeat(call) {
             return Ok(None);
         }
-        let mut tried: Vec<TargetId> = Vec::new();
+        let mut tried: Vec<TargetLife> = Vec::new();
         for _ in 0..MOST_READINGS {
             match self.read_prompt(call, &reader, place).await {
                 Reading::Kept(handle) => {
@@ -328,7 +328,7 @@
         Ok(None)
     }
 
-    fn another_reader(&self, call: &RoutedCall, tried: &[TargetId]) -> Option<Arc<TargetRecord>> {
+    fn another_reader(&self, call: &RoutedCall, tried: &[TargetLife]) -> Option<Arc<TargetRecord>> {
         let engines = self.call_states(call, |id| !tried.contains(id));
         let prompt = call.caller.prompt.clone().unwrap_or_default();
         engine_choice::choose(
@@ -440,7 +440,7 @@
     pub fn place_order(
         &self,
         order: &PlaceOrder<'_>,
-        fits: impl Fn(&TargetId) -> bool,
+        fits: impl Fn(&TargetLife) -> bool,
     ) -> Option<EnginePlace> {
         let engines = self.engine_states(order.engines, &order.prompt.parts, fits);
         let settings = self.settings();
@@ -460,7 +460,7 @@
         &self,
         engines: &[Arc<TargetRecord>],
         parts: &[PromptPart],
-        fits: impl Fn(&TargetId) -> bool,
+        fits: impl Fn(&TargetLife) -> bool,
     ) -> Vec<EngineState> {
         let newest = self.view();
         let now = clock::mono_now();
@@ -472,7 +472,7 @@
         let staying = engines.iter().filter(|engine| newest.holds(&engine.id));
         let peers = self.peers.borrow();
         let own_changing = self.own_changing.borrow();
-        let changing: Vec<&TargetId> = peers.changing(now).chain(own_changing.iter()).collect();
+        let changing: Vec<&TargetLife> = peers.changing(now).chain(own_changing.iter()).collect();
         let states = staying.map(|engine| EngineState {
             record: engine.clone(),
             held_tokens: caches.cached_tokens(&engine.id, parts, now),
@@ -484,7 +484,11 @@
         states.collect()
     }
 
-    fn call_states(&self, call: &RoutedCall, fits: impl Fn(&TargetId) -> bool) -> Vec<EngineState> {
+    fn call_states(
+        &self,
+        call: &RoutedCall,
+        fits: impl Fn(&TargetLife) -> bool,
+    ) -> Vec<EngineState> {
         let engines = call.view.of_service(&call.service.name);
         let parts = call.caller.prompt.as_ref().map_or(&[][..], |p| &p.parts);
         self.engine_states(engines, parts, fits)
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -7,7 +7,8 @@
 
 use indexmap::IndexMap;
 
-use crate::names::{MonoTime, TargetId};
+use crate::gateway::target_life::TargetLife;
+use crate::names::MonoTime;
 
 /// Sends without any answer in a row after which a target is avoided.
 const SILENT_SENDS: u32 = 2;
@@ -35,6 +36,15 @@
     Silent,
 }
 
+/// A change of what choices do with a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HealthChange {
+    /// It is avoided from now on.
+    Avoided,
+    /// It was avoided, and answers.
+    Proved,
+}
+
 /// One target's record.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetHealth {
@@ -73,12 +83,17 @@
 /// Records of all targets that got sends.
 #[derive(Clone, Debug, Default)]
 pub struct HealthBook {
-    targets: IndexMap<TargetId, TargetHealth>,
+    targets: IndexMap<TargetLife, TargetHealth>,
 }
 
 impl HealthBook {
-    /// Notes what came of a send; true when the target is avoided from now on.
-    pub fn note(&mut self, target: &TargetId, result: SendResult, now: MonoTime) -> bool {
+    /// Notes what came of a send; returns what it changed for choices.
+    pub fn note(
+        &mut self,
+        target: &TargetLife,
+        result: SendResult,
+        now: MonoTime,
+    ) -> Option<HealthChange> {
         let health = self.targets.entry(target.clone()).or_default();
         let failed = f64::from(u8::from(result != SendResult::Answered));
         health.failure_rate += NEW_WEIGHT * (failed - health.failure_rate);
@@ -86,15 +101,14 @@
             SendResult::Silent => health.note_silence(now),
             SendResult::Answered | SendResult::Failed => {
                 health.silent_in_row = 0;
-                health.avoided_until = None;
                 health.avoid_next = FIRST_AVOIDED;
-                false
+                health.avoided_until.take().map(|_| HealthChange::Proved)
             }
         }
     }
 
     /// Notes the time an answer took against what was expected.
-    pub fn note_time(&mut self, target: &TargetId, taken_ms: f64, expected_ms: f64) {
+    pub fn note_time(&mut self, target: &TargetLife, taken_ms: f64, expected_ms: f64) {
         let health = self.targets.entry(target.clone()).or_default();
         let ratio = (taken_ms / expected_ms.max(1.0)).clamp(PACE_RANGE.0, PACE_RANGE.1);
         health.pace += TIME_WEIGHT * (ratio - health.pace);
@@ -102,7 +116,7 @@
 
     /// Shows a target to a choice.
     #[must_use]
-    pub fn view(&self, target: &TargetId, now: MonoTime) -> HealthView {
+    pub fn view(&self, target: &TargetLife, now: MonoTime) -> HealthView {
         let fresh = TargetHealth::default();
         let health = self.targets.get(target).unwrap_or(&fresh);
         HealthView {
@@ -114,19 +128,19 @@
     }
 
     /// Forgets targets for which `keep` is false.
-    pub fn retain(&mut self, keep: impl Fn(&TargetId) -> bool) {
+    pub fn retain(&mut self, keep: impl Fn(&TargetLife) -> bool) {
         self.targets.retain(|target, _| keep(target));
     }
 }
 
 impl TargetHealth {
-    fn note_silence(&mut self, now: MonoTime) -> bool {
+    fn note_silence(&mut self, now: MonoTime) -> Option<HealthChange> {
         self.silent_in_row += 1;
         if self.silent_in_row < SILENT_SENDS {
-            return false;
+            return None;
         }
         self.avoided_until = Some(now.plus(self.avoid_next));
         self.avoid_next = (self.avoid_next * 2).min(LONGEST_AVOIDED);
-        true
+        Some(HealthChange::Avoided)
     }
 }
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -5,7 +5,8 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::names::{DaemonId, MonoTime, TargetId};
+use crate::gateway::target_life::TargetLife;
+use crate::names::{DaemonId, MonoTime};
 
 /// Age from which another daemon's counts are left out.
 const STALE_AFTER: Duration = Duration::from_millis(1_500);
@@ -54,13 +55,13 @@
 }
 
 /// Work by target.
-pub type WorkByTarget = IndexMap<TargetId, TargetWork>;
+pub type WorkByTarget = IndexMap<TargetLife, TargetWork>;
 
 /// Work that another daemon was told to place and has not told of itself yet.
 #[derive(Clone, Debug)]
 struct PromisedWork {
     number: u64,
-    target: TargetId,
+    target: TargetLife,
     work: TargetWork,
     at: MonoTime,
 }
@@ -82,14 +83,14 @@
 
 impl LoadBook {
     /// Notes the start of a request of a rank with `unread_tokens` to read.
-    pub fn begin(&mut self, target: &TargetId, rank: u8, unread_tokens: u32) {
+    pub fn begin(&mut self, target: &TargetLife, rank: u8, unread_tokens: u32) {
         let work = self.own.entry(target.clone()).or_default();
         work.running += 1;
         work.unread[rank_index(rank)] += unread_tokens;
     }
 
     /// Notes that tokens counted by [`Self::begin`] were read.
-    pub fn note_read(&mut self, target: &TargetId, rank: u8, tokens: u32) {
+    pub fn note_read(&mut self, target: &TargetLife, rank: u8, tokens: u32) {
         if let Some(work) = self.own.get_mut(target) {
             let unread = &mut work.unread[rank_index(rank)];
             *unread = unread.saturating_sub(tokens);
@@ -97,7 +98,7 @@
     }
 
     /// Notes the end of a request, of whose prompt `unread_tokens` were not read.
-    pub fn end(&mut self, target: &TargetId, rank: u8, unread_tokens: u32) {
+    pub fn end(&mut self, target: &TargetLife, rank: u8, unread_tokens: u32) {
         self.note_read(target, rank, unread_tokens);
         if let Some(work) = self.own.get_mut(target) {
             work.running = work.running.saturating_sub(1);
@@ -119,7 +120,7 @@
     pub fn promise(
         &mut self,
         (daemon, number): (&DaemonId, u64),
-        target: &TargetId,
+        target: &TargetLife,
         (rank, unread_tokens): (u8, u32),
         now: MonoTime,
     ) {
@@ -182,7 +183,7 @@
 
     /// All work known at a target.
     #[must_use]
-    pub fn total(&self, target: &TargetId) -> TargetWork {
+    pub fn total(&self, target: &TargetLife) -> TargetWork {
         let mut total = self.own.get(target).copied().unwrap_or_default();
         total.add(&self.sum.get(target).copied().unwrap_or_default());
         total
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,4 +39,5 @@
 pub mod stage_plan;
 pub mod store_follow;
 pub mod stream;
+pub mod target_life;
 pub mod work_meter;
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::names::{CentreName, ServiceName, TargetId};
+use crate::gateway::target_life::TargetLife;
+use crate::names::{CentreName, ServiceName};
 
 /// What may be repeated of a route's requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -121,11 +122,22 @@
     Decode,
 }
 
+impl EngineStage {
+    /// Returns the stage's name in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Prefill => "prefill",
+            Self::Decode => "decode",
+        }
+    }
+}
+
 /// A target as it registered itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TargetRecord {
-    /// One per start of the target: a restarted target is another one.
-    pub id: TargetId,
+    /// Life of the target that the entry is of.
+    pub id: TargetLife,
     /// Service it offers.
     pub service: ServiceName,
     /// Where it listens.
--- a/src/gateway/peers/book.rs
+++ b/src/gateway/peers/book.rs
@@ -8,7 +8,8 @@
 use crate::gateway::model::PromptPart;
 use crate::gateway::peers::wire::{HeldNote, MemberNote, PeerHint};
 use crate::gateway::stage_plan::WorkRate;
-use crate::names::{DaemonId, MonoTime, TargetId};
+use crate::gateway::target_life::TargetLife;
+use crate::names::{DaemonId, MonoTime};
 
 /// Silence after which a daemon is taken to be away. In large fleets word of it
 /// comes over two hubs, and a hub that goes is replaced within this time.
@@ -21,7 +22,7 @@
 #[derive(Clone, Debug)]
 struct HeardState {
     at: MonoTime,
-    changing: Vec<TargetId>,
+    changing: Vec<TargetLife>,
     rate: WorkRate,
     leaving: bool,
     config_version: u64,
@@ -61,7 +62,7 @@
 impl PeerBook {
     /// Keeps what an engine holds, or was asked to read, for the next hint. The part
     /// of a single request is told too: it takes the place of shared ones.
-    pub fn note_held(&mut self, engine: &TargetId, parts: &[PromptPart], ready: bool) {
+    pub fn note_held(&mut self, engine: &TargetLife, parts: &[PromptPart], ready: bool) {
         self.pending.push(HeldNote {
             engine: engine.clone(),
             parts: parts.iter().map(|part| (part.key, part.tokens)).collect(),
@@ -103,7 +104,7 @@
     }
 
     /// Engines that other daemons are changing.
-    pub fn changing(&self, now: MonoTime) -> impl Iterator<Item = &TargetId> {
+    pub fn changing(&self, now: MonoTime) -> impl Iterator<Item = &TargetLife> {
         let alive = self.heard.values();
         let alive = alive.filter(move |state| state.is_fresh(now));
         alive.flat_map(|state| &state.changing)
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -42,7 +42,8 @@
 };
 use crate::gateway::stage_plan::WorkRate;
 use crate::gateway::store_follow::WatchDuty;
-use crate::names::{DaemonId, MonoTime, TargetId};
+use crate::gateway::target_life::TargetLife;
+use crate::names::{DaemonId, MonoTime};
 use crate::timer::TimerService;
 
 /// Time between two hints. Choices of different daemons within it do not know of
@@ -473,7 +474,7 @@
         }
     }
 
-    fn take_departed(&self, departed: &[TargetId]) {
+    fn take_departed(&self, departed: &[TargetLife]) {
         let view = self.view();
         for target in departed.iter().filter(|target| view.holds(target)) {
             self.tell_departed(target);
--- a/src/gateway/peers/placing.rs
+++ b/src/gateway/peers/placing.rs
@@ -24,7 +24,8 @@
 use crate::gateway::peers::wire::{
     PeerMessage, PlaceAnswer, PlaceQuestion, PlacedEngines, PlacementNote, PlacementNotes,
 };
-use crate::names::{DaemonId, MonoTime, TargetId};
+use crate::gateway::target_life::TargetLife;
+use crate::names::{DaemonId, MonoTime};
 
 /// Longest wait for an answer: a round trip takes 1 to 3 ms, and waiting longer than
 /// a choice without the others' knowledge costs, 100 ms and more, buys nothing.
@@ -217,7 +218,7 @@
     fn resolve(&self, call: &RoutedCall, engines: &PlacedEngines) -> Option<EnginePlace> {
         let newest = self.view();
         let known = call.view.of_service(&call.service.name);
-        let find = |id: &TargetId| -> Option<Arc<TargetRecord>> {
+        let find = |id: &TargetLife| -> Option<Arc<TargetRecord>> {
             let found = known.iter().find(|engine| engine.id == *id)?;
             newest.holds(id).then(|| found.clone())
         };
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -7,13 +7,14 @@
 use crate::gateway::load::TargetWork;
 use crate::gateway::stage_plan::WorkRate;
 use crate::gateway::store_follow::Feed;
-use crate::names::{DaemonId, ServiceName, TargetId};
+use crate::gateway::target_life::TargetLife;
+use crate::names::{DaemonId, ServiceName};
 
 /// Parts of a prompt that an engine holds, or was asked to read.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct HeldNote {
     /// The engine.
-    pub engine: TargetId,
+    pub engine: TargetLife,
     /// Keys and tokens of the parts, in the prompt's order.
     pub parts: Vec<(u64, u32)>,
     /// Whether it holds them already.
@@ -32,13 +33,13 @@
     /// Version of the configuration that it runs.
     pub config_version: u64,
     /// Its work at targets.
-    pub work: Vec<(TargetId, TargetWork)>,
+    pub work: Vec<(TargetLife, TargetWork)>,
     /// What engines came to hold by its requests since the last hint.
     pub held: Vec<HeldNote>,
     /// Targets that it knows to be leaving.
-    pub departed: Vec<TargetId>,
+    pub departed: Vec<TargetLife>,
     /// Engines that it is ordering to change their stage.
-    pub changing: Vec<TargetId>,
+    pub changing: Vec<TargetLife>,
     /// Work that it places on engines, in a second.
     pub rate: WorkRate,
     /// Last question for a place whose work this hint contains.
@@ -83,9 +84,9 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct PlacementNote {
     /// Engine that reads the prompt.
-    pub reader: TargetId,
+    pub reader: TargetLife,
     /// Engine that makes the tokens, where it is another one.
-    pub writer: Option<TargetId>,
+    pub writer: Option<TargetLife>,
     /// Rank at the engines.
     pub rank: u8,
     /// Tokens that the reading engine still has to read.
@@ -143,7 +144,7 @@
     /// Service that the request is for.
     pub service: ServiceName,
     /// Engines that the asker does not want.
-    pub avoided: Vec<TargetId>,
+    pub avoided: Vec<TargetLife>,
     /// Tokens of the whole prompt.
     pub prompt_tokens: u32,
     /// Most tokens to generate.
@@ -160,11 +161,11 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PlacedEngines {
     /// Engine that reads the prompt for the other.
-    pub reader: Option<TargetId>,
+    pub reader: Option<TargetLife>,
     /// Engine that makes the tokens.
-    pub writer: TargetId,
+    pub writer: TargetLife,
     /// Engine that the reading one copies shared parts from.
-    pub fetch_from: Option<TargetId>,
+    pub fetch_from: Option<TargetLife>,
     /// Rank that it was chosen for.
     pub rank: u8,
     /// Expected time to the first token, in milliseconds.
@@ -198,7 +199,7 @@
     /// Version of the configuration that it runs.
     pub config_version: u64,
     /// Engines that it is ordering to change their stage.
-    pub changing: Vec<TargetId>,
+    pub changing: Vec<TargetLife>,
 }
 
 /// What a hub tells other hubs of its members, or its members of the whole fleet.
@@ -213,11 +214,11 @@
     /// Daemons that it tells of.
     pub members: Vec<MemberNote>,
     /// Their work at targets, summed.
-    pub work: Vec<(TargetId, TargetWork)>,
+    pub work: Vec<(TargetLife, TargetWork)>,
     /// What engines came to hold since the last summary.
     pub held: Vec<HeldNote>,
     /// Targets known to be leaving.
-    pub departed: Vec<TargetId>,
+    pub departed: Vec<TargetLife>,
     /// Work that they place on engines, in a second.
     pub rate: WorkRate,
     /// Milliseconds since the hub heard the store.
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -1,6 +1,5 @@
 //! Kept connections to targets, within what each target accepts.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::HeaderMap;
@@ -9,6 +8,7 @@
 use tokio::time::Instant;
 
 use crate::gateway::client::HttpLink;
+use crate::gateway::target_life::TargetLife;
 
 /// Longest idle time of a kept connection. Targets may drop an idle one without
 /// notice, and a request that must not run twice is lost with it; one that was
@@ -18,17 +18,18 @@
 /// before its answer arrived here.
 const KEEP_MARGIN: Duration = Duration::from_millis(600);
 
-/// Idle connections by address, newest last.
+/// Idle connections by life of the target, newest last. A target that started again
+/// knows nothing of a connection from before; a request sent on one would be lost.
 #[derive(Debug, Default)]
 pub struct LinkPool {
-    idle: IndexMap<SocketAddr, Vec<HttpLink>>,
-    busy: IndexMap<SocketAddr, u32>,
+    idle: IndexMap<TargetLife, Vec<HttpLink>>,
+    busy: IndexMap<TargetLife, u32>,
 }
 
 impl LinkPool {
     /// Takes the most recently used connection that is still good.
-    pub fn take(&mut self, address: SocketAddr, now: Instant) -> Option<HttpLink> {
-        let links = self.idle.get_mut(&address)?;
+    pub fn take(&mut self, target: &TargetLife, now: Instant) -> Option<HttpLink> {
+        let links = self.idle.get_mut(target)?;
         while let Some(link) = links.pop() {
             if is_fresh(&link, now) {
                 return Some(link);
@@ -38,19 +39,19 @@
     }
 
     /// Puts a connection back after a whole answer that lets it stay open.
-    pub fn put(&mut self, address: SocketAddr, mut link: HttpLink, headers: &HeaderMap) {
+    pub fn put(&mut self, target: &TargetLife, mut link: HttpLink, headers: &HeaderMap) {
         let now = Instant::now();
         if says_close(headers) {
             return;
         }
         link.idle_since = now;
         link.kept_until = keeping_time(headers).map(|keep| now + keep);
-        self.idle.entry(address).or_default().push(link);
+        self.idle.entry(target.clone()).or_default().push(link);
     }
 
     /// Notes a connection in use, or one given back.
-    pub fn note_busy(&mut self, address: SocketAddr, began: bool) {
-        let busy = self.busy.entry(address).or_default();
+    pub fn note_busy(&mut self, target: &TargetLife, began: bool) {
+        let busy = self.busy.entry(target.clone()).or_default();
         *busy = if began {
             *busy + 1
         } else {
@@ -58,11 +59,11 @@
         };
     }
 
-    /// Connections open to an address, busy and idle.
+    /// Connections open to a target, busy and idle.
     #[must_use]
-    pub fn open(&self, address: SocketAddr) -> u32 {
-        let busy = self.busy.get(&address).copied().unwrap_or(0);
-        let idle = self.idle.get(&address).map_or(0, Vec::len);
+    pub fn open(&self, target: &TargetLife) -> u32 {
+        let busy = self.busy.get(target).copied().unwrap_or(0);
+        let idle = self.idle.get(target).map_or(0, Vec::len);
         busy + u32::try_from(idle).unwrap_or(u32::MAX)
     }
 
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -10,7 +10,8 @@
 use thiserror::Error;
 
 use crate::gateway::model::{CallerRequest, EngineStage, FleetConfig, TargetRecord};
-use crate::names::{CentreName, DaemonId, FenceNumber, TargetId};
+use crate::gateway::target_life::TargetLife;
+use crate::names::{CentreName, DaemonId, FenceNumber, UnixTime};
 use crate::ports::{ObjectName, ObjectVersion, PlatformError, PlatformPort, PortCall};
 
 /// Something on the wire that cannot be read.
@@ -62,7 +63,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SendOrder {
     /// Target meant; any other one at its address refuses.
-    pub target: TargetId,
+    pub target: TargetLife,
     /// Time the target may spend.
     pub time_left: Duration,
     /// What to do.
@@ -105,7 +106,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EngineOrder {
     /// Engine meant.
-    pub target: TargetId,
+    pub target: TargetLife,
     /// Stage that it is to have.
     pub stage: EngineStage,
     /// Daemon that orders.
@@ -136,6 +137,8 @@
     pub busy: bool,
     /// Orders taken since its start.
     pub orders_taken: u64,
+    /// Its start on its own clock, where it tells it.
+    pub born: Option<UnixTime>,
 }
 
 /// A caller's question which address to use.
@@ -179,6 +182,8 @@
 pub struct StoreSchema {
     /// Kind of the configuration.
     pub config_kind: String,
+    /// Name of the configuration, the only object of its kind that counts.
+    pub config_name: String,
     /// Kind of the targets' entries.
     pub target_kind: String,
     /// Kind of the daemons' records, which is the gateway's own.
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -5,20 +5,69 @@
 //! each would send work to targets that are gone. So: an entry that disappears
 //! while the store was answering all the time is gone at once, one that
 //! disappears around an outage has [`REAPPEAR_TIME`] from the store's return.
+//!
+//! A departure ends one life of a target. The store's revisions tell which of two
+//! entries of a name is newer; targets' own clocks may step.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
+use crate::gateway::fleet::TargetsByService;
 use crate::gateway::model::TargetRecord;
-use crate::names::{MonoTime, ServiceName, TargetId};
+use crate::gateway::port::WireFault;
+use crate::gateway::target_life::TargetLife;
+use crate::names::{MonoTime, TargetId};
 
 /// Time in which entries of living targets are back after the store's return,
 /// as the users state it (about two seconds).
 pub const REAPPEAR_TIME: Duration = Duration::from_millis(2_000);
 /// How long after its last failure the store counts as just returned.
 pub const RETURN_TIME: Duration = Duration::from_millis(2_500);
+/// How long the end of a life, and the revision of a name's last entry, are
+/// remembered: longer than any stale view of them can arrive.
+const DEPARTED_TIME: Duration = Duration::from_secs(120);
+
+/// Where word of targets comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EntrySource {
+    /// Another daemon, which read the store.
+    Hub,
+    /// The store itself.
+    Store,
+}
+
+impl EntrySource {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Hub => "hub",
+            Self::Store => "store",
+        }
+    }
+}
+
+/// What an entry says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum EntryContent {
+    /// The store holds it no more.
+    Gone,
+    /// It names a target.
+    Named(TargetRecord),
+    /// It names none: another writer wrote it, or over it.
+    Unreadable(WireFault),
+}
+
+/// One entry as it was read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EntryNews {
+    /// Name of the entry.
+    pub name: TargetId,
+    /// The store's revision of its last change; 0 where it is not told.
+    pub revision: u64,
+    /// What it says.
+    pub content: EntryContent,
+}
 
 #[derive(Clone, Debug)]
 struct TargetEntry {
@@ -27,20 +76,26 @@
     gone_at: Option<MonoTime>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct SeenRevision {
+    revision: u64,
+    at: MonoTime,
+}
+
 /// All targets known.
 #[derive(Clone, Debug, Default)]
 pub struct TargetRegistry {
     entries: IndexMap<TargetId, TargetEntry>,
-    // Targets that announced their departure. An older entry may be seen later,
-    // from a peer or a stale read; leaving stays leaving for the target's life.
-    departed: IndexMap<TargetId, MonoTime>,
+    // Lives that announced their end. An older entry may be seen later, from a peer or
+    // a stale read; leaving stays leaving for the life.
+    departed: IndexMap<TargetLife, MonoTime>,
+    // Newest revision seen of each name, so that an older entry undoes nothing.
+    seen: IndexMap<TargetId, SeenRevision>,
+    // Entries that name no target, by the revision that was logged.
+    unreadable: IndexMap<TargetId, u64>,
     store_failed_at: Option<MonoTime>,
 }
 
-/// How long the identity of a departed target is remembered: longer than any
-/// stale view of it can arrive.
-const DEPARTED_TIME: Duration = Duration::from_secs(120);
-
 impl TargetRegistry {
     /// Notes that the store did not answer.
     pub fn note_store_failure(&mut self, now: MonoTime) {
@@ -48,69 +103,77 @@
     }
 
     /// Takes a whole listing.
-    pub fn replace(&mut self, records: Vec<TargetRecord>, now: MonoTime) {
-        let listed: Vec<TargetId> = records.iter().map(|r| r.id.clone()).collect();
-        for record in records {
-            self.set(record, now);
+    pub fn replace(&mut self, listing: Vec<EntryNews>, source: EntrySource, now: MonoTime) {
+        let listed: Vec<TargetId> = listing.iter().map(|news| news.name.clone()).collect();
+        for news in listing {
+            self.take(news, source, now);
         }
         let missing: Vec<TargetId> = self
             .entries
             .keys()
-            .filter(|id| !listed.contains(id))
+            .filter(|name| !listed.contains(name))
             .cloned()
             .collect();
-        for id in missing {
-            self.remove(&id, now);
+        for name in missing {
+            self.remove(&name, source, now);
         }
+        self.unreadable.retain(|name, _| listed.contains(name));
     }
 
-    /// Takes one entry.
-    pub fn set(&mut self, record: TargetRecord, now: MonoTime) {
-        if self.departed.contains_key(&record.id) {
+    /// Takes one entry, unless a newer one of its name is known.
+    pub fn take(&mut self, news: EntryNews, source: EntrySource, now: MonoTime) {
+        let EntryNews {
+            name,
+            revision,
+            content,
+        } = news;
+        if self.is_outdated(&name, revision) {
             return;
         }
-        if record.leaving {
-            self.depart(&record.id, now);
-            return;
+        self.note_revision(&name, revision, now);
+        match content {
+            EntryContent::Gone => {
+                self.unreadable.swap_remove(&name);
+                self.remove(&name, source, now);
+            }
+            EntryContent::Named(record) => {
+                self.unreadable.swap_remove(&name);
+                self.set(record, revision, source, now);
+            }
+            EntryContent::Unreadable(fault) => self.leave_out(&name, revision, &fault, source),
         }
-        let id = record.id.clone();
-        let entry = TargetEntry {
-            record: Arc::new(record),
-            gone_at: None,
-        };
-        self.entries.insert(id, entry);
     }
 
-    /// Takes the disappearance of an entry.
-    pub fn remove(&mut self, id: &TargetId, now: MonoTime) {
-        if !self.just_returned(now) {
-            self.entries.swap_remove(id);
-            return;
+    /// Takes the end of a life, announced by the target itself or noticed by an answer.
+    pub fn depart(&mut self, life: &TargetLife, now: MonoTime) {
+        let current = self.entries.get(life.name());
+        if current.is_some_and(|entry| entry.record.id == *life) {
+            self.entries.swap_remove(life.name());
         }
-        if let Some(entry) = self.entries.get_mut(id) {
-            entry.gone_at.get_or_insert(now.plus(REAPPEAR_TIME));
-        }
-    }
-
-    /// Takes a target's departure, announced by itself or noticed by an answer.
-    pub fn depart(&mut self, id: &TargetId, now: MonoTime) {
-        self.entries.swap_remove(id);
-        self.departed.insert(id.clone(), now);
+        self.departed.insert(life.clone(), now);
     }
 
     /// Gives up entries that did not come back in time; true when some were.
     pub fn expire(&mut self, now: MonoTime) -> bool {
         let before = self.entries.len();
-        self.entries
-            .retain(|_, entry| entry.gone_at.is_none_or(|at| now < at));
+        self.entries.retain(|name, entry| {
+            let stays = entry.gone_at.is_none_or(|at| now < at);
+            if !stays {
+                log::info!(target_id = name.as_str(); "target's entry did not come back");
+            }
+            stays
+        });
         self.departed.retain(|_, at| now.since(*at) < DEPARTED_TIME);
+        let entries = &self.entries;
+        self.seen
+            .retain(|name, seen| entries.contains_key(name) || now.since(seen.at) < DEPARTED_TIME);
         before != self.entries.len()
     }
 
     /// Targets that may get work, by service, in an order that all daemons share.
     #[must_use]
-    pub fn by_service(&self) -> IndexMap<ServiceName, Vec<Arc<TargetRecord>>> {
-        let mut services: IndexMap<ServiceName, Vec<Arc<TargetRecord>>> = IndexMap::new();
+    pub fn by_service(&self) -> TargetsByService {
+        let mut services = TargetsByService::new();
         for entry in self.entries.values() {
             let service = entry.record.service.clone();
             services
@@ -124,19 +187,108 @@
         services
     }
 
-    /// Whether a target announced its departure.
+    /// Whether a life of a target announced its end.
     #[must_use]
-    pub fn has_departed(&self, id: &TargetId) -> bool {
-        self.departed.contains_key(id)
+    pub fn has_departed(&self, life: &TargetLife) -> bool {
+        self.departed.contains_key(life)
     }
 
-    /// Identities of departed targets that are still remembered.
-    pub fn departed(&self) -> impl Iterator<Item = &TargetId> {
+    /// Lives that ended and are still remembered.
+    pub fn departed(&self) -> impl Iterator<Item = &TargetLife> {
         self.departed.keys()
     }
 
+    fn set(&mut self, record: TargetRecord, revision: u64, source: EntrySource, now: MonoTime) {
+        if self.departed.contains_key(&record.id) {
+            return;
+        }
+        if record.leaving {
+            log::info!(target_id = record.id.as_str(), revision = revision, source = source.as_str(); "target leaves");
+            self.depart(&record.id, now);
+            return;
+        }
+        let before = self.entries.get(record.id.name());
+        log_change(
+            before.map(|entry| &*entry.record),
+            &record,
+            revision,
+            source,
+        );
+        let name = record.id.name().clone();
+        let entry = TargetEntry {
+            record: Arc::new(record),
+            gone_at: None,
+        };
+        self.entries.insert(name, entry);
+    }
+
+    fn remove(&mut self, name: &TargetId, source: EntrySource, now: MonoTime) {
+        if self.just_returned(now) {
+            if let Some(entry) = self.entries.get_mut(name) {
+                entry.gone_at.get_or_insert(now.plus(REAPPEAR_TIME));
+            }
+            return;
+        }
+        if self.entries.swap_remove(name).is_some() {
+            log::info!(target_id = name.as_str(), source = source.as_str(); "target's entry is gone");
+        }
+    }
+
+    // What the entry said before is no more known to hold, so it names no target until
+    // its own writer writes it again, which takes a heartbeat.
+    fn leave_out(
+        &mut self,
+        name: &TargetId,
+        revision: u64,
+        fault: &WireFault,
+        source: EntrySource,
+    ) {
+        let logged = self.unreadable.insert(name.clone(), revision);
+        if logged != Some(revision) {
+            metrics::counter!("pistachiowick_unreadable_entries_total").increment(1);
+            log::warn!(target_id = name.as_str(), revision = revision, source = source.as_str(); "target's entry left out, the others hold: {fault}");
+        }
+        self.entries.swap_remove(name);
+    }
+
+    fn is_outdated(&self, name: &TargetId, revision: u64) -> bool {
+        let seen = self.seen.get(name);
+        revision > 0 && seen.is_some_and(|seen| revision < seen.revision)
+    }
+
+    fn note_revision(&mut self, name: &TargetId, revision: u64, at: MonoTime) {
+        let seen = self.seen.get(name).map_or(0, |seen| seen.revision);
+        let revision = revision.max(seen);
+        self.seen
+            .insert(name.clone(), SeenRevision { revision, at });
+    }
+
     fn just_returned(&self, now: MonoTime) -> bool {
         self.store_failed_at
             .is_some_and(|at| now.since(at) < RETURN_TIME)
     }
 }
+
+fn log_change(
+    before: Option<&TargetRecord>,
+    record: &TargetRecord,
+    revision: u64,
+    source: EntrySource,
+) {
+    let message = match before {
+        None => "target appeared",
+        Some(before) if before.id != record.id => "target started again",
+        Some(before) if before != record => "target changed",
+        Some(_) => return,
+    };
+    log::info!(
+        target_id = record.id.as_str(),
+        born = record.id.born().map_or(0, |born| born.0),
+        address = record.address.to_string(),
+        service = record.service.as_str(),
+        stage = record.stage.map_or("", |stage| stage.as_str()),
+        revision = revision,
+        source = source.as_str();
+        "{message}"
+    );
+}
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -1,7 +1,6 @@
 //! One send of a caller's request to one target, over a kept or a new connection.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,10 +11,11 @@
 use crate::clock;
 use crate::gateway::client::{self, HttpLink, OutgoingRequest, SendFault};
 use crate::gateway::daemon::Gateway;
-use crate::gateway::health::SendResult;
+use crate::gateway::health::{HealthChange, SendResult};
 use crate::gateway::model::TargetRecord;
 use crate::gateway::pool::LinkPool;
 use crate::gateway::port::{SendMode, SendOrder, TargetQuery};
+use crate::gateway::target_life::TargetLife;
 
 /// Longest time for a new connection. Connections take a few milliseconds; a
 /// target that needs longer is away, and the request can still go elsewhere.
@@ -83,7 +83,7 @@
 
 impl LinkLease {
     fn new(pool: &Rc<RefCell<LinkPool>>, record: &TargetRecord) -> Self {
-        pool.borrow_mut().note_busy(record.address, true);
+        pool.borrow_mut().note_busy(&record.id, true);
         Self {
             link: None,
             record: Rc::new(record.clone()),
@@ -94,16 +94,15 @@
     /// Keeps the connection for later requests, after a whole answer.
     pub fn give_back(mut self, head: &Parts) {
         if let Some(link) = self.link.take() {
-            let address = self.record.address;
-            self.pool.borrow_mut().put(address, link, &head.headers);
+            let target = &self.record.id;
+            self.pool.borrow_mut().put(target, link, &head.headers);
         }
     }
 }
 
 impl Drop for LinkLease {
     fn drop(&mut self) {
-        let address = self.record.address;
-        self.pool.borrow_mut().note_busy(address, false);
+        self.pool.borrow_mut().note_busy(&self.record.id, false);
     }
 }
 
@@ -168,7 +167,7 @@
         plan: SendPlan<'_>,
     ) -> Result<http::Response<Incoming>, SendFault> {
         let address = lease.record.address;
-        while let Some(mut kept) = self.take_kept(address) {
+        while let Some(mut kept) = self.take_kept(&lease.record.id) {
             if !plan.may_repeat && kept.idle_since.elapsed() > SURE_IDLE {
                 continue;
             }
@@ -181,7 +180,7 @@
                 }
             }
         }
-        if self.pool.borrow().open(address) > self.connection_share(&lease.record) {
+        if self.pool.borrow().open(&lease.record.id) > self.connection_share(&lease.record) {
             return Err(SendFault::NotSent(format!(
                 "{address} has this daemon's share of connections"
             )));
@@ -206,8 +205,8 @@
     }
 
     // A step of its own, so that the pool is not borrowed across a wait.
-    fn take_kept(&self, address: SocketAddr) -> Option<HttpLink> {
-        self.pool.borrow_mut().take(address, Instant::now())
+    fn take_kept(&self, target: &TargetLife) -> Option<HttpLink> {
+        self.pool.borrow_mut().take(target, Instant::now())
     }
 
     fn judge(
@@ -258,7 +257,7 @@
         let until = Instant::now() + FREE_WAIT;
         let request = query_request(reader, query);
         let mut lease = LinkLease::new(&self.pool, reader);
-        let link = match self.take_kept(reader.address) {
+        let link = match self.take_kept(&reader.id) {
             Some(link) => Ok(link),
             None => HttpLink::open(reader.address, until).await,
         };
@@ -280,8 +279,15 @@
     /// Notes what came of a send, and logs a target that is avoided from now on.
     pub fn note_result(&self, target: &TargetRecord, result: SendResult) {
         let now = clock::mono_now();
-        if self.health.borrow_mut().note(&target.id, result, now) {
-            log::warn!(target_id = target.id.as_str(), address = target.address.to_string(); "target gives no answers; avoided for a while");
+        let changed = self.health.borrow_mut().note(&target.id, result, now);
+        match changed {
+            Some(HealthChange::Avoided) => {
+                log::warn!(target_id = target.id.as_str(), address = target.address.to_string(); "target gives no answers; avoided for a while");
+            }
+            Some(HealthChange::Proved) => {
+                log::info!(target_id = target.id.as_str(), address = target.address.to_string(); "target answers again");
+            }
+            None => {}
         }
     }
 }
--- a/src/gateway/stage_control.rs
+++ b/src/gateway/stage_control.rs
@@ -24,7 +24,8 @@
 use crate::gateway::port::{EngineOrder, EngineReport, OrderOutcome, TargetQuery};
 use crate::gateway::sending::query_request;
 use crate::gateway::stage_plan::{self, StageWish};
-use crate::names::{FenceNumber, GroupName, MonoTime, ProcessIncarnation, ServiceName, TargetId};
+use crate::gateway::target_life::TargetLife;
+use crate::names::{FenceNumber, GroupName, MonoTime, ProcessIncarnation, ServiceName};
 use crate::ports::{ObjectVersion, PlatformError, StoredObject};
 use crate::timer::TimerService;
 
@@ -71,14 +72,14 @@
     group: GroupName,
     held_since: Option<MonoTime>,
     wanted_since: Option<MonoTime>,
-    changes: IndexMap<TargetId, StageChange>,
+    changes: IndexMap<TargetLife, StageChange>,
     results: mpsc::UnboundedSender<DeskNews>,
 }
 
 enum DeskNews {
     Read(Result<Option<StoredObject>, PlatformError>),
     Written(String, Result<ObjectVersion, PlatformError>),
-    Ordered(TargetId, EngineStage, Result<OrderOutcome, SendFault>),
+    Ordered(TargetLife, EngineStage, Result<OrderOutcome, SendFault>),
 }
 
 /// Runs until the process ends.
@@ -179,7 +180,7 @@
 
     fn note_ordered(
         &mut self,
-        id: &TargetId,
+        id: &TargetLife,
         stage: EngineStage,
         result: &Result<OrderOutcome, SendFault>,
         now: MonoTime,
@@ -224,7 +225,7 @@
             } else {
                 CHANGES_AT_ONCE.saturating_sub(self.changes.len())
             };
-            let running = |id: &TargetId| load.total(id).running;
+            let running = |id: &TargetLife| load.total(id).running;
             wishes.extend(stage_plan::wishes(&after, running, wanted, at_once));
         }
         wishes
@@ -332,6 +333,11 @@
         until: MonoTime,
     ) -> Result<OrderOutcome, SendFault> {
         let report = self.read_report(engine).await?;
+        if report.born.is_some() && report.born != engine.id.born() {
+            // Its entry lags: the life that was to be changed has ended.
+            self.tell_departed(&engine.id);
+            return Err(SendFault::NotSent("the engine started again".to_owned()));
+        }
         if report.stage == Some(stage) {
             return Ok(OrderOutcome::Holds);
         }
--- a/src/gateway/stage_plan.rs
+++ b/src/gateway/stage_plan.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::model::{EngineStage, TargetRecord};
-use crate::names::{CentreName, TargetId};
+use crate::gateway::target_life::TargetLife;
+use crate::names::CentreName;
 
 /// Engines that always stay able to generate: prompts can also be read there, but
 /// nothing can be generated on a prefill engine.
@@ -43,7 +44,7 @@
 #[must_use]
 pub fn wishes(
     engines: &[Arc<TargetRecord>],
-    running: impl Fn(&TargetId) -> u32,
+    running: impl Fn(&TargetLife) -> u32,
     wanted: usize,
     at_once: usize,
 ) -> Vec<StageWish> {
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -10,11 +10,12 @@
 use pistachiowick::gateway::budget::{BudgetRule, RepeatBudget};
 use pistachiowick::gateway::directory::addresses_for;
 use pistachiowick::gateway::event_split::EventSplitter;
-use pistachiowick::gateway::health::{HealthBook, SendResult};
+use pistachiowick::gateway::health::{HealthBook, HealthChange, SendResult};
 use pistachiowick::gateway::load::LoadBook;
 use pistachiowick::gateway::members::DaemonRecord;
 use pistachiowick::gateway::model::PromptPart;
-use pistachiowick::names::{CentreName, DaemonId, MonoTime, ServiceName, TargetId};
+use pistachiowick::gateway::target_life::TargetLife;
+use pistachiowick::names::{CentreName, DaemonId, MonoTime, ServiceName};
 use rstest::rstest;
 
 const RULE: BudgetRule = BudgetRule {
@@ -75,21 +76,24 @@
 // answers with failures may just have a bad kind of request.
 #[test]
 fn silence_in_a_row_leads_to_avoidance_and_an_answer_ends_it() {
-    let target = TargetId::from("a");
+    let target = TargetLife::from("a");
     let mut book = HealthBook::default();
-    assert!(!book.note(&target, SendResult::Silent, MonoTime(0)));
+    let first = book.note(&target, SendResult::Silent, MonoTime(0));
+    assert_eq!(first, None);
     assert!(!book.view(&target, MonoTime(1)).avoided);
-    assert!(book.note(&target, SendResult::Silent, MonoTime(10)));
+    let second = book.note(&target, SendResult::Silent, MonoTime(10));
+    assert_eq!(second, Some(HealthChange::Avoided));
     assert!(book.view(&target, MonoTime(500)).avoided);
     let later = book.view(&target, MonoTime(1_100));
     assert!(!later.avoided && later.unproved);
-    book.note(&target, SendResult::Answered, MonoTime(1_200));
+    let answered = book.note(&target, SendResult::Answered, MonoTime(1_200));
+    assert_eq!(answered, Some(HealthChange::Proved));
     assert!(!book.view(&target, MonoTime(1_201)).unproved);
 }
 
 #[test]
 fn failures_with_answers_raise_the_rate_and_do_not_avoid() {
-    let target = TargetId::from("a");
+    let target = TargetLife::from("a");
     let mut book = HealthBook::default();
     (0..20).for_each(|at| {
         book.note(&target, SendResult::Failed, MonoTime(at));
@@ -101,7 +105,7 @@
 
 #[test]
 fn work_of_silent_daemons_is_left_out() {
-    let target = TargetId::from("a");
+    let target = TargetLife::from("a");
     let mut own = LoadBook::default();
     let mut other = LoadBook::default();
     other.begin(&target, 2, 500);
@@ -137,7 +141,7 @@
 #[case::on_its_way(CacheCase { held: &[("x", 100), ("y", 50)], ready: false, cached: 150, copyable: 0 })]
 #[case::gap_at_the_front(CacheCase { held: &[("y", 50)], ready: true, cached: 0, copyable: 0 })]
 fn only_leading_parts_count(#[case] case: CacheCase) {
-    let engine = TargetId::from("e");
+    let engine = TargetLife::from("e");
     let mut book = CacheBook::default();
     book.set_capacity(10_000);
     let held: Vec<_> = case
@@ -163,7 +167,7 @@
 
 #[test]
 fn the_least_recently_used_part_is_forgotten_first() {
-    let engine = TargetId::from("e");
+    let engine = TargetLife::from("e");
     let mut book = CacheBook::default();
     book.set_capacity(250);
     book.note_held(&engine, &[part("x", 100)], MonoTime(1));
@@ -182,7 +186,7 @@
 
 #[test]
 fn homes_move_only_when_their_engine_goes() {
-    let engines: Vec<TargetId> = (0..12).map(|n| TargetId::from(format!("e{n}"))).collect();
+    let engines: Vec<TargetLife> = (0..12).map(|n| TargetLife::from(format!("e{n}"))).collect();
     let home = |key: u64, without: usize| {
         let left = engines.iter().enumerate().filter(|(at, _)| *at != without);
         left.max_by_key(|(_, id)| home_weight(key, id))
--- a/tests/gateway_engines.rs
+++ b/tests/gateway_engines.rs
@@ -11,7 +11,8 @@
 use pistachiowick::gateway::load::{LoadBook, TargetWork};
 use pistachiowick::gateway::model::{EngineStage, PromptPart, PromptShape, TargetRecord};
 use pistachiowick::gateway::stage_plan::{wanted_readers, wishes};
-use pistachiowick::names::{MonoTime, TargetId};
+use pistachiowick::gateway::target_life::TargetLife;
+use pistachiowick::names::MonoTime;
 use rstest::rstest;
 
 fn state(id: &str, stage: EngineStage) -> EngineState {
@@ -26,11 +27,11 @@
 }
 
 fn healthy() -> HealthView {
-    HealthBook::default().view(&TargetId::from("new"), MonoTime(0))
+    HealthBook::default().view(&TargetLife::from("new"), MonoTime(0))
 }
 
 fn work(running: u32, unread: u32) -> TargetWork {
-    let target = TargetId::from("t");
+    let target = TargetLife::from("t");
     let mut load = LoadBook::default();
     load.begin(&target, 1, unread);
     (1..running).for_each(|_| load.begin(&target, 1, 0));
@@ -226,7 +227,7 @@
 #[test]
 fn changes_are_few_at_once_and_take_idle_engines() {
     let engines = fleet(2, 6);
-    let running = |id: &TargetId| if id.as_str() == "d0" { 9 } else { 0 };
+    let running = |id: &TargetLife| if id.as_str() == "d0" { 9 } else { 0 };
     let wanted = wishes(&engines, running, 5, 2);
     let ids: Vec<&str> = wanted.iter().map(|wish| wish.engine.id.as_str()).collect();
     assert_eq!(ids, ["d1", "d2"]);
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -12,7 +12,8 @@
 use pistachiowick::gateway::peers::wire::{FeedObjects, MemberNote, PeerHint, PeerMessage};
 use pistachiowick::gateway::stage_plan::WorkRate;
 use pistachiowick::gateway::store_follow::Feed;
-use pistachiowick::names::{CentreName, DaemonId, MonoTime, TargetId};
+use pistachiowick::gateway::target_life::TargetLife;
+use pistachiowick::names::{CentreName, DaemonId, MonoTime};
 use rstest::rstest;
 use serde_bytes::ByteBuf;
 
@@ -158,7 +159,7 @@
 
 #[test]
 fn a_member_takes_its_own_work_out_of_the_sum() {
-    let target = TargetId::from("e");
+    let target = TargetLife::from("e");
     let mut own = LoadBook::default();
     own.begin(&target, 1, 300);
     let mut all = LoadBook::default();
--- a/tests/gateway_placing.rs
+++ b/tests/gateway_placing.rs
@@ -5,7 +5,8 @@
 use pistachiowick::gateway::load::LoadBook;
 use pistachiowick::gateway::peers::placing::PlacingDesk;
 use pistachiowick::gateway::peers::wire::{PlaceAnswer, PlaceQuestion, PlacedEngines};
-use pistachiowick::names::{DaemonId, MonoTime, ServiceName, TargetId};
+use pistachiowick::gateway::target_life::TargetLife;
+use pistachiowick::names::{DaemonId, MonoTime, ServiceName};
 use rstest::rstest;
 
 const NOW: MonoTime = MonoTime(10_000);
@@ -32,7 +33,7 @@
 fn engines(writer: &str) -> PlacedEngines {
     PlacedEngines {
         reader: None,
-        writer: TargetId::from(writer),
+        writer: TargetLife::from(writer),
         fetch_from: None,
         rank: 1,
         expected_ms: 100.0,
@@ -61,7 +62,7 @@
 #[case::told_and_read(PromiseCase { told: Some(5), told_tokens: 0, wait_ms: 100, unread: 0 })]
 #[case::member_is_gone(PromiseCase { told: None, told_tokens: 0, wait_ms: 1_000, unread: 0 })]
 fn a_place_counts_once(#[case] case: PromiseCase) {
-    let (member, engine) = (DaemonId::from("member"), TargetId::from("e1"));
+    let (member, engine) = (DaemonId::from("member"), TargetLife::from("e1"));
     let mut load = LoadBook::default();
     load.promise((&member, 4), &engine, (1, 1_000), NOW);
     if let Some(through) = case.told {
@@ -91,7 +92,7 @@
 #[case::newer(LateNoteCase { through: 4, number: 5, unread: 1_500 })]
 #[case::of_the_next_life(LateNoteCase { through: 0, number: 1, unread: 1_500 })]
 fn a_note_after_its_sum_does_not_count_twice(#[case] case: LateNoteCase) {
-    let (hub, engine) = (DaemonId::from("hub"), TargetId::from("e1"));
+    let (hub, engine) = (DaemonId::from("hub"), TargetLife::from("e1"));
     let mut load = LoadBook::default();
     load.settle_promises(&hub, 90);
     load.settle_promises(&hub, case.through);
@@ -125,8 +126,8 @@
     let writer = |placed: Option<PlacedEngines>| placed.map(|p| p.writer);
     let first = first_wait.try_recv().expect("an answer");
     let second = second_wait.try_recv().expect("an answer");
-    assert_eq!(writer(first), Some(TargetId::from("e1")));
-    assert_eq!(writer(second), Some(TargetId::from("e2")));
+    assert_eq!(writer(first), Some(TargetLife::from("e1")));
+    assert_eq!(writer(second), Some(TargetLife::from("e2")));
 }
 
 // The hub stands still. One request waits for it, the others do not.
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -2,10 +2,14 @@
 
 mod gateway_samples;
 
-use gateway_samples::{SERVICE, target};
-use pistachiowick::gateway::model::TargetRecord;
-use pistachiowick::gateway::registry::TargetRegistry;
-use pistachiowick::names::{MonoTime, ServiceName, TargetId};
+use gateway_samples::{SERVICE, config, engine, engine_config, route, target};
+use pistachiowick::gateway::fleet::leave_out_strangers;
+use pistachiowick::gateway::model::{EngineStage, TargetRecord};
+use pistachiowick::gateway::port::WireFault;
+use pistachiowick::gateway::registry::{EntryContent, EntryNews, EntrySource, TargetRegistry};
+use pistachiowick::gateway::routes::RouteTable;
+use pistachiowick::gateway::target_life::TargetLife;
+use pistachiowick::names::{MonoTime, ServiceName, TargetId, UnixTime};
 use rstest::rstest;
 
 enum Step {
@@ -72,28 +76,29 @@
 #[test]
 fn a_departure_noticed_by_an_answer_counts_like_an_announced_one() {
     let mut registry = TargetRegistry::default();
-    registry.set(record("a"), MonoTime(1));
-    registry.depart(&TargetId::from("a"), MonoTime(2));
-    registry.set(record("a"), MonoTime(3));
+    take(&mut registry, named(record("a"), 0), 1);
+    registry.depart(&TargetLife::from("a"), MonoTime(2));
+    take(&mut registry, named(record("a"), 0), 3);
     assert!(left(&registry).is_empty());
-    assert!(registry.has_departed(&TargetId::from("a")));
+    assert!(registry.has_departed(&TargetLife::from("a")));
 }
 
 fn apply(registry: &mut TargetRegistry, step: &Step, now: MonoTime) {
     match step {
-        Set(id) => registry.set(record(id), now),
+        Set(id) => registry.take(named(record(id), 0), EntrySource::Store, now),
         Leaving(id) => {
             let leaving = true;
-            registry.set(
-                TargetRecord {
-                    leaving,
-                    ..record(id)
-                },
-                now,
-            );
+            let record = TargetRecord {
+                leaving,
+                ..record(id)
+            };
+            registry.take(named(record, 0), EntrySource::Store, now);
+        }
+        Removed(id) => registry.take(gone(id, 0), EntrySource::Store, now),
+        Listed(ids) => {
+            let listing = ids.iter().map(|id| named(record(id), 0)).collect();
+            registry.replace(listing, EntrySource::Store, now);
         }
-        Removed(id) => registry.remove(&TargetId::from(*id), now),
-        Listed(ids) => registry.replace(ids.iter().map(|id| record(id)).collect(), now),
         StoreFailed => registry.note_store_failure(now),
         Expire => {
             registry.expire(now);
@@ -101,6 +106,191 @@
     }
 }
 
+struct LifeCase {
+    // What the store or a daemon shows, in order, by revision.
+    news: fn() -> Vec<EntryNews>,
+    // Start of the life that gets work at the end.
+    serving: Option<u64>,
+}
+
+// A server announces that it leaves, ends, and starts again under its name. Its new
+// life is sound and knows nothing of the departure, so it gets work at once; nothing
+// that was said of the old life, however late it is seen, takes that away.
+#[rstest]
+#[case::a_new_life_after_a_departure(LifeCase {
+    news: || vec![life(1, 10), leaving(1, 11), gone("a", 12), life(2, 13)],
+    serving: Some(2),
+})]
+#[case::leaving_stays_leaving_within_a_life(LifeCase {
+    news: || vec![life(1, 10), leaving(1, 11), life(1, 12)],
+    serving: None,
+})]
+#[case::a_new_life_over_a_crashed_one(LifeCase {
+    news: || vec![life(1, 10), life(2, 11)],
+    serving: Some(2),
+})]
+#[case::the_old_entry_seen_late(LifeCase {
+    news: || vec![life(1, 10), life(2, 12), life(1, 10)],
+    serving: Some(2),
+})]
+#[case::the_old_departure_seen_late(LifeCase {
+    news: || vec![life(1, 10), life(2, 12), leaving(1, 11)],
+    serving: Some(2),
+})]
+#[case::the_old_end_seen_late(LifeCase {
+    news: || vec![life(1, 10), life(2, 12), gone("a", 11)],
+    serving: Some(2),
+})]
+#[case::the_new_life_leaves_too(LifeCase {
+    news: || vec![leaving(1, 10), life(2, 11), leaving(2, 12), life(2, 13)],
+    serving: None,
+})]
+#[case::a_clock_that_stepped_back(LifeCase {
+    news: || vec![life(9, 10), leaving(9, 11), life(4, 12)],
+    serving: Some(4),
+})]
+#[case::a_start_that_was_not_told_before(LifeCase {
+    news: || vec![named(record("a"), 10), life(3, 11)],
+    serving: Some(3),
+})]
+fn which_life_gets_work(#[case] case: LifeCase) {
+    let mut registry = TargetRegistry::default();
+    for news in (case.news)() {
+        take(&mut registry, news, 60_000);
+    }
+    let services = registry.by_service();
+    let serving = services.values().flatten().next();
+    let born = serving.and_then(|record| record.id.born());
+    assert_eq!(born.map(|born| born.0), case.serving);
+}
+
+#[test]
+fn a_departure_noticed_late_ends_only_the_life_that_it_is_of() {
+    let mut registry = TargetRegistry::default();
+    take(&mut registry, life(1, 10), 1);
+    take(&mut registry, life(2, 11), 2);
+    registry.depart(&life_of(1), MonoTime(3));
+    assert_eq!(left(&registry), ["a"]);
+    registry.depart(&life_of(2), MonoTime(4));
+    assert!(left(&registry).is_empty());
+}
+
+// Somebody else writes over a target's entry. What it said is not known to hold any
+// more, so it gets nothing until its own writer is back; the others go on.
+#[test]
+fn an_entry_that_turns_unreadable_names_no_target_until_it_is_written_again() {
+    let mut registry = TargetRegistry::default();
+    take(&mut registry, named(record("a"), 10), 1);
+    take(&mut registry, named(record("b"), 11), 1);
+    take(&mut registry, unreadable("a", 12), 2);
+    assert_eq!(left(&registry), ["b"]);
+    take(&mut registry, named(record("a"), 13), 3);
+    assert_eq!(left(&registry), ["a", "b"]);
+}
+
+#[test]
+fn an_unreadable_entry_in_a_listing_costs_only_itself() {
+    let mut registry = TargetRegistry::default();
+    take(&mut registry, named(record("a"), 10), 1);
+    let listing = vec![named(record("b"), 11), unreadable("odd", 12)];
+    registry.replace(listing, EntrySource::Store, MonoTime(2));
+    assert_eq!(left(&registry), ["b"]);
+}
+
+struct StrangerCase {
+    records: fn() -> Vec<TargetRecord>,
+    engines: bool,
+    left: &'static [&'static str],
+}
+
+// Orders and prompts would go to an entry that only looks like an engine's.
+#[rstest]
+#[case::engines(StrangerCase {
+    records: || vec![engine("e1", EngineStage::Decode), target("odd", "127.0.0.1:9")],
+    engines: true,
+    left: &["e1"],
+})]
+#[case::engines_that_tell_no_stage(StrangerCase {
+    records: || vec![target("e1", "127.0.0.1:9")],
+    engines: true,
+    left: &["e1"],
+})]
+#[case::plain_targets(StrangerCase {
+    records: || vec![target("a", "127.0.0.1:9"), target("b", "127.0.0.1:9")],
+    engines: false,
+    left: &["a", "b"],
+})]
+#[case::a_service_that_is_not_configured(StrangerCase {
+    records: || vec![TargetRecord { service: ServiceName::from("odd"), ..record("a") }],
+    engines: false,
+    left: &[],
+})]
+fn which_records_name_targets(#[case] case: StrangerCase) {
+    let mut registry = TargetRegistry::default();
+    for record in (case.records)() {
+        take(&mut registry, named(record, 1), 1);
+    }
+    let routes = vec![route("r", "h", "/")];
+    let routes = if case.engines {
+        engine_config(1, routes)
+    } else {
+        config(1, routes)
+    };
+    let mut targets = registry.by_service();
+    leave_out_strangers(&mut targets, &RouteTable::from(routes));
+    let left: Vec<&str> = targets.values().flatten().map(|r| r.id.as_str()).collect();
+    assert_eq!(left, case.left);
+}
+
+fn take(registry: &mut TargetRegistry, news: EntryNews, at: u64) {
+    registry.take(news, EntrySource::Store, MonoTime(at));
+}
+
+fn named(record: TargetRecord, revision: u64) -> EntryNews {
+    EntryNews {
+        name: record.id.name().clone(),
+        revision,
+        content: EntryContent::Named(record),
+    }
+}
+
+fn gone(name: &str, revision: u64) -> EntryNews {
+    EntryNews {
+        name: TargetId::from(name),
+        revision,
+        content: EntryContent::Gone,
+    }
+}
+
+fn unreadable(name: &str, revision: u64) -> EntryNews {
+    EntryNews {
+        name: TargetId::from(name),
+        revision,
+        content: EntryContent::Unreadable(WireFault::new("state", "asleep", "ready or draining")),
+    }
+}
+
+fn life_of(born: u64) -> TargetLife {
+    TargetLife::new(TargetId::from("a"), Some(UnixTime(born)))
+}
+
+fn life(born: u64, revision: u64) -> EntryNews {
+    let record = TargetRecord {
+        id: life_of(born),
+        ..record("a")
+    };
+    named(record, revision)
+}
+
+fn leaving(born: u64, revision: u64) -> EntryNews {
+    let record = TargetRecord {
+        id: life_of(born),
+        leaving: true,
+        ..record("a")
+    };
+    named(record, revision)
+}
+
 fn record(id: &str) -> TargetRecord {
     target(id, "127.0.0.1:9")
 }
--- a/tests/gateway_samples/mod.rs
+++ b/tests/gateway_samples/mod.rs
@@ -7,7 +7,8 @@
     CallerLimits, EngineLimits, EngineStage, FleetConfig, RepeatRule, RouteRule, ServiceRule,
     ServiceShare, TargetRecord,
 };
-use pistachiowick::names::{CentreName, ServiceName, TargetId};
+use pistachiowick::gateway::target_life::TargetLife;
+use pistachiowick::names::{CentreName, ServiceName};
 
 /// Service of the sample routes.
 pub const SERVICE: &str = "ledger";
@@ -63,7 +64,7 @@
 /// A target of [`SERVICE`] that stays.
 pub fn target(id: &str, address: &str) -> TargetRecord {
     TargetRecord {
-        id: TargetId::from(id),
+        id: TargetLife::from(id),
         service: ServiceName::from(SERVICE),
         address: address.parse().expect("an address"),
         centre: CentreName::from("hall-a"),
