Move what decisions rest on into one part

Cause: health, load, cache beliefs and offered work were four cells of Gateway, written by forwarding, generation, streams, stage control and peers, so no decision could be tried without the process.

Change: src/gateway/deciding/ holds DecisionCore, which takes observations and gives decisions with the time as an argument. No behaviour changes; the tests are those from before with new paths.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -18,13 +18,12 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::clock;
-use crate::gateway::affinity::CacheBook;
 use crate::gateway::budget::RepeatBudget;
 use crate::gateway::control::{self, ControlLink, ControlNews, ControlSetup};
+use crate::gateway::deciding::DecisionCore;
+use crate::gateway::deciding::load::WorkByTarget;
 use crate::gateway::entry::{self, PageKind};
 use crate::gateway::fleet::{FleetCell, FleetView};
-use crate::gateway::health::HealthBook;
-use crate::gateway::load::{LoadBook, WorkByTarget};
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::peers::hub::{FeedJoin, FeedStock, HubBook, RelayedHeld};
 use crate::gateway::peers::placing::{PlacementLog, PlacingDesk};
@@ -36,7 +35,6 @@
 use crate::gateway::stage_control;
 use crate::gateway::store_follow::{StorePulse, WatchDuty};
 use crate::gateway::target_life::TargetLife;
-use crate::gateway::work_meter::WorkMeter;
 use crate::names::DaemonId;
 use crate::ports::ObjectName;
 use crate::telemetry;
@@ -54,12 +52,8 @@
     pub fleet: FleetCell,
     /// Kept connections.
     pub pool: Rc<RefCell<LinkPool>>,
-    /// Which targets answer.
-    pub health: RefCell<HealthBook>,
-    /// Work outstanding.
-    pub load: RefCell<LoadBook>,
-    /// What engines have cached.
-    pub caches: RefCell<CacheBook>,
+    /// What decisions rest on.
+    pub core: RefCell<DecisionCore>,
     /// The other daemons.
     pub peers: RefCell<PeerBook>,
     /// Whom to ask for places on engines.
@@ -90,8 +84,6 @@
     pub life: u64,
     /// Engines that this daemon is changing.
     pub own_changing: RefCell<Vec<TargetLife>>,
-    /// Work offered to engines.
-    pub work: RefCell<WorkMeter>,
     /// Repeats.
     pub budget: RefCell<RepeatBudget>,
     /// Draws.
@@ -113,6 +105,7 @@
 
     /// Puts settings in force.
     pub fn set_settings(&self, settings: GatewaySettings) {
+        self.core.borrow_mut().weights = settings.placement;
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
@@ -181,13 +174,11 @@
         let budget = RepeatBudget::new(settings.budget_rule());
         Self {
             daemon: settings.daemon.clone(),
+            core: RefCell::new(DecisionCore::new(settings.placement)),
             settings: RefCell::new(Rc::new(settings)),
             ports,
             fleet,
             pool: Rc::default(),
-            health: RefCell::default(),
-            load: RefCell::default(),
-            caches: RefCell::default(),
             peers: RefCell::default(),
             placing: RefCell::default(),
             placements: RefCell::default(),
@@ -203,7 +194,6 @@
             pulse: Arc::default(),
             life,
             own_changing: RefCell::default(),
-            work: RefCell::default(),
             budget: RefCell::new(budget),
             rng: RefCell::new(SmallRng::from_os_rng()),
             stopping: Cell::new(false),
@@ -255,17 +245,15 @@
     fn sweep(&self) {
         let now = clock::mono_now();
         self.pool.borrow_mut().sweep(tokio::time::Instant::now());
-        self.load.borrow_mut().expire(now);
         let view = self.view();
-        self.health.borrow_mut().retain(|target| view.holds(target));
-        let mut caches = self.caches.borrow_mut();
-        caches.retain(|target| view.holds(target));
+        let mut core = self.core.borrow_mut();
+        core.sweep(|target| view.holds(target), now);
         let engines = view.routes.iter().flat_map(|routes| routes.services());
         let tokens = engines
             .filter_map(|s| s.engine.as_ref())
             .map(|e| e.cache_tokens);
         if let Some(tokens) = tokens.max() {
-            caches.set_capacity(tokens);
+            core.caches.set_capacity(tokens);
         }
     }
 }
--- a/src/gateway/engine_choice.rs
+++ b/src/gateway/deciding/engine_choice.rs
@@ -11,9 +11,9 @@
 
 use serde::Deserialize;
 
-use crate::gateway::affinity;
-use crate::gateway::health::HealthView;
-use crate::gateway::load::TargetWork;
+use crate::gateway::deciding::affinity;
+use crate::gateway::deciding::health::HealthView;
+use crate::gateway::deciding::load::TargetWork;
 use crate::gateway::model::{EngineStage, PromptShape, TargetRecord};
 
 /// What a request waits for each one beyond an engine's places, in milliseconds.
--- a/src/gateway/work_meter.rs
+++ b/src/gateway/deciding/work_meter.rs
@@ -1,6 +1,6 @@
 //! How much reading and writing the engines are asked for.
 
-use crate::gateway::stage_plan::WorkRate;
+use crate::gateway::deciding::stage_plan::WorkRate;
 use crate::names::MonoTime;
 
 /// Time constant of the mean, in seconds: swings of a few seconds are not worth an
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -16,9 +16,9 @@
 use crate::clock;
 use crate::gateway::client::{self, OutgoingRequest};
 use crate::gateway::daemon::Gateway;
+use crate::gateway::deciding::health::SendResult;
 use crate::gateway::fleet::FleetView;
-use crate::gateway::health::{HealthView, SendResult};
-use crate::gateway::model::{CallerRequest, RouteRule, ServiceRule, TargetRecord};
+use crate::gateway::model::{CallerRequest, PromptShape, RouteRule, ServiceRule, TargetRecord};
 use crate::gateway::port::{SendMode, SendOrder};
 use crate::gateway::reply::{Failure, FailureKind, Reply, strip_connection_headers, whole_reply};
 use crate::gateway::routes::{RouteTable, choose_service};
@@ -68,6 +68,12 @@
         self.route.objective.saturating_sub(waited)
     }
 
+    /// Its prompt; an empty one where it states none.
+    #[must_use]
+    pub fn prompt(&self) -> PromptShape {
+        self.caller.prompt.clone().unwrap_or_default()
+    }
+
     /// Plan of a send whose answer is waited for until `until`.
     #[must_use]
     pub fn plan(&self, until: Instant) -> SendPlan<'_> {
@@ -119,6 +125,11 @@
         self.sent.contains(target) || self.unreached.contains(target)
     }
 
+    /// Targets that were tried.
+    pub fn tried(&self) -> impl Iterator<Item = &TargetLife> {
+        self.sent.iter().chain(&self.unreached)
+    }
+
     /// Whether the route allows one more target.
     #[must_use]
     pub fn may_send(&self, call: &RoutedCall) -> bool {
@@ -143,8 +154,8 @@
 impl WorkGuard {
     /// Counts a request of a rank with `unread_tokens` to read.
     pub fn begin(gateway: &Rc<Gateway>, target: &TargetLife, rank: u8, unread_tokens: u32) -> Self {
-        let mut load = gateway.load.borrow_mut();
-        load.begin(target, rank, unread_tokens);
+        let mut core = gateway.core.borrow_mut();
+        core.load.begin(target, rank, unread_tokens);
         Self {
             gateway: gateway.clone(),
             target: target.clone(),
@@ -155,16 +166,17 @@
 
     /// Notes that the prompt was read.
     pub fn note_read(&mut self) {
-        let mut load = self.gateway.load.borrow_mut();
-        load.note_read(&self.target, self.rank, self.unread_tokens);
+        let mut core = self.gateway.core.borrow_mut();
+        core.load
+            .note_read(&self.target, self.rank, self.unread_tokens);
         self.unread_tokens = 0;
     }
 }
 
 impl Drop for WorkGuard {
     fn drop(&mut self) {
-        let mut load = self.gateway.load.borrow_mut();
-        load.end(&self.target, self.rank, self.unread_tokens);
+        let mut core = self.gateway.core.borrow_mut();
+        core.load.end(&self.target, self.rank, self.unread_tokens);
     }
 }
 
@@ -385,34 +397,16 @@
         trail: &SendTrail,
     ) -> Option<Arc<TargetRecord>> {
         let newest = self.view();
-        let now = clock::mono_now();
-        let health = self.health.borrow();
-        let load = self.load.borrow();
         let mut rng = self.rng.borrow_mut();
         let untried = view
             .of_service(service)
             .iter()
             .filter(|t| !trail.has(&t.id) && newest.holds(&t.id));
-        let scored = untried.map(|target| {
-            let view = health.view(&target.id, now);
-            let running = load.total(&target.id).running;
-            let tie = rng.random::<f64>() * 0.3;
-            (plain_cost(running, target.slots, view) + tie, target)
-        });
-        let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
-        best.map(|(_, target)| target.clone())
+        let core = self.core.borrow();
+        core.plain_target(untried, || rng.random(), clock::mono_now())
     }
 }
 
-// Cost of one more request: the share of busy places, worse for targets that fail.
-fn plain_cost(running: u32, slots: u32, health: HealthView) -> f64 {
-    let filled = f64::from(running) / f64::from(slots.max(1));
-    let failing = 4.0 * health.failure_rate;
-    let away = if health.avoided { 100.0 } else { 0.0 };
-    let unproved = if health.unproved { 1.0 } else { 0.0 };
-    filled + failing + away + unproved
-}
-
 fn plain_order(target: &TargetRecord, call: &RoutedCall) -> SendOrder {
     SendOrder {
         target: target.id.clone(),
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -9,10 +9,11 @@
 use crate::clock;
 use crate::gateway::client;
 use crate::gateway::daemon::Gateway;
-use crate::gateway::engine_choice::{self, EnginePlace, EngineState};
+use crate::gateway::deciding::engine_choice::EnginePlace;
+use crate::gateway::deciding::health::SendResult;
+use crate::gateway::deciding::{EngineChoices, PlaceOrder};
 use crate::gateway::forward::{RoutedCall, SendTrail, WorkGuard, lost};
-use crate::gateway::health::SendResult;
-use crate::gateway::model::{PromptPart, PromptShape, TargetRecord};
+use crate::gateway::model::TargetRecord;
 use crate::gateway::port::{CacheHandle, SendMode, SendOrder};
 use crate::gateway::reply::{Failure, Reply, stream_reply, whole_reply};
 use crate::gateway::sending::{SendOutcome, TargetAnswer};
@@ -25,8 +26,6 @@
 const MOST_READ_ANSWER: usize = 64 * 1024;
 /// Largest failure of an engine that is passed on, in bytes.
 const MOST_FAILURE_BYTES: usize = 1 << 20;
-/// Added to the rank of a request that can no longer be in time.
-const LATE_RANKS: u8 = 5;
 /// Shortest time after which callers give up a stream without a first event, as the
 /// users state it; so are the two below.
 const SHORTEST_PATIENCE: Duration = Duration::from_secs(2);
@@ -91,32 +90,27 @@
         if place.reader.is_none() || !was_read {
             return place;
         }
-        let engines = self.call_states(call, |id| !trail.has(id));
-        let prompt = call.caller.prompt.clone().unwrap_or_default();
-        let writer = engine_choice::choose_writer(
-            &self.settings().placement,
-            &engines,
-            &prompt,
-            call.route.urgency,
-        );
+        let (prompt, urgency) = (call.prompt(), call.route.urgency);
+        let writer = self.with_choices(call, trail, |choices| {
+            let core = self.core.borrow();
+            core.writer(&choices, &prompt, urgency, clock::mono_now())
+        });
         place.writer = writer.unwrap_or(place.writer);
         place
     }
 
     fn note_placed(&self, call: &RoutedCall, place: &EnginePlace) {
+        let now = clock::mono_now();
         let written = call.caller.prompt.as_ref().map_or(0, |p| p.output_tokens);
-        let mut work = self.work.borrow_mut();
-        work.note(place.unread_tokens, written, clock::mono_now());
-        drop(work);
+        let mut core = self.core.borrow_mut();
+        core.work.note(place.unread_tokens, written, now);
         let reader = place.reader.as_ref().unwrap_or(&place.writer);
         if let Some(prompt) = &call.caller.prompt {
-            let mut caches = self.caches.borrow_mut();
-            caches.note_coming(&reader.id, &prompt.parts, clock::mono_now());
+            core.note_parts(&reader.id, &prompt.parts, false, now);
             let mut peers = self.peers.borrow_mut();
             peers.note_held(&reader.id, &prompt.parts, false);
         }
-        let load = self.load.borrow();
-        let reader = place.reader.as_ref().unwrap_or(&place.writer);
+        let load = &core.load;
         let prompt = call.caller.prompt.as_ref();
         log::info!(
             request = call.caller.id.as_str(),
@@ -329,15 +323,14 @@
     }
 
     fn another_reader(&self, call: &RoutedCall, tried: &[TargetLife]) -> Option<Arc<TargetRecord>> {
-        let engines = self.call_states(call, |id| !tried.contains(id));
-        let prompt = call.caller.prompt.clone().unwrap_or_default();
-        engine_choice::choose(
-            &self.settings().placement,
-            &engines,
-            &prompt,
-            call.route.urgency,
-        )?
-        .reader
+        let choices = EngineChoices {
+            engines: &self.staying(call.view.of_service(&call.service.name)),
+            changing: &self.changing(),
+            excluded: tried,
+        };
+        let (prompt, urgency) = (call.prompt(), call.route.urgency);
+        let core = self.core.borrow();
+        core.another_reader(&choices, &prompt, urgency, clock::mono_now())
     }
 
     async fn read_prompt(
@@ -366,8 +359,8 @@
         if let Reading::Kept(_) = reading {
             self.note_held(call, reader);
             let taken = sent.elapsed().as_secs_f64() * 1_000.0;
-            let mut health = self.health.borrow_mut();
-            health.note_time(&reader.id, taken, place.expected_ms);
+            let mut core = self.core.borrow_mut();
+            core.health.note_time(&reader.id, taken, place.expected_ms);
         }
         reading
     }
@@ -417,8 +410,8 @@
         let Some(prompt) = &call.caller.prompt else {
             return;
         };
-        let mut caches = self.caches.borrow_mut();
-        caches.note_held(&engine.id, &prompt.parts, clock::mono_now());
+        let mut core = self.core.borrow_mut();
+        core.note_parts(&engine.id, &prompt.parts, true, clock::mono_now());
         let mut peers = self.peers.borrow_mut();
         peers.note_held(&engine.id, &prompt.parts, true);
     }
@@ -426,87 +419,50 @@
     /// Chooses the engines of a request among those that its trail leaves.
     #[must_use]
     pub fn place(&self, call: &RoutedCall, trail: &SendTrail) -> Option<EnginePlace> {
-        let order = PlaceOrder {
-            engines: call.view.of_service(&call.service.name),
-            prompt: call.caller.prompt.clone().unwrap_or_default(),
-            urgency: call.route.urgency,
-            objective_left: call.objective_left(),
-        };
-        self.place_order(&order, |id| !trail.has(id))
+        let prompt = call.prompt();
+        self.with_choices(call, trail, |choices| {
+            let order = PlaceOrder {
+                choices,
+                prompt: &prompt,
+                urgency: call.route.urgency,
+                objective_left: call.objective_left(),
+            };
+            self.core.borrow().place(&order, clock::mono_now())
+        })
     }
 
-    /// Chooses engines among those for which `fits`.
+    /// Engines that are being changed, by this daemon or another one.
     #[must_use]
-    pub fn place_order(
-        &self,
-        order: &PlaceOrder<'_>,
-        fits: impl Fn(&TargetLife) -> bool,
-    ) -> Option<EnginePlace> {
-        let engines = self.engine_states(order.engines, &order.prompt.parts, fits);
-        let settings = self.settings();
-        let weights = &settings.placement;
-        let in_time = engine_choice::choose(weights, &engines, &order.prompt, order.urgency)?;
-        // What waits too long to be in time gives way to what can still be. A prompt
-        // that is late by its own length does not: the largest would never be read.
-        let waiting_ms = in_time.expected_ms - in_time.own_ms;
-        if waiting_ms <= order.objective_left.as_secs_f64() * 1_000.0 {
-            return Some(in_time);
-        }
-        let rank = order.urgency.saturating_add(LATE_RANKS).min(9);
-        engine_choice::choose(weights, &engines, &order.prompt, rank)
+    pub fn changing(&self) -> Vec<TargetLife> {
+        let peers = self.peers.borrow();
+        let own = self.own_changing.borrow();
+        let all = peers.changing(clock::mono_now()).chain(own.iter());
+        all.cloned().collect()
     }
 
-    fn engine_states(
-        &self,
-        engines: &[Arc<TargetRecord>],
-        parts: &[PromptPart],
-        fits: impl Fn(&TargetLife) -> bool,
-    ) -> Vec<EngineState> {
+    /// Engines of a list that still may get work.
+    #[must_use]
+    pub fn staying(&self, engines: &[Arc<TargetRecord>]) -> Vec<Arc<TargetRecord>> {
         let newest = self.view();
-        let now = clock::mono_now();
-        let (health, load, caches) = (
-            self.health.borrow(),
-            self.load.borrow(),
-            self.caches.borrow(),
-        );
         let staying = engines.iter().filter(|engine| newest.holds(&engine.id));
-        let peers = self.peers.borrow();
-        let own_changing = self.own_changing.borrow();
-        let changing: Vec<&TargetLife> = peers.changing(now).chain(own_changing.iter()).collect();
-        let states = staying.map(|engine| EngineState {
-            record: engine.clone(),
-            held_tokens: caches.cached_tokens(&engine.id, parts, now),
-            ready_tokens: caches.ready_tokens(&engine.id, parts, now),
-            work: load.total(&engine.id),
-            health: health.view(&engine.id, now),
-            may_get_work: fits(&engine.id) && !changing.contains(&&engine.id),
-        });
-        states.collect()
+        staying.cloned().collect()
     }
 
-    fn call_states(
+    fn with_choices<T>(
         &self,
         call: &RoutedCall,
-        fits: impl Fn(&TargetLife) -> bool,
-    ) -> Vec<EngineState> {
-        let engines = call.view.of_service(&call.service.name);
-        let parts = call.caller.prompt.as_ref().map_or(&[][..], |p| &p.parts);
-        self.engine_states(engines, parts, fits)
+        trail: &SendTrail,
+        decide: impl FnOnce(EngineChoices<'_>) -> T,
+    ) -> T {
+        let excluded: Vec<TargetLife> = trail.tried().cloned().collect();
+        decide(EngineChoices {
+            engines: &self.staying(call.view.of_service(&call.service.name)),
+            changing: &self.changing(),
+            excluded: &excluded,
+        })
     }
 }
 
-/// A request as the choice of its engines sees it.
-pub struct PlaceOrder<'a> {
-    /// Engines of its service.
-    pub engines: &'a [Arc<TargetRecord>],
-    /// Its prompt.
-    pub prompt: PromptShape,
-    /// Rank of its route; 0 is the most urgent.
-    pub urgency: u8,
-    /// Time left for an answer of full worth.
-    pub objective_left: Duration,
-}
-
 // A caller of a stream gives up when the first event does not come. Work for it
 // would be in vain and hold up others; told at once, it may come back in time.
 fn too_late(call: &RoutedCall, place: &EnginePlace) -> Option<Failure> {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,22 +8,19 @@
 //! One thread carries traffic; the control thread (`control`) follows the object
 //! store and publishes a [`fleet::FleetView`], which traffic reads without waiting.
 
-pub mod affinity;
 pub mod budget;
 pub mod client;
 pub mod control;
 pub mod daemon;
+pub mod deciding;
 pub mod directory;
-pub mod engine_choice;
 pub mod entry;
 pub mod event_split;
 pub mod fleet;
 pub mod forward;
 pub mod generate;
 pub mod head_clock;
-pub mod health;
 pub mod journal;
-pub mod load;
 pub mod members;
 pub mod model;
 pub mod peers;
@@ -36,8 +33,6 @@
 pub mod sending;
 pub mod settings;
 pub mod stage_control;
-pub mod stage_plan;
 pub mod store_follow;
 pub mod stream;
 pub mod target_life;
-pub mod work_meter;
--- a/src/gateway/peers/book.rs
+++ b/src/gateway/peers/book.rs
@@ -4,10 +4,10 @@
 
 use indexmap::IndexMap;
 
+use crate::gateway::deciding::stage_plan::WorkRate;
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::model::PromptPart;
 use crate::gateway::peers::wire::{HeldNote, MemberNote, PeerHint};
-use crate::gateway::stage_plan::WorkRate;
 use crate::gateway::target_life::TargetLife;
 use crate::names::{DaemonId, MonoTime};
 
--- a/src/gateway/peers/hub.rs
+++ b/src/gateway/peers/hub.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::gateway::load::WorkByTarget;
+use crate::gateway::deciding::load::WorkByTarget;
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::peers::book::PeerBook;
 use crate::gateway::peers::wire::{FeedObjects, HeldNote, MemberNote, PeerHint};
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -33,14 +33,14 @@
 use crate::clock;
 use crate::gateway::control::ControlNews;
 use crate::gateway::daemon::Gateway;
-use crate::gateway::load::WorkByTarget;
+use crate::gateway::deciding::load::WorkByTarget;
+use crate::gateway::deciding::stage_plan::WorkRate;
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::model::PromptPart;
 use crate::gateway::peers::hub::{LinkKind, PeerRole};
 use crate::gateway::peers::wire::{
     FeedObjects, HeldNote, PeerHint, PeerMessage, PeerSummary, StockAnswer, StockQuestion,
 };
-use crate::gateway::stage_plan::WorkRate;
 use crate::gateway::store_follow::WatchDuty;
 use crate::gateway::target_life::TargetLife;
 use crate::names::{DaemonId, MonoTime};
@@ -265,7 +265,7 @@
     #[must_use]
     pub fn work_rate(&self) -> WorkRate {
         let now = clock::mono_now();
-        let own = self.work.borrow_mut().rate(now);
+        let own = self.core.borrow_mut().work.rate(now);
         let others = self.peers.borrow().work_rate(now);
         WorkRate {
             read_tokens: own.read_tokens + others.read_tokens,
@@ -291,8 +291,9 @@
 
     fn hint(&self) -> PeerHint {
         let view = self.view();
-        let load = self.load.borrow();
-        let work = load.own().iter().map(|(id, work)| (id.clone(), *work));
+        let mut core = self.core.borrow_mut();
+        let rate = core.work.rate(clock::mono_now());
+        let work = core.load.own().iter().map(|(id, work)| (id.clone(), *work));
         let mut peers = self.peers.borrow_mut();
         PeerHint {
             from: self.daemon.clone(),
@@ -303,7 +304,7 @@
             held: peers.take_held(),
             departed: view.departed.clone(),
             changing: self.own_changing.borrow().clone(),
-            rate: self.work.borrow_mut().rate(clock::mono_now()),
+            rate,
             placed_through: self.placing.borrow().taken_through(),
         }
     }
@@ -347,7 +348,7 @@
         let counts = |id: &DaemonId| whole || direct.contains(&id);
         // What is placed from now on is told after this.
         let placed_through = self.tell_placements();
-        let work = self.load.borrow().summed(counts);
+        let work = self.core.borrow().load.summed(counts);
         PeerSummary {
             from: hint.from.clone(),
             life: hint.life,
@@ -449,14 +450,14 @@
         self.relayed_held.borrow_mut().keep_member(&hint.held);
         self.take_departed(&hint.departed);
         let work = hint.work.into_iter().collect();
-        let mut load = self.load.borrow_mut();
+        let load = &mut self.core.borrow_mut().load;
         load.settle_promises(&hint.from, hint.placed_through);
         load.set_other(hint.from, work, now);
     }
 
     fn take_held_notes(&self, notes: &[HeldNote]) {
         let now = clock::mono_now();
-        let mut caches = self.caches.borrow_mut();
+        let mut core = self.core.borrow_mut();
         for note in notes {
             let parts: Vec<PromptPart> = note
                 .parts
@@ -466,11 +467,7 @@
                     tokens: *tokens,
                 })
                 .collect();
-            if note.ready {
-                caches.note_held(&note.engine, &parts, now);
-            } else {
-                caches.note_coming(&note.engine, &parts, now);
-            }
+            core.note_parts(&note.engine, &parts, note.ready, now);
         }
     }
 
@@ -519,7 +516,7 @@
         if summary.whole {
             hub::subtract(&mut work, &self.last_hint_work.borrow());
         }
-        let mut load = self.load.borrow_mut();
+        let load = &mut self.core.borrow_mut().load;
         if !summary.whole {
             load.settle_promises(&summary.from, summary.placed_through);
         }
--- a/src/gateway/peers/placing.rs
+++ b/src/gateway/peers/placing.rs
@@ -17,9 +17,9 @@
 
 use crate::clock;
 use crate::gateway::daemon::Gateway;
-use crate::gateway::engine_choice::EnginePlace;
+use crate::gateway::deciding::engine_choice::EnginePlace;
+use crate::gateway::deciding::{EngineChoices, PlaceOrder};
 use crate::gateway::forward::{RoutedCall, SendTrail};
-use crate::gateway::generate::PlaceOrder;
 use crate::gateway::model::{PromptPart, PromptShape, TargetRecord};
 use crate::gateway::peers::wire::{
     PeerMessage, PlaceAnswer, PlaceQuestion, PlacedEngines, PlacementNote, PlacementNotes,
@@ -196,9 +196,9 @@
     fn question(&self, call: &RoutedCall, trail: &SendTrail) -> PlaceQuestion {
         let prompt = call.caller.prompt.clone().unwrap_or_default();
         let now = clock::mono_now();
-        let health = self.health.borrow();
+        let core = self.core.borrow();
         let engines = call.view.of_service(&call.service.name).iter();
-        let avoided = engines.filter(|e| trail.has(&e.id) || health.view(&e.id, now).avoided);
+        let avoided = engines.filter(|e| trail.has(&e.id) || core.health.view(&e.id, now).avoided);
         PlaceQuestion {
             from: self.daemon.clone(),
             life: self.life,
@@ -245,21 +245,26 @@
         if !view.daemons.iter().any(|d| (&d.id, d.life) == asker) {
             return;
         }
+        let prompt = PromptShape {
+            model: String::new(),
+            prompt_tokens: question.prompt_tokens,
+            output_tokens: question.output_tokens,
+            parts: parts_of(&question.parts),
+        };
         let order = PlaceOrder {
-            engines: view.of_service(&question.service),
-            prompt: PromptShape {
-                model: String::new(),
-                prompt_tokens: question.prompt_tokens,
-                output_tokens: question.output_tokens,
-                parts: parts_of(&question.parts),
+            choices: EngineChoices {
+                engines: view.of_service(&question.service),
+                changing: &self.changing(),
+                excluded: &question.avoided,
             },
+            prompt: &prompt,
             urgency: question.urgency,
             objective_left: Duration::from_millis(u64::from(question.objective_left_ms)),
         };
-        let place = self.place_order(&order, |id| !question.avoided.contains(id));
+        let place = self.core.borrow().place(&order, clock::mono_now());
         if let Some(place) = &place {
-            self.count_place(question, &order.prompt, place);
-            self.note_placement(&order.prompt, place);
+            self.count_place(question, &prompt, place);
+            self.note_placement(&prompt, place);
         }
         let answer = PeerMessage::Placed(PlaceAnswer {
             number: question.number,
@@ -311,15 +316,15 @@
             return;
         }
         let now = clock::mono_now();
-        let mut load = self.load.borrow_mut();
-        let mut caches = self.caches.borrow_mut();
+        let mut core = self.core.borrow_mut();
         let numbered = (&notes.from, notes.number);
         for note in &notes.placed {
-            load.promise(numbered, &note.reader, (note.rank, note.unread_tokens), now);
+            core.load
+                .promise(numbered, &note.reader, (note.rank, note.unread_tokens), now);
             if let Some(writer) = &note.writer {
-                load.promise(numbered, writer, (note.rank, 0), now);
+                core.load.promise(numbered, writer, (note.rank, 0), now);
             }
-            caches.note_coming(&note.reader, &parts_of(&note.parts), now);
+            core.note_parts(&note.reader, &parts_of(&note.parts), false, now);
         }
     }
 
@@ -327,14 +332,15 @@
     fn count_place(&self, question: &PlaceQuestion, prompt: &PromptShape, place: &EnginePlace) {
         let now = clock::mono_now();
         let reader = place.reader.as_ref().unwrap_or(&place.writer);
-        let mut load = self.load.borrow_mut();
+        let mut core = self.core.borrow_mut();
         let asker = (&question.from, question.number);
-        load.promise(asker, &reader.id, (place.rank, place.unread_tokens), now);
+        core.load
+            .promise(asker, &reader.id, (place.rank, place.unread_tokens), now);
         if place.reader.is_some() {
-            load.promise(asker, &place.writer.id, (place.rank, 0), now);
+            core.load
+                .promise(asker, &place.writer.id, (place.rank, 0), now);
         }
-        let mut caches = self.caches.borrow_mut();
-        caches.note_coming(&reader.id, &prompt.parts, now);
+        core.note_parts(&reader.id, &prompt.parts, false, now);
     }
 
     /// Hands an answer to the request that waits for it.
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -4,8 +4,8 @@
 use serde_bytes::ByteBuf;
 use tokio_tungstenite::tungstenite::Message;
 
-use crate::gateway::load::TargetWork;
-use crate::gateway::stage_plan::WorkRate;
+use crate::gateway::deciding::load::TargetWork;
+use crate::gateway::deciding::stage_plan::WorkRate;
 use crate::gateway::store_follow::Feed;
 use crate::gateway::target_life::TargetLife;
 use crate::names::{DaemonId, ServiceName};
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -11,7 +11,7 @@
 use crate::clock;
 use crate::gateway::client::{self, HttpLink, OutgoingRequest, SendFault};
 use crate::gateway::daemon::Gateway;
-use crate::gateway::health::{HealthChange, SendResult};
+use crate::gateway::deciding::health::{HealthChange, SendResult};
 use crate::gateway::model::TargetRecord;
 use crate::gateway::pool::LinkPool;
 use crate::gateway::port::{SendMode, SendOrder, TargetQuery};
@@ -279,7 +279,7 @@
     /// Notes what came of a send, and logs a target that is avoided from now on.
     pub fn note_result(&self, target: &TargetRecord, result: SendResult) {
         let now = clock::mono_now();
-        let changed = self.health.borrow_mut().note(&target.id, result, now);
+        let changed = self.core.borrow_mut().note_result(&target.id, result, now);
         match changed {
             Some(HealthChange::Avoided) => {
                 log::warn!(target_id = target.id.as_str(), address = target.address.to_string(); "target gives no answers; avoided for a while");
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 use crate::gateway::budget::BudgetRule;
-use crate::gateway::engine_choice::PlacementWeights;
+use crate::gateway::deciding::engine_choice::PlacementWeights;
 use crate::names::{CentreName, DaemonId};
 
 /// Settings that cannot be used.
--- a/src/gateway/stage_control.rs
+++ b/src/gateway/stage_control.rs
@@ -20,10 +20,10 @@
 use crate::clock;
 use crate::gateway::client::{self, HttpLink, SendFault};
 use crate::gateway::daemon::Gateway;
+use crate::gateway::deciding::stage_plan::{self, StageWish};
 use crate::gateway::model::{EngineStage, TargetRecord};
 use crate::gateway::port::{EngineOrder, EngineReport, OrderOutcome, TargetQuery};
 use crate::gateway::sending::query_request;
-use crate::gateway::stage_plan::{self, StageWish};
 use crate::gateway::target_life::TargetLife;
 use crate::names::{FenceNumber, GroupName, MonoTime, ProcessIncarnation, ServiceName};
 use crate::ports::{ObjectVersion, PlatformError, StoredObject};
@@ -215,17 +215,18 @@
     fn wishes(&self) -> Vec<StageWish> {
         let mut wishes = Vec::new();
         let share = self.gateway.settings().prefill_share;
-        let load = self.gateway.load.borrow();
+        let idle = self.gateway.is_idle();
+        let core = self.gateway.core.borrow();
         for (_, engines) in self.engines() {
             let after: Vec<Arc<TargetRecord>> =
                 engines.iter().map(|e| self.as_changed(e)).collect();
             let wanted = stage_plan::wanted_readers(engines.len(), share);
-            let at_once = if self.gateway.is_idle() {
+            let at_once = if idle {
                 engines.len()
             } else {
                 CHANGES_AT_ONCE.saturating_sub(self.changes.len())
             };
-            let running = |id: &TargetLife| load.total(id).running;
+            let running = |id: &TargetLife| core.load.total(id).running;
             wishes.extend(stage_plan::wishes(&after, running, wanted, at_once));
         }
         wishes
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -12,9 +12,9 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::gateway::daemon::Gateway;
+use crate::gateway::deciding::health::SendResult;
 use crate::gateway::event_split::EventSplitter;
 use crate::gateway::forward::{RoutedCall, SendTrail, WorkGuard};
-use crate::gateway::health::SendResult;
 use crate::gateway::model::{RepeatRule, TargetRecord};
 use crate::gateway::port::SendMode;
 use crate::gateway::reply::{AnswerCut, FrameStream};
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -4,14 +4,14 @@
 
 use std::time::Duration;
 
-use pistachiowick::gateway::affinity::{
+use pistachiowick::gateway::budget::{BudgetRule, RepeatBudget};
+use pistachiowick::gateway::deciding::affinity::{
     CacheBook, home_weight, part_key, shared_key, shared_tokens,
 };
-use pistachiowick::gateway::budget::{BudgetRule, RepeatBudget};
+use pistachiowick::gateway::deciding::health::{HealthBook, HealthChange, SendResult};
+use pistachiowick::gateway::deciding::load::LoadBook;
 use pistachiowick::gateway::directory::addresses_for;
 use pistachiowick::gateway::event_split::EventSplitter;
-use pistachiowick::gateway::health::{HealthBook, HealthChange, SendResult};
-use pistachiowick::gateway::load::LoadBook;
 use pistachiowick::gateway::members::DaemonRecord;
 use pistachiowick::gateway::model::PromptPart;
 use pistachiowick::gateway::target_life::TargetLife;
--- a/tests/gateway_engines.rs
+++ b/tests/gateway_engines.rs
@@ -5,12 +5,14 @@
 use std::sync::Arc;
 
 use gateway_samples::engine;
-use pistachiowick::gateway::affinity::part_key;
-use pistachiowick::gateway::engine_choice::{EngineState, PlacementWeights, choose, choose_writer};
-use pistachiowick::gateway::health::{HealthBook, HealthView};
-use pistachiowick::gateway::load::{LoadBook, TargetWork};
+use pistachiowick::gateway::deciding::affinity::part_key;
+use pistachiowick::gateway::deciding::engine_choice::{
+    EngineState, PlacementWeights, choose, choose_writer,
+};
+use pistachiowick::gateway::deciding::health::{HealthBook, HealthView};
+use pistachiowick::gateway::deciding::load::{LoadBook, TargetWork};
+use pistachiowick::gateway::deciding::stage_plan::{wanted_readers, wishes};
 use pistachiowick::gateway::model::{EngineStage, PromptPart, PromptShape, TargetRecord};
-use pistachiowick::gateway::stage_plan::{wanted_readers, wishes};
 use pistachiowick::gateway::target_life::TargetLife;
 use pistachiowick::names::MonoTime;
 use rstest::rstest;
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -3,14 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use pistachiowick::gateway::load::LoadBook;
+use pistachiowick::gateway::deciding::load::LoadBook;
+use pistachiowick::gateway::deciding::stage_plan::WorkRate;
 use pistachiowick::gateway::members::DaemonRecord;
 use pistachiowick::gateway::peers::PeerBook;
 use pistachiowick::gateway::peers::hub::{
     FeedJoin, FeedStock, HubBook, LinkKind, PeerRole, subtract,
 };
 use pistachiowick::gateway::peers::wire::{FeedObjects, MemberNote, PeerHint, PeerMessage};
-use pistachiowick::gateway::stage_plan::WorkRate;
 use pistachiowick::gateway::store_follow::Feed;
 use pistachiowick::gateway::target_life::TargetLife;
 use pistachiowick::names::{CentreName, DaemonId, MonoTime};
--- a/tests/gateway_placing.rs
+++ b/tests/gateway_placing.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pistachiowick::gateway::load::LoadBook;
+use pistachiowick::gateway::deciding::load::LoadBook;
 use pistachiowick::gateway::peers::placing::PlacingDesk;
 use pistachiowick::gateway::peers::wire::{PlaceAnswer, PlaceQuestion, PlacedEngines};
 use pistachiowick::gateway::target_life::TargetLife;
