An engine that does other work now has not left

A request that had arrived before the engine turned from decode to prefill was sent to it afterwards by the record of its arrival. The engine refused with 421, which was taken for another target at its address; all daemons were told that it had left, and kept that for two minutes.

Ruled out: chance of caches and of processor time (placements differ by that engine from the fourth second on); the plan of stages, whose third order followed from the loss.

Change: a refusal by the target meant is an outcome of its own and no departure; choices go by an engine's newest record, not by the one at a request's arrival.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -47,8 +47,14 @@
     /// Whether a target may still get work.
     #[must_use]
     pub fn holds(&self, target: &TargetLife) -> bool {
+        self.find(target).is_some()
+    }
+
+    /// Returns the newest record of a target that may still get work.
+    #[must_use]
+    pub fn find(&self, target: &TargetLife) -> Option<&Arc<TargetRecord>> {
         let mut all = self.targets.values().flatten();
-        all.any(|record| record.id == *target)
+        all.find(|record| record.id == *target)
     }
 }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -360,6 +360,9 @@
             SendOutcome::WrongTarget => {
                 return PlainEnd::Astray(format!("{} left its address", target.id));
             }
+            SendOutcome::WrongWork => {
+                return PlainEnd::Astray(format!("{} does other work now", target.id));
+            }
             SendOutcome::NotSent(reason) => return PlainEnd::NotSent(reason),
             SendOutcome::Unclear(reason) => return PlainEnd::Unclear(reason),
         };
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -185,9 +185,9 @@
                 trail.unreached.push(writer.id.clone());
                 return Started::Again(Failure::refused(reason, ENGINE_BUSY_WAIT));
             }
-            SendOutcome::WrongTarget => {
+            SendOutcome::WrongTarget | SendOutcome::WrongWork => {
                 trail.unreached.push(writer.id.clone());
-                let reason = "the engine left its address";
+                let reason = "the engine left its address or does other work now";
                 let failure = Failure::refused(reason, ENGINE_BUSY_WAIT);
                 // The next send is a repeat, as this one arrived somewhere.
                 return if self.may_repeat(call) {
@@ -407,8 +407,9 @@
         let answer = match outcome {
             SendOutcome::Answered(answer) => answer,
             SendOutcome::NotSent(_) => return Reading::NotSent,
-            SendOutcome::WrongTarget => {
-                return Reading::Failed(format!("{} left its address", reader.id));
+            SendOutcome::WrongTarget | SendOutcome::WrongWork => {
+                let reason = "left its address or does other work now";
+                return Reading::Failed(format!("{} {reason}", reader.id));
             }
             SendOutcome::Refused(reason) | SendOutcome::Unclear(reason) => {
                 return Reading::Failed(reason);
@@ -473,11 +474,12 @@
         all.cloned().collect()
     }
 
-    /// Engines of a list that still may get work.
+    /// Engines of a list that still may get work, as they are now: an engine may have
+    /// changed its stage since a request arrived.
     #[must_use]
     pub fn staying(&self, engines: &[Arc<TargetRecord>]) -> Vec<Arc<TargetRecord>> {
         let newest = self.view();
-        let staying = engines.iter().filter(|engine| newest.holds(&engine.id));
+        let staying = engines.iter().filter_map(|engine| newest.find(&engine.id));
         staying.cloned().collect()
     }
 
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -11,7 +11,7 @@
 
 use crate::gateway::model::{CallerRequest, EngineStage, FleetConfig, TargetRecord};
 use crate::gateway::target_life::TargetLife;
-use crate::names::{CentreName, DaemonId, FenceNumber, UnixTime};
+use crate::names::{CentreName, DaemonId, FenceNumber, TargetId, UnixTime};
 use crate::ports::{ObjectName, ObjectVersion, PlatformError, PlatformPort, PortCall};
 
 /// Something on the wire that cannot be read.
@@ -83,8 +83,11 @@
     pub request_id: Option<String>,
     /// The target states that it has not run the request.
     pub not_run: bool,
-    /// Another target answered at the address.
-    pub wrong_target: bool,
+    /// The request went astray: the target that answered is another one than was meant,
+    /// or does other work now. It has not run it.
+    pub misdirected: bool,
+    /// Name of the target that answered, where it says so.
+    pub answered_by: Option<TargetId>,
     /// The answer bears the target's signature.
     pub signed: bool,
 }
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -41,6 +41,8 @@
     Refused(String),
     /// Another target answered at the address and did not run the request.
     WrongTarget,
+    /// The target meant does other work now and did not run the request.
+    WrongWork,
     /// No byte left.
     NotSent(String),
     /// It may have run.
@@ -55,6 +57,7 @@
             Self::Answered(_) => "answered",
             Self::Refused(_) => "refused",
             Self::WrongTarget => "wrong_target",
+            Self::WrongWork => "wrong_work",
             Self::NotSent(_) => "not_sent",
             Self::Unclear(_) => "unclear",
         }
@@ -223,8 +226,15 @@
         if foreign.is_some_and(|answered| answered != request_id) {
             return SendOutcome::Unclear(format!("{} answered another request", target.id));
         }
-        if marks.wrong_target {
-            return SendOutcome::WrongTarget;
+        if marks.misdirected {
+            // An engine that changed its stage refuses in the same way as another target
+            // at its address. It has not left: taking it for gone kept it idle for minutes.
+            let by_other = marks.answered_by.is_some_and(|by| by != *target.id.name());
+            return if by_other {
+                SendOutcome::WrongTarget
+            } else {
+                SendOutcome::WrongWork
+            };
         }
         if marks.not_run {
             // The short body of a refusal is not awaited; the connection goes with it.
@@ -241,7 +251,8 @@
     fn note_outcome(&self, target: &TargetRecord, outcome: &SendOutcome) {
         let result = match outcome {
             // Whether the answer is whole is known at its end only.
-            SendOutcome::Answered(_) => return,
+            // Nor does an engine fail that was asked for what it does no more.
+            SendOutcome::Answered(_) | SendOutcome::WrongWork => return,
             SendOutcome::Refused(_) | SendOutcome::WrongTarget => SendResult::Failed,
             SendOutcome::NotSent(_) | SendOutcome::Unclear(_) => SendResult::Silent,
         };
