An entry that disappears after an outage has until shortly after the store's return

Ruled out: a silent watch or lost links (the daemon logged the disappearance with the others), and the lives of targets (the entry had none).

Change: the time counts from the store's return, as the module said.

A case of the registry's table fails before and passes now.

--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -223,9 +223,9 @@
     }
 
     fn remove(&mut self, name: &TargetId, source: EntrySource, now: MonoTime) {
-        if self.just_returned(now) {
+        if let Some(until) = self.reappears_until(now) {
             if let Some(entry) = self.entries.get_mut(name) {
-                entry.gone_at.get_or_insert(now.plus(REAPPEAR_TIME));
+                entry.gone_at.get_or_insert(until);
             }
             return;
         }
@@ -263,9 +263,13 @@
             .insert(name.clone(), SeenRevision { revision, at });
     }
 
-    fn just_returned(&self, now: MonoTime) -> bool {
-        self.store_failed_at
-            .is_some_and(|at| now.since(at) < RETURN_TIME)
+    // Until when an entry that disappears now may be back; `None` where it will not be.
+    // The time counts from the store's return: counted from the disappearance, a target
+    // that left two seconds after the return got work for two seconds more.
+    fn reappears_until(&self, now: MonoTime) -> Option<MonoTime> {
+        let failed_at = self.store_failed_at?;
+        let latest = failed_at.plus(RETURN_TIME);
+        (now < latest).then(|| now.plus(REAPPEAR_TIME).min(latest))
     }
 }
 
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -60,6 +60,12 @@
     steps: &[(0, Set("a")), (100, StoreFailed), (200, Listed(&[])), (2_300, Expire)],
     left: &[],
 })]
+// The store turned this daemon away until 100, answers since, and a server whose entry is
+// removed at 2,400 has left: 2,000 after its word nothing may reach it.
+#[case::removed_well_after_the_return(RegistryCase {
+    steps: &[(0, Set("a")), (100, StoreFailed), (2_400, Removed("a")), (3_000, Expire)],
+    left: &[],
+})]
 #[case::long_after_an_outage(RegistryCase {
     steps: &[(0, Set("a")), (100, StoreFailed), (2_700, Removed("a"))],
     left: &[],
