A claimant that no list names yet is not gone

Cause: a daemon that has not read a list which names the claimant of a key told its caller that the claimant dispatched the request and is gone, while it ran. Traced by reading: a missing row counted as an ended life, and a daemon takes work as soon as it has registered, up to a second before the others read the list. This explains the red test a_key_asked_through_two_daemons_at_once_runs_once, whose second daemon had just started too. Ruled out: a lost record (the answer is on record, the looker gave up).

Change: a claimant that is missing counts as gone after three seconds of looking. Before: the new test fails at once with 'entry-9 dispatched it and is gone'. After: it passes, as do the others of its two files (23).

--- a/src/requests/claimant.rs
+++ b/src/requests/claimant.rs
@@ -1,6 +1,7 @@
 //! The process that claimed a request, and whether it is still there.
 
 use std::fmt;
+use std::time::Duration;
 
 use crate::membership::fleet::{FleetView, UseState};
 use crate::names::{DaemonId, ProcessIncarnation};
@@ -31,15 +32,48 @@
         })
     }
 
-    /// Tells whether this life has ended, as far as a view of the fleet shows.
+    /// Returns where this life stands, as far as a view of the fleet shows.
     ///
     /// A daemon that leaves, or fails for the viewer, still counts as there.
     #[must_use]
-    pub fn is_gone(&self, fleet: &FleetView) -> bool {
+    pub fn standing(&self, fleet: &FleetView) -> ClaimantStanding {
+        let Some(view) = fleet.daemons.get(&self.daemon) else {
+            return ClaimantStanding::Unlisted;
+        };
         // An incarnation that is not known yet is zero, and so newer than none.
-        fleet
-            .daemons
-            .get(&self.daemon)
-            .is_none_or(|view| view.state == UseState::Gone || view.incarnation > self.incarnation)
+        if view.state == UseState::Gone || view.incarnation > self.incarnation {
+            return ClaimantStanding::Gone;
+        }
+        ClaimantStanding::There
+    }
+}
+
+/// Time for which a claimant may be missing from the list before it counts as gone. A
+/// daemon takes work as soon as it has registered, and another one reads the list once
+/// a second: a caller who asked both would be told that the first is gone while it
+/// runs the request. Two reads and a slow one fit in.
+pub const UNLISTED_PATIENCE: Duration = Duration::from_secs(3);
+
+/// Where the process that claimed a request stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ClaimantStanding {
+    /// It is there.
+    There,
+    /// It has ended, or a later process bears its name.
+    Gone,
+    /// No list read so far names it: it is new, or ended long ago.
+    Unlisted,
+}
+
+impl ClaimantStanding {
+    /// Whether no end of its work is to be awaited, after it was looked for during
+    /// `looked`.
+    #[must_use]
+    pub fn is_final(self, looked: Duration) -> bool {
+        match self {
+            Self::There => false,
+            Self::Gone => true,
+            Self::Unlisted => looked >= UNLISTED_PATIENCE,
+        }
     }
 }
--- a/src/requests/run_once.rs
+++ b/src/requests/run_once.rs
@@ -397,9 +397,11 @@
     mut record: RecordView,
     offset: u64,
 ) -> FinalOutcome {
+    let begun = clock::mono_now();
     let mut wait = FIRST_LOOK;
     while let RecordView::Intended { claimant, .. } = &record {
-        let gone = is_gone(context, claimant).then(|| claimant.clone());
+        let looked = clock::mono_now().since(begun);
+        let gone = is_gone(context, claimant, looked).then(|| claimant.clone());
         if gone.is_none() {
             if wait >= request.time_left() {
                 break;
@@ -444,11 +446,11 @@
 /// A claimant that is only cut off looks the same and may record its answer later.
 /// "Unknown" stays true even so, since it denies nothing; nobody dispatches the
 /// request again, and whoever asks after that gets the answer from the record.
-fn is_gone(context: &TrafficContext, claimant: &str) -> bool {
+fn is_gone(context: &TrafficContext, claimant: &str, looked: Duration) -> bool {
     let snapshot = context.control.snapshot.load();
     // Before the first whole list, everybody would count as gone.
     let life = ClaimantLife::parse(claimant).filter(|_| snapshot.ready);
-    life.is_some_and(|l| l.is_gone(&snapshot.fleet))
+    life.is_some_and(|l| l.standing(&snapshot.fleet).is_final(looked))
 }
 
 async fn from_answer(
--- a/tests/run_once_records.rs
+++ b/tests/run_once_records.rs
@@ -195,6 +195,30 @@
     fleet.stop().await;
 }
 
+/// The caller asks again through a daemon that has not heard of the claimant, and gets
+/// its answer.
+///
+/// The claimant has registered after the asked daemon read the list for the last time,
+/// and has dispatched the order. It records the answer while the asked daemon looks.
+#[tokio::test(flavor = "multi_thread")]
+async fn key_of_a_claimant_that_is_not_listed_yet_is_waited_for() {
+    let fleet = started(1, 1).await;
+    let minted_at = clock::unix_now();
+    let claim = claim_as(&fleet, "entry-9", ProcessIncarnation(1), minted_at).await;
+
+    let mut asked = Box::pin(ask_again(&fleet, "entry-0", minted_at));
+    tokio::select! {
+        (_, last) = &mut asked => panic!("not waited for: {last:?}"),
+        () = tokio::time::sleep(SOME_LOOKS) => {}
+    }
+    claim.answered(whole_answer());
+    let (data, last) = asked.await;
+
+    assert_eq!(last.outcome(), Outcome::Answered, "{}", last.reason);
+    assert_eq!((data.as_slice(), runs(&fleet)), (ANSWER, 0));
+    fleet.stop().await;
+}
+
 struct RefusedCase {
     /// Whether the claimant has recorded an answer.
     answered: bool,
