One hub follows the store for a large fleet; the strongest instances are hubs

Ruled out: records of daemons (19 calls), leases (1).

Change: the first hub follows the store, the others and all members rely on it through the links that are there, by the time at which the store was heard, for a part of the time that the deployment states for changes. A daemon that starts waits for its hub; a member without one asks for one kind in an outage. Hubs are on the strongest instances (new settings 'limits'). A listing goes on to members as what is new in it.

By reading: a hub could ask the first one while that had not listed all kinds, and a change sent before the answer was lost, so that a whole data centre had no configuration until its next change. That this was the cause is not proved by a trace.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -18,7 +18,7 @@
 use crate::gateway::registry::{EntryContent, EntryNews, EntrySource, TargetRegistry};
 use crate::gateway::routes::RouteTable;
 use crate::gateway::store_follow::{
-    FIRST_BACKOFF, Feed, FeedNews, Follower, StorePulse, WatchDuty, kind_of, pause,
+    FIRST_BACKOFF, Feed, FeedNews, Follower, LONGEST_BACKOFF, StorePulse, WatchDuty, kind_of, pause,
 };
 use crate::gateway::target_life::TargetLife;
 use crate::names::{DaemonId, TargetId};
@@ -60,6 +60,10 @@
     pub pulse: Arc<StorePulse>,
     /// This daemon's record.
     pub record: DaemonRecord,
+    /// How the store is followed at first.
+    pub duty: WatchDuty,
+    /// Longest wait of the watch by which a hub shows that it hears the store.
+    pub sign_of_life: Duration,
 }
 
 /// Handle of the control thread.
@@ -112,7 +116,7 @@
     mut inbox: mpsc::UnboundedReceiver<ControlNews>,
     relay: mpsc::UnboundedSender<FeedObjects>,
 ) {
-    let (duty_sender, duty) = watch::channel(WatchDuty::Alone);
+    let (duty_sender, duty) = watch::channel(setup.duty);
     let (feed_sender, mut feeds) = mpsc::unbounded_channel();
     let (record_sender, record) = watch::channel(setup.record);
     for feed in [Feed::Config, Feed::Targets, Feed::Daemons] {
@@ -123,6 +127,7 @@
             news: feed_sender.clone(),
             duty: duty.clone(),
             pulse: setup.pulse.clone(),
+            sign_of_life: setup.sign_of_life,
         };
         spawn_local(follower.run());
     }
@@ -365,7 +370,7 @@
             Err(PlatformError::Conflict { current }) => expected = current,
             Err(error) => {
                 log::warn!("own record not written: {error}");
-                pause(&mut backoff).await;
+                pause(&mut backoff, LONGEST_BACKOFF).await;
             }
         }
     }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -25,7 +25,8 @@
 use crate::gateway::entry::{self, PageKind};
 use crate::gateway::fleet::{FleetCell, FleetView};
 use crate::gateway::members::DaemonRecord;
-use crate::gateway::peers::hub::{FeedJoin, FeedStock, HubBook, RelayedHeld};
+use crate::gateway::peers::feeding::{FeedJoin, FeedStock};
+use crate::gateway::peers::hub::{HubBook, RelayedHeld};
 use crate::gateway::peers::placing::{PlacementLog, PlacingDesk};
 use crate::gateway::peers::{self, PeerBook};
 use crate::gateway::pool::LinkPool;
@@ -35,7 +36,7 @@
 use crate::gateway::stage_control;
 use crate::gateway::store_follow::{StorePulse, WatchDuty};
 use crate::gateway::target_life::TargetLife;
-use crate::names::DaemonId;
+use crate::names::{DaemonId, MonoTime};
 use crate::ports::ObjectName;
 use crate::telemetry;
 use crate::timer::TimerService;
@@ -78,6 +79,8 @@
     pub feed_changes: broadcast::Sender<Message>,
     /// How this daemon follows the store.
     pub duty: Cell<WatchDuty>,
+    /// When this daemon started.
+    pub started: MonoTime,
     /// When the store was last heard.
     pub pulse: Arc<StorePulse>,
     /// Distinguishes this life of the daemon from others under its name.
@@ -172,6 +175,7 @@
         news: mpsc::UnboundedSender<ControlNews>,
     ) -> Self {
         let budget = RepeatBudget::new(settings.budget_rule());
+        let duty = WatchDuty::at_start(settings.first_start);
         Self {
             daemon: settings.daemon.clone(),
             core: RefCell::new(DecisionCore::new(settings.placement)),
@@ -190,7 +194,8 @@
             last_hint_work: RefCell::default(),
             stock: RefCell::default(),
             feed_changes: broadcast::channel(peers::FEED_QUEUE).0,
-            duty: Cell::new(WatchDuty::Alone),
+            duty: Cell::new(duty),
+            started: clock::mono_now(),
             pulse: Arc::default(),
             life,
             own_changing: RefCell::default(),
@@ -287,7 +292,16 @@
     let life = rand::rng().random();
     let record = own_record(&settings, &listeners, &peer_listener, life);
     let pulse = Arc::new(StorePulse::default());
-    let control = start_control(&ports, &fleet, record, &pulse)?;
+    let duty = WatchDuty::at_start(settings.first_start);
+    let setup = ControlSetup {
+        ports: ports.clone(),
+        cell: fleet.clone(),
+        pulse: pulse.clone(),
+        record,
+        duty,
+        sign_of_life: settings.relay_bounds().sign_of_life,
+    };
+    let control = start_control(setup)?;
     let mut gateway = Gateway::new(settings, ports, fleet, life, control.news);
     gateway.pulse = pulse;
     let gateway = Rc::new(gateway);
@@ -344,18 +358,7 @@
     log::info!(unfinished = left, took_ms = began.elapsed().as_millis() as u64; "stopped");
 }
 
-fn start_control(
-    ports: &GatewayPorts,
-    fleet: &FleetCell,
-    record: DaemonRecord,
-    pulse: &Arc<StorePulse>,
-) -> Result<ControlLink, DaemonFault> {
-    let setup = ControlSetup {
-        ports: ports.clone(),
-        cell: fleet.clone(),
-        pulse: pulse.clone(),
-        record,
-    };
+fn start_control(setup: ControlSetup) -> Result<ControlLink, DaemonFault> {
     control::start(setup).map_err(|error| DaemonFault::Start {
         what: "the control thread".to_owned(),
         error,
@@ -381,6 +384,7 @@
         peers,
         centre: settings.centre.clone(),
         leaving: false,
+        strength: settings.limits.strength(),
     }
 }
 
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -23,6 +23,21 @@
     pub centre: CentreName,
     /// Whether it is stopping.
     pub leaving: bool,
+    /// What its instance carries; 0 where that is not stated.
+    #[serde(default)]
+    pub strength: InstanceStrength,
+}
+
+/// What an instance carries, by what a hub needs most: its processor's time, then its
+/// link, then its memory.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct InstanceStrength {
+    /// Thousandths of a core.
+    pub core_thousandths: u32,
+    /// Megabits a second.
+    pub link_mbps: u32,
+    /// Megabytes.
+    pub memory_mb: u32,
 }
 
 /// A record that cannot be read.
--- a/src/gateway/peers/hub.rs
+++ b/src/gateway/peers/hub.rs
@@ -5,21 +5,21 @@
 //! has one link, and a hub one to each of its members and to each other hub. Only
 //! hubs watch the store and pass on what changes.
 //!
+//! One hub follows the store for the others, which take over when they do not hear of
+//! it for a part of the time in which a change has to be in force.
+//!
 //! Nothing is agreed on: each daemon takes the first of its data centre that it
 //! hears as its hub. One that others take for their hub acts as one.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use serde_bytes::ByteBuf;
-use tokio::sync::mpsc;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::gateway::deciding::load::WorkByTarget;
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::peers::book::PeerBook;
-use crate::gateway::peers::wire::{FeedObjects, HeldNote, MemberNote, PeerHint};
-use crate::gateway::store_follow::Feed;
+use crate::gateway::peers::wire::{HeldNote, MemberNote, PeerHint};
 use crate::names::{CentreName, DaemonId, MonoTime};
 
 /// Largest fleet without hubs: below it, links to all cost less than the delay of
@@ -27,10 +27,6 @@
 const MOST_WITHOUT_HUBS: usize = 16;
 /// Silence after which another daemon is taken for the hub.
 const HUB_SILENCE: Duration = Duration::from_millis(1_200);
-/// Silence of the store at a hub after which its members follow the store themselves.
-/// A hub that is cut from the store would otherwise keep its whole data centre on an
-/// old configuration; with the time to list, this stays below the users' bounds.
-const STORE_SILENCE: Duration = Duration::from_millis(1_700);
 /// Time for a new hub to be heard.
 const HUB_START: Duration = Duration::from_millis(2_500);
 /// Time for which a silent hub is passed over.
@@ -38,9 +34,6 @@
 /// Time since a member's last hint for which a daemon acts as its hub.
 const ACTING_TIME: Duration = Duration::from_millis(1_500);
 
-/// Where the control thread hands on what it read of the store.
-pub type RelayInbox = mpsc::UnboundedReceiver<FeedObjects>;
-
 /// What a daemon is among the others.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum PeerRole {
@@ -82,8 +75,8 @@
     hub_since: Option<(DaemonId, MonoTime)>,
     passed_over: IndexMap<DaemonId, MonoTime>,
     last_hints: IndexMap<DaemonId, MonoTime>,
-    // The hub that spoke last, and when it had heard the store.
-    store_heard: Option<(DaemonId, MonoTime)>,
+    // When hubs had heard the store.
+    store_heard: IndexMap<DaemonId, MonoTime>,
 }
 
 impl HubBook {
@@ -96,14 +89,21 @@
     pub fn note_store(&mut self, hub: &DaemonId, age: Duration, now: MonoTime) {
         let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
         let heard = MonoTime(now.0.saturating_sub(age));
-        self.store_heard = Some((hub.clone(), heard));
+        self.store_heard.insert(hub.clone(), heard);
     }
 
-    /// Whether a hub passes on a store that it hears itself.
+    /// Returns when a hub had heard the store, as far as it told.
     #[must_use]
-    pub fn is_fed_by(&self, hub: &DaemonId, now: MonoTime) -> bool {
-        let heard = self.store_heard.as_ref();
-        heard.is_some_and(|(from, at)| from == hub && now.since(*at) < STORE_SILENCE)
+    pub fn store_heard(&self, hub: &DaemonId) -> Option<MonoTime> {
+        self.store_heard.get(hub).copied()
+    }
+
+    /// Whether a hub passes on a store that was heard within a time. A hub that is cut
+    /// from the store would otherwise keep its whole data centre on an old configuration.
+    #[must_use]
+    pub fn is_fed_by(&self, hub: &DaemonId, within: Duration, now: MonoTime) -> bool {
+        let heard = self.store_heard(hub);
+        heard.is_some_and(|at| now.since(at) < within)
     }
 
     /// Whether this daemon acts as a hub.
@@ -132,6 +132,8 @@
         peers: &PeerBook,
         now: MonoTime,
     ) -> PeerRole {
+        let known = |id: &DaemonId| daemons.iter().any(|d| d.id == *id);
+        self.store_heard.retain(|hub, _| known(hub));
         let staying = daemons.iter().filter(|d| !d.leaving).count();
         if staying <= MOST_WITHOUT_HUBS {
             return PeerRole::Mesh;
@@ -172,7 +174,25 @@
     ) -> Option<DaemonId> {
         let there = daemons.iter().filter(|d| d.centre == *centre && !d.leaving);
         let sound = |id: &DaemonId| id == own || !self.passed_over.contains_key(id);
-        there.map(|d| &d.id).find(|id| sound(id)).cloned()
+        first_in_order(there.filter(|d| sound(&d.id)))
+    }
+
+    /// Returns the hub that follows the store for this one; `None` where this hub is the
+    /// first of those that it hears.
+    #[must_use]
+    pub fn store_hub(
+        &self,
+        own: &DaemonId,
+        daemons: &[DaemonRecord],
+        peers: &PeerBook,
+        now: MonoTime,
+    ) -> Option<DaemonId> {
+        let hubs = self.links(&PeerRole::Hub, own, daemons).into_iter();
+        let hubs = hubs.filter(|(_, kind)| *kind == LinkKind::OtherHub);
+        let heard = hubs.filter(|(d, _)| peers.was_heard_within(&d.id, HUB_SILENCE, now));
+        let others: Vec<DaemonRecord> = heard.map(|(d, _)| d).collect();
+        let itself = daemons.iter().filter(|d| d.id == *own);
+        first_in_order(others.iter().chain(itself)).filter(|first| first != own)
     }
 
     /// Links that a role asks for.
@@ -217,70 +237,11 @@
     }
 }
 
-/// Time after which a hub that did not answer is asked for its stock again.
-const ASK_AGAIN: Duration = Duration::from_millis(1_000);
-
-/// When a member may stop following the store itself.
-///
-/// What a hub passed on before may have been lost or left out here, for instance while
-/// this daemon was cut off and followed the store itself: a target that announced its
-/// departure in that time would get work until it ends. So the member asks, and relies
-/// on the hub from the answer to its newest question on.
-#[derive(Debug, Default)]
-pub struct FeedJoin {
-    joined: Option<DaemonId>,
-    asked: Option<(DaemonId, MonoTime)>,
-    last_number: u64,
-}
-
-impl FeedJoin {
-    /// Takes the hub that could feed this daemon now, if one could; returns the number
-    /// of a question to send to it.
-    pub fn rely_on(&mut self, hub: Option<&DaemonId>, now: MonoTime) -> Option<u64> {
-        let Some(hub) = hub else {
-            *self = Self {
-                last_number: self.last_number,
-                ..Self::default()
-            };
-            return None;
-        };
-        if self.joined.as_ref() == Some(hub) {
-            return None;
-        }
-        self.joined = None;
-        let waits = |(asked, at): &(DaemonId, MonoTime)| asked == hub && now.since(*at) < ASK_AGAIN;
-        if self.asked.as_ref().is_some_and(waits) {
-            return None;
-        }
-        self.asked = Some((hub.clone(), now));
-        self.last_number += 1;
-        Some(self.last_number)
-    }
-
-    /// Notes that a hub opened a link anew: what it said on the one before may be lost.
-    pub fn note_new_link(&mut self, from: &DaemonId) {
-        if self.joined.as_ref() == Some(from) {
-            self.joined = None;
-        }
-        self.asked = self.asked.take().filter(|(hub, _)| hub != from);
-    }
-
-    /// Takes an answer; true when it is the one that is waited for.
-    pub fn take_stock(&mut self, from: &DaemonId, number: u64) -> bool {
-        let asked = self.asked.as_ref().is_some_and(|(hub, _)| hub == from);
-        let counts = asked && number == self.last_number;
-        if counts {
-            self.joined = Some(from.clone());
-            self.asked = None;
-        }
-        counts
-    }
-
-    /// Whether what a hub passes on counts.
-    #[must_use]
-    pub fn is_joined(&self) -> bool {
-        self.joined.is_some()
-    }
+/// The order in which daemons are taken for hubs: those on the strongest instances first,
+/// which carry the words of a whole data centre, then by name.
+fn first_in_order<'a>(daemons: impl Iterator<Item = &'a DaemonRecord>) -> Option<DaemonId> {
+    let first = daemons.min_by_key(|d| (Reverse(d.strength), &d.id));
+    first.map(|daemon| daemon.id.clone())
 }
 
 /// What engines came to hold, on its way through a hub.
@@ -314,71 +275,6 @@
     kept.extend_from_slice(notes);
 }
 
-/// Objects of the store as this daemon last read them, for members that link up.
-#[derive(Debug, Default)]
-pub struct FeedStock {
-    feeds: IndexMap<Feed, IndexMap<String, (u64, Vec<u8>)>>,
-}
-
-impl FeedStock {
-    /// Takes objects that were read.
-    pub fn take(&mut self, read: &FeedObjects) {
-        let feed = self.feeds.entry(read.feed).or_default();
-        if read.whole {
-            feed.clear();
-        }
-        for (name, version, value) in &read.objects {
-            match value {
-                Some(value) => {
-                    feed.insert(name.clone(), (*version, value.clone().into_vec()));
-                }
-                None => {
-                    feed.swap_remove(name);
-                }
-            }
-        }
-    }
-
-    /// Returns a digest of the names and versions of each feed.
-    #[must_use]
-    pub fn digests(&self) -> Vec<(Feed, u64)> {
-        let feeds = self.feeds.iter();
-        feeds
-            .map(|(feed, objects)| (*feed, digest(objects)))
-            .collect()
-    }
-
-    /// Returns the feeds that differ from those of these digests. Members mostly have
-    /// what a new hub has; sending all of it to all of them fills a narrow link for a
-    /// second, in which the hub's callers are not served and their leaving is not heard.
-    #[must_use]
-    pub fn missing(&self, known: &[(Feed, u64)]) -> Vec<FeedObjects> {
-        let mut all = self.all();
-        let digests = self.digests();
-        all.retain(|objects| {
-            let own = digests.iter().find(|(feed, _)| *feed == objects.feed);
-            own.is_none_or(|own| !known.contains(own))
-        });
-        all
-    }
-
-    /// Returns everything.
-    #[must_use]
-    pub fn all(&self) -> Vec<FeedObjects> {
-        let feeds = self.feeds.iter().map(|(feed, objects)| FeedObjects {
-            feed: *feed,
-            whole: true,
-            objects: objects
-                .iter()
-                .map(|(name, (version, value))| {
-                    (name.clone(), *version, Some(ByteBuf::from(value.clone())))
-                })
-                .collect(),
-        });
-        feeds.collect()
-    }
-}
-
 /// What a hub tells of itself.
 #[must_use]
 pub fn own_note(hint: &PeerHint) -> MemberNote {
@@ -399,17 +295,3 @@
         }
     }
 }
-
-fn digest(objects: &IndexMap<String, (u64, Vec<u8>)>) -> u64 {
-    let mut versions: Vec<(&str, u64)> = objects
-        .iter()
-        .map(|(name, (version, _))| (name.as_str(), *version))
-        .collect();
-    versions.sort_unstable();
-    let mut hasher = Xxh3::new();
-    for (name, version) in versions {
-        hasher.update(name.as_bytes());
-        hasher.update(&version.to_le_bytes());
-    }
-    hasher.digest()
-}
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -10,6 +10,7 @@
 //! talk to it only, and hubs talk to each other.
 
 pub mod book;
+pub mod feeding;
 pub mod hub;
 pub mod placing;
 pub mod wire;
@@ -38,12 +39,10 @@
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::model::PromptPart;
 use crate::gateway::peers::hub::{LinkKind, PeerRole};
-use crate::gateway::peers::wire::{
-    FeedObjects, HeldNote, PeerHint, PeerMessage, PeerSummary, StockAnswer, StockQuestion,
-};
+use crate::gateway::peers::wire::{HeldNote, PeerHint, PeerMessage, PeerSummary};
 use crate::gateway::store_follow::WatchDuty;
 use crate::gateway::target_life::TargetLife;
-use crate::names::{DaemonId, MonoTime};
+use crate::names::DaemonId;
 use crate::timer::TimerService;
 
 /// Time between two looks at the own role, and between two hints that tell nothing new.
@@ -86,9 +85,9 @@
 }
 
 /// Runs the links of a daemon until the process ends.
-pub async fn run(gateway: Rc<Gateway>, listener: TcpListener, relays: hub::RelayInbox) {
+pub async fn run(gateway: Rc<Gateway>, listener: TcpListener, relays: feeding::RelayInbox) {
     spawn_local(accept(gateway.clone(), listener));
-    spawn_local(stock_up(gateway.clone(), relays));
+    spawn_local(feeding::stock_up(gateway.clone(), relays));
     spawn_local(placing::tell_regularly(gateway.clone()));
     let (words, word) = watch::channel(gateway.word(&PeerRole::Mesh));
     let timer = TimerService::start();
@@ -147,17 +146,6 @@
     }
 }
 
-// Keeps what the control thread read of the store for members that link up.
-async fn stock_up(gateway: Rc<Gateway>, mut relays: hub::RelayInbox) {
-    while let Some(objects) = relays.recv().await {
-        gateway.stock.borrow_mut().take(&objects);
-        // Nobody listens while this daemon is no hub.
-        let _ = gateway
-            .feed_changes
-            .send(PeerMessage::Objects(objects).encode());
-    }
-}
-
 async fn keep_sending(
     gateway: Rc<Gateway>,
     daemon: DaemonRecord,
@@ -199,7 +187,7 @@
 ) {
     let mut changes = gateway.feed_changes.subscribe();
     let mut urgent = gateway.placing.borrow_mut().open_link(&daemon.id);
-    if kind == LinkKind::Member {
+    if kind != LinkKind::Hint {
         let from = gateway.daemon.clone();
         if !send(&mut link, PeerMessage::NewLink { from }.encode()).await {
             return;
@@ -207,7 +195,11 @@
     }
     let mut sent_version = 0;
     loop {
+        // What a member asked for goes before changes: made before one of them and sent
+        // after it, the answer would leave it out, and the member, which takes changes
+        // from the answer on, would go without it until the next.
         tokio::select! {
+            biased;
             changed = word.changed() => {
                 let message = word.borrow_and_update().for_link(kind).cloned();
                 let sent = match message {
@@ -230,7 +222,11 @@
                     return;
                 }
             }
-            change = changes.recv(), if kind == LinkKind::Member => {
+            change = changes.recv(), if kind != LinkKind::Hint => {
+                // Hubs rely on one that follows the store itself only.
+                if kind == LinkKind::OtherHub && gateway.duty.get() != WatchDuty::ForOthers {
+                    continue;
+                }
                 let sent = match change {
                     Ok(message) => send(&mut link, message).await,
                     // The link was too slow for the changes: it gets everything anew.
@@ -392,7 +388,7 @@
             work: work.into_iter().collect(),
             held,
             departed: hint.departed.clone(),
-            store_age_ms: u32::try_from(self.pulse.age(now).as_millis()).unwrap_or(u32::MAX),
+            store_age_ms: self.store_age_ms(whole, now),
             rate: if whole { self.work_rate() } else { hint.rate },
             placed_through,
             members,
@@ -411,21 +407,9 @@
             PeerRole::Hub | PeerRole::Mesh => None,
         };
         self.placing.borrow_mut().set_placer(placer);
-        let feeding = match &role {
-            PeerRole::Member(hub) if hubs.is_fed_by(hub, now) => Some(hub),
-            _ => None,
-        };
-        self.rely_on(feeding, now);
-        let duty = match &role {
-            PeerRole::Hub => WatchDuty::ForOthers,
-            PeerRole::Member(_) if self.joins.borrow().is_joined() => WatchDuty::Fed,
-            PeerRole::Mesh | PeerRole::Member(_) => WatchDuty::Alone,
-        };
-        if self.duty.replace(duty) != duty {
-            log::info!(duty = format!("{duty:?}"), role = role.as_str(); "way of following the store changed");
-            // The control thread ends only with the process.
-            let _ = self.news.send(ControlNews::Duty(duty));
-        }
+        drop(peers);
+        drop(hubs);
+        self.update_duty(&role, now);
         role
     }
 
@@ -524,12 +508,10 @@
             return;
         }
         let now = clock::mono_now();
-        if summary.whole {
-            let store_age = Duration::from_millis(u64::from(summary.store_age_ms));
-            self.hubs
-                .borrow_mut()
-                .note_store(&summary.from, store_age, now);
-        }
+        let store_age = Duration::from_millis(u64::from(summary.store_age_ms));
+        self.hubs
+            .borrow_mut()
+            .note_store(&summary.from, store_age, now);
         for note in summary.members.iter().filter(|note| note.id != self.daemon) {
             let rate = if note.id == summary.from {
                 summary.rate
@@ -558,58 +540,4 @@
         }
         load.set_other(summary.from, work, now);
     }
-
-    fn rely_on(&self, hub: Option<&DaemonId>, now: MonoTime) {
-        let number = self.joins.borrow_mut().rely_on(hub, now);
-        let (Some(hub), Some(number)) = (hub, number) else {
-            return;
-        };
-        let question = PeerMessage::WantStock(StockQuestion {
-            from: self.daemon.clone(),
-            life: self.life,
-            number,
-            known: self.stock.borrow().digests(),
-        });
-        // Without a link it is asked again in a second.
-        self.placing.borrow().send(hub, &question);
-    }
-
-    fn answer_stock(&self, question: &StockQuestion) {
-        let view = self.view();
-        let asker = (&question.from, question.life);
-        if !view.daemons.iter().any(|d| (&d.id, d.life) == asker) {
-            return;
-        }
-        let answer = PeerMessage::Stock(StockAnswer {
-            from: self.daemon.clone(),
-            number: question.number,
-            feeds: self.stock.borrow().missing(&question.known),
-        });
-        // An asker whose link is not up yet asks again.
-        self.placing.borrow().send(&question.from, &answer);
-    }
-
-    fn take_stock(&self, answer: StockAnswer) {
-        let counts = {
-            let mut joins = self.joins.borrow_mut();
-            joins.take_stock(&answer.from, answer.number)
-        };
-        if counts {
-            for objects in answer.feeds {
-                self.pass_on(objects);
-            }
-        }
-    }
-
-    fn take_objects(&self, objects: FeedObjects) {
-        if self.joins.borrow().is_joined() {
-            self.pass_on(objects);
-        }
-    }
-
-    fn pass_on(&self, objects: FeedObjects) {
-        self.stock.borrow_mut().take(&objects);
-        // The control thread ends only with the process.
-        let _ = self.news.send(ControlNews::PeerObjects(objects));
-    }
 }
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -240,9 +240,12 @@
     pub whole: bool,
     /// Name, version and value of each; without a value it was deleted. Kept as bytes:
     /// as a list of numbers a value takes nearly twice the room on the link.
-    pub objects: Vec<(String, u64, Option<ByteBuf>)>,
+    pub objects: Vec<StoredObjectNote>,
 }
 
+/// Name, version and value of an object.
+pub type StoredObjectNote = (String, u64, Option<ByteBuf>);
+
 impl PeerMessage {
     /// Encodes the message.
     #[must_use]
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -8,6 +8,7 @@
 
 use crate::gateway::budget::BudgetRule;
 use crate::gateway::deciding::engine_choice::PlacementWeights;
+use crate::gateway::members::InstanceStrength;
 use crate::names::{CentreName, DaemonId};
 
 /// Settings that cannot be used.
@@ -60,6 +61,63 @@
     pub repeat_window_s: f64,
     /// Longest time that callers keep the directory's answer.
     pub directory_keep_s: f64,
+    /// Time in which a change of the configuration has to be in force everywhere.
+    #[serde(default = "default_change_ms")]
+    pub config_within_ms: f64,
+    /// Time in which a target that announced its departure has to be left alone.
+    #[serde(default = "default_change_ms")]
+    pub departure_within_ms: f64,
+}
+
+// The shortest time that a deployment has stated so far.
+fn default_change_ms() -> f64 {
+    2_000.0
+}
+
+/// Part of the time for a change after which a daemon no longer relies on others to hear
+/// of it. The rest is for a listing of its own, 0.1 to 0.2 s on the weakest instances.
+const MEMBER_PART: f64 = 0.85;
+/// The same for a hub: earlier, so that it hears the store again before its members miss it.
+const HUB_PART: f64 = 0.55;
+/// Part of that time that the watch waits by which a hub shows that it hears the store.
+const SIGN_PART: f64 = 0.3;
+
+/// For how long daemons rely on each other to hear of changes of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RelayBounds {
+    /// Silence of the store after which a member follows it itself.
+    pub member_silence: Duration,
+    /// Silence of the store after which a hub follows it itself.
+    pub hub_silence: Duration,
+    /// Longest time between two signs that a hub hears the store.
+    pub sign_of_life: Duration,
+}
+
+/// What the instance of a process carries; 0 stands for not stated.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[serde(default)]
+pub struct InstanceLimits {
+    /// Share of a core that the process may use.
+    pub cpu_share: f64,
+    /// Speed of that core against a usual one.
+    pub core_speed: f64,
+    /// Memory, in megabytes.
+    pub memory_mb: f64,
+    /// Link, in megabits a second.
+    pub link_mbps: f64,
+}
+
+impl InstanceLimits {
+    /// Returns them as other daemons are told.
+    #[must_use]
+    pub fn strength(&self) -> InstanceStrength {
+        // Casts of numbers below zero give zero.
+        InstanceStrength {
+            core_thousandths: (self.cpu_share * self.core_speed * 1_000.0) as u32,
+            link_mbps: self.link_mbps as u32,
+            memory_mb: self.memory_mb as u32,
+        }
+    }
 }
 
 /// Settings of one process.
@@ -79,6 +137,12 @@
     pub store: SocketAddr,
     /// Bounds of the deployment.
     pub bounds: BoundSettings,
+    /// What the instance carries.
+    #[serde(default)]
+    pub limits: InstanceLimits,
+    /// Whether the whole fleet starts for the first time.
+    #[serde(default)]
+    pub first_start: bool,
     /// Share of a service's engines that read prompts, from 0 to 1.
     #[serde(default = "default_prefill_share")]
     pub prefill_share: f64,
@@ -130,6 +194,13 @@
         positive("bounds.stop_grace_s", bounds.stop_grace_s)?;
         positive("bounds.repeat_window_s", bounds.repeat_window_s)?;
         positive("bounds.directory_keep_s", bounds.directory_keep_s)?;
+        positive("bounds.config_within_ms", bounds.config_within_ms)?;
+        positive("bounds.departure_within_ms", bounds.departure_within_ms)?;
+        let limits = &self.limits;
+        not_negative("limits.cpu_share", limits.cpu_share)?;
+        not_negative("limits.core_speed", limits.core_speed)?;
+        not_negative("limits.memory_mb", limits.memory_mb)?;
+        not_negative("limits.link_mbps", limits.link_mbps)?;
         not_negative("bounds.repeat_ratio", bounds.repeat_ratio)?;
         not_negative("bounds.repeat_allowance", bounds.repeat_allowance)?;
         if !(0.0..=1.0).contains(&self.prefill_share) {
@@ -164,6 +235,19 @@
         }
     }
 
+    /// Returns for how long daemons rely on each other to hear of changes.
+    #[must_use]
+    pub fn relay_bounds(&self) -> RelayBounds {
+        let bounds = &self.bounds;
+        let within = bounds.config_within_ms.min(bounds.departure_within_ms);
+        let part = |part: f64| Duration::from_secs_f64(within * part / 1_000.0);
+        RelayBounds {
+            member_silence: part(MEMBER_PART),
+            hub_silence: part(HUB_PART),
+            sign_of_life: part(SIGN_PART),
+        }
+    }
+
     /// Returns the address that other daemons connect to.
     #[must_use]
     pub fn peer_address(&self) -> SocketAddr {
--- a/src/gateway/store_follow.rs
+++ b/src/gateway/store_follow.rs
@@ -2,7 +2,7 @@
 //! when the watch cannot go on.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use rand::Rng;
@@ -17,9 +17,6 @@
 use crate::names::MonoTime;
 use crate::ports::{ObjectBatch, PlatformError, StoredObject, WatchQuery};
 
-/// Longest wait of one watch of a hub. Others rely on it, and have to notice within
-/// their own bounds that it hears nothing of the store any more.
-const HUB_WATCH_WAIT: Duration = Duration::from_millis(900);
 /// Longest wait of one watch. A connection can fall silent without a reset; a
 /// watch that is not answered by then is begun anew on another connection, so this
 /// also bounds for how long a silent one goes unnoticed.
@@ -28,13 +25,23 @@
 pub(super) const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call. Short, since a daemon that missed a
 /// configuration has to have it soon after the store returns.
-const LONGEST_BACKOFF: Duration = Duration::from_millis(800);
+pub(super) const LONGEST_BACKOFF: Duration = Duration::from_millis(800);
+/// The same for a member without its hub. When the store is away for all, hubs ask often
+/// and tell their members of its return; 180 members that ask as often make ten times
+/// the calls for nothing.
+const LONGEST_MEMBER_BACKOFF: Duration = Duration::from_millis(3_000);
+/// Time between a member's first answer of the store after failures and its listings of
+/// the larger kinds: its hub mostly has them by then and passes them on.
+const RETURN_PAUSE: Duration = Duration::from_millis(900);
 
 /// Pause after changes before more are asked for, so that many at once, as when a whole
 /// fleet starts, take a call together instead of one each. Calls are shared by all
 /// daemons and priced; the pause is a small part of the time in which a target's
 /// departure has to be acted on.
 const GATHER_PAUSE: Duration = Duration::from_millis(150);
+/// The same while a daemon starts: it waits for its hub, and a whole fleet writes
+/// hundreds of records in this time.
+const START_GATHER_PAUSE: Duration = Duration::from_millis(400);
 
 /// Kinds of objects that are followed.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -47,6 +54,18 @@
     Daemons,
 }
 
+impl Feed {
+    /// Returns the kind's name in metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Targets => "targets",
+            Self::Daemons => "daemons",
+        }
+    }
+}
+
 /// What following the store brings.
 #[derive(Debug)]
 pub enum FeedNews {
@@ -86,8 +105,16 @@
 /// How a daemon follows the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum WatchDuty {
-    /// For itself.
+    /// Only the daemons' records, until it is known who follows it for whom: the whole
+    /// fleet starts, and each listing would be read by all at once.
+    Gathering,
+    /// The daemons' records; the other kinds are listed once, so that requests can be
+    /// served before a hub is heard.
+    Starting,
+    /// For itself, in a fleet without hubs.
     Alone,
+    /// For itself, as no hub passes on what it reads.
+    WithoutHub,
     /// For the members of its data centre too.
     ForOthers,
     /// Not at all: a hub passes on what it reads.
@@ -95,30 +122,111 @@
 }
 
 impl WatchDuty {
-    fn wait(self) -> Duration {
+    /// Returns the duty of a daemon that starts.
+    #[must_use]
+    pub fn at_start(first_start: bool) -> Self {
+        if first_start {
+            Self::Gathering
+        } else {
+            Self::Starting
+        }
+    }
+
+    /// Returns the duty's name in metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Gathering => "gathering",
+            Self::Starting => "starting",
+            Self::Alone => "alone",
+            Self::WithoutHub => "without_hub",
+            Self::ForOthers => "for_others",
+            Self::Fed => "fed",
+        }
+    }
+
+    /// Whether a kind of objects is listed.
+    #[must_use]
+    pub fn lists(self, feed: Feed) -> bool {
+        match self {
+            Self::Fed => false,
+            Self::Gathering => feed == Feed::Daemons,
+            Self::Starting | Self::Alone | Self::WithoutHub | Self::ForOthers => true,
+        }
+    }
+
+    /// Whether a kind of objects is watched.
+    #[must_use]
+    pub fn watches(self, feed: Feed) -> bool {
+        match self {
+            Self::Fed => false,
+            Self::Gathering | Self::Starting => feed == Feed::Daemons,
+            Self::Alone | Self::WithoutHub | Self::ForOthers => true,
+        }
+    }
+
+    // One kind of a hub is asked for often, so that those that rely on it notice within
+    // their bounds that it hears the store no more.
+    fn wait(self, feed: Feed, sign_of_life: Duration) -> Duration {
+        match (self, feed) {
+            (Self::ForOthers, Feed::Config) => sign_of_life,
+            _ => WATCH_WAIT,
+        }
+    }
+
+    fn gather_pause(self) -> Duration {
         match self {
-            Self::Alone | Self::Fed => WATCH_WAIT,
-            Self::ForOthers => HUB_WATCH_WAIT,
+            Self::Gathering | Self::Starting => START_GATHER_PAUSE,
+            _ => GATHER_PAUSE,
+        }
+    }
+
+    fn longest_backoff(self) -> Duration {
+        match self {
+            Self::WithoutHub => LONGEST_MEMBER_BACKOFF,
+            _ => LONGEST_BACKOFF,
         }
     }
 }
 
 /// When the store was last heard, by kind of object.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct StorePulse {
-    heard: [AtomicU64; 3],
+    listed: [AtomicBool; 3],
+    config_heard: watch::Sender<Option<MonoTime>>,
+}
+
+impl Default for StorePulse {
+    fn default() -> Self {
+        Self {
+            listed: Default::default(),
+            config_heard: watch::Sender::new(None),
+        }
+    }
 }
 
 impl StorePulse {
     fn note(&self, feed: Feed) {
-        self.heard[feed as usize].store(clock::mono_now().0, Ordering::Relaxed);
+        self.listed[feed as usize].store(true, Ordering::Relaxed);
+        if feed == Feed::Config {
+            self.config_heard.send_replace(Some(clock::mono_now()));
+        }
     }
 
-    /// Time since the kind of object that was heard longest ago.
+    /// Time since the configuration's kind was heard, which is asked for most often;
+    /// the longest there is before all kinds were listed once.
     #[must_use]
     pub fn age(&self, now: MonoTime) -> Duration {
-        let heard = self.heard.iter().map(|at| at.load(Ordering::Relaxed));
-        now.since(MonoTime(heard.min().unwrap_or(0)))
+        let listed = self.listed.iter().all(|l| l.load(Ordering::Relaxed));
+        let heard = self.config_heard.borrow().filter(|_| listed);
+        heard.map_or(Duration::MAX, |at| now.since(at))
+    }
+
+    // Waits until the store was heard after a moment.
+    async fn heard_after(&self, moment: MonoTime) {
+        let mut heard = self.config_heard.subscribe();
+        // The sender lives as long as this.
+        let _ = heard.wait_for(|at| at.is_some_and(|at| at > moment)).await;
     }
 }
 
@@ -147,6 +255,8 @@
     pub duty: watch::Receiver<WatchDuty>,
     /// Where to note that the store was heard.
     pub pulse: Arc<StorePulse>,
+    /// Longest wait of the watch by which a hub shows that it hears the store.
+    pub sign_of_life: Duration,
 }
 
 impl Follower {
@@ -154,34 +264,39 @@
     pub async fn run(mut self) {
         let mut backoff = FIRST_BACKOFF;
         loop {
+            let feed = self.feed;
             // The sender lives as long as the thread.
-            let _ = self.duty.wait_for(|duty| *duty != WatchDuty::Fed).await;
+            let _ = self.duty.wait_for(|duty| duty.lists(feed)).await;
+            self.count("list");
             match (self.ports.store.list)(self.kind.clone()).await {
                 Ok(batch) => {
                     backoff = FIRST_BACKOFF;
                     self.tell(FeedNews::Listed(self.feed, batch.objects));
                     self.watch_from(batch.revision).await;
+                    pause(&mut backoff, LONGEST_BACKOFF).await;
+                }
+                Err(error) => {
+                    self.note_failure(&error);
+                    self.pause_after_failure(&mut backoff).await;
                 }
-                Err(error) => self.note_failure(&error),
             }
-            pause(&mut backoff).await;
         }
     }
 
     // Watches until the store says that it cannot go on from here, or a hub does it.
-    async fn watch_from(&self, mut since: u64) {
+    async fn watch_from(&mut self, mut since: u64) {
         let mut backoff = FIRST_BACKOFF;
         let mut failing = false;
         loop {
-            let duty = *self.duty.borrow();
-            if duty == WatchDuty::Fed {
+            let Some(duty) = self.duty_to_watch().await else {
                 return;
-            }
+            };
             let query = WatchQuery {
                 kind: self.kind.clone(),
                 since,
-                wait: duty.wait(),
+                wait: duty.wait(self.feed, self.sign_of_life),
             };
+            self.count("watch");
             match (self.ports.store.watch)(query).await {
                 Ok(ObjectBatch { revision, objects }) => {
                     if failing {
@@ -193,7 +308,7 @@
                     let gathers = !objects.is_empty() && self.feed != Feed::Config;
                     self.tell(FeedNews::Changed(self.feed, objects));
                     if gathers {
-                        sleep(GATHER_PAUSE).await;
+                        sleep(duty.gather_pause()).await;
                     }
                 }
                 Err(PlatformError::Refused { reason }) => {
@@ -203,12 +318,48 @@
                 Err(error) => {
                     failing = true;
                     self.note_failure(&error);
-                    pause(&mut backoff).await;
+                    self.pause_after_failure(&mut backoff).await;
                 }
             }
         }
     }
 
+    // Waits until this kind is to be watched; `None` when a hub passes it on instead.
+    async fn duty_to_watch(&mut self) -> Option<WatchDuty> {
+        let feed = self.feed;
+        let decided = |duty: &WatchDuty| duty.watches(feed) || *duty == WatchDuty::Fed;
+        // The sender lives as long as the thread.
+        let duty = *self.duty.wait_for(decided).await.ok()?;
+        duty.watches(feed).then_some(duty)
+    }
+
+    // In a fleet with hubs, a member asks for one kind until the store answers.
+    async fn pause_after_failure(&mut self, backoff: &mut Duration) {
+        let duty = *self.duty.borrow();
+        let longest = duty.longest_backoff();
+        if duty != WatchDuty::WithoutHub || self.feed == Feed::Config {
+            return pause(backoff, longest).await;
+        }
+        let failed_at = clock::mono_now();
+        let returned = async {
+            self.pulse.heard_after(failed_at).await;
+            sleep(RETURN_PAUSE).await;
+        };
+        let mut duties = self.duty.clone();
+        tokio::select! {
+            () = returned => {}
+            () = sleep(longest) => {}
+            _ = duties.wait_for(|duty| *duty != WatchDuty::WithoutHub) => {}
+        }
+    }
+
+    fn count(&self, call: &'static str) {
+        let duty = self.duty.borrow().as_str();
+        let kind = self.feed.as_str();
+        metrics::counter!("pistachiowick_store_reads_total", "call" => call, "kind" => kind, "duty" => duty)
+            .increment(1);
+    }
+
     fn tell(&self, news: FeedNews) {
         self.pulse.note(self.feed);
         // The loop that receives this ends only with the thread.
@@ -222,10 +373,10 @@
     }
 }
 
-/// Waits and doubles the wait. It differs between daemons, so that they do not all
-/// come back in the same instant.
-pub(super) async fn pause(backoff: &mut Duration) {
+/// Waits and doubles the wait up to `longest`. It differs between daemons, so that they
+/// do not all come back in the same instant.
+pub(super) async fn pause(backoff: &mut Duration, longest: Duration) {
     let part = rand::rng().random_range(0.5..1.0);
     sleep(backoff.mul_f64(part)).await;
-    *backoff = (*backoff * 2).min(LONGEST_BACKOFF);
+    *backoff = (*backoff * 2).min(longest);
 }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -12,7 +12,7 @@
 use pistachiowick::gateway::deciding::load::LoadBook;
 use pistachiowick::gateway::directory::addresses_for;
 use pistachiowick::gateway::event_split::EventSplitter;
-use pistachiowick::gateway::members::DaemonRecord;
+use pistachiowick::gateway::members::{DaemonRecord, InstanceStrength};
 use pistachiowick::gateway::model::PromptPart;
 use pistachiowick::gateway::target_life::TargetLife;
 use pistachiowick::names::{CentreName, DaemonId, MonoTime, ServiceName};
@@ -241,6 +241,7 @@
         peers: ([127, 0, 0, 1], port).into(),
         centre: CentreName::from(centre),
         leaving: false,
+        strength: InstanceStrength::default(),
     }
 }
 
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -5,11 +5,10 @@
 
 use pistachiowick::gateway::deciding::load::LoadBook;
 use pistachiowick::gateway::deciding::stage_plan::WorkRate;
-use pistachiowick::gateway::members::DaemonRecord;
+use pistachiowick::gateway::members::{DaemonRecord, InstanceStrength};
 use pistachiowick::gateway::peers::PeerBook;
-use pistachiowick::gateway::peers::hub::{
-    FeedJoin, FeedStock, HubBook, LinkKind, PeerRole, subtract,
-};
+use pistachiowick::gateway::peers::feeding::{FeedJoin, FeedStock};
+use pistachiowick::gateway::peers::hub::{HubBook, LinkKind, PeerRole, subtract};
 use pistachiowick::gateway::peers::wire::{FeedObjects, MemberNote, PeerHint, PeerMessage};
 use pistachiowick::gateway::store_follow::Feed;
 use pistachiowick::gateway::target_life::TargetLife;
@@ -17,6 +16,9 @@
 use rstest::rstest;
 use serde_bytes::ByteBuf;
 
+/// Silence of the store for which a hub is relied on, where changes have two seconds.
+const SILENCE: Duration = Duration::from_millis(1_700);
+
 fn daemon(centre: &str, number: usize) -> DaemonRecord {
     let address: SocketAddr = ([127, 0, 0, 1], 1_000).into();
     DaemonRecord {
@@ -26,6 +28,7 @@
         peers: address,
         centre: CentreName::from(centre),
         leaving: false,
+        strength: InstanceStrength::default(),
     }
 }
 
@@ -115,14 +118,14 @@
 fn a_hub_that_hears_nothing_of_the_store_feeds_nobody() {
     let hub = DaemonId::from("a-01");
     let mut hubs = HubBook::default();
-    assert!(!hubs.is_fed_by(&hub, MonoTime(0)));
+    assert!(!hubs.is_fed_by(&hub, SILENCE, MonoTime(0)));
     hubs.note_store(&hub, Duration::from_millis(900), MonoTime(5_000));
-    assert!(hubs.is_fed_by(&hub, MonoTime(5_700)));
+    assert!(hubs.is_fed_by(&hub, SILENCE, MonoTime(5_700)));
     hubs.note_store(&hub, Duration::from_millis(1_500), MonoTime(5_800));
-    assert!(!hubs.is_fed_by(&hub, MonoTime(6_000)));
-    assert!(!hubs.is_fed_by(&DaemonId::from("a-02"), MonoTime(5_700)));
+    assert!(!hubs.is_fed_by(&hub, SILENCE, MonoTime(6_000)));
+    assert!(!hubs.is_fed_by(&DaemonId::from("a-02"), SILENCE, MonoTime(5_700)));
     hubs.note_store(&hub, Duration::ZERO, MonoTime(7_000));
-    assert!(hubs.is_fed_by(&hub, MonoTime(7_100)));
+    assert!(hubs.is_fed_by(&hub, SILENCE, MonoTime(7_100)));
 }
 
 // A hub tells other hubs of those that report to it. Were it to tell of other hubs as
@@ -189,9 +192,9 @@
             .collect(),
     };
     let mut stock = FeedStock::default();
-    stock.take(&objects(true, &[("gone", Some(b"1")), ("old", Some(b"2"))]));
-    stock.take(&objects(true, &[("a", Some(b"1")), ("b", Some(b"2"))]));
-    stock.take(&objects(false, &[("b", None), ("c", Some(b"3"))]));
+    stock.take(objects(true, &[("gone", Some(b"1")), ("old", Some(b"2"))]));
+    stock.take(objects(true, &[("a", Some(b"1")), ("b", Some(b"2"))]));
+    stock.take(objects(false, &[("b", None), ("c", Some(b"3"))]));
     let all = stock.all();
     assert_eq!(all.len(), 1);
     let names: Vec<&str> = all[0]
@@ -221,7 +224,7 @@
         let objects = objects.iter();
         let value = || Some(ByteBuf::from(b"1".to_vec()));
         let mut stock = FeedStock::default();
-        stock.take(&FeedObjects {
+        stock.take(FeedObjects {
             feed: Feed::Targets,
             whole: true,
             objects: objects
@@ -277,7 +280,10 @@
         join.rely_on(hub.map(DaemonId::from).as_ref(), now);
     }
     for (hub, number) in case.answers {
-        join.take_stock(&DaemonId::from(*hub), *number);
+        let hub = DaemonId::from(*hub);
+        if join.awaits(&hub, *number) {
+            join.take_stock(&hub, true);
+        }
     }
     assert_eq!(join.is_joined(), case.joined);
 }
@@ -288,7 +294,8 @@
     let mut join = FeedJoin::default();
     assert_eq!(join.rely_on(Some(&hub), MonoTime(1_000)), Some(1));
     assert_eq!(join.rely_on(Some(&hub), MonoTime(1_200)), None);
-    assert!(join.take_stock(&hub, 1));
+    assert!(join.awaits(&hub, 1));
+    join.take_stock(&hub, true);
     assert_eq!(join.rely_on(Some(&hub), MonoTime(1_400)), None);
     join.note_new_link(&DaemonId::from("other"));
     assert!(join.is_joined());
@@ -301,8 +308,57 @@
         Some(3),
         "so may the question's answer be"
     );
-    assert!(join.take_stock(&hub, 3));
+    assert!(join.awaits(&hub, 3));
+    join.take_stock(&hub, true);
     join.rely_on(None, MonoTime(1_600));
     assert!(!join.is_joined());
-    assert!(!join.take_stock(&hub, 3));
+    assert!(!join.awaits(&hub, 3));
+}
+
+// The members of a data centre talk to one daemon. On an instance with an eighth of a core
+// and a link of 20 Mbit/s it answers late; the strongest one is taken, whatever its name.
+#[test]
+fn the_strongest_instance_is_the_hub() {
+    let mut daemons = fleet(10);
+    let strong = DaemonId::from("a-07");
+    let record = daemons.iter_mut().find(|d| d.id == strong);
+    record.expect("it is there").strength.core_thousandths = 500;
+    let role = |own: &str, daemons: &[DaemonRecord]| {
+        let own = DaemonId::from(own);
+        HubBook::default().role(&own, daemons, &PeerBook::default(), MonoTime(0))
+    };
+    assert_eq!(role("a-01", &daemons), PeerRole::Member(strong.clone()));
+    assert_eq!(role("a-07", &daemons), PeerRole::Hub);
+    let record = daemons.iter_mut().find(|d| d.id == strong);
+    record.expect("it is there").leaving = true;
+    let first = PeerRole::Member(DaemonId::from("a-01"));
+    assert_eq!(role("a-02", &daemons), first);
+}
+
+struct StoreHubCase {
+    own: &'static str,
+    // Other hubs, and when they were heard last.
+    heard: &'static [(&'static str, u64)],
+    follows: Option<&'static str>,
+}
+
+// Five hubs that each follow the store ask it five times as often as one. The first of
+// those that hear each other does; where it falls silent, the next one takes over.
+#[rstest]
+#[case::first(StoreHubCase { own: "a-01", heard: &[("b-01", 4_900), ("c-01", 4_900)], follows: None })]
+#[case::relies_on_the_first(StoreHubCase { own: "c-01", heard: &[("b-01", 4_900), ("a-01", 4_900)], follows: Some("a-01") })]
+#[case::first_is_silent(StoreHubCase { own: "c-01", heard: &[("b-01", 4_900), ("a-01", 3_000)], follows: Some("b-01") })]
+#[case::next_after_a_silent_one(StoreHubCase { own: "b-01", heard: &[("c-01", 4_900), ("a-01", 3_000)], follows: None })]
+#[case::hears_nobody(StoreHubCase { own: "c-01", heard: &[], follows: None })]
+fn one_hub_follows_the_store(#[case] case: StoreHubCase) {
+    let daemons = fleet(10);
+    let own = DaemonId::from(case.own);
+    let mut peers = PeerBook::default();
+    for (hub, at) in case.heard {
+        peers.note_hub(&note(hub, 0), WorkRate::default(), MonoTime(*at));
+    }
+    let mut hubs = HubBook::default();
+    hubs.role(&own, &daemons, &peers, MonoTime(5_000));
+    let follows = hubs.store_hub(&own, &daemons, &peers, MonoTime(5_000));
+    assert_eq!(follows, case.follows.map(DaemonId::from));
 }
