Members tell their hub what they saw of their sends

Cause, by reading: a hub places the requests of 39 members and learned speeds, paces, failures and silences of engines from its own sends only, 2 of 90 requests a second of its data centre, 117 engines: each engine was seen by it once in a minute.

Change: a member's hint carries times of work and results of sends since the last one; the hub takes them as its own. A daemon that meets three silent targets between two hints is taken for cut off itself, and its silences for nothing. Small fleets are as before. Ruled out: telling other hubs too (each has 40 members' words of its own).

The tests show what it does in virtual time: both cases choose the troubled engine again without the notes.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -28,6 +28,7 @@
 use crate::gateway::peers::feeding::{FeedJoin, FeedStock};
 use crate::gateway::peers::hub::{HubBook, RelayedHeld};
 use crate::gateway::peers::placing::{PlacementLog, PlacingDesk};
+use crate::gateway::peers::seen::SeenWork;
 use crate::gateway::peers::{self, PeerBook};
 use crate::gateway::pool::LinkPool;
 use crate::gateway::port::GatewayPorts;
@@ -71,6 +72,8 @@
     pub joins: RefCell<FeedJoin>,
     /// What engines came to hold, to be passed on by a hub.
     pub relayed_held: RefCell<RelayedHeld>,
+    /// What is to be told to the hub of own sends.
+    pub seen: RefCell<SeenWork>,
     /// Own work as last told.
     pub last_hint_work: RefCell<WorkByTarget>,
     /// The store's objects, to be passed on by a hub.
@@ -191,6 +194,7 @@
             hubs: RefCell::default(),
             joins: RefCell::default(),
             relayed_held: RefCell::default(),
+            seen: RefCell::default(),
             last_hint_work: RefCell::default(),
             stock: RefCell::default(),
             feed_changes: broadcast::channel(peers::FEED_QUEUE).0,
--- a/src/gateway/deciding/engine_model.rs
+++ b/src/gateway/deciding/engine_model.rs
@@ -6,6 +6,7 @@
 //! how an engine differs from them is its pace, which [`super::health`] keeps.
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use crate::gateway::deciding::line_fit::{LineFit, WorkLine};
 use crate::names::ServiceName;
@@ -13,7 +14,7 @@
 /// Work whose time is learned. Sizes are the tokens that have to be read before it is
 /// done, those of requests ahead included: the time that others take is told from the
 /// own one by it, or a full engine would be taken for a slow one.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum EngineWork {
     /// A prompt is read for another engine, up to the answer.
     ReadAhead,
--- a/src/gateway/deciding/health.rs
+++ b/src/gateway/deciding/health.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use crate::gateway::target_life::TargetLife;
 use crate::names::MonoTime;
@@ -26,7 +27,7 @@
 const PACE_RANGE: (f64, f64) = (0.2, 12.0);
 
 /// What came of a send.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum SendResult {
     /// A whole answer of the target's own.
     Answered,
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -13,6 +13,7 @@
 pub mod feeding;
 pub mod hub;
 pub mod placing;
+pub mod seen;
 pub mod wire;
 
 use std::net::SocketAddr;
@@ -338,6 +339,7 @@
             changing: self.own_changing.borrow().clone(),
             rate,
             placed_through: self.placing.borrow().taken_through(),
+            seen: self.seen.take(),
         }
     }
 
@@ -469,6 +471,7 @@
         self.hubs.borrow_mut().note_hint(&hint.from, now);
         self.relayed_held.borrow_mut().keep_member(&hint.held);
         self.take_departed(&hint.departed);
+        self.take_seen(&hint.seen);
         let work = hint.work.into_iter().collect();
         let load = &mut self.core.borrow_mut().load;
         load.settle_promises(&hint.from, hint.placed_through);
--- a/src/gateway/peers/placing.rs
+++ b/src/gateway/peers/placing.rs
@@ -87,6 +87,12 @@
         }
     }
 
+    /// Whether another daemon is asked for places.
+    #[must_use]
+    pub fn has_placer(&self) -> bool {
+        self.placer.is_some()
+    }
+
     /// Opens a queue of messages that a link sends between its regular ones.
     pub fn open_link(&mut self, daemon: &DaemonId) -> mpsc::UnboundedReceiver<Message> {
         let (sender, queue) = mpsc::unbounded_channel();
--- /dev/null
+++ b/src/gateway/peers/seen.rs
@@ -0,0 +1,122 @@
+//! What members saw of their sends, for the hub that places their requests.
+//!
+//! A hub places the requests of 40 daemons and sends few of them itself. By its own sends
+//! it would see each of 120 engines once in a minute, and would go on placing work on a
+//! slow or dark one that its members have long noticed.
+
+use indexmap::IndexSet;
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::daemon::Gateway;
+use crate::gateway::deciding::TimedWork;
+use crate::gateway::deciding::engine_model::EngineWork;
+use crate::gateway::deciding::health::SendResult;
+use crate::gateway::target_life::TargetLife;
+
+/// Most notes of each kind in a hint. A daemon sends some ten requests between two hints;
+/// beyond this the newest say enough.
+const MOST_NOTES: usize = 128;
+/// Silent targets in one hint from which on its daemon is taken for cut off itself. Of
+/// engines that turn dark together a daemon meets one or two between two hints.
+const CUT_OFF_SILENCES: usize = 3;
+
+/// The time that a piece of work took at an engine.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct TimeNote {
+    /// The engine.
+    pub engine: TargetLife,
+    /// What it did.
+    pub work: EngineWork,
+    /// Tokens that it had to read until that was done.
+    pub tokens: f64,
+    /// Milliseconds.
+    pub taken_ms: f64,
+}
+
+/// What became of a send.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ResultNote {
+    /// The target.
+    pub target: TargetLife,
+    /// What became of it.
+    pub result: SendResult,
+}
+
+/// What a daemon saw of its sends since its last hint.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct SeenWork {
+    /// Times of work at engines.
+    pub times: Vec<TimeNote>,
+    /// What became of sends.
+    pub results: Vec<ResultNote>,
+}
+
+impl SeenWork {
+    /// Keeps the time of a piece of work.
+    pub fn note_time(&mut self, timed: &TimedWork, taken_ms: f64) {
+        if self.times.len() < MOST_NOTES {
+            self.times.push(TimeNote {
+                engine: timed.engine.id.clone(),
+                work: timed.work,
+                tokens: timed.tokens,
+                taken_ms,
+            });
+        }
+    }
+
+    /// Keeps what became of a send.
+    pub fn note_result(&mut self, target: &TargetLife, result: SendResult) {
+        if self.results.len() < MOST_NOTES {
+            self.results.push(ResultNote {
+                target: target.clone(),
+                result,
+            });
+        }
+    }
+
+    /// Returns the results that say something of their targets. Several silent ones at
+    /// once say that the daemon itself is cut off, and one that is silent to a daemon
+    /// twice between two hints is silent once.
+    pub fn telling_results(&self) -> impl Iterator<Item = &ResultNote> {
+        let silent = |note: &&ResultNote| note.result == SendResult::Silent;
+        let silences: IndexSet<&TargetLife> = self
+            .results
+            .iter()
+            .filter(silent)
+            .map(|note| &note.target)
+            .collect();
+        let cut_off = silences.len() >= CUT_OFF_SILENCES;
+        let mut told: IndexSet<&TargetLife> = IndexSet::new();
+        self.results.iter().filter(move |note| match note.result {
+            SendResult::Silent => !cut_off && told.insert(&note.target),
+            SendResult::Answered | SendResult::Failed => true,
+        })
+    }
+}
+
+impl Gateway {
+    /// Whether a hub places this daemon's requests and is to know what came of them.
+    pub fn is_placed_for(&self) -> bool {
+        self.placing.borrow().has_placer()
+    }
+
+    /// Takes what a member saw, as if this daemon had seen it.
+    pub(super) fn take_seen(&self, seen: &SeenWork) {
+        let view = self.view();
+        for note in &seen.times {
+            if let Some(engine) = view.find(&note.engine) {
+                let timed = TimedWork {
+                    engine: engine.clone(),
+                    work: note.work,
+                    tokens: note.tokens,
+                };
+                self.learn_time(&timed, note.taken_ms);
+            }
+        }
+        for note in seen.telling_results() {
+            if let Some(target) = view.find(&note.target) {
+                self.note_result(target, note.result);
+            }
+        }
+    }
+}
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::deciding::load::TargetWork;
 use crate::gateway::deciding::stage_plan::WorkRate;
+use crate::gateway::peers::seen::SeenWork;
 use crate::gateway::store_follow::Feed;
 use crate::gateway::target_life::TargetLife;
 use crate::names::{DaemonId, ServiceName};
@@ -44,6 +45,8 @@
     pub rate: WorkRate,
     /// Last question for a place whose work this hint contains.
     pub placed_through: u64,
+    /// What it saw of its sends, where a hub places its requests.
+    pub seen: SeenWork,
 }
 
 /// A message between daemons.
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -290,6 +290,9 @@
     /// Notes what came of a send, and logs a target that is avoided from now on.
     pub fn note_result(&self, target: &TargetRecord, result: SendResult) {
         let now = clock::mono_now();
+        if self.is_placed_for() {
+            self.seen.borrow_mut().note_result(&target.id, result);
+        }
         let changed = self.core.borrow_mut().note_result(&target.id, result, now);
         match changed {
             Some(HealthChange::Avoided) => {
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -9,6 +9,7 @@
 use pistachiowick::gateway::peers::PeerBook;
 use pistachiowick::gateway::peers::feeding::{FeedJoin, FeedStock};
 use pistachiowick::gateway::peers::hub::{HubBook, LinkKind, PeerRole, subtract};
+use pistachiowick::gateway::peers::seen::SeenWork;
 use pistachiowick::gateway::peers::wire::{FeedObjects, MemberNote, PeerHint, PeerMessage};
 use pistachiowick::gateway::store_follow::Feed;
 use pistachiowick::gateway::target_life::TargetLife;
@@ -52,6 +53,7 @@
         changing: Vec::new(),
         rate: WorkRate::default(),
         placed_through: 0,
+        seen: SeenWork::default(),
     }
 }
 
--- /dev/null
+++ b/tests/gateway_seen.rs
@@ -0,0 +1,105 @@
+//! What a hub learns from what its members saw.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pistachiowick::gateway::deciding::engine_model::EngineWork;
+use pistachiowick::gateway::deciding::health::SendResult;
+use pistachiowick::gateway::deciding::{DecisionCore, EngineChoices, PlaceOrder, TimedWork};
+use pistachiowick::gateway::model::{EngineStage, PromptShape, TargetRecord};
+use pistachiowick::gateway::peers::seen::SeenWork;
+use pistachiowick::gateway::target_life::TargetLife;
+use pistachiowick::names::MonoTime;
+use rstest::rstest;
+
+mod gateway_samples;
+
+use gateway_samples::engine;
+
+struct TellingCase {
+    /// Target and what became of a send to it, in the order of the sends.
+    results: &'static [(&'static str, SendResult)],
+    telling: &'static [(&'static str, SendResult)],
+}
+
+// A member loses its own network for a moment and hears nothing of any engine. A hub that
+// took its word would avoid engines that serve everybody else.
+#[rstest]
+#[case::answers(TellingCase { results: &[("a", SendResult::Answered), ("b", SendResult::Failed)], telling: &[("a", SendResult::Answered), ("b", SendResult::Failed)] })]
+#[case::one_dark(TellingCase { results: &[("a", SendResult::Silent), ("b", SendResult::Answered)], telling: &[("a", SendResult::Silent), ("b", SendResult::Answered)] })]
+#[case::silent_twice(TellingCase { results: &[("a", SendResult::Silent), ("a", SendResult::Silent)], telling: &[("a", SendResult::Silent)] })]
+#[case::cut_off(TellingCase { results: &[("a", SendResult::Silent), ("b", SendResult::Silent), ("c", SendResult::Silent), ("d", SendResult::Answered)], telling: &[("d", SendResult::Answered)] })]
+fn a_member_that_is_cut_off_says_nothing_of_engines(#[case] case: TellingCase) {
+    let mut seen = SeenWork::default();
+    for (target, result) in case.results {
+        seen.note_result(&TargetLife::from(*target), *result);
+    }
+    let told: Vec<(&str, SendResult)> = seen
+        .telling_results()
+        .map(|note| (note.target.as_str(), note.result))
+        .collect();
+    assert_eq!(told, case.telling);
+}
+
+fn chosen(core: &DecisionCore, engines: &[Arc<TargetRecord>], now: MonoTime) -> TargetLife {
+    let prompt = PromptShape {
+        prompt_tokens: 1_460,
+        output_tokens: 25,
+        ..PromptShape::default()
+    };
+    let order = PlaceOrder {
+        choices: EngineChoices {
+            engines,
+            changing: &[],
+            excluded: &[],
+        },
+        prompt: &prompt,
+        urgency: 0,
+        objective_left: Duration::from_millis(500),
+    };
+    let place = core.place(&order, now).expect("engines that generate");
+    place.writer.id.clone()
+}
+
+struct SawCase {
+    result: SendResult,
+    taken_ms: Option<f64>,
+}
+
+// A lane summary comes in while one of two engines has turned dark, and while one has
+// turned slow. The hub that places it has sent nothing lately; its members have, two of
+// them to that engine. Members' results and times lead the hub past it.
+#[rstest]
+#[case::dark(SawCase { result: SendResult::Silent, taken_ms: None })]
+#[case::slow(SawCase { result: SendResult::Answered, taken_ms: Some(2_000.0) })]
+fn a_hub_places_by_what_its_members_saw(#[case] case: SawCase) {
+    let engines = ["a", "b"].map(|id| Arc::new(engine(id, EngineStage::Decode)));
+    let now = MonoTime(10_000);
+    let mut core = DecisionCore::default();
+    let first = chosen(&core, &engines, now);
+    let troubled = engines.iter().find(|e| e.id == first).expect("one of them");
+    for _member in 0..2 {
+        let mut seen = SeenWork::default();
+        seen.note_result(&troubled.id, case.result);
+        if let Some(taken_ms) = case.taken_ms {
+            let timed = TimedWork {
+                engine: troubled.clone(),
+                work: EngineWork::ReadHere,
+                tokens: 1_460.0,
+            };
+            seen.note_time(&timed, taken_ms);
+        }
+        for note in seen.telling_results() {
+            core.note_result(&note.target, note.result, now);
+        }
+        for note in &seen.times {
+            let timed = TimedWork {
+                engine: troubled.clone(),
+                work: note.work,
+                tokens: note.tokens,
+            };
+            core.note_time(&timed, note.taken_ms, now);
+        }
+    }
+    assert_ne!(chosen(&core, &engines, now), first);
+}
