A daemon that tests freeze has stopped when they go on

Ruled out: an answer of a frozen daemon.

Change: set_frozen waits until no thread of the process runs. The test is unchanged.

--- a/lab/src/prove_daemon.rs
+++ b/lab/src/prove_daemon.rs
@@ -188,7 +188,11 @@
         match &self.kind {
             HostKind::Inside(_) => Ok(()),
             HostKind::Process(child) => {
-                send_signal(child, if frozen { "STOP" } else { "CONT" }).await
+                if !frozen {
+                    return send_signal(child, "CONT").await;
+                }
+                send_signal(child, "STOP").await?;
+                until_stopped(child).await
             }
         }
     }
@@ -205,6 +209,44 @@
     }
 }
 
+/// Time in which all threads of a process stop.
+const STOP_LIMIT: Duration = Duration::from_secs(5);
+/// Pause between two looks at them.
+const STOP_LOOK: Duration = Duration::from_millis(1);
+
+/// Waits until no thread of a process runs. The signal is sent when this is called, but a
+/// thread goes on until its processor takes notice: a daemon thought frozen would still
+/// answer a request.
+async fn until_stopped(child: &Child) -> Result<()> {
+    let id = child.id().wrap_err("the process has ended")?;
+    let stopped = async {
+        while !all_stopped(id)? {
+            tokio::time::sleep(STOP_LOOK).await;
+        }
+        Ok(())
+    };
+    let limited = tokio::time::timeout(STOP_LIMIT, stopped).await;
+    limited.wrap_err_with(|| format!("process {id} does not stop"))?
+}
+
+fn all_stopped(id: u32) -> Result<bool> {
+    for thread in std::fs::read_dir(format!("/proc/{id}/task"))? {
+        // A thread that ends between the listing and the look runs still.
+        let Ok(text) = std::fs::read_to_string(thread?.path().join("stat")) else {
+            return Ok(false);
+        };
+        // The state follows the name, which may hold spaces and brackets.
+        let state = text
+            .rsplit(')')
+            .next()
+            .and_then(|rest| rest.trim().chars().next());
+        if state != Some('T') {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 async fn send_signal(child: &Child, signal: &str) -> Result<()> {
     let id = child.id().wrap_err("the process has ended")?;
     let status = Command::new("kill")
