--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -63,7 +63,7 @@
     /// How the store is followed at first.
     pub duty: WatchDuty,
     /// Longest wait of the watch by which a hub shows that it hears the store.
-    pub sign_of_life: Duration,
+    pub heartbeat: Duration,
 }
 
 /// Handle of the control thread.
@@ -127,7 +127,7 @@
             news: feed_sender.clone(),
             duty: duty.clone(),
             pulse: setup.pulse.clone(),
-            sign_of_life: setup.sign_of_life,
+            heartbeat: setup.heartbeat,
         };
         spawn_local(follower.run());
     }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -303,7 +303,7 @@
         pulse: pulse.clone(),
         record,
         duty,
-        sign_of_life: settings.relay_bounds().sign_of_life,
+        heartbeat: settings.relay_bounds().heartbeat,
     };
     let control = start_control(setup)?;
     let mut gateway = Gateway::new(settings, ports, fleet, life, control.news);
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -80,7 +80,7 @@
 /// The same for a hub: earlier, so that it hears the store again before its members miss it.
 const HUB_PART: f64 = 0.55;
 /// Part of that time that the watch waits by which a hub shows that it hears the store.
-const SIGN_PART: f64 = 0.3;
+const HEARTBEAT_PART: f64 = 0.3;
 
 /// For how long daemons rely on each other to hear of changes of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -90,7 +90,7 @@
     /// Silence of the store after which a hub follows it itself.
     pub hub_silence: Duration,
     /// Longest time between two signs that a hub hears the store.
-    pub sign_of_life: Duration,
+    pub heartbeat: Duration,
 }
 
 /// What the instance of a process carries; 0 stands for not stated.
@@ -244,7 +244,7 @@
         RelayBounds {
             member_silence: part(MEMBER_PART),
             hub_silence: part(HUB_PART),
-            sign_of_life: part(SIGN_PART),
+            heartbeat: part(HEARTBEAT_PART),
         }
     }
 
--- a/src/gateway/store_follow.rs
+++ b/src/gateway/store_follow.rs
@@ -167,9 +167,9 @@
 
     // One kind of a hub is asked for often, so that those that rely on it notice within
     // their bounds that it hears the store no more.
-    fn wait(self, feed: Feed, sign_of_life: Duration) -> Duration {
+    fn wait(self, feed: Feed, heartbeat: Duration) -> Duration {
         match (self, feed) {
-            (Self::ForOthers, Feed::Config) => sign_of_life,
+            (Self::ForOthers, Feed::Config) => heartbeat,
             _ => WATCH_WAIT,
         }
     }
@@ -256,7 +256,7 @@
     /// Where to note that the store was heard.
     pub pulse: Arc<StorePulse>,
     /// Longest wait of the watch by which a hub shows that it hears the store.
-    pub sign_of_life: Duration,
+    pub heartbeat: Duration,
 }
 
 impl Follower {
@@ -294,7 +294,7 @@
             let query = WatchQuery {
                 kind: self.kind.clone(),
                 since,
-                wait: duty.wait(self.feed, self.sign_of_life),
+                wait: duty.wait(self.feed, self.heartbeat),
             };
             self.count("watch");
             match (self.ports.store.watch)(query).await {
--- a/tests/gateway_feeding.rs
+++ b/tests/gateway_feeding.rs
@@ -148,15 +148,15 @@
     departure_ms: f64,
     member_ms: u128,
     hub_ms: u128,
-    sign_ms: u128,
+    heartbeat_ms: u128,
 }
 
 // Deployments state how soon a change has to be in force. Relying on each other for a part
 // of it leaves time for a listing, whether the time is two seconds or four.
 #[rstest]
-#[case::two_seconds(BoundCase { config_ms: 2_000.0, departure_ms: 2_000.0, member_ms: 1_700, hub_ms: 1_100, sign_ms: 600 })]
-#[case::four_seconds(BoundCase { config_ms: 4_000.0, departure_ms: 4_000.0, member_ms: 3_400, hub_ms: 2_200, sign_ms: 1_200 })]
-#[case::the_shorter_one(BoundCase { config_ms: 4_000.0, departure_ms: 2_000.0, member_ms: 1_700, hub_ms: 1_100, sign_ms: 600 })]
+#[case::two_seconds(BoundCase { config_ms: 2_000.0, departure_ms: 2_000.0, member_ms: 1_700, hub_ms: 1_100, heartbeat_ms: 600 })]
+#[case::four_seconds(BoundCase { config_ms: 4_000.0, departure_ms: 4_000.0, member_ms: 3_400, hub_ms: 2_200, heartbeat_ms: 1_200 })]
+#[case::the_shorter_one(BoundCase { config_ms: 4_000.0, departure_ms: 2_000.0, member_ms: 1_700, hub_ms: 1_100, heartbeat_ms: 600 })]
 fn daemons_rely_on_each_other_for_a_part_of_the_bound(#[case] case: BoundCase) {
     let settings = json!({
         "daemon": "node-1", "ip": "127.0.0.1", "centre": "hall-a", "listen": {},
@@ -171,7 +171,7 @@
     let bounds = settings.relay_bounds();
     assert_eq!(bounds.member_silence.as_millis(), case.member_ms);
     assert_eq!(bounds.hub_silence.as_millis(), case.hub_ms);
-    assert_eq!(bounds.sign_of_life.as_millis(), case.sign_ms);
+    assert_eq!(bounds.heartbeat.as_millis(), case.heartbeat_ms);
 }
 
 // A fleet starts. The hub of one data centre asks the one that follows the store, which has
