--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -72,7 +72,7 @@
     pub joins: RefCell<FeedJoin>,
     /// What engines came to hold, to be passed on by a hub.
     pub relayed_held: RefCell<RelayedHeld>,
-    /// What is to be told to the hub of own sends.
+    /// What own sends showed, to be told to the hub.
     pub seen: RefCell<SeenWork>,
     /// Own work as last told.
     pub last_hint_work: RefCell<WorkByTarget>,
--- a/src/gateway/store_follow.rs
+++ b/src/gateway/store_follow.rs
@@ -27,8 +27,7 @@
 /// configuration has to have it soon after the store returns.
 pub(super) const LONGEST_BACKOFF: Duration = Duration::from_millis(800);
 /// The same for a member without its hub. When the store is away for all, hubs ask often
-/// and tell their members of its return; 180 members that ask as often make ten times
-/// the calls for nothing.
+/// and tell their members of its return; 190 members that ask as often learn no more.
 const LONGEST_MEMBER_BACKOFF: Duration = Duration::from_millis(3_000);
 /// Time between a member's first answer of the store after failures and its listings of
 /// the larger kinds: its hub mostly has them by then and passes them on.
