--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -18,7 +18,8 @@
 use crate::gateway::registry::{EntryContent, EntryNews, EntrySource, TargetRegistry};
 use crate::gateway::routes::RouteTable;
 use crate::gateway::store_follow::{
-    FIRST_BACKOFF, Feed, FeedNews, Follower, LONGEST_BACKOFF, StorePulse, WatchDuty, kind_of, pause,
+    FIRST_BACKOFF, Feed, FeedNews, FollowPace, Follower, LONGEST_BACKOFF, StorePulse, WatchDuty,
+    kind_of, pause,
 };
 use crate::gateway::target_life::TargetLife;
 use crate::names::{DaemonId, TargetId};
@@ -62,8 +63,8 @@
     pub record: DaemonRecord,
     /// How the store is followed at first.
     pub duty: WatchDuty,
-    /// Longest wait of the watch by which a hub hears of the store while nothing changes.
-    pub heartbeat: Duration,
+    /// How often the configuration is asked for while nothing changes.
+    pub pace: FollowPace,
 }
 
 /// Handle of the control thread.
@@ -109,6 +110,9 @@
     config_source: Option<(u64, Arc<[u8]>)>,
     targets_known: bool,
     own_record_seen: bool,
+    pulse: Arc<StorePulse>,
+    // Revision of a configuration that could not be read and is not in force here.
+    unread_config: Option<u64>,
 }
 
 async fn run(
@@ -127,7 +131,7 @@
             news: feed_sender.clone(),
             duty: duty.clone(),
             pulse: setup.pulse.clone(),
-            heartbeat: setup.heartbeat,
+            pace: setup.pace,
         };
         spawn_local(follower.run());
     }
@@ -141,6 +145,8 @@
         config_source: None,
         targets_known: false,
         own_record_seen: false,
+        pulse: setup.pulse,
+        unread_config: None,
     };
     let timer = TimerService::start();
     let mut ticks = timer.every(TICK);
@@ -225,6 +231,14 @@
     fn take(&mut self, news: FeedNews, source: EntrySource) -> bool {
         let now = clock::mono_now();
         match news {
+            FeedNews::Confirmed(at) => {
+                // Nothing is confirmed by an answer that could not be read: keys that it
+                // takes away would stay in force.
+                if self.routes.is_some() && self.unread_config.is_none() {
+                    self.pulse.note_confirmed(at);
+                }
+                false
+            }
             FeedNews::Failed(feed) => {
                 if feed == Feed::Targets {
                     self.registry.note_store_failure(now);
@@ -300,6 +314,7 @@
     fn take_value(&mut self, revision: u64, value: &[u8]) -> bool {
         match (self.ports.schema.decode_config)(value) {
             Ok(config) => {
+                self.unread_config = self.unread_config.filter(|unread| *unread > revision);
                 let applied = self.apply_config(config, revision);
                 if applied {
                     self.config_source = Some((revision, Arc::from(value)));
@@ -307,6 +322,7 @@
                 applied
             }
             Err(fault) => {
+                self.unread_config = self.unread_config.max(Some(revision));
                 log::error!(revision = revision; "configuration left out, the one before stays: {fault}");
                 false
             }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -28,6 +28,7 @@
 use crate::gateway::peers::feeding::{FeedJoin, FeedStock};
 use crate::gateway::peers::hub::{HubBook, RelayedHeld};
 use crate::gateway::peers::placing::{PlacementLog, PlacingDesk};
+use crate::gateway::peers::proofs::ProofBook;
 use crate::gateway::peers::seen::SeenWork;
 use crate::gateway::peers::{self, PeerBook};
 use crate::gateway::pool::LinkPool;
@@ -58,6 +59,8 @@
     pub core: RefCell<DecisionCore>,
     /// The other daemons.
     pub peers: RefCell<PeerBook>,
+    /// As of when the configuration is known to be the newest one.
+    pub proofs: RefCell<ProofBook>,
     /// Whom to ask for places on engines.
     pub placing: RefCell<PlacingDesk>,
     /// What this daemon has placed as a hub.
@@ -187,6 +190,7 @@
             fleet,
             pool: Rc::default(),
             peers: RefCell::default(),
+            proofs: RefCell::default(),
             placing: RefCell::default(),
             placements: RefCell::default(),
             placed: Notify::new(),
@@ -303,7 +307,7 @@
         pulse: pulse.clone(),
         record,
         duty,
-        heartbeat: settings.relay_bounds().heartbeat,
+        pace: settings.follow_pace(),
     };
     let control = start_control(setup)?;
     let mut gateway = Gateway::new(settings, ports, fleet, life, control.news);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -18,7 +18,9 @@
 use crate::gateway::daemon::Gateway;
 use crate::gateway::deciding::health::SendResult;
 use crate::gateway::fleet::FleetView;
-use crate::gateway::model::{CallerRequest, PromptShape, RouteRule, ServiceRule, TargetRecord};
+use crate::gateway::model::{
+    CallerAccess, CallerRequest, PromptShape, RouteRule, ServiceRule, TargetRecord,
+};
 use crate::gateway::port::{SendMode, SendOrder};
 use crate::gateway::reply::{Failure, FailureKind, Reply, strip_connection_headers, whole_reply};
 use crate::gateway::routes::{RouteTable, choose_service};
@@ -46,6 +48,8 @@
     pub service: ServiceRule,
     /// What its head says.
     pub caller: CallerRequest,
+    /// Whom it is for.
+    pub access: CallerAccess,
     /// What is sent on.
     pub request: OutgoingRequest,
     /// When it arrived.
@@ -239,7 +243,8 @@
             .clone()
             .filter(|_| view.targets_known)
             .ok_or_else(|| Failure::refused("no configuration yet", NOTHING_YET_WAIT))?;
-        let (route, service) = self.route(&routes, &head)?;
+        let (mut route, service) = self.route(&routes, &head)?;
+        let access = self.check_access(&routes, &mut route, &caller)?;
         let patience = caller.patience.unwrap_or(route.time_limit);
         let due = arrived + patience.min(route.time_limit);
         let body = read_request_body(body, &routes, due).await?;
@@ -252,6 +257,7 @@
             route,
             service,
             caller,
+            access,
             request: OutgoingRequest {
                 method: head.method,
                 uri: head.uri,
@@ -418,6 +424,7 @@
         resume_after: call.caller.resume_after,
         fetch_from: None,
         rank: None,
+        access: call.access.clone(),
     }
 }
 
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -283,6 +283,7 @@
             resume_after,
             fetch_from: fetch_from.map(|holder| holder.address),
             rank: Some(rank),
+            access: call.access.clone(),
         }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 //! One thread carries traffic; the control thread (`control`) follows the object
 //! store and publishes a [`fleet::FleetView`], which traffic reads without waiting.
 
+pub mod access;
 pub mod budget;
 pub mod client;
 pub mod control;
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::access_key::KeyDigest;
 use crate::gateway::target_life::TargetLife;
-use crate::names::{CentreName, ServiceName};
+use crate::names::{CentreName, ServiceName, WorkspaceName};
 
 /// What may be repeated of a route's requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -65,6 +66,36 @@
     pub most_targets: u32,
     /// Services that share the requests.
     pub shares: Vec<ServiceShare>,
+    /// Whether callers need no key, also where the configuration names workspaces.
+    pub public: bool,
+}
+
+/// A workspace and the keys by which its callers are known.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WorkspaceRule {
+    /// Its name, which targets are told.
+    pub name: WorkspaceName,
+    /// Digests of its keys.
+    pub keys: Vec<KeyDigest>,
+    /// Rank of its requests in place of their routes' rank; 0 is the most urgent.
+    pub urgency: Option<u8>,
+}
+
+/// Who a request is for, as its key showed when it arrived.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum CallerAccess {
+    /// The configuration names no workspaces; keys mean nothing.
+    #[default]
+    Open,
+    /// The route asks for no key.
+    Public,
+    /// The key belongs to a workspace.
+    Workspace {
+        /// The workspace.
+        name: WorkspaceName,
+        /// Digest of the key.
+        key: KeyDigest,
+    },
 }
 
 /// What model engines of a service can hold.
@@ -111,6 +142,8 @@
     pub services: Vec<ServiceRule>,
     /// Limits on callers.
     pub limits: CallerLimits,
+    /// Workspaces; `None` where callers need no keys.
+    pub workspaces: Option<Vec<WorkspaceRule>>,
 }
 
 /// The part a model engine plays.
@@ -185,4 +218,6 @@
     pub prompt: Option<PromptShape>,
     /// Last event the caller already has of a stream it resumes.
     pub resume_after: Option<u64>,
+    /// Digest of the caller's key; `None` where it shows none, or more than one.
+    pub key: Option<KeyDigest>,
 }
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -13,6 +13,7 @@
 pub mod feeding;
 pub mod hub;
 pub mod placing;
+pub mod proofs;
 pub mod seen;
 pub mod wire;
 
@@ -340,6 +341,7 @@
             rate,
             placed_through: self.placing.borrow().taken_through(),
             seen: self.seen.take(),
+            clock: clock::mono_now(),
         }
     }
 
@@ -394,6 +396,7 @@
             rate: if whole { self.work_rate() } else { hint.rate },
             placed_through,
             members,
+            proof: self.proof_note(now),
         }
     }
 
@@ -467,6 +470,9 @@
         let now = clock::mono_now();
         let own_version = view.routes.as_ref().map_or(0, |routes| routes.version);
         self.peers.borrow_mut().note_hint(&hint, own_version, now);
+        self.proofs
+            .borrow_mut()
+            .note_clock(&hint.from, hint.life, hint.clock);
         self.take_held_notes(&hint.held);
         self.hubs.borrow_mut().note_hint(&hint.from, now);
         self.relayed_held.borrow_mut().keep_member(&hint.held);
@@ -515,6 +521,7 @@
         self.hubs
             .borrow_mut()
             .note_store(&summary.from, store_age, now);
+        self.take_proof(&summary.from, summary.life, &summary.proof);
         for note in summary.members.iter().filter(|note| note.id != self.daemon) {
             let rate = if note.id == summary.from {
                 summary.rate
--- /dev/null
+++ b/src/gateway/peers/proofs.rs
@@ -0,0 +1,129 @@
+//! As of when a daemon's configuration is known to be the newest one.
+//!
+//! Only the store can say so, and it answers few daemons. Who it answers tells how old
+//! that answer is; the others count from a moment on their own clock that was certainly
+//! before: when they sent the word that the teller had heard last. So neither a message
+//! that was held up nor a clock that differs makes a confirmation look newer than it is.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::daemon::Gateway;
+use crate::names::{DaemonId, MonoTime, millis};
+
+/// A daemon's clock as another one heard it last.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ClockEcho {
+    /// The daemon.
+    pub daemon: DaemonId,
+    /// Its life; each has a clock of its own.
+    pub life: u64,
+    /// Its clock when it sent what was heard.
+    pub clock: MonoTime,
+}
+
+/// What a daemon tells of the age of its configuration.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ProofNote {
+    /// The teller's clock.
+    pub clock: MonoTime,
+    /// Version that it runs.
+    pub version: u64,
+    /// Milliseconds since that was the newest one; `None` while it does not know.
+    pub age_ms: Option<u64>,
+    /// Clocks that it heard, where keys have to be confirmed.
+    pub echoes: Vec<ClockEcho>,
+}
+
+/// What is known of the age of the own configuration by the words of others.
+#[derive(Debug, Default)]
+pub struct ProofBook {
+    heard: IndexMap<DaemonId, (u64, MonoTime)>,
+    confirmed_at: Option<MonoTime>,
+}
+
+impl ProofBook {
+    /// Notes the clock that a daemon told.
+    pub fn note_clock(&mut self, daemon: &DaemonId, life: u64, clock: MonoTime) {
+        self.heard.insert(daemon.clone(), (life, clock));
+    }
+
+    /// Returns the clocks heard of daemons that are `known`, and forgets the others.
+    pub fn echoes(&mut self, known: impl Fn(&DaemonId) -> bool) -> Vec<ClockEcho> {
+        self.heard.retain(|daemon, _| known(daemon));
+        let heard = self.heard.iter();
+        heard
+            .map(|(daemon, (life, clock))| ClockEcho {
+                daemon: daemon.clone(),
+                life: *life,
+                clock: *clock,
+            })
+            .collect()
+    }
+
+    /// Takes a note, where `own_version` is run by the daemon `own` in its life.
+    ///
+    /// A note on a version that is not here yet proves nothing of the one that is.
+    pub fn take(&mut self, note: &ProofNote, own: (&DaemonId, u64), own_version: u64) {
+        let Some(age_ms) = note.age_ms.filter(|_| note.version <= own_version) else {
+            return;
+        };
+        let is_own = |echo: &&ClockEcho| (&echo.daemon, echo.life) == own;
+        if let Some(echo) = note.echoes.iter().find(is_own) {
+            let at = MonoTime(echo.clock.0.saturating_sub(age_ms));
+            self.confirmed_at = self.confirmed_at.max(Some(at));
+        }
+    }
+
+    /// When the own configuration was the newest one, as far as others proved it.
+    #[must_use]
+    pub fn confirmed_at(&self) -> Option<MonoTime> {
+        self.confirmed_at
+    }
+}
+
+impl Gateway {
+    /// When the configuration run here was certainly the newest one.
+    ///
+    /// Read before the configuration itself, it holds for that one too.
+    #[must_use]
+    pub fn confirmed_at(&self) -> Option<MonoTime> {
+        let told = self.proofs.borrow().confirmed_at();
+        self.pulse.confirmed_at().max(told)
+    }
+
+    /// Whether a key that the configuration holds may be taken for one in force.
+    ///
+    /// A daemon that is cut off goes on with the keys it knows, and so would serve a
+    /// caller whose key was taken away for as long as the cut lasts. It stops before the
+    /// bound on that, counted from the last moment at which it was certainly up to date.
+    #[must_use]
+    pub fn confirms_keys(&self, now: MonoTime) -> bool {
+        let Some(limit) = self.settings().key_trust() else {
+            return true;
+        };
+        let confirmed = self.confirmed_at();
+        confirmed.is_some_and(|at| now.since(at) < limit)
+    }
+
+    pub(super) fn proof_note(&self, now: MonoTime) -> ProofNote {
+        // Before the version: a newer one may come between, an older one never.
+        let confirmed = self.confirmed_at();
+        let view = self.view();
+        let keyed = view.routes.as_ref().is_some_and(|r| r.asks_for_keys());
+        let known = |id: &DaemonId| keyed && view.daemons.iter().any(|d| d.id == *id);
+        ProofNote {
+            clock: now,
+            version: view.routes.as_ref().map_or(0, |routes| routes.version),
+            age_ms: confirmed.map(|at| millis(now.since(at))),
+            echoes: self.proofs.borrow_mut().echoes(known),
+        }
+    }
+
+    pub(super) fn take_proof(&self, from: &DaemonId, life: u64, note: &ProofNote) {
+        let version = self.view().routes.as_ref().map_or(0, |r| r.version);
+        let mut proofs = self.proofs.borrow_mut();
+        proofs.note_clock(from, life, note.clock);
+        proofs.take(note, (&self.daemon, self.life), version);
+    }
+}
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -6,10 +6,11 @@
 
 use crate::gateway::deciding::load::TargetWork;
 use crate::gateway::deciding::stage_plan::WorkRate;
+use crate::gateway::peers::proofs::ProofNote;
 use crate::gateway::peers::seen::SeenWork;
 use crate::gateway::store_follow::Feed;
 use crate::gateway::target_life::TargetLife;
-use crate::names::{DaemonId, ServiceName};
+use crate::names::{DaemonId, MonoTime, ServiceName};
 
 /// Parts of a prompt that an engine holds, or was asked to read.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -47,6 +48,8 @@
     pub placed_through: u64,
     /// What it saw of its sends, where a hub places its requests.
     pub seen: SeenWork,
+    /// Its clock.
+    pub clock: MonoTime,
 }
 
 /// A message between daemons.
@@ -232,6 +235,8 @@
     pub store_age_ms: u32,
     /// Last notes on placements whose work this contains.
     pub placed_through: u64,
+    /// As of when the hub's configuration was the newest one.
+    pub proof: ProofNote,
 }
 
 /// Objects of the store as a hub passes them on.
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, Method, StatusCode, Uri};
 use thiserror::Error;
 
-use crate::gateway::model::{CallerRequest, EngineStage, FleetConfig, TargetRecord};
+use crate::gateway::model::{CallerAccess, CallerRequest, EngineStage, FleetConfig, TargetRecord};
 use crate::gateway::target_life::TargetLife;
 use crate::names::{CentreName, DaemonId, FenceNumber, TargetId, UnixTime};
 use crate::ports::{ObjectName, ObjectVersion, PlatformError, PlatformPort, PortCall};
@@ -74,6 +74,8 @@
     pub fetch_from: Option<SocketAddr>,
     /// Rank at the engine, 0 to 9, 0 first; `None` leaves it to the engine.
     pub rank: Option<u8>,
+    /// Whom it is for: targets are told the workspace, never the key.
+    pub access: CallerAccess,
 }
 
 /// What an answer's head says beside its status.
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -62,6 +62,8 @@
 pub enum FailureKind {
     /// The caller's bytes cannot be understood.
     BadRequest,
+    /// The caller shows no key of a workspace.
+    UnknownKey,
     /// No route for host and path.
     NoRoute,
     /// The body is larger than allowed.
@@ -82,6 +84,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowCaller => StatusCode::REQUEST_TIMEOUT,
@@ -96,6 +99,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::BadRequest => "bad_request",
+            Self::UnknownKey => "unknown_key",
             Self::NoRoute => "no_route",
             Self::TooLarge => "too_large",
             Self::SlowCaller => "slow_caller",
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -2,8 +2,9 @@
 
 use indexmap::IndexMap;
 
-use crate::gateway::model::{CallerLimits, FleetConfig, RouteRule, ServiceRule};
-use crate::names::ServiceName;
+use crate::access_key::KeyDigest;
+use crate::gateway::model::{CallerLimits, FleetConfig, RouteRule, ServiceRule, WorkspaceRule};
+use crate::names::{ServiceName, WorkspaceName};
 
 /// One version of the configuration, arranged for look-ups.
 #[derive(Clone, Debug, PartialEq)]
@@ -13,6 +14,7 @@
     /// Limits on callers.
     pub limits: CallerLimits,
     services: IndexMap<ServiceName, ServiceRule>,
+    keys: Option<IndexMap<KeyDigest, KeyOwner>>,
     // Per host the longest prefixes first, so that the first match is the right one.
     hosts: IndexMap<String, Vec<RouteRule>>,
 }
@@ -27,15 +29,38 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
         let services = config.services.into_iter();
+        let keys = config.workspaces.map(|all| owners_of_keys(&all));
         Self {
             version: config.version,
             limits: config.limits,
             services: services.map(|s| (s.name.clone(), s)).collect(),
+            keys,
             hosts,
         }
     }
 }
 
+/// The workspace that a key belongs to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KeyOwner {
+    /// The workspace.
+    pub workspace: WorkspaceName,
+    /// Rank of its requests in place of their routes' rank.
+    pub urgency: Option<u8>,
+}
+
+fn owners_of_keys(workspaces: &[WorkspaceRule]) -> IndexMap<KeyDigest, KeyOwner> {
+    let mut owners = IndexMap::new();
+    for workspace in workspaces {
+        let owner = KeyOwner {
+            workspace: workspace.name.clone(),
+            urgency: workspace.urgency,
+        };
+        owners.extend(workspace.keys.iter().map(|key| (*key, owner.clone())));
+    }
+    owners
+}
+
 impl RouteTable {
     /// Finds the route with the longest prefix of `path` among those of `host`.
     #[must_use]
@@ -50,6 +75,18 @@
         self.services.get(name)
     }
 
+    /// Whether callers are known by keys.
+    #[must_use]
+    pub fn asks_for_keys(&self) -> bool {
+        self.keys.is_some()
+    }
+
+    /// Returns the workspace that a key belongs to.
+    #[must_use]
+    pub fn owner_of(&self, key: &KeyDigest) -> Option<&KeyOwner> {
+        self.keys.as_ref()?.get(key)
+    }
+
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = &ServiceRule> {
         self.services.values()
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -150,6 +150,9 @@
             // It may have announced its departure since it was chosen.
             return SendOutcome::NotSent(format!("{} has left", target.id));
         }
+        if !self.may_still_send(&order.access) {
+            return SendOutcome::NotSent("the caller's key cannot be confirmed".to_owned());
+        }
         let mut request = plan.request.clone();
         request.headers = (self.ports.wire.encode_send)(&plan.request.headers, order);
         let mut lease = LinkLease::new(&self.pool, target);
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -9,6 +9,7 @@
 use crate::gateway::budget::BudgetRule;
 use crate::gateway::deciding::engine_choice::PlacementWeights;
 use crate::gateway::members::InstanceStrength;
+use crate::gateway::store_follow::FollowPace;
 use crate::names::{CentreName, DaemonId};
 
 /// Settings that cannot be used.
@@ -67,6 +68,10 @@
     /// Time in which a target that announced its departure has to be left alone.
     #[serde(default = "default_change_ms")]
     pub departure_within_ms: f64,
+    /// Time in which a key that is taken away must be refused by every daemon, also by
+    /// one that is cut off; without it keys are refused as other changes come into force.
+    #[serde(default)]
+    pub revoked_within_ms: Option<f64>,
 }
 
 // The shortest time that a deployment has stated so far.
@@ -83,6 +88,9 @@
 /// that is answered late does not make the other hubs follow the store.
 const HEARTBEAT_PART: f64 = 0.3;
 
+/// Longest wait of any watch of the configuration.
+const LONGEST_CONFIG_WAIT_MS: f64 = 60_000.0;
+
 /// For how long daemons rely on each other to hear of changes of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RelayBounds {
@@ -90,10 +98,18 @@
     pub member_silence: Duration,
     /// Silence of the store after which a hub follows it itself.
     pub hub_silence: Duration,
-    /// Longest wait of the watch by which a hub hears of the store while nothing changes.
-    pub heartbeat: Duration,
 }
 
+/// Part of the time for taking keys away for which a key counts as in force since the
+/// configuration that holds it was certainly the newest one. The rest is for answers of
+/// the store that are behind, and for a request's way here.
+const KEY_TRUST_PART: f64 = 0.9;
+/// Longest wait of the watch by which a daemon that follows the store for itself confirms
+/// its keys, as a part of that time: two waits pass between two confirmations at most.
+const CONFIRM_PART: f64 = 0.3;
+/// The same for a hub, whose word takes up to three further hops of 0.2 s each.
+const HUB_CONFIRM_PART: f64 = 0.12;
+
 /// What the instance of a process carries; 0 stands for not stated.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
 #[serde(default)]
@@ -197,6 +213,9 @@
         positive("bounds.directory_keep_s", bounds.directory_keep_s)?;
         positive("bounds.config_within_ms", bounds.config_within_ms)?;
         positive("bounds.departure_within_ms", bounds.departure_within_ms)?;
+        if let Some(revoked) = bounds.revoked_within_ms {
+            positive("bounds.revoked_within_ms", revoked)?;
+        }
         let limits = &self.limits;
         not_negative("limits.cpu_share", limits.cpu_share)?;
         not_negative("limits.core_speed", limits.core_speed)?;
@@ -245,10 +264,30 @@
         RelayBounds {
             member_silence: part(MEMBER_PART),
             hub_silence: part(HUB_PART),
-            heartbeat: part(HEARTBEAT_PART),
         }
     }
 
+    /// Returns how often the configuration is asked for while nothing changes.
+    #[must_use]
+    pub fn follow_pace(&self) -> FollowPace {
+        let bounds = &self.bounds;
+        let within = bounds.config_within_ms.min(bounds.departure_within_ms);
+        let revoked = bounds.revoked_within_ms.unwrap_or(f64::INFINITY);
+        let wait = |ms: f64| Duration::from_secs_f64(ms.min(LONGEST_CONFIG_WAIT_MS) / 1_000.0);
+        FollowPace {
+            heartbeat: wait((within * HEARTBEAT_PART).min(revoked * HUB_CONFIRM_PART)),
+            config_wait: wait(revoked * CONFIRM_PART),
+        }
+    }
+
+    /// Returns how long a key counts as in force after the configuration that holds it was
+    /// certainly the newest one; `None` where that is not bounded.
+    #[must_use]
+    pub fn key_trust(&self) -> Option<Duration> {
+        let revoked = self.bounds.revoked_within_ms?;
+        Some(Duration::from_secs_f64(revoked * KEY_TRUST_PART / 1_000.0))
+    }
+
     /// Returns the address that other daemons connect to.
     #[must_use]
     pub fn peer_address(&self) -> SocketAddr {
--- a/src/gateway/store_follow.rs
+++ b/src/gateway/store_follow.rs
@@ -2,7 +2,7 @@
 //! when the watch cannot go on.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use rand::Rng;
@@ -74,6 +74,8 @@
     Changed(Feed, Vec<StoredObject>),
     /// The store did not answer.
     Failed(Feed),
+    /// All that the store held of the configuration at this moment was told before.
+    Confirmed(MonoTime),
 }
 
 impl FeedNews {
@@ -83,7 +85,7 @@
         let (feed, whole, objects) = match self {
             Self::Listed(feed, objects) => (*feed, true, objects),
             Self::Changed(feed, objects) if !objects.is_empty() => (*feed, false, objects),
-            Self::Changed(..) | Self::Failed(_) => return None,
+            Self::Changed(..) | Self::Failed(_) | Self::Confirmed(_) => return None,
         };
         let objects = objects.iter();
         let objects = objects.map(|o| {
@@ -165,10 +167,11 @@
     }
 
     // A hub asks for one kind often: those that rely on it have to notice within their
-    // bounds that it hears the store no more.
-    fn wait(self, feed: Feed, heartbeat: Duration) -> Duration {
+    // bounds that it hears the store no more. So does whoever has to confirm keys.
+    fn wait(self, feed: Feed, pace: FollowPace) -> Duration {
         match (self, feed) {
-            (Self::ForOthers, Feed::Config) => heartbeat,
+            (Self::ForOthers, Feed::Config) => pace.heartbeat,
+            (_, Feed::Config) => pace.config_wait.min(WATCH_WAIT),
             _ => WATCH_WAIT,
         }
     }
@@ -188,11 +191,22 @@
     }
 }
 
+/// How often the configuration's kind is asked for while nothing changes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FollowPace {
+    /// Longest wait of the watch by which a hub hears of the store.
+    pub heartbeat: Duration,
+    /// The same for a daemon that follows the store for itself.
+    pub config_wait: Duration,
+}
+
 /// When the store was last heard, by kind of object.
 #[derive(Debug)]
 pub struct StorePulse {
     listed: [AtomicBool; 3],
     config_heard: watch::Sender<Option<MonoTime>>,
+    // Milliseconds on the own clock, one more than they are; 0 stands for never.
+    confirmed: AtomicU64,
 }
 
 impl Default for StorePulse {
@@ -200,6 +214,7 @@
         Self {
             listed: Default::default(),
             config_heard: watch::Sender::new(None),
+            confirmed: AtomicU64::new(0),
         }
     }
 }
@@ -221,6 +236,19 @@
         heard.map_or(Duration::MAX, |at| now.since(at))
     }
 
+    /// Notes that the published configuration was the newest one at a moment.
+    pub fn note_confirmed(&self, at: MonoTime) {
+        self.confirmed
+            .fetch_max(at.0.saturating_add(1), Ordering::Release);
+    }
+
+    /// When the published configuration was the newest one, by the store's own word.
+    #[must_use]
+    pub fn confirmed_at(&self) -> Option<MonoTime> {
+        let confirmed = self.confirmed.load(Ordering::Acquire);
+        confirmed.checked_sub(1).map(MonoTime)
+    }
+
     // Waits until the store was heard after a moment.
     async fn heard_after(&self, moment: MonoTime) {
         let mut heard = self.config_heard.subscribe();
@@ -254,8 +282,8 @@
     pub duty: watch::Receiver<WatchDuty>,
     /// Where to note that the store was heard.
     pub pulse: Arc<StorePulse>,
-    /// Longest wait of the watch by which a hub hears of the store while nothing changes.
-    pub heartbeat: Duration,
+    /// How often the configuration is asked for while nothing changes.
+    pub pace: FollowPace,
 }
 
 impl Follower {
@@ -267,10 +295,11 @@
             // The sender lives as long as the thread.
             let _ = self.duty.wait_for(|duty| duty.lists(feed)).await;
             self.count("list");
+            let asked = clock::mono_now();
             match (self.ports.store.list)(self.kind.clone()).await {
                 Ok(batch) => {
                     backoff = FIRST_BACKOFF;
-                    self.tell(FeedNews::Listed(self.feed, batch.objects));
+                    self.tell(FeedNews::Listed(self.feed, batch.objects), asked);
                     self.watch_from(batch.revision).await;
                     pause(&mut backoff, LONGEST_BACKOFF).await;
                 }
@@ -293,9 +322,10 @@
             let query = WatchQuery {
                 kind: self.kind.clone(),
                 since,
-                wait: duty.wait(self.feed, self.heartbeat),
+                wait: duty.wait(self.feed, self.pace),
             };
             self.count("watch");
+            let asked = clock::mono_now();
             match (self.ports.store.watch)(query).await {
                 Ok(ObjectBatch { revision, objects }) => {
                     if failing {
@@ -305,7 +335,7 @@
                     backoff = FIRST_BACKOFF;
                     since = revision.max(since);
                     let gathers = !objects.is_empty() && self.feed != Feed::Config;
-                    self.tell(FeedNews::Changed(self.feed, objects));
+                    self.tell(FeedNews::Changed(self.feed, objects), asked);
                     if gathers {
                         sleep(duty.gather_pause()).await;
                     }
@@ -359,10 +389,15 @@
             .increment(1);
     }
 
-    fn tell(&self, news: FeedNews) {
+    // Hands on what the store answered to a question that was sent at `asked`. The answer
+    // may have been under way for long; what it holds was true when it was asked for.
+    fn tell(&self, news: FeedNews, asked: MonoTime) {
         self.pulse.note(self.feed);
         // The loop that receives this ends only with the thread.
         let _ = self.news.send(news);
+        if self.feed == Feed::Config {
+            let _ = self.news.send(FeedNews::Confirmed(asked));
+        }
     }
 
     fn note_failure(&self, error: &PlatformError) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! Decisions are pure and synchronous; ports and adapters connect them to callers,
 //! targets, the platform and other daemons. `docs/DESIGN.md` is the way in.
 
+pub mod access_key;
 pub mod admin_http;
 pub mod authority;
 pub mod client;
--- a/src/requests/access.rs
+++ b/src/requests/access.rs
@@ -2,10 +2,10 @@
 
 use std::fmt;
 
-use sha2::{Digest, Sha256};
 use subtle::{Choice, ConstantTimeEq};
 use thiserror::Error;
 
+use crate::access_key::KeyDigest;
 use crate::control::snapshot::ConfigView;
 use crate::names::WorkspaceName;
 use crate::settings::AccessSettings;
@@ -63,13 +63,7 @@
 /// Returns the SHA-256 of a key in lower-case hexadecimal.
 #[must_use]
 pub fn key_hash(key: &SecretKey) -> String {
-    use fmt::Write;
-
-    let digest = Sha256::digest(key.0.as_bytes());
-    digest.iter().fold(String::new(), |mut hash, byte| {
-        let _ = write!(hash, "{byte:02x}");
-        hash
-    })
+    format!("{:x}", KeyDigest::of(key.0.as_bytes()))
 }
 
 /// Tells whether the key is an operator's.
--- a/tests/gateway_feeding.rs
+++ b/tests/gateway_feeding.rs
@@ -171,7 +171,8 @@
     let bounds = settings.relay_bounds();
     assert_eq!(bounds.member_silence.as_millis(), case.member_ms);
     assert_eq!(bounds.hub_silence.as_millis(), case.hub_ms);
-    assert_eq!(bounds.heartbeat.as_millis(), case.heartbeat_ms);
+    let heartbeat = settings.follow_pace().heartbeat;
+    assert_eq!(heartbeat.as_millis(), case.heartbeat_ms);
 }
 
 // A fleet starts. The hub of one data centre asks the one that follows the store, which has
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -54,6 +54,7 @@
         rate: WorkRate::default(),
         placed_through: 0,
         seen: SeenWork::default(),
+        clock: MonoTime(0),
     }
 }
 
--- a/tests/gateway_samples/mod.rs
+++ b/tests/gateway_samples/mod.rs
@@ -29,6 +29,7 @@
             service: ServiceName::from(SERVICE),
             weight: 1,
         }],
+        public: false,
     }
 }
 
@@ -48,6 +49,7 @@
             head_time: Duration::from_secs(1),
             idle_time: Duration::from_secs(5),
         },
+        workspaces: None,
     }
 }
 
