--- a/src/authority/lease.rs
+++ b/src/authority/lease.rs
@@ -390,6 +390,9 @@
         });
         lease.releasing |= self.stopping;
         if !had {
+            // A daemon that took over because those before it were away has not held the
+            // lease beside them yet.
+            lease.outranked_since = lease.outranked_since.map(|_| now);
             let reason = format!("acquired with fence {}", sent.fence.0);
             self.tell(group, true, reason);
         }
--- a/tests/control_leases.rs
+++ b/tests/control_leases.rs
@@ -347,6 +347,21 @@
     assert!((150_000..=150_200).contains(&released), "{released}");
 }
 
+/// A daemon ranks second for a minute, the first one is cut off, and it takes the lease
+/// over. It keeps it: handed back at once, as if it had held it all that time beside the
+/// first one, nobody would act while that one is away.
+#[test]
+fn who_takes_over_late_keeps_the_lease() {
+    let mut table = table("a", 1);
+    let quiet = foreign(3, 4, false, false);
+    let (at, mark, stored) = write_after(&mut table, Some(&quiet), 60_000, 80_000).unwrap();
+    table.note_write(&group(), &mark, &Ok(stored.version), MonoTime(at));
+    table.set_groups(&IndexMap::from([(group(), 1)]), MonoTime(at + 100));
+    let next = write_after(&mut table, None, at + 100, at + 4_000);
+    let (_, _, stored) = next.expect("a renewal");
+    assert!(!LeaseRecord::decode(&stored).unwrap().released);
+}
+
 fn fleet(daemons: &[(&str, &str)]) -> FleetView {
     let views = daemons.iter().map(|(id, centre)| {
         let view = DaemonView {
