--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -22,6 +22,7 @@
 use crate::gateway::control::{self, ControlLink, ControlNews, ControlSetup};
 use crate::gateway::deciding::DecisionCore;
 use crate::gateway::deciding::load::WorkByTarget;
+use crate::gateway::duties::{self, DutyBook};
 use crate::gateway::entry::{self, PageKind};
 use crate::gateway::fleet::{FleetCell, FleetView};
 use crate::gateway::members::DaemonRecord;
@@ -61,6 +62,8 @@
     pub peers: RefCell<PeerBook>,
     /// As of when the configuration is known to be the newest one.
     pub proofs: RefCell<ProofBook>,
+    /// Usage counted here and heard, and true time.
+    pub duties: RefCell<DutyBook>,
     /// Whom to ask for places on engines.
     pub placing: RefCell<PlacingDesk>,
     /// What this daemon has placed as a hub.
@@ -180,6 +183,7 @@
         life: u64,
         news: mpsc::UnboundedSender<ControlNews>,
     ) -> Self {
+        let window = settings.duties.map(|duties| duties.usage_window());
         let budget = RepeatBudget::new(settings.budget_rule());
         let duty = WatchDuty::at_start(settings.first_start);
         Self {
@@ -191,6 +195,7 @@
             pool: Rc::default(),
             peers: RefCell::default(),
             proofs: RefCell::default(),
+            duties: RefCell::new(DutyBook::new(window.unwrap_or_default())),
             placing: RefCell::default(),
             placements: RefCell::default(),
             placed: Notify::new(),
@@ -326,6 +331,9 @@
     let linking = peers::run(gateway.clone(), peer_listener, control.relays);
     supervise("peers", linking);
     supervise("stages", stage_control::run(gateway.clone()));
+    if let Some(duties) = gateway.settings().duties {
+        supervise("duties", duties::run(gateway.clone(), duties));
+    }
     let reloading = reload::run(gateway.clone(), signals.settings_path, signals.reload);
     supervise("settings", reloading);
     supervise("upkeep", upkeep(gateway.clone(), metrics));
--- /dev/null
+++ b/src/gateway/duties/mod.rs
@@ -0,0 +1,256 @@
+//! Duties that one daemon performs for the fleet: reports of usage, orders of servers.
+//!
+//! The right to act is a lease in the store. The platform does not check who acts, so a
+//! holder stops well before its lease ends on its own clock, and a new one begins only
+//! when nothing of the one before can still be under way and its turn has lasted long
+//! enough: acting in turns would be taken for two holders.
+
+pub mod server_desk;
+pub mod server_plan;
+pub mod true_time;
+pub mod usage_book;
+pub mod usage_desk;
+pub mod usage_ledger;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+
+use crate::authority::lease::LeaseTable;
+use crate::authority::lease_record::lease_object;
+use crate::authority::lease_state::{LeaseAction, LeaseAuthority, LeaseTimes};
+use crate::clock;
+use crate::gateway::daemon::Gateway;
+use crate::gateway::duties::server_desk::{ServerDesk, ServerNews};
+use crate::gateway::duties::true_time::TrueClock;
+use crate::gateway::duties::usage_book::UsageBook;
+use crate::gateway::duties::usage_desk::{UsageDesk, UsageNews};
+use crate::gateway::port::DutyCaller;
+use crate::gateway::settings::DutySettings;
+use crate::names::{FenceNumber, GroupName, MonoTime, ProcessIncarnation};
+use crate::ports::{ObjectName, ObjectVersion, PlatformError, StoredObject};
+use crate::timer::TimerService;
+
+/// Group of the lease: all duties together, so that they move together.
+const GROUP: &str = "duties";
+/// Kind of the store's objects in which duties keep what a successor has to know.
+const DUTY_KIND: &str = "pistachiowick-duties";
+/// How often what is due is looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// Daemons that contend for the lease: one may be stopped while another one is cut off.
+const CONTENDERS: usize = 3;
+/// Time after the start in which the fleet's roles settle, and nobody contends.
+const SETTLE_TIME: Duration = Duration::from_millis(3_000);
+/// Longest time for the platform to take a call; a slow one takes hundreds of milliseconds.
+pub const CALL_WAIT: Duration = Duration::from_millis(1_000);
+/// Part of the lease before whose end the holder begins no call: longer than a call.
+const GUARD_PART: f64 = 0.4;
+/// Part of the lease's time for which a call that was given up may still be under way:
+/// unacknowledged bytes end their connection within it.
+const FLIGHT_PART: f64 = 0.5;
+
+/// What this daemon counts of usage, and the time that it goes by.
+#[derive(Debug)]
+pub struct DutyBook {
+    /// True time.
+    pub clock: TrueClock,
+    /// Requests that began, by window and workspace.
+    pub usage: UsageBook,
+}
+
+impl DutyBook {
+    /// Creates a book for windows of a length.
+    #[must_use]
+    pub fn new(window: Duration) -> Self {
+        Self {
+            clock: TrueClock::default(),
+            usage: UsageBook::new(window),
+        }
+    }
+
+    /// Agrees on true time and puts what began into its windows.
+    pub fn settle(&mut self, now: MonoTime) {
+        self.clock.settle(clock::unix_now(), now);
+        self.usage.sort_in(&self.clock, now);
+    }
+}
+
+/// The right to act, for one look at what is due.
+#[derive(Clone, Debug)]
+pub struct DutyTurn {
+    /// Who acts.
+    pub caller: DutyCaller,
+    /// When no call may be begun any more, on the own clock.
+    pub until: MonoTime,
+}
+
+impl DutyTurn {
+    /// Whether a call may still be begun.
+    #[must_use]
+    pub fn lasts(&self) -> bool {
+        clock::mono_now() < self.until
+    }
+}
+
+enum DeskNews {
+    LeaseRead(Result<Option<StoredObject>, PlatformError>),
+    LeaseWritten(String, Result<ObjectVersion, PlatformError>),
+    Usage(UsageNews),
+    Servers(ServerNews),
+}
+
+struct DutyDesk {
+    gateway: Rc<Gateway>,
+    lease: LeaseTable,
+    group: GroupName,
+    turn_time: Duration,
+    held: Option<(FenceNumber, MonoTime)>,
+    usage: UsageDesk,
+    servers: ServerDesk,
+    results: mpsc::UnboundedSender<DeskNews>,
+}
+
+/// Runs until the process ends.
+pub async fn run(gateway: Rc<Gateway>, settings: DutySettings) {
+    let (results, mut inbox) = mpsc::unbounded_channel();
+    let turn_time = settings.turn_time();
+    let times = LeaseTimes {
+        duration: turn_time,
+        guard: turn_time.mul_f64(GUARD_PART),
+        order_flight: turn_time.mul_f64(FLIGHT_PART),
+    };
+    let incarnation = ProcessIncarnation(gateway.life);
+    let mut desk = DutyDesk {
+        lease: LeaseTable::new(gateway.daemon.clone(), incarnation, times),
+        group: GroupName::from(GROUP),
+        turn_time,
+        held: None,
+        usage: UsageDesk::new(&settings),
+        servers: ServerDesk::default(),
+        gateway,
+        results,
+    };
+    let timer = TimerService::start();
+    let mut looks = timer.every(LOOK_EVERY);
+    loop {
+        tokio::select! {
+            _ = looks.next() => desk.look(clock::mono_now()),
+            Some(news) = inbox.recv() => desk.take(news, clock::mono_now()),
+        }
+    }
+}
+
+impl DutyDesk {
+    fn look(&mut self, now: MonoTime) {
+        self.gateway.duties.borrow_mut().settle(now);
+        self.update_lease(now);
+        let Some(turn) = self.turn(now) else {
+            self.usage.end_turn();
+            self.servers.end_turn();
+            return;
+        };
+        let results = self.results.clone();
+        self.usage.look(&self.gateway, &turn, now, move |news| {
+            // The desk ends only with the process.
+            let _ = results.send(DeskNews::Usage(news));
+        });
+        let results = self.results.clone();
+        self.servers.look(&self.gateway, &turn, now, move |news| {
+            let _ = results.send(DeskNews::Servers(news));
+        });
+    }
+
+    fn update_lease(&mut self, now: MonoTime) {
+        if self.gateway.stopping.get() {
+            self.lease.stop();
+        }
+        let rank = self.gateway.duty_rank(now);
+        let mut ranks = IndexMap::new();
+        if let Some(rank) = rank.filter(|rank| *rank < CONTENDERS) {
+            ranks.insert(self.group.clone(), rank);
+        }
+        self.lease.set_groups(&ranks, now);
+        for action in self.lease.tick(now) {
+            self.act(action);
+        }
+        for news in self.lease.take_news() {
+            log::info!(held = news.held, reason = news.reason.as_str(); "right to perform duties changed");
+        }
+    }
+
+    // The right to act now. Who takes the lease from a holder that gave it up could act
+    // right after it, and hand it back as soon: the wait keeps three acts in turns apart.
+    fn turn(&mut self, now: MonoTime) -> Option<DutyTurn> {
+        let Some(LeaseAuthority { fence, until }) = self.lease.authority(&self.group, now) else {
+            self.held = None;
+            return None;
+        };
+        let same = self.held.filter(|(known, _)| *known == fence);
+        let (_, since) = *self.held.insert(same.unwrap_or((fence, now)));
+        let first = fence == FIRST_FENCE;
+        if !first && now.since(since) < self.turn_time + LOOK_EVERY {
+            return None;
+        }
+        let caller = DutyCaller {
+            holder: self.gateway.daemon.clone(),
+            fence,
+        };
+        Some(DutyTurn { caller, until })
+    }
+
+    fn act(&self, action: LeaseAction) {
+        let store = self.gateway.ports.store.clone();
+        let results = self.results.clone();
+        spawn_local(async move {
+            let news = match action {
+                LeaseAction::Read(group) => {
+                    DeskNews::LeaseRead((store.read)(lease_object(&group)).await)
+                }
+                LeaseAction::Write { mark, write, .. } => {
+                    DeskNews::LeaseWritten(mark, (store.write)(write).await)
+                }
+            };
+            // The desk ends only with the process.
+            let _ = results.send(news);
+        });
+    }
+
+    fn take(&mut self, news: DeskNews, now: MonoTime) {
+        match news {
+            DeskNews::LeaseRead(result) => self.lease.note_read(&self.group, &result, now),
+            DeskNews::LeaseWritten(mark, result) => {
+                self.lease.note_write(&self.group, &mark, &result, now);
+            }
+            DeskNews::Usage(news) => self.usage.take(news, now),
+            DeskNews::Servers(news) => self.servers.take(news, now),
+        }
+    }
+}
+
+/// Fence of a lease that nobody held before.
+const FIRST_FENCE: FenceNumber = FenceNumber(1);
+
+/// Returns the object in which a duty keeps what a successor has to know.
+fn duty_object(name: &str) -> ObjectName {
+    ObjectName {
+        kind: DUTY_KIND.to_owned(),
+        name: name.to_owned(),
+    }
+}
+
+impl Gateway {
+    // Place of this daemon among those that may perform duties; `None` where it may not.
+    // Members of a large fleet do not hear what others count.
+    fn duty_rank(&self, now: MonoTime) -> Option<usize> {
+        if self.stopping.get() || now.since(self.started) < SETTLE_TIME {
+            return None;
+        }
+        let view = self.view();
+        let peers = self.peers.borrow();
+        let hubs = self.hubs.borrow();
+        hubs.speaker_rank(&self.daemon, &view.daemons, &peers, now)
+    }
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -290,6 +290,7 @@
 
     async fn forward_plain(self: &Rc<Self>, call: &RoutedCall) -> Result<Reply, Failure> {
         let mut trail = SendTrail::default();
+        let mut begun = false;
         let mut last = Err(Failure::refused("no target is known", NOTHING_YET_WAIT));
         while let Some(target) = self.choose_plain(&call.view, &call.service.name, &trail) {
             let more = trail.may_add(call) && call.route.repeat.may_repeat();
@@ -315,6 +316,9 @@
                     trail.unreached.len() < MOST_NOT_SENT && self.may_repeat(call)
                 }
             };
+            if !end.says_not_run() && !std::mem::replace(&mut begun, true) {
+                self.note_begun(&call.access);
+            }
             if !(trail.may_have_run && end.says_not_run()) {
                 last = end.into_result(call);
             }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod daemon;
 pub mod deciding;
 pub mod directory;
+pub mod duties;
 pub mod entry;
 pub mod event_split;
 pub mod fleet;
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use indexmap::IndexMap;
+
 use crate::access_key::KeyDigest;
 use crate::gateway::target_life::TargetLife;
 use crate::names::{CentreName, ServiceName, WorkspaceName};
@@ -116,6 +118,24 @@
     pub most_connections: u32,
     /// Set where the targets are model engines.
     pub engine: Option<EngineLimits>,
+    /// Set where targets may be ordered.
+    pub scaling: Option<ScalingRule>,
+}
+
+/// How many targets of a service may be ordered, and what they cost.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ScalingRule {
+    /// Fewest in a data centre.
+    pub fewest: u32,
+    /// Most in a data centre, both kinds together.
+    pub most: u32,
+    /// Time from the order to the first work.
+    pub boot: Duration,
+    /// Price of one that may be reclaimed, against one that stays; `None` where there
+    /// are none.
+    pub reclaimable_price: Option<f64>,
+    /// Price of a target by data centre.
+    pub centre_prices: IndexMap<CentreName, f64>,
 }
 
 /// What callers may send and how long they may take.
@@ -183,6 +203,8 @@
     pub leaving: bool,
     /// Part it plays; `None` for plain services.
     pub stage: Option<EngineStage>,
+    /// Whether the platform may take it away with little notice.
+    pub reclaimable: bool,
 }
 
 /// One part of a prompt. Parts that several requests share come first.
--- a/src/gateway/peers/hub.rs
+++ b/src/gateway/peers/hub.rs
@@ -195,6 +195,28 @@
         first_in_order(others.iter().chain(itself)).filter(|first| first != own)
     }
 
+    /// Returns the place of this daemon among those that hear the whole fleet: all where
+    /// there are no hubs, else the hubs; `None` for a member.
+    #[must_use]
+    pub fn speaker_rank(
+        &self,
+        own: &DaemonId,
+        daemons: &[DaemonRecord],
+        peers: &PeerBook,
+        now: MonoTime,
+    ) -> Option<usize> {
+        let role = self.role.as_ref()?;
+        if matches!(role, PeerRole::Member(_)) {
+            return None;
+        }
+        let itself = daemons.iter().find(|d| d.id == *own)?;
+        let key = |d: &DaemonRecord| (Reverse(d.strength), d.id.clone());
+        let others = self.links(role, own, daemons).into_iter();
+        let speakers = others.filter(|(_, kind)| *kind != LinkKind::Member);
+        let heard = speakers.filter(|(d, _)| peers.was_heard_within(&d.id, HUB_SILENCE, now));
+        Some(heard.filter(|(d, _)| key(d) < key(itself)).count())
+    }
+
     /// Links that a role asks for.
     #[must_use]
     pub fn links(
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -15,6 +15,7 @@
 pub mod placing;
 pub mod proofs;
 pub mod seen;
+mod usage;
 pub mod wire;
 
 use std::net::SocketAddr;
@@ -342,6 +343,8 @@
             placed_through: self.placing.borrow().taken_through(),
             seen: self.seen.take(),
             clock: clock::mono_now(),
+            wall: clock::unix_now(),
+            usage: self.take_usage_news(),
         }
     }
 
@@ -356,7 +359,8 @@
                 let from_hubs = std::mem::take(&mut relayed.hubs);
                 let mut held = hint.held.clone();
                 held.extend(from_members);
-                let centre = self.summary(&hint, false, held.clone());
+                let mut centre = self.summary(&hint, false, held.clone());
+                centre.usage = self.take_centre_usage(&hint);
                 held.extend(from_hubs);
                 let fleet = self.summary(&hint, true, held);
                 (Some(centre), Some(fleet))
@@ -397,6 +401,8 @@
             placed_through,
             members,
             proof: self.proof_note(now),
+            true_time: self.duties.borrow().clock.at(now),
+            usage: Vec::new(),
         }
     }
 
@@ -473,6 +479,7 @@
         self.proofs
             .borrow_mut()
             .note_clock(&hint.from, hint.life, hint.clock);
+        self.take_member_usage(&hint, now);
         self.take_held_notes(&hint.held);
         self.hubs.borrow_mut().note_hint(&hint.from, now);
         self.relayed_held.borrow_mut().keep_member(&hint.held);
@@ -522,6 +529,7 @@
             .borrow_mut()
             .note_store(&summary.from, store_age, now);
         self.take_proof(&summary.from, summary.life, &summary.proof);
+        self.take_hub_usage(&summary, now);
         for note in summary.members.iter().filter(|note| note.id != self.daemon) {
             let rate = if note.id == summary.from {
                 summary.rate
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -6,11 +6,12 @@
 
 use crate::gateway::deciding::load::TargetWork;
 use crate::gateway::deciding::stage_plan::WorkRate;
+use crate::gateway::duties::usage_book::{DaemonUsage, UsageCell};
 use crate::gateway::peers::proofs::ProofNote;
 use crate::gateway::peers::seen::SeenWork;
 use crate::gateway::store_follow::Feed;
 use crate::gateway::target_life::TargetLife;
-use crate::names::{DaemonId, MonoTime, ServiceName};
+use crate::names::{DaemonId, MonoTime, ServiceName, UnixTime};
 
 /// Parts of a prompt that an engine holds, or was asked to read.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -50,6 +51,10 @@
     pub seen: SeenWork,
     /// Its clock.
     pub clock: MonoTime,
+    /// Its wall clock.
+    pub wall: UnixTime,
+    /// Requests that began here, by window and workspace, as far as they are news.
+    pub usage: Vec<UsageCell>,
 }
 
 /// A message between daemons.
@@ -237,6 +242,10 @@
     pub placed_through: u64,
     /// As of when the hub's configuration was the newest one.
     pub proof: ProofNote,
+    /// True time as this hub and its members agree on it.
+    pub true_time: Option<UnixTime>,
+    /// What its members and it counted of usage, for other hubs.
+    pub usage: Vec<DaemonUsage>,
 }
 
 /// Objects of the store as a hub passes them on.
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -9,9 +9,10 @@
 use http::{HeaderMap, Method, StatusCode, Uri};
 use thiserror::Error;
 
+use crate::gateway::duties::usage_book::{WindowNumber, WorkspaceCounts};
 use crate::gateway::model::{CallerAccess, CallerRequest, EngineStage, FleetConfig, TargetRecord};
 use crate::gateway::target_life::TargetLife;
-use crate::names::{CentreName, DaemonId, FenceNumber, TargetId, UnixTime};
+use crate::names::{CentreName, DaemonId, FenceNumber, ServiceName, TargetId, UnixTime};
 use crate::ports::{ObjectName, ObjectVersion, PlatformError, PlatformPort, PortCall};
 
 /// Something on the wire that cannot be read.
@@ -199,6 +200,55 @@
     pub decode_target: fn(&str, &[u8]) -> Result<TargetRecord, WireFault>,
 }
 
+/// Who performs a duty of the whole fleet.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DutyCaller {
+    /// The daemon.
+    pub holder: DaemonId,
+    /// Fence of its lease.
+    pub fence: FenceNumber,
+}
+
+/// Requests that began in a window of true time, by workspace.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UsageReport {
+    /// Number of the window.
+    pub window: WindowNumber,
+    /// Its requests.
+    pub counts: WorkspaceCounts,
+}
+
+/// An order for so many servers of a kind, whatever there are.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerOrder {
+    /// Service that they offer.
+    pub service: ServiceName,
+    /// Where.
+    pub centre: CentreName,
+    /// How many.
+    pub count: u32,
+    /// Whether the platform may take them away with little notice.
+    pub reclaimable: bool,
+}
+
+/// What became of an order for servers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderAnswer {
+    /// It is carried out.
+    Taken,
+    /// There are none of the kind at present.
+    NoneThere,
+}
+
+/// Calls to the platform that one daemon makes at a time.
+#[derive(Clone)]
+pub struct DutyPort {
+    /// Reports the usage of a window; an exact repeat is taken as well.
+    pub report_usage: PortCall<(DutyCaller, UsageReport), Result<(), PlatformError>>,
+    /// Orders servers.
+    pub order_servers: PortCall<(DutyCaller, ServerOrder), Result<OrderAnswer, PlatformError>>,
+}
+
 /// Everything that the gateway needs from its adapter.
 #[derive(Clone)]
 pub struct GatewayPorts {
@@ -210,4 +260,6 @@
     pub store: PlatformPort,
     /// Removes an object of the store if it has the version.
     pub remove: PortCall<(ObjectName, ObjectVersion), Result<(), PlatformError>>,
+    /// Duties of one daemon at a time, where the platform asks for any.
+    pub duties: Option<DutyPort>,
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -137,6 +137,61 @@
     }
 }
 
+/// Duties that one daemon performs for the fleet. Times are in the unit that the name
+/// ends with.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+pub struct DutySettings {
+    /// Where the platform takes calls.
+    pub address: SocketAddr,
+    /// Length of a window of usage.
+    #[serde(default = "default_usage_window_s")]
+    pub usage_window_s: f64,
+    /// Time after a window's end in which its report is due.
+    #[serde(default = "default_usage_due_s")]
+    pub usage_due_s: f64,
+    /// Time within which no two daemons may act in turns.
+    #[serde(default = "default_turn_ms")]
+    pub turn_ms: f64,
+}
+
+fn default_usage_window_s() -> f64 {
+    5.0
+}
+
+fn default_usage_due_s() -> f64 {
+    10.0
+}
+
+fn default_turn_ms() -> f64 {
+    3_000.0
+}
+
+impl DutySettings {
+    /// Returns the length of a window of usage.
+    #[must_use]
+    pub fn usage_window(&self) -> Duration {
+        Duration::from_secs_f64(self.usage_window_s)
+    }
+
+    /// Returns the time after a window's end in which its report is due.
+    #[must_use]
+    pub fn usage_due(&self) -> Duration {
+        Duration::from_secs_f64(self.usage_due_s)
+    }
+
+    /// Returns the time within which no two daemons may act in turns.
+    #[must_use]
+    pub fn turn_time(&self) -> Duration {
+        Duration::from_secs_f64(self.turn_ms / 1_000.0)
+    }
+
+    fn check(&self) -> Result<(), SettingsFault> {
+        positive("duties.usage_window_s", self.usage_window_s)?;
+        positive("duties.usage_due_s", self.usage_due_s)?;
+        positive("duties.turn_ms", self.turn_ms)
+    }
+}
+
 /// Settings of one process.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct GatewaySettings {
@@ -154,6 +209,9 @@
     pub store: SocketAddr,
     /// Bounds of the deployment.
     pub bounds: BoundSettings,
+    /// Duties of one daemon at a time, where the platform asks for any.
+    #[serde(default)]
+    pub duties: Option<DutySettings>,
     /// What the instance carries.
     #[serde(default)]
     pub limits: InstanceLimits,
@@ -216,6 +274,9 @@
         if let Some(revoked) = bounds.revoked_within_ms {
             positive("bounds.revoked_within_ms", revoked)?;
         }
+        if let Some(duties) = &self.duties {
+            duties.check()?;
+        }
         let limits = &self.limits;
         not_negative("limits.cpu_share", limits.cpu_share)?;
         not_negative("limits.core_speed", limits.core_speed)?;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -164,6 +164,7 @@
         };
         if self.first_event.is_none() {
             self.first_event = Some(Instant::now());
+            self.gateway.note_begun(&self.call.access);
             if let Some(timed) = self.watch.timed.take() {
                 self.gateway.note_time(&timed, self.watch.sent.elapsed());
             }
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -13,7 +13,7 @@
 use pistachiowick::gateway::peers::wire::{FeedObjects, MemberNote, PeerHint, PeerMessage};
 use pistachiowick::gateway::store_follow::Feed;
 use pistachiowick::gateway::target_life::TargetLife;
-use pistachiowick::names::{CentreName, DaemonId, MonoTime};
+use pistachiowick::names::{CentreName, DaemonId, MonoTime, UnixTime};
 use rstest::rstest;
 use serde_bytes::ByteBuf;
 
@@ -55,6 +55,8 @@
         placed_through: 0,
         seen: SeenWork::default(),
         clock: MonoTime(0),
+        wall: UnixTime(0),
+        usage: Vec::new(),
     }
 }
 
--- a/tests/gateway_samples/mod.rs
+++ b/tests/gateway_samples/mod.rs
@@ -42,6 +42,7 @@
             name: ServiceName::from(SERVICE),
             most_connections: 100,
             engine: None,
+            scaling: None,
         }],
         limits: CallerLimits {
             head_bytes: 16_384,
@@ -73,6 +74,7 @@
         slots: 8,
         leaving: false,
         stage: None,
+        reclaimable: false,
     }
 }
 
