--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -229,6 +229,15 @@
         self.peers.borrow().is_usable(daemon, clock::mono_now())
     }
 
+    /// Whether a daemon knows which keys are in force, as far as heard.
+    #[must_use]
+    pub fn daemon_confirms_keys(&self, daemon: &DaemonId) -> bool {
+        if *daemon == self.daemon {
+            return self.confirms_keys(clock::mono_now());
+        }
+        self.peers.borrow().confirms_keys(daemon)
+    }
+
     // Instances are replaced for good, and nothing in the store expires by itself.
     // One daemon removes the records of those that nobody heard for long; one that
     // lives after all writes its record anew when it sees it gone.
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -12,15 +12,19 @@
 
 /// Chooses addresses for a caller in `centre`: the daemons there, or all where
 /// these are too few for one to fail. Daemons that leave or for which `usable`
-/// is false are left out.
+/// is false are left out; so are those that refuse keys while others do not.
 #[must_use]
 pub fn addresses_for(
     daemons: &[DaemonRecord],
     centre: &CentreName,
     usable: impl Fn(&DaemonId) -> bool,
+    confirms_keys: impl Fn(&DaemonId) -> bool,
 ) -> Vec<SocketAddr> {
     let staying = daemons.iter().filter(|daemon| !daemon.leaving);
-    let good: Vec<&DaemonRecord> = staying.filter(|d| usable(&d.id)).collect();
+    let mut good: Vec<&DaemonRecord> = staying.filter(|d| usable(&d.id)).collect();
+    if good.iter().any(|daemon| confirms_keys(&daemon.id)) {
+        good.retain(|daemon| confirms_keys(&daemon.id));
+    }
     let near: Vec<&DaemonRecord> = good
         .iter()
         .copied()
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -193,9 +193,12 @@
         None => Failure::new(FailureKind::NoRoute, "no such page").reply(),
         Some(question) => {
             let view = gateway.view();
-            let addresses = directory::addresses_for(&view.daemons, &question.centre, |id| {
-                gateway.is_usable(id)
-            });
+            let addresses = directory::addresses_for(
+                &view.daemons,
+                &question.centre,
+                |id| gateway.is_usable(id),
+                |id| gateway.daemon_confirms_keys(id),
+            );
             let keep = gateway.settings().bounds.directory_keep_s;
             let keep = DIRECTORY_KEEP.min(Duration::from_secs_f64(keep));
             let body = (gateway.ports.wire.directory_answer)(&addresses, keep);
--- a/src/gateway/peers/book.rs
+++ b/src/gateway/peers/book.rs
@@ -31,6 +31,7 @@
     relayed: bool,
     // Whether it spoke for others too, as a hub.
     is_hub: bool,
+    confirms_keys: bool,
 }
 
 impl HeardState {
@@ -82,6 +83,15 @@
         }
     }
 
+    /// Whether a daemon knew which keys are in force when it was heard last; one that was
+    /// not heard yet is taken to.
+    #[must_use]
+    pub fn confirms_keys(&self, daemon: &DaemonId) -> bool {
+        self.heard
+            .get(daemon)
+            .is_none_or(|state| state.confirms_keys)
+    }
+
     /// Takes the daemons with a record beside the own one, in place of those known.
     pub fn set_known(&mut self, own: &DaemonId, daemons: &[DaemonRecord], now: MonoTime) {
         let known = |id: &DaemonId| daemons.iter().any(|daemon| daemon.id == *id);
@@ -135,6 +145,7 @@
             behind_since,
             relayed: false,
             is_hub: false,
+            confirms_keys: hint.confirms_keys,
         };
         self.heard.insert(hint.from.clone(), state);
     }
@@ -155,6 +166,7 @@
             behind_since: None,
             relayed: true,
             is_hub: false,
+            confirms_keys: note.confirms_keys,
         };
         self.heard.insert(note.id.clone(), state);
     }
@@ -170,6 +182,7 @@
             behind_since: None,
             relayed: false,
             is_hub: true,
+            confirms_keys: note.confirms_keys,
         };
         self.heard.insert(note.id.clone(), state);
     }
@@ -222,5 +235,6 @@
         leaving: state.leaving,
         config_version: state.config_version,
         changing: state.changing.clone(),
+        confirms_keys: state.confirms_keys,
     }
 }
--- a/src/gateway/peers/hub.rs
+++ b/src/gateway/peers/hub.rs
@@ -306,6 +306,7 @@
         leaving: hint.leaving,
         config_version: hint.config_version,
         changing: hint.changing.clone(),
+        confirms_keys: hint.confirms_keys,
     }
 }
 
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -343,6 +343,7 @@
             placed_through: self.placing.borrow().taken_through(),
             seen: self.seen.take(),
             clock: clock::mono_now(),
+            confirms_keys: self.confirms_keys(clock::mono_now()),
             wall: clock::unix_now(),
             usage: self.take_usage_news(),
         }
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -51,6 +51,8 @@
     pub seen: SeenWork,
     /// Its clock.
     pub clock: MonoTime,
+    /// Whether it knows which keys are in force.
+    pub confirms_keys: bool,
     /// Its wall clock.
     pub wall: UnixTime,
     /// Requests that began here, by window and workspace, as far as they are news.
@@ -215,6 +217,8 @@
     pub config_version: u64,
     /// Engines that it is ordering to change their stage.
     pub changing: Vec<TargetLife>,
+    /// Whether it knows which keys are in force.
+    pub confirms_keys: bool,
 }
 
 /// What a hub tells other hubs of its members, or its members of the whole fleet.
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -212,15 +212,20 @@
 
 struct DirectoryCase {
     away: &'static [&'static str],
+    /// Daemons that do not know which keys are in force.
+    unsure: &'static [&'static str],
     centre: &'static str,
     ports: &'static [u16],
 }
 
 #[rstest]
-#[case::near(DirectoryCase { away: &[], centre: "x", ports: &[1, 2] })]
-#[case::too_few_near(DirectoryCase { away: &["a"], centre: "x", ports: &[2, 3] })]
-#[case::unknown_centre(DirectoryCase { away: &[], centre: "q", ports: &[1, 2, 3] })]
-#[case::all_away(DirectoryCase { away: &["a", "b", "c"], centre: "x", ports: &[] })]
+#[case::near(DirectoryCase { away: &[], unsure: &[], centre: "x", ports: &[1, 2] })]
+#[case::too_few_near(DirectoryCase { away: &["a"], unsure: &[], centre: "x", ports: &[2, 3] })]
+#[case::unknown_centre(DirectoryCase { away: &[], unsure: &[], centre: "q", ports: &[1, 2, 3] })]
+#[case::one_unsure(DirectoryCase { away: &[], unsure: &["c"], centre: "q", ports: &[1, 2] })]
+#[case::too_few_sure_near(DirectoryCase { away: &[], unsure: &["a"], centre: "x", ports: &[2, 3] })]
+#[case::none_sure(DirectoryCase { away: &[], unsure: &["a", "b", "c"], centre: "x", ports: &[1, 2] })]
+#[case::all_away(DirectoryCase { away: &["a", "b", "c"], unsure: &[], centre: "x", ports: &[] })]
 fn callers_are_sent_near_where_two_can_serve(#[case] case: DirectoryCase) {
     let daemons = [
         daemon("a", "x", 1),
@@ -228,7 +233,8 @@
         daemon("c", "y", 3),
     ];
     let usable = |id: &DaemonId| !case.away.contains(&id.as_str());
-    let found = addresses_for(&daemons, &CentreName::from(case.centre), usable);
+    let sure = |id: &DaemonId| !case.unsure.contains(&id.as_str());
+    let found = addresses_for(&daemons, &CentreName::from(case.centre), usable, sure);
     let ports: Vec<u16> = found.iter().map(std::net::SocketAddr::port).collect();
     assert_eq!(ports, case.ports);
 }
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -55,6 +55,7 @@
         placed_through: 0,
         seen: SeenWork::default(),
         clock: MonoTime(0),
+        confirms_keys: true,
         wall: UnixTime(0),
         usage: Vec::new(),
     }
@@ -67,6 +68,7 @@
         leaving: false,
         config_version: 1,
         changing: Vec::new(),
+        confirms_keys: true,
     }
 }
 
