--- a/src/gateway/peers/feeding.rs
+++ b/src/gateway/peers/feeding.rs
@@ -42,6 +42,8 @@
     pub joined: bool,
     /// Whether one did until so lately that no change can be overdue.
     pub current: bool,
+    /// Whether the hub is heard, whatever it hears itself.
+    pub hub_heard: bool,
     /// What a daemon does that has just started, while it is not known who follows the
     /// store for whom.
     pub starting: Option<WatchDuty>,
@@ -60,7 +62,11 @@
         PeerRole::Hub | PeerRole::Member(_) if state.joined || state.current => WatchDuty::Fed,
         // In its first moments a daemon may be the only one it knows of its data centre.
         PeerRole::Hub => state.starting.unwrap_or(WatchDuty::ForOthers),
-        PeerRole::Member(_) => state.starting.unwrap_or(WatchDuty::WithoutHub),
+        PeerRole::Member(_) => state.starting.unwrap_or(if state.hub_heard {
+            WatchDuty::BesideHub
+        } else {
+            WatchDuty::WithoutHub
+        }),
     }
 }
 
@@ -296,6 +302,10 @@
                 (feeder, bounds.hub_silence)
             }
         };
+        let hub_heard = match role {
+            PeerRole::Member(hub) => self.peers.borrow().is_heard_directly(hub, now),
+            PeerRole::Hub | PeerRole::Mesh => false,
+        };
         let hubs = self.hubs.borrow();
         let feeding = feeder.filter(|hub| hubs.is_fed_by(hub, silence, now));
         self.rely_on(feeding.as_ref(), now);
@@ -304,6 +314,7 @@
         let state = FeedState {
             joined: joins.is_joined(),
             current: joins.is_current(silence, now),
+            hub_heard,
             starting: self.starting(role, view.daemons.is_empty(), now),
         };
         let duty = watch_duty(role, state);
--- a/src/gateway/store_follow.rs
+++ b/src/gateway/store_follow.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 use tokio::sync::{mpsc, watch};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::clock;
 use crate::gateway::peers::wire::FeedObjects;
@@ -26,9 +26,12 @@
 /// Longest pause after a failed call. Short, since a daemon that missed a
 /// configuration has to have it soon after the store returns.
 pub(super) const LONGEST_BACKOFF: Duration = Duration::from_millis(800);
-/// The same for a member without its hub. When the store is away for all, hubs ask often
+/// The same for a member beside its hub. When the store is away for all, hubs ask often
 /// and tell their members of its return; 190 members that ask as often learn no more.
 const LONGEST_MEMBER_BACKOFF: Duration = Duration::from_millis(3_000);
+/// Longest time for a listing of the configuration, one object: a listing begun on a
+/// connection that fell silent with the store must not outlast its return for long.
+const CONFIG_LIST_WAIT: Duration = Duration::from_millis(1_500);
 /// Time between a member's first answer of the store after failures and its listings of
 /// the larger kinds: its hub mostly has them by then and passes them on.
 const RETURN_PAUSE: Duration = Duration::from_millis(900);
@@ -114,8 +117,10 @@
     Starting,
     /// For itself, in a fleet without hubs.
     Alone,
-    /// For itself, as no hub passes on what it reads.
+    /// For itself, as no hub is heard.
     WithoutHub,
+    /// For itself, as its hub is heard and does not hear the store either, so far.
+    BesideHub,
     /// For the members of its data centre too.
     ForOthers,
     /// Not at all: a hub passes on what it reads.
@@ -141,6 +146,7 @@
             Self::Starting => "starting",
             Self::Alone => "alone",
             Self::WithoutHub => "without_hub",
+            Self::BesideHub => "beside_hub",
             Self::ForOthers => "for_others",
             Self::Fed => "fed",
         }
@@ -152,7 +158,9 @@
         match self {
             Self::Fed => false,
             Self::Gathering => feed == Feed::Daemons,
-            Self::Starting | Self::Alone | Self::WithoutHub | Self::ForOthers => true,
+            Self::Starting | Self::Alone | Self::WithoutHub | Self::BesideHub | Self::ForOthers => {
+                true
+            }
         }
     }
 
@@ -162,7 +170,7 @@
         match self {
             Self::Fed => false,
             Self::Gathering | Self::Starting => feed == Feed::Daemons,
-            Self::Alone | Self::WithoutHub | Self::ForOthers => true,
+            Self::Alone | Self::WithoutHub | Self::BesideHub | Self::ForOthers => true,
         }
     }
 
@@ -183,9 +191,11 @@
         }
     }
 
-    fn longest_backoff(self) -> Duration {
+    /// Returns the longest pause after a failed call.
+    #[must_use]
+    pub fn longest_backoff(self) -> Duration {
         match self {
-            Self::WithoutHub => LONGEST_MEMBER_BACKOFF,
+            Self::BesideHub => LONGEST_MEMBER_BACKOFF,
             _ => LONGEST_BACKOFF,
         }
     }
@@ -296,7 +306,7 @@
             let _ = self.duty.wait_for(|duty| duty.lists(feed)).await;
             self.count("list");
             let asked = clock::mono_now();
-            match (self.ports.store.list)(self.kind.clone()).await {
+            match self.list().await {
                 Ok(batch) => {
                     backoff = FIRST_BACKOFF;
                     self.tell(FeedNews::Listed(self.feed, batch.objects), asked);
@@ -311,6 +321,20 @@
         }
     }
 
+    async fn list(&self) -> Result<ObjectBatch, PlatformError> {
+        let listing = (self.ports.store.list)(self.kind.clone());
+        if self.feed != Feed::Config {
+            return listing.await;
+        }
+        timeout(CONFIG_LIST_WAIT, listing)
+            .await
+            .unwrap_or_else(|_| {
+                Err(PlatformError::Lost {
+                    reason: "no listing in time".to_owned(),
+                })
+            })
+    }
+
     // Watches until the store says that it cannot go on from here, or a hub does it.
     async fn watch_from(&mut self, mut since: u64) {
         let mut backoff = FIRST_BACKOFF;
@@ -362,23 +386,30 @@
         duty.watches(feed).then_some(duty)
     }
 
-    // In a fleet with hubs, a member asks for one kind until the store answers.
+    // In a fleet with hubs, a member asks for one kind until the store answers. A pause ends
+    // where the duty changes: the next hub was a member that paused for long, and a store
+    // that is back would be heard by nobody of its data centre until that pause is over.
     async fn pause_after_failure(&mut self, backoff: &mut Duration) {
         let duty = *self.duty.borrow();
-        let longest = duty.longest_backoff();
-        if duty != WatchDuty::WithoutHub || self.feed == Feed::Config {
-            return pause(backoff, longest).await;
-        }
+        let is_member = matches!(duty, WatchDuty::WithoutHub | WatchDuty::BesideHub);
         let failed_at = clock::mono_now();
+        let mut duties = self.duty.clone();
+        let changed = duties.wait_for(|now| *now != duty);
+        if !is_member || self.feed == Feed::Config {
+            tokio::select! {
+                () = pause(backoff, duty.longest_backoff()) => {}
+                _ = changed => *backoff = FIRST_BACKOFF,
+            }
+            return;
+        }
         let returned = async {
             self.pulse.heard_after(failed_at).await;
             sleep(RETURN_PAUSE).await;
         };
-        let mut duties = self.duty.clone();
         tokio::select! {
             () = returned => {}
-            () = sleep(longest) => {}
-            _ = duties.wait_for(|duty| *duty != WatchDuty::WithoutHub) => {}
+            () = sleep(LONGEST_MEMBER_BACKOFF) => {}
+            _ = changed => {}
         }
     }
 
--- a/tests/gateway_feeding.rs
+++ b/tests/gateway_feeding.rs
@@ -20,6 +20,7 @@
     role: fn() -> PeerRole,
     joined: bool,
     current: bool,
+    hub_heard: bool,
     starting: Option<WatchDuty>,
     duty: WatchDuty,
 }
@@ -29,19 +30,21 @@
 // was told until a change could be overdue, and so does a hub; one that starts waits for
 // its hub first.
 #[rstest]
-#[case::small_fleet(DutyCase { role: || PeerRole::Mesh, joined: false, current: false, starting: None, duty: WatchDuty::Alone })]
-#[case::first_start(DutyCase { role: || PeerRole::Mesh, joined: false, current: false, starting: Some(WatchDuty::Gathering), duty: WatchDuty::Gathering })]
-#[case::fed(DutyCase { role: member, joined: true, current: true, starting: None, duty: WatchDuty::Fed })]
-#[case::hub_just_gone(DutyCase { role: member, joined: false, current: true, starting: None, duty: WatchDuty::Fed })]
-#[case::hub_gone(DutyCase { role: member, joined: false, current: false, starting: None, duty: WatchDuty::WithoutHub })]
-#[case::restarted(DutyCase { role: member, joined: false, current: false, starting: Some(WatchDuty::Starting), duty: WatchDuty::Starting })]
-#[case::first_hub(DutyCase { role: || PeerRole::Hub, joined: false, current: false, starting: None, duty: WatchDuty::ForOthers })]
-#[case::other_hub(DutyCase { role: || PeerRole::Hub, joined: true, current: true, starting: None, duty: WatchDuty::Fed })]
-#[case::alone_so_far(DutyCase { role: || PeerRole::Hub, joined: false, current: false, starting: Some(WatchDuty::Gathering), duty: WatchDuty::Gathering })]
+#[case::small_fleet(DutyCase { role: || PeerRole::Mesh, joined: false, current: false, hub_heard: false, starting: None, duty: WatchDuty::Alone })]
+#[case::first_start(DutyCase { role: || PeerRole::Mesh, joined: false, current: false, hub_heard: false, starting: Some(WatchDuty::Gathering), duty: WatchDuty::Gathering })]
+#[case::fed(DutyCase { role: member, joined: true, current: true, hub_heard: false, starting: None, duty: WatchDuty::Fed })]
+#[case::hub_just_gone(DutyCase { role: member, joined: false, current: true, hub_heard: false, starting: None, duty: WatchDuty::Fed })]
+#[case::hub_gone(DutyCase { role: member, joined: false, current: false, hub_heard: false, starting: None, duty: WatchDuty::WithoutHub })]
+#[case::hub_unfed(DutyCase { role: member, joined: false, current: false, hub_heard: true, starting: None, duty: WatchDuty::BesideHub })]
+#[case::restarted(DutyCase { role: member, joined: false, current: false, hub_heard: false, starting: Some(WatchDuty::Starting), duty: WatchDuty::Starting })]
+#[case::first_hub(DutyCase { role: || PeerRole::Hub, joined: false, current: false, hub_heard: false, starting: None, duty: WatchDuty::ForOthers })]
+#[case::other_hub(DutyCase { role: || PeerRole::Hub, joined: true, current: true, hub_heard: false, starting: None, duty: WatchDuty::Fed })]
+#[case::alone_so_far(DutyCase { role: || PeerRole::Hub, joined: false, current: false, hub_heard: false, starting: Some(WatchDuty::Gathering), duty: WatchDuty::Gathering })]
 fn who_follows_the_store(#[case] case: DutyCase) {
     let state = FeedState {
         joined: case.joined,
         current: case.current,
+        hub_heard: case.hub_heard,
         starting: case.starting,
     };
     assert_eq!(watch_duty(&(case.role)(), state), case.duty);
@@ -61,6 +64,7 @@
 #[case::restart(ReadCase { duty: WatchDuty::Starting, lists: ALL, watches: &[Feed::Daemons] })]
 #[case::alone(ReadCase { duty: WatchDuty::Alone, lists: ALL, watches: ALL })]
 #[case::without_hub(ReadCase { duty: WatchDuty::WithoutHub, lists: ALL, watches: ALL })]
+#[case::beside_hub(ReadCase { duty: WatchDuty::BesideHub, lists: ALL, watches: ALL })]
 #[case::for_others(ReadCase { duty: WatchDuty::ForOthers, lists: ALL, watches: ALL })]
 #[case::fed(ReadCase { duty: WatchDuty::Fed, lists: &[], watches: &[] })]
 fn what_a_duty_reads(#[case] case: ReadCase) {
