--- a/src/access_key.rs
+++ b/src/access_key.rs
@@ -4,11 +4,11 @@
 use std::fmt;
 
 use sha2::{Digest, Sha256};
-use subtle::ConstantTimeEq;
 
-/// SHA-256 of a key. Keys are compared by it only, so that neither a log, a dump of
-/// memory nor the time of a comparison shows one.
-#[derive(Clone, Copy, Eq, Hash)]
+/// SHA-256 of a key. Keys are compared by it only, so that neither a log nor a dump of
+/// memory shows one; what the time of a comparison shows is of a digest that no caller
+/// can choose.
+#[derive(Clone, Copy, Eq, Hash, PartialEq)]
 pub struct KeyDigest([u8; 32]);
 
 impl KeyDigest {
@@ -19,12 +19,6 @@
     }
 }
 
-impl PartialEq for KeyDigest {
-    fn eq(&self, other: &Self) -> bool {
-        self.0.ct_eq(&other.0).into()
-    }
-}
-
 impl fmt::Debug for KeyDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("KeyDigest(hidden)")
--- a/src/gateway/access.rs
+++ b/src/gateway/access.rs
@@ -39,6 +39,18 @@
         })
     }
 
+    /// Refuses a request that may not be sent on any more.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal; a choice of engines would try one after the other instead.
+    pub(super) fn check_still(&self, access: &CallerAccess) -> Result<(), Failure> {
+        if self.may_still_send(access) {
+            return Ok(());
+        }
+        Err(Failure::refused(UNCONFIRMED, UNCONFIRMED_WAIT))
+    }
+
     /// Whether a request may still be sent on for whom it was taken.
     ///
     /// It may have waited for an engine or its prompt's reading for seconds, in which its
--- a/src/gateway/duties/mod.rs
+++ b/src/gateway/duties/mod.rs
@@ -147,6 +147,7 @@
     fn look(&mut self, now: MonoTime) {
         self.gateway.duties.borrow_mut().settle(now);
         self.update_lease(now);
+        self.servers.watch(&self.gateway.view(), now);
         let Some(turn) = self.turn(now) else {
             self.usage.end_turn();
             self.servers.end_turn();
--- a/src/gateway/duties/server_desk.rs
+++ b/src/gateway/duties/server_desk.rs
@@ -91,7 +91,7 @@
         if scaled.is_empty() || self.busy || now < self.wait_until {
             return;
         }
-        let steady = self.is_steady(&view, &scaled, now);
+        let steady = self.is_steady(now);
         let Some((version, provided)) = &self.provided else {
             self.busy = true;
             let store = gateway.ports.store.clone();
@@ -113,25 +113,26 @@
         }
     }
 
-    fn is_steady(
-        &mut self,
-        view: &FleetView,
-        scaled: &[(ServiceName, ScalingRule)],
-        now: MonoTime,
-    ) -> bool {
-        let counted = scaled
-            .iter()
-            .map(|(name, _)| (name.clone(), count(view, name)));
-        let counted: IndexMap<ServiceName, u32> = counted.collect();
-        match &self.steady {
-            Some((known, since)) if *known == counted => now.since(*since) >= STEADY_TIME,
-            _ => {
-                self.steady = Some((counted, now));
-                false
-            }
+    /// Watches how many targets there are, also before this daemon performs the duty.
+    pub fn watch(&mut self, view: &FleetView, now: MonoTime) {
+        let scaled = scaled_services(view).into_iter();
+        let counted: IndexMap<ServiceName, u32> = scaled
+            .map(|(name, _)| {
+                let count = count(view, &name);
+                (name, count)
+            })
+            .collect();
+        let same = |(known, _): &(IndexMap<ServiceName, u32>, MonoTime)| *known == counted;
+        if !self.steady.as_ref().is_some_and(same) {
+            self.steady = Some((counted, now));
         }
     }
 
+    fn is_steady(&self, now: MonoTime) -> bool {
+        let steady = self.steady.as_ref();
+        steady.is_some_and(|(_, since)| now.since(*since) >= STEADY_TIME)
+    }
+
     // What is found before the first order is what the operator had provided. It is kept in
     // the store, or a later holder would take its own orders for it.
     fn provide(
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -15,16 +15,15 @@
 use crate::gateway::deciding::{EngineChoices, PlaceOrder, TimedWork};
 use crate::gateway::forward::{RoutedCall, SendTrail, WorkGuard, lost};
 use crate::gateway::model::TargetRecord;
-use crate::gateway::port::{CacheHandle, SendMode, SendOrder};
+use crate::gateway::port::{SendMode, SendOrder};
+use crate::gateway::reading::HandleGuard;
 use crate::gateway::reply::{Failure, Reply, stream_reply, whole_reply};
 use crate::gateway::sending::{SendOutcome, TargetAnswer};
 use crate::gateway::stream::{EventRelay, FirstEventWatch};
 use crate::gateway::target_life::TargetLife;
 
 /// Time to come back after a refusal by an engine.
-const ENGINE_BUSY_WAIT: Duration = Duration::from_millis(200);
-/// Largest answer to a reading of a prompt, in bytes.
-const MOST_READ_ANSWER: usize = 64 * 1024;
+pub(super) const ENGINE_BUSY_WAIT: Duration = Duration::from_millis(200);
 /// Largest failure of an engine that is passed on, in bytes.
 const MOST_FAILURE_BYTES: usize = 1 << 20;
 /// Shortest time after which callers give up a stream without a first event, as the
@@ -37,12 +36,6 @@
 const LATE_SHARE: f64 = 0.7;
 /// Time to come back after a refusal for overload.
 const OVERLOAD_WAIT: Duration = Duration::from_millis(900);
-/// Shortest wait for a reading before it is asked for elsewhere.
-const SHORTEST_READ_WAIT: Duration = Duration::from_millis(1_500);
-/// Longest time, in expected times, for a reading.
-const READ_PATIENCE: f64 = 4.0;
-/// Readings asked for before the decode engine reads itself.
-const MOST_READINGS: u32 = 2;
 
 impl Gateway {
     /// Runs a generation request up to the head of its answer.
@@ -66,6 +59,7 @@
     ) -> Result<Reply, Failure> {
         let mut last = Failure::refused("no engine is known", ENGINE_BUSY_WAIT);
         while let Some(place) = self.place_by_fleet(call, trail).await {
+            self.check_still(&call.access)?;
             if let Some(refusal) = too_late(call, &place) {
                 return Err(refusal);
             }
@@ -325,131 +319,7 @@
         }
     }
 
-    // Reads the prompt where that pays. One reading that an engine takes up is no
-    // repeat. Any send after one that came to nothing is, also the run: without a
-    // repeat left the request is refused, or failing readers would have the fleet
-    // send every request twice.
-    async fn read_ahead(
-        self: &Rc<Self>,
-        call: &Rc<RoutedCall>,
-        place: &EnginePlace,
-        trail: &mut SendTrail,
-    ) -> Result<Option<HandleGuard>, Failure> {
-        let Some(mut reader) = place.reader.clone() else {
-            return Ok(None);
-        };
-        if trail.prompt_read && !self.may_repeat(call) {
-            return Ok(None);
-        }
-        let mut tried: Vec<TargetLife> = Vec::new();
-        for _ in 0..MOST_READINGS {
-            match self.read_prompt(call, &reader, place).await {
-                Reading::Kept(handle) => {
-                    trail.prompt_read = true;
-                    return Ok(Some(handle));
-                }
-                Reading::NotSent => {}
-                Reading::Failed(reason) if !self.may_repeat(call) => {
-                    return Err(Failure::refused(reason, ENGINE_BUSY_WAIT));
-                }
-                Reading::Failed(_) => {}
-            }
-            tried.push(reader.id.clone());
-            let Some(next) = self.another_reader(call, &tried) else {
-                break;
-            };
-            reader = next;
-        }
-        Ok(None)
-    }
-
-    fn another_reader(&self, call: &RoutedCall, tried: &[TargetLife]) -> Option<Arc<TargetRecord>> {
-        let choices = EngineChoices {
-            engines: &self.staying(call.view.of_service(&call.service.name)),
-            changing: &self.changing(),
-            excluded: tried,
-        };
-        let (prompt, urgency) = (call.prompt(), call.route.urgency);
-        let core = self.core.borrow();
-        core.another_reader(&choices, &prompt, urgency, clock::mono_now())
-    }
-
-    async fn read_prompt(
-        self: &Rc<Self>,
-        call: &Rc<RoutedCall>,
-        reader: &Arc<TargetRecord>,
-        place: &EnginePlace,
-    ) -> Reading {
-        let sent = Instant::now();
-        let _work = WorkGuard::begin(self, &reader.id, place.rank, place.unread_tokens);
-        let patience = Duration::from_secs_f64(place.expected_ms * READ_PATIENCE / 1_000.0);
-        let until = sent + patience.max(SHORTEST_READ_WAIT);
-        let fetch_from = place.fetch_from.as_deref();
-        let order = self.order(
-            call,
-            reader,
-            SendMode::ReadPrompt,
-            None,
-            fetch_from,
-            place.rank,
-        );
-        let outcome = self.send(reader, call.plan(until), &order).await;
-        let until = until.min(call.due);
-        let reading = self.finish_reading(reader, outcome, until).await;
-        call.log_send(reader, "read_prompt", reading.as_str(), sent);
-        if let Reading::Kept(_) = reading {
-            self.note_held(call, reader);
-            // What waits at a reader that was not chosen first is not known here.
-            if place.reader.as_ref().is_some_and(|r| r.id == reader.id) {
-                self.note_time(&place.timed_reading(reader), sent.elapsed());
-            }
-        }
-        reading
-    }
-
-    async fn finish_reading(
-        self: &Rc<Self>,
-        reader: &Arc<TargetRecord>,
-        outcome: SendOutcome,
-        until: Instant,
-    ) -> Reading {
-        let answer = match outcome {
-            SendOutcome::Answered(answer) => answer,
-            SendOutcome::NotSent(_) => return Reading::NotSent,
-            SendOutcome::WrongTarget | SendOutcome::WrongWork => {
-                let reason = "left its address or does other work now";
-                return Reading::Failed(format!("{} {reason}", reader.id));
-            }
-            SendOutcome::Refused(reason) | SendOutcome::Unclear(reason) => {
-                return Reading::Failed(reason);
-            }
-        };
-        if !answer.head.status.is_success() {
-            self.note_result(reader, SendResult::Failed);
-            return Reading::Failed(format!("{} said {}", reader.id, answer.head.status));
-        }
-        let read = client::read_body(answer.body, MOST_READ_ANSWER, until).await;
-        let read = read.and_then(|body| {
-            let decoded = (self.ports.wire.decode_read)(&body);
-            decoded.map_err(|fault| fault.to_string())
-        });
-        let name = match read {
-            Ok(name) => name,
-            Err(reason) => {
-                self.note_result(reader, SendResult::Failed);
-                return Reading::Failed(reason);
-            }
-        };
-        self.note_result(reader, SendResult::Answered);
-        answer.lease.give_back(&answer.head);
-        let handle = CacheHandle {
-            holder: reader.address,
-            name,
-        };
-        Reading::Kept(HandleGuard::new(self.clone(), reader.clone(), handle))
-    }
-
-    fn note_held(&self, call: &RoutedCall, engine: &TargetRecord) {
+    pub(super) fn note_held(&self, call: &RoutedCall, engine: &TargetRecord) {
         let Some(prompt) = &call.caller.prompt else {
             return;
         };
@@ -492,7 +362,7 @@
         staying.cloned().collect()
     }
 
-    fn with_choices<T>(
+    pub(super) fn with_choices<T>(
         &self,
         call: &RoutedCall,
         trail: &SendTrail,
@@ -528,59 +398,3 @@
     Again(Failure),
     Ended(Failure),
 }
-
-// What became of the reading of a prompt; nothing has run in any case.
-enum Reading {
-    Kept(HandleGuard),
-    // No byte left.
-    NotSent,
-    // It arrived at an engine and came to nothing.
-    Failed(String),
-}
-
-impl Reading {
-    fn as_str(&self) -> &'static str {
-        match self {
-            Self::Kept(_) => "read",
-            Self::NotSent => "not_sent",
-            Self::Failed(_) => "not_read",
-        }
-    }
-}
-
-/// A kept prompt that is freed unless another engine took it.
-struct HandleGuard {
-    gateway: Rc<Gateway>,
-    reader: Arc<TargetRecord>,
-    handle: Option<CacheHandle>,
-}
-
-impl HandleGuard {
-    fn new(gateway: Rc<Gateway>, reader: Arc<TargetRecord>, handle: CacheHandle) -> Self {
-        Self {
-            gateway,
-            reader,
-            handle: Some(handle),
-        }
-    }
-
-    fn mode(&self) -> SendMode {
-        let handle = self.handle.clone();
-        handle.map_or(SendMode::Run, SendMode::TakeOver)
-    }
-
-    fn forget(&mut self) {
-        self.handle = None;
-    }
-}
-
-impl Drop for HandleGuard {
-    fn drop(&mut self) {
-        let Some(handle) = self.handle.take() else {
-            return;
-        };
-        let gateway = self.gateway.clone();
-        let reader = self.reader.clone();
-        tokio::task::spawn_local(async move { gateway.free_handle(&reader, &handle.name).await });
-    }
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 pub mod peers;
 pub mod pool;
 pub mod port;
+pub mod reading;
 pub mod registry;
 pub mod reload;
 pub mod reply;
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -12,25 +12,20 @@
 pub mod book;
 pub mod feeding;
 pub mod hub;
+mod links;
 pub mod placing;
 pub mod proofs;
 pub mod seen;
 mod usage;
 pub mod wire;
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::{SinkExt, StreamExt};
-use indexmap::IndexMap;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{broadcast, watch};
-use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
 use tokio_tungstenite::tungstenite::Message;
-use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
-use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
 
 pub use crate::gateway::peers::book::PeerBook;
 
@@ -43,7 +38,6 @@
 use crate::gateway::model::PromptPart;
 use crate::gateway::peers::hub::{LinkKind, PeerRole};
 use crate::gateway::peers::wire::{HeldNote, PeerHint, PeerMessage, PeerSummary};
-use crate::gateway::store_follow::WatchDuty;
 use crate::gateway::target_life::TargetLife;
 use crate::names::DaemonId;
 use crate::timer::TimerService;
@@ -56,19 +50,9 @@
 /// daemons took the same one. It costs eight daemons 0.8% of a core each, measured on a
 /// calm day. Hubs tell each other of placements instead.
 const HINT_EVERY: Duration = Duration::from_millis(40);
-/// Time to open a link and to send one message.
-const LINK_WAIT: Duration = Duration::from_millis(1_000);
-/// Pause before a lost link is opened again.
-const DIAL_PAUSE: Duration = Duration::from_millis(300);
-/// Silence after which an incoming link is dropped.
-const LINK_SILENCE: Duration = Duration::from_secs(5);
-/// Largest message, in bytes: a configuration may take a megabyte.
-const MESSAGE_BYTES: usize = 4 << 20;
 /// Changes of objects that may wait for a slow link before it gets all anew.
 pub(super) const FEED_QUEUE: usize = 64;
 
-type Link = WebSocketStream<TcpStream>;
-
 /// What goes out at a tick, encoded once for all links.
 #[derive(Clone)]
 struct OutgoingWord {
@@ -89,14 +73,14 @@
 
 /// Runs the links of a daemon until the process ends.
 pub async fn run(gateway: Rc<Gateway>, listener: TcpListener, relays: feeding::RelayInbox) {
-    spawn_local(accept(gateway.clone(), listener));
+    spawn_local(links::accept(gateway.clone(), listener));
     spawn_local(feeding::stock_up(gateway.clone(), relays));
     spawn_local(placing::tell_regularly(gateway.clone()));
     let (words, word) = watch::channel(gateway.word(&PeerRole::Mesh));
     let timer = TimerService::start();
     let mut ticks = timer.every(HINT_EVERY);
     let mut looks = timer.every(LOOK_EVERY);
-    let mut senders = LinkSenders::default();
+    let mut senders = links::LinkSenders::default();
     let mut role = PeerRole::Mesh;
     loop {
         tokio::select! {
@@ -115,182 +99,6 @@
     }
 }
 
-/// Links that this daemon sends on, with what each of them is for.
-#[derive(Default)]
-struct LinkSenders(IndexMap<DaemonId, (SocketAddr, LinkKind, JoinHandle<()>)>);
-
-impl LinkSenders {
-    // Opens the links that a role asks for and closes the others.
-    fn adjust(
-        &mut self,
-        gateway: &Rc<Gateway>,
-        role: &PeerRole,
-        word: &watch::Receiver<OutgoingWord>,
-    ) {
-        let wanted = gateway.wanted_links(role);
-        let is_hub = |(_, kind): &&(DaemonRecord, LinkKind)| *kind == LinkKind::OtherHub;
-        let hubs = wanted.iter().filter(is_hub);
-        *gateway.other_hubs.borrow_mut() = hubs.map(|(d, _)| d.id.clone()).collect();
-        self.0.retain(|id, (address, kind, task)| {
-            let same =
-                |(d, k): &(DaemonRecord, LinkKind)| d.id == *id && d.peers == *address && k == kind;
-            let stays = wanted.iter().any(same);
-            if !stays {
-                task.abort();
-            }
-            stays
-        });
-        for (daemon, kind) in wanted {
-            self.0.entry(daemon.id.clone()).or_insert_with(|| {
-                let sending = keep_sending(gateway.clone(), daemon.clone(), kind, word.clone());
-                (daemon.peers, kind, spawn_local(sending))
-            });
-        }
-    }
-}
-
-async fn keep_sending(
-    gateway: Rc<Gateway>,
-    daemon: DaemonRecord,
-    kind: LinkKind,
-    word: watch::Receiver<OutgoingWord>,
-) {
-    loop {
-        if let Ok(Some(link)) = timeout(LINK_WAIT, dial(daemon.peers)).await {
-            log::info!(peer = daemon.id.as_str(), kind = format!("{kind:?}"); "link to another daemon is up");
-            send_words(&gateway, &daemon, kind, link, word.clone()).await;
-            log::info!(peer = daemon.id.as_str(); "link to another daemon is lost");
-        }
-        sleep(DIAL_PAUSE).await;
-    }
-}
-
-async fn dial(address: SocketAddr) -> Option<Link> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    crate::gateway::client::set_options(&stream).ok()?;
-    let url = format!("ws://{address}/");
-    let opened = client_async_with_config(url, stream, Some(config())).await;
-    opened.ok().map(|(link, _)| link)
-}
-
-fn config() -> WebSocketConfig {
-    WebSocketConfig::default()
-        .read_buffer_size(8 * 1024)
-        .write_buffer_size(0)
-        .max_message_size(Some(MESSAGE_BYTES))
-        .max_frame_size(Some(MESSAGE_BYTES))
-}
-
-async fn send_words(
-    gateway: &Gateway,
-    daemon: &DaemonRecord,
-    kind: LinkKind,
-    mut link: Link,
-    mut word: watch::Receiver<OutgoingWord>,
-) {
-    let mut changes = gateway.feed_changes.subscribe();
-    let mut urgent = gateway.placing.borrow_mut().open_link(&daemon.id);
-    if kind != LinkKind::Hint {
-        let from = gateway.daemon.clone();
-        if !send(&mut link, PeerMessage::NewLink { from }.encode()).await {
-            return;
-        }
-    }
-    let mut sent_version = 0;
-    loop {
-        // What a member asked for goes before changes: made before one of them and sent
-        // after it, the answer would leave it out, and the member, which takes changes
-        // from the answer on, would go without it until the next.
-        tokio::select! {
-            biased;
-            changed = word.changed() => {
-                let message = word.borrow_and_update().for_link(kind).cloned();
-                let sent = match message {
-                    Some(message) => send(&mut link, message).await,
-                    None => true,
-                };
-                if changed.is_err() || !sent {
-                    return;
-                }
-                if let Some((version, message)) = gateway.config_for(&daemon.id, sent_version) {
-                    log::info!(peer = daemon.id.as_str(), version = version; "configuration sent to a daemon that is behind");
-                    if !send(&mut link, message.encode()).await {
-                        return;
-                    }
-                    sent_version = version;
-                }
-            }
-            Some(message) = urgent.recv() => {
-                if !send(&mut link, message).await {
-                    return;
-                }
-            }
-            change = changes.recv(), if kind != LinkKind::Hint => {
-                // Hubs rely on one that follows the store itself only.
-                if kind == LinkKind::OtherHub && gateway.duty.get() != WatchDuty::ForOthers {
-                    continue;
-                }
-                let sent = match change {
-                    Ok(message) => send(&mut link, message).await,
-                    // The link was too slow for the changes: it gets everything anew.
-                    Err(broadcast::error::RecvError::Lagged(_)) => send_stock(gateway, &mut link).await,
-                    Err(broadcast::error::RecvError::Closed) => false,
-                };
-                if !sent {
-                    return;
-                }
-            }
-        }
-    }
-}
-
-async fn send_stock(gateway: &Gateway, link: &mut Link) -> bool {
-    let stock = gateway.stock.borrow().all();
-    for objects in stock {
-        if !send(link, PeerMessage::Objects(objects).encode()).await {
-            return false;
-        }
-    }
-    true
-}
-
-async fn send(link: &mut Link, message: Message) -> bool {
-    matches!(timeout(LINK_WAIT, link.send(message)).await, Ok(Ok(())))
-}
-
-async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(receive(gateway.clone(), stream));
-            }
-            Err(error) => {
-                log::warn!("no link accepted ({error}); trying again");
-                sleep(DIAL_PAUSE).await;
-            }
-        }
-    }
-}
-
-async fn receive(gateway: Rc<Gateway>, stream: TcpStream) {
-    let opening = accept_async_with_config(stream, Some(config()));
-    let Ok(Ok(mut link)) = timeout(LINK_WAIT, opening).await else {
-        return;
-    };
-    while let Ok(Some(Ok(message))) = timeout(LINK_SILENCE, link.next()).await {
-        let Message::Binary(bytes) = message else {
-            continue;
-        };
-        match ciborium::from_reader::<PeerMessage, _>(&bytes[..]) {
-            Ok(message) => gateway.take_message(message),
-            Err(error) => {
-                log::warn!("message of another daemon cannot be read, link dropped: {error}");
-                return;
-            }
-        }
-    }
-}
-
 impl Gateway {
     /// Work that all daemons place on engines, as far as heard.
     #[must_use]
--- /dev/null
+++ b/src/gateway/reading.rs
@@ -0,0 +1,215 @@
+//! Reads a prompt at one engine for another one that makes the tokens.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::clock;
+use crate::gateway::client;
+use crate::gateway::daemon::Gateway;
+use crate::gateway::deciding::EngineChoices;
+use crate::gateway::deciding::engine_choice::EnginePlace;
+use crate::gateway::deciding::health::SendResult;
+use crate::gateway::forward::{RoutedCall, SendTrail, WorkGuard};
+use crate::gateway::generate::ENGINE_BUSY_WAIT;
+use crate::gateway::model::TargetRecord;
+use crate::gateway::port::{CacheHandle, SendMode};
+use crate::gateway::reply::Failure;
+use crate::gateway::sending::SendOutcome;
+use crate::gateway::target_life::TargetLife;
+
+/// Largest answer to a reading of a prompt, in bytes.
+const MOST_READ_ANSWER: usize = 64 * 1024;
+/// Shortest wait for a reading before it is asked for elsewhere.
+const SHORTEST_READ_WAIT: Duration = Duration::from_millis(1_500);
+/// Longest time, in expected times, for a reading.
+const READ_PATIENCE: f64 = 4.0;
+/// Readings asked for before the decode engine reads itself.
+const MOST_READINGS: u32 = 2;
+
+impl Gateway {
+    // Reads the prompt where that pays. One reading that an engine takes up is no
+    // repeat. Any send after one that came to nothing is, also the run: without a
+    // repeat left the request is refused, or failing readers would have the fleet
+    // send every request twice.
+    pub(super) async fn read_ahead(
+        self: &Rc<Self>,
+        call: &Rc<RoutedCall>,
+        place: &EnginePlace,
+        trail: &mut SendTrail,
+    ) -> Result<Option<HandleGuard>, Failure> {
+        let Some(mut reader) = place.reader.clone() else {
+            return Ok(None);
+        };
+        if trail.prompt_read && !self.may_repeat(call) {
+            return Ok(None);
+        }
+        let mut tried: Vec<TargetLife> = Vec::new();
+        for _ in 0..MOST_READINGS {
+            match self.read_prompt(call, &reader, place).await {
+                Reading::Kept(handle) => {
+                    trail.prompt_read = true;
+                    return Ok(Some(handle));
+                }
+                Reading::NotSent => {}
+                Reading::Failed(reason) if !self.may_repeat(call) => {
+                    return Err(Failure::refused(reason, ENGINE_BUSY_WAIT));
+                }
+                Reading::Failed(_) => {}
+            }
+            tried.push(reader.id.clone());
+            let Some(next) = self.another_reader(call, &tried) else {
+                break;
+            };
+            reader = next;
+        }
+        Ok(None)
+    }
+
+    fn another_reader(&self, call: &RoutedCall, tried: &[TargetLife]) -> Option<Arc<TargetRecord>> {
+        let choices = EngineChoices {
+            engines: &self.staying(call.view.of_service(&call.service.name)),
+            changing: &self.changing(),
+            excluded: tried,
+        };
+        let (prompt, urgency) = (call.prompt(), call.route.urgency);
+        let core = self.core.borrow();
+        core.another_reader(&choices, &prompt, urgency, clock::mono_now())
+    }
+
+    async fn read_prompt(
+        self: &Rc<Self>,
+        call: &Rc<RoutedCall>,
+        reader: &Arc<TargetRecord>,
+        place: &EnginePlace,
+    ) -> Reading {
+        let sent = Instant::now();
+        let _work = WorkGuard::begin(self, &reader.id, place.rank, place.unread_tokens);
+        let patience = Duration::from_secs_f64(place.expected_ms * READ_PATIENCE / 1_000.0);
+        let until = sent + patience.max(SHORTEST_READ_WAIT);
+        let fetch_from = place.fetch_from.as_deref();
+        let order = self.order(
+            call,
+            reader,
+            SendMode::ReadPrompt,
+            None,
+            fetch_from,
+            place.rank,
+        );
+        let outcome = self.send(reader, call.plan(until), &order).await;
+        let until = until.min(call.due);
+        let reading = self.finish_reading(reader, outcome, until).await;
+        call.log_send(reader, "read_prompt", reading.as_str(), sent);
+        if let Reading::Kept(_) = reading {
+            self.note_held(call, reader);
+            // What waits at a reader that was not chosen first is not known here.
+            if place.reader.as_ref().is_some_and(|r| r.id == reader.id) {
+                self.note_time(&place.timed_reading(reader), sent.elapsed());
+            }
+        }
+        reading
+    }
+
+    async fn finish_reading(
+        self: &Rc<Self>,
+        reader: &Arc<TargetRecord>,
+        outcome: SendOutcome,
+        until: Instant,
+    ) -> Reading {
+        let answer = match outcome {
+            SendOutcome::Answered(answer) => answer,
+            SendOutcome::NotSent(_) => return Reading::NotSent,
+            SendOutcome::WrongTarget | SendOutcome::WrongWork => {
+                let reason = "left its address or does other work now";
+                return Reading::Failed(format!("{} {reason}", reader.id));
+            }
+            SendOutcome::Refused(reason) | SendOutcome::Unclear(reason) => {
+                return Reading::Failed(reason);
+            }
+        };
+        if !answer.head.status.is_success() {
+            self.note_result(reader, SendResult::Failed);
+            return Reading::Failed(format!("{} said {}", reader.id, answer.head.status));
+        }
+        let read = client::read_body(answer.body, MOST_READ_ANSWER, until).await;
+        let read = read.and_then(|body| {
+            let decoded = (self.ports.wire.decode_read)(&body);
+            decoded.map_err(|fault| fault.to_string())
+        });
+        let name = match read {
+            Ok(name) => name,
+            Err(reason) => {
+                self.note_result(reader, SendResult::Failed);
+                return Reading::Failed(reason);
+            }
+        };
+        self.note_result(reader, SendResult::Answered);
+        answer.lease.give_back(&answer.head);
+        let handle = CacheHandle {
+            holder: reader.address,
+            name,
+        };
+        Reading::Kept(HandleGuard::new(self.clone(), reader.clone(), handle))
+    }
+}
+
+// What became of the reading of a prompt; nothing has run in any case.
+enum Reading {
+    Kept(HandleGuard),
+    // No byte left.
+    NotSent,
+    // It arrived at an engine and came to nothing.
+    Failed(String),
+}
+
+impl Reading {
+    fn as_str(&self) -> &'static str {
+        match self {
+            Self::Kept(_) => "read",
+            Self::NotSent => "not_sent",
+            Self::Failed(_) => "not_read",
+        }
+    }
+}
+
+/// A kept prompt that is freed unless another engine took it.
+pub struct HandleGuard {
+    gateway: Rc<Gateway>,
+    reader: Arc<TargetRecord>,
+    handle: Option<CacheHandle>,
+}
+
+impl HandleGuard {
+    fn new(gateway: Rc<Gateway>, reader: Arc<TargetRecord>, handle: CacheHandle) -> Self {
+        Self {
+            gateway,
+            reader,
+            handle: Some(handle),
+        }
+    }
+
+    /// How the prompt is sent to the engine that takes it.
+    #[must_use]
+    pub fn mode(&self) -> SendMode {
+        let handle = self.handle.clone();
+        handle.map_or(SendMode::Run, SendMode::TakeOver)
+    }
+
+    /// Leaves the prompt to the engine that took it, or that found it gone.
+    pub fn forget(&mut self) {
+        self.handle = None;
+    }
+}
+
+impl Drop for HandleGuard {
+    fn drop(&mut self) {
+        let Some(handle) = self.handle.take() else {
+            return;
+        };
+        let gateway = self.gateway.clone();
+        let reader = self.reader.clone();
+        tokio::task::spawn_local(async move { gateway.free_handle(&reader, &handle.name).await });
+    }
+}
--- a/tests/duties_usage.rs
+++ b/tests/duties_usage.rs
@@ -119,7 +119,7 @@
     own.note_begun(&WorkspaceName::from("north"), MonoTime(10));
     own.sort_in(&settled(), MonoTime(20));
     let cell = (FIRST, WorkspaceName::from("north"), 1);
-    assert_eq!(own.take_news(MonoTime(30)), [cell.clone()]);
+    assert_eq!(own.take_news(MonoTime(30)), std::slice::from_ref(&cell));
     assert_eq!(own.take_news(MonoTime(230)), []);
     assert_eq!(own.take_news(MonoTime(1_030)), [cell]);
 }
