--- a/src/gateway/access.rs
+++ b/src/gateway/access.rs
@@ -27,9 +27,13 @@
             return Ok(CallerAccess::Public);
         }
         if !self.confirms_keys(clock::mono_now()) {
+            count_refusal("unconfirmed");
             return Err(Failure::refused(UNCONFIRMED, UNCONFIRMED_WAIT));
         }
-        let unknown = || Failure::new(FailureKind::UnknownKey, UNKNOWN_KEY);
+        let unknown = || {
+            count_refusal("unknown");
+            Failure::new(FailureKind::UnknownKey, UNKNOWN_KEY)
+        };
         let key = caller.key.ok_or_else(unknown)?;
         let owner = routes.owner_of(&key).ok_or_else(unknown)?;
         route.urgency = owner.urgency.unwrap_or(route.urgency);
@@ -65,6 +69,10 @@
     }
 }
 
+fn count_refusal(reason: &'static str) {
+    metrics::counter!("pistachiowick_keyed_refusals_total", "reason" => reason).increment(1);
+}
+
 const UNKNOWN_KEY: &str = "the request shows no key of a workspace; send one key that is in force";
 const UNCONFIRMED: &str =
     "whether keys are still in force cannot be known here at present; come back or ask elsewhere";
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -271,6 +271,9 @@
 
     fn sweep(&self) {
         let now = clock::mono_now();
+        if let Some(at) = self.confirmed_at() {
+            metrics::gauge!("pistachiowick_config_age_seconds").set(now.since(at).as_secs_f64());
+        }
         self.pool.borrow_mut().sweep(tokio::time::Instant::now());
         let view = self.view();
         let mut core = self.core.borrow_mut();
