--- a/src/gateway/deciding/mod.rs
+++ b/src/gateway/deciding/mod.rs
@@ -116,7 +116,8 @@
         let pace = self.health.view(&engine.id, now).pace;
         let expected = self.engines.line(&engine.service, *work).at(*tokens);
         self.health.note_time(&engine.id, taken_ms, expected);
-        self.engines.note(&engine.service, *work, *tokens, taken_ms);
+        self.engines
+            .note(&engine.service, *work, (*tokens, taken_ms), now);
         taken_ms / (expected * pace)
     }
 
