--- a/src/gateway/duties/server_desk.rs
+++ b/src/gateway/duties/server_desk.rs
@@ -23,6 +23,9 @@
 const STEADY_TIME: Duration = Duration::from_millis(2_000);
 /// Pause before servers that were not to be had are asked for again.
 const NONE_PAUSE: Duration = Duration::from_millis(1_500);
+/// Pause before an order that the platform refused as faulty is tried again: only another
+/// configuration changes what it says, and calls are priced.
+const REFUSED_PAUSE: Duration = Duration::from_secs(10);
 /// Pause after a call that came to nothing.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Time beyond their start in which ordered servers register here.
@@ -254,6 +257,11 @@
                 self.orders.swap_remove(&subject);
                 self.paused.insert(subject, now.plus(NONE_PAUSE));
             }
+            ServerNews::Ordered(subject, _, Err(error @ PlatformError::Refused { .. })) => {
+                self.orders.swap_remove(&subject);
+                self.paused.insert(subject, now.plus(REFUSED_PAUSE));
+                self.pause(&error, now);
+            }
             ServerNews::Ordered(subject, _, Err(error)) => {
                 self.orders.swap_remove(&subject);
                 self.pause(&error, now);
--- a/src/gateway/duties/usage_desk.rs
+++ b/src/gateway/duties/usage_desk.rs
@@ -116,10 +116,11 @@
         match news {
             UsageNews::Read(Ok(found)) => self.ledger = read_ledger(found),
             UsageNews::Written(ledger, Ok(version)) => self.ledger = Some((version, ledger)),
-            UsageNews::Sent(window, Ok(())) => {
-                if let Some((_, ledger)) = &mut self.ledger {
-                    ledger.note_reported(window);
-                }
+            UsageNews::Sent(window, Ok(())) => self.close(window),
+            // The same report would be refused again, and hold up all later ones.
+            UsageNews::Sent(window, Err(error @ PlatformError::Refused { .. })) => {
+                log::error!(window = window; "usage given up: {error}");
+                self.close(window);
             }
             UsageNews::Read(Err(error)) => self.pause("read", &error, now),
             UsageNews::Written(_, Err(error)) => {
@@ -131,6 +132,12 @@
         }
     }
 
+    fn close(&mut self, window: WindowNumber) {
+        if let Some((_, ledger)) = &mut self.ledger {
+            ledger.note_reported(window);
+        }
+    }
+
     fn pause(&mut self, call: &str, error: &PlatformError, now: MonoTime) {
         log::warn!(call = call; "usage not reported yet: {error}");
         self.wait_until = now.plus(RETRY_PAUSE);
