--- a/src/gateway/duties/mod.rs
+++ b/src/gateway/duties/mod.rs
@@ -149,8 +149,6 @@
         self.update_lease(now);
         self.servers.watch(&self.gateway.view(), now);
         let Some(turn) = self.turn(now) else {
-            self.usage.end_turn();
-            self.servers.end_turn();
             return;
         };
         let results = self.results.clone();
@@ -186,11 +184,16 @@
     // right after it, and hand it back as soon: the wait keeps three acts in turns apart.
     fn turn(&mut self, now: MonoTime) -> Option<DutyTurn> {
         let Some(LeaseAuthority { fence, until }) = self.lease.authority(&self.group, now) else {
-            self.held = None;
+            // A renewal that comes late only makes the holder wait: what it knows holds on.
+            if !self.lease.held_groups().any(|held| *held == self.group) {
+                self.change_turn(None);
+            }
             return None;
         };
-        let same = self.held.filter(|(known, _)| *known == fence);
-        let (_, since) = *self.held.insert(same.unwrap_or((fence, now)));
+        if self.held.is_none_or(|(known, _)| known != fence) {
+            self.change_turn(Some((fence, now)));
+        }
+        let (_, since) = self.held?;
         let first = fence == FIRST_FENCE;
         if !first && now.since(since) < self.turn_time + LOOK_EVERY {
             return None;
@@ -202,6 +205,13 @@
         Some(DutyTurn { caller, until })
     }
 
+    // What a holder knows is read anew in each turn: another one may have acted between.
+    fn change_turn(&mut self, held: Option<(FenceNumber, MonoTime)>) {
+        self.held = held;
+        self.usage.end_turn();
+        self.servers.end_turn();
+    }
+
     fn act(&self, action: LeaseAction) {
         let store = self.gateway.ports.store.clone();
         let results = self.results.clone();
