--- a/src/gateway/deciding/line_fit.rs
+++ b/src/gateway/deciding/line_fit.rs
@@ -1,14 +1,8 @@
 //! Time as a line over the size of the work, learned from what was seen.
 
-use std::time::Duration;
-
-/// Least part of the earlier observations that a new one leaves: about the last seventy
-/// count, which a daemon sees within some seconds of load.
+/// Part of the earlier observations that a new one leaves: about the last seventy
+/// count, which daemons see within some seconds of load.
 const KEPT_SHARE: f64 = 0.985;
-/// Time for which observations count at least, where they come faster. A hub that hears
-/// its members' sees 450 a second: of the last seventy alone it would learn how the last
-/// 0.15 s were, take a passing queue for the engines' speed, and swing with it.
-const MEMORY: Duration = Duration::from_secs(3);
 /// Weight of each of the two points that stand for the line known beforehand.
 const PRIOR_WEIGHT: f64 = 1.0;
 /// Size of the farther of these points, in tokens: a prompt of middling length.
@@ -76,10 +70,8 @@
         self.line
     }
 
-    /// Takes the time that work on `tokens` took, `since_last` after the one before.
-    pub fn note(&mut self, tokens: f64, taken_ms: f64, since_last: Duration) {
-        let faded = (-since_last.as_secs_f64() / MEMORY.as_secs_f64()).exp();
-        let kept = faded.max(KEPT_SHARE);
+    /// Takes the time that work on `tokens` took.
+    pub fn note(&mut self, tokens: f64, taken_ms: f64) {
         let expected = self.line.at(tokens);
         let reach = OUTLIER_SPREADS * self.spread;
         let taken = taken_ms.clamp(expected - reach, expected + reach);
@@ -91,7 +83,7 @@
             &mut self.sum_xx,
             &mut self.sum_xy,
         ] {
-            *sum *= kept;
+            *sum *= KEPT_SHARE;
         }
         self.weight += 1.0;
         self.sum_x += tokens;
--- a/src/gateway/deciding/mod.rs
+++ b/src/gateway/deciding/mod.rs
@@ -116,8 +116,7 @@
         let pace = self.health.view(&engine.id, now).pace;
         let expected = self.engines.line(&engine.service, *work).at(*tokens);
         self.health.note_time(&engine.id, taken_ms, expected);
-        self.engines
-            .note(&engine.service, *work, (*tokens, taken_ms), now);
+        self.engines.note(&engine.service, *work, *tokens, taken_ms);
         taken_ms / (expected * pace)
     }
 
