--- a/src/gateway/access.rs
+++ b/src/gateway/access.rs
@@ -27,9 +27,13 @@
             return Ok(CallerAccess::Public);
         }
         if !self.confirms_keys(clock::mono_now()) {
+            count_refusal("unconfirmed");
             return Err(Failure::refused(UNCONFIRMED, UNCONFIRMED_WAIT));
         }
-        let unknown = || Failure::new(FailureKind::UnknownKey, UNKNOWN_KEY);
+        let unknown = || {
+            count_refusal("unknown");
+            Failure::new(FailureKind::UnknownKey, UNKNOWN_KEY)
+        };
         let key = caller.key.ok_or_else(unknown)?;
         let owner = routes.owner_of(&key).ok_or_else(unknown)?;
         route.urgency = owner.urgency.unwrap_or(route.urgency);
@@ -39,6 +43,18 @@
         })
     }
 
+    /// Refuses a request that may not be sent on any more.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal; a choice of engines would try one after the other instead.
+    pub(super) fn check_still(&self, access: &CallerAccess) -> Result<(), Failure> {
+        if self.may_still_send(access) {
+            return Ok(());
+        }
+        Err(Failure::refused(UNCONFIRMED, UNCONFIRMED_WAIT))
+    }
+
     /// Whether a request may still be sent on for whom it was taken.
     ///
     /// It may have waited for an engine or its prompt's reading for seconds, in which its
@@ -53,6 +69,10 @@
     }
 }
 
+fn count_refusal(reason: &'static str) {
+    metrics::counter!("pistachiowick_keyed_refusals_total", "reason" => reason).increment(1);
+}
+
 const UNKNOWN_KEY: &str = "the request shows no key of a workspace; send one key that is in force";
 const UNCONFIRMED: &str =
     "whether keys are still in force cannot be known here at present; come back or ask elsewhere";
