--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -24,7 +24,8 @@
 /// Tokens of an answer that takes some seconds.
 const LONG: u32 = 1_200;
 
-/// Two daemons as processes, each of which has placed work already.
+/// Two daemons as processes, each of which has placed work on engines and on a service
+/// already: they learn of the two from different lists.
 async fn started() -> ProveFleet {
     let options = ProveOptions {
         daemon_program: Some(PathBuf::from(env!("CARGO_BIN_EXE_pistachiowickd"))),
@@ -33,18 +34,24 @@
     };
     let fleet = ProveFleet::start(&options).await.expect("it starts");
     for slot in 0..2 {
-        let begun = Instant::now();
-        loop {
-            let last = ask(&fleet, slot, stream("check", "warm", 2)).await;
-            if last.is_ok_and(|(_, last)| last.outcome() == Outcome::Answered) {
-                break;
-            }
-            assert!(begun.elapsed() < LIMIT, "daemon {slot} answers nothing");
-        }
+        until_answered(&fleet, slot, |_| stream("check", "warm", 2)).await;
+        // A refused key is closed, so each try has a key of its own.
+        until_answered(&fleet, slot, |tried| call(&format!("warm-{slot}-{tried}"))).await;
     }
     fleet
 }
 
+async fn until_answered(fleet: &ProveFleet, slot: usize, submit: impl Fn(usize) -> SubmitRequest) {
+    let begun = Instant::now();
+    for tried in 0.. {
+        let last = ask(fleet, slot, submit(tried)).await;
+        if last.is_ok_and(|(_, last)| last.outcome() == Outcome::Answered) {
+            return;
+        }
+        assert!(begun.elapsed() < LIMIT, "daemon {slot} answers nothing");
+    }
+}
+
 async fn client(fleet: &ProveFleet, slot: usize) -> RequestsClient<Channel> {
     let host = fleet.slots[slot].host.as_ref().expect("it runs");
     let address = format!("http://{}", host.addresses.rpc);
@@ -228,9 +235,13 @@
         };
         let (first, second) = tokio::join!(ask(&fleet, 0, asked), ask(&fleet, 1, again));
         let expected = service_answer(WORKSPACE, &name, name.as_bytes());
-        for answer in [first, second] {
-            let (data, last) = answer.expect("not cut");
-            assert_eq!(last.outcome(), Outcome::Answered, "{}", last.reason);
+        let answers = [first, second].map(|answer| answer.expect("not cut"));
+        // What either was told says why the other was told something else.
+        let told = answers
+            .each_ref()
+            .map(|(_, last)| format!("{:?}: {}", last.outcome(), last.reason));
+        for (data, last) in answers {
+            assert_eq!(last.outcome(), Outcome::Answered, "{told:?}");
             assert_eq!(data, expected);
         }
         assert_eq!(runs_of(&fleet, &name), 1);
