--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -27,7 +27,7 @@
 use crate::gateway::fleet::{FleetCell, FleetView};
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::peers::feeding::{FeedJoin, FeedStock};
-use crate::gateway::peers::hub::{HubBook, RelayedHeld};
+use crate::gateway::peers::hub::{HubBook, RelayedNews};
 use crate::gateway::peers::placing::{PlacementLog, PlacingDesk};
 use crate::gateway::peers::proofs::ProofBook;
 use crate::gateway::peers::seen::SeenWork;
@@ -77,7 +77,7 @@
     /// Whether a hub is relied on for the store's objects.
     pub joins: RefCell<FeedJoin>,
     /// What engines came to hold, to be passed on by a hub.
-    pub relayed_held: RefCell<RelayedHeld>,
+    pub relayed: RefCell<RelayedNews>,
     /// What own sends showed, to be told to the hub.
     pub seen: RefCell<SeenWork>,
     /// Own work as last told.
@@ -202,7 +202,7 @@
             other_hubs: RefCell::default(),
             hubs: RefCell::default(),
             joins: RefCell::default(),
-            relayed_held: RefCell::default(),
+            relayed: RefCell::default(),
             seen: RefCell::default(),
             last_hint_work: RefCell::default(),
             stock: RefCell::default(),
--- a/src/gateway/deciding/load.rs
+++ b/src/gateway/deciding/load.rs
@@ -16,15 +16,49 @@
 
 /// Work at one target.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(into = "WorkWire", try_from = "WorkWire")]
 pub struct TargetWork {
     /// Requests sent and not ended.
-    #[serde(rename = "r")]
     pub running: u32,
     /// Prompt tokens still to be read, by rank: engines read the more urgent first.
-    #[serde(rename = "t")]
     pub unread: [u32; RANKS],
 }
 
+/// Work at one target between daemons: of the ranks those with tokens, as most have none.
+#[derive(Deserialize, Serialize)]
+struct WorkWire(u32, Vec<(u8, u32)>);
+
+impl From<TargetWork> for WorkWire {
+    fn from(work: TargetWork) -> Self {
+        let ranks = (0..).zip(work.unread);
+        Self(
+            work.running,
+            ranks.filter(|(_, tokens)| *tokens > 0).collect(),
+        )
+    }
+}
+
+/// A rank that engines do not tell apart.
+#[derive(Debug, thiserror::Error)]
+#[error("rank {0} of unread tokens is above the highest, {highest}; the sender runs another version", highest = RANKS - 1)]
+struct UnknownRank(u8);
+
+impl TryFrom<WorkWire> for TargetWork {
+    type Error = UnknownRank;
+
+    fn try_from(WorkWire(running, ranks): WorkWire) -> Result<Self, Self::Error> {
+        let mut work = Self {
+            running,
+            ..Self::default()
+        };
+        for (rank, tokens) in ranks {
+            let unread = work.unread.get_mut(usize::from(rank));
+            *unread.ok_or(UnknownRank(rank))? = tokens;
+        }
+        Ok(work)
+    }
+}
+
 impl TargetWork {
     /// Tokens that are read before those of a new request of `rank`.
     #[must_use]
--- a/src/gateway/peers/hub.rs
+++ b/src/gateway/peers/hub.rs
@@ -19,6 +19,7 @@
 use crate::gateway::deciding::load::WorkByTarget;
 use crate::gateway::members::{DaemonRecord, InstanceStrength};
 use crate::gateway::peers::book::PeerBook;
+use crate::gateway::peers::note_turns::NoteTurns;
 use crate::gateway::peers::wire::{HeldNote, MemberNote, PeerHint};
 use crate::names::{CentreName, DaemonId, MonoTime};
 
@@ -270,27 +271,47 @@
     first.map(|daemon| daemon.id.clone())
 }
 
-/// What engines came to hold, on its way through a hub.
+/// What passes through a hub on its way from some daemons to others.
 #[derive(Debug, Default)]
-pub struct RelayedHeld {
-    /// Told by members; goes to other hubs and to members.
-    pub members: Vec<HeldNote>,
-    /// Told by other hubs; goes to members.
-    pub hubs: Vec<HeldNote>,
+pub struct RelayedNews {
+    // What engines came to hold: told by members, for other hubs and members.
+    members_held: Vec<HeldNote>,
+    // Told by other hubs, for members.
+    hubs_held: Vec<HeldNote>,
+    hub_turns: NoteTurns,
+    member_turns: NoteTurns,
 }
 
 /// Most notes that wait for the next word; a daemon that is no hub passes none on.
 const MOST_RELAYED: usize = 4_096;
 
-impl RelayedHeld {
+impl RelayedNews {
     /// Keeps notes of a member.
     pub fn keep_member(&mut self, notes: &[HeldNote]) {
-        keep(&mut self.members, notes);
+        keep(&mut self.members_held, notes);
     }
 
     /// Keeps notes of another hub.
     pub fn keep_hub(&mut self, notes: &[HeldNote]) {
-        keep(&mut self.hubs, notes);
+        keep(&mut self.hubs_held, notes);
+    }
+
+    /// Returns what members and what other hubs told since the last word.
+    pub fn take_held(&mut self) -> (Vec<HeldNote>, Vec<HeldNote>) {
+        (
+            std::mem::take(&mut self.members_held),
+            std::mem::take(&mut self.hubs_held),
+        )
+    }
+
+    /// Returns the turns of notes for members, who are told of the `whole` fleet, or for
+    /// other hubs.
+    pub fn turns(&mut self, whole: bool) -> &mut NoteTurns {
+        if whole {
+            &mut self.member_turns
+        } else {
+            &mut self.hub_turns
+        }
     }
 }
 
--- a/src/gateway/peers/links.rs
+++ b/src/gateway/peers/links.rs
@@ -14,6 +14,7 @@
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
 
+use crate::clock;
 use crate::gateway::daemon::Gateway;
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::peers::OutgoingWord;
@@ -127,7 +128,7 @@
                     Some(message) => send(&mut link, message).await,
                     None => true,
                 };
-                if changed.is_err() || !sent {
+                if changed.is_err() || !sent || !send_proof(gateway, daemon, kind, &mut link).await {
                     return;
                 }
                 if let Some((version, message)) = gateway.config_for(&daemon.id, sent_version) {
@@ -162,6 +163,21 @@
     }
 }
 
+async fn send_proof(
+    gateway: &Gateway,
+    daemon: &DaemonRecord,
+    kind: LinkKind,
+    link: &mut Link,
+) -> bool {
+    if kind == LinkKind::Hint {
+        return true;
+    }
+    match gateway.proof_word(&daemon.id, clock::mono_now()) {
+        Some(word) => send(link, word.encode()).await,
+        None => true,
+    }
+}
+
 async fn send_stock(gateway: &Gateway, link: &mut Link) -> bool {
     let stock = gateway.stock.borrow().all();
     for objects in stock {
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -13,6 +13,7 @@
 pub mod feeding;
 pub mod hub;
 mod links;
+pub mod note_turns;
 pub mod placing;
 pub mod proofs;
 pub mod seen;
@@ -22,6 +23,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -163,9 +165,7 @@
         let hint = self.hint();
         let (centre, fleet) = match role {
             PeerRole::Hub => {
-                let mut relayed = self.relayed_held.borrow_mut();
-                let from_members = std::mem::take(&mut relayed.members);
-                let from_hubs = std::mem::take(&mut relayed.hubs);
+                let (from_members, from_hubs) = self.relayed.borrow_mut().take_held();
                 let mut held = hint.held.clone();
                 held.extend(from_members);
                 let mut centre = self.summary(&hint, false, held.clone());
@@ -187,14 +187,15 @@
     fn summary(&self, hint: &PeerHint, whole: bool, held: Vec<HeldNote>) -> PeerSummary {
         let now = clock::mono_now();
         let peers = self.peers.borrow();
-        let mut members = if whole {
+        let notes = if whole {
             peers.all_notes(now)
         } else {
             peers.direct_notes(now)
         };
+        let direct: IndexSet<DaemonId> = notes.iter().map(|note| note.id.clone()).collect();
+        let mut members = self.relayed.borrow_mut().turns(whole).pick(notes);
         members.push(hub::own_note(hint));
-        let direct: Vec<&DaemonId> = members.iter().map(|note| &note.id).collect();
-        let counts = |id: &DaemonId| whole || direct.contains(&id);
+        let counts = |id: &DaemonId| whole || *id == hint.from || direct.contains(id);
         // What is placed from now on is told after this.
         let placed_through = self.tell_placements();
         let work = self.core.borrow().load.summed(counts);
@@ -209,7 +210,6 @@
             rate: if whole { self.work_rate() } else { hint.rate },
             placed_through,
             members,
-            proof: self.proof_note(now),
             true_time: self.duties.borrow().clock.at(now),
             usage: Vec::new(),
         }
@@ -220,6 +220,8 @@
         let now = clock::mono_now();
         let mut peers = self.peers.borrow_mut();
         peers.set_known(&self.daemon, &view.daemons, now);
+        let known = |id: &DaemonId| view.daemons.iter().any(|d| d.id == *id);
+        self.proofs.borrow_mut().retain(known);
         let mut hubs = self.hubs.borrow_mut();
         let role = hubs.role(&self.daemon, &view.daemons, &peers, now);
         let placer = match &role {
@@ -264,6 +266,7 @@
             PeerMessage::Place(question) => self.answer_place(&question),
             PeerMessage::Placed(answer) => self.take_place(answer),
             PeerMessage::Placements(notes) => self.take_placements(&notes),
+            PeerMessage::Proof(word) => self.take_proof(&word),
             PeerMessage::Config { revision, value } => {
                 // The control thread ends only with the process.
                 let _ = self.news.send(ControlNews::PeerConfig { revision, value });
@@ -291,7 +294,7 @@
         self.take_member_usage(&hint, now);
         self.take_held_notes(&hint.held);
         self.hubs.borrow_mut().note_hint(&hint.from, now);
-        self.relayed_held.borrow_mut().keep_member(&hint.held);
+        self.relayed.borrow_mut().keep_member(&hint.held);
         self.take_departed(&hint.departed);
         self.take_seen(&hint.seen);
         let work = hint.work.into_iter().collect();
@@ -337,7 +340,6 @@
         self.hubs
             .borrow_mut()
             .note_store(&summary.from, store_age, now);
-        self.take_proof(&summary.from, summary.life, &summary.proof);
         self.take_hub_usage(&summary, now);
         for note in summary.members.iter().filter(|note| note.id != self.daemon) {
             let rate = if note.id == summary.from {
@@ -354,7 +356,7 @@
         }
         self.take_held_notes(&summary.held);
         if !summary.whole {
-            self.relayed_held.borrow_mut().keep_hub(&summary.held);
+            self.relayed.borrow_mut().keep_hub(&summary.held);
         }
         self.take_departed(&summary.departed);
         let mut work: WorkByTarget = summary.work.into_iter().collect();
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -1,7 +1,11 @@
 //! Messages between daemons.
+//!
+//! What a word tells of each daemon, target or request goes as an array of its values:
+//! with the names of the fields a note on a daemon takes 78 bytes, without them 21.
 
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
+use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::gateway::deciding::load::TargetWork;
@@ -14,7 +18,7 @@
 use crate::names::{DaemonId, MonoTime, ServiceName, UnixTime};
 
 /// Parts of a prompt that an engine holds, or was asked to read.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize_tuple, Serialize_tuple)]
 pub struct HeldNote {
     /// The engine.
     pub engine: TargetLife,
@@ -91,10 +95,23 @@
     Placed(PlaceAnswer),
     /// What a hub has placed since it told so last.
     Placements(PlacementNotes),
+    /// As of when a hub's configuration is the newest one, for one reader.
+    Proof(ProofWord),
 }
 
-/// A request that a hub has placed.
+/// As of when a hub's configuration is the newest one, for one reader.
 #[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ProofWord {
+    /// The hub.
+    pub from: DaemonId,
+    /// Its life, as its record in the store names it.
+    pub life: u64,
+    /// What it tells.
+    pub proof: ProofNote,
+}
+
+/// A request that a hub has placed.
+#[derive(Clone, Debug, Deserialize_tuple, Serialize_tuple)]
 pub struct PlacementNote {
     /// Engine that reads the prompt.
     pub reader: TargetLife,
@@ -205,7 +222,7 @@
 }
 
 /// What a hub tells of one daemon.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize_tuple, Serialize_tuple)]
 pub struct MemberNote {
     /// The daemon.
     pub id: DaemonId,
@@ -230,7 +247,7 @@
     pub life: u64,
     /// Whether this tells of the whole fleet.
     pub whole: bool,
-    /// Daemons that it tells of.
+    /// Daemons that it tells of in this word ([`super::note_turns`]).
     pub members: Vec<MemberNote>,
     /// Their work at targets, summed.
     pub work: Vec<(TargetLife, TargetWork)>,
@@ -244,8 +261,6 @@
     pub store_age_ms: u32,
     /// Last notes on placements whose work this contains.
     pub placed_through: u64,
-    /// As of when the hub's configuration was the newest one.
-    pub proof: ProofNote,
     /// True time as this hub and its members agree on it.
     pub true_time: Option<UnixTime>,
     /// What its members and it counted of usage, for other hubs.
