--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng};
 use thiserror::Error;
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, broadcast, mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::spawn_local;
 use tokio_tungstenite::tungstenite::Message;
 
@@ -28,6 +28,7 @@
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::peers::feeding::{FeedJoin, FeedStock};
 use crate::gateway::peers::hub::{HubBook, RelayedNews};
+use crate::gateway::peers::link_queue::ChangeSenders;
 use crate::gateway::peers::placing::{PlacementLog, PlacingDesk};
 use crate::gateway::peers::proofs::ProofBook;
 use crate::gateway::peers::seen::SeenWork;
@@ -85,7 +86,7 @@
     /// The store's objects, to be passed on by a hub.
     pub stock: RefCell<FeedStock>,
     /// Changes of the store's objects for links to members.
-    pub feed_changes: broadcast::Sender<Message>,
+    pub feed_changes: ChangeSenders<Message>,
     /// How this daemon follows the store.
     pub duty: Cell<WatchDuty>,
     /// When this daemon started.
@@ -206,7 +207,7 @@
             seen: RefCell::default(),
             last_hint_work: RefCell::default(),
             stock: RefCell::default(),
-            feed_changes: broadcast::channel(peers::FEED_QUEUE).0,
+            feed_changes: ChangeSenders::default(),
             duty: Cell::new(duty),
             started: clock::mono_now(),
             pulse: Arc::default(),
--- a/src/gateway/peers/feeding.rs
+++ b/src/gateway/peers/feeding.rs
@@ -352,8 +352,9 @@
     // Keeps objects for daemons that link up, and passes on what they lack that are linked.
     fn stock_objects(&self, objects: FeedObjects) {
         if let Some(news) = self.stock.borrow_mut().take(objects) {
-            // Nobody listens while this daemon is no hub.
-            let _ = self.feed_changes.send(PeerMessage::Objects(news).encode());
+            let feed = news.feed;
+            self.feed_changes
+                .send(feed, PeerMessage::Objects(news).encode());
         }
     }
 
--- a/src/gateway/peers/links.rs
+++ b/src/gateway/peers/links.rs
@@ -7,7 +7,7 @@
 use futures_util::{SinkExt, StreamExt};
 use indexmap::IndexMap;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{broadcast, watch};
+use tokio::sync::watch;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 use tokio_tungstenite::tungstenite::Message;
@@ -19,6 +19,7 @@
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::peers::OutgoingWord;
 use crate::gateway::peers::hub::{LinkKind, PeerRole};
+use crate::gateway::peers::link_queue::{LinkQueue, LinkTask};
 use crate::gateway::peers::wire::PeerMessage;
 use crate::gateway::store_follow::WatchDuty;
 use crate::names::DaemonId;
@@ -105,10 +106,14 @@
     daemon: &DaemonRecord,
     kind: LinkKind,
     mut link: Link,
-    mut word: watch::Receiver<OutgoingWord>,
+    word: watch::Receiver<OutgoingWord>,
 ) {
-    let mut changes = gateway.feed_changes.subscribe();
-    let mut urgent = gateway.placing.borrow_mut().open_link(&daemon.id);
+    let urgent = gateway.placing.borrow_mut().open_link(&daemon.id);
+    let mut queue = if kind == LinkKind::Hint {
+        LinkQueue::without_changes(word, urgent)
+    } else {
+        gateway.feed_changes.open(word, urgent)
+    };
     if kind != LinkKind::Hint {
         let from = gateway.daemon.clone();
         if !send(&mut link, PeerMessage::NewLink { from }.encode()).await {
@@ -117,52 +122,55 @@
     }
     let mut sent_version = 0;
     loop {
-        // What a member asked for goes before changes: made before one of them and sent
-        // after it, the answer would leave it out, and the member, which takes changes
-        // from the answer on, would go without it until the next.
-        tokio::select! {
-            biased;
-            changed = word.changed() => {
-                let message = word.borrow_and_update().for_link(kind).cloned();
-                let sent = match message {
-                    Some(message) => send(&mut link, message).await,
-                    None => true,
-                };
-                if changed.is_err() || !sent || !send_proof(gateway, daemon, kind, &mut link).await {
-                    return;
-                }
-                if let Some((version, message)) = gateway.config_for(&daemon.id, sent_version) {
-                    log::info!(peer = daemon.id.as_str(), version = version; "configuration sent to a daemon that is behind");
-                    if !send(&mut link, message.encode()).await {
-                        return;
-                    }
-                    sent_version = version;
-                }
-            }
-            Some(message) = urgent.recv() => {
-                if !send(&mut link, message).await {
-                    return;
-                }
-            }
-            change = changes.recv(), if kind != LinkKind::Hint => {
-                // Hubs rely on one that follows the store itself only.
-                if kind == LinkKind::OtherHub && gateway.duty.get() != WatchDuty::ForOthers {
-                    continue;
-                }
-                let sent = match change {
-                    Ok(message) => send(&mut link, message).await,
-                    // The link was too slow for the changes: it gets everything anew.
-                    Err(broadcast::error::RecvError::Lagged(_)) => send_stock(gateway, &mut link).await,
-                    Err(broadcast::error::RecvError::Closed) => false,
-                };
-                if !sent {
-                    return;
-                }
+        let task = queue.next().await;
+        // Hubs rely on one that follows the store itself only.
+        let feeds = kind != LinkKind::OtherHub || gateway.duty.get() == WatchDuty::ForOthers;
+        let sent = match task {
+            LinkTask::Word => {
+                let message = queue.word().for_link(kind).cloned();
+                send_word(gateway, daemon, kind, &mut link, message).await
+                    && send_config(gateway, daemon, &mut link, &mut sent_version).await
             }
+            LinkTask::Message(message) => send(&mut link, message).await,
+            LinkTask::Change(message) if feeds => send(&mut link, message).await,
+            LinkTask::AllObjects if feeds => send_stock(gateway, &mut link).await,
+            LinkTask::Change(_) | LinkTask::AllObjects => true,
+            LinkTask::End => false,
+        };
+        if !sent {
+            return;
         }
     }
 }
 
+async fn send_word(
+    gateway: &Gateway,
+    daemon: &DaemonRecord,
+    kind: LinkKind,
+    link: &mut Link,
+    message: Option<Message>,
+) -> bool {
+    let sent = match message {
+        Some(message) => send(link, message).await,
+        None => true,
+    };
+    sent && send_proof(gateway, daemon, kind, link).await
+}
+
+async fn send_config(
+    gateway: &Gateway,
+    daemon: &DaemonRecord,
+    link: &mut Link,
+    sent_version: &mut u64,
+) -> bool {
+    let Some((version, message)) = gateway.config_for(&daemon.id, *sent_version) else {
+        return true;
+    };
+    log::info!(peer = daemon.id.as_str(), version = version; "configuration sent to a daemon that is behind");
+    *sent_version = version;
+    send(link, message.encode()).await
+}
+
 async fn send_proof(
     gateway: &Gateway,
     daemon: &DaemonRecord,
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -12,6 +12,7 @@
 pub mod book;
 pub mod feeding;
 pub mod hub;
+pub mod link_queue;
 mod links;
 pub mod note_turns;
 pub mod placing;
@@ -52,8 +53,6 @@
 /// daemons took the same one. It costs eight daemons 0.8% of a core each, measured on a
 /// calm day. Hubs tell each other of placements instead.
 const HINT_EVERY: Duration = Duration::from_millis(40);
-/// Changes of objects that may wait for a slow link before it gets all anew.
-pub(super) const FEED_QUEUE: usize = 64;
 
 /// What goes out at a tick, encoded once for all links.
 #[derive(Clone)]
--- /dev/null
+++ b/tests/gateway_link_queue.rs
@@ -0,0 +1,105 @@
+//! What goes out next on a link that is slower than what is to be said on it.
+
+use pistachiowick::gateway::peers::link_queue::{ChangeSenders, LinkQueue, LinkTask};
+use pistachiowick::gateway::store_follow::Feed;
+use tokio::sync::{mpsc, watch};
+
+const CONFIG: &str = "config";
+const TARGET: &str = "target";
+
+/// A link on which a new word waits whenever the last one was sent.
+struct BusyLink {
+    words: watch::Sender<u32>,
+    queue: LinkQueue<u32, &'static str>,
+    changes: ChangeSenders<&'static str>,
+    answers: mpsc::UnboundedSender<&'static str>,
+}
+
+impl BusyLink {
+    fn open() -> Self {
+        let (words, word) = watch::channel(0);
+        let (answers, urgent) = mpsc::unbounded_channel();
+        let changes = ChangeSenders::default();
+        let queue = changes.open(word, urgent);
+        Self {
+            words,
+            queue,
+            changes,
+            answers,
+        }
+    }
+
+    async fn next(&mut self) -> LinkTask<&'static str> {
+        self.words.send_modify(|word| *word += 1);
+        let task = self.queue.next().await;
+        if task == LinkTask::Word {
+            let _ = self.queue.word();
+        }
+        task
+    }
+
+    async fn take(&mut self, count: usize) -> Vec<LinkTask<&'static str>> {
+        let mut tasks = Vec::new();
+        for _ in 0..count {
+            tasks.push(self.next().await);
+        }
+        tasks
+    }
+}
+
+// Thousands of targets come and go while the operator changes the configuration. The hub's
+// links are full: a new word waits each time that one was sent. Sent first, words are all
+// that a member hears, and it serves callers by a configuration that is seconds old.
+#[tokio::test]
+async fn a_configuration_goes_before_all_that_waits() {
+    let mut link = BusyLink::open();
+    (0..1_000).for_each(|_| link.changes.send(Feed::Targets, TARGET));
+    link.take(200).await;
+    link.changes.send(Feed::Config, CONFIG);
+    let tasks = link.take(2).await;
+    assert!(tasks.contains(&LinkTask::Change(CONFIG)), "{tasks:?}");
+}
+
+#[tokio::test]
+async fn changes_and_words_share_a_full_link() {
+    let mut link = BusyLink::open();
+    (0..1_000).for_each(|_| link.changes.send(Feed::Targets, TARGET));
+    let tasks = link.take(1_020).await;
+    let words = tasks.iter().filter(|task| **task == LinkTask::Word).count();
+    let changes = tasks
+        .iter()
+        .filter(|t| **t == LinkTask::Change(TARGET))
+        .count();
+    assert_eq!(changes, 1_000);
+    assert!(words >= 15, "{words} words");
+}
+
+#[tokio::test]
+async fn an_answer_goes_before_changes_made_after_it() {
+    let mut link = BusyLink::open();
+    link.changes.send(Feed::Config, CONFIG);
+    link.answers.send("answer").expect("the link is open");
+    let tasks = link.take(2).await;
+    assert_eq!(
+        tasks,
+        [LinkTask::Message("answer"), LinkTask::Change(CONFIG)]
+    );
+}
+
+#[tokio::test]
+async fn too_many_changes_are_replaced_by_all_objects() {
+    let mut link = BusyLink::open();
+    (0..5_000).for_each(|_| link.changes.send(Feed::Targets, TARGET));
+    assert_eq!(link.next().await, LinkTask::AllObjects);
+}
+
+#[tokio::test]
+async fn a_member_tells_words_and_what_was_asked_for() {
+    let (words, word) = watch::channel(0);
+    let (answers, urgent) = mpsc::unbounded_channel();
+    let mut queue: LinkQueue<u32, &str> = LinkQueue::without_changes(word, urgent);
+    answers.send("question").expect("the link is open");
+    words.send_replace(1);
+    assert_eq!(queue.next().await, LinkTask::Message("question"));
+    assert_eq!(queue.next().await, LinkTask::Word);
+}
