--- a/src/gateway/duties/server_plan.rs
+++ b/src/gateway/duties/server_plan.rs
@@ -31,12 +31,16 @@
 const MOST_AT_ONCE: u32 = 100;
 
 /// Returns the number to order next of a kind of which `there` are there, `wanted` are
-/// wanted and `ordered` were ordered last; the same number while that step is under way.
+/// wanted and `ordered` were ordered last. What is within a step is ordered at once;
+/// else the number stays the same while a step is under way.
 #[must_use]
 pub fn next_step(there: u32, wanted: u32, ordered: Option<u32>) -> u32 {
     let fewest = there.saturating_sub(MOST_AT_ONCE);
     let most = there.saturating_add(MOST_AT_ONCE);
     let next = wanted.clamp(fewest, most);
+    if next == wanted {
+        return wanted;
+    }
     // Between what is there and the furthest that may be ordered now.
     let under_way =
         |count: &u32| (there < *count && *count <= next) || (next <= *count && *count < there);
--- a/tests/duties_servers.rs
+++ b/tests/duties_servers.rs
@@ -111,6 +111,8 @@
 // the next ones when these are there; targets that come one by one give no further order.
 #[rstest]
 #[case::small_fleet_at_once(StepCase { there: 0, wanted: 45, ordered: None, next: 45 })]
+#[case::more_wanted_while_they_start(StepCase { there: 10, wanted: 45, ordered: Some(30), next: 45 })]
+#[case::fewer_wanted_while_they_leave(StepCase { there: 28, wanted: 1, ordered: Some(20), next: 1 })]
 #[case::first_of_many(StepCase { there: 0, wanted: 1_500, ordered: None, next: 100 })]
 #[case::half_of_a_step_is_there(StepCase { there: 50, wanted: 1_500, ordered: Some(100), next: 100 })]
 #[case::step_is_there(StepCase { there: 100, wanted: 1_500, ordered: Some(100), next: 200 })]
