--- a/src/gateway/duties/mod.rs
+++ b/src/gateway/duties/mod.rs
@@ -15,23 +15,20 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
 use tokio::sync::mpsc;
-use tokio::task::spawn_local;
 
-use crate::authority::lease::LeaseTable;
-use crate::authority::lease_record::lease_object;
-use crate::authority::lease_state::{LeaseAction, LeaseAuthority, LeaseTimes};
+use crate::authority::lease_state::{LeaseAuthority, LeaseTimes};
 use crate::clock;
 use crate::gateway::daemon::Gateway;
 use crate::gateway::duties::server_desk::{ServerDesk, ServerNews};
 use crate::gateway::duties::true_time::TrueClock;
 use crate::gateway::duties::usage_book::UsageBook;
 use crate::gateway::duties::usage_desk::{UsageDesk, UsageNews};
+use crate::gateway::lease_upkeep::{LeaseAnswer, LeaseUpkeep};
 use crate::gateway::port::DutyCaller;
 use crate::gateway::settings::DutySettings;
-use crate::names::{FenceNumber, GroupName, MonoTime, ProcessIncarnation};
-use crate::ports::{ObjectName, ObjectVersion, PlatformError, StoredObject};
+use crate::names::{FenceNumber, MonoTime};
+use crate::ports::ObjectName;
 use crate::timer::TimerService;
 
 /// Group of the lease: all duties together, so that they move together.
@@ -97,16 +94,14 @@
 }
 
 enum DeskNews {
-    LeaseRead(Result<Option<StoredObject>, PlatformError>),
-    LeaseWritten(String, Result<ObjectVersion, PlatformError>),
+    Lease(LeaseAnswer),
     Usage(UsageNews),
     Servers(ServerNews),
 }
 
 struct DutyDesk {
     gateway: Rc<Gateway>,
-    lease: LeaseTable,
-    group: GroupName,
+    lease: LeaseUpkeep,
     turn_time: Duration,
     held: Option<(FenceNumber, MonoTime)>,
     usage: UsageDesk,
@@ -123,10 +118,8 @@
         guard: turn_time.mul_f64(GUARD_PART),
         order_flight: turn_time.mul_f64(FLIGHT_PART),
     };
-    let incarnation = ProcessIncarnation(gateway.life);
     let mut desk = DutyDesk {
-        lease: LeaseTable::new(gateway.daemon.clone(), incarnation, times),
-        group: GroupName::from(GROUP),
+        lease: LeaseUpkeep::new(gateway.clone(), GROUP, times),
         turn_time,
         held: None,
         usage: UsageDesk::new(&settings),
@@ -164,29 +157,21 @@
     }
 
     fn update_lease(&mut self, now: MonoTime) {
-        if self.gateway.stopping.get() {
-            self.lease.stop();
-        }
         let rank = self.gateway.duty_rank(now);
-        let mut ranks = IndexMap::new();
-        if let Some(rank) = rank.filter(|rank| *rank < CONTENDERS) {
-            ranks.insert(self.group.clone(), rank);
-        }
-        self.lease.set_groups(&ranks, now);
-        for action in self.lease.tick(now) {
-            self.act(action);
-        }
-        for news in self.lease.take_news() {
-            log::info!(held = news.held, reason = news.reason.as_str(); "right to perform duties changed");
-        }
+        let results = self.results.clone();
+        let contending = rank.filter(|rank| *rank < CONTENDERS);
+        self.lease.keep(contending, now, move |answer| {
+            // The desk ends only with the process.
+            let _ = results.send(DeskNews::Lease(answer));
+        });
     }
 
     // The right to act now. Who takes the lease from a holder that gave it up could act
     // right after it, and hand it back as soon: the wait keeps three acts in turns apart.
     fn turn(&mut self, now: MonoTime) -> Option<DutyTurn> {
-        let Some(LeaseAuthority { fence, until }) = self.lease.authority(&self.group, now) else {
+        let Some(LeaseAuthority { fence, until }) = self.lease.authority(now) else {
             // A renewal that comes late only makes the holder wait: what it knows holds on.
-            if !self.lease.held_groups().any(|held| *held == self.group) {
+            if !self.lease.is_held() {
                 self.change_turn(None);
             }
             return None;
@@ -213,29 +198,9 @@
         self.servers.end_turn();
     }
 
-    fn act(&self, action: LeaseAction) {
-        let store = self.gateway.ports.store.clone();
-        let results = self.results.clone();
-        spawn_local(async move {
-            let news = match action {
-                LeaseAction::Read(group) => {
-                    DeskNews::LeaseRead((store.read)(lease_object(&group)).await)
-                }
-                LeaseAction::Write { mark, write, .. } => {
-                    DeskNews::LeaseWritten(mark, (store.write)(write).await)
-                }
-            };
-            // The desk ends only with the process.
-            let _ = results.send(news);
-        });
-    }
-
     fn take(&mut self, news: DeskNews, now: MonoTime) {
         match news {
-            DeskNews::LeaseRead(result) => self.lease.note_read(&self.group, &result, now),
-            DeskNews::LeaseWritten(mark, result) => {
-                self.lease.note_write(&self.group, &mark, &result, now);
-            }
+            DeskNews::Lease(answer) => self.lease.take(answer, now),
             DeskNews::Usage(news) => self.usage.take(news, now),
             DeskNews::Servers(news) => self.servers.take(news, now),
         }
--- /dev/null
+++ b/src/gateway/lease_upkeep.rs
@@ -0,0 +1,102 @@
+//! Keeps a lease in the store for a part of the gateway that acts for the whole fleet.
+
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use tokio::task::spawn_local;
+
+use crate::authority::lease::LeaseTable;
+use crate::authority::lease_record::lease_object;
+use crate::authority::lease_state::{LeaseAction, LeaseAuthority, LeaseTimes};
+use crate::gateway::daemon::Gateway;
+use crate::names::{GroupName, MonoTime, ProcessIncarnation};
+use crate::ports::{ObjectVersion, PlatformError, StoredObject};
+
+/// What came of a call to the store.
+#[derive(Debug)]
+pub enum LeaseAnswer {
+    /// The lease was read.
+    Read(Result<Option<StoredObject>, PlatformError>),
+    /// The lease was written, with the mark of that write.
+    Written(String, Result<ObjectVersion, PlatformError>),
+}
+
+/// One lease, for which some daemons contend in a common order.
+pub struct LeaseUpkeep {
+    gateway: Rc<Gateway>,
+    table: LeaseTable,
+    group: GroupName,
+}
+
+impl LeaseUpkeep {
+    /// Creates the upkeep of the lease of a group.
+    #[must_use]
+    pub fn new(gateway: Rc<Gateway>, group: &str, times: LeaseTimes) -> Self {
+        let incarnation = ProcessIncarnation(gateway.life);
+        Self {
+            table: LeaseTable::new(gateway.daemon.clone(), incarnation, times),
+            group: GroupName::from(group),
+            gateway,
+        }
+    }
+
+    /// Contends for the lease with a rank, or gives it up without one; `tell` gets what
+    /// came of the calls that this takes.
+    pub fn keep(
+        &mut self,
+        rank: Option<usize>,
+        now: MonoTime,
+        tell: impl Fn(LeaseAnswer) + Clone + 'static,
+    ) {
+        if self.gateway.stopping.get() {
+            self.table.stop();
+        }
+        let ranks: IndexMap<GroupName, usize> = rank
+            .map(|rank| (self.group.clone(), rank))
+            .into_iter()
+            .collect();
+        self.table.set_groups(&ranks, now);
+        for action in self.table.tick(now) {
+            self.act(action, tell.clone());
+        }
+        for news in self.table.take_news() {
+            log::info!(lease = self.group.as_str(), held = news.held, reason = news.reason.as_str(); "right to act for the fleet changed");
+        }
+    }
+
+    fn act(&self, action: LeaseAction, tell: impl Fn(LeaseAnswer) + 'static) {
+        let store = self.gateway.ports.store.clone();
+        spawn_local(async move {
+            tell(match action {
+                LeaseAction::Read(group) => {
+                    LeaseAnswer::Read((store.read)(lease_object(&group)).await)
+                }
+                LeaseAction::Write { mark, write, .. } => {
+                    LeaseAnswer::Written(mark, (store.write)(write).await)
+                }
+            });
+        });
+    }
+
+    /// Takes what came of a call.
+    pub fn take(&mut self, answer: LeaseAnswer, now: MonoTime) {
+        match answer {
+            LeaseAnswer::Read(result) => self.table.note_read(&self.group, &result, now),
+            LeaseAnswer::Written(mark, result) => {
+                self.table.note_write(&self.group, &mark, &result, now);
+            }
+        }
+    }
+
+    /// Returns the right to act now, if this daemon has it.
+    #[must_use]
+    pub fn authority(&self, now: MonoTime) -> Option<LeaseAuthority> {
+        self.table.authority(&self.group, now)
+    }
+
+    /// Whether this daemon holds the lease, also while it may not act by it.
+    #[must_use]
+    pub fn is_held(&self) -> bool {
+        self.table.held_groups().any(|held| *held == self.group)
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 pub mod generate;
 pub mod head_clock;
 pub mod journal;
+mod lease_upkeep;
 pub mod members;
 pub mod model;
 pub mod peers;
--- a/src/gateway/stage_control.rs
+++ b/src/gateway/stage_control.rs
@@ -15,18 +15,17 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
-use crate::authority::lease::LeaseTable;
-use crate::authority::lease_state::{LeaseAction, LeaseTimes};
+use crate::authority::lease_state::LeaseTimes;
 use crate::clock;
 use crate::gateway::client::{self, HttpLink, SendFault};
 use crate::gateway::daemon::Gateway;
 use crate::gateway::deciding::stage_plan::{self, StageWish};
+use crate::gateway::lease_upkeep::{LeaseAnswer, LeaseUpkeep};
 use crate::gateway::model::{EngineStage, TargetRecord};
 use crate::gateway::port::{EngineOrder, EngineReport, OrderOutcome, TargetQuery};
 use crate::gateway::sending::query_request;
 use crate::gateway::target_life::TargetLife;
-use crate::names::{FenceNumber, GroupName, MonoTime, ProcessIncarnation, ServiceName};
-use crate::ports::{ObjectVersion, PlatformError, StoredObject};
+use crate::names::{FenceNumber, MonoTime, ServiceName};
 use crate::timer::TimerService;
 
 /// Group of the lease: all engines together, so that there is one holder.
@@ -68,8 +67,7 @@
 
 struct StageDesk {
     gateway: Rc<Gateway>,
-    lease: LeaseTable,
-    group: GroupName,
+    lease: LeaseUpkeep,
     held_since: Option<MonoTime>,
     wanted_since: Option<MonoTime>,
     changes: IndexMap<TargetLife, StageChange>,
@@ -77,8 +75,7 @@
 }
 
 enum DeskNews {
-    Read(Result<Option<StoredObject>, PlatformError>),
-    Written(String, Result<ObjectVersion, PlatformError>),
+    Lease(LeaseAnswer),
     Ordered(TargetLife, EngineStage, Result<OrderOutcome, SendFault>),
 }
 
@@ -90,11 +87,9 @@
         guard: LEASE_GUARD,
         order_flight: ORDER_FLIGHT,
     };
-    let incarnation = ProcessIncarnation(gateway.life);
     let mut desk = StageDesk {
-        lease: LeaseTable::new(gateway.daemon.clone(), incarnation, times),
+        lease: LeaseUpkeep::new(gateway.clone(), GROUP, times),
         gateway,
-        group: GroupName::from(GROUP),
         held_since: None,
         wanted_since: None,
         changes: IndexMap::new(),
@@ -112,9 +107,6 @@
 
 impl StageDesk {
     fn tick(&mut self, now: MonoTime) {
-        if self.gateway.stopping.get() {
-            self.lease.stop();
-        }
         self.forget_done(now);
         let wishes = self.wishes();
         self.note_wanted(!wishes.is_empty(), now);
@@ -135,45 +127,20 @@
             .is_some_and(|s| now.since(s) >= WANTED_FOR);
         let busy = !self.changes.is_empty();
         let rank = self.gateway.rank();
-        let mut ranks = IndexMap::new();
-        if (wanted || busy) && rank < CONTENDERS && !self.gateway.stopping.get() {
-            ranks.insert(self.group.clone(), rank);
-        }
-        self.lease.set_groups(&ranks, now);
-        for action in self.lease.tick(now) {
-            self.act(action);
-        }
-        for news in self.lease.take_news() {
-            log::info!(held = news.held, reason = news.reason.as_str(); "right to order engines changed");
-        }
-        let held = self.lease.authority(&self.group, now).is_some();
-        self.held_since = held.then(|| self.held_since.unwrap_or(now));
-    }
-
-    fn act(&self, action: LeaseAction) {
-        let store = self.gateway.ports.store.clone();
+        let contends = (wanted || busy) && rank < CONTENDERS && !self.gateway.stopping.get();
         let results = self.results.clone();
-        spawn_local(async move {
-            let news = match action {
-                LeaseAction::Read(group) => {
-                    let object = crate::authority::lease_record::lease_object(&group);
-                    DeskNews::Read((store.read)(object).await)
-                }
-                LeaseAction::Write { mark, write, .. } => {
-                    DeskNews::Written(mark, (store.write)(write).await)
-                }
-            };
-            // The desk ends only with the process.
-            let _ = results.send(news);
-        });
+        self.lease
+            .keep(contends.then_some(rank), now, move |answer| {
+                // The desk ends only with the process.
+                let _ = results.send(DeskNews::Lease(answer));
+            });
+        let held = self.lease.authority(now).is_some();
+        self.held_since = held.then(|| self.held_since.unwrap_or(now));
     }
 
     fn take(&mut self, news: DeskNews, now: MonoTime) {
         match news {
-            DeskNews::Read(result) => self.lease.note_read(&self.group, &result, now),
-            DeskNews::Written(mark, result) => {
-                self.lease.note_write(&self.group, &mark, &result, now);
-            }
+            DeskNews::Lease(answer) => self.lease.take(answer, now),
             DeskNews::Ordered(id, stage, result) => self.note_ordered(&id, stage, &result, now),
         }
     }
@@ -266,7 +233,7 @@
     }
 
     fn send_due(&mut self, now: MonoTime) {
-        let Some(authority) = self.lease.authority(&self.group, now) else {
+        let Some(authority) = self.lease.authority(now) else {
             return;
         };
         let engines: Vec<Arc<TargetRecord>> =
