--- a/tests/duties_usage.rs
+++ b/tests/duties_usage.rs
@@ -248,3 +248,24 @@
     };
     assert_eq!((windows.len(), windows.last()), (20, Some(&(FIRST + 500))));
 }
+
+// Two holders record the same window, the second with other counts. What was recorded
+// first may have been sent already, so it stays.
+#[test]
+fn what_is_recorded_stays_as_it_is() {
+    let first = UsageLedger::default().with(vec![(FIRST, counts(&[("north", 3)]))]);
+    let again = first.with(vec![(FIRST, counts(&[("north", 5)]))]);
+    assert_eq!(again.windows[&FIRST].counts, counts(&[("north", 3)]));
+}
+
+// More windows are open than the record keeps of those that were reported: none of them
+// may go before the platform has taken its report.
+#[test]
+fn open_windows_are_kept_however_many() {
+    let windows = (FIRST..FIRST + 15).map(|window| (window, counts(&[("north", 1)])));
+    let mut ledger = UsageLedger::default().with(windows.collect());
+    ledger.note_reported(FIRST);
+    let ledger = ledger.with(vec![(FIRST + 15, counts(&[]))]);
+    let kept: Vec<u64> = ledger.windows.keys().copied().collect();
+    assert_eq!(kept, (FIRST + 1..=FIRST + 15).collect::<Vec<u64>>());
+}
