--- a/src/gateway/peers/link_queue.rs
+++ b/src/gateway/peers/link_queue.rs
@@ -11,8 +11,8 @@
 
 /// Changes of objects that may wait for a slow link before it gets all objects anew: as
 /// many as a fleet of thousands of targets has objects, since until then the changes are
-/// the shorter message. With 64 an exchange of servers made every link send all of them,
-/// 1.3 MB to each member, again and again.
+/// the shorter message. By calculation, all objects of 4,500 targets are 1.3 MB for each
+/// reader; that a larger number serves callers better there is not measured.
 const MOST_CHANGES: usize = 4_096;
 /// Messages that go out between two words while more wait: 64 changes of 0.4 kB take as
 /// long as a word of a large fleet, so a full link is shared evenly.
