--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -22,12 +22,14 @@
     kind_of, pause,
 };
 use crate::gateway::target_life::TargetLife;
-use crate::names::{DaemonId, TargetId};
+use crate::names::{DaemonId, TargetId, millis};
 use crate::ports::{ConditionalWrite, ObjectName, ObjectVersion, PlatformError, StoredObject};
 use crate::timer::TimerService;
 
 /// How often entries that did not come back are looked for.
 const TICK: Duration = Duration::from_millis(200);
+/// How often targets without an entry that still get work are told of.
+const REPORT_EVERY: Duration = Duration::from_millis(500);
 /// Attempts to write the own record before it is left to the next change.
 const RECORD_ATTEMPTS: u32 = 8;
 
@@ -150,6 +152,7 @@
     };
     let timer = TimerService::start();
     let mut ticks = timer.every(TICK);
+    let mut reports = timer.every(REPORT_EVERY);
     loop {
         let changed = tokio::select! {
             news = inbox.recv() => match news {
@@ -180,6 +183,10 @@
                 changed
             }
             _ = ticks.next() => state.registry.expire(clock::mono_now()),
+            _ = reports.next() => {
+                state.report_missing();
+                false
+            }
         };
         if changed {
             state.publish();
@@ -188,12 +195,31 @@
 }
 
 impl ControlState {
+    // Each request that meets the target tells of it.
     fn note_departed(&mut self, id: &TargetLife) -> bool {
+        if self.registry.has_departed(id) {
+            return false;
+        }
         log::info!(target_id = id.as_str(); "target is not at its address any more");
         self.registry.depart(id, clock::mono_now());
         true
     }
 
+    // Told again and again: what is kept of a busy daemon's log may be its last seconds.
+    fn report_missing(&self) {
+        let now = clock::mono_now();
+        let missing = self.registry.missing();
+        let missing: Vec<String> = missing.map(|(id, _)| id.to_string()).collect();
+        metrics::gauge!("pistachiowick_entries_missing").set(missing.len() as f64);
+        if !missing.is_empty() {
+            log::info!(
+                targets = missing.join(" "),
+                store_heard_ms = millis(self.pulse.age(now));
+                "targets without an entry get work"
+            );
+        }
+    }
+
     fn take_relayed(&mut self, relayed: FeedObjects) -> bool {
         let FeedObjects {
             feed,
@@ -350,6 +376,11 @@
             targets_known: self.targets_known,
             config_source: self.config_source.clone(),
             departed: self.registry.departed().cloned().collect(),
+            missing: self
+                .registry
+                .missing()
+                .map(|(id, entry)| (id.clone(), entry))
+                .collect(),
             daemons: self.members.all(),
         };
         self.cell.store(Arc::new(view));
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -26,7 +26,7 @@
 use crate::gateway::routes::{RouteTable, choose_service};
 use crate::gateway::sending::{SendOutcome, SendPlan, TargetAnswer};
 use crate::gateway::target_life::TargetLife;
-use crate::names::ServiceName;
+use crate::names::{ServiceName, millis};
 
 /// Time to come back after a refusal for want of a configuration or a target.
 const NOTHING_YET_WAIT: Duration = Duration::from_millis(250);
@@ -93,6 +93,14 @@
 impl RoutedCall {
     /// Logs one send with what decided it.
     pub fn log_send(&self, target: &TargetRecord, step: &str, outcome: &str, sent: Instant) {
+        if let Some(missing) = self.view.missing.get(&target.id) {
+            log::info!(
+                request = self.caller.id.as_str(),
+                target_id = target.id.as_str(),
+                missing_ms = millis(clock::mono_now().since(missing.since));
+                "sent to a target without an entry"
+            );
+        }
         log::info!(
             request = self.caller.id.as_str(),
             route = self.route.name.as_str(),
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -18,7 +18,7 @@
 use crate::gateway::model::TargetRecord;
 use crate::gateway::port::WireFault;
 use crate::gateway::target_life::TargetLife;
-use crate::names::{MonoTime, TargetId};
+use crate::names::{MonoTime, TargetId, millis};
 
 /// Time in which entries of living targets are back after the store's return,
 /// as the users state it (about two seconds).
@@ -72,8 +72,16 @@
 #[derive(Clone, Debug)]
 struct TargetEntry {
     record: Arc<TargetRecord>,
-    // When an entry that is missing is given up.
-    gone_at: Option<MonoTime>,
+    missing: Option<MissingEntry>,
+}
+
+/// An entry that the store holds no more and whose target still gets work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct MissingEntry {
+    /// When it was found missing.
+    pub since: MonoTime,
+    /// When it is given up.
+    pub until: MonoTime,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -157,11 +165,15 @@
     pub fn expire(&mut self, now: MonoTime) -> bool {
         let before = self.entries.len();
         self.entries.retain(|name, entry| {
-            let stays = entry.gone_at.is_none_or(|at| now < at);
-            if !stays {
-                log::info!(target_id = name.as_str(); "target's entry did not come back");
+            let given_up = entry.missing.filter(|missing| now >= missing.until);
+            if let Some(missing) = given_up {
+                log::info!(
+                    target_id = name.as_str(),
+                    missing_ms = millis(now.since(missing.since));
+                    "target's entry did not come back"
+                );
             }
-            stays
+            given_up.is_none()
         });
         self.departed.retain(|_, at| now.since(*at) < DEPARTED_TIME);
         let entries = &self.entries;
@@ -198,6 +210,12 @@
         self.departed.keys()
     }
 
+    /// Entries that the store holds no more and whose targets still get work.
+    pub fn missing(&self) -> impl Iterator<Item = (&TargetLife, MissingEntry)> {
+        let entries = self.entries.values();
+        entries.filter_map(|entry| Some((&entry.record.id, entry.missing?)))
+    }
+
     fn set(&mut self, record: TargetRecord, revision: u64, source: EntrySource, now: MonoTime) {
         if self.departed.contains_key(&record.id) {
             return;
@@ -217,23 +235,45 @@
         let name = record.id.name().clone();
         let entry = TargetEntry {
             record: Arc::new(record),
-            gone_at: None,
+            missing: None,
         };
         self.entries.insert(name, entry);
     }
 
     fn remove(&mut self, name: &TargetId, source: EntrySource, now: MonoTime) {
         if let Some(until) = self.reappears_until(now) {
-            if let Some(entry) = self.entries.get_mut(name) {
-                entry.gone_at.get_or_insert(until);
-            }
+            self.miss(name, until, source, now);
             return;
         }
         if self.entries.swap_remove(name).is_some() {
-            log::info!(target_id = name.as_str(), source = source.as_str(); "target's entry is gone");
+            log::info!(
+                target_id = name.as_str(),
+                revision = self.seen.get(name).map_or(0, |seen| seen.revision),
+                source = source.as_str();
+                "target's entry is gone"
+            );
         }
     }
 
+    fn miss(&mut self, name: &TargetId, until: MonoTime, source: EntrySource, now: MonoTime) {
+        let Some(entry) = self.entries.get_mut(name) else {
+            return;
+        };
+        if entry.missing.is_some() {
+            return;
+        }
+        entry.missing = Some(MissingEntry { since: now, until });
+        metrics::counter!("pistachiowick_entries_missing_total").increment(1);
+        let failed_at = self.store_failed_at.unwrap_or(now);
+        log::info!(
+            target_id = name.as_str(),
+            source = source.as_str(),
+            store_failed_ms = millis(now.since(failed_at)),
+            left_ms = millis(until.since(now));
+            "target's entry is missing; it gets work for a while"
+        );
+    }
+
     // What the entry said before is no more known to hold, so it names no target until
     // its own writer writes it again, which takes a heartbeat.
     fn leave_out(
--- a/src/gateway/store_follow.rs
+++ b/src/gateway/store_follow.rs
@@ -14,7 +14,7 @@
 use crate::clock;
 use crate::gateway::peers::wire::FeedObjects;
 use crate::gateway::port::GatewayPorts;
-use crate::names::MonoTime;
+use crate::names::{MonoTime, millis};
 use crate::ports::{ObjectBatch, PlatformError, StoredObject, WatchQuery};
 
 /// Longest wait of one watch. A connection can fall silent without a reset; a
@@ -300,6 +300,7 @@
     /// Lists, then watches, and lists again when the watch cannot go on.
     pub async fn run(mut self) {
         let mut backoff = FIRST_BACKOFF;
+        let mut failing = false;
         loop {
             let feed = self.feed;
             // The sender lives as long as the thread.
@@ -309,12 +310,14 @@
             match self.list().await {
                 Ok(batch) => {
                     backoff = FIRST_BACKOFF;
+                    self.log_return(&mut failing, asked);
                     self.tell(FeedNews::Listed(self.feed, batch.objects), asked);
                     self.watch_from(batch.revision).await;
                     pause(&mut backoff, LONGEST_BACKOFF).await;
                 }
                 Err(error) => {
-                    self.note_failure(&error);
+                    failing = true;
+                    self.note_failure(&error, asked);
                     self.pause_after_failure(&mut backoff).await;
                 }
             }
@@ -352,10 +355,7 @@
             let asked = clock::mono_now();
             match (self.ports.store.watch)(query).await {
                 Ok(ObjectBatch { revision, objects }) => {
-                    if failing {
-                        log::info!(kind = self.kind.as_str(); "store answers again");
-                        failing = false;
-                    }
+                    self.log_return(&mut failing, asked);
                     backoff = FIRST_BACKOFF;
                     since = revision.max(since);
                     let gathers = !objects.is_empty() && self.feed != Feed::Config;
@@ -370,7 +370,7 @@
                 }
                 Err(error) => {
                     failing = true;
-                    self.note_failure(&error);
+                    self.note_failure(&error, asked);
                     self.pause_after_failure(&mut backoff).await;
                 }
             }
@@ -431,9 +431,17 @@
         }
     }
 
-    fn note_failure(&self, error: &PlatformError) {
+    fn log_return(&self, failing: &mut bool, asked: MonoTime) {
+        if std::mem::take(failing) {
+            let took_ms = millis(clock::mono_now().since(asked));
+            log::info!(kind = self.kind.as_str(), took_ms = took_ms; "store answers again");
+        }
+    }
+
+    fn note_failure(&self, error: &PlatformError, asked: MonoTime) {
         metrics::counter!("pistachiowick_store_failures_total").increment(1);
-        log::warn!(kind = self.kind.as_str(); "store does not answer: {error}");
+        let took_ms = millis(clock::mono_now().since(asked));
+        log::warn!(kind = self.kind.as_str(), took_ms = took_ms; "store does not answer: {error}");
         let _ = self.news.send(FeedNews::Failed(self.feed));
     }
 }
