Daemons tell each other which entries ended

Cause: an entry that vanishes around a failure of the store has two seconds to come back. The failure was this daemon's alone; the grace began when it was back, about a second after the cut's end, and nothing ended it, though six daemons that it hears had seen the entry go. Daemons told each other only of targets that announce that they leave, not of entries that are removed without a word.

Change: a daemon that heard the store all along tells others of the end of an entry, with the revision up to which it is over; who hears it drops the target at once, whatever it knows of the store itself, also while it is still cut off. A higher revision is a new entry. What is judged beside a failure of the store, or has come from a hub, is not told on, so the grace after a real outage stays. A new end goes into each word for 600 ms, all of the last 30 s into one word a second.

Ruled out: the grace made shorter for all (a real outage needs it); the time from the last failed call instead of the return (a call that hangs 3.6 s spans both ends of a cut).

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -15,7 +15,7 @@
 use crate::gateway::model::FleetConfig;
 use crate::gateway::peers::wire::FeedObjects;
 use crate::gateway::port::GatewayPorts;
-use crate::gateway::registry::{EntryContent, EntryNews, EntrySource, TargetRegistry};
+use crate::gateway::registry::{EntryContent, EntryEnd, EntryNews, EntrySource, TargetRegistry};
 use crate::gateway::routes::RouteTable;
 use crate::gateway::store_follow::{
     FIRST_BACKOFF, Feed, FeedNews, FollowPace, Follower, LONGEST_BACKOFF, StorePulse, WatchDuty,
@@ -38,6 +38,8 @@
 pub enum ControlNews {
     /// A target was not at its address any more.
     TargetDeparted(TargetLife),
+    /// Another daemon told of entries that ended.
+    EntriesEnded(Vec<EntryEnd>),
     /// Another daemon sent a configuration.
     PeerConfig {
         /// Revision of the store's object.
@@ -157,6 +159,7 @@
         let changed = tokio::select! {
             news = inbox.recv() => match news {
                 Some(ControlNews::TargetDeparted(id)) => state.note_departed(&id),
+                Some(ControlNews::EntriesEnded(ends)) => state.take_ends(ends),
                 Some(ControlNews::PeerConfig { revision, value }) => {
                     state.take_value(revision, &value)
                 }
@@ -205,6 +208,15 @@
         true
     }
 
+    fn take_ends(&mut self, ends: Vec<EntryEnd>) -> bool {
+        let now = clock::mono_now();
+        let mut changed = false;
+        for end in ends {
+            changed |= self.registry.take_end(end, now);
+        }
+        changed
+    }
+
     // Told again and again: what is kept of a busy daemon's log may be its last seconds.
     fn report_missing(&self) {
         let now = clock::mono_now();
@@ -376,6 +388,7 @@
             targets_known: self.targets_known,
             config_source: self.config_source.clone(),
             departed: self.registry.departed().cloned().collect(),
+            ends: self.registry.ends().cloned().collect(),
             missing: self
                 .registry
                 .missing()
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -10,6 +10,7 @@
 //! talk to it only, and hubs talk to each other.
 
 pub mod book;
+pub mod end_turns;
 pub mod feeding;
 pub mod hub;
 pub mod link_queue;
@@ -41,6 +42,7 @@
 use crate::gateway::model::PromptPart;
 use crate::gateway::peers::hub::{LinkKind, PeerRole};
 use crate::gateway::peers::wire::{HeldNote, PeerHint, PeerMessage, PeerSummary};
+use crate::gateway::registry::EntryEnd;
 use crate::gateway::target_life::TargetLife;
 use crate::names::DaemonId;
 use crate::timer::TimerService;
@@ -147,6 +149,10 @@
             work: work.collect(),
             held: peers.take_held(),
             departed: view.departed.clone(),
+            ends: self
+                .end_turns
+                .borrow_mut()
+                .pick(&view.ends, clock::mono_now()),
             changing: self.own_changing.borrow().clone(),
             rate,
             placed_through: self.placing.borrow().taken_through(),
@@ -205,6 +211,7 @@
             work: work.into_iter().collect(),
             held,
             departed: hint.departed.clone(),
+            ends: hint.ends.clone(),
             store_age_ms: self.store_age_ms(whole, now),
             rate: if whole { self.work_rate() } else { hint.rate },
             placed_through,
@@ -295,6 +302,7 @@
         self.hubs.borrow_mut().note_hint(&hint.from, now);
         self.relayed.borrow_mut().keep_member(&hint.held);
         self.take_departed(&hint.departed);
+        self.take_ends(hint.ends);
         self.take_seen(&hint.seen);
         let work = hint.work.into_iter().collect();
         let load = &mut self.core.borrow_mut().load;
@@ -325,6 +333,15 @@
         }
     }
 
+    fn take_ends(&self, mut ends: Vec<EntryEnd>) {
+        let view = self.view();
+        ends.retain(|end| !view.ends.iter().any(|known| known.end == *end));
+        if !ends.is_empty() {
+            // The control thread ends only with the process.
+            let _ = self.news.send(ControlNews::EntriesEnded(ends));
+        }
+    }
+
     fn take_summary(&self, summary: PeerSummary) {
         let view = self.view();
         let sender = (&summary.from, summary.life);
@@ -358,6 +375,7 @@
             self.relayed.borrow_mut().keep_hub(&summary.held);
         }
         self.take_departed(&summary.departed);
+        self.take_ends(summary.ends);
         let mut work: WorkByTarget = summary.work.into_iter().collect();
         if summary.whole {
             hub::subtract(&mut work, &self.last_hint_work.borrow());
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
 use crate::gateway::fleet::TargetsByService;
 use crate::gateway::model::TargetRecord;
@@ -28,12 +29,17 @@
 /// How long the end of a life, and the revision of a name's last entry, are
 /// remembered: longer than any stale view of them can arrive.
 const DEPARTED_TIME: Duration = Duration::from_secs(120);
+/// How long other daemons are told of the end of an entry: longer than a daemon that
+/// does not hear of it otherwise is usually cut off.
+const TOLD_TIME: Duration = Duration::from_secs(30);
 
 /// Where word of targets comes from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EntrySource {
-    /// Another daemon, which read the store.
+    /// Another daemon, which read the store and passes on what it read.
     Hub,
+    /// Another daemon's word that an entry ended.
+    Peer,
     /// The store itself.
     Store,
 }
@@ -42,6 +48,7 @@
     fn as_str(self) -> &'static str {
         match self {
             Self::Hub => "hub",
+            Self::Peer => "peer",
             Self::Store => "store",
         }
     }
@@ -84,6 +91,24 @@
     pub until: MonoTime,
 }
 
+/// The end of an entry, as daemons tell each other of it.
+#[derive(Clone, Debug, Deserialize_tuple, Eq, PartialEq, Serialize_tuple)]
+pub struct EntryEnd {
+    /// Name of the entry.
+    pub name: TargetId,
+    /// Revision up to which the entry is over. One with a higher revision is a new one.
+    pub revision: u64,
+}
+
+/// An end that is remembered.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NotedEnd {
+    /// What ended.
+    pub end: EntryEnd,
+    /// When it was learned.
+    pub at: MonoTime,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct SeenRevision {
     revision: u64,
@@ -99,6 +124,8 @@
     departed: IndexMap<TargetLife, MonoTime>,
     // Newest revision seen of each name, so that an older entry undoes nothing.
     seen: IndexMap<TargetId, SeenRevision>,
+    // Entries that certainly ended, for daemons that do not hear the store.
+    ends: IndexMap<TargetId, NotedEnd>,
     // Entries that name no target, by the revision that was logged.
     unreadable: IndexMap<TargetId, u64>,
     store_failed_at: Option<MonoTime>,
@@ -161,6 +188,29 @@
         self.departed.insert(life.clone(), now);
     }
 
+    /// Takes another daemon's word that an entry ended; true when it is news here.
+    ///
+    /// Who tells it heard the store all along. So the end counts at once, also where this
+    /// daemon could not tell it from an entry that lapsed in an outage.
+    pub fn take_end(&mut self, end: EntryEnd, now: MonoTime) -> bool {
+        let known = self.ends.get(&end.name);
+        if known.is_some_and(|known| known.end.revision >= end.revision)
+            || self.is_outdated(&end.name, end.revision)
+        {
+            return false;
+        }
+        self.note_revision(&end.name, end.revision, now);
+        let name = end.name.clone();
+        self.ends.insert(name.clone(), NotedEnd { end, at: now });
+        self.drop_entry(&name, EntrySource::Peer);
+        true
+    }
+
+    /// Entries that certainly ended and that others are told of.
+    pub fn ends(&self) -> impl Iterator<Item = &NotedEnd> {
+        self.ends.values()
+    }
+
     /// Gives up entries that did not come back in time; true when some were.
     pub fn expire(&mut self, now: MonoTime) -> bool {
         let before = self.entries.len();
@@ -176,6 +226,7 @@
             given_up.is_none()
         });
         self.departed.retain(|_, at| now.since(*at) < DEPARTED_TIME);
+        self.ends.retain(|_, noted| now.since(noted.at) < TOLD_TIME);
         let entries = &self.entries;
         self.seen
             .retain(|name, seen| entries.contains_key(name) || now.since(seen.at) < DEPARTED_TIME);
@@ -245,14 +296,38 @@
             self.miss(name, until, source, now);
             return;
         }
-        if self.entries.swap_remove(name).is_some() {
+        if self.drop_entry(name, source) && source == EntrySource::Store {
+            self.note_end(name, now);
+        }
+    }
+
+    fn drop_entry(&mut self, name: &TargetId, source: EntrySource) -> bool {
+        let dropped = self.entries.swap_remove(name).is_some();
+        if dropped {
             log::info!(
                 target_id = name.as_str(),
-                revision = self.seen.get(name).map_or(0, |seen| seen.revision),
+                revision = self.seen_revision(name),
                 source = source.as_str();
                 "target's entry is gone"
             );
         }
+        dropped
+    }
+
+    fn note_end(&mut self, name: &TargetId, now: MonoTime) {
+        let revision = self.seen_revision(name);
+        if revision == 0 {
+            return;
+        }
+        let end = EntryEnd {
+            name: name.clone(),
+            revision,
+        };
+        self.ends.insert(name.clone(), NotedEnd { end, at: now });
+    }
+
+    fn seen_revision(&self, name: &TargetId) -> u64 {
+        self.seen.get(name).map_or(0, |seen| seen.revision)
     }
 
     fn miss(&mut self, name: &TargetId, until: MonoTime, source: EntrySource, now: MonoTime) {
@@ -291,14 +366,15 @@
         self.entries.swap_remove(name);
     }
 
+    // An entry that ended is not seen again with the revision that it had.
     fn is_outdated(&self, name: &TargetId, revision: u64) -> bool {
-        let seen = self.seen.get(name);
-        revision > 0 && seen.is_some_and(|seen| revision < seen.revision)
+        let ended = self.ends.get(name);
+        let over = ended.is_some_and(|noted| revision <= noted.end.revision);
+        revision > 0 && (over || revision < self.seen_revision(name))
     }
 
     fn note_revision(&mut self, name: &TargetId, revision: u64, at: MonoTime) {
-        let seen = self.seen.get(name).map_or(0, |seen| seen.revision);
-        let revision = revision.max(seen);
+        let revision = revision.max(self.seen_revision(name));
         self.seen
             .insert(name.clone(), SeenRevision { revision, at });
     }
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -5,8 +5,11 @@
 use gateway_samples::{SERVICE, config, engine, engine_config, route, target};
 use pistachiowick::gateway::fleet::leave_out_strangers;
 use pistachiowick::gateway::model::{EngineStage, TargetRecord};
+use pistachiowick::gateway::peers::end_turns::EndTurns;
 use pistachiowick::gateway::port::WireFault;
-use pistachiowick::gateway::registry::{EntryContent, EntryNews, EntrySource, TargetRegistry};
+use pistachiowick::gateway::registry::{
+    EntryContent, EntryEnd, EntryNews, EntrySource, NotedEnd, TargetRegistry,
+};
 use pistachiowick::gateway::routes::RouteTable;
 use pistachiowick::gateway::target_life::TargetLife;
 use pistachiowick::names::{MonoTime, ServiceName, TargetId, UnixTime};
@@ -181,6 +184,107 @@
     assert!(left(&registry).is_empty());
 }
 
+struct EndCase {
+    // What this daemon saw of entry "a", by revision, while the store answered or not.
+    news: fn() -> Vec<EntryNews>,
+    missing: bool,
+    // Revision up to which another daemon tells that the entry is over.
+    told: u64,
+    late: fn() -> Vec<EntryNews>,
+    left: &'static [&'static str],
+}
+
+// Guards against work for a target whose entry is gone, as other daemons saw it, while this
+// one does not hear the store; and against their word about an older entry of the name.
+#[rstest]
+#[case::while_it_is_here(EndCase {
+    news: || vec![life(1, 10)], missing: false, told: 11, late: Vec::new, left: &[],
+})]
+#[case::while_it_is_missing(EndCase {
+    news: || vec![life(1, 10)], missing: true, told: 11, late: Vec::new, left: &[],
+})]
+#[case::missing_in_their_listing(EndCase {
+    news: || vec![life(1, 10)], missing: false, told: 10, late: Vec::new, left: &[],
+})]
+#[case::seen_again_in_an_old_listing(EndCase {
+    news: || vec![life(1, 10)], missing: false, told: 10, late: || vec![life(1, 10)], left: &[],
+})]
+#[case::before_the_entry_is_seen(EndCase {
+    news: Vec::new, missing: false, told: 11, late: || vec![life(1, 10)], left: &[],
+})]
+#[case::written_again_since(EndCase {
+    news: || vec![life(1, 10), life(1, 12)], missing: false, told: 11, late: Vec::new, left: &["a"],
+})]
+#[case::written_again_later(EndCase {
+    news: || vec![life(1, 10)], missing: true, told: 11, late: || vec![life(1, 12)], left: &["a"],
+})]
+fn what_another_daemon_saw_end(#[case] case: EndCase) {
+    let mut registry = TargetRegistry::default();
+    for news in (case.news)() {
+        take(&mut registry, news, 60_000);
+    }
+    if case.missing {
+        registry.note_store_failure(MonoTime(60_100));
+        registry.replace(Vec::new(), EntrySource::Store, MonoTime(60_200));
+        assert_eq!(left(&registry), ["a"]);
+    }
+    let end = end("a", case.told);
+    registry.take_end(end, MonoTime(60_300));
+    for news in (case.late)() {
+        take(&mut registry, news, 60_400);
+    }
+    assert_eq!(left(&registry), case.left);
+}
+
+struct ToldCase {
+    failed: bool,
+    source: EntrySource,
+    told: &'static [u64],
+}
+
+// Guards against an end told to the fleet by a daemon that cannot know it: one that did not
+// hear the store just before, or that has it from a hub.
+#[rstest]
+#[case::heard_all_along(ToldCase { failed: false, source: EntrySource::Store, told: &[11] })]
+#[case::after_a_failure(ToldCase { failed: true, source: EntrySource::Store, told: &[] })]
+#[case::from_a_hub(ToldCase { failed: false, source: EntrySource::Hub, told: &[] })]
+fn which_ends_are_told(#[case] case: ToldCase) {
+    let mut registry = TargetRegistry::default();
+    take(&mut registry, life(1, 10), 60_000);
+    if case.failed {
+        registry.note_store_failure(MonoTime(60_100));
+    }
+    registry.take(gone("a", 11), case.source, MonoTime(60_200));
+    let told: Vec<u64> = registry.ends().map(|noted| noted.end.revision).collect();
+    assert_eq!(told, case.told);
+}
+
+struct TurnCase {
+    // When the word is made, after one that told of everything at 0.
+    at: u64,
+    told: &'static [u64],
+}
+
+// Guards against ends that a daemon never hears which links up or was cut off when they
+// were news, and against words that all carry all of them.
+#[rstest]
+#[case::news(TurnCase { at: 400, told: &[2] })]
+#[case::nothing_new(TurnCase { at: 999, told: &[] })]
+#[case::all_again(TurnCase { at: 1_000, told: &[1, 2] })]
+fn which_ends_a_word_carries(#[case] case: TurnCase) {
+    let noted = |revision: u64, at: u64| NotedEnd {
+        end: end("a", revision),
+        at: MonoTime(at),
+    };
+    let mut turns = EndTurns::default();
+    let first = [noted(1, 0)];
+    assert_eq!(turns.pick(&first, MonoTime(9_000)).len(), 1);
+    let all = [noted(1, 0), noted(2, 9_300)];
+    let told = turns.pick(&all, MonoTime(9_000 + case.at));
+    let told: Vec<u64> = told.iter().map(|end| end.revision).collect();
+    assert_eq!(told, case.told);
+}
+
 // Somebody else writes over a target's entry. What it said is not known to hold any
 // more, so it gets nothing until its own writer is back; the others go on.
 #[test]
@@ -268,6 +372,13 @@
     }
 }
 
+fn end(name: &str, revision: u64) -> EntryEnd {
+    EntryEnd {
+        name: TargetId::from(name),
+        revision,
+    }
+}
+
 fn unreadable(name: &str, revision: u64) -> EntryNews {
     EntryNews {
         name: TargetId::from(name),
