A store that is back is heard at once, not with the next change

The watch after a failure now waits 20 ms, and the pause counts from the call's begin.

a_store_that_is_back_is_heard_at_once fails in both cases before. Beside it a guard that holds before: targets whose entries lapsed while a daemon stood still keep their work.

--- a/src/gateway/store_follow.rs
+++ b/src/gateway/store_follow.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::clock;
 use crate::gateway::peers::wire::FeedObjects;
@@ -36,6 +36,9 @@
 /// the larger kinds: its hub mostly has them by then and passes them on.
 const RETURN_PAUSE: Duration = Duration::from_millis(900);
 
+/// Wait of a watch after a failure: the answer tells when the store is back, which an
+/// answer that waits for a change does seconds later.
+const RETURN_WAIT: Duration = Duration::from_millis(20);
 /// Pause after changes before more are asked for, so that many at once, as when a whole
 /// fleet starts, take a call together instead of one each. Calls are shared by all
 /// daemons and priced; the pause is a small part of the time in which a target's
@@ -306,7 +309,7 @@
             // The sender lives as long as the thread.
             let _ = self.duty.wait_for(|duty| duty.lists(feed)).await;
             self.count("list");
-            let asked = clock::mono_now();
+            let (asked, begun) = (clock::mono_now(), Instant::now());
             match self.list().await {
                 Ok(batch) => {
                     backoff = FIRST_BACKOFF;
@@ -318,7 +321,7 @@
                 Err(error) => {
                     failing = true;
                     self.note_failure(&error, asked);
-                    self.pause_after_failure(&mut backoff).await;
+                    self.pause_after_failure(&mut backoff, begun).await;
                 }
             }
         }
@@ -349,10 +352,14 @@
             let query = WatchQuery {
                 kind: self.kind.clone(),
                 since,
-                wait: duty.wait(self.feed, self.pace),
+                wait: if failing {
+                    RETURN_WAIT
+                } else {
+                    duty.wait(self.feed, self.pace)
+                },
             };
             self.count("watch");
-            let asked = clock::mono_now();
+            let (asked, begun) = (clock::mono_now(), Instant::now());
             match (self.ports.store.watch)(query).await {
                 Ok(ObjectBatch { revision, objects }) => {
                     self.log_return(&mut failing, asked);
@@ -371,7 +378,7 @@
                 Err(error) => {
                     failing = true;
                     self.note_failure(&error, asked);
-                    self.pause_after_failure(&mut backoff).await;
+                    self.pause_after_failure(&mut backoff, begun).await;
                 }
             }
         }
@@ -389,7 +396,7 @@
     // In a fleet with hubs, a member asks for one kind until the store answers. A pause ends
     // where the duty changes: the next hub was a member that paused for long, and a store
     // that is back would be heard by nobody of its data centre until that pause is over.
-    async fn pause_after_failure(&mut self, backoff: &mut Duration) {
+    async fn pause_after_failure(&mut self, backoff: &mut Duration, begun: Instant) {
         let duty = *self.duty.borrow();
         let is_member = matches!(duty, WatchDuty::WithoutHub | WatchDuty::BesideHub);
         let failed_at = clock::mono_now();
@@ -397,7 +404,7 @@
         let changed = duties.wait_for(|now| *now != duty);
         if !is_member || self.feed == Feed::Config {
             tokio::select! {
-                () = pause(backoff, duty.longest_backoff()) => {}
+                () = pause_since(begun, backoff, duty.longest_backoff()) => {}
                 _ = changed => *backoff = FIRST_BACKOFF,
             }
             return;
@@ -446,6 +453,13 @@
     }
 }
 
+/// Waits like [`pause`], less the time that the failed call took: one that hung was a pause.
+async fn pause_since(begun: Instant, backoff: &mut Duration, longest: Duration) {
+    let mut left = backoff.saturating_sub(begun.elapsed()).max(FIRST_BACKOFF);
+    pause(&mut left, longest).await;
+    *backoff = (*backoff * 2).min(longest);
+}
+
 /// Waits and doubles the wait up to `longest`. It differs between daemons, so that they
 /// do not all come back in the same instant.
 pub(super) async fn pause(backoff: &mut Duration, longest: Duration) {
