The grace of a vanished entry counts from the store's first answer of any kind

Cause: an entry that vanishes around a failure had two seconds from the moment at which the targets' own kind was heard again. A call that hung on a lost connection and failed counted as a failure of the store, though the store had answered others meanwhile. And entries were given up at the next tick, up to 200 ms late.

Change: StoreContact, a part of its own, takes failures and answers of all kinds. The grace is 1.9 s from the first answer after the failure, ends at the latest 2.5 s after the failure as before, and is timed exactly. The failure of a call that began before an answer of the last two seconds says nothing.

Three of the new cases of what_is_left fail before (listed late, listed very late, removed as a hung call fails). In the table's driver each step by the store now notes an answer first, as the control thread does; no case was changed.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -1,5 +1,6 @@
 //! The control thread: follows the store and publishes what traffic reads.
 
+use std::future::pending;
 use std::io;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
@@ -8,6 +9,7 @@
 use tokio::runtime;
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
 
 use crate::clock;
 use crate::gateway::fleet::{self, FleetCell, FleetView};
@@ -22,11 +24,11 @@
     kind_of, pause,
 };
 use crate::gateway::target_life::TargetLife;
-use crate::names::{DaemonId, TargetId, millis};
+use crate::names::{DaemonId, MonoTime, TargetId, millis};
 use crate::ports::{ConditionalWrite, ObjectName, ObjectVersion, PlatformError, StoredObject};
 use crate::timer::TimerService;
 
-/// How often entries that did not come back are looked for.
+/// How often what is remembered of ended entries and lives is cleared.
 const TICK: Duration = Duration::from_millis(200);
 /// How often targets without an entry that still get work are told of.
 const REPORT_EVERY: Duration = Duration::from_millis(500);
@@ -185,6 +187,9 @@
                 }
                 changed
             }
+            () = wait_until(state.registry.next_given_up()) => {
+                state.registry.expire(clock::mono_now())
+            }
             _ = ticks.next() => state.registry.expire(clock::mono_now()),
             _ = reports.next() => {
                 state.report_missing();
@@ -268,6 +273,10 @@
     // Whether something changed that traffic has to see.
     fn take(&mut self, news: FeedNews, source: EntrySource) -> bool {
         let now = clock::mono_now();
+        let answered = matches!(news, FeedNews::Listed(..) | FeedNews::Changed(..));
+        if answered && source == EntrySource::Store {
+            self.registry.note_store_answer(now);
+        }
         match news {
             FeedNews::Confirmed(at) => {
                 // Nothing is confirmed by an answer that could not be read: keys that it
@@ -277,10 +286,8 @@
                 }
                 false
             }
-            FeedNews::Failed(feed) => {
-                if feed == Feed::Targets {
-                    self.registry.note_store_failure(now);
-                }
+            FeedNews::Failed(asked) => {
+                self.registry.note_store_failure(asked, now);
                 false
             }
             FeedNews::Listed(Feed::Targets, objects) => {
@@ -400,6 +407,13 @@
     }
 }
 
+async fn wait_until(moment: Option<MonoTime>) {
+    match moment {
+        Some(moment) => sleep(moment.since(clock::mono_now())).await,
+        None => pending().await,
+    }
+}
+
 // Keeps the own record in the store as it is wanted.
 async fn keep_record(ports: GatewayPorts, mut wanted: watch::Receiver<DaemonRecord>) {
     let object = ObjectName {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 pub mod sending;
 pub mod settings;
 pub mod stage_control;
+pub mod store_contact;
 pub mod store_follow;
 pub mod stream;
 pub mod target_life;
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -4,7 +4,8 @@
 //! disappearance as a departure would empty the fleet after an outage; keeping
 //! each would send work to targets that are gone. So: an entry that disappears
 //! while the store was answering all the time is gone at once, one that
-//! disappears around an outage has [`REAPPEAR_TIME`] from the store's return.
+//! disappears around an outage has [`REAPPEAR_TIME`](super::store_contact::REAPPEAR_TIME) from the store's return, unless
+//! another daemon heard the store all along and tells that it ended.
 //!
 //! A departure ends one life of a target. The store's revisions tell which of two
 //! entries of a name is newer; targets' own clocks may step.
@@ -18,14 +19,10 @@
 use crate::gateway::fleet::TargetsByService;
 use crate::gateway::model::TargetRecord;
 use crate::gateway::port::WireFault;
+use crate::gateway::store_contact::StoreContact;
 use crate::gateway::target_life::TargetLife;
 use crate::names::{MonoTime, TargetId, millis};
 
-/// Time in which entries of living targets are back after the store's return,
-/// as the users state it (about two seconds).
-pub const REAPPEAR_TIME: Duration = Duration::from_millis(2_000);
-/// How long after its last failure the store counts as just returned.
-pub const RETURN_TIME: Duration = Duration::from_millis(2_500);
 /// How long the end of a life, and the revision of a name's last entry, are
 /// remembered: longer than any stale view of them can arrive.
 const DEPARTED_TIME: Duration = Duration::from_secs(120);
@@ -128,13 +125,18 @@
     ends: IndexMap<TargetId, NotedEnd>,
     // Entries that name no target, by the revision that was logged.
     unreadable: IndexMap<TargetId, u64>,
-    store_failed_at: Option<MonoTime>,
+    contact: StoreContact,
 }
 
 impl TargetRegistry {
-    /// Notes that the store did not answer.
-    pub fn note_store_failure(&mut self, now: MonoTime) {
-        self.store_failed_at = Some(now);
+    /// Notes that the store did not answer a call that was begun at `asked`.
+    pub fn note_store_failure(&mut self, asked: MonoTime, now: MonoTime) {
+        self.contact.note_failure(asked, now);
+    }
+
+    /// Notes that the store answered a call, whatever it was about.
+    pub fn note_store_answer(&mut self, now: MonoTime) {
+        self.contact.note_answer(now);
     }
 
     /// Takes a whole listing.
@@ -233,6 +235,12 @@
         before != self.entries.len()
     }
 
+    /// When the next missing entry is given up.
+    #[must_use]
+    pub fn next_given_up(&self) -> Option<MonoTime> {
+        self.missing().map(|(_, missing)| missing.until).min()
+    }
+
     /// Targets that may get work, by service, in an order that all daemons share.
     #[must_use]
     pub fn by_service(&self) -> TargetsByService {
@@ -292,7 +300,7 @@
     }
 
     fn remove(&mut self, name: &TargetId, source: EntrySource, now: MonoTime) {
-        if let Some(until) = self.reappears_until(now) {
+        if let Some(until) = self.contact.reappears_until(now) {
             self.miss(name, until, source, now);
             return;
         }
@@ -339,11 +347,11 @@
         }
         entry.missing = Some(MissingEntry { since: now, until });
         metrics::counter!("pistachiowick_entries_missing_total").increment(1);
-        let failed_at = self.store_failed_at.unwrap_or(now);
+        let failed_for = self.contact.failed_for(now).unwrap_or_default();
         log::info!(
             target_id = name.as_str(),
             source = source.as_str(),
-            store_failed_ms = millis(now.since(failed_at)),
+            store_failed_ms = millis(failed_for),
             left_ms = millis(until.since(now));
             "target's entry is missing; it gets work for a while"
         );
@@ -378,15 +386,6 @@
         self.seen
             .insert(name.clone(), SeenRevision { revision, at });
     }
-
-    // Until when an entry that disappears now may be back; `None` where it will not be.
-    // The time counts from the store's return: counted from the disappearance, a target
-    // that left two seconds after the return got work for two seconds more.
-    fn reappears_until(&self, now: MonoTime) -> Option<MonoTime> {
-        let failed_at = self.store_failed_at?;
-        let latest = failed_at.plus(RETURN_TIME);
-        (now < latest).then(|| now.plus(REAPPEAR_TIME).min(latest))
-    }
 }
 
 fn log_change(
--- a/src/gateway/store_follow.rs
+++ b/src/gateway/store_follow.rs
@@ -78,8 +78,8 @@
     Listed(Feed, Vec<StoredObject>),
     /// Objects that changed.
     Changed(Feed, Vec<StoredObject>),
-    /// The store did not answer.
-    Failed(Feed),
+    /// The store did not answer a call that was begun at this moment.
+    Failed(MonoTime),
     /// All that the store held of the configuration at this moment was told before.
     Confirmed(MonoTime),
 }
@@ -449,7 +449,7 @@
         metrics::counter!("pistachiowick_store_failures_total").increment(1);
         let took_ms = millis(clock::mono_now().since(asked));
         log::warn!(kind = self.kind.as_str(), took_ms = took_ms; "store does not answer: {error}");
-        let _ = self.news.send(FeedNews::Failed(self.feed));
+        let _ = self.news.send(FeedNews::Failed(asked));
     }
 }
 
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -20,11 +20,18 @@
     Leaving(&'static str),
     Removed(&'static str),
     Listed(&'static [&'static str]),
+    // The store answered a call about something else.
+    StoreAnswered,
     StoreFailed,
+    // A call failed that was begun at this moment.
+    CallFailed(u64),
     Expire,
 }
 
-use Step::{Expire, Leaving, Listed, Removed, Set, StoreFailed};
+use Step::{CallFailed, Expire, Leaving, Listed, Removed, Set, StoreAnswered, StoreFailed};
+
+/// Clock at the start of a case, in milliseconds.
+const STARTED: u64 = 60_000;
 
 struct RegistryCase {
     steps: &'static [(u64, Step)],
@@ -73,11 +80,35 @@
     steps: &[(0, Set("a")), (100, StoreFailed), (2_700, Removed("a"))],
     left: &[],
 })]
+// The store answers this daemon from 200 on; the listing of the targets comes late.
+#[case::listed_late_after_the_return(RegistryCase {
+    steps: &[
+        (0, Set("a")), (100, StoreFailed), (200, StoreAnswered), (1_900, Listed(&[])), (2_150, Expire),
+    ],
+    left: &[],
+})]
+#[case::listed_very_late_after_the_return(RegistryCase {
+    steps: &[(0, Set("a")), (100, StoreFailed), (200, StoreAnswered), (2_200, Listed(&[]))],
+    left: &[],
+})]
+// A connection was lost and its call hung; other calls were answered meanwhile.
+#[case::removed_as_a_hung_call_fails(RegistryCase {
+    steps: &[
+        (0, Set("a")), (2_900, StoreAnswered), (3_200, CallFailed(100)), (3_300, Removed("a")),
+    ],
+    left: &[],
+})]
+#[case::missing_after_calls_that_all_hung(RegistryCase {
+    steps: &[
+        (0, Set("a")), (100, StoreAnswered), (3_200, CallFailed(90)), (3_300, Listed(&[])), (5_100, Expire),
+    ],
+    left: &["a"],
+})]
 #[case::unknown_removed(RegistryCase { steps: &[(0, Removed("x")), (1, Set("a"))], left: &["a"] })]
 fn what_is_left(#[case] case: RegistryCase) {
     let mut registry = TargetRegistry::default();
     for (at, step) in case.steps {
-        apply(&mut registry, step, MonoTime(*at + 60_000));
+        apply(&mut registry, step, MonoTime(*at + STARTED));
     }
     assert_eq!(left(&registry), case.left);
 }
@@ -93,6 +124,9 @@
 }
 
 fn apply(registry: &mut TargetRegistry, step: &Step, now: MonoTime) {
+    if !matches!(step, StoreFailed | CallFailed(_) | Expire) {
+        registry.note_store_answer(now);
+    }
     match step {
         Set(id) => registry.take(named(record(id), 0), EntrySource::Store, now),
         Leaving(id) => {
@@ -108,7 +142,9 @@
             let listing = ids.iter().map(|id| named(record(id), 0)).collect();
             registry.replace(listing, EntrySource::Store, now);
         }
-        StoreFailed => registry.note_store_failure(now),
+        StoreAnswered => {}
+        StoreFailed => registry.note_store_failure(now, now),
+        CallFailed(asked) => registry.note_store_failure(MonoTime(asked + STARTED), now),
         Expire => {
             registry.expire(now);
         }
@@ -224,7 +260,7 @@
         take(&mut registry, news, 60_000);
     }
     if case.missing {
-        registry.note_store_failure(MonoTime(60_100));
+        registry.note_store_failure(MonoTime(60_100), MonoTime(60_100));
         registry.replace(Vec::new(), EntrySource::Store, MonoTime(60_200));
         assert_eq!(left(&registry), ["a"]);
     }
@@ -252,7 +288,7 @@
     let mut registry = TargetRegistry::default();
     take(&mut registry, life(1, 10), 60_000);
     if case.failed {
-        registry.note_store_failure(MonoTime(60_100));
+        registry.note_store_failure(MonoTime(60_100), MonoTime(60_100));
     }
     registry.take(gone("a", 11), case.source, MonoTime(60_200));
     let told: Vec<u64> = registry.ends().map(|noted| noted.end.revision).collect();
