Daemons tell each other which entries began, too

What callers saw: a daemon that is cut from the store while targets are replaced loses them one by one, since others tell it of their ends, and knows none of those that come; its callers get late answers, or refusals once all are gone.

Change: the note on an entry's end becomes one on its begin as well, with the entry's value. The begin is told by whoever sees it in the store, since its revision orders it; an end as before only by who heard the store all along. Fleets with hubs have the entries from them and tell ends only.

An end was also told for ever: after 30 s each of two daemons learned it anew from the other. What is known by its revision and has no entry is no news now (an_end_that_is_told_again_is_no_news).

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -17,7 +17,7 @@
 use crate::gateway::model::FleetConfig;
 use crate::gateway::peers::wire::FeedObjects;
 use crate::gateway::port::GatewayPorts;
-use crate::gateway::registry::{EntryContent, EntryEnd, EntryNews, EntrySource, TargetRegistry};
+use crate::gateway::registry::{EntryContent, EntryNews, EntryNote, EntrySource, TargetRegistry};
 use crate::gateway::routes::RouteTable;
 use crate::gateway::store_follow::{
     FIRST_BACKOFF, Feed, FeedNews, FollowPace, Follower, LONGEST_BACKOFF, StorePulse, WatchDuty,
@@ -40,8 +40,8 @@
 pub enum ControlNews {
     /// A target was not at its address any more.
     TargetDeparted(TargetLife),
-    /// Another daemon told of entries that ended.
-    EntriesEnded(Vec<EntryEnd>),
+    /// Another daemon told of entries that began or ended.
+    EntryNotes(Vec<EntryNote>),
     /// Another daemon sent a configuration.
     PeerConfig {
         /// Revision of the store's object.
@@ -161,7 +161,7 @@
         let changed = tokio::select! {
             news = inbox.recv() => match news {
                 Some(ControlNews::TargetDeparted(id)) => state.note_departed(&id),
-                Some(ControlNews::EntriesEnded(ends)) => state.take_ends(ends),
+                Some(ControlNews::EntryNotes(notes)) => state.take_notes(notes),
                 Some(ControlNews::PeerConfig { revision, value }) => {
                     state.take_value(revision, &value)
                 }
@@ -213,15 +213,42 @@
         true
     }
 
-    fn take_ends(&mut self, ends: Vec<EntryEnd>) -> bool {
+    fn take_notes(&mut self, notes: Vec<EntryNote>) -> bool {
         let now = clock::mono_now();
         let mut changed = false;
-        for end in ends {
-            changed |= self.registry.take_end(end, now);
+        for note in notes {
+            changed |= match note.value {
+                None => self.registry.take_end(&note.name, note.revision, now),
+                Some(value) => self.take_begun(&note.name, note.revision, value.into_vec()),
+            };
         }
         changed
     }
 
+    fn take_begun(&mut self, name: &TargetId, revision: u64, value: Vec<u8>) -> bool {
+        let object = StoredObject {
+            object: ObjectName {
+                kind: String::new(),
+                name: name.to_string(),
+            },
+            version: ObjectVersion(revision),
+            value: Some(value),
+        };
+        self.take_target(&object, EntrySource::Peer)
+    }
+
+    // Whether a target's life began with the change.
+    fn take_target(&mut self, object: &StoredObject, source: EntrySource) -> bool {
+        let now = clock::mono_now();
+        let news = self.decode_target(object);
+        let name = news.name.clone();
+        let begins = self.registry.take(news, source, now);
+        if let Some(value) = object.value.as_ref().filter(|_| begins) {
+            self.registry.note_begun(&name, value, now);
+        }
+        begins
+    }
+
     // Told again and again: what is kept of a busy daemon's log may be its last seconds.
     fn report_missing(&self) {
         let now = clock::mono_now();
@@ -303,8 +330,7 @@
             }
             FeedNews::Changed(Feed::Targets, objects) => {
                 for object in &objects {
-                    let news = self.decode_target(object);
-                    self.registry.take(news, source, now);
+                    self.take_target(object, source);
                 }
                 !objects.is_empty()
             }
@@ -395,7 +421,7 @@
             targets_known: self.targets_known,
             config_source: self.config_source.clone(),
             departed: self.registry.departed().cloned().collect(),
-            ends: self.registry.ends().cloned().collect(),
+            entry_notes: self.registry.notes().cloned().collect(),
             missing: self
                 .registry
                 .missing()
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -26,7 +26,7 @@
 use crate::gateway::entry::{self, PageKind};
 use crate::gateway::fleet::{FleetCell, FleetView};
 use crate::gateway::members::DaemonRecord;
-use crate::gateway::peers::end_turns::EndTurns;
+use crate::gateway::peers::entry_turns::EntryTurns;
 use crate::gateway::peers::feeding::{FeedJoin, FeedStock};
 use crate::gateway::peers::hub::{HubBook, RelayedNews};
 use crate::gateway::peers::link_queue::ChangeSenders;
@@ -80,8 +80,8 @@
     pub joins: RefCell<FeedJoin>,
     /// What is passed on by a hub: what engines came to hold, whom it tells of when.
     pub relayed: RefCell<RelayedNews>,
-    /// Which ends of entries were told when.
-    pub end_turns: RefCell<EndTurns>,
+    /// Which notes on entries were told when.
+    pub entry_turns: RefCell<EntryTurns>,
     /// What own sends showed, to be told to the hub.
     pub seen: RefCell<SeenWork>,
     /// Own work as last told.
@@ -207,7 +207,7 @@
             hubs: RefCell::default(),
             joins: RefCell::default(),
             relayed: RefCell::default(),
-            end_turns: RefCell::default(),
+            entry_turns: RefCell::default(),
             seen: RefCell::default(),
             last_hint_work: RefCell::default(),
             stock: RefCell::default(),
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -7,7 +7,7 @@
 
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::model::TargetRecord;
-use crate::gateway::registry::{MissingEntry, NotedEnd};
+use crate::gateway::registry::{KeptNote, MissingEntry};
 use crate::gateway::routes::RouteTable;
 use crate::gateway::target_life::TargetLife;
 use crate::names::ServiceName;
@@ -28,8 +28,8 @@
     pub config_source: Option<(u64, Arc<[u8]>)>,
     /// Targets that announced their departure lately.
     pub departed: Vec<TargetLife>,
-    /// Entries of targets that certainly ended lately.
-    pub ends: Vec<NotedEnd>,
+    /// Entries of targets that began or certainly ended lately.
+    pub entry_notes: Vec<KeptNote>,
     /// Targets without an entry that still get work.
     pub missing: IndexMap<TargetLife, MissingEntry>,
     /// Daemons with a record in the store, this one included.
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -10,7 +10,7 @@
 //! talk to it only, and hubs talk to each other.
 
 pub mod book;
-pub mod end_turns;
+pub mod entry_turns;
 pub mod feeding;
 pub mod hub;
 pub mod link_queue;
@@ -42,7 +42,7 @@
 use crate::gateway::model::PromptPart;
 use crate::gateway::peers::hub::{LinkKind, PeerRole};
 use crate::gateway::peers::wire::{HeldNote, PeerHint, PeerMessage, PeerSummary};
-use crate::gateway::registry::EntryEnd;
+use crate::gateway::registry::EntryNote;
 use crate::gateway::target_life::TargetLife;
 use crate::names::DaemonId;
 use crate::timer::TimerService;
@@ -135,7 +135,7 @@
         *self.core.borrow().load.own() != *self.last_hint_work.borrow()
     }
 
-    fn hint(&self) -> PeerHint {
+    fn hint(&self, role: &PeerRole) -> PeerHint {
         let view = self.view();
         let mut core = self.core.borrow_mut();
         let rate = core.work.rate(clock::mono_now());
@@ -149,10 +149,7 @@
             work: work.collect(),
             held: peers.take_held(),
             departed: view.departed.clone(),
-            ends: self
-                .end_turns
-                .borrow_mut()
-                .pick(&view.ends, clock::mono_now()),
+            entries: self.entry_notes(role),
             changing: self.own_changing.borrow().clone(),
             rate,
             placed_through: self.placing.borrow().taken_through(),
@@ -164,10 +161,21 @@
         }
     }
 
+    // In a fleet with hubs the entries themselves reach each daemon; only ends are told.
+    fn entry_notes(&self, role: &PeerRole) -> Vec<EntryNote> {
+        let view = self.view();
+        let mut turns = self.entry_turns.borrow_mut();
+        let mut notes = turns.pick(&view.entry_notes, clock::mono_now());
+        if *role != PeerRole::Mesh {
+            notes.retain(|note| note.value.is_none());
+        }
+        notes
+    }
+
     // The word of this tick. What engines came to hold goes out once, to whoever
     // this daemon talks to.
     fn word(&self, role: &PeerRole) -> OutgoingWord {
-        let hint = self.hint();
+        let hint = self.hint(role);
         let (centre, fleet) = match role {
             PeerRole::Hub => {
                 let (from_members, from_hubs) = self.relayed.borrow_mut().take_held();
@@ -211,7 +219,7 @@
             work: work.into_iter().collect(),
             held,
             departed: hint.departed.clone(),
-            ends: hint.ends.clone(),
+            entries: hint.entries.clone(),
             store_age_ms: self.store_age_ms(whole, now),
             rate: if whole { self.work_rate() } else { hint.rate },
             placed_through,
@@ -302,7 +310,7 @@
         self.hubs.borrow_mut().note_hint(&hint.from, now);
         self.relayed.borrow_mut().keep_member(&hint.held);
         self.take_departed(&hint.departed);
-        self.take_ends(hint.ends);
+        self.take_entry_notes(hint.entries);
         self.take_seen(&hint.seen);
         let work = hint.work.into_iter().collect();
         let load = &mut self.core.borrow_mut().load;
@@ -333,12 +341,13 @@
         }
     }
 
-    fn take_ends(&self, mut ends: Vec<EntryEnd>) {
+    fn take_entry_notes(&self, mut notes: Vec<EntryNote>) {
         let view = self.view();
-        ends.retain(|end| !view.ends.iter().any(|known| known.end == *end));
-        if !ends.is_empty() {
+        let is_kept = |note: &EntryNote| view.entry_notes.iter().any(|kept| kept.note == *note);
+        notes.retain(|note| !is_kept(note));
+        if !notes.is_empty() {
             // The control thread ends only with the process.
-            let _ = self.news.send(ControlNews::EntriesEnded(ends));
+            let _ = self.news.send(ControlNews::EntryNotes(notes));
         }
     }
 
@@ -375,7 +384,7 @@
             self.relayed.borrow_mut().keep_hub(&summary.held);
         }
         self.take_departed(&summary.departed);
-        self.take_ends(summary.ends);
+        self.take_entry_notes(summary.entries);
         let mut work: WorkByTarget = summary.work.into_iter().collect();
         if summary.whole {
             hub::subtract(&mut work, &self.last_hint_work.borrow());
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -13,7 +13,7 @@
 use crate::gateway::duties::usage_book::{DaemonUsage, UsageCell};
 use crate::gateway::peers::proofs::ProofNote;
 use crate::gateway::peers::seen::SeenWork;
-use crate::gateway::registry::EntryEnd;
+use crate::gateway::registry::EntryNote;
 use crate::gateway::store_follow::Feed;
 use crate::gateway::target_life::TargetLife;
 use crate::names::{DaemonId, MonoTime, ServiceName, UnixTime};
@@ -46,9 +46,9 @@
     pub held: Vec<HeldNote>,
     /// Targets that it knows to be leaving.
     pub departed: Vec<TargetLife>,
-    /// Targets' entries that it knows to have ended, by turns ([`super::end_turns`]).
+    /// Targets' entries that began or ended, by turns ([`super::entry_turns`]).
     #[serde(default)]
-    pub ends: Vec<EntryEnd>,
+    pub entries: Vec<EntryNote>,
     /// Engines that it is ordering to change their stage.
     pub changing: Vec<TargetLife>,
     /// Work that it places on engines, in a second.
@@ -259,9 +259,9 @@
     pub held: Vec<HeldNote>,
     /// Targets known to be leaving.
     pub departed: Vec<TargetLife>,
-    /// Targets' entries known to have ended, by turns.
+    /// Targets' entries that ended, by turns.
     #[serde(default)]
-    pub ends: Vec<EntryEnd>,
+    pub entries: Vec<EntryNote>,
     /// Work that they place on engines, in a second.
     pub rate: WorkRate,
     /// Milliseconds since the hub heard the store.
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use serde_bytes::ByteBuf;
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
 use crate::gateway::fleet::TargetsByService;
@@ -26,7 +27,7 @@
 /// How long the end of a life, and the revision of a name's last entry, are
 /// remembered: longer than any stale view of them can arrive.
 const DEPARTED_TIME: Duration = Duration::from_secs(120);
-/// How long other daemons are told of the end of an entry: longer than a daemon that
+/// How long other daemons are told that an entry began or ended: longer than a daemon that
 /// does not hear of it otherwise is usually cut off.
 const TOLD_TIME: Duration = Duration::from_secs(30);
 
@@ -88,20 +89,22 @@
     pub until: MonoTime,
 }
 
-/// The end of an entry, as daemons tell each other of it.
+/// What daemons tell each other of an entry: that it began or that it ended.
 #[derive(Clone, Debug, Deserialize_tuple, Eq, PartialEq, Serialize_tuple)]
-pub struct EntryEnd {
+pub struct EntryNote {
     /// Name of the entry.
     pub name: TargetId,
-    /// Revision up to which the entry is over. One with a higher revision is a new one.
+    /// Revision of the change. An entry that ended is over up to it.
     pub revision: u64,
+    /// Its value; `None` where it ended.
+    pub value: Option<ByteBuf>,
 }
 
-/// An end that is remembered.
+/// A note that is remembered.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct NotedEnd {
-    /// What ended.
-    pub end: EntryEnd,
+pub struct KeptNote {
+    /// What is told.
+    pub note: EntryNote,
     /// When it was learned.
     pub at: MonoTime,
 }
@@ -121,8 +124,8 @@
     departed: IndexMap<TargetLife, MonoTime>,
     // Newest revision seen of each name, so that an older entry undoes nothing.
     seen: IndexMap<TargetId, SeenRevision>,
-    // Entries that certainly ended, for daemons that do not hear the store.
-    ends: IndexMap<TargetId, NotedEnd>,
+    // Entries that began or certainly ended, for daemons that do not hear the store.
+    notes: IndexMap<TargetId, KeptNote>,
     // Entries that name no target, by the revision that was logged.
     unreadable: IndexMap<TargetId, u64>,
     contact: StoreContact,
@@ -157,27 +160,32 @@
         self.unreadable.retain(|name, _| listed.contains(name));
     }
 
-    /// Takes one entry, unless a newer one of its name is known.
-    pub fn take(&mut self, news: EntryNews, source: EntrySource, now: MonoTime) {
+    /// Takes one entry, unless a newer one of its name is known; true when a target's life
+    /// began with it.
+    pub fn take(&mut self, news: EntryNews, source: EntrySource, now: MonoTime) -> bool {
         let EntryNews {
             name,
             revision,
             content,
         } = news;
         if self.is_outdated(&name, revision) {
-            return;
+            return false;
         }
         self.note_revision(&name, revision, now);
         match content {
             EntryContent::Gone => {
                 self.unreadable.swap_remove(&name);
                 self.remove(&name, source, now);
+                false
             }
             EntryContent::Named(record) => {
                 self.unreadable.swap_remove(&name);
-                self.set(record, revision, source, now);
+                self.set(record, revision, source, now)
+            }
+            EntryContent::Unreadable(fault) => {
+                self.leave_out(&name, revision, &fault, source);
+                false
             }
-            EntryContent::Unreadable(fault) => self.leave_out(&name, revision, &fault, source),
         }
     }
 
@@ -194,23 +202,27 @@
     ///
     /// Who tells it heard the store all along. So the end counts at once, also where this
     /// daemon could not tell it from an entry that lapsed in an outage.
-    pub fn take_end(&mut self, end: EntryEnd, now: MonoTime) -> bool {
-        let known = self.ends.get(&end.name);
-        if known.is_some_and(|known| known.end.revision >= end.revision)
-            || self.is_outdated(&end.name, end.revision)
-        {
+    pub fn take_end(&mut self, name: &TargetId, revision: u64, now: MonoTime) -> bool {
+        // What is told again after it was forgotten here would be told for ever.
+        let is_known = !self.entries.contains_key(name) && revision <= self.seen_revision(name);
+        if is_known || self.is_outdated(name, revision) {
             return false;
         }
-        self.note_revision(&end.name, end.revision, now);
-        let name = end.name.clone();
-        self.ends.insert(name.clone(), NotedEnd { end, at: now });
-        self.drop_entry(&name, EntrySource::Peer);
+        self.note_revision(name, revision, now);
+        self.keep_note(name, revision, None, now);
+        self.drop_entry(name, EntrySource::Peer);
         true
     }
 
-    /// Entries that certainly ended and that others are told of.
-    pub fn ends(&self) -> impl Iterator<Item = &NotedEnd> {
-        self.ends.values()
+    /// Keeps that an entry began, for other daemons.
+    pub fn note_begun(&mut self, name: &TargetId, value: &[u8], now: MonoTime) {
+        let value = Some(ByteBuf::from(value));
+        self.keep_note(name, self.seen_revision(name), value, now);
+    }
+
+    /// Entries that began or ended lately, which others are told of.
+    pub fn notes(&self) -> impl Iterator<Item = &KeptNote> {
+        self.notes.values()
     }
 
     /// Gives up entries that did not come back in time; true when some were.
@@ -228,7 +240,7 @@
             given_up.is_none()
         });
         self.departed.retain(|_, at| now.since(*at) < DEPARTED_TIME);
-        self.ends.retain(|_, noted| now.since(noted.at) < TOLD_TIME);
+        self.notes.retain(|_, kept| now.since(kept.at) < TOLD_TIME);
         let entries = &self.entries;
         self.seen
             .retain(|name, seen| entries.contains_key(name) || now.since(seen.at) < DEPARTED_TIME);
@@ -275,16 +287,23 @@
         entries.filter_map(|entry| Some((&entry.record.id, entry.missing?)))
     }
 
-    fn set(&mut self, record: TargetRecord, revision: u64, source: EntrySource, now: MonoTime) {
+    fn set(
+        &mut self,
+        record: TargetRecord,
+        revision: u64,
+        source: EntrySource,
+        now: MonoTime,
+    ) -> bool {
         if self.departed.contains_key(&record.id) {
-            return;
+            return false;
         }
         if record.leaving {
             log::info!(target_id = record.id.as_str(), revision = revision, source = source.as_str(); "target leaves");
             self.depart(&record.id, now);
-            return;
+            return false;
         }
         let before = self.entries.get(record.id.name());
+        let begins = before.is_none_or(|entry| entry.record.id != record.id);
         log_change(
             before.map(|entry| &*entry.record),
             &record,
@@ -297,6 +316,7 @@
             missing: None,
         };
         self.entries.insert(name, entry);
+        begins
     }
 
     fn remove(&mut self, name: &TargetId, source: EntrySource, now: MonoTime) {
@@ -305,7 +325,7 @@
             return;
         }
         if self.drop_entry(name, source) && source == EntrySource::Store {
-            self.note_end(name, now);
+            self.keep_note(name, self.seen_revision(name), None, now);
         }
     }
 
@@ -322,16 +342,16 @@
         dropped
     }
 
-    fn note_end(&mut self, name: &TargetId, now: MonoTime) {
-        let revision = self.seen_revision(name);
+    fn keep_note(&mut self, name: &TargetId, revision: u64, value: Option<ByteBuf>, now: MonoTime) {
         if revision == 0 {
             return;
         }
-        let end = EntryEnd {
+        let note = EntryNote {
             name: name.clone(),
             revision,
+            value,
         };
-        self.ends.insert(name.clone(), NotedEnd { end, at: now });
+        self.notes.insert(name.clone(), KeptNote { note, at: now });
     }
 
     fn seen_revision(&self, name: &TargetId) -> u64 {
@@ -376,8 +396,11 @@
 
     // An entry that ended is not seen again with the revision that it had.
     fn is_outdated(&self, name: &TargetId, revision: u64) -> bool {
-        let ended = self.ends.get(name);
-        let over = ended.is_some_and(|noted| revision <= noted.end.revision);
+        let ended = self
+            .notes
+            .get(name)
+            .filter(|kept| kept.note.value.is_none());
+        let over = ended.is_some_and(|kept| revision <= kept.note.revision);
         revision > 0 && (over || revision < self.seen_revision(name))
     }
 
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -50,7 +50,7 @@
         work: Vec::new(),
         held: Vec::new(),
         departed: Vec::new(),
-        ends: Vec::new(),
+        entries: Vec::new(),
         changing: Vec::new(),
         rate: WorkRate::default(),
         placed_through: 0,
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -5,10 +5,10 @@
 use gateway_samples::{SERVICE, config, engine, engine_config, route, target};
 use pistachiowick::gateway::fleet::leave_out_strangers;
 use pistachiowick::gateway::model::{EngineStage, TargetRecord};
-use pistachiowick::gateway::peers::end_turns::EndTurns;
+use pistachiowick::gateway::peers::entry_turns::EntryTurns;
 use pistachiowick::gateway::port::WireFault;
 use pistachiowick::gateway::registry::{
-    EntryContent, EntryEnd, EntryNews, EntrySource, NotedEnd, TargetRegistry,
+    EntryContent, EntryNews, EntryNote, EntrySource, KeptNote, TargetRegistry,
 };
 use pistachiowick::gateway::routes::RouteTable;
 use pistachiowick::gateway::target_life::TargetLife;
@@ -128,7 +128,9 @@
         registry.note_store_answer(now);
     }
     match step {
-        Set(id) => registry.take(named(record(id), 0), EntrySource::Store, now),
+        Set(id) => {
+            registry.take(named(record(id), 0), EntrySource::Store, now);
+        }
         Leaving(id) => {
             let leaving = true;
             let record = TargetRecord {
@@ -137,7 +139,9 @@
             };
             registry.take(named(record, 0), EntrySource::Store, now);
         }
-        Removed(id) => registry.take(gone(id, 0), EntrySource::Store, now),
+        Removed(id) => {
+            registry.take(gone(id, 0), EntrySource::Store, now);
+        }
         Listed(ids) => {
             let listing = ids.iter().map(|id| named(record(id), 0)).collect();
             registry.replace(listing, EntrySource::Store, now);
@@ -264,8 +268,7 @@
         registry.replace(Vec::new(), EntrySource::Store, MonoTime(60_200));
         assert_eq!(left(&registry), ["a"]);
     }
-    let end = end("a", case.told);
-    registry.take_end(end, MonoTime(60_300));
+    registry.take_end(&TargetId::from("a"), case.told, MonoTime(60_300));
     for news in (case.late)() {
         take(&mut registry, news, 60_400);
     }
@@ -291,10 +294,23 @@
         registry.note_store_failure(MonoTime(60_100), MonoTime(60_100));
     }
     registry.take(gone("a", 11), case.source, MonoTime(60_200));
-    let told: Vec<u64> = registry.ends().map(|noted| noted.end.revision).collect();
+    let told: Vec<u64> = registry.notes().map(|kept| kept.note.revision).collect();
     assert_eq!(told, case.told);
 }
 
+// Guards against an end that two daemons tell each other for ever.
+#[test]
+fn an_end_that_is_told_again_is_no_news() {
+    let mut registry = TargetRegistry::default();
+    take(&mut registry, life(1, 10), 60_000);
+    let name = TargetId::from("a");
+    assert!(registry.take_end(&name, 11, MonoTime(60_100)));
+    registry.expire(MonoTime(95_000));
+    assert_eq!(registry.notes().count(), 0);
+    assert!(!registry.take_end(&name, 11, MonoTime(95_000)));
+    assert_eq!(registry.notes().count(), 0);
+}
+
 struct TurnCase {
     // When the word is made, after one that told of everything at 0.
     at: u64,
@@ -308,11 +324,15 @@
 #[case::nothing_new(TurnCase { at: 999, told: &[] })]
 #[case::all_again(TurnCase { at: 1_000, told: &[1, 2] })]
 fn which_ends_a_word_carries(#[case] case: TurnCase) {
-    let noted = |revision: u64, at: u64| NotedEnd {
-        end: end("a", revision),
+    let noted = |revision: u64, at: u64| KeptNote {
+        note: EntryNote {
+            name: TargetId::from("a"),
+            revision,
+            value: None,
+        },
         at: MonoTime(at),
     };
-    let mut turns = EndTurns::default();
+    let mut turns = EntryTurns::default();
     let first = [noted(1, 0)];
     assert_eq!(turns.pick(&first, MonoTime(9_000)).len(), 1);
     let all = [noted(1, 0), noted(2, 9_300)];
@@ -408,13 +428,6 @@
     }
 }
 
-fn end(name: &str, revision: u64) -> EntryEnd {
-    EntryEnd {
-        name: TargetId::from(name),
-        revision,
-    }
-}
-
 fn unreadable(name: &str, revision: u64) -> EntryNews {
     EntryNews {
         name: TargetId::from(name),
--- a/tests/gateway_words.rs
+++ b/tests/gateway_words.rs
@@ -58,7 +58,7 @@
         work: (0..WORKING).map(work).collect(),
         held: Vec::new(),
         departed: Vec::new(),
-        ends: Vec::new(),
+        entries: Vec::new(),
         rate: WorkRate::default(),
         store_age_ms: 40,
         placed_through: 9_000,
