Ends that came with a hub's objects are told on

What was learned is now remembered by the note itself, for longer than it is told.

an_end_that_came_with_objects_of_a_hub_is_told_on fails before.

--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -203,9 +203,7 @@
     /// Who tells it heard the store all along. So the end counts at once, also where this
     /// daemon could not tell it from an entry that lapsed in an outage.
     pub fn take_end(&mut self, name: &TargetId, revision: u64, now: MonoTime) -> bool {
-        // What is told again after it was forgotten here would be told for ever.
-        let is_known = !self.entries.contains_key(name) && revision <= self.seen_revision(name);
-        if is_known || self.is_outdated(name, revision) {
+        if self.is_outdated(name, revision) {
             return false;
         }
         self.note_revision(name, revision, now);
@@ -221,8 +219,9 @@
     }
 
     /// Entries that began or ended lately, which others are told of.
-    pub fn notes(&self) -> impl Iterator<Item = &KeptNote> {
-        self.notes.values()
+    pub fn notes(&self, now: MonoTime) -> impl Iterator<Item = &KeptNote> {
+        let kept = self.notes.values();
+        kept.filter(move |kept| now.since(kept.at) < TOLD_TIME)
     }
 
     /// Gives up entries that did not come back in time; true when some were.
@@ -240,7 +239,9 @@
             given_up.is_none()
         });
         self.departed.retain(|_, at| now.since(*at) < DEPARTED_TIME);
-        self.notes.retain(|_, kept| now.since(kept.at) < TOLD_TIME);
+        // Kept for longer than told: what is learned anew would be told for ever.
+        self.notes
+            .retain(|_, kept| now.since(kept.at) < DEPARTED_TIME);
         let entries = &self.entries;
         self.seen
             .retain(|name, seen| entries.contains_key(name) || now.since(seen.at) < DEPARTED_TIME);
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -294,7 +294,8 @@
         registry.note_store_failure(MonoTime(60_100), MonoTime(60_100));
     }
     registry.take(gone("a", 11), case.source, MonoTime(60_200));
-    let told: Vec<u64> = registry.notes().map(|kept| kept.note.revision).collect();
+    let told = registry.notes(MonoTime(60_300));
+    let told: Vec<u64> = told.map(|kept| kept.note.revision).collect();
     assert_eq!(told, case.told);
 }
 
@@ -306,9 +307,20 @@
     let name = TargetId::from("a");
     assert!(registry.take_end(&name, 11, MonoTime(60_100)));
     registry.expire(MonoTime(95_000));
-    assert_eq!(registry.notes().count(), 0);
+    assert_eq!(registry.notes(MonoTime(95_000)).count(), 0);
     assert!(!registry.take_end(&name, 11, MonoTime(95_000)));
-    assert_eq!(registry.notes().count(), 0);
+    assert_eq!(registry.notes(MonoTime(95_000)).count(), 0);
+}
+
+// Guards against an end that members of a hub never hear which were cut off: the hub has it
+// from another hub, by the store's objects first.
+#[test]
+fn an_end_that_came_with_objects_of_a_hub_is_told_on() {
+    let mut registry = TargetRegistry::default();
+    take(&mut registry, life(1, 10), 60_000);
+    registry.take(gone("a", 11), EntrySource::Hub, MonoTime(60_050));
+    assert!(registry.take_end(&TargetId::from("a"), 11, MonoTime(60_100)));
+    assert_eq!(registry.notes(MonoTime(60_200)).count(), 1);
 }
 
 struct TurnCase {
