A begin that others tell counts only beyond the own reading

A begin counts where its revision is higher than that up to which this daemon has read the targets' kind (TargetsThrough), and is told on only while the entry is here.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -313,6 +313,10 @@
                 }
                 false
             }
+            FeedNews::TargetsThrough(revision) => {
+                self.registry.note_read_through(revision);
+                false
+            }
             FeedNews::Failed(asked) => {
                 self.registry.note_store_failure(asked, now);
                 false
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -129,6 +129,8 @@
     // Entries that name no target, by the revision that was logged.
     unreadable: IndexMap<TargetId, u64>,
     contact: StoreContact,
+    // Revision up to which this daemon itself read all changes.
+    read_through: u64,
 }
 
 impl TargetRegistry {
@@ -142,6 +144,11 @@
         self.contact.note_answer(now);
     }
 
+    /// Notes that all changes up to a revision were taken.
+    pub fn note_read_through(&mut self, revision: u64) {
+        self.read_through = revision;
+    }
+
     /// Takes a whole listing.
     pub fn replace(&mut self, listing: Vec<EntryNews>, source: EntrySource, now: MonoTime) {
         let listed: Vec<TargetId> = listing.iter().map(|news| news.name.clone()).collect();
@@ -168,7 +175,9 @@
             revision,
             content,
         } = news;
-        if self.is_outdated(&name, revision) {
+        // Of what others tell, this daemon has read what is not newer than its own reading.
+        let was_read = source == EntrySource::Peer && revision <= self.read_through;
+        if was_read || self.is_outdated(&name, revision) {
             return false;
         }
         self.note_revision(&name, revision, now);
@@ -218,10 +227,18 @@
         self.keep_note(name, self.seen_revision(name), value, now);
     }
 
-    /// Entries that began or ended lately, which others are told of.
+    /// Entries that began or ended lately, which others are told of. The begin of one that
+    /// is not here any more, for whatever reason, is not told on.
     pub fn notes(&self, now: MonoTime) -> impl Iterator<Item = &KeptNote> {
+        let is_here = |name: &TargetId| {
+            let entry = self.entries.get(name);
+            entry.is_some_and(|entry| entry.missing.is_none())
+        };
         let kept = self.notes.values();
-        kept.filter(move |kept| now.since(kept.at) < TOLD_TIME)
+        kept.filter(move |kept| {
+            let holds = kept.note.value.is_none() || is_here(&kept.note.name);
+            holds && now.since(kept.at) < TOLD_TIME
+        })
     }
 
     /// Gives up entries that did not come back in time; true when some were.
--- a/src/gateway/store_follow.rs
+++ b/src/gateway/store_follow.rs
@@ -82,6 +82,8 @@
     Failed(MonoTime),
     /// All that the store held of the configuration at this moment was told before.
     Confirmed(MonoTime),
+    /// All changes of the targets' kind up to this revision were told before.
+    TargetsThrough(u64),
 }
 
 impl FeedNews {
@@ -91,7 +93,9 @@
         let (feed, whole, objects) = match self {
             Self::Listed(feed, objects) => (*feed, true, objects),
             Self::Changed(feed, objects) if !objects.is_empty() => (*feed, false, objects),
-            Self::Changed(..) | Self::Failed(_) | Self::Confirmed(_) => return None,
+            Self::Changed(..) | Self::Failed(_) | Self::Confirmed(_) | Self::TargetsThrough(_) => {
+                return None;
+            }
         };
         let objects = objects.iter();
         let objects = objects.map(|o| {
@@ -314,7 +318,8 @@
                 Ok(batch) => {
                     backoff = FIRST_BACKOFF;
                     self.log_return(&mut failing, asked);
-                    self.tell(FeedNews::Listed(self.feed, batch.objects), asked);
+                    let news = FeedNews::Listed(self.feed, batch.objects);
+                    self.tell(news, batch.revision, asked);
                     self.watch_from(batch.revision).await;
                     pause(&mut backoff, LONGEST_BACKOFF).await;
                 }
@@ -366,7 +371,7 @@
                     backoff = FIRST_BACKOFF;
                     since = revision.max(since);
                     let gathers = !objects.is_empty() && self.feed != Feed::Config;
-                    self.tell(FeedNews::Changed(self.feed, objects), asked);
+                    self.tell(FeedNews::Changed(self.feed, objects), since, asked);
                     if gathers {
                         sleep(duty.gather_pause()).await;
                     }
@@ -429,13 +434,15 @@
 
     // Hands on what the store answered to a question that was sent at `asked`. The answer
     // may have been under way for long; what it holds was true when it was asked for.
-    fn tell(&self, news: FeedNews, asked: MonoTime) {
+    fn tell(&self, news: FeedNews, through: u64, asked: MonoTime) {
         self.pulse.note(self.feed);
         // The loop that receives this ends only with the thread.
         let _ = self.news.send(news);
-        if self.feed == Feed::Config {
-            let _ = self.news.send(FeedNews::Confirmed(asked));
-        }
+        let _ = match self.feed {
+            Feed::Config => self.news.send(FeedNews::Confirmed(asked)),
+            Feed::Targets => self.news.send(FeedNews::TargetsThrough(through)),
+            Feed::Daemons => Ok(()),
+        };
     }
 
     fn log_return(&self, failing: &mut bool, asked: MonoTime) {
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -323,6 +323,56 @@
     assert_eq!(registry.notes(MonoTime(60_200)).count(), 1);
 }
 
+struct BeginCase {
+    // Revision up to which this daemon has read the store.
+    read_through: u64,
+    told: u64,
+    left: &'static [&'static str],
+}
+
+// Guards against a target that was here and is gone, brought back by a daemon that does not
+// know it yet; this one started since, or read further.
+#[rstest]
+#[case::not_read_yet(BeginCase { read_through: 9, told: 10, left: &["a"] })]
+#[case::read_already(BeginCase { read_through: 10, told: 10, left: &[] })]
+#[case::read_further(BeginCase { read_through: 70, told: 10, left: &[] })]
+fn what_another_daemon_saw_begin(#[case] case: BeginCase) {
+    let mut registry = TargetRegistry::default();
+    registry.replace(Vec::new(), EntrySource::Store, MonoTime(60_000));
+    registry.note_read_through(case.read_through);
+    let begun = life(1, case.told);
+    registry.take(begun, EntrySource::Peer, MonoTime(60_100));
+    assert_eq!(left(&registry), case.left);
+}
+
+struct OverCase {
+    change: fn(&mut TargetRegistry),
+    told: usize,
+}
+
+// Guards against a begin told to others of an entry that is not here any more.
+#[rstest]
+#[case::here(OverCase { change: |_| {}, told: 1 })]
+#[case::leaving(OverCase { change: |registry| take(registry, leaving(1, 11), 60_200), told: 0 })]
+#[case::at_its_address_no_more(OverCase {
+    change: |registry| registry.depart(&life_of(1), MonoTime(60_200)), told: 0,
+})]
+#[case::unreadable(OverCase { change: |registry| take(registry, unreadable("a", 11), 60_200), told: 0 })]
+#[case::missing(OverCase {
+    change: |registry| {
+        registry.note_store_failure(MonoTime(60_100), MonoTime(60_100));
+        registry.replace(Vec::new(), EntrySource::Store, MonoTime(60_200));
+    },
+    told: 0,
+})]
+fn which_begins_are_told(#[case] case: OverCase) {
+    let mut registry = TargetRegistry::default();
+    take(&mut registry, life(1, 10), 60_000);
+    registry.note_begun(&TargetId::from("a"), b"value", MonoTime(60_000));
+    (case.change)(&mut registry);
+    assert_eq!(registry.notes(MonoTime(60_300)).count(), case.told);
+}
+
 struct TurnCase {
     // When the word is made, after one that told of everything at 0.
     at: u64,
