Notes on entries are told for 30 s at most, begins by turns

How long a note is told is decided where words are made. Begins go into the word of each second only, 16 at most, by turns; ends, which are short, as before.

Cases one_told_for_long and both_told_for_long, and begins_go_into_words_by_turns, were written with the change and not run on the code before.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -425,7 +425,7 @@
             targets_known: self.targets_known,
             config_source: self.config_source.clone(),
             departed: self.registry.departed().cloned().collect(),
-            entry_notes: self.registry.notes(clock::mono_now()).cloned().collect(),
+            entry_notes: self.registry.notes().cloned().collect(),
             missing: self
                 .registry
                 .missing()
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -4,11 +4,13 @@
 //! disappearance as a departure would empty the fleet after an outage; keeping
 //! each would send work to targets that are gone. So: an entry that disappears
 //! while the store was answering all the time is gone at once, one that
-//! disappears around an outage has [`REAPPEAR_TIME`](super::store_contact::REAPPEAR_TIME) from the store's return, unless
+//! disappears around an outage has [`REAPPEAR_TIME`] from the store's return, unless
 //! another daemon heard the store all along and tells that it ended.
 //!
 //! A departure ends one life of a target. The store's revisions tell which of two
 //! entries of a name is newer; targets' own clocks may step.
+//!
+//! [`REAPPEAR_TIME`]: crate::gateway::store_contact::REAPPEAR_TIME
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,16 +29,12 @@
 /// How long the end of a life, and the revision of a name's last entry, are
 /// remembered: longer than any stale view of them can arrive.
 const DEPARTED_TIME: Duration = Duration::from_secs(120);
-/// How long other daemons are told that an entry began or ended: longer than a daemon that
-/// does not hear of it otherwise is usually cut off.
-const TOLD_TIME: Duration = Duration::from_secs(30);
-
 /// Where word of targets comes from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EntrySource {
     /// Another daemon, which read the store and passes on what it read.
     Hub,
-    /// Another daemon's word that an entry ended.
+    /// Another daemon's word that an entry began or ended.
     Peer,
     /// The store itself.
     Store,
@@ -227,18 +225,15 @@
         self.keep_note(name, self.seen_revision(name), value, now);
     }
 
-    /// Entries that began or ended lately, which others are told of. The begin of one that
-    /// is not here any more, for whatever reason, is not told on.
-    pub fn notes(&self, now: MonoTime) -> impl Iterator<Item = &KeptNote> {
+    /// Entries that began or ended lately. The begin of one that is not here any more, for
+    /// whatever reason, is left out.
+    pub fn notes(&self) -> impl Iterator<Item = &KeptNote> {
         let is_here = |name: &TargetId| {
             let entry = self.entries.get(name);
             entry.is_some_and(|entry| entry.missing.is_none())
         };
         let kept = self.notes.values();
-        kept.filter(move |kept| {
-            let holds = kept.note.value.is_none() || is_here(&kept.note.name);
-            holds && now.since(kept.at) < TOLD_TIME
-        })
+        kept.filter(move |kept| kept.note.value.is_none() || is_here(&kept.note.name))
     }
 
     /// Gives up entries that did not come back in time; true when some were.
@@ -256,7 +251,7 @@
             given_up.is_none()
         });
         self.departed.retain(|_, at| now.since(*at) < DEPARTED_TIME);
-        // Kept for longer than told: what is learned anew would be told for ever.
+        // Kept for longer than others tell it: what is learned anew would be told for ever.
         self.notes
             .retain(|_, kept| now.since(kept.at) < DEPARTED_TIME);
         let entries = &self.entries;
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -14,6 +14,7 @@
 use pistachiowick::gateway::target_life::TargetLife;
 use pistachiowick::names::{MonoTime, ServiceName, TargetId, UnixTime};
 use rstest::rstest;
+use serde_bytes::ByteBuf;
 
 enum Step {
     Set(&'static str),
@@ -294,7 +295,7 @@
         registry.note_store_failure(MonoTime(60_100), MonoTime(60_100));
     }
     registry.take(gone("a", 11), case.source, MonoTime(60_200));
-    let told = registry.notes(MonoTime(60_300));
+    let told = registry.notes();
     let told: Vec<u64> = told.map(|kept| kept.note.revision).collect();
     assert_eq!(told, case.told);
 }
@@ -306,10 +307,11 @@
     take(&mut registry, life(1, 10), 60_000);
     let name = TargetId::from("a");
     assert!(registry.take_end(&name, 11, MonoTime(60_100)));
-    registry.expire(MonoTime(95_000));
-    assert_eq!(registry.notes(MonoTime(95_000)).count(), 0);
-    assert!(!registry.take_end(&name, 11, MonoTime(95_000)));
-    assert_eq!(registry.notes(MonoTime(95_000)).count(), 0);
+    let late = MonoTime(95_000);
+    registry.expire(late);
+    assert!(!registry.take_end(&name, 11, late));
+    let kept: Vec<KeptNote> = registry.notes().cloned().collect();
+    assert!(EntryTurns::default().pick(&kept, late).is_empty());
 }
 
 // Guards against an end that members of a hub never hear which were cut off: the hub has it
@@ -320,7 +322,7 @@
     take(&mut registry, life(1, 10), 60_000);
     registry.take(gone("a", 11), EntrySource::Hub, MonoTime(60_050));
     assert!(registry.take_end(&TargetId::from("a"), 11, MonoTime(60_100)));
-    assert_eq!(registry.notes(MonoTime(60_200)).count(), 1);
+    assert_eq!(registry.notes().count(), 1);
 }
 
 struct BeginCase {
@@ -370,7 +372,7 @@
     take(&mut registry, life(1, 10), 60_000);
     registry.note_begun(&TargetId::from("a"), b"value", MonoTime(60_000));
     (case.change)(&mut registry);
-    assert_eq!(registry.notes(MonoTime(60_300)).count(), case.told);
+    assert_eq!(registry.notes().count(), case.told);
 }
 
 struct TurnCase {
@@ -385,6 +387,8 @@
 #[case::news(TurnCase { at: 400, told: &[2] })]
 #[case::nothing_new(TurnCase { at: 999, told: &[] })]
 #[case::all_again(TurnCase { at: 1_000, told: &[1, 2] })]
+#[case::one_told_for_long(TurnCase { at: 21_100, told: &[2] })]
+#[case::both_told_for_long(TurnCase { at: 40_000, told: &[] })]
 fn which_ends_a_word_carries(#[case] case: TurnCase) {
     let noted = |revision: u64, at: u64| KeptNote {
         note: EntryNote {
@@ -403,6 +407,32 @@
     assert_eq!(told, case.told);
 }
 
+// Guards against words that fill the links when a fleet starts, or many entries come back,
+// and against begins that are never told then.
+#[test]
+fn begins_go_into_words_by_turns() {
+    let begun = |number: usize| KeptNote {
+        note: EntryNote {
+            name: TargetId::from(format!("t{number}")),
+            revision: 1 + number as u64,
+            value: Some(ByteBuf::from(vec![b' '; 300])),
+        },
+        at: MonoTime(9_000),
+    };
+    let begins: Vec<KeptNote> = (0..40).map(begun).collect();
+    let mut turns = EntryTurns::default();
+    let mut told: Vec<u64> = Vec::new();
+    for tick in 0..75 {
+        let word = turns.pick(&begins, MonoTime(9_000 + 40 * tick));
+        assert!(word.len() <= 16, "{} begins in a word", word.len());
+        told.extend(word.iter().map(|note| note.revision));
+    }
+    assert_eq!(told.len(), 48);
+    told.sort_unstable();
+    told.dedup();
+    assert_eq!(told.len(), 40);
+}
+
 // Somebody else writes over a target's entry. What it said is not known to hold any
 // more, so it gets nothing until its own writer is back; the others go on.
 #[test]
