Logs tell under which work a target's connection ended

A line "connection ended under a request" names the work by a digest that its attempts share (method, host, path, workspace, body; nothing of it can be read back), the target and the reason, and pistachiowick_answers_cut_total counts them. To tell an ended connection from one that gave nothing in time, faults of sends and bodies are typed: Cut, Unclear, BodyFault. What is decided on them is as before.

--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,181 @@
+//! A caller's request on its way, and the targets that it was sent to.
+
+use std::cell::OnceCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::clock;
+use crate::gateway::client::OutgoingRequest;
+use crate::gateway::daemon::Gateway;
+use crate::gateway::fleet::FleetView;
+use crate::gateway::model::{
+    CallerAccess, CallerRequest, PromptShape, RouteRule, ServiceRule, TargetRecord,
+};
+use crate::gateway::sending::SendPlan;
+use crate::gateway::target_life::TargetLife;
+use crate::gateway::work_digest::WorkDigest;
+use crate::names::millis;
+
+/// A caller's request, routed and read.
+pub struct RoutedCall {
+    /// Picture of the fleet when it arrived.
+    pub view: Arc<FleetView>,
+    /// Its route.
+    pub route: RouteRule,
+    /// Service chosen for it.
+    pub service: ServiceRule,
+    /// What its head says.
+    pub caller: CallerRequest,
+    /// Whom it is for.
+    pub access: CallerAccess,
+    /// What is sent on.
+    pub request: OutgoingRequest,
+    /// Host that it was sent to.
+    pub host: String,
+    /// Its digest, once it was asked for.
+    pub digest: OnceCell<WorkDigest>,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When its time is up, by the caller's patience and the route's limit.
+    pub due: Instant,
+}
+
+impl RoutedCall {
+    /// Time that a target may still spend.
+    #[must_use]
+    pub fn time_left(&self) -> Duration {
+        self.due.saturating_duration_since(Instant::now())
+    }
+
+    /// Time left for an answer of full worth.
+    #[must_use]
+    pub fn objective_left(&self) -> Duration {
+        let waited = self.arrived.elapsed();
+        self.route.objective.saturating_sub(waited)
+    }
+
+    /// Its prompt; an empty one where it states none.
+    #[must_use]
+    pub fn prompt(&self) -> PromptShape {
+        self.caller.prompt.clone().unwrap_or_default()
+    }
+
+    /// Digest of the work, which attempts of it share.
+    #[must_use]
+    pub fn work(&self) -> WorkDigest {
+        let digest = || WorkDigest::of(&self.host, &self.request, &self.access);
+        *self.digest.get_or_init(digest)
+    }
+
+    /// Plan of a send whose answer is waited for until `until`.
+    #[must_use]
+    pub fn plan(&self, until: Instant) -> SendPlan<'_> {
+        SendPlan {
+            call: self,
+            until: until.min(self.due),
+        }
+    }
+
+    /// Logs one send with what decided it.
+    pub fn log_send(&self, target: &TargetRecord, step: &str, outcome: &str, sent: Instant) {
+        if let Some(missing) = self.view.missing.get(&target.id) {
+            log::info!(
+                request = self.caller.id.as_str(),
+                target_id = target.id.as_str(),
+                missing_ms = millis(clock::mono_now().since(missing.since));
+                "sent to a target without an entry"
+            );
+        }
+        log::info!(
+            request = self.caller.id.as_str(),
+            route = self.route.name.as_str(),
+            step = step,
+            target_id = target.id.as_str(),
+            config = self.view.routes.as_ref().map_or(0, |r| r.version),
+            outcome = outcome,
+            took_ms = sent.elapsed().as_millis() as u64,
+            left_ms = self.time_left().as_millis() as u64;
+            "sent"
+        );
+    }
+}
+
+/// Targets that one request was sent to, or could not be sent to.
+#[derive(Clone, Debug, Default)]
+pub struct SendTrail {
+    /// Targets that got the request.
+    pub sent: Vec<TargetLife>,
+    /// Targets that no byte reached.
+    pub unreached: Vec<TargetLife>,
+    /// Whether one of them ran the request or may have. Whatever a later target says,
+    /// the caller must not be told then that nothing ran.
+    pub may_have_run: bool,
+    /// Whether an engine has read the prompt for another one. The fleet's budget of
+    /// repeats allows that once.
+    pub prompt_read: bool,
+}
+
+impl SendTrail {
+    /// Whether a target was tried.
+    #[must_use]
+    pub fn has(&self, target: &TargetLife) -> bool {
+        self.sent.contains(target) || self.unreached.contains(target)
+    }
+
+    /// Targets that were tried.
+    pub fn tried(&self) -> impl Iterator<Item = &TargetLife> {
+        self.sent.iter().chain(&self.unreached)
+    }
+
+    /// Whether the route allows one more target.
+    #[must_use]
+    pub fn may_send(&self, call: &RoutedCall) -> bool {
+        (self.sent.len() as u32) < call.route.most_targets
+    }
+
+    /// Whether the route allows another target after the next one.
+    #[must_use]
+    pub fn may_add(&self, call: &RoutedCall) -> bool {
+        (self.sent.len() as u32) + 1 < call.route.most_targets
+    }
+}
+
+/// Work counted at a target until it is dropped.
+pub struct WorkGuard {
+    gateway: Rc<Gateway>,
+    target: TargetLife,
+    rank: u8,
+    unread_tokens: u32,
+}
+
+impl WorkGuard {
+    /// Counts a request of a rank with `unread_tokens` to read.
+    pub fn begin(gateway: &Rc<Gateway>, target: &TargetLife, rank: u8, unread_tokens: u32) -> Self {
+        let mut core = gateway.core.borrow_mut();
+        core.load.begin(target, rank, unread_tokens);
+        Self {
+            gateway: gateway.clone(),
+            target: target.clone(),
+            rank,
+            unread_tokens,
+        }
+    }
+
+    /// Notes that the prompt was read.
+    pub fn note_read(&mut self) {
+        let mut core = self.gateway.core.borrow_mut();
+        core.load
+            .note_read(&self.target, self.rank, self.unread_tokens);
+        self.unread_tokens = 0;
+    }
+}
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        let mut core = self.gateway.core.borrow_mut();
+        core.load.end(&self.target, self.rank, self.unread_tokens);
+    }
+}
--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -4,12 +4,14 @@
 //! difference decides whether another target may be asked: only what certainly
 //! did not run may go elsewhere when it must not run twice.
 
+use std::error;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -34,9 +36,36 @@
     /// No byte of the request left: it has not run.
     #[error("not sent: {0}; another target may be asked")]
     NotSent(String),
-    /// The request left and no whole answer came: it may have run.
+    /// The request left and no answer came in time: it may have run.
     #[error("no answer: {0}; the request may have run")]
     Unclear(String),
+    /// The request left and the other side ended the connection before a whole answer: it
+    /// may have run.
+    #[error("connection ended: {0}; the request may have run")]
+    Cut(String),
+}
+
+/// Why a body was not read to its end.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum BodyFault {
+    /// The other side ended the connection, or its framing cannot be read.
+    #[error("the body was cut: {0}; ask again if the request may be repeated")]
+    Cut(String),
+    /// It is larger than allowed.
+    #[error("the body is larger than {0} bytes; send less")]
+    TooLong(usize),
+    /// It did not end in time.
+    #[error("the body did not end in time; allow more time")]
+    Slow,
+}
+
+impl From<BodyFault> for SendFault {
+    fn from(fault: BodyFault) -> Self {
+        match fault {
+            BodyFault::Cut(reason) => Self::Cut(reason),
+            BodyFault::TooLong(_) | BodyFault::Slow => Self::Unclear(fault.to_string()),
+        }
+    }
 }
 
 /// A request as it goes out.
@@ -128,7 +157,7 @@
             Ok(Ok(response)) => Ok(response),
             Ok(Err(mut error)) => match error.take_message() {
                 Some(_) => Err(SendFault::NotSent(error.into_error().to_string())),
-                None => Err(SendFault::Unclear(error.into_error().to_string())),
+                None => Err(lost_answer(&error.into_error())),
             },
         }
     }
@@ -150,20 +179,45 @@
     socket.set_tcp_keepalive(&probes)
 }
 
+// A path that takes no bytes any more ends the connection here; the other side may go on.
+fn lost_answer(error: &hyper::Error) -> SendFault {
+    if is_timeout(error) {
+        SendFault::Unclear(error.to_string())
+    } else {
+        SendFault::Cut(error.to_string())
+    }
+}
+
+/// Whether a connection ended because nothing was acknowledged on it for too long.
+#[must_use]
+pub fn is_timeout(error: &(dyn error::Error + 'static)) -> bool {
+    let mut cause = Some(error);
+    while let Some(found) = cause {
+        let kind = found.downcast_ref::<io::Error>().map(io::Error::kind);
+        if kind == Some(io::ErrorKind::TimedOut) {
+            return true;
+        }
+        cause = found.source();
+    }
+    false
+}
+
 /// Reads a whole body of at most `most_bytes`, until `deadline`.
 ///
 /// # Errors
 ///
-/// Returns a text of what is wrong: cut short, too long, or too slow.
-pub async fn read_body<B>(body: B, most_bytes: usize, deadline: Instant) -> Result<Bytes, String>
+/// Returns what is wrong: cut short, too long, or too slow.
+pub async fn read_body<B>(body: B, most_bytes: usize, deadline: Instant) -> Result<Bytes, BodyFault>
 where
     B: http_body::Body<Data = Bytes>,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B::Error: Into<Box<dyn error::Error + Send + Sync>>,
 {
     let reading = Limited::new(body, most_bytes).collect();
     match timeout_at(deadline, reading).await {
-        Err(_) => Err("the body did not end in time".to_owned()),
-        Ok(Err(error)) => Err(error.to_string()),
+        Err(_) => Err(BodyFault::Slow),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyFault::TooLong(most_bytes)),
+        Ok(Err(error)) if is_timeout(&*error) => Err(BodyFault::Slow),
+        Ok(Err(error)) => Err(BodyFault::Cut(error.to_string())),
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
     }
 }
@@ -181,9 +235,7 @@
 ) -> Result<(http::response::Parts, Bytes), SendFault> {
     let response = link.send(request, deadline).await?;
     let (head, body) = response.into_parts();
-    let body = read_body(body, most_bytes, deadline)
-        .await
-        .map_err(SendFault::Unclear)?;
+    let body = read_body(body, most_bytes, deadline).await?;
     link.idle_since = Instant::now();
     Ok((head, body))
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,6 +1,7 @@
 //! Takes one caller's request through routing to its answer; plain services here,
 //! model engines in [`crate::gateway::generate`].
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,19 +15,17 @@
 use tokio::time::Instant;
 
 use crate::clock;
-use crate::gateway::client::{self, OutgoingRequest};
+use crate::gateway::call::{RoutedCall, SendTrail, WorkGuard};
+use crate::gateway::client::{self, BodyFault, OutgoingRequest};
 use crate::gateway::daemon::Gateway;
 use crate::gateway::deciding::health::SendResult;
 use crate::gateway::fleet::FleetView;
-use crate::gateway::model::{
-    CallerAccess, CallerRequest, PromptShape, RouteRule, ServiceRule, TargetRecord,
-};
+use crate::gateway::model::{RouteRule, ServiceRule, TargetRecord};
 use crate::gateway::port::{SendMode, SendOrder};
 use crate::gateway::reply::{Failure, FailureKind, Reply, strip_connection_headers, whole_reply};
 use crate::gateway::routes::{RouteTable, choose_service};
-use crate::gateway::sending::{SendOutcome, SendPlan, TargetAnswer};
-use crate::gateway::target_life::TargetLife;
-use crate::names::{ServiceName, millis};
+use crate::gateway::sending::{SendOutcome, TargetAnswer};
+use crate::names::ServiceName;
 
 /// Time to come back after a refusal for want of a configuration or a target.
 const NOTHING_YET_WAIT: Duration = Duration::from_millis(250);
@@ -38,160 +37,6 @@
 /// Sends that may fail before their first byte, for one request.
 const MOST_NOT_SENT: usize = 3;
 
-/// A caller's request, routed and read.
-pub struct RoutedCall {
-    /// Picture of the fleet when it arrived.
-    pub view: Arc<FleetView>,
-    /// Its route.
-    pub route: RouteRule,
-    /// Service chosen for it.
-    pub service: ServiceRule,
-    /// What its head says.
-    pub caller: CallerRequest,
-    /// Whom it is for.
-    pub access: CallerAccess,
-    /// What is sent on.
-    pub request: OutgoingRequest,
-    /// When it arrived.
-    pub arrived: Instant,
-    /// When its time is up, by the caller's patience and the route's limit.
-    pub due: Instant,
-}
-
-impl RoutedCall {
-    /// Time that a target may still spend.
-    #[must_use]
-    pub fn time_left(&self) -> Duration {
-        self.due.saturating_duration_since(Instant::now())
-    }
-
-    /// Time left for an answer of full worth.
-    #[must_use]
-    pub fn objective_left(&self) -> Duration {
-        let waited = self.arrived.elapsed();
-        self.route.objective.saturating_sub(waited)
-    }
-
-    /// Its prompt; an empty one where it states none.
-    #[must_use]
-    pub fn prompt(&self) -> PromptShape {
-        self.caller.prompt.clone().unwrap_or_default()
-    }
-
-    /// Plan of a send whose answer is waited for until `until`.
-    #[must_use]
-    pub fn plan(&self, until: Instant) -> SendPlan<'_> {
-        SendPlan {
-            request: &self.request,
-            request_id: &self.caller.id,
-            may_repeat: self.route.repeat.may_repeat(),
-            until: until.min(self.due),
-        }
-    }
-}
-
-impl RoutedCall {
-    /// Logs one send with what decided it.
-    pub fn log_send(&self, target: &TargetRecord, step: &str, outcome: &str, sent: Instant) {
-        if let Some(missing) = self.view.missing.get(&target.id) {
-            log::info!(
-                request = self.caller.id.as_str(),
-                target_id = target.id.as_str(),
-                missing_ms = millis(clock::mono_now().since(missing.since));
-                "sent to a target without an entry"
-            );
-        }
-        log::info!(
-            request = self.caller.id.as_str(),
-            route = self.route.name.as_str(),
-            step = step,
-            target_id = target.id.as_str(),
-            config = self.view.routes.as_ref().map_or(0, |r| r.version),
-            outcome = outcome,
-            took_ms = sent.elapsed().as_millis() as u64,
-            left_ms = self.time_left().as_millis() as u64;
-            "sent"
-        );
-    }
-}
-
-/// Targets that one request was sent to, or could not be sent to.
-#[derive(Clone, Debug, Default)]
-pub struct SendTrail {
-    /// Targets that got the request.
-    pub sent: Vec<TargetLife>,
-    /// Targets that no byte reached.
-    pub unreached: Vec<TargetLife>,
-    /// Whether one of them ran the request or may have. Whatever a later target says,
-    /// the caller must not be told then that nothing ran.
-    pub may_have_run: bool,
-    /// Whether an engine has read the prompt for another one. The fleet's budget of
-    /// repeats allows that once.
-    pub prompt_read: bool,
-}
-
-impl SendTrail {
-    /// Whether a target was tried.
-    #[must_use]
-    pub fn has(&self, target: &TargetLife) -> bool {
-        self.sent.contains(target) || self.unreached.contains(target)
-    }
-
-    /// Targets that were tried.
-    pub fn tried(&self) -> impl Iterator<Item = &TargetLife> {
-        self.sent.iter().chain(&self.unreached)
-    }
-
-    /// Whether the route allows one more target.
-    #[must_use]
-    pub fn may_send(&self, call: &RoutedCall) -> bool {
-        (self.sent.len() as u32) < call.route.most_targets
-    }
-
-    /// Whether the route allows another target after the next one.
-    #[must_use]
-    pub fn may_add(&self, call: &RoutedCall) -> bool {
-        (self.sent.len() as u32) + 1 < call.route.most_targets
-    }
-}
-
-/// Work counted at a target until it is dropped.
-pub struct WorkGuard {
-    gateway: Rc<Gateway>,
-    target: TargetLife,
-    rank: u8,
-    unread_tokens: u32,
-}
-
-impl WorkGuard {
-    /// Counts a request of a rank with `unread_tokens` to read.
-    pub fn begin(gateway: &Rc<Gateway>, target: &TargetLife, rank: u8, unread_tokens: u32) -> Self {
-        let mut core = gateway.core.borrow_mut();
-        core.load.begin(target, rank, unread_tokens);
-        Self {
-            gateway: gateway.clone(),
-            target: target.clone(),
-            rank,
-            unread_tokens,
-        }
-    }
-
-    /// Notes that the prompt was read.
-    pub fn note_read(&mut self) {
-        let mut core = self.gateway.core.borrow_mut();
-        core.load
-            .note_read(&self.target, self.rank, self.unread_tokens);
-        self.unread_tokens = 0;
-    }
-}
-
-impl Drop for WorkGuard {
-    fn drop(&mut self) {
-        let mut core = self.gateway.core.borrow_mut();
-        core.load.end(&self.target, self.rank, self.unread_tokens);
-    }
-}
-
 impl Gateway {
     /// Serves one request and logs how it ended.
     pub async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Reply {
@@ -251,7 +96,8 @@
             .clone()
             .filter(|_| view.targets_known)
             .ok_or_else(|| Failure::refused("no configuration yet", NOTHING_YET_WAIT))?;
-        let (mut route, service) = self.route(&routes, &head)?;
+        let host = host_of(&head)?;
+        let (mut route, service) = self.route(&routes, &host, &head)?;
         let access = self.check_access(&routes, &mut route, &caller)?;
         let patience = caller.patience.unwrap_or(route.time_limit);
         let due = arrived + patience.min(route.time_limit);
@@ -272,6 +118,8 @@
                 headers,
                 body,
             },
+            host,
+            digest: OnceCell::new(),
             arrived,
             due,
         })
@@ -280,16 +128,16 @@
     fn route(
         &self,
         routes: &RouteTable,
+        host: &str,
         head: &Parts,
     ) -> Result<(RouteRule, ServiceRule), Failure> {
-        let host = host_of(head)?;
         let path = head.uri.path();
         let no_route = || {
             let version = routes.version;
             let reason = format!("no route for {path} in configuration {version}");
             Failure::new(FailureKind::NoRoute, reason)
         };
-        let route = routes.find(&host, path).ok_or_else(no_route)?;
+        let route = routes.find(host, path).ok_or_else(no_route)?;
         let draw = self.rng.borrow_mut().random::<f64>();
         let service = choose_service(route, draw).and_then(|name| routes.service(name));
         let service = service.ok_or_else(no_route)?;
@@ -388,9 +236,9 @@
             head, body, lease, ..
         } = *answer;
         match client::read_body(body, MOST_ANSWER_BYTES, call.due).await {
-            Err(reason) => {
-                self.note_result(target, SendResult::Failed);
-                PlainEnd::Unclear(format!("{} cut its answer: {reason}", target.id))
+            Err(fault) => {
+                self.note_body_fault(call, target, &fault);
+                PlainEnd::Unclear(format!("{}: {fault}", target.id))
             }
             Ok(body) => {
                 let failed = head.status.is_server_error();
@@ -513,9 +361,11 @@
     }
     match client::read_body(body, limit, due).await {
         Ok(bytes) => Ok(bytes),
-        Err(reason) if Instant::now() >= due => Err(Failure::new(FailureKind::SlowCaller, reason)),
-        Err(reason) if reason.contains("limit") => Err(too_large(limit)),
-        Err(reason) => Err(Failure::new(FailureKind::BadRequest, reason)),
+        Err(fault @ BodyFault::Slow) => {
+            Err(Failure::new(FailureKind::SlowCaller, fault.to_string()))
+        }
+        Err(BodyFault::TooLong(_)) => Err(too_large(limit)),
+        Err(BodyFault::Cut(reason)) => Err(Failure::new(FailureKind::BadRequest, reason)),
     }
 }
 
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -7,13 +7,14 @@
 use tokio::time::Instant;
 
 use crate::clock;
-use crate::gateway::client;
+use crate::gateway::call::{RoutedCall, SendTrail, WorkGuard};
+use crate::gateway::client::{self, BodyFault};
 use crate::gateway::daemon::Gateway;
 use crate::gateway::deciding::engine_choice::EnginePlace;
 use crate::gateway::deciding::engine_model::EngineWork;
 use crate::gateway::deciding::health::SendResult;
 use crate::gateway::deciding::{EngineChoices, PlaceOrder, TimedWork};
-use crate::gateway::forward::{RoutedCall, SendTrail, WorkGuard, lost};
+use crate::gateway::forward::lost;
 use crate::gateway::model::TargetRecord;
 use crate::gateway::port::{SendMode, SendOrder};
 use crate::gateway::reading::HandleGuard;
@@ -307,7 +308,12 @@
                 answer.lease.give_back(&answer.head);
                 Started::Reply(whole_reply(answer.head, body))
             }
-            Err(reason) => Started::Ended(lost(call, reason)),
+            Err(fault) => {
+                if let BodyFault::Cut(reason) = &fault {
+                    self.note_cut(call, engine, reason);
+                }
+                Started::Ended(lost(call, fault.to_string()))
+            }
         }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod access;
 pub mod budget;
+pub mod call;
 pub mod client;
 pub mod control;
 pub mod daemon;
@@ -41,3 +42,4 @@
 pub mod store_follow;
 pub mod stream;
 pub mod target_life;
+pub mod work_digest;
--- a/src/gateway/peers/placing.rs
+++ b/src/gateway/peers/placing.rs
@@ -16,10 +16,10 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::clock;
+use crate::gateway::call::{RoutedCall, SendTrail};
 use crate::gateway::daemon::Gateway;
 use crate::gateway::deciding::engine_choice::EnginePlace;
 use crate::gateway::deciding::{EngineChoices, PlaceOrder};
-use crate::gateway::forward::{RoutedCall, SendTrail};
 use crate::gateway::model::{PromptPart, PromptShape, TargetRecord};
 use crate::gateway::peers::wire::{
     PeerMessage, PlaceAnswer, PlaceQuestion, PlacedEngines, PlacementNote, PlacementNotes,
--- a/src/gateway/reading.rs
+++ b/src/gateway/reading.rs
@@ -7,12 +7,12 @@
 use tokio::time::Instant;
 
 use crate::clock;
+use crate::gateway::call::{RoutedCall, SendTrail, WorkGuard};
 use crate::gateway::client;
 use crate::gateway::daemon::Gateway;
 use crate::gateway::deciding::EngineChoices;
 use crate::gateway::deciding::engine_choice::EnginePlace;
 use crate::gateway::deciding::health::SendResult;
-use crate::gateway::forward::{RoutedCall, SendTrail, WorkGuard};
 use crate::gateway::generate::ENGINE_BUSY_WAIT;
 use crate::gateway::model::TargetRecord;
 use crate::gateway::port::{CacheHandle, SendMode};
@@ -100,7 +100,7 @@
         );
         let outcome = self.send(reader, call.plan(until), &order).await;
         let until = until.min(call.due);
-        let reading = self.finish_reading(reader, outcome, until).await;
+        let reading = self.finish_reading(call, reader, outcome, until).await;
         call.log_send(reader, "read_prompt", reading.as_str(), sent);
         if let Reading::Kept(_) = reading {
             self.note_held(call, reader);
@@ -114,6 +114,7 @@
 
     async fn finish_reading(
         self: &Rc<Self>,
+        call: &RoutedCall,
         reader: &Arc<TargetRecord>,
         outcome: SendOutcome,
         until: Instant,
@@ -134,15 +135,18 @@
             return Reading::Failed(format!("{} said {}", reader.id, answer.head.status));
         }
         let read = client::read_body(answer.body, MOST_READ_ANSWER, until).await;
-        let read = read.and_then(|body| {
-            let decoded = (self.ports.wire.decode_read)(&body);
-            decoded.map_err(|fault| fault.to_string())
-        });
-        let name = match read {
+        let body = match read {
+            Ok(body) => body,
+            Err(fault) => {
+                self.note_body_fault(call, reader, &fault);
+                return Reading::Failed(fault.to_string());
+            }
+        };
+        let name = match (self.ports.wire.decode_read)(&body) {
             Ok(name) => name,
-            Err(reason) => {
+            Err(fault) => {
                 self.note_result(reader, SendResult::Failed);
-                return Reading::Failed(reason);
+                return Reading::Failed(fault.to_string());
             }
         };
         self.note_result(reader, SendResult::Answered);
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -9,13 +9,15 @@
 use tokio::time::Instant;
 
 use crate::clock;
-use crate::gateway::client::{self, HttpLink, OutgoingRequest, SendFault};
+use crate::gateway::call::RoutedCall;
+use crate::gateway::client::{self, BodyFault, HttpLink, OutgoingRequest, SendFault};
 use crate::gateway::daemon::Gateway;
 use crate::gateway::deciding::health::{HealthChange, SendResult};
 use crate::gateway::model::TargetRecord;
 use crate::gateway::pool::LinkPool;
 use crate::gateway::port::{SendMode, SendOrder, TargetQuery};
 use crate::gateway::target_life::TargetLife;
+use crate::names::millis;
 
 /// Longest time for a new connection. Connections take a few milliseconds; a
 /// target that needs longer is away, and the request can still go elsewhere.
@@ -126,14 +128,10 @@
 }
 
 /// A caller's request as it is sent on, and until when.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
 pub struct SendPlan<'a> {
     /// The caller's request.
-    pub request: &'a OutgoingRequest,
-    /// Identity of the caller's attempt.
-    pub request_id: &'a str,
-    /// Whether another send may follow an unclear one.
-    pub may_repeat: bool,
+    pub call: &'a RoutedCall,
     /// Until when the head of the answer is waited for.
     pub until: Instant,
 }
@@ -153,14 +151,18 @@
         if !self.may_still_send(&order.access) {
             return SendOutcome::NotSent("the caller's key cannot be confirmed".to_owned());
         }
-        let mut request = plan.request.clone();
-        request.headers = (self.ports.wire.encode_send)(&plan.request.headers, order);
+        let mut request = plan.call.request.clone();
+        request.headers = (self.ports.wire.encode_send)(&plan.call.request.headers, order);
         let mut lease = LinkLease::new(&self.pool, target);
         let outcome = self.send_on(&mut lease, &request, plan).await;
         let outcome = match outcome {
-            Ok(response) => self.judge(target, plan.request_id, order, response, lease),
+            Ok(response) => self.judge(target, &plan.call.caller.id, order, response, lease),
             Err(SendFault::NotSent(reason)) => SendOutcome::NotSent(reason),
             Err(SendFault::Unclear(reason)) => SendOutcome::Unclear(reason),
+            Err(SendFault::Cut(reason)) => {
+                self.note_cut(plan.call, target, &reason);
+                SendOutcome::Unclear(reason)
+            }
         };
         self.note_outcome(target, &outcome);
         outcome
@@ -174,7 +176,7 @@
     ) -> Result<http::Response<Incoming>, SendFault> {
         let address = lease.record.address;
         while let Some(mut kept) = self.take_kept(&lease.record.id) {
-            if !plan.may_repeat && kept.idle_since.elapsed() > SURE_IDLE {
+            if !plan.call.route.repeat.may_repeat() && kept.idle_since.elapsed() > SURE_IDLE {
                 continue;
             }
             match kept.send(request, plan.until).await {
@@ -290,6 +292,28 @@
         }
     }
 
+    /// Notes that a target ended a connection before its answer was whole.
+    pub fn note_cut(&self, call: &RoutedCall, target: &TargetRecord, reason: &str) {
+        metrics::counter!("pistachiowick_answers_cut_total", "route" => call.route.name.clone())
+            .increment(1);
+        log::info!(
+            request = call.caller.id.as_str(),
+            work = call.work().to_string(),
+            target_id = target.id.as_str(),
+            waited_ms = millis(call.arrived.elapsed()),
+            reason = reason;
+            "connection ended under a request"
+        );
+    }
+
+    /// Notes that the body of a target's answer was not read to its end.
+    pub fn note_body_fault(&self, call: &RoutedCall, target: &TargetRecord, fault: &BodyFault) {
+        if let BodyFault::Cut(reason) = fault {
+            self.note_cut(call, target, reason);
+        }
+        self.note_result(target, SendResult::Failed);
+    }
+
     /// Notes what came of a send, and logs a target that is avoided from now on.
     pub fn note_result(&self, target: &TargetRecord, result: SendResult) {
         let now = clock::mono_now();
--- a/src/gateway/stage_control.rs
+++ b/src/gateway/stage_control.rs
@@ -161,7 +161,7 @@
         match result {
             // An order without an answer may still be carried out, so the engine is
             // treated as changing until it shows what it does.
-            Ok(OrderOutcome::Accepted) | Err(SendFault::Unclear(_)) => {
+            Ok(OrderOutcome::Accepted) | Err(SendFault::Unclear(_) | SendFault::Cut(_)) => {
                 change.ordered_at = Some(now);
             }
             Ok(OrderOutcome::Holds | OrderOutcome::Refused(_)) | Err(SendFault::NotSent(_)) => {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -11,11 +11,12 @@
 use hyper::body::Frame;
 use tokio::time::{Instant, timeout_at};
 
+use crate::gateway::call::{RoutedCall, SendTrail, WorkGuard};
+use crate::gateway::client::is_timeout;
 use crate::gateway::daemon::Gateway;
 use crate::gateway::deciding::TimedWork;
 use crate::gateway::deciding::health::SendResult;
 use crate::gateway::event_split::EventSplitter;
-use crate::gateway::forward::{RoutedCall, SendTrail, WorkGuard};
 use crate::gateway::model::{RepeatRule, TargetRecord};
 use crate::gateway::port::SendMode;
 use crate::gateway::reply::{AnswerCut, FrameStream};
@@ -55,6 +56,8 @@
     Bytes(Bytes),
     Partial,
     Ended,
+    // The engine ended the connection.
+    Cut(String),
     Broken(String),
     OutOfTime,
 }
@@ -102,7 +105,11 @@
 
     async fn next(&mut self) -> Result<Option<Bytes>, AnswerCut> {
         loop {
-            match self.step().await {
+            let step = self.step().await;
+            if let RelayStep::Cut(reason) = &step {
+                self.gateway.note_cut(&self.call, &self.engine, reason);
+            }
+            match step {
                 RelayStep::Bytes(bytes) => return Ok(Some(bytes)),
                 RelayStep::Partial => {}
                 RelayStep::Ended => {
@@ -113,7 +120,7 @@
                     self.end("out_of_time", SendResult::Failed);
                     return Err(AnswerCut("its time is up".to_owned()));
                 }
-                RelayStep::Broken(reason) => {
+                RelayStep::Cut(reason) | RelayStep::Broken(reason) => {
                     if !self.resume(&reason).await {
                         self.end("cut", SendResult::Failed);
                         return Err(AnswerCut(reason));
@@ -133,7 +140,8 @@
             Err(_) if Instant::now() >= self.call.due => RelayStep::OutOfTime,
             Err(_) => RelayStep::Broken("the engine stalled".to_owned()),
             Ok(None) => self.take_end(),
-            Ok(Some(Err(error))) => RelayStep::Broken(error.to_string()),
+            Ok(Some(Err(error))) if is_timeout(&error) => RelayStep::Broken(error.to_string()),
+            Ok(Some(Err(error))) => RelayStep::Cut(error.to_string()),
             Ok(Some(Ok(frame))) => self.take_frame(frame),
         }
     }
@@ -181,7 +189,7 @@
         if rest.is_empty() {
             return RelayStep::Ended;
         }
-        RelayStep::Broken("the engine stopped in the middle of an event".to_owned())
+        RelayStep::Cut("the engine stopped in the middle of an event".to_owned())
     }
 
     fn may_resume(&self) -> bool {
--- /dev/null
+++ b/src/gateway/work_digest.rs
@@ -0,0 +1,57 @@
+//! Identity of a caller's work over its attempts.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use serde_bytes::ByteArray;
+use sha2::{Digest, Sha256};
+
+use crate::gateway::client::OutgoingRequest;
+use crate::gateway::model::CallerAccess;
+
+/// Bytes of a digest. Nobody can find another caller's work with the same one.
+const DIGEST_BYTES: usize = 16;
+
+/// What stays the same when a caller sends a request again: method, host, path, whom it is
+/// for, and body.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct WorkDigest(ByteArray<DIGEST_BYTES>);
+
+impl WorkDigest {
+    /// Returns the digest of a request that was sent to `host`.
+    #[must_use]
+    pub fn of(host: &str, request: &OutgoingRequest, access: &CallerAccess) -> Self {
+        let workspace = match access {
+            CallerAccess::Open | CallerAccess::Public => "",
+            CallerAccess::Workspace { name, .. } => name.as_str(),
+        };
+        let path = request
+            .uri
+            .path_and_query()
+            .map_or("", |path| path.as_str());
+        let mut hasher = Sha256::new();
+        for field in [request.method.as_str(), host, path, workspace] {
+            // With its length, so that no two sequences of fields are the same bytes.
+            hasher.update((field.len() as u64).to_le_bytes());
+            hasher.update(field);
+        }
+        hasher.update(&request.body);
+        let digest: [u8; 32] = hasher.finalize().into();
+        let mut kept = [0; DIGEST_BYTES];
+        kept.copy_from_slice(&digest[..DIGEST_BYTES]);
+        Self(ByteArray::new(kept))
+    }
+}
+
+impl From<[u8; DIGEST_BYTES]> for WorkDigest {
+    fn from(bytes: [u8; DIGEST_BYTES]) -> Self {
+        Self(ByteArray::new(bytes))
+    }
+}
+
+/// Writes all digits in lower-case hexadecimal.
+impl fmt::Display for WorkDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
