Work that ended three targets is held by all daemons

Callers saw: engines ended one after the other, fifteen to twenty under one request, and with each of them the streams of everybody else there.

Cause: what a target's end says of the work was kept nowhere. SendTrail and RepeatBudget know one attempt; an attempt that comes again has a new id, at another daemon, and begins again. Class: a bound kept by the try, where each try is new.

Change: a connection that ends under a run makes the run's work a suspect, by a digest that its attempts share and the life of the target. Three lives hold the work: it is refused at once as not run, looked at again before each send and each repeat, and copies that wait for a target's answer are given up. A suspicion ends when its target answers on a connection from before, or what was sent later; all of a work's end with a whole answer. Daemons tell each other (hubs tell on), and held work is an object of the store, written once, listed by a daemon that starts. Held work is tried once after ten minutes, and once more an hour after that, by one daemon; an operator lets it go by its object's field.

Why by life and not by count of cut answers: a target that garbles answers cuts many and lives; it proves that with the next answer.

Ruled out: one attempt's own repeats (each end on record has another attempt), word that comes late (there was none), a restart.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,6 +1,6 @@
 //! A caller's request on its way, and the targets that it was sent to.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,6 +37,8 @@
     pub host: String,
     /// Its digest, once it was asked for.
     pub digest: OnceCell<WorkDigest>,
+    /// Whether it is sent though its work is held, to see whether targets withstand it.
+    pub on_trial: Cell<bool>,
     /// When it arrived.
     pub arrived: Instant,
     /// When its time is up, by the caller's patience and the route's limit.
--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -20,6 +20,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
+use crate::clock;
+use crate::names::MonoTime;
+
 /// Time after which unacknowledged bytes end a connection. Within one region an
 /// acknowledgement takes milliseconds; a silent partition would otherwise hold the
 /// connection, and the request on it, for the kernel's quarter of an hour.
@@ -95,6 +98,8 @@
 #[derive(Debug)]
 pub struct HttpLink {
     sender: SendRequest<Full<Bytes>>,
+    /// When it was opened.
+    pub opened: MonoTime,
     /// When its last answer ended.
     pub idle_since: Instant,
     /// Until when the other side keeps it, where it says so.
@@ -128,6 +133,7 @@
         });
         Ok(Self {
             sender,
+            opened: clock::mono_now(),
             idle_since: Instant::now(),
             kept_until: None,
             used: false,
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -20,6 +20,8 @@
 use crate::clock;
 use crate::gateway::budget::RepeatBudget;
 use crate::gateway::control::{self, ControlLink, ControlNews, ControlSetup};
+use crate::gateway::crashes::book::CrashBook;
+use crate::gateway::crashes::holding::{self, HeldDesk};
 use crate::gateway::deciding::DecisionCore;
 use crate::gateway::deciding::load::WorkByTarget;
 use crate::gateway::duties::{self, DutyBook};
@@ -100,6 +102,12 @@
     pub life: u64,
     /// Engines that this daemon is changing.
     pub own_changing: RefCell<Vec<TargetLife>>,
+    /// Work that ended targets.
+    pub crashes: RefCell<CrashBook>,
+    /// Held work as the store has it.
+    pub held: RefCell<HeldDesk>,
+    /// Wakes up requests that wait for a target, where work is held.
+    pub newly_held: Notify,
     /// Repeats.
     pub budget: RefCell<RepeatBudget>,
     /// Draws.
@@ -217,6 +225,9 @@
             pulse: Arc::default(),
             life,
             own_changing: RefCell::default(),
+            crashes: RefCell::default(),
+            held: RefCell::default(),
+            newly_held: Notify::new(),
             budget: RefCell::new(budget),
             rng: RefCell::new(SmallRng::from_os_rng()),
             stopping: Cell::new(false),
@@ -280,6 +291,7 @@
             metrics::gauge!("pistachiowick_config_age_seconds").set(now.since(at).as_secs_f64());
         }
         self.pool.borrow_mut().sweep(tokio::time::Instant::now());
+        self.crashes.borrow_mut().sweep(now);
         let view = self.view();
         let mut core = self.core.borrow_mut();
         core.sweep(|target| view.holds(target), now);
@@ -347,6 +359,7 @@
     }
     let linking = peers::run(gateway.clone(), peer_listener, control.relays);
     supervise("peers", linking);
+    supervise("held work", holding::run(gateway.clone()));
     supervise("stages", stage_control::run(gateway.clone()));
     if let Some(duties) = gateway.settings().duties {
         supervise("duties", duties::run(gateway.clone(), duties));
--- a/src/gateway/duties/mod.rs
+++ b/src/gateway/duties/mod.rs
@@ -225,9 +225,6 @@
         if self.stopping.get() || now.since(self.started) < SETTLE_TIME {
             return None;
         }
-        let view = self.view();
-        let peers = self.peers.borrow();
-        let hubs = self.hubs.borrow();
-        hubs.speaker_rank(&self.daemon, &view.daemons, &peers, now)
+        self.speaker_rank(now)
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,7 +1,7 @@
 //! Takes one caller's request through routing to its answer; plain services here,
 //! model engines in [`crate::gateway::generate`].
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -53,6 +53,10 @@
 
     async fn run(self: Rc<Self>, call: RoutedCall) -> Reply {
         let call = Rc::new(call);
+        if let Err(refusal) = self.check_held(&call) {
+            self.log_failure(&call.caller.id, &call.route.name, &refusal, call.arrived);
+            return refusal.reply();
+        }
         self.budget
             .borrow_mut()
             .note_request(&call.service.name, clock::mono_now());
@@ -120,6 +124,7 @@
             },
             host,
             digest: OnceCell::new(),
+            on_trial: Cell::new(false),
             arrived,
             due,
         })
@@ -205,9 +210,12 @@
         end
     }
 
-    /// Takes a repeat from the budget for a request that has time left.
+    /// Takes a repeat from the budget for a request that has time left and is not held.
     #[must_use]
     pub fn may_repeat(&self, call: &RoutedCall) -> bool {
+        if self.is_held(call) {
+            return false;
+        }
         let daemons = self.daemon_count();
         let mut budget = self.budget.borrow_mut();
         let service = &call.service.name;
@@ -233,7 +241,10 @@
             SendOutcome::Unclear(reason) => return PlainEnd::Unclear(reason),
         };
         let TargetAnswer {
-            head, body, lease, ..
+            head,
+            body,
+            lease,
+            times,
         } = *answer;
         match client::read_body(body, MOST_ANSWER_BYTES, call.due).await {
             Err(fault) => {
@@ -248,6 +259,10 @@
                     SendResult::Answered
                 };
                 self.note_result(target, result);
+                self.note_answered(target, times);
+                if head.status.is_success() {
+                    self.note_completed(call, &head.headers);
+                }
                 lease.give_back(&head);
                 let reply = whole_reply(head, body);
                 if failed {
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -61,6 +61,7 @@
         let mut last = Failure::refused("no engine is known", ENGINE_BUSY_WAIT);
         while let Some(place) = self.place_by_fleet(call, trail).await {
             self.check_still(&call.access)?;
+            self.check_held(call)?;
             if let Some(refusal) = too_late(call, &place) {
                 return Err(refusal);
             }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod call;
 pub mod client;
 pub mod control;
+pub mod crashes;
 pub mod daemon;
 pub mod deciding;
 pub mod directory;
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -44,7 +44,7 @@
 use crate::gateway::peers::wire::{HeldNote, PeerHint, PeerMessage, PeerSummary};
 use crate::gateway::registry::EntryNote;
 use crate::gateway::target_life::TargetLife;
-use crate::names::DaemonId;
+use crate::names::{DaemonId, MonoTime};
 use crate::timer::TimerService;
 
 /// Time between two looks at the own role, and between two hints that tell nothing new.
@@ -131,6 +131,15 @@
         before.filter(|d| self.is_usable(&d.id)).count()
     }
 
+    /// Place of this daemon among those that hear the whole fleet; `None` where it does not.
+    #[must_use]
+    pub fn speaker_rank(&self, now: MonoTime) -> Option<usize> {
+        let view = self.view();
+        let peers = self.peers.borrow();
+        let hubs = self.hubs.borrow();
+        hubs.speaker_rank(&self.daemon, &view.daemons, &peers, now)
+    }
+
     fn has_new_work(&self) -> bool {
         *self.core.borrow().load.own() != *self.last_hint_work.borrow()
     }
@@ -150,6 +159,7 @@
             held: peers.take_held(),
             departed: view.departed.clone(),
             entries: self.entry_notes(role),
+            works: self.crashes.borrow_mut().pick(clock::mono_now()),
             changing: self.own_changing.borrow().clone(),
             rate,
             placed_through: self.placing.borrow().taken_through(),
@@ -220,6 +230,7 @@
             held,
             departed: hint.departed.clone(),
             entries: hint.entries.clone(),
+            works: hint.works.clone(),
             store_age_ms: self.store_age_ms(whole, now),
             rate: if whole { self.work_rate() } else { hint.rate },
             placed_through,
@@ -311,6 +322,7 @@
         self.relayed.borrow_mut().keep_member(&hint.held);
         self.take_departed(&hint.departed);
         self.take_entry_notes(hint.entries);
+        self.take_work_notes(&hint.works);
         self.take_seen(&hint.seen);
         let work = hint.work.into_iter().collect();
         let load = &mut self.core.borrow_mut().load;
@@ -385,6 +397,7 @@
         }
         self.take_departed(&summary.departed);
         self.take_entry_notes(summary.entries);
+        self.take_work_notes(&summary.works);
         let mut work: WorkByTarget = summary.work.into_iter().collect();
         if summary.whole {
             hub::subtract(&mut work, &self.last_hint_work.borrow());
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -8,6 +8,7 @@
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 use tokio_tungstenite::tungstenite::Message;
 
+use crate::gateway::crashes::news::WorkNote;
 use crate::gateway::deciding::load::TargetWork;
 use crate::gateway::deciding::stage_plan::WorkRate;
 use crate::gateway::duties::usage_book::{DaemonUsage, UsageCell};
@@ -49,6 +50,9 @@
     /// Targets' entries that began or ended, by turns ([`super::entry_turns`]).
     #[serde(default)]
     pub entries: Vec<EntryNote>,
+    /// Work that ended targets, by turns ([`crate::gateway::crashes::news`]).
+    #[serde(default)]
+    pub works: Vec<WorkNote>,
     /// Engines that it is ordering to change their stage.
     pub changing: Vec<TargetLife>,
     /// Work that it places on engines, in a second.
@@ -262,6 +266,9 @@
     /// Targets' entries that ended, by turns.
     #[serde(default)]
     pub entries: Vec<EntryNote>,
+    /// Work that ended targets, by turns.
+    #[serde(default)]
+    pub works: Vec<WorkNote>,
     /// Work that they place on engines, in a second.
     pub rate: WorkRate,
     /// Milliseconds since the hub heard the store.
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -194,6 +194,8 @@
     pub target_kind: String,
     /// Kind of the daemons' records, which is the gateway's own.
     pub daemon_kind: String,
+    /// Kind of the records of held work, which is the gateway's own too.
+    pub held_kind: String,
     /// Reads a configuration.
     pub decode_config: fn(&[u8]) -> Result<FleetConfig, WireFault>,
     /// Reads a target's entry from its name and value.
--- a/src/gateway/reading.rs
+++ b/src/gateway/reading.rs
@@ -150,6 +150,7 @@
             }
         };
         self.note_result(reader, SendResult::Answered);
+        self.note_answered(reader, answer.times);
         answer.lease.give_back(&answer.head);
         let handle = CacheHandle {
             holder: reader.address,
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -17,7 +17,7 @@
 use crate::gateway::pool::LinkPool;
 use crate::gateway::port::{SendMode, SendOrder, TargetQuery};
 use crate::gateway::target_life::TargetLife;
-use crate::names::millis;
+use crate::names::MonoTime;
 
 /// Longest time for a new connection. Connections take a few milliseconds; a
 /// target that needs longer is away, and the request can still go elsewhere.
@@ -75,6 +75,17 @@
     pub body: Incoming,
     /// The connection that it arrives on.
     pub lease: LinkLease,
+    /// What it takes for a proof that the target lives.
+    pub times: AnswerTimes,
+}
+
+/// When a request was sent, on a connection from when.
+#[derive(Clone, Copy, Debug)]
+pub struct AnswerTimes {
+    /// When the connection was opened.
+    pub opened: MonoTime,
+    /// When the request was sent.
+    pub sent: MonoTime,
 }
 
 /// A connection in use. Dropped before [`LinkLease::give_back`] it is closed, by
@@ -96,6 +107,10 @@
         }
     }
 
+    fn opened(&self) -> Option<MonoTime> {
+        self.link.as_ref().map(|link| link.opened)
+    }
+
     /// Keeps the connection for later requests, after a whole answer.
     pub fn give_back(mut self, head: &Parts) {
         if let Some(link) = self.link.take() {
@@ -148,15 +163,25 @@
             // It may have announced its departure since it was chosen.
             return SendOutcome::NotSent(format!("{} has left", target.id));
         }
+        if self.is_held(plan.call) {
+            return SendOutcome::NotSent("its work is held".to_owned());
+        }
         if !self.may_still_send(&order.access) {
             return SendOutcome::NotSent("the caller's key cannot be confirmed".to_owned());
         }
         let mut request = plan.call.request.clone();
         request.headers = (self.ports.wire.encode_send)(&plan.call.request.headers, order);
         let mut lease = LinkLease::new(&self.pool, target);
-        let outcome = self.send_on(&mut lease, &request, plan).await;
+        let sent = clock::mono_now();
+        let outcome = tokio::select! {
+            outcome = self.send_on(&mut lease, &request, plan) => outcome,
+            // The target may not have begun it, and is spared then.
+            () = self.until_held(plan.call) => {
+                return SendOutcome::Unclear("given up, as its work is held now".to_owned());
+            }
+        };
         let outcome = match outcome {
-            Ok(response) => self.judge(target, &plan.call.caller.id, order, response, lease),
+            Ok(response) => self.judge(target, plan.call, order, response, (lease, sent)),
             Err(SendFault::NotSent(reason)) => SendOutcome::NotSent(reason),
             Err(SendFault::Unclear(reason)) => SendOutcome::Unclear(reason),
             Err(SendFault::Cut(reason)) => {
@@ -220,15 +245,15 @@
     fn judge(
         &self,
         target: &TargetRecord,
-        request_id: &str,
+        call: &RoutedCall,
         order: &SendOrder,
         response: http::Response<Incoming>,
-        lease: LinkLease,
+        (lease, sent): (LinkLease, MonoTime),
     ) -> SendOutcome {
         let (head, body) = response.into_parts();
         let marks = (self.ports.wire.decode_answer)(head.status, &head.headers);
         let foreign = marks.request_id.as_deref();
-        if foreign.is_some_and(|answered| answered != request_id) {
+        if foreign.is_some_and(|answered| answered != call.caller.id) {
             return SendOutcome::Unclear(format!("{} answered another request", target.id));
         }
         if marks.misdirected {
@@ -250,7 +275,16 @@
         if is_run && head.status.is_success() && !marks.signed {
             return SendOutcome::Unclear(format!("{} did not sign its answer", target.id));
         }
-        SendOutcome::Answered(Box::new(TargetAnswer { head, body, lease }))
+        let times = AnswerTimes {
+            opened: lease.opened().unwrap_or(sent),
+            sent,
+        };
+        SendOutcome::Answered(Box::new(TargetAnswer {
+            head,
+            body,
+            lease,
+            times,
+        }))
     }
 
     fn note_outcome(&self, target: &TargetRecord, outcome: &SendOutcome) {
@@ -292,20 +326,6 @@
         }
     }
 
-    /// Notes that a target ended a connection before its answer was whole.
-    pub fn note_cut(&self, call: &RoutedCall, target: &TargetRecord, reason: &str) {
-        metrics::counter!("pistachiowick_answers_cut_total", "route" => call.route.name.clone())
-            .increment(1);
-        log::info!(
-            request = call.caller.id.as_str(),
-            work = call.work().to_string(),
-            target_id = target.id.as_str(),
-            waited_ms = millis(call.arrived.elapsed()),
-            reason = reason;
-            "connection ended under a request"
-        );
-    }
-
     /// Notes that the body of a target's answer was not read to its end.
     pub fn note_body_fault(&self, call: &RoutedCall, target: &TargetRecord, fault: &BodyFault) {
         if let BodyFault::Cut(reason) = fault {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -275,6 +275,9 @@
             return;
         };
         if result == SendResult::Answered {
+            self.gateway.note_answered(&self.engine, answer.times);
+            self.gateway
+                .note_completed(&self.call, &answer.head.headers);
             answer.lease.give_back(&answer.head);
         }
     }
--- a/src/gateway/work_digest.rs
+++ b/src/gateway/work_digest.rs
@@ -1,6 +1,8 @@
 //! Identity of a caller's work over its attempts.
 
 use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteArray;
@@ -43,9 +45,12 @@
     }
 }
 
-impl From<[u8; DIGEST_BYTES]> for WorkDigest {
-    fn from(bytes: [u8; DIGEST_BYTES]) -> Self {
-        Self(ByteArray::new(bytes))
+impl FromStr for WorkDigest {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = u128::from_str_radix(text, 16)?;
+        Ok(Self(ByteArray::new(number.to_be_bytes())))
     }
 }
 
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -51,6 +51,7 @@
         held: Vec::new(),
         departed: Vec::new(),
         entries: Vec::new(),
+        works: Vec::new(),
         changing: Vec::new(),
         rate: WorkRate::default(),
         placed_through: 0,
--- a/tests/gateway_words.rs
+++ b/tests/gateway_words.rs
@@ -59,6 +59,7 @@
         held: Vec::new(),
         departed: Vec::new(),
         entries: Vec::new(),
+        works: Vec::new(),
         rate: WorkRate::default(),
         store_age_ms: 40,
         placed_through: 9_000,
