Work is acquitted of ends that were none

A target that cut one answer is asked less than others. An answer that ends long after counts as a proof too now, and an entry that is still in the store after eight heartbeats, while the store was heard all the time: that of a target that ended lapses after three. Tried first: a connection to the target half a second later.

--- a/src/gateway/crashes/book.rs
+++ b/src/gateway/crashes/book.rs
@@ -10,6 +10,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::gateway::crashes::news::{CrashNews, WorkNote};
+use crate::gateway::sending::AnswerTimes;
 use crate::gateway::target_life::TargetLife;
 use crate::gateway::work_digest::WorkDigest;
 use crate::names::MonoTime;
@@ -158,26 +159,41 @@
         !was_held && self.is_held(note.work)
     }
 
-    /// Takes that a target answered a request that was sent at `sent`, on a connection that
-    /// was opened at `opened`.
+    /// Takes that a target answered to the end at `now`.
     ///
-    /// Only a connection from before the end shows that it was no end, where a target keeps
-    /// its name when it starts again.
-    pub fn note_answer(&mut self, target: &TargetLife, opened: MonoTime, sent: MonoTime) {
-        let Some(suspects) = self.suspects.get(target) else {
-            return;
-        };
+    /// Where a target keeps its name when it starts again, only a connection from before the
+    /// end shows that it was none.
+    pub fn note_answer(&mut self, target: &TargetLife, times: AnswerTimes, now: MonoTime) {
         let keeps_name = target.born().is_some();
-        let refutes = |end: &EndRecord| end.at < sent && (!keeps_name || opened < end.at);
-        let refuted = suspects.iter().filter(|work| {
-            let record = self.works.get(*work);
-            let end = record.and_then(|record| record.ends.get(target));
-            end.is_some_and(|end| end.own && refutes(end))
+        self.refute_ends(target, now, |end| {
+            if !end.own {
+                false
+            } else if times.opened < end.at {
+                times.sent > end.at || now.since(end.at) >= PROOF_TIME
+            } else {
+                times.sent > end.at && !keeps_name
+            }
         });
-        let refuted: Vec<WorkDigest> = refuted.copied().collect();
-        for work in refuted {
-            self.refute(work, target);
-            self.tell_refuted(work, sent);
+    }
+
+    /// Takes which targets have an entry in the store, which was heard all the time from
+    /// `heard_since` on.
+    ///
+    /// The entry of a target that ended lapses within `lapse_time` while the store is there;
+    /// one that is not gone after that is of a target that lives.
+    pub fn note_entries(
+        &mut self,
+        has_entry: impl Fn(&TargetLife) -> bool,
+        lapse_time: Duration,
+        heard_since: MonoTime,
+        now: MonoTime,
+    ) {
+        let alive = self.suspects.keys().filter(|target| has_entry(target));
+        let alive: Vec<TargetLife> = alive.cloned().collect();
+        for target in alive {
+            self.refute_ends(&target, now, |end| {
+                now.since(end.at.max(heard_since)) >= lapse_time
+            });
         }
     }
 
@@ -299,6 +315,27 @@
         true
     }
 
+    fn refute_ends(
+        &mut self,
+        target: &TargetLife,
+        now: MonoTime,
+        refutes: impl Fn(&EndRecord) -> bool,
+    ) {
+        let Some(suspects) = self.suspects.get(target) else {
+            return;
+        };
+        let refuted = suspects.iter().filter(|work| {
+            let record = self.works.get(*work);
+            let end = record.and_then(|record| record.ends.get(target));
+            end.is_some_and(|end| !end.refuted && refutes(end))
+        });
+        let refuted: Vec<WorkDigest> = refuted.copied().collect();
+        for work in refuted {
+            self.refute(work, target);
+            self.tell_refuted(work, now);
+        }
+    }
+
     fn take_refuted(&mut self, work: WorkDigest, target: &TargetLife, now: MonoTime) -> bool {
         let known = self.works.get(&work);
         let known = known.and_then(|record| record.ends.get(target));
--- a/src/gateway/crashes/holding.rs
+++ b/src/gateway/crashes/holding.rs
@@ -37,6 +37,9 @@
 /// How often it is looked in the store for work that an operator let go, while any is held.
 const RELEASE_EVERY: Duration = Duration::from_secs(20);
 
+/// Silence of the store, which is asked more often, after which entries may be old.
+const STORE_SILENCE: Duration = Duration::from_secs(4);
+
 /// What is known of the store's copy of a held work.
 #[derive(Clone, Debug)]
 struct KeptWork {
@@ -50,6 +53,7 @@
 pub struct HeldDesk {
     kept: IndexMap<WorkDigest, KeptWork>,
     looked_at: Option<MonoTime>,
+    heard_since: Option<MonoTime>,
 }
 
 /// Loads held work from the store, and keeps it there.
@@ -131,9 +135,8 @@
 
     /// Notes that a target answered to the end.
     pub fn note_answered(&self, target: &TargetRecord, times: AnswerTimes) {
-        let AnswerTimes { opened, sent } = times;
         let mut crashes = self.crashes.borrow_mut();
-        crashes.note_answer(&target.id, opened, sent);
+        crashes.note_answer(&target.id, times, clock::mono_now());
     }
 
     /// Notes that work ran to its end. An answer without a length may end with its target.
@@ -184,6 +187,26 @@
         self.newly_held.notify_waiters();
     }
 
+    /// Acquits work of ends that were none, by the targets' entries.
+    pub(in crate::gateway) fn acquit_by_entries(&self, now: MonoTime) {
+        let heard = self.pulse.age(now) < STORE_SILENCE;
+        let heard_since = {
+            let mut desk = self.held.borrow_mut();
+            let since = desk.heard_since.filter(|_| heard);
+            desk.heard_since = since.or(heard.then_some(now));
+            desk.heard_since
+        };
+        let Some(heard_since) = heard_since else {
+            return;
+        };
+        let view = self.view();
+        let has_entry =
+            |target: &TargetLife| view.holds(target) && !view.missing.contains_key(target);
+        let lapse_time = self.settings().entry_lapse_time();
+        let mut crashes = self.crashes.borrow_mut();
+        crashes.note_entries(has_entry, lapse_time, heard_since, now);
+    }
+
     fn held_name(&self, work: WorkDigest) -> ObjectName {
         ObjectName {
             kind: self.ports.schema.held_kind.clone(),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -68,6 +68,9 @@
     /// Time in which a target that announced its departure has to be left alone.
     #[serde(default = "default_change_ms")]
     pub departure_within_ms: f64,
+    /// Time between two writes of a target to its entry.
+    #[serde(default = "default_target_heartbeat_ms")]
+    pub target_heartbeat_ms: f64,
     /// Time in which a key that is taken away must be refused by every daemon, also by
     /// one that is cut off; without it keys are refused as other changes come into force.
     #[serde(default)]
@@ -79,6 +82,13 @@
     2_000.0
 }
 
+fn default_target_heartbeat_ms() -> f64 {
+    1_200.0
+}
+
+/// Writes that a target has missed for certain when its entry lapsed: the store removes it
+/// after three, and waits longer after its own return.
+const LAPSE_HEARTBEATS: u32 = 8;
 /// Part of the time for a change after which a member no longer relies on its hub to hear
 /// of it. The rest is for a listing of its own.
 const MEMBER_PART: f64 = 0.85;
@@ -271,6 +281,7 @@
         positive("bounds.directory_keep_s", bounds.directory_keep_s)?;
         positive("bounds.config_within_ms", bounds.config_within_ms)?;
         positive("bounds.departure_within_ms", bounds.departure_within_ms)?;
+        positive("bounds.target_heartbeat_ms", bounds.target_heartbeat_ms)?;
         if let Some(revoked) = bounds.revoked_within_ms {
             positive("bounds.revoked_within_ms", revoked)?;
         }
@@ -328,6 +339,13 @@
         }
     }
 
+    /// Returns the time after which the entry of a target that ended has lapsed for certain.
+    #[must_use]
+    pub fn entry_lapse_time(&self) -> Duration {
+        let heartbeat = Duration::from_secs_f64(self.bounds.target_heartbeat_ms / 1_000.0);
+        heartbeat * LAPSE_HEARTBEATS
+    }
+
     /// Returns how often the configuration is asked for while nothing changes.
     #[must_use]
     pub fn follow_pace(&self) -> FollowPace {
--- a/tests/gateway_crashes.rs
+++ b/tests/gateway_crashes.rs
@@ -1,5 +1,7 @@
 //! Which work is held for the targets that ended under it, in virtual time.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use pistachiowick::access_key::KeyDigest;
@@ -8,6 +10,7 @@
 use pistachiowick::gateway::crashes::news::WorkNote;
 use pistachiowick::gateway::crashes::records::HeldRecord;
 use pistachiowick::gateway::model::CallerAccess;
+use pistachiowick::gateway::sending::AnswerTimes;
 use pistachiowick::gateway::target_life::TargetLife;
 use pistachiowick::gateway::work_digest::WorkDigest;
 use pistachiowick::names::{MonoTime, TargetId, UnixTime};
@@ -29,6 +32,13 @@
     MonoTime(ms)
 }
 
+fn times(opened: u64, sent: u64) -> AnswerTimes {
+    AnswerTimes {
+        opened: at(opened),
+        sent: at(sent),
+    }
+}
+
 fn ended(book: &mut CrashBook, ends: u64, from_ms: u64) {
     for number in 0..ends {
         book.note_end(work(1), &life(number), at(from_ms + number * SECOND));
@@ -64,24 +74,27 @@
 
 struct ProofCase {
     born: Option<UnixTime>,
-    // The connection on which the target answers, and the request; the end is at 1,000.
+    // When the connection on which the target answers was opened, when the request was sent,
+    // and when the answer ended. The end of the other connection is at 1,000.
     opened: u64,
     sent: u64,
+    answered: u64,
     refutes: bool,
 }
 
 // Guards against work that is held for answers that living targets cut, and against a target
 // that started again and is taken for the one that ended.
 #[rstest]
-#[case::answers_afterwards(ProofCase { born: None, opened: 1_100, sent: 1_200, refutes: true })]
-#[case::answers_what_was_sent_before(ProofCase { born: None, opened: 500, sent: 900, refutes: false })]
-#[case::old_connection(ProofCase { born: Some(UnixTime(7)), opened: 500, sent: 1_200, refutes: true })]
-#[case::new_life_of_the_name(ProofCase { born: Some(UnixTime(7)), opened: 1_100, sent: 1_200, refutes: false })]
+#[case::asked_afterwards(ProofCase { born: None, opened: 1_100, sent: 1_200, answered: 1_250, refutes: true })]
+#[case::answered_with_the_end(ProofCase { born: None, opened: 500, sent: 900, answered: 1_010, refutes: false })]
+#[case::answered_long_after(ProofCase { born: None, opened: 500, sent: 900, answered: 1_400, refutes: true })]
+#[case::old_connection(ProofCase { born: Some(UnixTime(7)), opened: 500, sent: 1_200, answered: 1_250, refutes: true })]
+#[case::new_life_of_the_name(ProofCase { born: Some(UnixTime(7)), opened: 1_100, sent: 1_200, answered: 9_000, refutes: false })]
 fn a_target_that_lives_on_was_not_ended(#[case] case: ProofCase) {
     let mut book = CrashBook::default();
     let target = TargetLife::new(TargetId::from("t"), case.born);
     book.note_end(work(1), &target, at(1_000));
-    book.note_answer(&target, at(case.opened), at(case.sent));
+    book.note_answer(&target, times(case.opened, case.sent), at(case.answered));
     assert_eq!(book.ends(work(1)).is_empty(), case.refutes);
 }
 
@@ -137,7 +150,7 @@
     let mut book = CrashBook::default();
     book.note_end(work(1), &life(1), at(1_000));
     assert!(book.pick(at(1_050)).is_empty());
-    book.note_answer(&life(1), at(900), at(1_100));
+    book.note_answer(&life(1), times(900, 1_100), at(1_150));
     assert!(book.pick(at(2_000)).is_empty());
     assert!(book.is_empty());
 }
@@ -151,13 +164,42 @@
         other.take_note(&note, false, at(1_300));
     }
     assert_eq!(other.ends(work(1)), [life(1)]);
-    book.note_answer(&life(1), at(900), at(1_400));
+    book.note_answer(&life(1), times(900, 1_400), at(1_450));
     for note in book.pick(at(1_500)) {
         other.take_note(&note, false, at(1_500));
     }
     assert!(other.ends(work(1)).is_empty());
 }
 
+struct EntryCase {
+    has_entry: bool,
+    // When the store was heard again after a silence; the ends are at 0 to 2,000.
+    heard_since: u64,
+    now: u64,
+    held: bool,
+}
+
+// Guards against work that is held for targets that cut its answers and live, and against an
+// entry that could not lapse as the store was away.
+#[rstest]
+#[case::lives(EntryCase { has_entry: true, heard_since: 0, now: 12 * SECOND, held: false })]
+#[case::ended(EntryCase { has_entry: false, heard_since: 0, now: 12 * SECOND, held: true })]
+#[case::may_still_lapse(EntryCase { has_entry: true, heard_since: 0, now: 9 * SECOND, held: true })]
+#[case::store_was_away(EntryCase { has_entry: true, heard_since: 8 * SECOND, now: 12 * SECOND, held: true })]
+#[case::store_is_back(EntryCase { has_entry: true, heard_since: 8 * SECOND, now: 18 * SECOND, held: false })]
+fn a_target_that_keeps_its_entry_was_not_ended(#[case] case: EntryCase) {
+    let mut book = CrashBook::default();
+    ended(&mut book, 3, 0);
+    let lapse = Duration::from_secs(10);
+    book.note_entries(
+        |_| case.has_entry,
+        lapse,
+        at(case.heard_since),
+        at(case.now),
+    );
+    assert_eq!(book.is_held(work(1)), case.held);
+}
+
 struct TrialCase {
     ends: u64,
     tries: bool,
