The book of works that ended targets is a part of its own

It knows neither of the two doors: src/crashes beside target_life; what the gateway does with it is gateway/held_work. Moves only, but for the digest's fields, which the gateway's call names now.

--- a/src/gateway/crashes/book.rs
+++ b/src/crashes/book.rs
@@ -9,11 +9,10 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use crate::gateway::crashes::news::{CrashNews, WorkNote};
-use crate::gateway::sending::AnswerTimes;
-use crate::gateway::target_life::TargetLife;
-use crate::gateway::work_digest::WorkDigest;
+use crate::crashes::news::{CrashNews, WorkNote};
+use crate::crashes::work_digest::WorkDigest;
 use crate::names::MonoTime;
+use crate::target_life::TargetLife;
 
 /// Targets that work may end before it is held.
 pub const MOST_ENDS: usize = 3;
@@ -99,6 +98,15 @@
     }
 }
 
+/// When a request was sent, on a connection from when.
+#[derive(Clone, Copy, Debug)]
+pub struct AnswerTimes {
+    /// When the connection was opened.
+    pub opened: MonoTime,
+    /// When the request was sent.
+    pub sent: MonoTime,
+}
+
 /// What may be done with work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum WorkStanding {
--- a/src/gateway/crashes/mod.rs
+++ b/src/crashes/mod.rs
@@ -4,10 +4,8 @@
 //! the request again, as a new attempt, to any daemon. So what is remembered is the work,
 //! by a digest that its attempts share, with the lives of targets that ended under it
 //! ([`book`]). Daemons tell each other ([`news`]); work that ended three targets is held:
-//! it is sent no more, and kept in the store ([`records`]), so that it stays held when all
-//! daemons are gone at once.
+//! it is sent no more.
 
 pub mod book;
-pub mod holding;
 pub mod news;
-pub mod records;
+pub mod work_digest;
--- a/src/gateway/crashes/news.rs
+++ b/src/crashes/news.rs
@@ -8,9 +8,9 @@
 use indexmap::IndexMap;
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
-use crate::gateway::target_life::TargetLife;
-use crate::gateway::work_digest::WorkDigest;
+use crate::crashes::work_digest::WorkDigest;
 use crate::names::MonoTime;
+use crate::target_life::TargetLife;
 
 /// How long news of a work are told, from the first word on.
 const NEWS_TIME: Duration = Duration::from_millis(600);
--- a/src/gateway/work_digest.rs
+++ b/src/crashes/work_digest.rs
@@ -8,36 +8,23 @@
 use serde_bytes::ByteArray;
 use sha2::{Digest, Sha256};
 
-use crate::gateway::client::OutgoingRequest;
-use crate::gateway::model::CallerAccess;
-
 /// Bytes of a digest. Nobody can find another caller's work with the same one.
 const DIGEST_BYTES: usize = 16;
 
-/// What stays the same when a caller sends a request again: method, host, path, whom it is
-/// for, and body.
+/// What stays the same when a caller sends a request again.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct WorkDigest(ByteArray<DIGEST_BYTES>);
 
 impl WorkDigest {
-    /// Returns the digest of a request that was sent to `host`.
+    /// Returns the digest of what all attempts of a work have in common.
     #[must_use]
-    pub fn of(host: &str, request: &OutgoingRequest, access: &CallerAccess) -> Self {
-        let workspace = match access {
-            CallerAccess::Open | CallerAccess::Public => "",
-            CallerAccess::Workspace { name, .. } => name.as_str(),
-        };
-        let path = request
-            .uri
-            .path_and_query()
-            .map_or("", |path| path.as_str());
+    pub fn of(fields: &[&[u8]]) -> Self {
         let mut hasher = Sha256::new();
-        for field in [request.method.as_str(), host, path, workspace] {
+        for field in fields {
             // With its length, so that no two sequences of fields are the same bytes.
             hasher.update((field.len() as u64).to_le_bytes());
             hasher.update(field);
         }
-        hasher.update(&request.body);
         let digest: [u8; 32] = hasher.finalize().into();
         let mut kept = [0; DIGEST_BYTES];
         kept.copy_from_slice(&digest[..DIGEST_BYTES]);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use crate::clock;
+use crate::crashes::work_digest::WorkDigest;
 use crate::gateway::client::OutgoingRequest;
 use crate::gateway::daemon::Gateway;
 use crate::gateway::fleet::FleetView;
@@ -15,9 +16,8 @@
     CallerAccess, CallerRequest, PromptShape, RouteRule, ServiceRule, TargetRecord,
 };
 use crate::gateway::sending::SendPlan;
-use crate::gateway::target_life::TargetLife;
-use crate::gateway::work_digest::WorkDigest;
 use crate::names::millis;
+use crate::target_life::TargetLife;
 
 /// A caller's request, routed and read.
 pub struct RoutedCall {
@@ -68,7 +68,7 @@
     /// Digest of the work, which attempts of it share.
     #[must_use]
     pub fn work(&self) -> WorkDigest {
-        let digest = || WorkDigest::of(&self.host, &self.request, &self.access);
+        let digest = || work_digest(&self.host, &self.request, &self.access);
         *self.digest.get_or_init(digest)
     }
 
@@ -105,6 +105,23 @@
     }
 }
 
+/// Returns the digest of a request that was sent to `host`: attempts of one work have
+/// method, host, path, whom they are for, and body in common.
+#[must_use]
+pub fn work_digest(host: &str, request: &OutgoingRequest, access: &CallerAccess) -> WorkDigest {
+    let workspace = match access {
+        CallerAccess::Open | CallerAccess::Public => "",
+        CallerAccess::Workspace { name, .. } => name.as_str(),
+    };
+    let path = request
+        .uri
+        .path_and_query()
+        .map_or("", |path| path.as_str());
+    let texts = [request.method.as_str(), host, path, workspace];
+    let [method, host, path, workspace] = texts.map(str::as_bytes);
+    WorkDigest::of(&[method, host, path, workspace, &request.body])
+}
+
 /// Targets that one request was sent to, or could not be sent to.
 #[derive(Clone, Debug, Default)]
 pub struct SendTrail {
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -23,9 +23,9 @@
     FIRST_BACKOFF, Feed, FeedNews, FollowPace, Follower, LONGEST_BACKOFF, StorePulse, WatchDuty,
     kind_of, pause,
 };
-use crate::gateway::target_life::TargetLife;
 use crate::names::{DaemonId, MonoTime, TargetId, millis};
 use crate::ports::{ConditionalWrite, ObjectName, ObjectVersion, PlatformError, StoredObject};
+use crate::target_life::TargetLife;
 use crate::timer::TimerService;
 
 /// How often what is remembered of ended entries and lives is cleared.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -18,15 +18,15 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::clock;
+use crate::crashes::book::CrashBook;
 use crate::gateway::budget::RepeatBudget;
 use crate::gateway::control::{self, ControlLink, ControlNews, ControlSetup};
-use crate::gateway::crashes::book::CrashBook;
-use crate::gateway::crashes::holding::{self, HeldDesk};
 use crate::gateway::deciding::DecisionCore;
 use crate::gateway::deciding::load::WorkByTarget;
 use crate::gateway::duties::{self, DutyBook};
 use crate::gateway::entry::{self, PageKind};
 use crate::gateway::fleet::{FleetCell, FleetView};
+use crate::gateway::held_work::{self, HeldDesk};
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::peers::entry_turns::EntryTurns;
 use crate::gateway::peers::feeding::{FeedJoin, FeedStock};
@@ -42,9 +42,9 @@
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::stage_control;
 use crate::gateway::store_follow::{StorePulse, WatchDuty};
-use crate::gateway::target_life::TargetLife;
 use crate::names::{DaemonId, MonoTime};
 use crate::ports::ObjectName;
+use crate::target_life::TargetLife;
 use crate::telemetry;
 use crate::timer::TimerService;
 
@@ -360,7 +360,7 @@
     }
     let linking = peers::run(gateway.clone(), peer_listener, control.relays);
     supervise("peers", linking);
-    supervise("held work", holding::run(gateway.clone()));
+    supervise("held work", held_work::run(gateway.clone()));
     supervise("stages", stage_control::run(gateway.clone()));
     if let Some(duties) = gateway.settings().duties {
         supervise("duties", duties::run(gateway.clone(), duties));
--- a/src/gateway/deciding/affinity.rs
+++ b/src/gateway/deciding/affinity.rs
@@ -11,8 +11,8 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::gateway::model::PromptPart;
-use crate::gateway::target_life::TargetLife;
 use crate::names::MonoTime;
+use crate::target_life::TargetLife;
 
 /// Age from which a part is no longer believed to be cached. Engines drop what was
 /// least recently used; at the loads met so far parts lived for tens of seconds.
--- a/src/gateway/deciding/health.rs
+++ b/src/gateway/deciding/health.rs
@@ -8,8 +8,8 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::target_life::TargetLife;
 use crate::names::MonoTime;
+use crate::target_life::TargetLife;
 
 /// Sends without any answer in a row after which a target is avoided.
 const SILENT_SENDS: u32 = 2;
--- a/src/gateway/deciding/load.rs
+++ b/src/gateway/deciding/load.rs
@@ -5,8 +5,8 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::target_life::TargetLife;
 use crate::names::{DaemonId, MonoTime};
+use crate::target_life::TargetLife;
 
 /// Age from which another daemon's counts are left out.
 const STALE_AFTER: Duration = Duration::from_millis(1_500);
--- a/src/gateway/deciding/mod.rs
+++ b/src/gateway/deciding/mod.rs
@@ -23,8 +23,8 @@
 use crate::gateway::deciding::load::LoadBook;
 use crate::gateway::deciding::work_meter::WorkMeter;
 use crate::gateway::model::{PromptPart, PromptShape, TargetRecord};
-use crate::gateway::target_life::TargetLife;
 use crate::names::{MonoTime, ServiceName};
+use crate::target_life::TargetLife;
 
 /// Added to the rank of a request that can no longer be in time.
 const LATE_RANKS: u8 = 5;
--- a/src/gateway/deciding/stage_plan.rs
+++ b/src/gateway/deciding/stage_plan.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::model::{EngineStage, TargetRecord};
-use crate::gateway::target_life::TargetLife;
 use crate::names::CentreName;
+use crate::target_life::TargetLife;
 
 /// Engines that always stay able to generate: prompts can also be read there, but
 /// nothing can be generated on a prefill engine.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -9,8 +9,8 @@
 use crate::gateway::model::TargetRecord;
 use crate::gateway::registry::{KeptNote, MissingEntry};
 use crate::gateway::routes::RouteTable;
-use crate::gateway::target_life::TargetLife;
 use crate::names::ServiceName;
+use crate::target_life::TargetLife;
 
 /// Targets by the service that they offer.
 pub type TargetsByService = IndexMap<ServiceName, Vec<Arc<TargetRecord>>>;
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -21,7 +21,7 @@
 use crate::gateway::reply::{Failure, Reply, stream_reply, whole_reply};
 use crate::gateway::sending::{SendOutcome, TargetAnswer};
 use crate::gateway::stream::{EventRelay, FirstEventWatch};
-use crate::gateway::target_life::TargetLife;
+use crate::target_life::TargetLife;
 
 /// Time to come back after a refusal by an engine.
 pub(super) const ENGINE_BUSY_WAIT: Duration = Duration::from_millis(200);
--- a/src/gateway/crashes/holding.rs
+++ b/src/gateway/held_work/mod.rs
@@ -1,4 +1,9 @@
 //! Holds work back that ended targets, here and at all daemons.
+//!
+//! Held work is an object of the store, so that it stays held when all daemons are gone at
+//! once; a daemon that starts lists them.
+
+pub mod records;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,18 +14,18 @@
 use tokio::time::sleep;
 
 use crate::clock;
+use crate::crashes::book::AnswerTimes;
+use crate::crashes::book::WorkStanding;
+use crate::crashes::news::WorkNote;
+use crate::crashes::work_digest::WorkDigest;
 use crate::gateway::call::RoutedCall;
-use crate::gateway::crashes::book::WorkStanding;
-use crate::gateway::crashes::news::WorkNote;
-use crate::gateway::crashes::records::HeldRecord;
 use crate::gateway::daemon::Gateway;
+use crate::gateway::held_work::records::HeldRecord;
 use crate::gateway::model::TargetRecord;
 use crate::gateway::reply::Failure;
-use crate::gateway::sending::AnswerTimes;
-use crate::gateway::target_life::TargetLife;
-use crate::gateway::work_digest::WorkDigest;
 use crate::names::{MonoTime, millis};
 use crate::ports::{ConditionalWrite, ObjectName, ObjectVersion, PlatformError, StoredObject};
+use crate::target_life::TargetLife;
 use crate::timer::TimerService;
 
 /// Why held work is not sent.
--- a/src/gateway/crashes/records.rs
+++ b/src/gateway/held_work/records.rs
@@ -5,9 +5,9 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::gateway::crashes::news::WorkNote;
-use crate::gateway::target_life::TargetLife;
-use crate::gateway::work_digest::WorkDigest;
+use crate::crashes::news::WorkNote;
+use crate::crashes::work_digest::WorkDigest;
+use crate::target_life::TargetLife;
 
 /// An object of the store that names no held work.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -6,8 +6,8 @@
 use indexmap::IndexMap;
 
 use crate::access_key::KeyDigest;
-use crate::gateway::target_life::TargetLife;
 use crate::names::{CentreName, ServiceName, WorkspaceName};
+use crate::target_life::TargetLife;
 
 /// What may be repeated of a route's requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/src/gateway/peers/book.rs
+++ b/src/gateway/peers/book.rs
@@ -8,8 +8,8 @@
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::model::PromptPart;
 use crate::gateway::peers::wire::{HeldNote, MemberNote, PeerHint};
-use crate::gateway::target_life::TargetLife;
 use crate::names::{DaemonId, MonoTime};
+use crate::target_life::TargetLife;
 
 /// Silence after which a daemon is taken to be away. In large fleets word of it
 /// comes over two hubs, and a hub that goes is replaced within this time.
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -43,8 +43,8 @@
 use crate::gateway::peers::hub::{LinkKind, PeerRole};
 use crate::gateway::peers::wire::{HeldNote, PeerHint, PeerMessage, PeerSummary};
 use crate::gateway::registry::EntryNote;
-use crate::gateway::target_life::TargetLife;
 use crate::names::{DaemonId, MonoTime};
+use crate::target_life::TargetLife;
 use crate::timer::TimerService;
 
 /// Time between two looks at the own role, and between two hints that tell nothing new.
--- a/src/gateway/peers/note_turns.rs
+++ b/src/gateway/peers/note_turns.rs
@@ -8,8 +8,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::peers::wire::MemberNote;
-use crate::gateway::target_life::TargetLife;
 use crate::names::DaemonId;
+use crate::target_life::TargetLife;
 
 /// Words in which each daemon is told of once. Words go out every 200 ms and daemons count
 /// as away after 2.6 s: over two hubs a note is then at most 1.4 s old, which leaves a hub
--- a/src/gateway/peers/placing.rs
+++ b/src/gateway/peers/placing.rs
@@ -24,8 +24,8 @@
 use crate::gateway::peers::wire::{
     PeerMessage, PlaceAnswer, PlaceQuestion, PlacedEngines, PlacementNote, PlacementNotes,
 };
-use crate::gateway::target_life::TargetLife;
 use crate::names::{DaemonId, MonoTime};
+use crate::target_life::TargetLife;
 
 /// Longest wait for an answer: a round trip takes 1 to 3 ms, and waiting longer than
 /// a choice without the others' knowledge costs, 100 ms and more, buys nothing.
--- a/src/gateway/peers/seen.rs
+++ b/src/gateway/peers/seen.rs
@@ -13,7 +13,7 @@
 
 use crate::gateway::daemon::Gateway;
 use crate::gateway::deciding::health::SendResult;
-use crate::gateway::target_life::TargetLife;
+use crate::target_life::TargetLife;
 
 /// Most notes in a hint; what is beyond is left out. At 450 requests a second
 /// a daemon of a fleet of 195 has one or two to tell, so this leaves room for rushes.
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -8,7 +8,7 @@
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 use tokio_tungstenite::tungstenite::Message;
 
-use crate::gateway::crashes::news::WorkNote;
+use crate::crashes::news::WorkNote;
 use crate::gateway::deciding::load::TargetWork;
 use crate::gateway::deciding::stage_plan::WorkRate;
 use crate::gateway::duties::usage_book::{DaemonUsage, UsageCell};
@@ -16,8 +16,8 @@
 use crate::gateway::peers::seen::SeenWork;
 use crate::gateway::registry::EntryNote;
 use crate::gateway::store_follow::Feed;
-use crate::gateway::target_life::TargetLife;
 use crate::names::{DaemonId, MonoTime, ServiceName, UnixTime};
+use crate::target_life::TargetLife;
 
 /// Parts of a prompt that an engine holds, or was asked to read.
 #[derive(Clone, Debug, Deserialize_tuple, Serialize_tuple)]
@@ -50,7 +50,7 @@
     /// Targets' entries that began or ended, by turns ([`super::entry_turns`]).
     #[serde(default)]
     pub entries: Vec<EntryNote>,
-    /// Work that ended targets, by turns ([`crate::gateway::crashes::news`]).
+    /// Work that ended targets, by turns ([`crate::crashes::news`]).
     #[serde(default)]
     pub works: Vec<WorkNote>,
     /// Engines that it is ordering to change their stage.
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use crate::gateway::client::HttpLink;
-use crate::gateway::target_life::TargetLife;
+use crate::target_life::TargetLife;
 
 /// Longest idle time of a kept connection. Targets may drop an idle one without
 /// notice, and a request that must not run twice is lost with it; one that was
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -11,9 +11,9 @@
 
 use crate::gateway::duties::usage_book::{WindowNumber, WorkspaceCounts};
 use crate::gateway::model::{CallerAccess, CallerRequest, EngineStage, FleetConfig, TargetRecord};
-use crate::gateway::target_life::TargetLife;
 use crate::names::{CentreName, DaemonId, FenceNumber, ServiceName, TargetId, UnixTime};
 use crate::ports::{ObjectName, ObjectVersion, PlatformError, PlatformPort, PortCall};
+use crate::target_life::TargetLife;
 
 /// Something on the wire that cannot be read.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
--- a/src/gateway/reading.rs
+++ b/src/gateway/reading.rs
@@ -18,7 +18,7 @@
 use crate::gateway::port::{CacheHandle, SendMode};
 use crate::gateway::reply::Failure;
 use crate::gateway::sending::SendOutcome;
-use crate::gateway::target_life::TargetLife;
+use crate::target_life::TargetLife;
 
 /// Largest answer to a reading of a prompt, in bytes.
 const MOST_READ_ANSWER: usize = 64 * 1024;
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -23,8 +23,8 @@
 use crate::gateway::model::TargetRecord;
 use crate::gateway::port::WireFault;
 use crate::gateway::store_contact::StoreContact;
-use crate::gateway::target_life::TargetLife;
 use crate::names::{MonoTime, TargetId, millis};
+use crate::target_life::TargetLife;
 
 /// How long the end of a life, and the revision of a name's last entry, are
 /// remembered: longer than any stale view of them can arrive.
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::clock;
+use crate::crashes::book::AnswerTimes;
 use crate::gateway::call::RoutedCall;
 use crate::gateway::client::{self, BodyFault, HttpLink, OutgoingRequest, SendFault};
 use crate::gateway::daemon::Gateway;
@@ -16,8 +17,8 @@
 use crate::gateway::model::TargetRecord;
 use crate::gateway::pool::LinkPool;
 use crate::gateway::port::{SendMode, SendOrder, TargetQuery};
-use crate::gateway::target_life::TargetLife;
 use crate::names::MonoTime;
+use crate::target_life::TargetLife;
 
 /// Longest time for a new connection. Connections take a few milliseconds; a
 /// target that needs longer is away, and the request can still go elsewhere.
@@ -79,15 +80,6 @@
     pub times: AnswerTimes,
 }
 
-/// When a request was sent, on a connection from when.
-#[derive(Clone, Copy, Debug)]
-pub struct AnswerTimes {
-    /// When the connection was opened.
-    pub opened: MonoTime,
-    /// When the request was sent.
-    pub sent: MonoTime,
-}
-
 /// A connection in use. Dropped before [`LinkLease::give_back`] it is closed, by
 /// which the target learns that nobody waits any more.
 #[derive(Debug)]
--- a/src/gateway/stage_control.rs
+++ b/src/gateway/stage_control.rs
@@ -24,8 +24,8 @@
 use crate::gateway::model::{EngineStage, TargetRecord};
 use crate::gateway::port::{EngineOrder, EngineReport, OrderOutcome, TargetQuery};
 use crate::gateway::sending::query_request;
-use crate::gateway::target_life::TargetLife;
 use crate::names::{FenceNumber, MonoTime, ServiceName};
+use crate::target_life::TargetLife;
 use crate::timer::TimerService;
 
 /// Group of the lease: all engines together, so that there is one holder.
--- a/tests/gateway_crashes.rs
+++ b/tests/crashes_held.rs
@@ -5,15 +5,16 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use pistachiowick::access_key::KeyDigest;
+use pistachiowick::crashes::book::AnswerTimes;
+use pistachiowick::crashes::book::{CrashBook, WorkStanding};
+use pistachiowick::crashes::news::WorkNote;
+use pistachiowick::crashes::work_digest::WorkDigest;
+use pistachiowick::gateway::call::work_digest;
 use pistachiowick::gateway::client::OutgoingRequest;
-use pistachiowick::gateway::crashes::book::{CrashBook, WorkStanding};
-use pistachiowick::gateway::crashes::news::WorkNote;
-use pistachiowick::gateway::crashes::records::HeldRecord;
+use pistachiowick::gateway::held_work::records::HeldRecord;
 use pistachiowick::gateway::model::CallerAccess;
-use pistachiowick::gateway::sending::AnswerTimes;
-use pistachiowick::gateway::target_life::TargetLife;
-use pistachiowick::gateway::work_digest::WorkDigest;
 use pistachiowick::names::{MonoTime, TargetId, UnixTime};
+use pistachiowick::target_life::TargetLife;
 use rstest::rstest;
 
 const SECOND: u64 = 1_000;
@@ -286,7 +287,7 @@
                 name: name.into(),
                 key: KeyDigest::of(id.as_bytes()),
             });
-        WorkDigest::of(case.host, &request, &access)
+        work_digest(case.host, &request, &access)
     };
     let first = DigestCase {
         method: Method::POST,
--- a/tests/deciding_world/mod.rs
+++ b/tests/deciding_world/mod.rs
@@ -13,8 +13,8 @@
 use pistachiowick::gateway::deciding::health::SendResult;
 use pistachiowick::gateway::deciding::{DecisionCore, EngineChoices, PlaceOrder};
 use pistachiowick::gateway::model::{EngineStage, PromptPart, PromptShape, TargetRecord};
-use pistachiowick::gateway::target_life::TargetLife;
 use pistachiowick::names::{DaemonId, MonoTime};
+use pistachiowick::target_life::TargetLife;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -14,8 +14,8 @@
 use pistachiowick::gateway::event_split::EventSplitter;
 use pistachiowick::gateway::members::{DaemonRecord, InstanceStrength};
 use pistachiowick::gateway::model::PromptPart;
-use pistachiowick::gateway::target_life::TargetLife;
 use pistachiowick::names::{CentreName, DaemonId, MonoTime, ServiceName};
+use pistachiowick::target_life::TargetLife;
 use rstest::rstest;
 
 const RULE: BudgetRule = BudgetRule {
--- a/tests/gateway_engines.rs
+++ b/tests/gateway_engines.rs
@@ -15,8 +15,8 @@
 use pistachiowick::gateway::deciding::load::{LoadBook, TargetWork};
 use pistachiowick::gateway::deciding::stage_plan::{wanted_readers, wishes};
 use pistachiowick::gateway::model::{EngineStage, PromptPart, PromptShape, TargetRecord};
-use pistachiowick::gateway::target_life::TargetLife;
 use pistachiowick::names::MonoTime;
+use pistachiowick::target_life::TargetLife;
 use rstest::rstest;
 
 // Engines that read 42 tokens a ms for others and 20 beside their own requests.
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -12,8 +12,8 @@
 use pistachiowick::gateway::peers::seen::SeenWork;
 use pistachiowick::gateway::peers::wire::{FeedObjects, MemberNote, PeerHint, PeerMessage};
 use pistachiowick::gateway::store_follow::Feed;
-use pistachiowick::gateway::target_life::TargetLife;
 use pistachiowick::names::{CentreName, DaemonId, MonoTime, UnixTime};
+use pistachiowick::target_life::TargetLife;
 use rstest::rstest;
 use serde_bytes::ByteBuf;
 
--- a/tests/gateway_placing.rs
+++ b/tests/gateway_placing.rs
@@ -5,8 +5,8 @@
 use pistachiowick::gateway::deciding::load::LoadBook;
 use pistachiowick::gateway::peers::placing::PlacingDesk;
 use pistachiowick::gateway::peers::wire::{PlaceAnswer, PlaceQuestion, PlacedEngines};
-use pistachiowick::gateway::target_life::TargetLife;
 use pistachiowick::names::{DaemonId, MonoTime, ServiceName};
+use pistachiowick::target_life::TargetLife;
 use rstest::rstest;
 
 const NOW: MonoTime = MonoTime(10_000);
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -11,8 +11,8 @@
     EntryContent, EntryNews, EntryNote, EntrySource, KeptNote, TargetRegistry,
 };
 use pistachiowick::gateway::routes::RouteTable;
-use pistachiowick::gateway::target_life::TargetLife;
 use pistachiowick::names::{MonoTime, ServiceName, TargetId, UnixTime};
+use pistachiowick::target_life::TargetLife;
 use rstest::rstest;
 use serde_bytes::ByteBuf;
 
--- a/tests/gateway_samples/mod.rs
+++ b/tests/gateway_samples/mod.rs
@@ -7,8 +7,8 @@
     CallerLimits, EngineLimits, EngineStage, FleetConfig, RepeatRule, RouteRule, ServiceRule,
     ServiceShare, TargetRecord,
 };
-use pistachiowick::gateway::target_life::TargetLife;
 use pistachiowick::names::{CentreName, ServiceName};
+use pistachiowick::target_life::TargetLife;
 
 /// Service of the sample routes.
 pub const SERVICE: &str = "ledger";
--- a/tests/gateway_seen.rs
+++ b/tests/gateway_seen.rs
@@ -8,8 +8,8 @@
 use pistachiowick::gateway::deciding::{DecisionCore, EngineChoices, PlaceOrder, TimedWork};
 use pistachiowick::gateway::model::{EngineStage, PromptShape, TargetRecord};
 use pistachiowick::gateway::peers::seen::SeenWork;
-use pistachiowick::gateway::target_life::TargetLife;
 use pistachiowick::names::MonoTime;
+use pistachiowick::target_life::TargetLife;
 use rstest::rstest;
 
 mod gateway_samples;
--- a/tests/gateway_words.rs
+++ b/tests/gateway_words.rs
@@ -5,8 +5,8 @@
 use pistachiowick::gateway::deciding::stage_plan::WorkRate;
 use pistachiowick::gateway::peers::note_turns::NoteTurns;
 use pistachiowick::gateway::peers::wire::{MemberNote, PeerMessage, PeerSummary};
-use pistachiowick::gateway::target_life::TargetLife;
 use pistachiowick::names::{DaemonId, TargetId, UnixTime};
+use pistachiowick::target_life::TargetLife;
 use rstest::rstest;
 
 /// Daemons of a large fleet, in three data centres.
