Requests over gRPC are held too when their work ended three targets

Callers saw: a prompt that ends each engine that begins to run it was run on up to five engines by one request, and on as many by the next, at each daemon: the same cause behind the other door.

Its digest is made of workspace, class, model, prompt and size; a life is the engine's as its report tells it, or five seconds of a plain service, which reports none. An engine that takes a stream up again has not ended. Requests are refused as not run before they wait, before each dispatch and each retry; a key that may be elsewhere is closed first, as for any refusal. Daemons tell each other in their hints; an engine that still reports in the same life acquits. The store keeps nothing here: after a loss of all daemons the count begins anew.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -306,7 +306,7 @@
                 .collect(),
             ..PeerHint::default()
         };
-        let message = PeerMessage::Hint(hint.clone());
+        let message = PeerMessage::Hint(Box::new(hint.clone()));
         let bytes = message.encode();
         group.bench_function(BenchmarkId::new("encode", engines), |b| {
             b.iter(|| message.encode());
--- a/lab/src/engine_http.rs
+++ b/lab/src/engine_http.rs
@@ -22,6 +22,11 @@
     pub fence: FenceNumber,
 }
 
+/// Begins a prompt under which the engine crashes, whichever it is.
+pub const FATAL_PROMPT: &str = "fatal";
+/// How long it is away then.
+const FATAL_DOWN: Duration = Duration::from_millis(700);
+
 /// Answers one call; a crash asked for goes to `crash` with its length.
 pub async fn handle(
     core: Arc<EngineCore>,
@@ -33,7 +38,7 @@
     }
     core.thawed().await;
     match (call.method.as_str(), call.path().as_slice()) {
-        ("POST", ["v1", "streams"]) => start(core, &call),
+        ("POST", ["v1", "streams"]) => start(core, &call, &crash),
         ("GET", ["v1", "streams", request_id, attempt]) => {
             resume(core, request_id, attempt, call.number("offset"))
         }
@@ -87,7 +92,7 @@
     HttpAnswer::text(200, "")
 }
 
-fn start(core: Arc<EngineCore>, call: &HttpCall) -> HttpAnswer {
+fn start(core: Arc<EngineCore>, call: &HttpCall, crash: &UnboundedSender<Duration>) -> HttpAnswer {
     let body: GenerateBody = match call.json() {
         Ok(body) => body,
         Err(answer) => return answer,
@@ -97,7 +102,12 @@
     };
     let retry_after = core.retry_after();
     match core.start_stream(&body, &prompt) {
-        Ok(cell) => lines(core, cell, body.offset),
+        Ok(cell) => {
+            if prompt.starts_with(FATAL_PROMPT.as_bytes()) {
+                let _ = crash.send(FATAL_DOWN);
+            }
+            lines(core, cell, body.offset)
+        }
         Err(StartRefusal::TooLarge) => {
             HttpAnswer::text(422, "prompt and answer never fit into the KV cache")
         }
--- a/lab/src/footprint.rs
+++ b/lab/src/footprint.rs
@@ -209,9 +209,9 @@
             costs: costs.collect(),
             ..PeerHint::default()
         };
-        let bytes = PeerMessage::Hint(hint).encode();
+        let bytes = PeerMessage::Hint(Box::new(hint)).encode();
         if let Ok(PeerMessage::Hint(hint)) = PeerMessage::decode(&bytes) {
-            hints.note(hint, NOW);
+            hints.note(*hint, NOW);
         }
     }
     hints
@@ -312,7 +312,7 @@
         sequence: 100_000,
         ..hint
     };
-    PeerMessage::Hint(hint).encode().len()
+    PeerMessage::Hint(Box::new(hint)).encode().len()
 }
 
 /// Returns the slopes by what they count, in bytes each.
--- a/lab/src/samples.rs
+++ b/lab/src/samples.rs
@@ -47,6 +47,7 @@
 #[must_use]
 pub fn engine_view(number: usize, now: MonoTime) -> TargetView {
     let report = LoadReport {
+        incarnation: ProcessIncarnation(1),
         role: EngineRole::Mixed,
         changing: false,
         models: vec![SAMPLE_LABEL.to_owned()],
--- a/src/control/gossip.rs
+++ b/src/control/gossip.rs
@@ -39,7 +39,7 @@
 
     fn on_message(&mut self, from: &DaemonId, message: PeerMessage) {
         match message {
-            PeerMessage::Hint(hint) => self.on_hint(from, hint),
+            PeerMessage::Hint(hint) => self.on_hint(from, *hint),
             PeerMessage::Versions(theirs) => {
                 let held = self.held_objects();
                 self.peers.answer_versions(from, &theirs, &held);
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -18,6 +18,7 @@
 
 use crate::config::catalogue::{ItemName, ItemSpec};
 use crate::control::snapshot::{SnapshotCell, new_cell};
+use crate::crashes::SharedCrashes;
 use crate::names::{ClassName, ModelName, ProcessIncarnation, TargetId, WorkspaceName};
 use crate::peers::link::PeerEvent;
 use crate::ports::{EnginePort, PlatformPort};
@@ -147,6 +148,8 @@
     pub incarnation: ProcessIncarnation,
     /// Seed of all random choices of the control thread.
     pub seed: u64,
+    /// Work that ended targets, told to peers.
+    pub crashes: SharedCrashes,
 }
 
 /// Handle of the control thread.
--- a/src/control/peer_desk.rs
+++ b/src/control/peer_desk.rs
@@ -5,19 +5,27 @@
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{mpsc, watch};
 
+use crate::crashes::SharedCrashes;
 use crate::membership::fleet::FleetView;
-use crate::names::{DaemonId, ModelName, MonoTime, ProcessIncarnation, TargetId, WorkspaceName};
+use crate::names::{
+    DaemonId, ModelName, MonoTime, ProcessIncarnation, TargetId, UnixTime, WorkspaceName,
+};
 use crate::peers::link::PeerCommand;
 use crate::peers::state::{PeerHints, PeerTopology};
 use crate::peers::wire::{PeerHint, PeerMessage};
 use crate::ports::{ObjectName, ObjectVersion, StoredObject};
 use crate::roles::mix::{WorkBins, WorkTotals};
 use crate::settings::DaemonSettings;
+use crate::target_life::TargetLife;
 use crate::targets::wire::EngineState;
 
 const NEWS_AGE: Duration = Duration::from_secs(10);
 const BATCH_BYTES: usize = 1 << 20;
 const MOST_NEWS: usize = 512;
+/// Age of an engine's report that shows that it is alive.
+const FRESH_REPORT: Duration = Duration::from_secs(1);
+/// Time after which such a report shows that the engine did not end before.
+const REPORT_PROOF: Duration = Duration::from_secs(5);
 const MOST_WORKSPACES: usize = 8_192;
 
 /// What the control thread keeps for its peers.
@@ -36,13 +44,18 @@
     applied: IndexMap<String, (ObjectVersion, MonoTime)>,
     engines: IndexMap<TargetId, EngineState>,
     digests: IndexMap<TargetId, MonoTime>,
+    crashes: SharedCrashes,
     watching: watch::Sender<bool>,
 }
 
 impl PeerDesk {
     /// Creates the desk of a daemon without links, which watches the platform itself.
     #[must_use]
-    pub fn new(settings: &DaemonSettings, incarnation: ProcessIncarnation) -> Self {
+    pub fn new(
+        settings: &DaemonSettings,
+        incarnation: ProcessIncarnation,
+        crashes: SharedCrashes,
+    ) -> Self {
         Self {
             own: settings.daemon_id.clone(),
             incarnation,
@@ -58,6 +71,7 @@
             applied: IndexMap::new(),
             engines: IndexMap::new(),
             digests: IndexMap::new(),
+            crashes,
             watching: watch::Sender::new(true),
         }
     }
@@ -152,6 +166,21 @@
         });
     }
 
+    /// Acquits work of ends of engines that still report in the same life.
+    pub fn acquit_by_reports(&self, fleet: &FleetView, now: MonoTime) {
+        let reports = |target: &TargetLife| {
+            let report = fleet.targets.get(target.name())?.report.as_ref()?;
+            let same = target.born() == Some(UnixTime(report.incarnation.0));
+            (same && now.since(report.taken_at) < FRESH_REPORT).then_some(())
+        };
+        self.crashes.lock().note_entries(
+            |target| reports(target).is_some(),
+            REPORT_PROOF,
+            MonoTime(0),
+            now,
+        );
+    }
+
     /// Says what there is to say to all linked peers.
     pub fn send_hint(&mut self, leaving: bool, now: MonoTime) {
         self.sequence += 1;
@@ -167,9 +196,10 @@
             costs: recent.map(|(w, (sum, _))| (w.clone(), *sum)).collect(),
             applied: applied.map(|(n, (v, _))| (n.clone(), *v)).collect(),
             engines: self.engines.drain(..).map(|(_, state)| state).collect(),
+            works: self.crashes.lock().pick(now),
         };
         let linked = self.linked.iter().cloned().collect();
-        self.send(linked, PeerMessage::Hint(hint));
+        self.send(linked, PeerMessage::Hint(Box::new(hint)));
     }
 
     /// Takes a hint; returns it when it is news, after passing it on.
@@ -183,6 +213,10 @@
         if origin == self.own || !self.hints.note(hint.clone(), now) {
             return None;
         }
+        for note in &hint.works {
+            // Hints are passed on whole; what they tell needs no word of its own.
+            self.crashes.lock().take_note(note, false, now);
+        }
         for state in &hint.engines {
             self.digests.insert(state.target.clone(), now);
         }
@@ -192,7 +226,7 @@
             .filter(|peer| *peer != from && self.topology.passes(&self.own, &origin, peer));
         let passed: Vec<DaemonId> = passed.cloned().collect();
         if !passed.is_empty() {
-            self.send(passed, PeerMessage::Hint(hint.clone()));
+            self.send(passed, PeerMessage::Hint(Box::new(hint.clone())));
         }
         Some(hint)
     }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -86,7 +86,7 @@
             ports,
             mix: MixForecast::default(),
             own_work: WorkTotals::new(),
-            peers: PeerDesk::new(settings, inputs.incarnation),
+            peers: PeerDesk::new(settings, inputs.incarnation, inputs.crashes.clone()),
             shares: ShareState::default(),
             share_view: Arc::default(),
             confirmations: Vec::new(),
@@ -251,6 +251,7 @@
         self.poll_engines(now);
         let fleet = self.membership.fleet().clone();
         self.peers.update(&fleet, now);
+        self.peers.acquit_by_reports(&fleet, now);
         self.peers.send_hint(self.stopping, now);
     }
 
--- a/src/crashes/mod.rs
+++ b/src/crashes/mod.rs
@@ -9,3 +9,18 @@
 pub mod book;
 pub mod news;
 pub mod work_digest;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use crate::crashes::book::CrashBook;
+
+/// A book that threads of a daemon share. Clones share one book.
+#[derive(Clone, Debug, Default)]
+pub struct SharedCrashes(Arc<Mutex<CrashBook>>);
+
+impl SharedCrashes {
+    /// Takes the book for one step.
+    pub fn lock(&self) -> MutexGuard<'_, CrashBook> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -12,7 +12,7 @@
 use crate::decide::fair_queue::JobNumber;
 use crate::decide::prefix_index::PrefixIndex;
 use crate::membership::fleet::{FleetView, LoadReport, TargetView, UseState};
-use crate::names::{ModelName, MonoTime, ServiceName, TargetId};
+use crate::names::{ModelName, MonoTime, ProcessIncarnation, ServiceName, TargetId};
 use crate::settings::{PlacementPolicy, PolicySettings};
 use crate::targets::wire::EngineRole;
 
@@ -73,6 +73,8 @@
     pub target: TargetId,
     /// Its address.
     pub address: String,
+    /// Life of its process as reported last; `None` where it reports none.
+    pub incarnation: Option<ProcessIncarnation>,
     /// Model, version and adapter as the engine names them; empty for services.
     pub model: String,
     /// Expected seconds to the first token.
@@ -181,6 +183,7 @@
         TargetChoice {
             target: self.target.id.clone(),
             address: self.target.address.clone(),
+            incarnation: self.target.report.as_ref().map(|r| r.incarnation),
             model: self.model.to_owned(),
             first_token_s: self.first_token_s,
             gap_s: self.gap_s,
--- a/src/membership/fleet.rs
+++ b/src/membership/fleet.rs
@@ -39,6 +39,8 @@
 /// A load report, aged by the time it was taken.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LoadReport {
+    /// Life of the target's process.
+    pub incarnation: ProcessIncarnation,
     /// Role in force.
     pub role: EngineRole,
     /// Whether a change is under way.
--- a/src/membership/records.rs
+++ b/src/membership/records.rs
@@ -141,6 +141,7 @@
 #[must_use]
 pub fn load_report(report: &EngineState, taken_at: MonoTime) -> LoadReport {
     LoadReport {
+        incarnation: report.incarnation,
         role: report.role,
         changing: report.changing,
         models: report.models.clone(),
--- a/src/peers/wire.rs
+++ b/src/peers/wire.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::crashes::news::WorkNote;
 use crate::names::{DaemonId, ModelName, ProcessIncarnation, WorkspaceName};
 use crate::ports::{ObjectName, ObjectVersion, StoredObject};
 use crate::roles::mix::{MIX_BINS, WorkAmount, WorkTotals};
@@ -31,13 +32,15 @@
     pub applied: Vec<(String, ObjectVersion)>,
     /// States of engines it leads.
     pub engines: Vec<EngineState>,
+    /// Work that ended targets, by turns ([`crate::crashes::news`]).
+    pub works: Vec<WorkNote>,
 }
 
 /// A message between daemons.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PeerMessage {
     /// A hint; forwarded by watchers.
-    Hint(PeerHint),
+    Hint(Box<PeerHint>),
     /// Versions held of configuration and orders; the other side sends what is newer.
     Versions(Vec<(ObjectName, ObjectVersion)>),
     /// Objects of configuration and orders.
@@ -103,6 +106,8 @@
     costs: Vec<(WorkspaceName, f64)>,
     applied: Vec<(String, u64)>,
     engines: Vec<EngineState>,
+    #[serde(default)]
+    works: Vec<WorkNote>,
 }
 
 #[derive(Deserialize, Serialize)]
@@ -137,6 +142,7 @@
             costs: hint.costs.iter().map(|(w, c)| (w.clone(), *c)).collect(),
             applied: hint.applied.iter().map(|(n, v)| (n.clone(), v.0)).collect(),
             engines: hint.engines.clone(),
+            works: hint.works.clone(),
         }
     }
 }
@@ -166,6 +172,7 @@
             costs: wire.costs.into_iter().collect(),
             applied: applied.map(|(n, v)| (n, ObjectVersion(v))).collect(),
             engines: wire.engines,
+            works: wire.works,
         })
     }
 }
@@ -197,7 +204,7 @@
 impl From<&PeerMessage> for MessageWire {
     fn from(message: &PeerMessage) -> Self {
         match message {
-            PeerMessage::Hint(hint) => Self::Hint(HintWire::from(hint)),
+            PeerMessage::Hint(hint) => Self::Hint(HintWire::from(&**hint)),
             PeerMessage::Versions(versions) => {
                 let rows = versions.iter();
                 Self::Versions(
@@ -219,7 +226,7 @@
 
     fn try_from(wire: MessageWire) -> Result<Self, Self::Error> {
         Ok(match wire {
-            MessageWire::Hint(hint) => Self::Hint(PeerHint::try_from(hint)?),
+            MessageWire::Hint(hint) => Self::Hint(Box::new(PeerHint::try_from(hint)?)),
             MessageWire::Versions(rows) => {
                 let rows = rows.into_iter();
                 Self::Versions(
--- a/src/requests/attempt.rs
+++ b/src/requests/attempt.rs
@@ -33,12 +33,39 @@
     pub may_have_run: bool,
     /// Proof that it has not.
     pub proof: Option<UndeliveredProof>,
+    /// Whether the target broke its answer off, or gave none.
+    pub cut: bool,
     /// What happened.
     pub reason: String,
     /// When to come back, where the engine said so.
     pub retry_after: Duration,
 }
 
+/// Why a stream was not followed to its end.
+#[derive(Clone, Debug)]
+struct StreamBreak {
+    // Whether the engine ended it, and not this daemon.
+    cut: bool,
+    reason: String,
+}
+
+impl StreamBreak {
+    fn silence(silence: Duration) -> Self {
+        Self::garbled(format!("no line for {silence:?}"))
+    }
+
+    fn garbled(reason: String) -> Self {
+        Self { cut: false, reason }
+    }
+
+    fn cut(reason: impl Into<String>) -> Self {
+        Self {
+            cut: true,
+            reason: reason.into(),
+        }
+    }
+}
+
 /// State of a request across its attempts.
 pub struct AttemptState<'a> {
     /// What the request shares with others.
@@ -98,19 +125,40 @@
         let lines = self.open(choice, attempt).await?;
         let mut ending = self.follow(lines, choice, attempt).await;
         for _ in 0..MOST_RESUMES {
-            let Err(reason) = &ending else { break };
-            log::debug!("request {}: {reason}", self.request.id);
+            let Err(broken) = &ending else { break };
+            log::debug!("request {}: {}", self.request.id, broken.reason);
             let Ok(lines) = self.reopen(choice, attempt).await else {
                 break;
             };
             ending = self.follow(lines, choice, attempt).await;
         }
-        ending.map_err(|reason| AttemptFault {
-            may_have_run: true,
-            proof: None,
-            reason,
-            retry_after: Duration::ZERO,
-        })
+        self.conclude(choice, ending)
+    }
+
+    // An engine that could not be asked to go on either has ended.
+    fn conclude(
+        &self,
+        choice: &TargetChoice,
+        ending: Result<AnswerSummary, StreamBreak>,
+    ) -> Result<AnswerSummary, AttemptFault> {
+        match ending {
+            Ok(summary) => {
+                self.context.note_completed(self.request);
+                Ok(summary)
+            }
+            Err(StreamBreak { cut, reason }) => {
+                if cut {
+                    self.context.note_cut(self.request, choice);
+                }
+                Err(AttemptFault {
+                    may_have_run: true,
+                    proof: None,
+                    cut,
+                    reason,
+                    retry_after: Duration::ZERO,
+                })
+            }
+        }
     }
 
     /// Takes up a stream that an engine already runs, until the answer is whole.
@@ -127,12 +175,7 @@
         let lines = lines.map_err(|error| AttemptFault::from(&error))?;
         self.announce(choice, attempt).await;
         let ending = self.follow(lines, choice, attempt).await;
-        ending.map_err(|reason| AttemptFault {
-            may_have_run: true,
-            proof: None,
-            reason,
-            retry_after: Duration::ZERO,
-        })
+        self.conclude(choice, ending)
     }
 
     /// Returns what can be learned from the last attempt.
@@ -184,6 +227,9 @@
             .report_call(choice, opened.as_ref().err());
         opened.map_err(|error| {
             let fault = AttemptFault::from(&error);
+            if fault.cut {
+                self.context.note_cut(self.request, choice);
+            }
             if !fault.may_have_run && !ran_before {
                 self.sink.note_not_run();
             }
@@ -215,13 +261,13 @@
         mut lines: LineStream,
         choice: &TargetChoice,
         attempt: u32,
-    ) -> Result<AnswerSummary, String> {
+    ) -> Result<AnswerSummary, StreamBreak> {
         loop {
             let silence = self.allowed_silence(choice);
             let line = match tokio::time::timeout(silence, lines.next()).await {
-                Err(_) => return Err(format!("no line for {silence:?}")),
-                Ok(None) => return Err("the stream ended without its end".to_owned()),
-                Ok(Some(Err(error))) => return Err(error.to_string()),
+                Err(_) => return Err(StreamBreak::silence(silence)),
+                Ok(None) => return Err(StreamBreak::cut("the stream ended without its end")),
+                Ok(Some(Err(error))) => return Err(StreamBreak::cut(error.to_string())),
                 Ok(Some(Ok(line))) => line,
             };
             match self.assembly.accept(&line) {
@@ -233,7 +279,7 @@
                     return Ok(summary);
                 }
                 LineVerdict::Drop(_) => {}
-                LineVerdict::Break(cause) => return Err(cause.to_string()),
+                LineVerdict::Break(cause) => return Err(StreamBreak::garbled(cause.to_string())),
             }
         }
     }
@@ -302,6 +348,7 @@
         Self {
             may_have_run,
             proof: UndeliveredProof::from_error(error),
+            cut: matches!(error, TargetError::Lost { .. }),
             reason: error.to_string(),
             retry_after,
         }
--- /dev/null
+++ b/src/requests/crash_watch.rs
@@ -0,0 +1,112 @@
+//! Holds requests back whose work ended targets.
+
+use std::time::Duration;
+
+use crate::clock;
+use crate::crashes::book::WorkStanding;
+use crate::crashes::work_digest::WorkDigest;
+use crate::decide::placement::TargetChoice;
+use crate::decide::scheduler::JobRefusal;
+use crate::names::UnixTime;
+use crate::requests::request::CallerRequest;
+use crate::requests::traffic::TrafficContext;
+use crate::target_life::TargetLife;
+
+/// Why held work is not run.
+const HELD: &str = "targets ended under each run of this request; correct it, or ask the operators";
+/// Time to come back for work that is not tried again by itself.
+const HELD_WAIT: Duration = Duration::from_secs(3_600);
+/// Ends of a target that reports no life count as one within this time.
+const LIFE_SPAN_MS: u64 = 5_000;
+
+impl TrafficContext {
+    /// Refuses held work, except once in a while at the one daemon that tries it; true for
+    /// such a trial.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal.
+    pub fn check_held(&self, request: &CallerRequest) -> Result<bool, JobRefusal> {
+        if !self.is_held(request) {
+            return Ok(false);
+        }
+        let (work, now) = (work_of(request), clock::mono_now());
+        let tries = self.is_first_daemon();
+        match self.crashes.lock().standing(work, tries, now) {
+            WorkStanding::Free => Ok(false),
+            WorkStanding::Trial => Ok(true),
+            WorkStanding::Held(next) => {
+                metrics::counter!("pistachiowick_held_refusals_total").increment(1);
+                Err(JobRefusal {
+                    reason: HELD.to_owned(),
+                    retry_after: next.unwrap_or(HELD_WAIT),
+                })
+            }
+        }
+    }
+
+    /// Refuses a request that has waited for a target, if its work is held by now.
+    #[must_use]
+    pub fn held_meanwhile(&self, request: &CallerRequest) -> Option<JobRefusal> {
+        self.is_held(request).then(|| JobRefusal {
+            reason: HELD.to_owned(),
+            retry_after: HELD_WAIT,
+        })
+    }
+
+    /// Whether a request's work is held.
+    #[must_use]
+    pub fn is_held(&self, request: &CallerRequest) -> bool {
+        let crashes = self.crashes.lock();
+        !crashes.is_empty() && crashes.is_held(work_of(request))
+    }
+
+    /// Notes that a target broke its answer off and is not there to go on.
+    pub fn note_cut(&self, request: &CallerRequest, choice: &TargetChoice) {
+        let work = work_of(request);
+        let holds = {
+            let mut crashes = self.crashes.lock();
+            crashes.note_end(work, &life_of(choice), clock::mono_now())
+        };
+        log::info!(
+            "request {}: {} broke off an answer to work {work}",
+            request.id,
+            choice.target
+        );
+        if holds {
+            metrics::counter!("pistachiowick_works_held_total").increment(1);
+            log::warn!("work {work} is held: targets ended under its runs");
+        }
+    }
+
+    /// Notes that work ran to its end.
+    pub fn note_completed(&self, request: &CallerRequest) {
+        let mut crashes = self.crashes.lock();
+        if !crashes.is_empty() {
+            crashes.note_whole(work_of(request), clock::mono_now());
+        }
+    }
+
+    fn is_first_daemon(&self) -> bool {
+        let snapshot = self.control.snapshot.load();
+        let first = snapshot.fleet.daemons.keys().min();
+        first.is_none_or(|first| *first == self.daemon)
+    }
+}
+
+// Whatever identity and deadline an attempt has.
+fn work_of(request: &CallerRequest) -> WorkDigest {
+    let workspace = request.workspace().as_str().as_bytes();
+    WorkDigest::of(&[workspace, &request.fingerprint()])
+}
+
+fn life_of(choice: &TargetChoice) -> TargetLife {
+    let born = choice.incarnation.map_or_else(
+        || {
+            let now = clock::unix_now().0;
+            now - now % LIFE_SPAN_MS
+        },
+        |incarnation| incarnation.0,
+    );
+    TargetLife::new(choice.target.clone(), Some(UnixTime(born)))
+}
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -5,6 +5,7 @@
 pub mod answer_sink;
 pub mod attempt;
 pub mod claimant;
+pub mod crash_watch;
 pub mod dispatch;
 pub mod journal;
 pub mod owner_cache;
--- a/src/requests/run_call.rs
+++ b/src/requests/run_call.rs
@@ -50,6 +50,10 @@
     sink: &mut AnswerSink,
     progress: &mut RequestProgress,
 ) -> FinalOutcome {
+    let is_trial = match context.check_held(request) {
+        Ok(is_trial) => is_trial,
+        Err(refusal) => return not_run(refusal.reason, refusal.retry_after),
+    };
     let spec = request.job_spec();
     let mut need = spec.need.clone();
     let mut ticket = match context.dispatcher.admit(&request.id, spec) {
@@ -65,6 +69,14 @@
             Err(refusal) if sink.may_have_run() => return unknown(refusal.reason),
             Err(refusal) => return not_run(refusal.reason, refusal.retry_after),
         };
+        if let Some(refusal) = context.held_meanwhile(request).filter(|_| !is_trial) {
+            slot.finish(JobMeasure::default());
+            return if sink.may_have_run() {
+                unknown(refusal.reason)
+            } else {
+                not_run(refusal.reason, refusal.retry_after)
+            };
+        }
         attempt += 1;
         let waited = clock::mono_now().since(request.arrived);
         progress.queueing.get_or_insert(waited);
@@ -82,7 +94,7 @@
         if !fault.may_have_run && !ran_before {
             sink.note_not_run();
         }
-        if attempt == MOST_ATTEMPTS || !context.spend_retry() {
+        if attempt == MOST_ATTEMPTS || context.is_held(request) || !context.spend_retry() {
             slot.finish(JobMeasure::default());
             return if sink.may_have_run() {
                 unknown(fault.reason)
@@ -120,6 +132,11 @@
     };
     let reply = (context.services.call)(call).await;
     context.dispatcher.report_call(choice, reply.as_ref().err());
+    match &reply {
+        Ok(_) => context.note_completed(request),
+        Err(TargetError::Lost { .. }) => context.note_cut(request, choice),
+        Err(_) => {}
+    }
     accept_reply(&reply?, &request.id, &key).map_err(|fault| TargetError::Lost {
         reason: fault.to_string(),
     })
--- a/src/requests/run_once.rs
+++ b/src/requests/run_once.rs
@@ -92,6 +92,9 @@
     sink: &mut AnswerSink,
     cancelled: &mut watch::Receiver<bool>,
 ) -> Result<(JobSlot, DispatchPermit), FinalOutcome> {
+    if let Err(refusal) = context.check_held(request) {
+        return Err(refuse(context, request, sink, refusal).await);
+    }
     let ticket = match context.dispatcher.admit(&request.id, request.job_spec()) {
         Ok(ticket) => ticket,
         Err(refusal) => {
@@ -316,6 +319,7 @@
     AttemptFault {
         may_have_run: true,
         proof: None,
+        cut: false,
         reason: reason.to_owned(),
         retry_after: Duration::ZERO,
     }
--- a/src/requests/run_resume.rs
+++ b/src/requests/run_resume.rs
@@ -132,6 +132,7 @@
 
 fn known_choice(token: &ResumeToken) -> TargetChoice {
     TargetChoice {
+        incarnation: None,
         target: token.target.clone(),
         address: token.target_address.clone(),
         model: token.model.clone(),
--- a/src/requests/run_stream.rs
+++ b/src/requests/run_stream.rs
@@ -65,6 +65,10 @@
     pinned_model: Option<String>,
 ) -> FinalOutcome {
     let (context, request) = (state.context, state.request);
+    let is_trial = match context.check_held(request) {
+        Ok(is_trial) => is_trial,
+        Err(refusal) => return refused(&state, &refusal),
+    };
     let mut spec = request.job_spec();
     spec.need.pinned_model = pinned_model;
     let mut need = spec.need.clone();
@@ -82,6 +86,11 @@
             Err(refusal) => return refused(&state, &refusal),
         };
         attempt += 1;
+        // Its work may be held since it began to wait.
+        if let Some(refusal) = context.held_meanwhile(request).filter(|_| !is_trial) {
+            slot.finish(JobMeasure::default());
+            return refused(&state, &refusal);
+        }
         remember(engine, Some(slot.choice.address.clone()));
         let fault = match state.run(&slot.choice, attempt).await {
             Ok(summary) => {
@@ -93,7 +102,7 @@
             Err(fault) => fault,
         };
         cancel_at(context, engine, &request.id);
-        if !may_retry(context, &fault, attempt) {
+        if context.is_held(request) || !may_retry(context, &fault, attempt) {
             slot.finish(JobMeasure::default());
             return given_up(&state, &fault);
         }
--- a/src/requests/traffic.rs
+++ b/src/requests/traffic.rs
@@ -9,6 +9,7 @@
 
 use crate::clock;
 use crate::control::{ControlEvent, ControlHandle};
+use crate::crashes::SharedCrashes;
 use crate::decide::placement::{PoolKey, TargetChoice};
 use crate::decide::retry_budget::RetryBudget;
 use crate::intents::store::IntentStore;
@@ -53,6 +54,8 @@
     pub telemetry: Telemetry,
     /// Reasons of decisions.
     pub journal: DecisionJournal,
+    /// Work that ended targets.
+    pub crashes: SharedCrashes,
     /// Retries allowed.
     pub budget: Mutex<RetryBudget>,
     /// Requests running in this daemon.
--- a/src/server.rs
+++ b/src/server.rs
@@ -17,6 +17,7 @@
 use crate::admin_http::{self, AdminServer};
 use crate::clock;
 use crate::control::{ControlEvent, ControlHandle, ControlInputs, start_control};
+use crate::crashes::SharedCrashes;
 use crate::decide::retry_budget::RetryBudget;
 use crate::decide::scheduler::{Scheduler, SchedulerInputs};
 use crate::intents::link::IntentLink;
@@ -103,6 +104,7 @@
     let incarnation = clock::new_incarnation();
     let platform = platform_port(&settings.platform).wrap_err("cannot call the platform")?;
     let journal = DecisionJournal::new(JOURNAL_LENGTH);
+    let crashes = SharedCrashes::default();
     let control = start_control(ControlInputs {
         settings: Arc::clone(&settings),
         platform: platform.clone(),
@@ -112,6 +114,7 @@
         peer_address: peer,
         incarnation,
         seed: incarnation.0,
+        crashes: crashes.clone(),
     });
     let snapshot = control.snapshot.clone();
     let admin = admin_http::serve_admin(settings.listen.admin, snapshot, metrics)
@@ -124,6 +127,7 @@
         journal,
         incarnation,
         peer_listener,
+        crashes,
     )?;
     let (closing, _) = watch::channel(false);
     let serving = serve(&context, listener, incarnation, &closing)?;
@@ -230,6 +234,7 @@
     journal: DecisionJournal,
     incarnation: ProcessIncarnation,
     peer_listener: StdListener,
+    crashes: SharedCrashes,
 ) -> Result<Arc<TrafficContext>> {
     let scheduler = Scheduler::new(SchedulerInputs {
         policy: settings.policy.clone(),
@@ -271,6 +276,7 @@
         peers,
         telemetry: Telemetry::new(settings.metrics.tracked_pairs),
         journal,
+        crashes,
         budget: Mutex::new(RetryBudget::new(settings.policy.retry_share)),
         running: Mutex::new(IndexMap::new()),
         closing: AtomicBool::new(false),
--- a/tests/control_peers.rs
+++ b/tests/control_peers.rs
@@ -12,6 +12,7 @@
 use pistachiowick::control::{
     ChangeReport, ControlEvent, ControlHandle, ControlInputs, ItemChange, start_control,
 };
+use pistachiowick::crashes::SharedCrashes;
 use pistachiowick::decide::shares::ShareState;
 use pistachiowick::membership::fleet::{DaemonView, FleetView, UseState};
 use pistachiowick::names::{
@@ -200,7 +201,7 @@
         value: Some(b"{}".to_vec()),
     };
     let messages = [
-        PeerMessage::Hint(hint(3, 4, 1.5)),
+        PeerMessage::Hint(Box::new(hint(3, 4, 1.5))),
         PeerMessage::Versions(vec![(object, ObjectVersion(4))]),
         PeerMessage::Objects(vec![stored]),
         PeerMessage::Request {
@@ -293,6 +294,7 @@
             peer_address: listener.local_addr().unwrap(),
             incarnation: ProcessIncarnation(1),
             seed: 1,
+            crashes: SharedCrashes::default(),
         });
         let name = id.to_owned();
         let peers = start_peers(PeerInputs {
--- a/tests/control_thread.rs
+++ b/tests/control_thread.rs
@@ -12,6 +12,7 @@
     ChangeError, ChangeReport, ControlEvent, ControlHandle, ControlInputs, ItemChange,
     start_control,
 };
+use pistachiowick::crashes::SharedCrashes;
 use pistachiowick::membership::fleet::UseState;
 use pistachiowick::names::{CentreName, DaemonId, ProcessIncarnation, TargetId, WorkspaceName};
 use pistachiowick::requests::journal::DecisionJournal;
@@ -30,6 +31,7 @@
         peer_address: "127.0.0.1:2".parse().unwrap(),
         incarnation: ProcessIncarnation(1),
         seed: 1,
+        crashes: SharedCrashes::default(),
     })
 }
 
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -8,10 +8,12 @@
 use pistachiowick::pb::requests_client::RequestsClient;
 use pistachiowick::pb::{AnswerEvent, Final, Outcome, ResumeRequest, SubmitRequest};
 use pistachiowick_lab::answers::{expected_answer, service_answer};
+use pistachiowick_lab::engine_http::FATAL_PROMPT;
 use pistachiowick_lab::fleet::with_key;
 use pistachiowick_lab::prove_fleet::ProveFleet;
 use pistachiowick_lab::prove_setup::ProveOptions;
 use pistachiowick_lab::quickstart::{MODEL, workspace_key};
+use tokio::time::sleep;
 use tonic::transport::Channel;
 use tonic::{Status, Streaming};
 
@@ -21,6 +23,9 @@
 /// Longest wait for daemons to place work.
 const LIMIT: Duration = Duration::from_secs(30);
 
+/// Time within which daemons know what others know.
+const SETTLED: Duration = Duration::from_secs(3);
+
 /// Tokens of an answer that takes some seconds.
 const LONG: u32 = 1_200;
 
@@ -277,3 +282,40 @@
     assert_eq!(held.data, stream_answer(&review));
     fleet.end().await;
 }
+
+fn engine_crashes(fleet: &ProveFleet) -> u64 {
+    let engines = fleet.engine_books();
+    engines.iter().map(|engine| engine.books.crashes).sum()
+}
+
+// Guards against a prompt that ends each engine that begins to run it and is run on one engine
+// after the other, as each request with it counts as new, at each daemon.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_prompt_that_ended_three_engines_is_not_run_on() {
+    let fleet = started().await;
+    let fatal = || SubmitRequest {
+        prompt: FATAL_PROMPT.as_bytes().to_vec(),
+        ..stream("review", "", 40)
+    };
+    for tried in 0..40 {
+        if engine_crashes(&fleet) >= 3 {
+            break;
+        }
+        let _ = ask(&fleet, tried % 2, fatal()).await;
+        sleep(Duration::from_millis(200)).await;
+    }
+    assert!(engine_crashes(&fleet) >= 3);
+    sleep(SETTLED).await;
+    let before = engine_crashes(&fleet);
+    for tried in 0..12 {
+        let ended = ask(&fleet, tried % 2, fatal()).await;
+        let outcome = ended.map(|(_, last)| last.outcome());
+        assert_ne!(outcome.ok(), Some(Outcome::Answered));
+        sleep(Duration::from_millis(200)).await;
+    }
+    let after = engine_crashes(&fleet) - before;
+    assert!(after <= 3, "{after} engines ended after the bound");
+    // Another prompt is served as before.
+    until_answered(&fleet, 0, |_| stream("check", "other", 2)).await;
+    fleet.end().await;
+}
