Suspects are forgotten by all daemons, and popular work can be held

By reading: a daemon that forgot a work learned it anew from one that heard of it later, and told it on in turn, for ever; and the sixteen lives kept of a work filled with acquitted ones, after which no end of it counted. Notes tell their age now, and works are told again until half a minute before they are forgotten; the oldest acquitted life gives way.

--- a/src/crashes/book.rs
+++ b/src/crashes/book.rs
@@ -11,13 +11,15 @@
 
 use crate::crashes::news::{CrashNews, WorkNote};
 use crate::crashes::work_digest::WorkDigest;
-use crate::names::MonoTime;
+use crate::names::{MonoTime, millis};
 use crate::target_life::TargetLife;
 
 /// Targets that work may end before it is held.
 pub const MOST_ENDS: usize = 3;
 /// Time for which work that ended fewer targets stays a suspect.
 const SUSPECT_TIME: Duration = Duration::from_secs(600);
+/// Time before the end of that, and of the next one, in which others are told nothing more.
+const FORGET_MARGIN: Duration = Duration::from_secs(30);
 /// Time for which held work that nobody asks for is remembered.
 const HELD_TIME: Duration = Duration::from_secs(24 * 3_600);
 /// Time after the last end at which held work is tried once: then, and if it ends another
@@ -53,11 +55,11 @@
 }
 
 impl WorkRecord {
-    fn new(now: MonoTime) -> Self {
+    fn new(seen: MonoTime) -> Self {
         Self {
             ends: IndexMap::new(),
-            last_end: now,
-            last_asked: now,
+            last_end: seen,
+            last_asked: seen,
             trial_at: None,
         }
     }
@@ -75,15 +77,44 @@
         Some(self.last_end.plus(*pause))
     }
 
-    fn is_over(&self, now: MonoTime) -> bool {
+    fn age(&self, now: MonoTime) -> Duration {
+        let seen = if self.is_held() {
+            self.last_asked.max(self.last_end)
+        } else {
+            self.last_end
+        };
+        now.since(seen)
+    }
+
+    fn longest(&self) -> Duration {
         if self.is_held() {
-            return now.since(self.last_asked.max(self.last_end)) >= HELD_TIME;
+            HELD_TIME
+        } else {
+            SUSPECT_TIME
+        }
+    }
+
+    fn is_over(&self, now: MonoTime) -> bool {
+        self.age(now) >= self.longest()
+    }
+
+    // Told for less time than it is kept: a daemon that forgot it would learn it anew.
+    fn is_told_again(&self, now: MonoTime) -> bool {
+        let shared = self.ends.values().filter(|end| end.shared);
+        shared.count() > 1 && self.age(now) + FORGET_MARGIN < self.longest()
+    }
+
+    // Makes room for another life; true where there is.
+    fn drop_refuted(&mut self) -> bool {
+        if self.ends.len() < MOST_LIVES {
+            return true;
         }
-        now.since(self.last_end) >= SUSPECT_TIME
+        let refuted = self.ends.values().position(|end| end.refuted);
+        refuted.is_some_and(|oldest| self.ends.shift_remove_index(oldest).is_some())
     }
 
     // Others know of those ends only that they were told.
-    fn note(&self, work: WorkDigest) -> WorkNote {
+    fn note(&self, work: WorkDigest, now: MonoTime) -> WorkNote {
         let shared = self.ends.iter().filter(|(_, end)| end.shared);
         let (refuted, ends): (Vec<_>, Vec<_>) = shared.partition(|(_, end)| end.refuted);
         let lives = |found: Vec<(&TargetLife, &EndRecord)>| {
@@ -94,6 +125,7 @@
             work,
             ends: lives(ends),
             refuted: lives(refuted),
+            age_ms: millis(self.age(now)),
         }
     }
 }
@@ -137,7 +169,13 @@
     /// Takes a connection that ended under a run of `work`; true when the work is held from
     /// now on.
     pub fn note_end(&mut self, work: WorkDigest, target: &TargetLife, now: MonoTime) -> bool {
-        if !self.take_end(work, target, true, now) {
+        let end = EndRecord {
+            at: now,
+            own: true,
+            shared: false,
+            refuted: false,
+        };
+        if !self.take_end(work, target, end, now) {
             return false;
         }
         let count = self.works.get(&work).map_or(0, WorkRecord::count);
@@ -154,12 +192,22 @@
     /// on. `relays` tells whether it is to be told on.
     pub fn take_note(&mut self, note: &WorkNote, relays: bool, now: MonoTime) -> bool {
         let was_held = self.is_held(note.work);
+        let seen = MonoTime(now.0.saturating_sub(note.age_ms));
+        let end = EndRecord {
+            at: now,
+            own: false,
+            shared: true,
+            refuted: false,
+        };
         let mut changed = false;
         for target in &note.ends {
-            changed |= self.take_end(note.work, target, false, now);
+            changed |= self.take_end(note.work, target, end, seen);
         }
         for target in &note.refuted {
-            changed |= self.take_refuted(note.work, target, now);
+            changed |= self.take_refuted(note.work, target, end, seen);
+        }
+        if let Some(record) = self.works.get_mut(&note.work) {
+            record.last_asked = record.last_asked.max(seen);
         }
         if changed && relays {
             self.news.tell(note.work, now);
@@ -250,6 +298,12 @@
         counted.map(|(life, _)| life.clone()).collect()
     }
 
+    /// Whether anything of a work is remembered.
+    #[must_use]
+    pub fn knows(&self, work: WorkDigest) -> bool {
+        self.works.contains_key(&work)
+    }
+
     /// Works that are held.
     pub fn held(&self) -> impl Iterator<Item = WorkDigest> {
         let held = self.works.iter().filter(|(_, record)| record.is_held());
@@ -267,17 +321,15 @@
         if self.works.is_empty() {
             return Vec::new();
         }
-        let repeated = self.works.iter().filter(|(_, record)| {
-            let shared = record.ends.values().filter(|end| end.shared);
-            shared.count() > 1
-        });
+        let repeated = self.works.iter();
+        let repeated = repeated.filter(|(_, record)| record.is_told_again(now));
         let repeated: Vec<WorkDigest> = repeated.map(|(work, _)| *work).collect();
         let due = self.news.pick(&repeated, now);
         let mut notes = Vec::new();
         for work in due {
             if let Some(record) = self.works.get_mut(&work) {
                 record.ends.values_mut().for_each(|end| end.shared = true);
-                notes.push(record.note(work));
+                notes.push(record.note(work, now));
             }
         }
         notes
@@ -294,29 +346,23 @@
         &mut self,
         work: WorkDigest,
         target: &TargetLife,
-        own: bool,
-        now: MonoTime,
+        end: EndRecord,
+        seen: MonoTime,
     ) -> bool {
         if !self.works.contains_key(&work) && self.works.len() >= MOST_WORKS {
             self.make_room();
         }
-        let fresh = || WorkRecord::new(now);
+        let fresh = || WorkRecord::new(seen);
         let record = self.works.entry(work).or_insert_with(fresh);
         if let Some(known) = record.ends.get_mut(target) {
-            known.own |= own;
+            known.own |= end.own;
             return false;
         }
-        if record.ends.len() >= MOST_LIVES {
+        if !record.drop_refuted() {
             return false;
         }
-        let end = EndRecord {
-            at: now,
-            own,
-            shared: !own,
-            refuted: false,
-        };
         record.ends.insert(target.clone(), end);
-        record.last_end = now;
+        record.last_end = record.last_end.max(seen);
         record.trial_at = None;
         let suspects = self.suspects.entry(target.clone()).or_default();
         suspects.insert(work);
@@ -344,14 +390,20 @@
         }
     }
 
-    fn take_refuted(&mut self, work: WorkDigest, target: &TargetLife, now: MonoTime) -> bool {
+    fn take_refuted(
+        &mut self,
+        work: WorkDigest,
+        target: &TargetLife,
+        end: EndRecord,
+        seen: MonoTime,
+    ) -> bool {
         let known = self.works.get(&work);
         let known = known.and_then(|record| record.ends.get(target));
         if known.is_some_and(|end| end.refuted) {
             return false;
         }
         // Kept also where the end was not heard of: word of it may still come.
-        self.take_end(work, target, false, now);
+        self.take_end(work, target, end, seen);
         self.refute(work, target);
         true
     }
--- a/src/crashes/news.rs
+++ b/src/crashes/news.rs
@@ -32,6 +32,8 @@
     pub ends: Vec<TargetLife>,
     /// Lives that seemed to and did not, or that ended for another reason.
     pub refuted: Vec<TargetLife>,
+    /// Milliseconds since the last end, or since it was asked for where it is held.
+    pub age_ms: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/src/gateway/held_work/mod.rs
+++ b/src/gateway/held_work/mod.rs
@@ -14,8 +14,7 @@
 use tokio::time::sleep;
 
 use crate::clock;
-use crate::crashes::book::AnswerTimes;
-use crate::crashes::book::WorkStanding;
+use crate::crashes::book::{AnswerTimes, WorkStanding};
 use crate::crashes::news::WorkNote;
 use crate::crashes::work_digest::WorkDigest;
 use crate::gateway::call::RoutedCall;
@@ -29,8 +28,7 @@
 use crate::timer::TimerService;
 
 /// Why held work is not sent.
-const HELD: &str =
-    "targets ended under each run of this request; it is not sent until an operator lets it go";
+const HELD: &str = "targets ended under each run of this request; it is not sent for now";
 /// Time to come back for work that is not tried again by itself.
 const HELD_WAIT: Duration = Duration::from_secs(3_600);
 /// How often it is looked whether held work is in the store.
@@ -41,7 +39,6 @@
 const FAILED_WAIT: Duration = Duration::from_secs(1);
 /// How often it is looked in the store for work that an operator let go, while any is held.
 const RELEASE_EVERY: Duration = Duration::from_secs(20);
-
 /// Silence of the store, which is asked more often, after which entries may be old.
 const STORE_SILENCE: Duration = Duration::from_secs(4);
 
@@ -250,7 +247,11 @@
             return;
         };
         match HeldRecord::note(name, value) {
-            Ok(note) => {
+            Ok(mut note) => {
+                // Only callers keep what is known here from being forgotten.
+                if self.crashes.borrow().knows(note.work) {
+                    note.age_ms = u64::MAX;
+                }
                 let count = note.ends.len();
                 self.take_work_note(&note, true, "", "store");
                 if let Some(kept) = self.held.borrow_mut().kept.get_mut(&note.work) {
--- a/src/gateway/held_work/records.rs
+++ b/src/gateway/held_work/records.rs
@@ -84,6 +84,7 @@
             work,
             ends,
             refuted,
+            age_ms: 0,
         })
     }
 
--- a/tests/crashes_held.rs
+++ b/tests/crashes_held.rs
@@ -251,6 +251,40 @@
     assert!(book.is_empty());
 }
 
+// Guards against works that daemons tell each other for ever, as each learns them anew from
+// another one after it forgot them.
+#[test]
+fn what_all_have_forgotten_stays_forgotten() {
+    let mut books = [0, 1].map(|_| CrashBook::default());
+    ended(&mut books[0], 2, 0);
+    for tick in 0..(15 * MINUTE / 200) {
+        // The second one hears and forgets a little later.
+        let now = [at(tick * 200), at(tick * 200 + 100)];
+        for number in [0, 1] {
+            let word = books[number].pick(now[number]);
+            for note in &word {
+                books[1 - number].take_note(note, true, now[number]);
+            }
+            books[number].sweep(now[number]);
+        }
+    }
+    assert!(books.iter().all(CrashBook::is_empty));
+}
+
+// Guards against popular work that is never held, as it was cut and acquitted too often.
+#[test]
+fn work_that_was_often_acquitted_can_be_held() {
+    let mut book = CrashBook::default();
+    for number in 100..200 {
+        let ms = number * SECOND;
+        book.note_end(work(1), &life(number), at(ms));
+        book.pick(at(ms + 500));
+        book.note_whole(work(1), at(ms + 600));
+    }
+    ended(&mut book, 3, 300 * SECOND);
+    assert!(book.is_held(work(1)));
+}
+
 struct DigestCase {
     method: Method,
     host: &'static str,
