--- a/src/crashes/book.rs
+++ b/src/crashes/book.rs
@@ -413,6 +413,10 @@
         if let Some(end) = record.and_then(|record| record.ends.get_mut(target)) {
             end.refuted = true;
         }
+        self.clear_suspect(target, work);
+    }
+
+    fn clear_suspect(&mut self, target: &TargetLife, work: WorkDigest) {
         if let Some(suspects) = self.suspects.get_mut(target) {
             suspects.swap_remove(&work);
             if suspects.is_empty() {
@@ -440,12 +444,7 @@
             return;
         };
         for target in record.ends.keys() {
-            if let Some(suspects) = self.suspects.get_mut(target) {
-                suspects.swap_remove(&work);
-                if suspects.is_empty() {
-                    self.suspects.swap_remove(target);
-                }
-            }
+            self.clear_suspect(target, work);
         }
     }
 
