--- a/src/gateway/held_work/mod.rs
+++ b/src/gateway/held_work/mod.rs
@@ -22,6 +22,7 @@
 use crate::gateway::held_work::records::HeldRecord;
 use crate::gateway::model::TargetRecord;
 use crate::gateway::reply::Failure;
+use crate::gateway::store_follow::Feed;
 use crate::names::{MonoTime, millis};
 use crate::ports::{ConditionalWrite, ObjectName, ObjectVersion, PlatformError, StoredObject};
 use crate::target_life::TargetLife;
@@ -59,14 +60,21 @@
 }
 
 /// Loads held work from the store, and keeps it there.
+///
+/// A daemon that is fed by a hub is told of it, and asks for none itself.
 pub async fn run(gateway: Rc<Gateway>) {
-    while gateway.load_held().await.is_err() {
-        sleep(FAILED_WAIT).await;
-    }
     let timer = TimerService::start();
     let mut ticks = timer.every(KEEP_EVERY);
+    let mut loaded = false;
     while ticks.next().await.is_some() {
-        if gateway.keep_held().await.is_err() {
+        let reads = !loaded && gateway.duty.get().watches(Feed::Targets);
+        let kept = if reads {
+            gateway.load_held().await
+        } else {
+            gateway.keep_held().await
+        };
+        loaded |= reads && kept.is_ok();
+        if kept.is_err() {
             sleep(FAILED_WAIT).await;
         }
     }
