--- a/src/control/peer_desk.rs
+++ b/src/control/peer_desk.rs
@@ -166,8 +166,8 @@
         });
     }
 
-    /// Acquits work of ends of engines that still report in the same life.
-    pub fn acquit_by_reports(&self, fleet: &FleetView, now: MonoTime) {
+    /// Drops suspicions of engines that still report in the same life.
+    pub fn refute_by_reports(&self, fleet: &FleetView, now: MonoTime) {
         let reports = |target: &TargetLife| {
             let report = fleet.targets.get(target.name())?.report.as_ref()?;
             let same = target.born() == Some(UnixTime(report.incarnation.0));
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -251,7 +251,7 @@
         self.poll_engines(now);
         let fleet = self.membership.fleet().clone();
         self.peers.update(&fleet, now);
-        self.peers.acquit_by_reports(&fleet, now);
+        self.peers.refute_by_reports(&fleet, now);
         self.peers.send_hint(self.stopping, now);
     }
 
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -292,7 +292,7 @@
         }
         self.pool.borrow_mut().sweep(tokio::time::Instant::now());
         self.crashes.borrow_mut().sweep(now);
-        self.acquit_by_entries(now);
+        self.refute_by_entries(now);
         let view = self.view();
         let mut core = self.core.borrow_mut();
         core.sweep(|target| view.holds(target), now);
--- a/src/gateway/held_work/mod.rs
+++ b/src/gateway/held_work/mod.rs
@@ -197,8 +197,8 @@
         self.newly_held.notify_waiters();
     }
 
-    /// Acquits work of ends that were none, by the targets' entries.
-    pub(in crate::gateway) fn acquit_by_entries(&self, now: MonoTime) {
+    /// Drops suspicions of targets whose entries show that they live.
+    pub(in crate::gateway) fn refute_by_entries(&self, now: MonoTime) {
         let heard = self.pulse.age(now) < STORE_SILENCE;
         let heard_since = {
             let mut desk = self.held.borrow_mut();
--- a/tests/crashes_held.rs
+++ b/tests/crashes_held.rs
@@ -271,9 +271,9 @@
     assert!(books.iter().all(CrashBook::is_empty));
 }
 
-// Guards against popular work that is never held, as it was cut and acquitted too often.
+// Guards against popular work that is never held, as it was cut and cleared too often.
 #[test]
-fn work_that_was_often_acquitted_can_be_held() {
+fn work_that_was_often_cleared_can_be_held() {
     let mut book = CrashBook::default();
     for number in 100..200 {
         let ms = number * SECOND;
