Broadcast schedule: one for all reports that daemons repeat to each other

What readers saw: the selection of due reports was written for crashed work only. Limits of targets need the same: a change repeated for a while, all of it told again in rotation.

Change: the schedule is generic over the record's key and stands on its own; the crash report keeps its module. has_unsent tells that a first message is due. No behaviour changed.

--- a/src/crashes/broadcasts.rs
+++ b/src/broadcast_schedule.rs
@@ -1,17 +1,15 @@
-//! Selects the works whose crash reports go into the next message to other daemons.
+//! Selects the records whose reports go into the next message to other daemons.
 //!
-//! A changed report goes into several messages, since a link may drop one. Works that
-//! crashed more than one target are also rebroadcast in rotation, once a second, for daemons
-//! that were unreachable at the time.
+//! A changed report goes into several messages, since a link may drop one. Eligible records
+//! are also rebroadcast in rotation, once a second, for daemons that were unreachable when
+//! they changed.
 
+use std::hash::Hash;
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
-use crate::crashes::work_digest::WorkDigest;
 use crate::names::MonoTime;
-use crate::target_incarnation::TargetIncarnation;
 
 /// Time for which a changed report is repeated, counted from its first message.
 const BROADCAST_TIME: Duration = Duration::from_millis(600);
@@ -24,20 +22,6 @@
 /// Maximum number of changed reports per message.
 const MAX_UPDATES: usize = 256;
 
-/// A report about one work, as daemons send it to each other.
-#[derive(Clone, Debug, Deserialize_tuple, Eq, PartialEq, Serialize_tuple)]
-pub struct CrashReport {
-    /// The work.
-    pub work: WorkDigest,
-    /// Target incarnations that crashed under it.
-    pub crashes: Vec<TargetIncarnation>,
-    /// Target incarnations that were suspected of it but did not crash, or crashed for
-    /// another reason.
-    pub refuted: Vec<TargetIncarnation>,
-    /// Milliseconds since the last crash or, if quarantined, since its last request.
-    pub age_ms: u64,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct PendingBroadcast {
     due: MonoTime,
@@ -45,31 +29,48 @@
     until: Option<MonoTime>,
 }
 
-/// Schedules when crash reports are sent to other daemons.
-#[derive(Clone, Debug, Default)]
-pub struct CrashBroadcasts {
-    pending: IndexMap<WorkDigest, PendingBroadcast>,
+/// Schedules when the reports of records with keys `K` are sent to other daemons.
+#[derive(Clone, Debug)]
+pub struct BroadcastSchedule<K> {
+    pending: IndexMap<K, PendingBroadcast>,
     rebroadcast_at: Option<MonoTime>,
     next_rebroadcast: usize,
 }
 
-impl CrashBroadcasts {
-    /// Schedules the report of a work, to be sent from `due` on.
-    pub fn schedule(&mut self, work: WorkDigest, due: MonoTime) {
+impl<K> Default for BroadcastSchedule<K> {
+    fn default() -> Self {
+        Self {
+            pending: IndexMap::new(),
+            rebroadcast_at: None,
+            next_rebroadcast: 0,
+        }
+    }
+}
+
+impl<K: Clone + Eq + Hash> BroadcastSchedule<K> {
+    /// Schedules the report of a record, to be sent from `due` on.
+    pub fn schedule(&mut self, key: K, due: MonoTime) {
         let broadcast = PendingBroadcast { due, until: None };
-        let pending = self.pending.entry(work).or_insert(broadcast);
+        let pending = self.pending.entry(key).or_insert(broadcast);
         pending.due = pending.due.min(due);
         pending.until = None;
     }
 
-    /// Cancels pending messages about a work.
-    pub fn cancel(&mut self, work: WorkDigest) {
-        self.pending.swap_remove(&work);
+    /// Cancels pending messages about a record.
+    pub fn cancel(&mut self, key: &K) {
+        self.pending.swap_remove(key);
+    }
+
+    /// Returns whether a changed report is due that has not been sent yet.
+    #[must_use]
+    pub fn has_unsent(&self, now: MonoTime) -> bool {
+        let mut pending = self.pending.values();
+        pending.any(|broadcast| broadcast.until.is_none() && broadcast.due <= now)
     }
 
-    /// Returns the works whose reports go into a message now; `eligible` are the works that
-    /// are rebroadcast in rotation.
-    pub fn select_due(&mut self, eligible: &[WorkDigest], now: MonoTime) -> Vec<WorkDigest> {
+    /// Returns the records whose reports go into a message now; `eligible` are those that are
+    /// rebroadcast in rotation.
+    pub fn select_due(&mut self, eligible: &[K], now: MonoTime) -> Vec<K> {
         let mut selected = self.select_updates(now);
         let is_too_early = self
             .rebroadcast_at
@@ -80,22 +81,22 @@
             let from = self.next_rebroadcast % eligible.len();
             self.next_rebroadcast = from + count;
             let rebroadcasts = eligible.iter().cycle().skip(from).take(count);
-            let rebroadcasts: Vec<WorkDigest> = rebroadcasts
-                .filter(|w| !selected.contains(w))
-                .copied()
+            let rebroadcasts: Vec<K> = rebroadcasts
+                .filter(|key| !selected.contains(key))
+                .cloned()
                 .collect();
             selected.extend(rebroadcasts);
         }
         selected
     }
 
-    fn select_updates(&mut self, now: MonoTime) -> Vec<WorkDigest> {
+    fn select_updates(&mut self, now: MonoTime) -> Vec<K> {
         let mut selected = Vec::new();
-        for (work, broadcast) in &mut self.pending {
+        for (key, broadcast) in &mut self.pending {
             if broadcast.due <= now && selected.len() < MAX_UPDATES {
                 broadcast.until.get_or_insert(now.plus(BROADCAST_TIME));
                 broadcast.due = now.plus(BROADCAST_INTERVAL);
-                selected.push(*work);
+                selected.push(key.clone());
             }
         }
         self.pending
--- a/src/crashes/mod.rs
+++ b/src/crashes/mod.rs
@@ -4,9 +4,9 @@
 //! The caller then sends the request again, as a new attempt, to any daemon. Crashes are
 //! therefore tracked per work, identified by a digest that all attempts share, together with
 //! the target incarnations that crashed under it ([`tracker`]). Daemons exchange these reports
-//! ([`broadcasts`]). Work that crashed three targets is quarantined and no longer sent.
+//! ([`report`]). Work that crashed three targets is quarantined and no longer sent.
 
-pub mod broadcasts;
+pub mod report;
 pub mod tracker;
 pub mod work_digest;
 
--- a/src/crashes/tracker.rs
+++ b/src/crashes/tracker.rs
@@ -9,7 +9,8 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use crate::crashes::broadcasts::{CrashBroadcasts, CrashReport};
+use crate::broadcast_schedule::BroadcastSchedule;
+use crate::crashes::report::CrashReport;
 use crate::crashes::work_digest::WorkDigest;
 use crate::names::{MonoTime, millis};
 use crate::target_incarnation::TargetIncarnation;
@@ -161,7 +162,7 @@
     works: IndexMap<WorkDigest, WorkRecord>,
     // Suspect works by the target incarnation that may still refute the suspicion.
     suspicions: IndexMap<TargetIncarnation, IndexSet<WorkDigest>>,
-    broadcasts: CrashBroadcasts,
+    broadcasts: BroadcastSchedule<WorkDigest>,
 }
 
 impl CrashTracker {
@@ -472,7 +473,7 @@
     }
 
     fn remove(&mut self, work: WorkDigest) {
-        self.broadcasts.cancel(work);
+        self.broadcasts.cancel(&work);
         let Some(record) = self.works.swap_remove(&work) else {
             return;
         };
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -8,7 +8,7 @@
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 use tokio_tungstenite::tungstenite::Message;
 
-use crate::crashes::broadcasts::CrashReport;
+use crate::crashes::report::CrashReport;
 use crate::gateway::deciding::load::TargetWork;
 use crate::gateway::deciding::stage_plan::WorkRate;
 use crate::gateway::fleet_tasks::usage_counts::{DaemonUsage, UsageCount};
@@ -52,7 +52,7 @@
     /// Added or removed entries of targets, as due ([`super::entry_broadcasts`]).
     #[serde(default)]
     pub entries: Vec<EntryUpdate>,
-    /// Work that crashed targets, as due ([`crate::crashes::broadcasts`]).
+    /// Work that crashed targets, as due ([`crate::broadcast_schedule`]).
     #[serde(default, rename = "works")]
     pub crash_reports: Vec<CrashReport>,
     /// Engines whose stage it is changing.
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -14,7 +14,7 @@
 use tokio::time::sleep;
 
 use crate::clock;
-use crate::crashes::broadcasts::CrashReport;
+use crate::crashes::report::CrashReport;
 use crate::crashes::tracker::{ExchangeTimes, WorkStatus};
 use crate::crashes::work_digest::WorkDigest;
 use crate::gateway::call::RoutedRequest;
--- a/src/gateway/quarantine/records.rs
+++ b/src/gateway/quarantine/records.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::crashes::broadcasts::CrashReport;
+use crate::crashes::report::CrashReport;
 use crate::crashes::work_digest::WorkDigest;
 use crate::target_incarnation::TargetIncarnation;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod access_key;
 pub mod admin_http;
 pub mod authority;
+pub mod broadcast_schedule;
 pub mod client;
 pub mod clock;
 pub mod config;
--- a/src/peers/wire.rs
+++ b/src/peers/wire.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::crashes::broadcasts::CrashReport;
+use crate::crashes::report::CrashReport;
 use crate::names::{DaemonId, ModelName, ProcessIncarnation, WorkspaceName};
 use crate::ports::{ObjectName, ObjectVersion, StoredObject};
 use crate::roles::mix::{MIX_BINS, WorkAmount, WorkTotals};
@@ -33,7 +33,7 @@
     /// States of the engines whose leases it holds.
     pub engines: Vec<EngineState>,
     /// Reports of work that crashed targets, sent in rotation
-    /// ([`crate::crashes::broadcasts`]).
+    /// ([`crate::broadcast_schedule`]).
     pub crash_reports: Vec<CrashReport>,
 }
 
--- a/tests/crashes_held.rs
+++ b/tests/crashes_held.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use pistachiowick::access_key::KeyDigest;
-use pistachiowick::crashes::broadcasts::CrashReport;
+use pistachiowick::crashes::report::CrashReport;
 use pistachiowick::crashes::tracker::ExchangeTimes;
 use pistachiowick::crashes::tracker::{CrashTracker, WorkStatus};
 use pistachiowick::crashes::work_digest::WorkDigest;
