Targets' limits: each daemon sends in its own turns, so that the fleet keeps them

What callers and operators saw: a target in need that named a limit of 1.3 requests a second went on getting 6 a second; 34 in four seconds where 15 were allowed, 22 of them from one daemon that had heard it for 2.5 s.

Cause: the limit was read nowhere. A target's room came from connections, slots, health and learned times, and none of these is a rate. Class: a bound for the whole fleet that no part keeps.

Ruled out by the design, not by the record: daemons that learn too late (reports on all links, at once, relayed by hubs, repeated, and told to a daemon that starts), a sum over daemons (turns), sends past the guard (it stands in Gateway::send, right before the send, and in the queries of the daemon itself; what waits is checked again).

Change: a turn is one request that the limit allows. Turns begin at regular intervals from a common origin and belong to the daemons with a record in the order of their names; one that isn't used expires. So the sum is bounded without a message a request, in a cut, with daemons frozen, dead or new. The choice of a target takes the wait for a turn as time, gives limited engines no homes of shared parts, and favours a turn that is about to expire. Urgent work goes first, continued work before new work. Without a turn anywhere callers are refused at once, each with another time to come back.

Evidence: a_target_gets_no_more_than_its_limit_from_the_fleet failed with 113 to 336 requests in four seconds, 12.8 allowed; now all ten cases pass. target_limits drives the policy in virtual time with 8, 69 and 300 daemons. Planted: all daemons with the same seat, turns used more than once, both caught; without relays by hubs nothing fails, since hubs tell all limits in rotation anyway, so the flag is gone.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -18,6 +18,14 @@
 use crate::gateway::sending::SendPlan;
 use crate::names::millis;
 use crate::target_incarnation::TargetIncarnation;
+use crate::target_limits::tracker::TurnTerms;
+
+/// Time for which a turn is kept for more urgent requests, for each rank.
+const TURN_DELAY_PER_RANK: Duration = Duration::from_millis(50);
+/// Longest time for which a turn is kept for more urgent requests.
+const MAX_TURN_DELAY: Duration = Duration::from_millis(400);
+/// Share of the time left within the latency objective that a request may wait for a turn.
+const MAX_TURN_WAIT_SHARE: f64 = 0.5;
 
 /// A caller's request with its route, service and access.
 pub struct RoutedRequest {
@@ -75,10 +83,26 @@
 
     /// Returns the plan of a send whose answer head is awaited until `deadline`.
     #[must_use]
-    pub fn plan(&self, deadline: Instant) -> SendPlan<'_> {
+    pub fn plan(&self, deadline: Instant, turn_terms: TurnTerms) -> SendPlan<'_> {
         SendPlan {
             call: self,
             deadline: deadline.min(self.deadline),
+            turn_terms,
+        }
+    }
+
+    /// Returns how new work may use turns at targets that limit the rate of their requests.
+    #[must_use]
+    pub fn turn_terms(&self) -> TurnTerms {
+        turn_terms(self.route.urgency, self.objective_left())
+    }
+
+    /// Returns the same for work that is continued: a part of its cost is already spent.
+    #[must_use]
+    pub fn continued_turn_terms(&self) -> TurnTerms {
+        TurnTerms {
+            kept_for_urgent: Duration::ZERO,
+            max_wait: self.route.objective.min(self.time_left()),
         }
     }
 
@@ -106,6 +130,16 @@
     }
 }
 
+/// Returns how new work of a rank may use turns, with the time left within its objective.
+#[must_use]
+pub fn turn_terms(urgency: u8, objective_left: Duration) -> TurnTerms {
+    let kept_for_urgent = TURN_DELAY_PER_RANK * u32::from(urgency);
+    TurnTerms {
+        kept_for_urgent: kept_for_urgent.min(MAX_TURN_DELAY),
+        max_wait: objective_left.mul_f64(MAX_TURN_WAIT_SHARE),
+    }
+}
+
 /// Returns the digest of a request to `host`. Attempts of the same work have the same
 /// method, host, path, workspace and body.
 #[must_use]
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -303,9 +303,10 @@
         self.crashes.borrow_mut().sweep(now);
         self.refute_registered_targets(now);
         let view = self.view();
+        let is_known = |id: &DaemonId| view.daemons.iter().any(|daemon| daemon.id == *id);
         self.limits
             .borrow_mut()
-            .retain(|target| view.has_target(target));
+            .sweep(|target| view.has_target(target), is_known, now);
         let mut core = self.core.borrow_mut();
         core.sweep(|target| view.has_target(target), now);
         let engines = view.routes.iter().flat_map(|routes| routes.services());
--- a/src/gateway/deciding/engine_choice.rs
+++ b/src/gateway/deciding/engine_choice.rs
@@ -17,6 +17,7 @@
 use crate::gateway::deciding::health::HealthView;
 use crate::gateway::deciding::load::TargetWork;
 use crate::gateway::model::{EngineStage, PromptShape, TargetRecord};
+use crate::target_limits::tracker::TurnOffer;
 
 /// Wait expected for each running request in excess of an engine's slots, in milliseconds.
 const OVERLOAD_PENALTY_MS: f64 = 50.0;
@@ -27,6 +28,10 @@
 /// Cost of an engine whose sends all fail, in milliseconds; scaled by the failure rate.
 const FAILURE_PENALTY_MS: f64 = 1_000.0;
 
+/// Largest reduction of the cost of an engine at which a turn is about to expire, in
+/// milliseconds: an engine that gets no requests cannot show that its limit has ended.
+const TURN_DISCOUNT_MS: f64 = 300.0;
+
 /// Weights of the placement costs. Times are in milliseconds.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
@@ -76,6 +81,8 @@
     pub health: HealthView,
     /// Whether this request may be sent to it.
     pub available: bool,
+    /// The next turn, if it limits the rate of its requests.
+    pub turn: Option<TurnOffer>,
 }
 
 impl EngineState {
@@ -97,6 +104,15 @@
         avoided + unverified + FAILURE_PENALTY_MS * self.health.failure_rate
     }
 
+    fn turn_wait_ms(&self) -> f64 {
+        let wait = self.turn.map(|turn| turn.wait);
+        wait.unwrap_or_default().as_secs_f64() * 1_000.0
+    }
+
+    fn turn_discount_ms(&self) -> f64 {
+        self.turn.map_or(0.0, |turn| TURN_DISCOUNT_MS * turn.age)
+    }
+
     fn running_ms(&self, each_ms: f64) -> f64 {
         let running = self.work.running;
         let excess = running.saturating_sub(self.record.slots);
@@ -243,7 +259,8 @@
     prompt: &'a PromptShape,
     rank: u8,
     shared_tokens: u32,
-    // First home of the prompt's shared part, among engines that are not avoided.
+    // First home of the prompt's shared part, among engines that are not avoided and do not
+    // limit the rate of their requests.
     home: Option<&'a EngineState>,
     // Engine from which the most leading tokens of the prompt can be copied.
     source: Option<&'a EngineState>,
@@ -259,8 +276,10 @@
     ) -> Self {
         let key = affinity::shared_key(&prompt.parts);
         let home = key.and_then(|key| {
-            let healthy = engines.iter().filter(|e| !e.health.avoided);
-            healthy.max_by_key(|e| affinity::home_weight(key, &e.record.id))
+            let open = engines
+                .iter()
+                .filter(|e| !e.health.avoided && e.turn.is_none());
+            open.max_by_key(|e| affinity::home_weight(key, &e.record.id))
         });
         let sources = engines.iter().filter(|e| !e.health.avoided);
         let source = sources
@@ -313,8 +332,11 @@
         };
         let own_prefill_ms = f64::from(pending_prefill) * latency.token_ms * slowdown;
         let waiting_ms = f64::from(waiting) * latency.token_ms * slowdown;
-        let expected_ms =
-            latency.fixed_ms * slowdown + own_prefill_ms + waiting_ms + engine.health_penalty_ms();
+        let expected_ms = latency.fixed_ms * slowdown
+            + own_prefill_ms
+            + waiting_ms
+            + engine.turn_wait_ms()
+            + engine.health_penalty_ms();
         let cost_to_others_ms = (own_prefill_ms
             + weighted_recomputed * slowdown * latency.token_ms)
             * interference_factor
@@ -323,7 +345,8 @@
         PrefillOption {
             engine,
             fetch_from,
-            cost_ms: expected_ms + cost_to_others_ms + running + copying_ms,
+            cost_ms: expected_ms + cost_to_others_ms + running + copying_ms
+                - engine.turn_discount_ms(),
             expected_ms,
             own_prefill_ms,
             pending_prefill_tokens: pending_prefill,
@@ -338,14 +361,16 @@
         let costs = self.engines.iter().filter(fits).map(|engine| {
             let waiting = f64::from(engine.work.prefill_tokens_before(self.rank));
             let slowdown = engine.health.slowdown;
-            let expected =
-                self.latencies.kv_transfer.at(waiting) * slowdown + engine.health_penalty_ms();
+            let expected = self.latencies.kv_transfer.at(waiting) * slowdown
+                + engine.turn_wait_ms()
+                + engine.health_penalty_ms();
             let copied = self
                 .prompt
                 .prompt_tokens
                 .saturating_sub(engine.cached_tokens);
             let copy_ms = f64::from(copied) * self.weights.copy_ms;
-            let cost = expected + copy_ms + engine.running_ms(self.weights.running_ms);
+            let cost = expected + copy_ms + engine.running_ms(self.weights.running_ms)
+                - engine.turn_discount_ms();
             (engine, DecodeCost { expected, cost })
         });
         costs.min_by(|a, b| a.1.cost.total_cmp(&b.1.cost))
--- a/src/gateway/deciding/mod.rs
+++ b/src/gateway/deciding/mod.rs
@@ -25,6 +25,7 @@
 use crate::gateway::model::{PromptPart, PromptShape, TargetRecord};
 use crate::names::{MonoTime, ServiceName};
 use crate::target_incarnation::TargetIncarnation;
+use crate::target_limits::tracker::{TurnOffer, TurnOffers};
 
 /// Added to the rank of a deprioritised request: one that misses its objective by waiting.
 const DEPRIORITIZED_RANKS: u8 = 5;
@@ -35,8 +36,10 @@
     pub engines: &'a [Arc<TargetRecord>],
     /// Engines whose stage is being changed; they get no new work.
     pub changing: &'a [TargetIncarnation],
-    /// Engines that the request must not be sent to any more.
+    /// Engines that the request must not be sent to any more, or not at present.
     pub excluded: &'a [TargetIncarnation],
+    /// Turns at the engines that limit the rate of their requests.
+    pub turns: &'a TurnOffers,
 }
 
 impl EngineCandidates<'_> {
@@ -210,20 +213,22 @@
         engine_choice::choose_decode_engine(&self.weights, &latencies, &engines, prompt, rank)
     }
 
-    /// Chooses a target of a service without model engines. `draw` returns random numbers
-    /// from 0 to 1, so that daemons with the same knowledge do not all choose the same
-    /// target.
+    /// Chooses a target of a service without model engines, with the turns at those that limit
+    /// the rate of their requests. `draw` returns random numbers from 0 to 1, so that daemons
+    /// with the same knowledge do not all choose the same target.
     #[must_use]
     pub fn choose_plain_target<'a>(
         &self,
         targets: impl Iterator<Item = &'a Arc<TargetRecord>>,
+        turns: &TurnOffers,
         mut draw: impl FnMut() -> f64,
         now: MonoTime,
     ) -> Option<Arc<TargetRecord>> {
         let costs = targets.map(|target| {
             let health = self.health.view(&target.id, now);
             let running = self.load.total(&target.id).running;
-            let cost = plain_cost(running, target.slots, health) + draw() * TIE_RANGE;
+            let turn_cost = turns.get(&target.id).map_or(0.0, plain_turn_cost);
+            let cost = plain_cost(running, target.slots, health) + turn_cost + draw() * TIE_RANGE;
             (cost, target)
         });
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
@@ -245,6 +250,7 @@
             work: self.load.total(&engine.id),
             health: self.health.view(&engine.id, now),
             available: !excluded(&engine.id) && !changing(&engine.id),
+            turn: choices.turns.get(&engine.id).copied(),
         });
         states.collect()
     }
@@ -258,6 +264,16 @@
 /// Cost of a target that recently did not answer: more than any load.
 const AVOIDED_COST: f64 = 100.0;
 
+/// Wait for a turn that costs as much as a target whose slots are all busy, in seconds.
+const TURN_WAIT_S: f64 = 0.1;
+/// Largest reduction of the cost of a target at which a turn is about to expire: a target that
+/// gets no requests cannot show that its limit has ended.
+const TURN_DISCOUNT: f64 = 1.0;
+
+fn plain_turn_cost(turn: &TurnOffer) -> f64 {
+    turn.wait.as_secs_f64() / TURN_WAIT_S - TURN_DISCOUNT * turn.age
+}
+
 // Cost of sending one more request: the share of busy slots plus penalties for failures.
 fn plain_cost(running: u32, slots: u32, health: HealthView) -> f64 {
     let busy_share = f64::from(running) / f64::from(slots.max(1));
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -19,13 +19,13 @@
 use crate::gateway::client::{self, BodyError, OutgoingRequest};
 use crate::gateway::daemon::Gateway;
 use crate::gateway::deciding::health::SendResult;
-use crate::gateway::fleet::FleetView;
 use crate::gateway::model::{RouteRule, ServiceRule, TargetRecord};
 use crate::gateway::port::{SendMode, SendOrder};
+use crate::gateway::rate_limits::late_turns;
 use crate::gateway::reply::{Failure, FailureKind, Reply, strip_connection_headers, whole_reply};
 use crate::gateway::routes::{RouteTable, choose_service};
 use crate::gateway::sending::{SendOutcome, TargetAnswer};
-use crate::names::ServiceName;
+use crate::target_incarnation::TargetIncarnation;
 
 /// Retry time after a refusal because no configuration or target is available.
 const NOT_READY_WAIT: Duration = Duration::from_millis(250);
@@ -158,7 +158,7 @@
             "no target of the service is available; retry later",
             NOT_READY_WAIT,
         ));
-        while let Some(target) = self.choose_plain(&call.view, &call.service.name, &history) {
+        while let Some(target) = self.choose_plain(call, &history) {
             let can_retry = history.may_send_after_next(call) && call.route.retry.may_retry();
             let attempt = self.send_plain(&target, call, can_retry).await;
             let retry = match &attempt {
@@ -193,7 +193,10 @@
                 break;
             }
         }
-        last
+        match (last, self.no_turn_refusal(call, &history)) {
+            (Err(_), Some(refusal)) => Err(refusal),
+            (last, _) => last,
+        }
     }
 
     async fn send_plain(
@@ -210,7 +213,9 @@
         };
         let order = plain_order(target, call);
         let _in_flight = InFlightGuard::begin(self, &target.id, 0, 0);
-        let outcome = self.send(target, call.plan(deadline), &order).await;
+        let outcome = self
+            .send(target, call.plan(deadline, call.turn_terms()), &order)
+            .await;
         let attempt = self.finish_plain(target, call, outcome).await;
         call.log_send(target, "run", attempt.as_str(), sent);
         attempt
@@ -289,18 +294,21 @@
 
     fn choose_plain(
         &self,
-        view: &FleetView,
-        service: &ServiceName,
+        call: &RoutedRequest,
         history: &SendHistory,
     ) -> Option<Arc<TargetRecord>> {
         let current = self.view();
         let mut rng = self.rng.borrow_mut();
-        let untried = view
-            .service_targets(service)
-            .iter()
-            .filter(|t| !history.has(&t.id) && current.has_target(&t.id));
+        let targets = call.view.service_targets(&call.service.name);
+        let terms = call.turn_terms();
+        let turns = self.turn_offers(targets, terms);
+        let late: Vec<&TargetIncarnation> = late_turns(&turns, terms).collect();
+        let usable = targets.iter().filter(|target| {
+            let id = &target.id;
+            !history.has(id) && current.has_target(id) && !late.contains(&id)
+        });
         let core = self.core.borrow();
-        core.choose_plain_target(untried, || rng.random(), clock::mono_now())
+        core.choose_plain_target(usable, &turns, || rng.random(), clock::mono_now())
     }
 }
 
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -17,11 +17,13 @@
 use crate::gateway::forward::lost_answer;
 use crate::gateway::model::TargetRecord;
 use crate::gateway::port::{SendMode, SendOrder};
+use crate::gateway::rate_limits::late_turns;
 use crate::gateway::reading::CacheHandleGuard;
 use crate::gateway::reply::{Failure, Reply, stream_reply, whole_reply};
 use crate::gateway::sending::{SendOutcome, TargetAnswer};
 use crate::gateway::stream::{EventRelay, FirstEventTimer};
 use crate::target_incarnation::TargetIncarnation;
+use crate::target_limits::tracker::TurnTerms;
 
 /// Retry time after a refusal by an engine.
 pub(super) const ENGINE_BUSY_RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -80,7 +82,7 @@
                 Started::Failed(failure) => return Err(failure),
             }
         }
-        Err(last)
+        Err(self.no_turn_refusal(call, history).unwrap_or(last))
     }
 
     fn reselect_decode_engine(
@@ -94,7 +96,9 @@
             return place;
         }
         let (prompt, urgency) = (call.prompt(), call.route.urgency);
-        let decode_engine = self.with_candidates(call, history, |candidates| {
+        let tried: Vec<TargetIncarnation> = history.tried().cloned().collect();
+        let terms = call.continued_turn_terms();
+        let decode_engine = self.with_candidates(call, &tried, terms, |candidates| {
             let core = self.core.borrow();
             core.choose_decode_engine(&candidates, &prompt, urgency, clock::mono_now())
         });
@@ -278,10 +282,13 @@
             _ => "run",
         };
         let resume_after = call.caller.resume_after;
+        let turn_terms = match mode {
+            SendMode::DecodeFrom(_) => call.continued_turn_terms(),
+            SendMode::Run | SendMode::Prefill => call.turn_terms(),
+        };
         let order = self.order(call, decode_engine, mode, resume_after, fetch_from, rank);
-        let outcome = self
-            .send(decode_engine, call.plan(call.deadline), &order)
-            .await;
+        let plan = call.plan(call.deadline, turn_terms);
+        let outcome = self.send(decode_engine, plan, &order).await;
         call.log_send(decode_engine, step, outcome.as_str(), sent);
         outcome
     }
@@ -363,9 +370,15 @@
 
     /// Chooses the engines of a request among those that it was not sent to yet.
     #[must_use]
-    pub fn place(&self, call: &RoutedRequest, history: &SendHistory) -> Option<EnginePlacement> {
+    pub fn place(
+        &self,
+        call: &RoutedRequest,
+        history: &SendHistory,
+        turn_terms: TurnTerms,
+    ) -> Option<EnginePlacement> {
         let prompt = call.prompt();
-        self.with_candidates(call, history, |candidates| {
+        let tried: Vec<TargetIncarnation> = history.tried().cloned().collect();
+        self.with_candidates(call, &tried, turn_terms, |candidates| {
             let query = PlacementQuery {
                 choices: candidates,
                 prompt: &prompt,
@@ -397,14 +410,22 @@
     pub(super) fn with_candidates<T>(
         &self,
         call: &RoutedRequest,
-        history: &SendHistory,
+        tried: &[TargetIncarnation],
+        turn_terms: TurnTerms,
         decide: impl FnOnce(EngineCandidates<'_>) -> T,
     ) -> T {
-        let excluded: Vec<TargetIncarnation> = history.tried().cloned().collect();
+        let engines = self.eligible(call.view.service_targets(&call.service.name));
+        let turns = self.turn_offers(&engines, turn_terms);
+        let excluded: Vec<TargetIncarnation> = tried
+            .iter()
+            .chain(late_turns(&turns, turn_terms))
+            .cloned()
+            .collect();
         decide(EngineCandidates {
-            engines: &self.eligible(call.view.service_targets(&call.service.name)),
+            engines: &engines,
             changing: &self.changing(),
             excluded: &excluded,
+            turns: &turns,
         })
     }
 }
--- a/src/gateway/peers/links.rs
+++ b/src/gateway/peers/links.rs
@@ -109,6 +109,8 @@
     status: watch::Receiver<OutgoingStatus>,
 ) {
     let urgent = gateway.placement_client.borrow_mut().open_link(&daemon.id);
+    // A daemon that has just started would send to targets whose limits it does not know.
+    gateway.limits.borrow_mut().announce_all(clock::mono_now());
     let mut queue = if kind == LinkKind::Hint {
         LinkQueue::without_changes(status, urgent)
     } else {
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -45,6 +45,7 @@
 use crate::gateway::registry::EntryUpdate;
 use crate::names::{DaemonId, MonoTime};
 use crate::target_incarnation::TargetIncarnation;
+use crate::target_limits::message_delays::ReportSender;
 use crate::timer::TimerService;
 
 /// Time between two updates of this daemon's role, and between two hints without changes.
@@ -94,7 +95,8 @@
                 senders.adjust(&gateway, &role, &outgoing_status);
             }
             Some(_) = hint_ticks.next() => {
-                if role != PeerRole::Mesh || !gateway.has_new_work() {
+                let is_new = role == PeerRole::Mesh && gateway.has_new_work();
+                if !is_new && !gateway.has_new_limits() {
                     continue;
                 }
             }
@@ -167,6 +169,7 @@
             departed: view.departed.clone(),
             entries: self.due_entries(role),
             crash_reports: self.crashes.borrow_mut().due_reports(clock::mono_now()),
+            limits: self.due_limits(),
             changing: self.local_stage_changes.borrow().clone(),
             rate,
             placed_through: self.placement_client.borrow().used_through(),
@@ -248,6 +251,8 @@
             departed: hint.departed.clone(),
             entries: hint.entries.clone(),
             crash_reports: hint.crash_reports.clone(),
+            limits: hint.limits.clone(),
+            clock: hint.clock,
             store_age_ms: self.store_age_ms(whole_fleet, now),
             rate: if whole_fleet {
                 self.work_rate()
@@ -354,6 +359,12 @@
         self.apply_departures(&hint.departed);
         self.apply_entry_changes(hint.entries);
         self.apply_crash_reports(&hint.crash_reports);
+        let sender = ReportSender {
+            daemon: &hint.from,
+            incarnation: hint.incarnation,
+            clock: hint.clock,
+        };
+        self.apply_limits(sender, &hint.limits);
         self.apply_results(&hint.observed);
         let work = hint.work.into_iter().collect();
         let load = &mut self.core.borrow_mut().load;
@@ -441,6 +452,12 @@
         self.apply_departures(&summary.departed);
         self.apply_entry_changes(summary.entries);
         self.apply_crash_reports(&summary.crash_reports);
+        let sender = ReportSender {
+            daemon: &summary.from,
+            incarnation: summary.incarnation,
+            clock: summary.clock,
+        };
+        self.apply_limits(sender, &summary.limits);
         let mut work: WorkByTarget = summary.work.into_iter().collect();
         if summary.whole_fleet {
             hub::subtract(&mut work, &self.last_sent_work.borrow());
--- a/src/gateway/peers/placing.rs
+++ b/src/gateway/peers/placing.rs
@@ -16,7 +16,7 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::clock;
-use crate::gateway::call::{RoutedRequest, SendHistory};
+use crate::gateway::call::{RoutedRequest, SendHistory, turn_terms};
 use crate::gateway::daemon::Gateway;
 use crate::gateway::deciding::engine_choice::EnginePlacement;
 use crate::gateway::deciding::{EngineCandidates, PlacementQuery};
@@ -25,6 +25,7 @@
     PeerMessage, PlacedEngines, PlacementBatch, PlacementRecord, PlacementRequest,
     PlacementResponse,
 };
+use crate::gateway::rate_limits::late_turns;
 use crate::names::{DaemonId, MonoTime};
 use crate::target_incarnation::TargetIncarnation;
 
@@ -185,7 +186,7 @@
         call: &RoutedRequest,
         history: &SendHistory,
     ) -> Option<EnginePlacement> {
-        let placement = self.place(call, history)?;
+        let placement = self.place(call, history, call.turn_terms())?;
         if let Some(prompt) = &call.caller.prompt {
             self.queue_placement(prompt, &placement);
         }
@@ -220,10 +221,15 @@
     fn placement_request(&self, call: &RoutedRequest, history: &SendHistory) -> PlacementRequest {
         let prompt = call.caller.prompt.clone().unwrap_or_default();
         let now = clock::mono_now();
+        let engines = call.view.service_targets(&call.service.name);
+        let terms = call.turn_terms();
+        let turns = self.turn_offers(engines, terms);
+        let late: Vec<&TargetIncarnation> = late_turns(&turns, terms).collect();
         let core = self.core.borrow();
-        let engines = call.view.service_targets(&call.service.name).iter();
-        let avoided =
-            engines.filter(|e| history.has(&e.id) || core.health.view(&e.id, now).avoided);
+        let avoided = engines.iter().filter(|engine| {
+            let id = &engine.id;
+            history.has(id) || late.contains(&id) || core.health.view(id, now).avoided
+        });
         PlacementRequest {
             from: self.daemon.clone(),
             incarnation: self.incarnation,
@@ -282,15 +288,27 @@
             output_tokens: request.output_tokens,
             parts: parts_of(&request.parts),
         };
+        let objective_left = Duration::from_millis(u64::from(request.objective_left_ms));
+        let engines = view.service_targets(&request.service);
+        let terms = turn_terms(request.urgency, objective_left);
+        let turns = self.turn_offers_of(&request.from, engines);
+        // The requester may not know yet that an engine limits the rate of its requests.
+        let excluded: Vec<TargetIncarnation> = request
+            .avoided
+            .iter()
+            .chain(late_turns(&turns, terms))
+            .cloned()
+            .collect();
         let query = PlacementQuery {
             choices: EngineCandidates {
-                engines: view.service_targets(&request.service),
+                engines,
                 changing: &self.changing(),
-                excluded: &request.avoided,
+                excluded: &excluded,
+                turns: &turns,
             },
             prompt: &prompt,
             urgency: request.urgency,
-            objective_left: Duration::from_millis(u64::from(request.objective_left_ms)),
+            objective_left,
         };
         let placement = self.core.borrow().place(&query, clock::mono_now());
         if let Some(placement) = &placement {
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -18,6 +18,7 @@
 use crate::gateway::store_follow::Feed;
 use crate::names::{DaemonId, MonoTime, ServiceName, UnixTime};
 use crate::target_incarnation::TargetIncarnation;
+use crate::target_limits::report::LimitReport;
 
 /// Prompt parts that an engine has cached, or is prefilling.
 #[derive(Clone, Debug, Deserialize_tuple, Serialize_tuple)]
@@ -55,6 +56,9 @@
     /// Work that crashed targets, as due ([`crate::broadcast_schedule`]).
     #[serde(default, rename = "works")]
     pub crash_reports: Vec<CrashReport>,
+    /// Limits of targets, as due ([`crate::broadcast_schedule`]).
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitReport>,
     /// Engines whose stage it is changing.
     pub changing: Vec<TargetIncarnation>,
     /// Work that it places on engines per second.
@@ -294,6 +298,12 @@
     /// Work that crashed targets, as due.
     #[serde(default, rename = "works")]
     pub crash_reports: Vec<CrashReport>,
+    /// Limits of targets, as due.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitReport>,
+    /// Monotonic clock of the hub.
+    #[serde(default)]
+    pub clock: MonoTime,
     /// Work that the covered daemons place on engines per second.
     pub rate: WorkRate,
     /// Milliseconds since the hub's last response from the store.
--- a/src/gateway/reading.rs
+++ b/src/gateway/reading.rs
@@ -10,7 +10,6 @@
 use crate::gateway::call::{InFlightGuard, RoutedRequest, SendHistory};
 use crate::gateway::client;
 use crate::gateway::daemon::Gateway;
-use crate::gateway::deciding::EngineCandidates;
 use crate::gateway::deciding::engine_choice::EnginePlacement;
 use crate::gateway::deciding::health::SendResult;
 use crate::gateway::generate::ENGINE_BUSY_RETRY_AFTER;
@@ -73,14 +72,11 @@
         call: &RoutedRequest,
         tried: &[TargetIncarnation],
     ) -> Option<Arc<TargetRecord>> {
-        let candidates = EngineCandidates {
-            engines: &self.eligible(call.view.service_targets(&call.service.name)),
-            changing: &self.changing(),
-            excluded: tried,
-        };
         let (prompt, urgency) = (call.prompt(), call.route.urgency);
-        let core = self.core.borrow();
-        core.choose_other_prefill_engine(&candidates, &prompt, urgency, clock::mono_now())
+        self.with_candidates(call, tried, call.turn_terms(), |candidates| {
+            let core = self.core.borrow();
+            core.choose_other_prefill_engine(&candidates, &prompt, urgency, clock::mono_now())
+        })
     }
 
     async fn send_prefill(
@@ -107,7 +103,13 @@
             fetch_from,
             place.rank,
         );
-        let outcome = self.send(prefill_engine, call.plan(deadline), &order).await;
+        let outcome = self
+            .send(
+                prefill_engine,
+                call.plan(deadline, call.turn_terms()),
+                &order,
+            )
+            .await;
         let deadline = deadline.min(call.deadline);
         let prefill = self
             .finish_prefill(call, prefill_engine, outcome, deadline)
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -19,6 +19,7 @@
 use crate::gateway::port::{SendMode, SendOrder, TargetQuery};
 use crate::names::MonoTime;
 use crate::target_incarnation::TargetIncarnation;
+use crate::target_limits::tracker::TurnTerms;
 
 /// Longest time to open a connection. This normally takes a few milliseconds; a slower
 /// target is unreachable, and the request can still be sent to another one.
@@ -141,6 +142,8 @@
     pub call: &'a RoutedRequest,
     /// Deadline for the head of the answer.
     pub deadline: Instant,
+    /// How it may use a turn, if the target limits the rate of its requests.
+    pub turn_terms: TurnTerms,
 }
 
 impl Gateway {
@@ -151,22 +154,23 @@
         plan: SendPlan<'_>,
         order: &SendOrder,
     ) -> SendOutcome {
-        if !self.view().has_target(&target.id) {
-            // It may have announced its departure after it was selected.
-            return SendOutcome::NotSent(format!("{} is leaving or gone", target.id));
+        if let Err(reason) = self.check_send(target, plan.call, order) {
+            return SendOutcome::NotSent(reason);
         }
-        if self.is_quarantined(plan.call) {
-            return SendOutcome::NotSent("the work of the request is quarantined".to_owned());
+        if !self.await_turn(target, plan.turn_terms).await {
+            return SendOutcome::NotSent(format!("{} limits the rate of its requests", target.id));
         }
-        if !self.may_still_send(&order.access) {
-            return SendOutcome::NotSent(
-                "the daemon cannot confirm that the workspace key is still valid".to_owned(),
-            );
+        // Waiting for the turn takes time.
+        if let Err(reason) = self.check_send(target, plan.call, order) {
+            return SendOutcome::NotSent(reason);
         }
+        let order = SendOrder {
+            time_left: plan.call.time_left(),
+            ..order.clone()
+        };
         let mut request = plan.call.request.clone();
-        request.headers = (self.ports.wire.encode_send)(&plan.call.request.headers, order);
+        request.headers = (self.ports.wire.encode_send)(&plan.call.request.headers, &order);
         let mut connection = PooledConnection::new(&self.pool, target);
-        self.count_limited_send(target);
         let sent = clock::mono_now();
         let outcome = tokio::select! {
             outcome = self.send_over_connection(&mut connection, &request, plan) => outcome,
@@ -176,7 +180,7 @@
             }
         };
         let outcome = match outcome {
-            Ok(response) => self.classify(target, plan.call, order, response, (connection, sent)),
+            Ok(response) => self.classify(target, plan.call, &order, response, (connection, sent)),
             Err(SendError::NotSent(reason)) => SendOutcome::NotSent(reason),
             Err(SendError::Unclear(reason)) => SendOutcome::Unclear(reason),
             Err(SendError::Cut(reason)) => {
@@ -188,6 +192,28 @@
         outcome
     }
 
+    // Returns why a request must not be sent to a target any more.
+    fn check_send(
+        &self,
+        target: &TargetRecord,
+        call: &RoutedRequest,
+        order: &SendOrder,
+    ) -> Result<(), String> {
+        if !self.view().has_target(&target.id) {
+            // It may have announced its departure after it was selected.
+            return Err(format!("{} is leaving or gone", target.id));
+        }
+        if self.is_quarantined(call) {
+            return Err("the work of the request is quarantined".to_owned());
+        }
+        if !self.may_still_send(&order.access) {
+            return Err(
+                "the daemon cannot confirm that the workspace key is still valid".to_owned(),
+            );
+        }
+        Ok(())
+    }
+
     async fn send_over_connection(
         &self,
         connection: &mut PooledConnection,
@@ -317,6 +343,9 @@
 
     /// Releases a KV cache handle that no other engine will use.
     pub async fn release_handle(&self, prefill_engine: &TargetRecord, name: &str) {
+        if !self.await_turn(prefill_engine, TurnTerms::default()).await {
+            return;
+        }
         let query = (self.ports.wire.release_handle)(name);
         let deadline = Instant::now() + RELEASE_TIMEOUT;
         let request = query_request(prefill_engine, query);
@@ -325,6 +354,7 @@
             Some(inner) => Ok(inner),
             None => HttpConnection::open(prefill_engine.address, deadline).await,
         };
+        let sent = clock::mono_now();
         let result = match inner {
             Ok(inner) => {
                 let inner = connection.inner.insert(inner);
@@ -333,7 +363,10 @@
             Err(error) => Err(error),
         };
         match result {
-            Ok((head, _)) => connection.return_to_pool(&head),
+            Ok((head, _)) => {
+                self.note_query_answer(prefill_engine, &head, sent);
+                connection.return_to_pool(&head);
+            }
             Err(error) => {
                 log::debug!(target_id = prefill_engine.id.as_str(); "cannot release a KV cache handle, which will expire: {error}");
             }
--- a/src/gateway/stage_control.rs
+++ b/src/gateway/stage_control.rs
@@ -26,6 +26,7 @@
 use crate::gateway::sending::query_request;
 use crate::names::{FenceNumber, MonoTime, ServiceName};
 use crate::target_incarnation::TargetIncarnation;
+use crate::target_limits::tracker::TurnTerms;
 use crate::timer::TimerService;
 
 /// Group of the lease: it covers all engines, so that there is one holder.
@@ -198,7 +199,12 @@
             } else {
                 MAX_CONCURRENT_CHANGES.saturating_sub(self.changes.len())
             };
-            let running = |id: &TargetIncarnation| core.load.total(id).running;
+            let limits = self.gateway.limits.borrow();
+            // An engine that limits the rate of its requests is changed only if no other one can be.
+            let running = |id: &TargetIncarnation| match limits.rate(id) {
+                Some(_) => u32::MAX,
+                None => core.load.total(id).running,
+            };
             planned_changes.extend(stage_plan::plan_changes(
                 &after,
                 running,
@@ -351,8 +357,15 @@
         query: TargetQuery,
     ) -> Result<(http::response::Parts, bytes::Bytes), SendError> {
         let deadline = Instant::now() + CALL_TIMEOUT;
+        if !self.await_turn(engine, TurnTerms::default()).await {
+            let reason = format!("{} limits the rate of its requests", engine.id);
+            return Err(SendError::NotSent(reason));
+        }
         let request = query_request(engine, query);
         let mut connection = HttpConnection::open(engine.address, deadline).await?;
-        client::call(&mut connection, &request, MAX_REPORT_BYTES, deadline).await
+        let sent = clock::mono_now();
+        let answer = client::call(&mut connection, &request, MAX_REPORT_BYTES, deadline).await?;
+        self.note_query_answer(engine, &answer.0, sent);
+        Ok(answer)
     }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -217,7 +217,8 @@
         self.first_event_timer.timed = None;
         self.in_flight = None;
         self.splitter.clear();
-        let Some(place) = self.gateway.place(&self.call, &self.history) else {
+        let turn_terms = self.call.continued_turn_terms();
+        let Some(place) = self.gateway.place(&self.call, &self.history, turn_terms) else {
             return false;
         };
         if !self.gateway.take_retry(&self.call) {
@@ -240,7 +241,7 @@
             place.rank,
         );
         let sent = Instant::now();
-        let plan = self.call.plan(self.call.deadline);
+        let plan = self.call.plan(self.call.deadline, turn_terms);
         let outcome = self.gateway.send(&engine, plan, &order).await;
         log::info!(
             request = self.call.caller.id.as_str(),
--- a/tests/deciding_times.rs
+++ b/tests/deciding_times.rs
@@ -13,6 +13,7 @@
 use pistachiowick::gateway::deciding::{DecisionCore, EngineCandidates, PlacementQuery, TimedWork};
 use pistachiowick::gateway::model::{EngineStage, PromptPart, PromptShape, TargetRecord};
 use pistachiowick::names::{MonoTime, ServiceName};
+use pistachiowick::target_limits::tracker::TurnOffers;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -165,6 +166,7 @@
                 engines: &self.engines,
                 changing: &[],
                 excluded: &[],
+                turns: &TurnOffers::new(),
             },
             prompt: &prompt,
             urgency: 1,
--- a/tests/deciding_world/mod.rs
+++ b/tests/deciding_world/mod.rs
@@ -15,6 +15,7 @@
 use pistachiowick::gateway::model::{EngineStage, PromptPart, PromptShape, TargetRecord};
 use pistachiowick::names::{DaemonId, MonoTime};
 use pistachiowick::target_incarnation::TargetIncarnation;
+use pistachiowick::target_limits::tracker::TurnOffers;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -139,6 +140,7 @@
                 engines: &self.engines,
                 changing: &[],
                 excluded: &[],
+                turns: &TurnOffers::new(),
             },
             prompt: &prompt,
             urgency: 0,
--- a/tests/gateway_engines.rs
+++ b/tests/gateway_engines.rs
@@ -40,6 +40,7 @@
         work: TargetWork::default(),
         health: healthy(),
         available: true,
+        turn: None,
     }
 }
 
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -53,6 +53,7 @@
         departed: Vec::new(),
         entries: Vec::new(),
         crash_reports: Vec::new(),
+        limits: Vec::new(),
         changing: Vec::new(),
         rate: WorkRate::default(),
         placed_through: 0,
--- a/tests/gateway_seen.rs
+++ b/tests/gateway_seen.rs
@@ -10,6 +10,7 @@
 use pistachiowick::gateway::peers::seen::ObservedResults;
 use pistachiowick::names::MonoTime;
 use pistachiowick::target_incarnation::TargetIncarnation;
+use pistachiowick::target_limits::tracker::TurnOffers;
 use rstest::rstest;
 
 mod gateway_samples;
@@ -52,6 +53,7 @@
             engines,
             changing: &[],
             excluded: &[],
+            turns: &TurnOffers::new(),
         },
         prompt: &prompt,
         urgency: 0,
--- a/tests/gateway_words.rs
+++ b/tests/gateway_words.rs
@@ -5,7 +5,7 @@
 use pistachiowick::gateway::deciding::stage_plan::WorkRate;
 use pistachiowick::gateway::peers::member_broadcasts::MemberBroadcasts;
 use pistachiowick::gateway::peers::wire::{MemberStatus, PeerMessage, PeerSummary};
-use pistachiowick::names::{DaemonId, TargetId, UnixTime};
+use pistachiowick::names::{DaemonId, MonoTime, TargetId, UnixTime};
 use pistachiowick::target_incarnation::TargetIncarnation;
 use rstest::rstest;
 
@@ -60,6 +60,8 @@
         departed: Vec::new(),
         entries: Vec::new(),
         crash_reports: Vec::new(),
+        limits: Vec::new(),
+        clock: MonoTime(9_000_000),
         rate: WorkRate::default(),
         store_age_ms: 40,
         placed_through: 9_000,
