--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -23,13 +23,15 @@
     JobMeasurement, ScheduleAction, Scheduler, SchedulerInputs,
 };
 use pistachiowick::decide::shares::ShareTracker;
+use pistachiowick::decide::turn_gate::TurnGate;
 use pistachiowick::membership::{MembershipLimits, MembershipState, PeerUpdate, local_view};
-use pistachiowick::names::{MonoTime, ProcessIncarnation, TargetId};
+use pistachiowick::names::{DaemonId, MonoTime, ProcessIncarnation, TargetId};
 use pistachiowick::peers::state::{PeerHints, PeerTopology};
 use pistachiowick::peers::wire::{PeerHint, PeerMessage};
 use pistachiowick::roles::mix::{MixForecast, WorkAmount, WorkTotals, add_work};
 use pistachiowick::roles::plan::{ModelNeed, PlanEngine, RolePlanner};
 use pistachiowick::settings::PolicySettings;
+use pistachiowick::target_limits::SharedLimitTracker;
 use pistachiowick::targets::wire::EngineRole;
 use pistachiowick_lab::samples;
 
@@ -59,6 +61,7 @@
 
 fn scheduler_with(targets: usize, policy: PolicySettings) -> Scheduler {
     let mut scheduler = Scheduler::new(SchedulerInputs {
+        turns: TurnGate::new(DaemonId::from("local"), SharedLimitTracker::default()),
         speeds: policy.speeds.clone(),
         policy,
         limits: Default::default(),
--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -23,6 +23,7 @@
 use crate::engine_options::{EngineFaults, EngineOptions};
 use crate::engine_steps::import_kv;
 use crate::engine_stream::{StreamCell, StreamProgress};
+use crate::limit_book::NamedLimit;
 
 pub use crate::engine_running::{EngineStandIn, RunningEngine};
 
@@ -88,6 +89,7 @@
     events: VecDeque<LateEvent>,
     pub(crate) samples: VecDeque<(Instant, EngineState)>,
     pub(crate) faults: EngineFaults,
+    pub(crate) limit: NamedLimit,
     pub(crate) books: EngineBooks,
 }
 
@@ -121,6 +123,7 @@
             events: VecDeque::new(),
             samples: VecDeque::new(),
             faults: EngineFaults::default(),
+            limit: NamedLimit::default(),
             books: EngineBooks::default(),
         };
         Self {
@@ -403,7 +406,17 @@
     pub fn set_faults(&self, mut faults: EngineFaults) {
         faults.crash_ms = None;
         faults.freeze_ms = None;
-        self.inner().faults = faults;
+        let mut inner = self.inner();
+        inner.limit.set(faults.rate_limit);
+        inner.faults = faults;
+    }
+
+    /// Books a request that arrives while a limit is named.
+    pub fn record_arrival(&self) {
+        let mut inner = self.inner();
+        if let Some(arrival) = inner.limit.record_arrival() {
+            inner.books.limited.push(arrival);
+        }
     }
 
     /// Does and answers nothing for a time.
@@ -417,6 +430,7 @@
         let running = inner.streams.values().filter(|cell| cell.is_running());
         let dropped = running.count() as u64;
         inner.life += 1;
+        inner.limit.restart();
         for cell in inner.streams.values() {
             cell.progress.send_replace(StreamProgress::Stopped);
         }
--- a/lab/src/engine_books.rs
+++ b/lab/src/engine_books.rs
@@ -5,6 +5,8 @@
 use pistachiowick::targets::wire::{EngineRole, OrderId};
 use serde::{Deserialize, Serialize};
 
+use crate::limit_book::LimitedArrival;
+
 /// One attempt of one request.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StreamBook {
@@ -87,6 +89,8 @@
     pub model_changes: u64,
     /// Milliseconds out of service through changes, in engine time.
     pub change_idle_ms: u64,
+    /// Starts asked for while a limit was named.
+    pub limited: Vec<LimitedArrival>,
     /// Prompt tokens read.
     pub prefill_tokens: u64,
     /// Prompt tokens found in the prefix cache.
--- a/lab/src/engine_http.rs
+++ b/lab/src/engine_http.rs
@@ -37,8 +37,18 @@
         return handle_lab(&core, &call, &crash);
     }
     core.thawed().await;
+    let answer = handle_work(core.clone(), &call, &crash);
+    let limit = core.inner().limit.clone();
+    limit.name_in(answer)
+}
+
+fn handle_work(
+    core: Arc<EngineCore>,
+    call: &HttpCall,
+    crash: &UnboundedSender<Duration>,
+) -> HttpAnswer {
     match (call.method.as_str(), call.path().as_slice()) {
-        ("POST", ["v1", "streams"]) => start(core, &call, &crash),
+        ("POST", ["v1", "streams"]) => start(core, call, crash),
         ("GET", ["v1", "streams", request_id, attempt]) => {
             resume(core, request_id, attempt, call.number("offset"))
         }
@@ -47,12 +57,12 @@
         ("GET", ["v1", "cache-events"]) => {
             HttpAnswer::json(200, &core.cache_events(call.number("since")))
         }
-        ("POST", ["v1", "orders"]) => order(&core, &call),
+        ("POST", ["v1", "orders"]) => order(&core, call),
         ("GET", ["v1", "kv", name]) => match core.export_kv(name) {
             Some(part) => HttpAnswer::json(200, &part),
             None => HttpAnswer::text(404, "not cached"),
         },
-        ("PUT", ["v1", "kv", name]) => import(&core, name, &call),
+        ("PUT", ["v1", "kv", name]) => import(&core, name, call),
         _ => HttpAnswer::text(404, "no such call"),
     }
 }
@@ -93,6 +103,7 @@
 }
 
 fn start(core: Arc<EngineCore>, call: &HttpCall, crash: &UnboundedSender<Duration>) -> HttpAnswer {
+    core.record_arrival();
     let body: GenerateBody = match call.json() {
         Ok(body) => body,
         Err(answer) => return answer,
--- a/lab/src/engine_options.rs
+++ b/lab/src/engine_options.rs
@@ -137,6 +137,8 @@
     /// Probability, at each line, that the stream ends there with an end line whose
     /// length is that of the whole answer.
     pub short_chance: f64,
+    /// Requests a second that the engine takes from all daemons, named in its answers.
+    pub rate_limit: Option<f64>,
     /// One-time fault: drop everything, come back empty after this many milliseconds.
     pub crash_ms: Option<u64>,
     /// One-time fault: do and answer nothing for this many milliseconds.
--- a/lab/src/prove_faults.rs
+++ b/lab/src/prove_faults.rs
@@ -43,6 +43,9 @@
 const USUAL_LAG_MS: u64 = 100;
 const LONG_LAG_MS: u64 = 1_000;
 
+/// Limits that targets name, in requests per second.
+const LIMITS: [f64; 4] = [0.0, 0.2, 0.5, 1.5];
+
 /// Faults under way.
 #[derive(Default)]
 pub struct FaultRunner {
@@ -130,12 +133,14 @@
         | FaultKind::EngineDoubled
         | FaultKind::EngineFreeze
         | FaultKind::EngineLate
+        | FaultKind::EngineLimits
         | FaultKind::EngineShort => {
             trouble_engine(&fleet, fault).await;
             Ok(())
         }
         FaultKind::ServiceCrash
         | FaultKind::ServiceCrossed
+        | FaultKind::ServiceLimits
         | FaultKind::ServiceLoss
         | FaultKind::ServiceSlow => {
             trouble_service(&fleet, fault).await;
@@ -252,6 +257,7 @@
         FaultKind::EngineCrossed => faults.crossed_chance = 0.1,
         FaultKind::EngineCut => faults.cut_chance = 0.03,
         FaultKind::EngineDoubled => faults.doubled_chance = 0.1,
+        FaultKind::EngineLimits => faults.rate_limit = Some(limit_of(fault)),
         FaultKind::EngineShort => faults.short_chance = 0.03,
         _ => {
             faults.late_chance = 0.1;
@@ -298,6 +304,7 @@
         all.short_chance = all.short_chance.max(fault.short_chance);
         all.late_chance = all.late_chance.max(fault.late_chance);
         all.late_ms = all.late_ms.max(fault.late_ms);
+        all.rate_limit = lower_limit(all.rate_limit, fault.rate_limit);
     };
     if let Some(engine) = fleet.lab.engines.get(name) {
         engine.set_faults(fleet.engine_faults[name].merged(merge));
@@ -309,6 +316,7 @@
     match fault.kind {
         FaultKind::ServiceCrossed => faults.crossed_chance = 0.3,
         FaultKind::ServiceLoss => faults.lose_chance = 0.3,
+        FaultKind::ServiceLimits => faults.rate_limit = Some(limit_of(fault)),
         _ => faults.slow_ms = 500,
     }
     let (name, number) = {
@@ -343,12 +351,24 @@
         all.slow_ms = all.slow_ms.max(fault.slow_ms);
         all.lose_chance = all.lose_chance.max(fault.lose_chance);
         all.crossed_chance = all.crossed_chance.max(fault.crossed_chance);
+        all.rate_limit = lower_limit(all.rate_limit, fault.rate_limit);
     };
     if let Some(service) = fleet.lab.services.get(name) {
         service.set_faults(fleet.service_faults[name].merged(merge));
     }
 }
 
+fn limit_of(fault: PlannedFault) -> f64 {
+    LIMITS[fault.subject % LIMITS.len()]
+}
+
+fn lower_limit(limit: Option<f64>, other: Option<f64>) -> Option<f64> {
+    match (limit, other) {
+        (Some(limit), Some(other)) => Some(limit.min(other)),
+        (limit, other) => limit.or(other),
+    }
+}
+
 fn nth<T>(targets: &IndexMap<String, T>, drawn: usize) -> Option<(String, &T)> {
     let (name, target) = targets.get_index(drawn % targets.len().max(1))?;
     Some((name.clone(), target))
--- a/lab/src/prove_plan.rs
+++ b/lab/src/prove_plan.rs
@@ -24,6 +24,15 @@
 /// Bounds of an outage of the platform: up to longer than a target's time to leave.
 const OUTAGE_MS: std::ops::RangeInclusive<u64> = 500..=7_000;
 
+/// Bounds of the length of a limit: longer than daemons may take to learn of it.
+const LIMIT_SPAN_MS: std::ops::RangeInclusive<u64> = 6_000..=12_000;
+
+/// Bounds of the number of limits in a run.
+const LIMIT_COUNT: std::ops::RangeInclusive<usize> = 0..=3;
+
+/// Separates the seed of limits from that of the other faults.
+const LIMIT_SEED: u64 = 0x6c69_6d69;
+
 /// What goes wrong, or is changed as planned.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -52,6 +61,8 @@
     EngineFreeze,
     /// An engine's lines are late.
     EngineLate,
+    /// An engine limits the rate of its requests.
+    EngineLimits,
     /// An engine is told to leave, and replaced once idle.
     EngineReplace,
     /// An engine ends answers early, with an end line.
@@ -74,6 +85,8 @@
     ServiceCrossed,
     /// Answers are lost after the run.
     ServiceLoss,
+    /// A service limits the rate of its requests.
+    ServiceLimits,
     /// A service is told to leave, and replaced.
     ServiceReplace,
     /// Runs take longer.
@@ -85,7 +98,8 @@
 }
 
 impl FaultKind {
-    /// Every kind.
+    /// Every kind that is drawn together with the others. Limits are drawn by themselves, so
+    /// that a seed keeps the faults that it had before there were any.
     pub const ALL: [Self; 27] = [
         Self::DaemonCutOff,
         Self::DaemonDeaf,
@@ -132,6 +146,7 @@
             Self::EngineDrain => "engine_drain",
             Self::EngineFreeze => "engine_freeze",
             Self::EngineLate => "engine_late",
+            Self::EngineLimits => "engine_limits",
             Self::EngineReplace => "engine_replace",
             Self::EngineShort => "engine_short",
             Self::InstanceLag => "instance_lag",
@@ -142,6 +157,7 @@
             Self::PlatformStale => "platform_stale",
             Self::ServiceCrash => "service_crash",
             Self::ServiceCrossed => "service_crossed",
+            Self::ServiceLimits => "service_limits",
             Self::ServiceLoss => "service_loss",
             Self::ServiceReplace => "service_replace",
             Self::ServiceSlow => "service_slow",
@@ -200,11 +216,25 @@
             }
         }
     }
+    planned.extend(draw_limits(seed, stretch));
     planned.retain(|fault| fault.at < stretch);
     planned.sort_by_key(|fault| fault.at);
     planned
 }
 
+fn draw_limits(seed: u64, stretch: Duration) -> Vec<PlannedFault> {
+    let mut random = SmallRng::seed_from_u64(seed ^ LIMIT_SEED);
+    let kinds = [FaultKind::EngineLimits, FaultKind::ServiceLimits];
+    let count = random.random_range(LIMIT_COUNT);
+    let limits = (0..count).map(|_| PlannedFault {
+        at: stretch.mul_f64(random.random_range(0.0..0.5)),
+        kind: kinds[random.random_range(0..kinds.len())],
+        subject: random.random_range(0..1_000),
+        span: Duration::from_millis(random.random_range(LIMIT_SPAN_MS)),
+    });
+    limits.collect()
+}
+
 fn draw_fault(random: &mut SmallRng, at: Duration, has_processes: bool) -> PlannedFault {
     let kinds = FaultKind::ALL
         .into_iter()
--- a/lab/src/prove_plants.rs
+++ b/lab/src/prove_plants.rs
@@ -4,6 +4,7 @@
 use pistachiowick::targets::wire::EngineRole;
 
 use crate::engine_books::OrderBook;
+use crate::limit_book::LimitedArrival;
 use crate::load::PlannedRequest;
 use crate::load_tally::RequestEnd;
 use crate::prove_books::{AskEnd, RunBooks};
@@ -25,6 +26,8 @@
     Hung,
     /// An engine gets work a minute after it was told to leave.
     LateNewWork,
+    /// An engine gets many requests while it limits their rate.
+    OverLimit,
     /// A caller awaits more bytes than an engine sends.
     Short,
     /// A daemon counts a violation.
@@ -35,7 +38,7 @@
 
 impl PlantedMistake {
     /// Every mistake.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::ConflictingOrders,
         Self::ConfigReverts,
         Self::Cut,
@@ -43,6 +46,7 @@
         Self::FalseNotRun,
         Self::Hung,
         Self::LateNewWork,
+        Self::OverLimit,
         Self::Short,
         Self::Violation,
         Self::Wrong,
@@ -59,6 +63,7 @@
             Self::FalseNotRun => "false_not_run",
             Self::Hung => "hung",
             Self::LateNewWork => "late_new_work",
+            Self::OverLimit => "over_limit",
             Self::Short => "short",
             Self::Violation => "violations",
             Self::Wrong => "wrong",
@@ -105,6 +110,7 @@
                     engine.books.starts_after_leave.push(60_000);
                 }
             }
+            Self::OverLimit => plant_arrivals(books),
             Self::Violation => books.violations += 1,
             Self::Short | Self::Wrong => {}
         }
@@ -129,6 +135,17 @@
     }
 }
 
+fn plant_arrivals(books: &mut RunBooks) {
+    let arrivals = (0..12).map(|number| LimitedArrival {
+        at_ms: 10_000 + number * 100,
+        named_at_ms: 5_000,
+        rate: 1.0,
+    });
+    if let Some(engine) = books.engines.first_mut() {
+        engine.books.limited.extend(arrivals);
+    }
+}
+
 fn plant_run(books: &mut RunBooks) {
     let mut logs = books.services.iter_mut().map(|s| &mut s.books.run_log);
     if let Some(log) = logs.find(|log| !log.is_empty()) {
--- a/lab/src/prove_verdict.rs
+++ b/lab/src/prove_verdict.rs
@@ -13,6 +13,7 @@
     AskBook, AskEnd, ChangeEnd, RequestBook, RequestKind, RunBooks, TargetBook,
 };
 use crate::prove_leaving::judge_leaving;
+use crate::prove_limits::judge_limits;
 use crate::prove_setup::ProveOptions;
 
 /// Time by which a caller may notice the kill of a daemon before it is booked.
@@ -65,6 +66,10 @@
     /// Of the late work, what came while some daemon could not read the instance list for
     /// so long that less than the grace was left to it. A failure like the rest.
     pub late_while_blind: u64,
+    /// Windows in which targets that limit the rate of their requests got more.
+    pub over_limit: u64,
+    /// Windows that could show it.
+    pub limited_windows: u64,
     /// Operators' changes accepted.
     pub changes: u64,
     /// Configuration that went back, accepted changes lost or not in force.
@@ -113,6 +118,7 @@
             self.lost_records,
             self.conflicting_orders,
             self.late_new_work,
+            self.over_limit,
             self.config_reverts,
             self.cut_by_planned_change,
             self.hung,
@@ -188,6 +194,7 @@
     }
     tell_reasons(&mut report, books);
     judge_leaving(&mut report, options, books);
+    judge_limits(&mut report, books);
     judge_config(&mut report, books);
     report.leaks = books.leaks.len() as u64;
     for leak in &books.leaks {
--- a/lab/src/quickstart.rs
+++ b/lab/src/quickstart.rs
@@ -42,7 +42,7 @@
         seed,
         rate: RATE,
         duration_ms: LOAD_TIME.as_millis() as u64,
-        classes: load_classes(),
+        classes: quickstart_load(),
         ..LoadConfig::default()
     };
     eprintln!("sending about {RATE} requests a second for {LOAD_TIME:?}");
@@ -185,7 +185,9 @@
     })
 }
 
-fn load_classes() -> Vec<LoadClass> {
+/// Returns the classes of requests that the quickstart sends.
+#[must_use]
+pub fn quickstart_load() -> Vec<LoadClass> {
     let mut classes = Vec::new();
     for workspace in ["rowing", "stores"] {
         let base = LoadClass {
--- a/lab/src/service.rs
+++ b/lab/src/service.rs
@@ -17,6 +17,7 @@
 use crate::answers::service_answer;
 use crate::chance::ChanceSource;
 use crate::http::{HttpAnswer, HttpCall, HttpServer};
+use crate::limit_book::{LimitedArrival, NamedLimit};
 
 /// Time to come back after a refusal.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -69,6 +70,8 @@
     pub lose_chance: f64,
     /// Probability that a reply names another request.
     pub crossed_chance: f64,
+    /// Requests a second that the service takes from all daemons, named in its answers.
+    pub rate_limit: Option<f64>,
     /// One-time fault: end all work without effect, refuse connections, and come
     /// back after this many milliseconds.
     pub crash_ms: Option<u64>,
@@ -86,11 +89,13 @@
 }
 
 /// What the service has done, over all its lives.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
 pub struct ServiceBooks {
     /// Calls received.
     pub calls: u64,
+    /// Calls received while a limit was named.
+    pub limited: Vec<LimitedArrival>,
     /// Calls refused without effect.
     pub refused: u64,
     /// Runs by `WORKSPACE/KEY`, each counted when it takes effect.
@@ -118,6 +123,7 @@
     left_at: Option<Instant>,
     accepts_leaving: bool,
     faults: ServiceFaults,
+    limit: NamedLimit,
     books: ServiceBooks,
 }
 
@@ -156,6 +162,7 @@
                 left_at: None,
                 accepts_leaving: false,
                 faults: ServiceFaults::default(),
+                limit: NamedLimit::default(),
                 books: ServiceBooks::default(),
             }),
         });
@@ -234,6 +241,7 @@
     let life = {
         let mut state = core.state();
         state.life += 1;
+        state.limit.restart();
         state.life
     };
     tokio::time::sleep(down).await;
@@ -253,7 +261,9 @@
 
     fn set_faults(&self, mut faults: ServiceFaults) {
         faults.crash_ms = None;
-        self.state().faults = faults;
+        let mut state = self.state();
+        state.limit.set(faults.rate_limit);
+        state.faults = faults;
     }
 
     fn leave(&self) {
@@ -266,6 +276,9 @@
     fn admit(&self) -> Result<(u64, Duration), HttpAnswer> {
         let mut state = self.state();
         state.books.calls += 1;
+        if let Some(arrival) = state.limit.record_arrival() {
+            state.books.limited.push(arrival);
+        }
         if let Some(left_at) = state.left_at {
             let since = millis(left_at.elapsed());
             state.books.calls_after_leave.push(since);
@@ -349,7 +362,11 @@
     crash: tokio::sync::mpsc::UnboundedSender<Duration>,
 ) -> HttpAnswer {
     match (call.method.as_str(), call.path().as_slice()) {
-        ("POST", ["v1", "calls"]) => serve(core, &call).await,
+        ("POST", ["v1", "calls"]) => {
+            let answer = serve(core.clone(), &call).await;
+            let limit = core.state().limit.clone();
+            limit.name_in(answer)
+        }
         ("GET", ["lab", "books"]) => HttpAnswer::json(200, &core.state().books),
         ("POST", ["lab", "leave"]) => {
             core.leave();
--- a/lab/tests/prove.rs
+++ b/lab/tests/prove.rs
@@ -78,6 +78,10 @@
     plant: PlantedMistake::LateNewWork,
     count: |report| report.late_new_work,
 })]
+#[case::over_limit(PlantCase {
+    plant: PlantedMistake::OverLimit,
+    count: |report| report.over_limit,
+})]
 #[case::violation(PlantCase {
     plant: PlantedMistake::Violation,
     count: |report| report.violations,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -24,6 +24,7 @@
 use crate::ports::{EnginePort, PlatformPort};
 use crate::requests::journal::DecisionJournal;
 use crate::settings::DaemonSettings;
+use crate::target_limits::SharedLimitTracker;
 
 /// An operator's change of one item.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -152,6 +153,8 @@
     pub seed: u64,
     /// Tracker of work that crashed targets; its reports are sent to peers.
     pub crashes: SharedCrashTracker,
+    /// Tracker of targets' limits; its reports are sent to peers.
+    pub target_limits: SharedLimitTracker,
 }
 
 /// Handle to the control thread.
--- a/src/control/peer_exchange.rs
+++ b/src/control/peer_exchange.rs
@@ -18,6 +18,8 @@
 use crate::roles::mix::{WorkBins, WorkTotals};
 use crate::settings::DaemonSettings;
 use crate::target_incarnation::TargetIncarnation;
+use crate::target_limits::message_delays::ReportSender;
+use crate::target_limits::{SharedLimitTracker, log_change};
 use crate::targets::wire::EngineState;
 
 const UPDATE_RETENTION: Duration = Duration::from_secs(10);
@@ -46,6 +48,7 @@
     engines: IndexMap<TargetId, EngineState>,
     peer_reports: IndexMap<TargetId, MonoTime>,
     crashes: SharedCrashTracker,
+    target_limits: SharedLimitTracker,
     watching: watch::Sender<bool>,
 }
 
@@ -56,6 +59,7 @@
         settings: &DaemonSettings,
         incarnation: ProcessIncarnation,
         crashes: SharedCrashTracker,
+        target_limits: SharedLimitTracker,
     ) -> Self {
         Self {
             local_id: settings.daemon_id.clone(),
@@ -73,6 +77,7 @@
             engines: IndexMap::new(),
             peer_reports: IndexMap::new(),
             crashes,
+            target_limits,
             watching: watch::Sender::new(true),
         }
     }
@@ -184,6 +189,16 @@
         );
     }
 
+    /// Drops the limits of targets that are gone or have restarted.
+    pub fn sweep_limits(&self, fleet: &FleetView, now: MonoTime) {
+        let is_target = |incarnation: &TargetIncarnation| {
+            let target = fleet.targets.get(incarnation.name());
+            target.is_some_and(|t| t.report.is_none() || t.incarnation() == *incarnation)
+        };
+        let is_daemon = |daemon: &DaemonId| fleet.daemons.contains_key(daemon);
+        self.target_limits.lock().sweep(is_target, is_daemon, now);
+    }
+
     /// Sends a hint with this daemon's state to all linked peers.
     pub fn send_hint(&mut self, leaving: bool, now: MonoTime) {
         self.sequence += 1;
@@ -200,6 +215,8 @@
             applied: applied.map(|(n, (v, _))| (n.clone(), *v)).collect(),
             engines: self.engines.drain(..).map(|(_, state)| state).collect(),
             crash_reports: self.crashes.lock().due_reports(now),
+            limits: self.target_limits.lock().due_reports(now),
+            clock: now,
         };
         let linked = self.linked.iter().cloned().collect();
         self.send(linked, PeerMessage::Hint(Box::new(hint)));
@@ -220,6 +237,18 @@
             // Hints are forwarded unchanged, so their reports need no further broadcast.
             self.crashes.lock().apply_report(report, false, now);
         }
+        let sender = ReportSender {
+            daemon: &origin,
+            incarnation: hint.incarnation.0,
+            clock: hint.clock,
+        };
+        let changes = self
+            .target_limits
+            .lock()
+            .apply_message(sender, &hint.limits, now);
+        for (target, change) in changes {
+            log_change(&target, Some(change), origin.as_str());
+        }
         for state in &hint.engines {
             self.peer_reports.insert(state.target.clone(), now);
         }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -86,7 +86,12 @@
             ports,
             mix: MixForecast::default(),
             local_work: WorkTotals::new(),
-            peers: PeerExchange::new(settings, inputs.incarnation, inputs.crashes.clone()),
+            peers: PeerExchange::new(
+                settings,
+                inputs.incarnation,
+                inputs.crashes.clone(),
+                inputs.target_limits.clone(),
+            ),
             shares: ShareTracker::default(),
             share_view: Arc::default(),
             confirmations: Vec::new(),
@@ -254,6 +259,7 @@
         let fleet = self.membership.fleet().clone();
         self.peers.update(&fleet, now);
         self.peers.refute_by_reports(&fleet, now);
+        self.peers.sweep_limits(&fleet, now);
         self.peers.send_hint(self.stopping, now);
     }
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -8,3 +8,4 @@
 pub mod retry_budget;
 pub mod scheduler;
 pub mod shares;
+pub mod turn_gate;
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -14,6 +14,7 @@
 use crate::membership::fleet::{FleetView, LoadReport, TargetView, UseState};
 use crate::names::{ModelName, MonoTime, ProcessIncarnation, ServiceName, TargetId};
 use crate::settings::{PlacementPolicy, PolicySettings};
+use crate::target_limits::tracker::{TurnOffer, TurnOffers};
 use crate::targets::wire::EngineRole;
 
 /// Maximum number of candidates evaluated per placement, whatever the fleet's size.
@@ -31,6 +32,10 @@
 /// daemon's queue, where fair shares and deadlines still order them.
 const MAX_PREFILL_BACKLOG_S: f64 = 0.4;
 
+/// Largest reduction of the score of a target at which a turn is about to expire, in seconds
+/// or requests: a target that gets no requests cannot show that its limit has ended.
+const TURN_DISCOUNT: f64 = 1.0;
+
 /// Targets that can do the same work.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum PoolKey {
@@ -138,6 +143,8 @@
     pub local: &'a IndexMap<TargetId, LocalWork>,
     /// Policy in force.
     pub policy: &'a PolicySettings,
+    /// Turns of this daemon at the targets that limit the rate of their requests.
+    pub turns: &'a TurnOffers,
     /// Number of live daemons, including this one.
     pub live_daemons: usize,
     /// Time of the placement.
@@ -160,8 +167,10 @@
         .filter_map(|target| estimate(need, target, inputs))
         .collect();
     let chosen = match inputs.policy.placement {
-        PlacementPolicy::Estimate => min_index(&estimates, |e| e.finish_s + e.delay_s),
-        PlacementPolicy::LeastInFlight => min_index(&estimates, |e| e.load),
+        PlacementPolicy::Estimate => {
+            min_index(&estimates, |e| e.finish_s + e.delay_s - e.turn_discount)
+        }
+        PlacementPolicy::LeastInFlight => min_index(&estimates, |e| e.load - e.turn_discount),
         PlacementPolicy::RoundRobin => next_round_robin(estimates.len(), cursor),
     }?;
     Some(estimates.swap_remove(chosen).choice(need))
@@ -179,6 +188,7 @@
     token_gap_s: f64,
     finish_s: f64,
     delay_s: f64,
+    turn_discount: f64,
 }
 
 impl TargetEstimate<'_> {
@@ -262,10 +272,25 @@
     if target.state != UseState::Live || need.excluded.contains(&target.id) {
         return None;
     }
-    match &need.pool {
+    let turn = turn_at(target, inputs.turns);
+    if turn.is_some_and(|turn| turn.wait > Duration::ZERO) {
+        return None;
+    }
+    let estimate = match &need.pool {
         PoolKey::Service(_) => estimate_service(target, inputs),
         PoolKey::Model(model) => estimate_engine(need, model, target, inputs),
+    }?;
+    Some(TargetEstimate {
+        turn_discount: turn.map_or(0.0, |turn| TURN_DISCOUNT * turn.age),
+        ..estimate
+    })
+}
+
+fn turn_at(target: &TargetView, turns: &TurnOffers) -> Option<TurnOffer> {
+    if turns.is_empty() {
+        return None;
     }
+    turns.get(&target.incarnation()).copied()
 }
 
 fn estimate_service<'a>(
@@ -291,6 +316,7 @@
         // Services have no time estimate: this ranks them by requests in flight.
         finish_s: load,
         delay_s: 0.0,
+        turn_discount: 0.0,
     })
 }
 
@@ -335,6 +361,7 @@
         token_gap_s,
         finish_s,
         delay_s: load.in_flight * prefill_s,
+        turn_discount: 0.0,
     })
 }
 
--- a/src/decide/scheduler.rs
+++ b/src/decide/scheduler.rs
@@ -19,11 +19,13 @@
     TargetChoice, choose_target,
 };
 use crate::decide::prefix_index::PrefixIndex;
+use crate::decide::turn_gate::TurnGate;
 use crate::invariants::{self, Invariant};
-use crate::membership::fleet::UseState;
+use crate::membership::fleet::{TargetView, UseState};
 use crate::names::{ClassName, MonoTime, TargetId, WorkspaceName, millis};
 use crate::roles::work_mix::{PlacementRate, WorkMix};
 use crate::settings::{LimitSettings, PlacementPolicy, PolicySettings};
+use crate::target_incarnation::TargetIncarnation;
 use crate::targets::wire::{CacheEvent, EngineRole};
 
 /// Maximum number of queued requests tried for each placement.
@@ -124,6 +126,8 @@
 /// Inputs that do not change while the daemon runs.
 #[derive(Clone, Debug)]
 pub struct SchedulerInputs {
+    /// Turns at targets that limit the rate of their requests.
+    pub turns: TurnGate,
     /// Scheduling policy.
     pub policy: PolicySettings,
     /// Queue limits.
@@ -136,6 +140,7 @@
 
 /// Queues and places the requests of one daemon.
 pub struct Scheduler {
+    turns: TurnGate,
     policy: PolicySettings,
     limits: LimitSettings,
     fleet: SharedFleet,
@@ -159,6 +164,7 @@
     #[must_use]
     pub fn new(inputs: SchedulerInputs) -> Self {
         Self {
+            turns: inputs.turns,
             policy: inputs.policy,
             limits: inputs.limits,
             fleet: SharedFleet::default(),
@@ -216,6 +222,7 @@
         spec.need.output_tokens = self.expected_output(&spec);
         self.check_room(&spec)?;
         self.check_pool(&spec)?;
+        self.check_turns(&spec, now)?;
         let queued = self.queued_job(&spec);
         self.record_mix(&spec, queued.cost, now);
         if self.policy.refuse_early {
@@ -477,6 +484,7 @@
 
     fn place_next(&mut self, key: &QueueKey, now: MonoTime) -> Option<JobGrant> {
         let share = self.prefill_share(&key.pool);
+        let turns = self.turns.offers(&self.fleet, now);
         let inputs = PlacementInputs {
             fleet: &self.fleet,
             candidates: self.index.side(&key.pool, key.side, share)?,
@@ -484,6 +492,7 @@
             prefixes: &self.prefixes,
             local: &self.local,
             policy: &self.policy,
+            turns: &turns,
             live_daemons: self.live_daemons,
             now,
         };
@@ -503,6 +512,7 @@
     }
 
     fn place(&mut self, job: &QueuedJob, choice: TargetChoice, now: MonoTime) -> JobGrant {
+        self.turns.take(&self.fleet, &choice.target, now);
         let state = self.fleet.targets.get(&choice.target).map(|t| t.state);
         invariants::check(state == Some(UseState::Live), Invariant::NoLateWork, || {
             format!("request placed on {} in state {state:?}", choice.target)
@@ -533,6 +543,33 @@
         JobGrant { number, choice }
     }
 
+    // Refuses a request that would wait for a turn beyond its deadline, as all targets of its
+    // pool limit the rate of their requests.
+    fn check_turns(&self, spec: &JobSpec, now: MonoTime) -> Result<(), JobRefusal> {
+        if !self.turns.has_limits() {
+            return Ok(());
+        }
+        let key = self.queue_key(&spec.need);
+        let targets = self.live_targets(&key);
+        let ahead = self.queues.get(&key).map_or(0, FairQueue::len);
+        let wait = self.turns.expected_wait(&self.fleet, &targets, ahead);
+        if wait.is_none_or(|wait| wait <= spec.deadline.since(now)) {
+            return Ok(());
+        }
+        metrics::counter!("pistachiowick_limit_refusals_total").increment(1);
+        let retry_after = self.turns.retry_after(&self.fleet, &targets, now);
+        let reason = "all targets limit the rate of their requests".to_owned();
+        Err(self.refusal(reason, retry_after.as_secs_f64()))
+    }
+
+    fn live_targets(&self, key: &QueueKey) -> Vec<TargetIncarnation> {
+        let side = self.candidates(key);
+        let names = side.iter().flat_map(CandidateSide::iter);
+        let targets = names.filter_map(|name| self.fleet.targets.get(name));
+        let live = targets.filter(|target| target.state == UseState::Live);
+        live.map(TargetView::incarnation).collect()
+    }
+
     fn take_placed(&mut self, number: JobNumber) -> Option<PlacedJob> {
         let placed = self.placed.swap_remove(&number)?;
         if let Some(local) = self.local.get_mut(&placed.choice.target) {
--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -13,10 +13,11 @@
 use crate::gateway::reply::Failure;
 use crate::names::{DaemonId, MonoTime};
 use crate::target_incarnation::TargetIncarnation;
+use crate::target_limits::log_change;
 use crate::target_limits::message_delays::ReportSender;
 use crate::target_limits::report::LimitReport;
 use crate::target_limits::statement::RateStatement;
-use crate::target_limits::tracker::{LimitChange, TurnOffer, TurnOffers, TurnOutcome, TurnTerms};
+use crate::target_limits::tracker::{TurnOffer, TurnOffers, TurnOutcome, TurnTerms};
 use crate::target_limits::turns::TurnSeat;
 
 /// Returns the targets without a turn in time.
@@ -38,10 +39,7 @@
         let change = limits.note_answer(&target.id, statement, sent, now);
         metrics::gauge!("pistachiowick_limited_targets").set(limits.count() as f64);
         drop(limits);
-        if change == Some(LimitChange::Unreadable) {
-            log::warn!(target_id = target.id.as_str(), statement = format!("{statement:?}"); "target names a limit of its requests that cannot be read; ignoring it");
-        }
-        log_limit_change(&target.id, change, "answer");
+        log_change(&target.id, change, "answer");
     }
 
     /// Does the same for the answer to a query of this daemon.
@@ -59,7 +57,7 @@
         }
         drop(limits);
         for (target, change) in changes {
-            log_limit_change(&target, Some(change), sender.daemon.as_str());
+            log_change(&target, Some(change), sender.daemon.as_str());
         }
     }
 
@@ -169,15 +167,3 @@
         Some(TurnSeat { index, count })
     }
 }
-
-fn log_limit_change(target: &TargetIncarnation, change: Option<LimitChange>, source: &str) {
-    match change {
-        Some(LimitChange::Started(rate)) => {
-            log::info!(target_id = target.as_str(), per_second = rate.per_second(), source = source; "target limits the rate of its requests");
-        }
-        Some(LimitChange::Ended) => {
-            log::info!(target_id = target.as_str(), source = source; "target no longer limits the rate of its requests");
-        }
-        Some(LimitChange::Changed(_) | LimitChange::Unreadable) | None => {}
-    }
-}
--- a/src/membership/fleet.rs
+++ b/src/membership/fleet.rs
@@ -2,8 +2,11 @@
 
 use indexmap::IndexMap;
 
-use crate::names::{CentreName, DaemonId, MonoTime, ProcessIncarnation, ServiceName, TargetId};
+use crate::names::{
+    CentreName, DaemonId, MonoTime, ProcessIncarnation, ServiceName, TargetId, UnixTime,
+};
 use crate::store::wire::InstanceKind;
+use crate::target_incarnation::TargetIncarnation;
 use crate::targets::wire::EngineRole;
 
 /// Whether a daemon or target may receive new work. Later variants win when views are
@@ -84,6 +87,16 @@
     pub report: Option<LoadReport>,
 }
 
+impl TargetView {
+    /// Returns the target's incarnation, as far as it reports one.
+    #[must_use]
+    pub fn incarnation(&self) -> TargetIncarnation {
+        let reported = self.report.as_ref().map(|report| report.incarnation);
+        let started_at = reported.map(|incarnation| UnixTime(incarnation.0));
+        TargetIncarnation::new(self.id.clone(), started_at)
+    }
+}
+
 /// A daemon as this daemon sees it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DaemonView {
--- a/src/peers/wire.rs
+++ b/src/peers/wire.rs
@@ -5,9 +5,10 @@
 use thiserror::Error;
 
 use crate::crashes::report::CrashReport;
-use crate::names::{DaemonId, ModelName, ProcessIncarnation, WorkspaceName};
+use crate::names::{DaemonId, ModelName, MonoTime, ProcessIncarnation, WorkspaceName};
 use crate::ports::{ObjectName, ObjectVersion, StoredObject};
 use crate::roles::mix::{MIX_BINS, WorkAmount, WorkTotals};
+use crate::target_limits::report::LimitReport;
 use crate::targets::wire::EngineState;
 
 /// Largest message between daemons.
@@ -35,6 +36,10 @@
     /// Reports of work that crashed targets, sent in rotation
     /// ([`crate::broadcast_schedule`]).
     pub crash_reports: Vec<CrashReport>,
+    /// Limits of targets, as due ([`crate::broadcast_schedule`]).
+    pub limits: Vec<LimitReport>,
+    /// Monotonic clock of the daemon.
+    pub clock: MonoTime,
 }
 
 /// A message between daemons.
@@ -110,6 +115,10 @@
     engines: Vec<EngineState>,
     #[serde(default, rename = "works")]
     crash_reports: Vec<CrashReport>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    limits: Vec<LimitReport>,
+    #[serde(default)]
+    clock: MonoTime,
 }
 
 #[derive(Deserialize, Serialize)]
@@ -145,6 +154,8 @@
             applied: hint.applied.iter().map(|(n, v)| (n.clone(), v.0)).collect(),
             engines: hint.engines.clone(),
             crash_reports: hint.crash_reports.clone(),
+            limits: hint.limits.clone(),
+            clock: hint.clock,
         }
     }
 }
@@ -175,6 +186,8 @@
             applied: applied.map(|(n, v)| (n, ObjectVersion(v))).collect(),
             engines: wire.engines,
             crash_reports: wire.crash_reports,
+            limits: wire.limits,
+            clock: wire.clock,
         })
     }
 }
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -9,6 +9,7 @@
 pub mod dispatch;
 pub mod journal;
 pub mod owner_cache;
+pub mod rate_watch;
 pub mod request;
 pub mod resume_token;
 pub mod run_call;
--- a/src/server.rs
+++ b/src/server.rs
@@ -20,6 +20,7 @@
 use crate::crashes::SharedCrashTracker;
 use crate::decide::retry_budget::RetryBudget;
 use crate::decide::scheduler::{Scheduler, SchedulerInputs};
+use crate::decide::turn_gate::TurnGate;
 use crate::intents::link::IntentLink;
 use crate::intents::store::{IntentStore, StoreInputs};
 use crate::names::ProcessIncarnation;
@@ -32,12 +33,14 @@
 use crate::requests::dispatch::JobDispatcher;
 use crate::requests::journal::DecisionJournal;
 use crate::requests::owner_cache::OwnerCache;
+use crate::requests::rate_watch::RateWatch;
 use crate::requests::resume_token::TokenSigner;
 use crate::requests::traffic::TrafficContext;
 use crate::rpc::operations::OperationsService;
 use crate::rpc::requests::RequestsService;
 use crate::settings::DaemonSettings;
 use crate::store::http::platform_port;
+use crate::target_limits::SharedLimitTracker;
 use crate::targets::engine_http::engine_port;
 use crate::targets::service_http::service_port;
 use crate::telemetry::{self, Telemetry};
@@ -108,17 +111,21 @@
         platform_port(&settings.platform).wrap_err("cannot set up the platform client")?;
     let journal = DecisionJournal::new(JOURNAL_CAPACITY);
     let crashes = SharedCrashTracker::default();
+    let target_limits = SharedLimitTracker::default();
+    let rate_watch = RateWatch::new(target_limits.clone());
     let control = start_control(ControlInputs {
         settings: Arc::clone(&settings),
         platform: platform.clone(),
-        engines: engine_port()?,
+        engines: engine_port(rate_watch.observer())?,
         journal: journal.clone(),
         rpc_address: rpc,
         peer_address: peer,
         incarnation,
         seed: incarnation.0,
         crashes: crashes.clone(),
+        target_limits: target_limits.clone(),
     });
+    rate_watch.connect(control.snapshot.clone());
     let snapshot = control.snapshot.clone();
     let admin = admin_http::serve_admin(settings.listen.admin, snapshot, metrics)
         .await
@@ -130,7 +137,11 @@
         journal,
         incarnation,
         peer_listener,
-        crashes,
+        TargetTrackers {
+            crashes,
+            limits: target_limits,
+            rate_watch,
+        },
     )?;
     let (closing, _) = watch::channel(false);
     let server_task = serve(&context, listener, incarnation, &closing)?;
@@ -232,6 +243,13 @@
     }
 }
 
+/// What is tracked about targets across the threads of the daemon.
+struct TargetTrackers {
+    crashes: SharedCrashTracker,
+    limits: SharedLimitTracker,
+    rate_watch: RateWatch,
+}
+
 fn build_context(
     settings: &Arc<DaemonSettings>,
     platform: PlatformPort,
@@ -239,9 +257,11 @@
     journal: DecisionJournal,
     incarnation: ProcessIncarnation,
     peer_listener: StdListener,
-    crashes: SharedCrashTracker,
+    trackers: TargetTrackers,
 ) -> Result<Arc<TrafficContext>> {
+    let observer = trackers.rate_watch.observer();
     let scheduler = Scheduler::new(SchedulerInputs {
+        turns: TurnGate::new(settings.daemon_id.clone(), trackers.limits),
         policy: settings.policy.clone(),
         limits: settings.limits.clone(),
         speeds: settings.policy.speeds.clone(),
@@ -273,15 +293,15 @@
     let context = Arc::new(TrafficContext {
         daemon: settings.daemon_id.clone(),
         dispatcher,
-        engines: engine_port()?,
-        services: service_port()?,
+        engines: engine_port(observer.clone())?,
+        services: service_port(observer)?,
         control,
         signer: TokenSigner::new(&settings.access.token_secrets)?,
         intents,
         peers,
         telemetry: Telemetry::new(settings.metrics.tracked_pairs),
         journal,
-        crashes,
+        crashes: trackers.crashes,
         budget: Mutex::new(RetryBudget::new(settings.policy.retry_share)),
         running: Mutex::new(IndexMap::new()),
         closing: AtomicBool::new(false),
--- a/src/target_limits/tracker.rs
+++ b/src/target_limits/tracker.rs
@@ -265,6 +265,15 @@
         Some(turn_offer(&schedule, start, kept_for_urgent, now))
     }
 
+    /// Returns the next turns at all targets that limit the rate of their requests.
+    #[must_use]
+    pub fn offers(&self, seat: Option<TurnSeat>, now: MonoTime) -> TurnOffers {
+        let offer = |target| self.offer(target, seat, Duration::ZERO, now);
+        let targets = self.limits.keys();
+        let offers = targets.filter_map(|target| Some((target.clone(), offer(target)?)));
+        offers.collect()
+    }
+
     /// Returns the next turn of another daemon at a target, whether or not it has used it;
     /// `None` if the target does not limit its requests.
     #[must_use]
--- a/src/targets/call.rs
+++ b/src/targets/call.rs
@@ -1,12 +1,15 @@
 //! Sends requests and classifies responses, for the adapters of engines and plain
 //! services.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use reqwest::{Client, RequestBuilder, Response, StatusCode};
+use reqwest::{Client, Method, RequestBuilder, Response, StatusCode};
 
-use crate::names::FenceNumber;
+use crate::clock;
+use crate::names::{FenceNumber, MonoTime};
 use crate::ports::TargetError;
+use crate::target_limits::statement::RateStatement;
 
 /// Timeout for opening a connection; after it, a target counts as not reached.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -19,33 +22,68 @@
 const REASON_TIMEOUT: Duration = Duration::from_millis(500);
 const MAX_REASON_CHARS: usize = 200;
 
-/// Builds the HTTP client that all requests to targets share.
-///
-/// # Errors
-///
-/// Returns the library's error when TLS cannot be set up.
-pub fn new_http_client() -> reqwest::Result<Client> {
-    Client::builder()
-        .connect_timeout(CONNECT_TIMEOUT)
-        .tcp_nodelay(true)
-        .no_proxy()
-        .build()
+/// Header with the requests per second that a target accepts from all daemons together.
+const RATE_LIMIT_HEADER: &str = "request-limit";
+
+/// Receives the address of a target, what an answer of it states about the rate that it
+/// accepts, and when the request was sent.
+pub type RateObserver = Arc<dyn Fn(&str, &RateStatement, MonoTime) + Send + Sync>;
+
+/// HTTP client that all requests to targets share. Clones refer to the same connections.
+#[derive(Clone)]
+pub struct TargetClient {
+    http: Client,
+    observer: RateObserver,
+}
+
+impl TargetClient {
+    /// Builds a client that passes what answers state about rates to `observer`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error when TLS cannot be set up.
+    pub fn new(observer: RateObserver) -> reqwest::Result<Self> {
+        let http = Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .no_proxy()
+            .build()?;
+        Ok(Self { http, observer })
+    }
+
+    /// Starts a request to a path of a target.
+    pub fn request(&self, method: Method, address: &str, path: &str) -> RequestBuilder {
+        self.http.request(method, format!("http://{address}{path}"))
+    }
+
+    /// Sends a request and waits for the header of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns `NotDelivered` only if no connection was established, so that nothing can
+    /// have run; every later failure to get a response is `Lost`.
+    pub async fn send(
+        &self,
+        call: RequestBuilder,
+        timeout: Duration,
+    ) -> Result<Response, TargetError> {
+        let sent_at = clock::mono_now();
+        let sent = tokio::time::timeout(timeout, call.send()).await;
+        let response = match sent {
+            Err(_) => return Err(unknown_outcome(format!("no answer within {timeout:?}"))),
+            Ok(Err(error)) => return Err(classify_send_error(&error)),
+            Ok(Ok(response)) => response,
+        };
+        let statement = rate_statement(&response);
+        (self.observer)(response.url().authority(), &statement, sent_at);
+        check_status(response).await
+    }
 }
 
-/// Sends a request and waits for the header of the response.
-///
-/// # Errors
-///
-/// Returns `NotDelivered` only if no connection was established, so that nothing can
-/// have run; every later failure to get a response is `Lost`.
-pub async fn send(call: RequestBuilder, timeout: Duration) -> Result<Response, TargetError> {
-    let sent = tokio::time::timeout(timeout, call.send()).await;
-    let response = match sent {
-        Err(_) => return Err(unknown_outcome(format!("no answer within {timeout:?}"))),
-        Ok(Err(error)) => return Err(classify_send_error(&error)),
-        Ok(Ok(response)) => response,
-    };
-    check_status(response).await
+fn rate_statement(response: &Response) -> RateStatement {
+    let values = response.headers().get_all(RATE_LIMIT_HEADER).iter();
+    // A value that is not text is no number either.
+    RateStatement::parse(values.map(|value| value.to_str().unwrap_or_default()))
 }
 
 /// Returns the error for a response body that could not be read.
--- a/src/targets/engine_http.rs
+++ b/src/targets/engine_http.rs
@@ -5,12 +5,12 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::{self, BoxStream};
-use reqwest::{Client, RequestBuilder, Response};
+use reqwest::{Method, RequestBuilder, Response};
 use serde::de::DeserializeOwned;
 
 use crate::names::RequestId;
 use crate::ports::{EnginePort, LineStream, PortFuture, StreamPosition, TargetCall, TargetError};
-use crate::targets::call::{self, body_error, send, unknown_outcome};
+use crate::targets::call::{RateObserver, TargetClient, body_error, unknown_outcome};
 use crate::targets::wire::{CacheEvent, CacheEvents, EngineState, OrderBody, StreamLine};
 
 /// Maximum length of a line from an engine.
@@ -21,54 +21,58 @@
 /// # Errors
 ///
 /// Returns the library's error when the HTTP client cannot be built.
-pub fn engine_port() -> reqwest::Result<EnginePort> {
-    let client = call::new_http_client()?;
+pub fn engine_port(observer: RateObserver) -> reqwest::Result<EnginePort> {
+    let client = TargetClient::new(observer)?;
     let [c1, c2, c3, c4, c5, c6] = std::array::from_fn(|_| client.clone());
     Ok(EnginePort {
         generate: Arc::new(move |call| {
-            let url = format!("http://{}/v1/streams", call.address);
-            open_stream(c1.post(url).json(&call.body), call.timeout)
+            let request = c1.request(Method::POST, &call.address, "/v1/streams");
+            open_stream(&c1, request.json(&call.body), call.timeout)
         }),
         resume: Arc::new(move |call| {
-            let timeout = call.timeout;
-            open_stream(c2.get(resume_url(&call)), timeout)
+            let request = c2.request(Method::GET, &call.address, &resume_path(&call.body));
+            open_stream(&c2, request, call.timeout)
         }),
         cancel: Arc::new(move |call| cancel(&c3, &call)),
         state: Arc::new(move |call| {
-            let url = format!("http://{}/v1/state", call.address);
-            fetch(c4.get(url), call.timeout)
+            let request = c4.request(Method::GET, &call.address, "/v1/state");
+            fetch(&c4, request, call.timeout)
         }),
         cache_events: Arc::new(move |call| cache_events(&c5, &call)),
         order: Arc::new(move |call| order(&c6, &call)),
     })
 }
 
-fn resume_url(call: &TargetCall<StreamPosition>) -> String {
+fn resume_path(position: &StreamPosition) -> String {
     let StreamPosition {
         request_id,
         attempt,
         offset,
-    } = &call.body;
-    let address = &call.address;
-    format!("http://{address}/v1/streams/{request_id}/{attempt}?offset={offset}")
+    } = position;
+    format!("/v1/streams/{request_id}/{attempt}?offset={offset}")
 }
 
 fn open_stream(
+    client: &TargetClient,
     request: RequestBuilder,
     timeout: Duration,
 ) -> PortFuture<Result<LineStream, TargetError>> {
+    let client = client.clone();
     Box::pin(async move {
-        let response = send(request, timeout).await?;
+        let response = client.send(request, timeout).await?;
         Ok(lines(response))
     })
 }
 
-fn cancel(client: &Client, call: &TargetCall<RequestId>) -> PortFuture<Result<bool, TargetError>> {
-    let url = format!("http://{}/v1/streams/{}", call.address, call.body);
-    let request = client.delete(url);
-    let timeout = call.timeout;
+fn cancel(
+    client: &TargetClient,
+    call: &TargetCall<RequestId>,
+) -> PortFuture<Result<bool, TargetError>> {
+    let path = format!("/v1/streams/{}", call.body);
+    let request = client.request(Method::DELETE, &call.address, &path);
+    let (client, timeout) = (client.clone(), call.timeout);
     Box::pin(async move {
-        match send(request, timeout).await {
+        match client.send(request, timeout).await {
             Ok(_) => Ok(true),
             Err(TargetError::NoStream) => Ok(false),
             Err(error) => Err(error),
@@ -77,33 +81,33 @@
 }
 
 fn cache_events(
-    client: &Client,
+    client: &TargetClient,
     call: &TargetCall<u64>,
 ) -> PortFuture<Result<Vec<CacheEvent>, TargetError>> {
-    let url = format!(
-        "http://{}/v1/cache-events?since={}",
-        call.address, call.body
-    );
-    let reply = fetch::<CacheEvents>(client.get(url), call.timeout);
+    let path = format!("/v1/cache-events?since={}", call.body);
+    let request = client.request(Method::GET, &call.address, &path);
+    let reply = fetch::<CacheEvents>(client, request, call.timeout);
     Box::pin(async move { Ok(reply.await?.events) })
 }
 
 fn order(
-    client: &Client,
+    client: &TargetClient,
     call: &TargetCall<OrderBody>,
 ) -> PortFuture<Result<EngineState, TargetError>> {
-    let url = format!("http://{}/v1/orders", call.address);
-    fetch(client.post(url).json(&call.body), call.timeout)
+    let request = client.request(Method::POST, &call.address, "/v1/orders");
+    fetch(client, request.json(&call.body), call.timeout)
 }
 
 /// Sends a request and reads its complete response as JSON; header and body may take
 /// `timeout` each.
 fn fetch<T: DeserializeOwned + Send + 'static>(
+    client: &TargetClient,
     request: RequestBuilder,
     timeout: Duration,
 ) -> PortFuture<Result<T, TargetError>> {
+    let client = client.clone();
     Box::pin(async move {
-        let response = send(request, timeout).await?;
+        let response = client.send(request, timeout).await?;
         let body = tokio::time::timeout(timeout, response.json()).await;
         match body {
             Err(_) => Err(unknown_outcome(format!(
--- a/src/targets/service_http.rs
+++ b/src/targets/service_http.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use reqwest::RequestBuilder;
+use reqwest::{Method, RequestBuilder};
 
 use crate::ports::{ServicePort, TargetError};
-use crate::targets::call::{self, body_error, send, unknown_outcome};
+use crate::targets::call::{RateObserver, TargetClient, body_error, unknown_outcome};
 use crate::targets::wire::ServiceReply;
 
 /// Builds the port to plain services.
@@ -14,22 +14,23 @@
 /// # Errors
 ///
 /// Returns the library's error when the HTTP client cannot be built.
-pub fn service_port() -> reqwest::Result<ServicePort> {
-    let client = call::new_http_client()?;
+pub fn service_port(observer: RateObserver) -> reqwest::Result<ServicePort> {
+    let client = TargetClient::new(observer)?;
     Ok(ServicePort {
         call: Arc::new(move |call| {
-            let url = format!("http://{}/v1/calls", call.address);
-            let request = client.post(url).json(&call.body);
-            Box::pin(call_service(request, call.timeout))
+            let request = client.request(Method::POST, &call.address, "/v1/calls");
+            let request = request.json(&call.body);
+            Box::pin(call_service(client.clone(), request, call.timeout))
         }),
     })
 }
 
 async fn call_service(
+    client: TargetClient,
     request: RequestBuilder,
     timeout: Duration,
 ) -> Result<ServiceReply, TargetError> {
-    let response = send(request, timeout).await?;
+    let response = client.send(request, timeout).await?;
     let body = tokio::time::timeout(timeout, response.json()).await;
     match body {
         Err(_) => Err(unknown_outcome(format!(
--- a/tests/control_authority.rs
+++ b/tests/control_authority.rs
@@ -13,6 +13,7 @@
 use pistachiowick::names::{CentreName, DaemonId, ModelName, ProcessIncarnation, TargetId};
 use pistachiowick::requests::journal::DecisionJournal;
 use pistachiowick::store::wire::{InstanceKind, InstanceRow, InstanceState};
+use pistachiowick::target_limits::SharedLimitTracker;
 use pistachiowick::targets::wire::{EngineRole, EngineState};
 use tokio::sync::oneshot;
 
@@ -95,6 +96,7 @@
             incarnation: ProcessIncarnation(1),
             seed: 1,
             crashes: SharedCrashTracker::default(),
+            target_limits: SharedLimitTracker::default(),
         })
     }
 }
--- a/tests/control_peers.rs
+++ b/tests/control_peers.rs
@@ -26,6 +26,7 @@
 use pistachiowick::requests::journal::DecisionJournal;
 use pistachiowick::roles::mix::{MIX_BINS, WorkAmount, WorkTotals};
 use pistachiowick::store::wire::{InstanceKind, InstanceRow, InstanceState};
+use pistachiowick::target_limits::SharedLimitTracker;
 use rstest::rstest;
 use tokio::sync::oneshot;
 
@@ -296,6 +297,7 @@
             incarnation: ProcessIncarnation(1),
             seed: 1,
             crashes: SharedCrashTracker::default(),
+            target_limits: SharedLimitTracker::default(),
         });
         let name = id.to_owned();
         let peers = start_peers(PeerInputs {
--- a/tests/control_thread.rs
+++ b/tests/control_thread.rs
@@ -17,6 +17,7 @@
 use pistachiowick::names::{CentreName, DaemonId, ProcessIncarnation, TargetId, WorkspaceName};
 use pistachiowick::requests::journal::DecisionJournal;
 use pistachiowick::store::wire::{InstanceKind, InstanceRow, InstanceState};
+use pistachiowick::target_limits::SharedLimitTracker;
 use pistachiowick::targets::wire::{EngineRole, EngineState};
 use pistachiowick::timer::TimerService;
 use tokio::sync::oneshot;
@@ -32,6 +33,7 @@
         incarnation: ProcessIncarnation(1),
         seed: 1,
         crashes: SharedCrashTracker::default(),
+        target_limits: SharedLimitTracker::default(),
     })
 }
 
--- a/tests/placement_choice.rs
+++ b/tests/placement_choice.rs
@@ -15,6 +15,7 @@
 use pistachiowick::names::{MonoTime, TargetId};
 use pistachiowick::settings::{PlacementPolicy, PolicySettings};
 use pistachiowick::store::wire::InstanceKind;
+use pistachiowick::target_limits::tracker::TurnOffers;
 use pistachiowick::targets::wire::EngineRole;
 use pistachiowick_lab::samples;
 use rand::SeedableRng;
@@ -30,6 +31,7 @@
     local: IndexMap<TargetId, LocalWork>,
     prefixes: PrefixIndex,
     policy: PolicySettings,
+    turns: TurnOffers,
     live_daemons: usize,
 }
 
@@ -45,6 +47,7 @@
             local: IndexMap::new(),
             prefixes: PrefixIndex::default(),
             policy: PolicySettings::default(),
+            turns: TurnOffers::new(),
             live_daemons: 1,
         }
     }
@@ -63,6 +66,7 @@
             prefixes: &self.prefixes,
             local: &self.local,
             policy: &self.policy,
+            turns: &self.turns,
             live_daemons: self.live_daemons,
             now: NOW,
         };
@@ -325,6 +329,7 @@
         prefixes: &scene.prefixes,
         local: &scene.local,
         policy: &scene.policy,
+        turns: &scene.turns,
         live_daemons: 1,
         now: NOW,
     };
--- a/tests/scheduler_admission.rs
+++ b/tests/scheduler_admission.rs
@@ -9,9 +9,11 @@
 use pistachiowick::decide::scheduler::{
     JobGrant, JobMeasurement, JobRefusal, JobSpec, ScheduleAction, Scheduler, SchedulerInputs,
 };
+use pistachiowick::decide::turn_gate::TurnGate;
 use pistachiowick::membership::fleet::{FleetView, UseState};
-use pistachiowick::names::{MonoTime, TargetId, WorkspaceName};
+use pistachiowick::names::{DaemonId, MonoTime, TargetId, WorkspaceName};
 use pistachiowick::settings::{LimitSettings, PolicySettings};
+use pistachiowick::target_limits::SharedLimitTracker;
 use pistachiowick::targets::wire::{CacheEvent, EngineRole};
 use pistachiowick_lab::samples;
 use rstest::rstest;
@@ -20,6 +22,7 @@
 
 fn scheduler(policy: PolicySettings, limits: LimitSettings) -> Scheduler {
     Scheduler::new(SchedulerInputs {
+        turns: TurnGate::new(DaemonId::from("local"), SharedLimitTracker::default()),
         speeds: policy.speeds.clone(),
         policy,
         limits,
--- a/tests/scheduler_fuzz.rs
+++ b/tests/scheduler_fuzz.rs
@@ -8,9 +8,11 @@
 use pistachiowick::decide::scheduler::{
     JobMeasurement, JobSpec, ScheduleAction, Scheduler, SchedulerInputs,
 };
+use pistachiowick::decide::turn_gate::TurnGate;
 use pistachiowick::membership::fleet::{FleetView, UseState};
-use pistachiowick::names::{MonoTime, TargetId};
+use pistachiowick::names::{DaemonId, MonoTime, TargetId};
 use pistachiowick::settings::{LimitSettings, PlacementPolicy, PolicySettings};
+use pistachiowick::target_limits::SharedLimitTracker;
 use pistachiowick_lab::samples;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -125,6 +127,7 @@
         let fleet = samples::fleet_view(ENGINES, 1, 1, now);
         let mut tracked = Self {
             scheduler: Scheduler::new(SchedulerInputs {
+                turns: TurnGate::new(DaemonId::from("local"), SharedLimitTracker::default()),
                 speeds: policy.speeds.clone(),
                 policy,
                 limits: LimitSettings {
