--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -19,6 +19,7 @@
 use crate::gateway::port::{SendMode, SendOrder, TargetQuery};
 use crate::names::MonoTime;
 use crate::target_incarnation::TargetIncarnation;
+use crate::target_limits::statement::RateStatement;
 use crate::target_limits::tracker::TurnTerms;
 
 /// Longest time to open a connection. This normally takes a few milliseconds; a slower
@@ -290,7 +291,9 @@
             .answered_by
             .as_ref()
             .is_some_and(|by| by != target.id.name());
-        if !is_other_target {
+        // A target that turns requests away may do so without naming its limit.
+        let has_run = !metadata.not_run && !metadata.misdirected;
+        if !is_other_target && (has_run || metadata.rate != RateStatement::Unlimited) {
             self.note_rate(target, &metadata.rate, sent);
         }
         if metadata.misdirected {
--- a/src/targets/call.rs
+++ b/src/targets/call.rs
@@ -75,7 +75,10 @@
             Ok(Ok(response)) => response,
         };
         let statement = rate_statement(&response);
-        (self.observer)(response.url().authority(), &statement, sent_at);
+        // A target that turns requests away may do so without naming its limit.
+        if response.status().is_success() || statement != RateStatement::Unlimited {
+            (self.observer)(response.url().authority(), &statement, sent_at);
+        }
         check_status(response).await
     }
 }
