Targets' limits: answers to the daemon's own queries don't end them

Whether a target names its limit also in answers to queries (reports, released handles) is left open by the users' pages. Where it does not, the release of a handle at a limited engine would have ended the limit at all daemons, and the fleet have sent at full rate until the next answer. Such an answer can still start a limit.

--- a/src/control/peer_exchange.rs
+++ b/src/control/peer_exchange.rs
@@ -196,7 +196,9 @@
             target.is_some_and(|t| t.report.is_none() || t.incarnation() == *incarnation)
         };
         let is_daemon = |daemon: &DaemonId| fleet.daemons.contains_key(daemon);
-        self.target_limits.lock().sweep(is_target, is_daemon, now);
+        let mut limits = self.target_limits.lock();
+        limits.sweep(is_target, is_daemon, now);
+        metrics::gauge!("pistachiowick_limited_targets").set(limits.count() as f64);
     }
 
     /// Sends a hint with this daemon's state to all linked peers.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -304,9 +304,10 @@
         self.refute_registered_targets(now);
         let view = self.view();
         let is_known = |id: &DaemonId| view.daemons.iter().any(|daemon| daemon.id == *id);
-        self.limits
-            .borrow_mut()
-            .sweep(|target| view.has_target(target), is_known, now);
+        let mut limits = self.limits.borrow_mut();
+        limits.sweep(|target| view.has_target(target), is_known, now);
+        metrics::gauge!("pistachiowick_limited_targets").set(limits.count() as f64);
+        drop(limits);
         let mut core = self.core.borrow_mut();
         core.sweep(|target| view.has_target(target), now);
         let engines = view.routes.iter().flat_map(|routes| routes.services());
--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -34,27 +34,28 @@
 impl Gateway {
     /// Records what an answer to a request sent at `sent` states about the limit of its target.
     pub fn note_rate(&self, target: &TargetRecord, statement: &RateStatement, sent: MonoTime) {
-        let now = clock::mono_now();
         let mut limits = self.limits.borrow_mut();
-        let change = limits.note_answer(&target.id, statement, sent, now);
-        metrics::gauge!("pistachiowick_limited_targets").set(limits.count() as f64);
+        if *statement == RateStatement::Unlimited && limits.count() == 0 {
+            return;
+        }
+        let change = limits.note_answer(&target.id, statement, sent, clock::mono_now());
         drop(limits);
         log_change(&target.id, change, "answer");
     }
 
-    /// Does the same for the answer to a query of this daemon.
+    /// Does the same for the answer to a query of this daemon, which cannot end a limit: a
+    /// target may name it only in answers to callers' requests.
     pub fn note_query_answer(&self, target: &TargetRecord, head: &Parts, sent: MonoTime) {
         let metadata = (self.ports.wire.decode_answer)(head.status, &head.headers);
-        self.note_rate(target, &metadata.rate, sent);
+        if metadata.rate != RateStatement::Unlimited {
+            self.note_rate(target, &metadata.rate, sent);
+        }
     }
 
     /// Applies the reports in a message of another daemon.
     pub fn apply_limits(&self, sender: ReportSender<'_>, reports: &[LimitReport]) {
         let mut limits = self.limits.borrow_mut();
         let changes = limits.apply_message(sender, reports, clock::mono_now());
-        if !changes.is_empty() {
-            metrics::gauge!("pistachiowick_limited_targets").set(limits.count() as f64);
-        }
         drop(limits);
         for (target, change) in changes {
             log_change(&target, Some(change), sender.daemon.as_str());
