--- a/tests/target_limits.rs
+++ b/tests/target_limits.rs
@@ -357,6 +357,8 @@
     Frozen,
     // The target names another limit half-way.
     RateChanges,
+    // The target names a slightly different limit in each answer.
+    RateVaries,
 }
 
 struct FleetCase {
@@ -469,6 +471,9 @@
         match now {
             0..NAMED_FROM_MS => RateStatement::Unlimited,
             CHANGED_FROM_MS.. if changes => limited(self.case.rate / 2.0),
+            _ if self.case.disruption == Disruption::RateVaries => {
+                limited(self.case.rate * (1.0 - (now % 7) as f64 / 50.0))
+            }
             _ => limited(self.case.rate),
         }
     }
@@ -594,6 +599,9 @@
 #[case::large_halved(FleetCase { daemons: 300, demand: 2.0, disruption: Disruption::Halved, ..SMALL })]
 #[case::large_restarts(FleetCase { daemons: 300, demand: 2.0, disruption: Disruption::Restarts, ..SMALL })]
 #[case::large_changes(FleetCase { daemons: 300, demand: 2.0, rate: 4.0, disruption: Disruption::RateChanges })]
+#[case::small_varies(FleetCase { disruption: Disruption::RateVaries, ..SMALL })]
+#[case::medium_varies(FleetCase { daemons: 69, demand: 2.0, disruption: Disruption::RateVaries, ..SMALL })]
+#[case::large_varies(FleetCase { daemons: 300, demand: 2.0, disruption: Disruption::RateVaries, ..SMALL })]
 fn the_fleet_keeps_a_limit_and_uses_it(#[case] case: FleetCase) {
     let rate = case.rate;
     let mut fleet = SimulatedFleet::new(case);
