What targets state is one type, read from every answer, and logged

No line and no metric told that an answer stated a departure or a time for which its target accepts nothing, at which daemon or in which kind of answer, so the hypotheses could not be told apart. `TargetStatement` holds limit, departure and backoff; the adapter reads it from every answer, and `Gateway::note_statement` is the one place that sees it, before the answer is forwarded or dropped. Nothing is decided by it yet.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -46,6 +46,7 @@
 use crate::ports::ObjectName;
 use crate::target_incarnation::TargetIncarnation;
 use crate::target_limits::tracker::LimitTracker;
+use crate::target_statements::statement_log::StatementLog;
 use crate::telemetry;
 use crate::timer::TimerService;
 
@@ -105,6 +106,8 @@
     pub local_stage_changes: RefCell<Vec<TargetIncarnation>>,
     /// Limits that targets put on the rate of their requests.
     pub limits: RefCell<LimitTracker>,
+    /// Statements of targets that have been logged.
+    pub statement_log: RefCell<StatementLog>,
     /// Work that crashed targets.
     pub crashes: RefCell<CrashTracker>,
     /// Quarantined work as recorded in the store.
@@ -233,6 +236,7 @@
             incarnation,
             local_stage_changes: RefCell::default(),
             limits: RefCell::default(),
+            statement_log: RefCell::default(),
             crashes: RefCell::default(),
             quarantine: RefCell::default(),
             newly_quarantined: Notify::new(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 pub mod sending;
 pub mod settings;
 pub mod stage_control;
+pub mod statements;
 pub mod store_contact;
 pub mod store_follow;
 pub mod stream;
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -15,7 +15,7 @@
 use crate::names::{CentreName, DaemonId, FenceNumber, ServiceName, TargetId, UnixTime};
 use crate::ports::{ObjectName, ObjectVersion, PlatformError, PlatformPort, PortCall};
 use crate::target_incarnation::TargetIncarnation;
-use crate::target_limits::statement::RateStatement;
+use crate::target_statements::TargetStatement;
 
 /// A value on the wire that cannot be decoded.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
@@ -62,6 +62,38 @@
     DecodeFrom(KvCacheHandle),
 }
 
+/// Kind of a request that a target answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestKind {
+    /// A caller's request.
+    Run,
+    /// A caller's prompt, to be prefilled for another engine.
+    Prefill,
+    /// A query or an order of this daemon.
+    Query,
+}
+
+impl RequestKind {
+    /// Returns the name of the kind in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Run => "run",
+            Self::Prefill => "prefill",
+            Self::Query => "query",
+        }
+    }
+}
+
+impl From<&SendMode> for RequestKind {
+    fn from(mode: &SendMode) -> Self {
+        match mode {
+            SendMode::Run | SendMode::DecodeFrom(_) => Self::Run,
+            SendMode::Prefill => Self::Prefill,
+        }
+    }
+}
+
 /// One send of a caller's request to a target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SendOrder {
@@ -95,8 +127,17 @@
     pub answered_by: Option<TargetId>,
     /// Whether the answer carries the target's signature.
     pub signed: bool,
-    /// What it states about the request rate that the target accepts.
-    pub rate: RateStatement,
+    /// What the target states about itself.
+    pub statement: TargetStatement,
+}
+
+impl AnswerMetadata {
+    /// Returns whether the answer may be of a target: it names no other one.
+    #[must_use]
+    pub fn may_be_of(&self, target: &TargetIncarnation) -> bool {
+        let by = self.answered_by.as_ref();
+        by.is_none_or(|by| by == target.name())
+    }
 }
 
 /// An HTTP call to a target that does not carry a caller's request.
--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::response::Parts;
 use tokio::time::sleep;
 
 use crate::clock;
@@ -43,15 +42,6 @@
         log_change(&target.id, change, "answer");
     }
 
-    /// Does the same for the answer to a query of this daemon, which cannot end a limit: a
-    /// target may name it only in answers to callers' requests.
-    pub fn note_query_answer(&self, target: &TargetRecord, head: &Parts, sent: MonoTime) {
-        let metadata = (self.ports.wire.decode_answer)(head.status, &head.headers);
-        if metadata.rate != RateStatement::Unlimited {
-            self.note_rate(target, &metadata.rate, sent);
-        }
-    }
-
     /// Applies the reports in a message of another daemon.
     pub fn apply_limits(&self, sender: ReportSender<'_>, reports: &[LimitReport]) {
         let mut limits = self.limits.borrow_mut();
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -16,10 +16,10 @@
 use crate::gateway::deciding::health::{HealthChange, SendResult};
 use crate::gateway::model::TargetRecord;
 use crate::gateway::pool::ConnectionPool;
-use crate::gateway::port::{SendMode, SendOrder, TargetQuery};
+use crate::gateway::port::{RequestKind, SendMode, SendOrder, TargetQuery};
+use crate::gateway::statements::AnsweredRequest;
 use crate::names::MonoTime;
 use crate::target_incarnation::TargetIncarnation;
-use crate::target_limits::statement::RateStatement;
 use crate::target_limits::tracker::TurnTerms;
 
 /// Longest time to open a connection. This normally takes a few milliseconds; a slower
@@ -280,6 +280,15 @@
     ) -> SendOutcome {
         let (head, body) = response.into_parts();
         let metadata = (self.ports.wire.decode_answer)(head.status, &head.headers);
+        let is_other_target = !metadata.may_be_of(&target.id);
+        if !is_other_target {
+            let answered = AnsweredRequest {
+                kind: RequestKind::from(&order.mode),
+                has_run: !metadata.not_run && !metadata.misdirected,
+                sent,
+            };
+            self.note_statement(target, &metadata.statement, answered);
+        }
         let answered_id = metadata.request_id.as_deref();
         if answered_id.is_some_and(|answered| answered != call.caller.id) {
             return SendOutcome::Unclear(format!(
@@ -287,15 +296,6 @@
                 target.id
             ));
         }
-        let is_other_target = metadata
-            .answered_by
-            .as_ref()
-            .is_some_and(|by| by != target.id.name());
-        // A target that turns requests away may do so without naming its limit.
-        let has_run = !metadata.not_run && !metadata.misdirected;
-        if !is_other_target && (has_run || metadata.rate != RateStatement::Unlimited) {
-            self.note_rate(target, &metadata.rate, sent);
-        }
         if metadata.misdirected {
             // An engine in another stage refuses in the same way as another target at its
             // address, but it has not departed: when it was marked as departed, it stayed idle for
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod store;
 pub mod target_incarnation;
 pub mod target_limits;
+pub mod target_statements;
 pub mod targets;
 pub mod telemetry;
 pub mod timer;
