--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -124,6 +124,41 @@
     assert!(registry.has_departed(&TargetIncarnation::from("a")));
 }
 
+struct LastingCase {
+    // Changes of the entry after the departure, with their times.
+    later: fn() -> Vec<(u64, EntryChange)>,
+    serving: bool,
+}
+
+// Guards against a target that left and gets work again because its departure was forgotten while
+// its entry still says that it is ready.
+#[rstest]
+#[case::entry_unchanged(LastingCase { later: || vec![(900_000, incarnation(1, 10))], serving: false })]
+#[case::entry_written_again(LastingCase {
+    later: || vec![(100_000, incarnation(1, 12)), (500_000, incarnation(1, 13))], serving: false,
+})]
+#[case::back_after_an_outage(LastingCase {
+    later: || vec![(100_000, gone("a", 11)), (102_000, incarnation(1, 12)), (500_000, incarnation(1, 13))],
+    serving: false,
+})]
+#[case::next_incarnation(LastingCase { later: || vec![(1_000, incarnation(2, 11))], serving: true })]
+#[case::late_entry_of_the_first(LastingCase {
+    later: || vec![(1_000, incarnation(2, 12)), (2_000, incarnation(1, 11))], serving: true,
+})]
+fn a_departure_lasts_as_long_as_the_entry_of_its_incarnation(#[case] case: LastingCase) {
+    let mut registry = TargetRegistry::default();
+    apply(&mut registry, incarnation(1, 10), 1);
+    registry.mark_departed(&incarnation_id(1), MonoTime(2));
+    for (at, change) in (case.later)() {
+        registry.expire(MonoTime(at));
+        apply(&mut registry, change, at);
+    }
+    assert_eq!(!left(&registry).is_empty(), case.serving);
+    registry.replace(Vec::new(), EntrySource::Store, MonoTime(1_000_000));
+    registry.expire(MonoTime(1_121_000));
+    assert_eq!(registry.departed().count(), 0);
+}
+
 fn run_step(registry: &mut TargetRegistry, step: &Step, now: MonoTime) {
     if !matches!(step, StoreFailed | CallFailed(_) | Expire) {
         registry.note_store_answer(now);
