A departure that a target states in any answer ends new work for it

Callers' requests reached a target 2.2 to 4.1 s after its answer had said that it leaves; nothing read `Server-Leaving`, and departures came from the store's entry, which was away for 13 s.

The daemon that reads it stops at once (`stated_departures`), checked again after waits and after opening a connection, and the control thread takes the incarnation out of the view; hints and hubs relay it. It is remembered as long as its entry is in the store: it was forgotten after two minutes, while an entry that still said ready brought the target back.

--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -40,6 +40,9 @@
     /// No byte of the request was sent: it has not run.
     #[error("request not sent: {0}; it can be sent to another target")]
     NotSent(String),
+    /// No byte of the request was sent, as the target is not to get it any more.
+    #[error("request withdrawn: {0}; it can be sent to another target")]
+    Withdrawn(String),
     /// The request was sent and not answered in time: it may have run.
     #[error("request not answered: {0}; it may have run, so retry only if it may run twice")]
     Unclear(String),
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -18,7 +18,7 @@
 use crate::gateway::peers::wire::FeedObjects;
 use crate::gateway::port::GatewayPorts;
 use crate::gateway::registry::{
-    EntryChange, EntryContent, EntrySource, EntryUpdate, TargetRegistry,
+    DepartureSource, EntryChange, EntryContent, EntrySource, EntryUpdate, TargetRegistry,
 };
 use crate::gateway::routes::RouteTable;
 use crate::gateway::store_follow::{
@@ -41,8 +41,8 @@
 /// Messages to the control thread.
 #[derive(Debug)]
 pub enum ControlInput {
-    /// A target announced its departure or is no longer at its address.
-    TargetDeparted(TargetIncarnation),
+    /// A target is leaving or gone.
+    TargetDeparted(TargetIncarnation, DepartureSource),
     /// Another daemon reported entries that were created or removed.
     EntryUpdates(Vec<EntryUpdate>),
     /// Another daemon sent a configuration.
@@ -163,7 +163,7 @@
     loop {
         let changed = tokio::select! {
             message = inbox.recv() => match message {
-                Some(ControlInput::TargetDeparted(id)) => state.note_departed(&id),
+                Some(ControlInput::TargetDeparted(id, source)) => state.note_departed(&id, &source),
                 Some(ControlInput::EntryUpdates(updates)) => state.apply_entry_updates(updates),
                 Some(ControlInput::PeerConfig { revision, value }) => {
                     state.apply_config_value(revision, &value)
@@ -207,12 +207,12 @@
 }
 
 impl ControlState {
-    // Every request that finds the target gone reports it, so only the first report counts.
-    fn note_departed(&mut self, id: &TargetIncarnation) -> bool {
+    // Every answer and every message of a peer reports it, so only the first report counts.
+    fn note_departed(&mut self, id: &TargetIncarnation, source: &DepartureSource) -> bool {
         if self.registry.has_departed(id) {
             return false;
         }
-        log::info!(target_id = id.as_str(); "target is no longer at its address");
+        source.log(id);
         self.registry.mark_departed(id, clock::mono_now());
         true
     }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use indexmap::IndexSet;
 use metrics_exporter_prometheus::PrometheusHandle;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -38,6 +39,7 @@
 use crate::gateway::pool::ConnectionPool;
 use crate::gateway::port::GatewayPorts;
 use crate::gateway::quarantine::{self, QuarantineStore};
+use crate::gateway::registry::DepartureSource;
 use crate::gateway::reload;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::stage_control;
@@ -106,6 +108,8 @@
     pub local_stage_changes: RefCell<Vec<TargetIncarnation>>,
     /// Limits that targets put on the rate of their requests.
     pub limits: RefCell<LimitTracker>,
+    /// Targets that stated their departure and are still in the view.
+    pub stated_departures: RefCell<IndexSet<TargetIncarnation>>,
     /// Statements of targets that have been logged.
     pub statement_log: RefCell<StatementLog>,
     /// Work that crashed targets.
@@ -145,12 +149,12 @@
         self.fleet.load_full()
     }
 
-    /// Notifies the control thread that a target is no longer at its address.
-    pub fn notify_departed(&self, target: &TargetIncarnation) {
+    /// Notifies the control thread that a target is leaving or gone.
+    pub fn notify_departed(&self, target: &TargetIncarnation, source: DepartureSource) {
         // The control thread runs until the process ends.
         let _ = self
             .control_inputs
-            .send(ControlInput::TargetDeparted(target.clone()));
+            .send(ControlInput::TargetDeparted(target.clone(), source));
     }
 
     /// Returns the number of daemons that share the fleet's budgets, this one included.
@@ -236,6 +240,7 @@
             incarnation,
             local_stage_changes: RefCell::default(),
             limits: RefCell::default(),
+            stated_departures: RefCell::default(),
             statement_log: RefCell::default(),
             crashes: RefCell::default(),
             quarantine: RefCell::default(),
@@ -312,6 +317,8 @@
         limits.sweep(|target| view.has_target(target), is_known, now);
         metrics::gauge!("pistachiowick_limited_targets").set(limits.count() as f64);
         drop(limits);
+        let mut stated_departures = self.stated_departures.borrow_mut();
+        stated_departures.retain(|target| view.has_target(target));
         let mut core = self.core.borrow_mut();
         core.sweep(|target| view.has_target(target), now);
         let engines = view.routes.iter().flat_map(|routes| routes.services());
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -42,6 +42,7 @@
 use crate::gateway::model::PromptPart;
 use crate::gateway::peers::hub::{LinkKind, PeerRole};
 use crate::gateway::peers::wire::{CachedPartsUpdate, PeerHint, PeerMessage, PeerSummary};
+use crate::gateway::registry::DepartureSource;
 use crate::gateway::registry::EntryUpdate;
 use crate::names::{DaemonId, MonoTime};
 use crate::target_incarnation::TargetIncarnation;
@@ -356,7 +357,7 @@
         self.relay_queue
             .borrow_mut()
             .queue_from_member(&hint.cached_parts);
-        self.apply_departures(&hint.departed);
+        self.apply_departures(&hint.departed, &hint.from);
         self.apply_entry_changes(hint.entries);
         self.apply_crash_reports(&hint.crash_reports);
         let sender = ReportSender {
@@ -388,10 +389,10 @@
         }
     }
 
-    fn apply_departures(&self, departed: &[TargetIncarnation]) {
+    fn apply_departures(&self, departed: &[TargetIncarnation], from: &DaemonId) {
         let view = self.view();
         for target in departed.iter().filter(|target| view.has_target(target)) {
-            self.notify_departed(target);
+            self.notify_departed(target, DepartureSource::Peer(from.clone()));
         }
     }
 
@@ -449,7 +450,7 @@
                 .borrow_mut()
                 .queue_from_hub(&summary.cached_parts);
         }
-        self.apply_departures(&summary.departed);
+        self.apply_departures(&summary.departed, &summary.from);
         self.apply_entry_changes(summary.entries);
         self.apply_crash_reports(&summary.crash_reports);
         let sender = ReportSender {
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -21,9 +21,9 @@
 
 use crate::gateway::fleet::TargetsByService;
 use crate::gateway::model::TargetRecord;
-use crate::gateway::port::WireError;
+use crate::gateway::port::{RequestKind, WireError};
 use crate::gateway::store_contact::StoreOutageTracker;
-use crate::names::{MonoTime, TargetId, millis};
+use crate::names::{DaemonId, MonoTime, TargetId, millis};
 use crate::target_incarnation::TargetIncarnation;
 
 /// How long departures, and the last revision of removed entries, are remembered: longer
@@ -114,13 +114,52 @@
     at: MonoTime,
 }
 
+/// How this daemon learned that a target is leaving or gone.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum DepartureSource {
+    /// Another target, or another incarnation, answers at its address.
+    Address,
+    /// The target stated it in the answer to a request of this kind.
+    Answer(RequestKind),
+    /// Another daemon reported it.
+    Peer(DaemonId),
+}
+
+impl DepartureSource {
+    /// Logs a departure that was not known before.
+    pub fn log(&self, target: &TargetIncarnation) {
+        let target = target.as_str();
+        match self {
+            Self::Address => {
+                log::info!(target_id = target; "target is no longer at its address");
+            }
+            Self::Answer(kind) => {
+                metrics::counter!("pistachiowick_stated_departures_total").increment(1);
+                log::info!(target_id = target, source = "answer", answered = kind.as_str(); "target is leaving");
+            }
+            Self::Peer(daemon) => {
+                log::info!(target_id = target, source = daemon.as_str(); "target is leaving or gone");
+            }
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct TargetDeparture {
+    // When it was learned, or when the target's entry was last in the store.
+    at: MonoTime,
+    // Whether the store still has an entry of the incarnation. As long as it does, the
+    // departure is remembered.
+    has_entry: bool,
+}
+
 /// All known targets.
 #[derive(Clone, Debug, Default)]
 pub struct TargetRegistry {
     entries: IndexMap<TargetId, TargetEntry>,
     // Incarnations that departed. An older entry may still arrive from a peer or a stale
     // read; a departure is final for the incarnation.
-    departed: IndexMap<TargetIncarnation, MonoTime>,
+    departed: IndexMap<TargetIncarnation, TargetDeparture>,
     // Newest revision seen of each name, so that older entries are ignored.
     seen: IndexMap<TargetId, SeenRevision>,
     // Entries added, or removed while the store was reachable, to be announced to daemons
@@ -165,6 +204,7 @@
         for name in missing {
             self.remove_or_mark_missing(&name, source, now);
         }
+        self.note_entries_gone(|name| !listed_names.contains(name), now);
         self.unreadable
             .retain(|name, _| listed_names.contains(name));
     }
@@ -185,6 +225,7 @@
         self.note_revision(&name, revision, now);
         match content {
             EntryContent::Gone => {
+                self.note_entries_gone(|gone| *gone == name, now);
                 self.unreadable.swap_remove(&name);
                 self.remove_or_mark_missing(&name, source, now);
                 false
@@ -204,10 +245,12 @@
     /// from an answer at its address.
     pub fn mark_departed(&mut self, incarnation: &TargetIncarnation, now: MonoTime) {
         let current = self.entries.get(incarnation.name());
-        if current.is_some_and(|entry| entry.record.id == *incarnation) {
+        let has_entry = current.is_some_and(|entry| entry.record.id == *incarnation);
+        if has_entry {
             self.entries.swap_remove(incarnation.name());
         }
-        self.departed.insert(incarnation.clone(), now);
+        let departure = TargetDeparture { at: now, has_entry };
+        self.departed.insert(incarnation.clone(), departure);
     }
 
     /// Applies a peer's update that an entry was removed; returns true if it was not known
@@ -221,6 +264,7 @@
         }
         self.note_revision(name, revision, now);
         self.record_update(name, revision, None, now);
+        self.note_entries_gone(|gone| gone == name, now);
         self.drop_entry(name, EntrySource::Peer);
         true
     }
@@ -258,7 +302,8 @@
             }
             expired.is_none()
         });
-        self.departed.retain(|_, at| now.since(*at) < DEPARTURE_TTL);
+        self.departed
+            .retain(|_, departure| departure.has_entry || now.since(departure.at) < DEPARTURE_TTL);
         // Kept for longer than peers announce an update: if it were forgotten earlier, it
         // would be new again and announced forever.
         self.recent_updates
@@ -319,12 +364,13 @@
         source: EntrySource,
         now: MonoTime,
     ) -> bool {
-        if self.departed.contains_key(&record.id) {
-            return false;
-        }
-        if record.leaving {
+        self.note_entries_gone(|name| name == record.id.name(), now);
+        if record.leaving && !self.departed.contains_key(&record.id) {
             log::info!(target_id = record.id.as_str(), revision = revision, source = source.as_str(); "target is leaving");
             self.mark_departed(&record.id, now);
+        }
+        if let Some(departure) = self.departed.get_mut(&record.id) {
+            departure.has_entry = true;
             return false;
         }
         let before = self.entries.get(record.id.name());
@@ -344,6 +390,18 @@
         is_new
     }
 
+    // Records that the store no longer has the entries of the departed incarnations of some names.
+    fn note_entries_gone(&mut self, is_gone: impl Fn(&TargetId) -> bool, now: MonoTime) {
+        for (incarnation, departure) in &mut self.departed {
+            if departure.has_entry && is_gone(incarnation.name()) {
+                *departure = TargetDeparture {
+                    at: now,
+                    has_entry: false,
+                };
+            }
+        }
+    }
+
     fn remove_or_mark_missing(&mut self, name: &TargetId, source: EntrySource, now: MonoTime) {
         if let Some(until) = self.outage.entry_return_deadline(now) {
             self.mark_missing(name, until, source, now);
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -17,6 +17,7 @@
 use crate::gateway::model::TargetRecord;
 use crate::gateway::pool::ConnectionPool;
 use crate::gateway::port::{RequestKind, SendMode, SendOrder, TargetQuery};
+use crate::gateway::registry::DepartureSource;
 use crate::gateway::statements::AnsweredRequest;
 use crate::names::MonoTime;
 use crate::target_incarnation::TargetIncarnation;
@@ -174,7 +175,7 @@
         let mut connection = PooledConnection::new(&self.pool, target);
         let sent = clock::mono_now();
         let outcome = tokio::select! {
-            outcome = self.send_over_connection(&mut connection, &request, plan) => outcome,
+            outcome = self.send_over_connection(&mut connection, &request, (plan, &order)) => outcome,
             // If the target has not started the request yet, cancelling it can prevent a crash.
             () = self.until_quarantined(plan.call) => {
                 return SendOutcome::Unclear("cancelled: the work of the request was quarantined during the send".to_owned());
@@ -183,6 +184,7 @@
         let outcome = match outcome {
             Ok(response) => self.classify(target, plan.call, &order, response, (connection, sent)),
             Err(SendError::NotSent(reason)) => SendOutcome::NotSent(reason),
+            Err(SendError::Withdrawn(reason)) => return SendOutcome::NotSent(reason),
             Err(SendError::Unclear(reason)) => SendOutcome::Unclear(reason),
             Err(SendError::Cut(reason)) => {
                 self.record_connection_loss(plan.call, target, &reason);
@@ -200,7 +202,8 @@
         call: &RoutedRequest,
         order: &SendOrder,
     ) -> Result<(), String> {
-        if !self.view().has_target(&target.id) {
+        let is_leaving = self.stated_departures.borrow().contains(&target.id);
+        if is_leaving || !self.view().has_target(&target.id) {
             // It may have announced its departure after it was selected.
             return Err(format!("{} is leaving or gone", target.id));
         }
@@ -219,7 +222,7 @@
         &self,
         connection: &mut PooledConnection,
         request: &OutgoingRequest,
-        plan: SendPlan<'_>,
+        (plan, order): (SendPlan<'_>, &SendOrder),
     ) -> Result<http::Response<Incoming>, SendError> {
         let address = connection.record.address;
         while let Some(mut idle) = self.take_idle(&connection.record.id) {
@@ -249,6 +252,9 @@
         let deadline = plan.deadline.min(Instant::now() + CONNECT_TIMEOUT);
         metrics::counter!("pistachiowick_target_connections_total").increment(1);
         let mut inner = HttpConnection::open(address, deadline).await?;
+        // Opening the connection takes time.
+        self.check_send(&connection.record, plan.call, order)
+            .map_err(SendError::Withdrawn)?;
         let answer = inner.send(request, plan.deadline).await;
         connection.inner = Some(inner);
         answer
@@ -340,7 +346,7 @@
         };
         self.note_result(target, result);
         if matches!(outcome, SendOutcome::WrongTarget) {
-            self.notify_departed(&target.id);
+            self.notify_departed(&target.id, DepartureSource::Address);
         }
     }
 
--- a/src/gateway/stage_control.rs
+++ b/src/gateway/stage_control.rs
@@ -23,6 +23,7 @@
 use crate::gateway::lease_upkeep::{LeaseCallResult, LeaseManager};
 use crate::gateway::model::{EngineStage, TargetRecord};
 use crate::gateway::port::{EngineOrder, EngineReport, OrderOutcome, TargetQuery};
+use crate::gateway::registry::DepartureSource;
 use crate::gateway::sending::query_request;
 use crate::names::{FenceNumber, MonoTime, ServiceName};
 use crate::target_incarnation::TargetIncarnation;
@@ -170,7 +171,8 @@
             Ok(OrderOutcome::Accepted) | Err(SendError::Unclear(_) | SendError::Cut(_)) => {
                 change.ordered_at = Some(now);
             }
-            Ok(OrderOutcome::Holds | OrderOutcome::Refused(_)) | Err(SendError::NotSent(_)) => {
+            Ok(OrderOutcome::Holds | OrderOutcome::Refused(_))
+            | Err(SendError::NotSent(_) | SendError::Withdrawn(_)) => {
                 self.changes.swap_remove(id);
             }
         }
@@ -319,7 +321,7 @@
         let report = self.fetch_report(engine).await?;
         if report.started_at.is_some() && report.started_at != engine.id.started_at() {
             // The entry is stale: the incarnation that was to be changed has ended.
-            self.notify_departed(&engine.id);
+            self.notify_departed(&engine.id, DepartureSource::Address);
             return Err(SendError::NotSent("the engine has restarted".to_owned()));
         }
         if report.stage == Some(stage) {
--- a/src/gateway/statements.rs
+++ b/src/gateway/statements.rs
@@ -1,10 +1,11 @@
-//! Reads what targets state about themselves in their answers.
+//! Applies what targets state about themselves in their answers.
 
 use http::response::Parts;
 
 use crate::gateway::daemon::Gateway;
 use crate::gateway::model::TargetRecord;
 use crate::gateway::port::RequestKind;
+use crate::gateway::registry::DepartureSource;
 use crate::names::MonoTime;
 use crate::target_limits::statement::RateStatement;
 use crate::target_statements::TargetStatement;
@@ -29,8 +30,11 @@
         statement: &TargetStatement,
         answered: AnsweredRequest,
     ) {
-        if statement.is_leaving() {
-            log::info!(target_id = target.id.as_str(), answered = answered.kind.as_str(); "target states that it is leaving");
+        if statement.is_leaving() && self.view().has_target(&target.id) {
+            self.notify_departed(&target.id, DepartureSource::Answer(answered.kind));
+            // The control thread takes the target out of the view a moment later.
+            let mut stated_departures = self.stated_departures.borrow_mut();
+            stated_departures.insert(target.id.clone());
         }
         let mut statement_log = self.statement_log.borrow_mut();
         statement_log.log_unreadable(&target.id, statement);
