A target that refuses with a time gets nothing from this daemon until then

Targets that answered 503 with `Retry-After` got up to 73 requests of one daemon in 3 s: the header was read nowhere, the refusal counted as a failure and made the target dearer for up to a second. The refused sends used up the retries that other targets' callers need.

Runs, prefills, queries and orders keep away until the latest end stated, checked right before each send; afterwards sends are spaced for a second, so that all daemons together fill the slots once. A refusal with a time is no failure. Callers wait if the end lies well within the objective; where all targets refuse, they are refused at once, each with another time to come back. A retry is taken from the budget only where another target could serve.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -48,6 +48,7 @@
 use crate::ports::ObjectName;
 use crate::target_incarnation::TargetIncarnation;
 use crate::target_limits::tracker::LimitTracker;
+use crate::target_statements::backoff_tracker::BackoffTracker;
 use crate::target_statements::statement_log::StatementLog;
 use crate::telemetry;
 use crate::timer::TimerService;
@@ -110,6 +111,8 @@
     pub limits: RefCell<LimitTracker>,
     /// Targets that stated their departure and are still in the view.
     pub stated_departures: RefCell<IndexSet<TargetIncarnation>>,
+    /// Targets that refuse requests of this daemon for a time.
+    pub backoffs: RefCell<BackoffTracker>,
     /// Statements of targets that have been logged.
     pub statement_log: RefCell<StatementLog>,
     /// Work that crashed targets.
@@ -241,6 +244,7 @@
             local_stage_changes: RefCell::default(),
             limits: RefCell::default(),
             stated_departures: RefCell::default(),
+            backoffs: RefCell::default(),
             statement_log: RefCell::default(),
             crashes: RefCell::default(),
             quarantine: RefCell::default(),
@@ -317,6 +321,7 @@
         limits.sweep(|target| view.has_target(target), is_known, now);
         metrics::gauge!("pistachiowick_limited_targets").set(limits.count() as f64);
         drop(limits);
+        self.sweep_backoffs();
         let mut stated_departures = self.stated_departures.borrow_mut();
         stated_departures.retain(|target| view.has_target(target));
         let mut core = self.core.borrow_mut();
--- a/src/gateway/deciding/engine_choice.rs
+++ b/src/gateway/deciding/engine_choice.rs
@@ -81,7 +81,7 @@
     pub health: HealthView,
     /// Whether this request may be sent to it.
     pub available: bool,
-    /// The next turn, if it limits the rate of its requests.
+    /// When the next request may be sent, if it limits or refuses requests.
     pub turn: Option<TurnOffer>,
 }
 
@@ -259,8 +259,8 @@
     prompt: &'a PromptShape,
     rank: u8,
     shared_tokens: u32,
-    // First home of the prompt's shared part, among engines that are not avoided and do not
-    // limit the rate of their requests.
+    // First home of the prompt's shared part, among engines that are not avoided and neither
+    // limit nor refuse requests.
     home: Option<&'a EngineState>,
     // Engine from which the most leading tokens of the prompt can be copied.
     source: Option<&'a EngineState>,
--- a/src/gateway/deciding/mod.rs
+++ b/src/gateway/deciding/mod.rs
@@ -38,7 +38,7 @@
     pub changing: &'a [TargetIncarnation],
     /// Engines that the request must not be sent to any more, or not at present.
     pub excluded: &'a [TargetIncarnation],
-    /// Turns at the engines that limit the rate of their requests.
+    /// Offers at the engines that limit or refuse requests.
     pub turns: &'a TurnOffers,
 }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -166,11 +166,11 @@
                 PlainOutcome::FailedWhole(_) | PlainOutcome::Unclear(_) => {
                     history.sent.push(target.id.clone());
                     history.may_have_run = true;
-                    can_retry && self.take_retry(call)
+                    can_retry && self.take_plain_retry(call, &history)
                 }
                 PlainOutcome::Refused(_) => {
                     history.sent.push(target.id.clone());
-                    history.may_send(call) && self.take_retry(call)
+                    history.may_send(call) && self.take_plain_retry(call, &history)
                 }
                 PlainOutcome::NotSent(_) => {
                     history.unreached.push(target.id.clone());
@@ -193,10 +193,16 @@
                 break;
             }
         }
-        match (last, self.no_turn_refusal(call, &history)) {
-            (Err(_), Some(refusal)) => Err(refusal),
-            (last, _) => last,
-        }
+        last.map_err(|failure| {
+            let refusal = self.backoff_refusal(call, &history);
+            let refusal = refusal.or_else(|| self.no_turn_refusal(call, &history));
+            refusal.unwrap_or(failure)
+        })
+    }
+
+    // Takes a retry if there is another target to send the request to.
+    fn take_plain_retry(&self, call: &RoutedRequest, history: &SendHistory) -> bool {
+        self.choose_plain(call, history).is_some() && self.take_retry(call)
     }
 
     async fn send_plain(
@@ -271,12 +277,11 @@
             }
             Ok(body) => {
                 let failed = head.status.is_server_error();
-                let result = if failed {
-                    SendResult::Failed
-                } else {
-                    SendResult::Answered
-                };
-                self.note_result(target, result);
+                if !failed {
+                    self.note_result(target, SendResult::Answered);
+                } else if !self.is_backing_off(&target.id) {
+                    self.note_result(target, SendResult::Failed);
+                }
                 self.record_answer(target, times);
                 if head.status.is_success() {
                     self.record_completion(call, &head.headers);
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -54,7 +54,8 @@
         let started = self.generate_with_history(&call, &mut history).await;
         started.map_err(|failure| match failure.retry_after {
             Some(_) if history.may_have_run => lost_answer(&call, failure.reason),
-            _ => failure,
+            Some(_) => self.backoff_refusal(&call, &history).unwrap_or(failure),
+            None => failure,
         })
     }
 
@@ -171,7 +172,7 @@
             if let Some(handle) = &mut handle {
                 handle.forget();
             }
-            if self.take_retry(call) {
+            if !self.is_backing_off(&decode_engine.id) && self.take_retry(call) {
                 timed = None;
                 let fetch_from = Some(place.prefill_engine.as_deref().unwrap_or(decode_engine));
                 outcome = self
@@ -232,7 +233,8 @@
         history.sent.push(decode_engine.id.clone());
         let refused = failure.retry_after.is_some();
         let can_retry = refused || call.route.retry.may_retry();
-        if can_retry && history.may_send(call) && self.take_retry(call) {
+        let has_other = || self.place(call, history, call.turn_terms()).is_some();
+        if can_retry && history.may_send(call) && has_other() && self.take_retry(call) {
             return Started::Retry(failure);
         }
         Started::Failed(failure)
--- a/src/gateway/peers/placing.rs
+++ b/src/gateway/peers/placing.rs
@@ -228,7 +228,11 @@
         let core = self.core.borrow();
         let avoided = engines.iter().filter(|engine| {
             let id = &engine.id;
-            history.has(id) || late.contains(&id) || core.health.view(id, now).avoided
+            // The hub does not know which engines refuse the requests of this daemon.
+            history.has(id)
+                || late.contains(&id)
+                || self.is_backing_off(id)
+                || core.health.view(id, now).avoided
         });
         PlacementRequest {
             from: self.daemon.clone(),
--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -64,13 +64,16 @@
         self.limits.borrow().has_unsent(clock::mono_now())
     }
 
-    /// Returns the turns at those of the targets that limit the rate of their requests.
+    /// Returns the turns at those of the targets that limit the rate of their requests, or that
+    /// refuse those of this daemon for a time.
     #[must_use]
     pub fn turn_offers(&self, targets: &[Arc<TargetRecord>], terms: TurnTerms) -> TurnOffers {
-        self.offers(targets, &self.daemon, |target, seat, now| {
+        let mut offers = self.offers(targets, &self.daemon, |target, seat, now| {
             let limits = self.limits.borrow();
             limits.offer(target, seat, terms.kept_for_urgent, now)
-        })
+        });
+        self.add_backoffs(&mut offers, targets);
+        offers
     }
 
     /// Returns another daemon's turns, as far as known here: not which ones it has used.
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -144,7 +144,7 @@
     pub call: &'a RoutedRequest,
     /// Deadline for the head of the answer.
     pub deadline: Instant,
-    /// How it may use a turn, if the target limits the rate of its requests.
+    /// How long it may wait for a target that limits or refuses requests.
     pub turn_terms: TurnTerms,
 }
 
@@ -159,11 +159,11 @@
         if let Err(reason) = self.check_send(target, plan.call, order) {
             return SendOutcome::NotSent(reason);
         }
-        if !self.await_turn(target, plan.turn_terms).await {
-            return SendOutcome::NotSent(format!("{} limits the rate of its requests", target.id));
+        if let Err(reason) = self.await_admission(target, plan.turn_terms).await {
+            return SendOutcome::NotSent(reason);
         }
-        // Waiting for the turn takes time.
-        if let Err(reason) = self.check_send(target, plan.call, order) {
+        // Waiting takes time.
+        if let Err(reason) = self.check_admitted_send(target, plan.call, order) {
             return SendOutcome::NotSent(reason);
         }
         let order = SendOrder {
@@ -218,6 +218,19 @@
         Ok(())
     }
 
+    // Does the same for a request that waits no more.
+    fn check_admitted_send(
+        &self,
+        target: &TargetRecord,
+        call: &RoutedRequest,
+        order: &SendOrder,
+    ) -> Result<(), String> {
+        if self.is_backing_off(&target.id) {
+            return Err(format!("{} refuses requests for a time", target.id));
+        }
+        self.check_send(target, call, order)
+    }
+
     async fn send_over_connection(
         &self,
         connection: &mut PooledConnection,
@@ -253,7 +266,7 @@
         metrics::counter!("pistachiowick_target_connections_total").increment(1);
         let mut inner = HttpConnection::open(address, deadline).await?;
         // Opening the connection takes time.
-        self.check_send(&connection.record, plan.call, order)
+        self.check_admitted_send(&connection.record, plan.call, order)
             .map_err(SendError::Withdrawn)?;
         let answer = inner.send(request, plan.deadline).await;
         connection.inner = Some(inner);
@@ -341,6 +354,8 @@
             // Whether the answer is complete is only known at its end, and an engine that
             // changed its stage has not failed.
             SendOutcome::Answered(_) | SendOutcome::WrongWork => return,
+            // A refusal that states its end is no failure.
+            SendOutcome::Refused(_) if self.is_backing_off(&target.id) => return,
             SendOutcome::Refused(_) | SendOutcome::WrongTarget => SendResult::Failed,
             SendOutcome::NotSent(_) | SendOutcome::Unclear(_) => SendResult::Silent,
         };
@@ -352,7 +367,8 @@
 
     /// Releases a KV cache handle that no other engine will use.
     pub async fn release_handle(&self, prefill_engine: &TargetRecord, name: &str) {
-        if !self.await_turn(prefill_engine, TurnTerms::default()).await {
+        let admission = self.await_admission(prefill_engine, TurnTerms::default());
+        if admission.await.is_err() {
             return;
         }
         let query = (self.ports.wire.release_handle)(name);
--- a/src/gateway/stage_control.rs
+++ b/src/gateway/stage_control.rs
@@ -202,10 +202,14 @@
                 MAX_CONCURRENT_CHANGES.saturating_sub(self.changes.len())
             };
             let limits = self.gateway.limits.borrow();
-            // An engine that limits the rate of its requests is changed only if no other one can be.
-            let running = |id: &TargetIncarnation| match limits.rate(id) {
-                Some(_) => u32::MAX,
-                None => core.load.total(id).running,
+            let backoffs = self.gateway.backoffs.borrow();
+            let now = clock::mono_now();
+            // An engine that limits or refuses requests is changed only if no other one can be.
+            let running = |id: &TargetIncarnation| {
+                if limits.rate(id).is_some() || backoffs.is_backing_off(id, now) {
+                    return u32::MAX;
+                }
+                core.load.total(id).running
             };
             planned_changes.extend(stage_plan::plan_changes(
                 &after,
@@ -359,10 +363,9 @@
         query: TargetQuery,
     ) -> Result<(http::response::Parts, bytes::Bytes), SendError> {
         let deadline = Instant::now() + CALL_TIMEOUT;
-        if !self.await_turn(engine, TurnTerms::default()).await {
-            let reason = format!("{} limits the rate of its requests", engine.id);
-            return Err(SendError::NotSent(reason));
-        }
+        self.await_admission(engine, TurnTerms::default())
+            .await
+            .map_err(SendError::Withdrawn)?;
         let request = query_request(engine, query);
         let mut connection = HttpConnection::open(engine.address, deadline).await?;
         let sent = clock::mono_now();
--- a/src/gateway/statements.rs
+++ b/src/gateway/statements.rs
@@ -40,7 +40,7 @@
         statement_log.log_unreadable(&target.id, statement);
         drop(statement_log);
         if let Some(backoff) = statement.backoff_time() {
-            log::info!(target_id = target.id.as_str(), backoff_ms = backoff.as_millis() as u64, answered = answered.kind.as_str(); "target refuses requests for a time");
+            self.note_backoff(target, backoff, answered);
         }
         // A target that turns requests away may do so without naming its limit, and one may
         // name it only in answers to callers' requests.
--- a/src/target_limits/tracker.rs
+++ b/src/target_limits/tracker.rs
@@ -84,7 +84,8 @@
     pub max_wait: Duration,
 }
 
-/// The next turn of this daemon at a target that limits its requests.
+/// When this daemon may send the next request to a target that limits its requests, or refuses
+/// them for a time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TurnOffer {
     /// Time until it can be used.
@@ -94,6 +95,11 @@
 }
 
 impl TurnOffer {
+    /// A request can be sent now.
+    pub const NOW: Self = Self {
+        wait: Duration::ZERO,
+        age: 0.0,
+    };
     /// No turn is known.
     pub const NEVER: Self = Self {
         wait: Duration::MAX,
@@ -101,7 +107,7 @@
     };
 }
 
-/// Turns at the targets that limit their requests; the others need none.
+/// Offers at the targets that limit or refuse requests; the others need none.
 pub type TurnOffers = IndexMap<TargetIncarnation, TurnOffer>;
 
 /// Whether a request may be sent to a target.
--- a/src/target_statements/mod.rs
+++ b/src/target_statements/mod.rs
@@ -4,6 +4,7 @@
 //! interface ([`TargetStatement`]). A new statement is a new field there.
 
 pub mod backoff;
+pub mod backoff_tracker;
 pub mod departure;
 pub mod statement_log;
 
