What is known of a target's failures loses weight with time

One failed request shut a target out for good at light load, while another one had room: failure rate and the mark of a target that was avoided changed only by results of further requests, which it did not get.

`a_target_that_failed_for_a_while_is_used_again`, four cases, failed before.

--- a/src/gateway/deciding/health.rs
+++ b/src/gateway/deciding/health.rs
@@ -1,7 +1,9 @@
 //! Health of targets, learned from the outcomes of the requests sent to them.
 //!
 //! Health checks cost requests and say little: targets may fail requests while their
-//! check passes. So only the results of real requests count.
+//! check passes. So only the results of real requests count. A target that is not chosen
+//! because it failed has no further results, so what is known of failures loses weight with
+//! time; more slowly each time that a target fails again after that.
 
 use std::time::Duration;
 
@@ -19,6 +21,16 @@
 const MAX_AVOID_TIME: Duration = Duration::from_millis(6_000);
 /// Weight of the newest result in the moving failure rate.
 const FAILURE_WEIGHT: f64 = 0.12;
+/// Time after its last result for which the failures of a target have their full weight.
+const FULL_WEIGHT_TIME: Duration = Duration::from_millis(2_000);
+/// Time in which the weight halves after that; doubles up to [`MAX_HALF_LIFE`] with each failure
+/// after it, until the target answers.
+const MIN_HALF_LIFE: Duration = Duration::from_millis(3_000);
+const MAX_HALF_LIFE: Duration = Duration::from_millis(24_000);
+/// Failure rate below which a target counts as sound once its failures lose weight.
+const MIN_FAILURE_RATE: f64 = 0.02;
+/// Weight down to which a target that was avoided and has not answered since is unverified.
+const MIN_UNVERIFIED_WEIGHT: f64 = 0.125;
 /// Weight of the newest ratio in the moving mean of the slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.15;
 /// Slowdown of a target without measurements.
@@ -52,7 +64,10 @@
     consecutive_silent: u32,
     avoided_until: Option<MonoTime>,
     next_avoid_time: Duration,
+    // As of the last result.
     failure_rate: f64,
+    last_result: MonoTime,
+    half_life: Duration,
     slowdown: f64,
 }
 
@@ -63,6 +78,8 @@
             avoided_until: None,
             next_avoid_time: MIN_AVOID_TIME,
             failure_rate: 0.0,
+            last_result: MonoTime::default(),
+            half_life: MIN_HALF_LIFE,
             slowdown: INITIAL_SLOWDOWN,
         }
     }
@@ -73,9 +90,9 @@
 pub struct HealthView {
     /// Whether to use it only if no other target is available.
     pub avoided: bool,
-    /// Whether it is or was avoided and has not answered since.
+    /// Whether it is or was avoided recently and has not answered since.
     pub unverified: bool,
-    /// Share of recent sends that failed.
+    /// Share of recent sends that failed, less with time.
     pub failure_rate: f64,
     /// Moving mean of the measured time divided by the expected time.
     pub slowdown: f64,
@@ -97,8 +114,7 @@
         now: MonoTime,
     ) -> Option<HealthChange> {
         let health = self.targets.entry(target.clone()).or_default();
-        let failed = f64::from(u8::from(result != SendResult::Answered));
-        health.failure_rate += FAILURE_WEIGHT * (failed - health.failure_rate);
+        health.record_failure_rate(result, now);
         match result {
             SendResult::Silent => health.record_silence(now),
             SendResult::Answered | SendResult::Failed => {
@@ -123,8 +139,8 @@
         let health = self.targets.get(target).unwrap_or(&unknown);
         HealthView {
             avoided: health.avoided_until.is_some_and(|until| now < until),
-            unverified: health.avoided_until.is_some(),
-            failure_rate: health.failure_rate,
+            unverified: health.is_unverified(now),
+            failure_rate: health.failure_rate_at(now),
             slowdown: health.slowdown,
         }
     }
@@ -136,6 +152,39 @@
 }
 
 impl TargetHealth {
+    fn record_failure_rate(&mut self, result: SendResult, now: MonoTime) {
+        let has_failed = result != SendResult::Answered;
+        let rate = self.failure_rate_at(now);
+        let fails_again = self.failure_rate > 0.0 && self.weight(now) < 1.0;
+        self.half_life = match (has_failed, fails_again) {
+            (false, _) => MIN_HALF_LIFE,
+            (true, true) => (self.half_life * 2).min(MAX_HALF_LIFE),
+            (true, false) => self.half_life,
+        };
+        let failed = f64::from(u8::from(has_failed));
+        self.failure_rate = rate + FAILURE_WEIGHT * (failed - rate);
+        self.last_result = now;
+    }
+
+    // Returns the weight of earlier failures, 0 to 1.
+    fn weight(&self, now: MonoTime) -> f64 {
+        let age = now.since(self.last_result).saturating_sub(FULL_WEIGHT_TIME);
+        0.5_f64.powf(age.as_secs_f64() / self.half_life.as_secs_f64())
+    }
+
+    fn failure_rate_at(&self, now: MonoTime) -> f64 {
+        let weight = self.weight(now);
+        let rate = self.failure_rate * weight;
+        if weight < 1.0 && rate < MIN_FAILURE_RATE {
+            return 0.0;
+        }
+        rate
+    }
+
+    fn is_unverified(&self, now: MonoTime) -> bool {
+        self.avoided_until.is_some() && self.weight(now) > MIN_UNVERIFIED_WEIGHT
+    }
+
     fn record_silence(&mut self, now: MonoTime) -> Option<HealthChange> {
         self.consecutive_silent += 1;
         if self.consecutive_silent < SILENT_SENDS_TO_AVOID {
--- /dev/null
+++ b/tests/deciding_health.rs
@@ -0,0 +1,113 @@
+//! What is known of targets that failed, in virtual time.
+
+mod gateway_samples;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gateway_samples::{engine, target};
+use pistachiowick::gateway::deciding::engine_choice::PlacementWeights;
+use pistachiowick::gateway::deciding::health::SendResult;
+use pistachiowick::gateway::deciding::{DecisionCore, EngineCandidates, PlacementQuery};
+use pistachiowick::gateway::model::{EngineStage, PromptShape, TargetRecord};
+use pistachiowick::names::MonoTime;
+use pistachiowick::target_limits::tracker::TurnOffers;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+/// Interval between requests, and time for which the first target fails all of them.
+const REQUEST_INTERVAL_MS: u64 = 50;
+const FAILING_MS: u64 = 11_000;
+/// Time after its last failure within which a target gets a request again.
+const REUSE_MS: u64 = 20_000;
+/// Most of the requests that the failing target gets: the others have room for all.
+const MAX_FAILING_SHARE: f64 = 0.15;
+
+struct FailureCase {
+    targets: [TargetRecord; 2],
+    result: SendResult,
+}
+
+impl FailureCase {
+    fn plain(result: SendResult) -> Self {
+        let targets = ["a", "b"].map(|id| target(id, "127.0.0.1:1"));
+        Self { targets, result }
+    }
+
+    fn engines(result: SendResult) -> Self {
+        let targets = ["a", "b"].map(|id| engine(id, EngineStage::Decode));
+        Self { targets, result }
+    }
+}
+
+fn choose(
+    core: &DecisionCore,
+    targets: &[Arc<TargetRecord>],
+    rng: &mut SmallRng,
+    now: MonoTime,
+) -> Arc<TargetRecord> {
+    let turns = TurnOffers::new();
+    if targets[0].stage.is_none() {
+        let chosen = core.choose_plain_target(targets.iter(), &turns, || rng.random(), now);
+        return chosen.expect("a target");
+    }
+    let prompt = PromptShape {
+        prompt_tokens: rng.random_range(100..2_000),
+        ..PromptShape::default()
+    };
+    let query = PlacementQuery {
+        choices: EngineCandidates {
+            engines: targets,
+            changing: &[],
+            excluded: &[],
+            turns: &turns,
+        },
+        prompt: &prompt,
+        urgency: 1,
+        objective_left: Duration::from_millis(500),
+    };
+    core.place(&query, now).expect("engines").decode_engine
+}
+
+// Guards against a target that failed for a while and gets no request ever after, because only
+// the result of a further request changed what was known of it.
+#[rstest]
+#[case::plain_refusals(FailureCase::plain(SendResult::Failed))]
+#[case::plain_silence(FailureCase::plain(SendResult::Silent))]
+#[case::engine_refusals(FailureCase::engines(SendResult::Failed))]
+#[case::engine_silence(FailureCase::engines(SendResult::Silent))]
+fn a_target_that_failed_for_a_while_is_used_again(#[case] case: FailureCase) {
+    let mut core = DecisionCore::new(PlacementWeights::default());
+    let mut rng = SmallRng::seed_from_u64(7);
+    let targets = case.targets.map(Arc::new);
+    let (mut failed, mut reused, mut last_failure) = (0, None, 0);
+    for now in (0..FAILING_MS + REUSE_MS).step_by(REQUEST_INTERVAL_MS as usize) {
+        let chosen = choose(&core, &targets, &mut rng, MonoTime(now));
+        let fails = chosen.id == targets[0].id && now < FAILING_MS;
+        if fails {
+            failed += 1;
+            last_failure = now;
+        } else if chosen.id == targets[0].id {
+            reused = reused.or(Some(now));
+        }
+        let result = if fails {
+            case.result
+        } else {
+            SendResult::Answered
+        };
+        core.note_result(&chosen.id, result, MonoTime(now));
+        // The other target always has some work of other daemons.
+        if now == 0 {
+            core.load.begin(&targets[1].id, 0, 0);
+        }
+    }
+    let share = f64::from(failed) * REQUEST_INTERVAL_MS as f64 / FAILING_MS as f64;
+    assert!(failed > 0);
+    assert!(share <= MAX_FAILING_SHARE, "{failed} requests failed");
+    let reused = reused.unwrap_or(u64::MAX);
+    assert!(
+        reused <= last_failure + REUSE_MS,
+        "last failed at {last_failure}, used again at {reused}"
+    );
+}
