--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -32,6 +32,7 @@
 use pistachiowick::roles::plan::{ModelNeed, PlanEngine, RolePlanner};
 use pistachiowick::settings::PolicySettings;
 use pistachiowick::target_limits::SharedLimitTracker;
+use pistachiowick::target_statements::backoff_tracker::SharedBackoffTracker;
 use pistachiowick::targets::wire::EngineRole;
 use pistachiowick_lab::samples;
 
@@ -61,7 +62,11 @@
 
 fn scheduler_with(targets: usize, policy: PolicySettings) -> Scheduler {
     let mut scheduler = Scheduler::new(SchedulerInputs {
-        turns: TurnGate::new(DaemonId::from("local"), SharedLimitTracker::default()),
+        turns: TurnGate::new(
+            DaemonId::from("local"),
+            SharedLimitTracker::default(),
+            SharedBackoffTracker::default(),
+        ),
         speeds: policy.speeds.clone(),
         policy,
         limits: Default::default(),
--- a/lab/src/direct.rs
+++ b/lab/src/direct.rs
@@ -43,7 +43,7 @@
 /// Returns an error when a request is not answered.
 pub async fn measure_added_latency(fleet: &LabFleet) -> Result<AddedLatency> {
     let address = fleet.engines[0].address();
-    let port = engine_port(Arc::new(|_, _, _| ()))?;
+    let port = engine_port(Arc::new(|_, _| ()))?;
     let endpoint = Endpoint::from_shared(format!("http://{}", fleet.addresses()[0]))?;
     let mut client = RequestsClient::new(endpoint.connect().await?);
     let mut direct = Histogram::<u64>::new(3)?;
--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -411,12 +411,15 @@
         inner.faults = faults;
     }
 
-    /// Books a request that arrives while a limit is named.
+    /// Books a request that arrives while a limit is named or something else is stated.
     pub fn record_arrival(&self) {
         let mut inner = self.inner();
         if let Some(arrival) = inner.limit.record_arrival() {
             inner.books.limited.push(arrival);
         }
+        if let Some(arrival) = inner.faults.statement.record_arrival() {
+            inner.books.stated.push(arrival);
+        }
     }
 
     /// Does and answers nothing for a time.
--- a/lab/src/engine_books.rs
+++ b/lab/src/engine_books.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::limit_book::LimitedArrival;
+use crate::statement_book::StatedArrival;
 
 /// One attempt of one request.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -91,6 +92,8 @@
     pub change_idle_ms: u64,
     /// Starts asked for while a limit was named.
     pub limited: Vec<LimitedArrival>,
+    /// Starts asked for while something was stated.
+    pub stated: Vec<StatedArrival>,
     /// Prompt tokens read.
     pub prefill_tokens: u64,
     /// Prompt tokens found in the prefix cache.
--- a/lab/src/engine_http.rs
+++ b/lab/src/engine_http.rs
@@ -38,8 +38,9 @@
     }
     core.thawed().await;
     let answer = handle_work(core.clone(), &call, &crash);
-    let limit = core.inner().limit.clone();
-    limit.name_in(answer)
+    let inner = core.inner();
+    let answer = inner.faults.statement.state_in(answer);
+    inner.limit.name_in(answer)
 }
 
 fn handle_work(
@@ -111,6 +112,9 @@
     let Ok(prompt) = STANDARD.decode(&body.prompt) else {
         return HttpAnswer::text(400, "the prompt is not base64");
     };
+    if let Some(refusal) = core.faults().statement.refusal() {
+        return refusal;
+    }
     let retry_after = core.retry_after();
     match core.start_stream(&body, &prompt) {
         Ok(cell) => {
--- a/lab/src/engine_options.rs
+++ b/lab/src/engine_options.rs
@@ -6,6 +6,8 @@
 use pistachiowick::targets::wire::EngineRole;
 use serde::{Deserialize, Serialize};
 
+use crate::statement_book::StandInStatement;
+
 /// How the stand-in is set up. Times and rates are those of the engine that it
 /// stands for; `time_scale` makes all of them faster together.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -139,6 +141,8 @@
     pub short_chance: f64,
     /// Requests a second that the engine takes from all daemons, named in its answers.
     pub rate_limit: Option<f64>,
+    /// What the engine states about itself in its answers.
+    pub statement: StandInStatement,
     /// One-time fault: drop everything, come back empty after this many milliseconds.
     pub crash_ms: Option<u64>,
     /// One-time fault: do and answer nothing for this many milliseconds.
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -49,4 +49,5 @@
 pub mod samples;
 pub mod scenario;
 pub mod service;
+pub mod statement_book;
 pub mod weight_store;
--- a/lab/src/service.rs
+++ b/lab/src/service.rs
@@ -18,6 +18,7 @@
 use crate::chance::ChanceSource;
 use crate::http::{HttpAnswer, HttpCall, HttpServer};
 use crate::limit_book::{LimitedArrival, NamedLimit};
+use crate::statement_book::{StandInStatement, StatedArrival};
 
 /// Time to come back after a refusal.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -72,6 +73,8 @@
     pub crossed_chance: f64,
     /// Requests a second that the service takes from all daemons, named in its answers.
     pub rate_limit: Option<f64>,
+    /// What the service states about itself in its answers.
+    pub statement: StandInStatement,
     /// One-time fault: end all work without effect, refuse connections, and come
     /// back after this many milliseconds.
     pub crash_ms: Option<u64>,
@@ -96,6 +99,8 @@
     pub calls: u64,
     /// Calls received while a limit was named.
     pub limited: Vec<LimitedArrival>,
+    /// Calls received while something was stated.
+    pub stated: Vec<StatedArrival>,
     /// Calls refused without effect.
     pub refused: u64,
     /// Runs by `WORKSPACE/KEY`, each counted when it takes effect.
@@ -279,10 +284,17 @@
         if let Some(arrival) = state.limit.record_arrival() {
             state.books.limited.push(arrival);
         }
+        if let Some(arrival) = state.faults.statement.record_arrival() {
+            state.books.stated.push(arrival);
+        }
         if let Some(left_at) = state.left_at {
             let since = millis(left_at.elapsed());
             state.books.calls_after_leave.push(since);
         }
+        if let Some(refusal) = state.faults.statement.refusal() {
+            state.books.refused += 1;
+            return Err(refusal);
+        }
         let reason = if state.faults.down {
             Some("down")
         } else if state.left_at.is_some() && !state.accepts_leaving {
@@ -364,8 +376,8 @@
     match (call.method.as_str(), call.path().as_slice()) {
         ("POST", ["v1", "calls"]) => {
             let answer = serve(core.clone(), &call).await;
-            let limit = core.state().limit.clone();
-            limit.name_in(answer)
+            let state = core.state();
+            state.limit.name_in(state.faults.statement.state_in(answer))
         }
         ("GET", ["lab", "books"]) => HttpAnswer::json(200, &core.state().books),
         ("POST", ["lab", "leave"]) => {
--- a/src/control/gossip.rs
+++ b/src/control/gossip.rs
@@ -64,6 +64,12 @@
             let age = membership::report_age(state, clock::unix_now());
             self.membership.note_state(&state.target, state, age, now);
         }
+        for departure in &hint.departures {
+            if self.membership.record_target_leaving(departure, now) {
+                let source = hint.daemon.as_ref().map_or("", DaemonId::as_str);
+                log::info!(target_id = departure.target.as_str(), source = source; "target is leaving");
+            }
+        }
         if let Some(daemon) = hint.daemon {
             self.record_contact(daemon, hint.incarnation, hint.leaving);
         }
--- a/src/control/peer_exchange.rs
+++ b/src/control/peer_exchange.rs
@@ -7,6 +7,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::crashes::SharedCrashTracker;
+use crate::membership::departures::TargetDepartureReport;
 use crate::membership::fleet::FleetView;
 use crate::names::{
     DaemonId, ModelName, MonoTime, ProcessIncarnation, TargetId, UnixTime, WorkspaceName,
@@ -49,6 +50,7 @@
     peer_reports: IndexMap<TargetId, MonoTime>,
     crashes: SharedCrashTracker,
     target_limits: SharedLimitTracker,
+    departures: IndexMap<TargetDepartureReport, MonoTime>,
     watching: watch::Sender<bool>,
 }
 
@@ -78,6 +80,7 @@
             peer_reports: IndexMap::new(),
             crashes,
             target_limits,
+            departures: IndexMap::new(),
             watching: watch::Sender::new(true),
         }
     }
@@ -140,6 +143,11 @@
         self.engines.insert(target.clone(), state.clone());
     }
 
+    /// Records a target that stated that it is leaving, to be sent to peers for some time.
+    pub fn note_departure(&mut self, departure: TargetDepartureReport, now: MonoTime) {
+        self.departures.entry(departure).or_insert(now);
+    }
+
     /// Returns whether a peer recently sent the state of an engine in its hints.
     #[must_use]
     pub fn is_reported_by_peer(&self, target: &TargetId, now: MonoTime) -> bool {
@@ -159,6 +167,8 @@
             .retain(|_, at| now.since(*at) < peer_timeout);
         self.applied
             .retain(|_, (_, at)| now.since(*at) < UPDATE_RETENTION);
+        self.departures
+            .retain(|_, at| now.since(*at) < UPDATE_RETENTION);
         self.topology = PeerTopology::new(fleet, &self.local_id, self.watchers);
         if let Some(outbox) = &self.outbox {
             let links = self.topology.links.clone();
@@ -218,6 +228,7 @@
             engines: self.engines.drain(..).map(|(_, state)| state).collect(),
             crash_reports: self.crashes.lock().due_reports(now),
             limits: self.target_limits.lock().due_reports(now),
+            departures: self.departures.keys().cloned().collect(),
             clock: now,
         };
         let linked = self.linked.iter().cloned().collect();
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -122,8 +122,11 @@
             }
             ControlEvent::TargetLeaving { target, address } => {
                 let now = clock::mono_now();
-                self.membership
-                    .record_target_leaving(&target, &address, now);
+                let departure = self.membership.departure_of(&target, &address);
+                if self.membership.record_target_leaving(&departure, now) {
+                    log::info!(target_id = target.as_str(), source = "answer"; "target is leaving");
+                    self.peers.note_departure(departure, now);
+                }
             }
             ControlEvent::WorkAccepted {
                 model,
--- a/src/decide/scheduler.rs
+++ b/src/decide/scheduler.rs
@@ -222,6 +222,7 @@
         spec.need.output_tokens = self.expected_output(&spec);
         self.check_room(&spec)?;
         self.check_pool(&spec)?;
+        self.check_backoffs(&spec, now)?;
         self.check_turns(&spec, now)?;
         let queued = self.queued_job(&spec);
         self.record_mix(&spec, queued.cost, now);
@@ -276,6 +277,7 @@
     /// Refuses queued requests that can no longer meet their deadline, and places those
     /// that can be placed.
     pub fn schedule(&mut self, now: MonoTime) -> Vec<ScheduleAction> {
+        self.turns.sweep(now);
         let mut actions = self.refuse_overdue(now);
         for key in self.queues.keys().cloned().collect::<Vec<_>>() {
             while let Some(grant) = self.place_next(&key, now) {
@@ -543,6 +545,22 @@
         JobGrant { number, choice }
     }
 
+    // Refuses a request that would wait beyond its deadline until a target of its pool accepts
+    // requests again.
+    fn check_backoffs(&self, spec: &JobSpec, now: MonoTime) -> Result<(), JobRefusal> {
+        if !self.turns.has_backoffs() {
+            return Ok(());
+        }
+        let targets = self.live_targets(&self.queue_key(&spec.need));
+        let wait = self.turns.backoff_retry_after(&targets, now);
+        let Some(wait) = wait.filter(|wait| *wait > spec.deadline.since(now)) else {
+            return Ok(());
+        };
+        metrics::counter!("pistachiowick_backoff_refusals_total").increment(1);
+        let reason = "all targets refuse requests for a time".to_owned();
+        Err(self.refusal(reason, wait.as_secs_f64()))
+    }
+
     // Refuses a request that would wait for a turn beyond its deadline, as all targets of its
     // pool limit the rate of their requests.
     fn check_turns(&self, spec: &JobSpec, now: MonoTime) -> Result<(), JobRefusal> {
--- a/src/membership/departures.rs
+++ b/src/membership/departures.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
-use crate::names::{MonoTime, ProcessIncarnation};
+use crate::names::{MonoTime, ProcessIncarnation, TargetId};
 use crate::store::wire::InstanceState;
 
 /// Maximum number of departures; beyond it, the one not reported for the longest time
@@ -21,6 +22,17 @@
     pub address: String,
 }
 
+/// A target that stated that it is leaving.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct TargetDepartureReport {
+    /// The target.
+    pub target: TargetId,
+    /// Its address.
+    pub address: String,
+    /// Incarnation of its process, if known to the sender.
+    pub incarnation: Option<ProcessIncarnation>,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct DepartureRecord {
     incarnation: Option<ProcessIncarnation>,
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -15,7 +15,7 @@
 
 use indexmap::IndexMap;
 
-use crate::membership::departures::{DepartureTable, ProcessKey};
+use crate::membership::departures::{DepartureTable, ProcessKey, TargetDepartureReport};
 use crate::membership::fleet::{DaemonView, FleetView, UseState};
 use crate::membership::records::{
     DaemonRecord, PresenceRecord, TargetRecord, load_report, process_key,
@@ -273,16 +273,39 @@
         }
     }
 
-    /// Records a peer's report that a target is leaving.
-    pub fn record_target_leaving(&mut self, target: &TargetId, address: &str, now: MonoTime) {
+    /// Returns the report that a target is leaving, as known here.
+    #[must_use]
+    pub fn departure_of(&self, target: &TargetId, address: &str) -> TargetDepartureReport {
         let known = self.targets.get(target);
-        let Some(record) = known.filter(|r| r.view.address == address) else {
-            return;
+        let known = known.filter(|r| r.view.address == address);
+        TargetDepartureReport {
+            target: target.clone(),
+            address: address.to_owned(),
+            incarnation: known.and_then(|record| record.incarnation),
+        }
+    }
+
+    /// Records a report that a target is leaving; returns whether that was not known. A report
+    /// about an earlier incarnation is ignored.
+    pub fn record_target_leaving(
+        &mut self,
+        departure: &TargetDepartureReport,
+        now: MonoTime,
+    ) -> bool {
+        let known = self.targets.get(&departure.target);
+        let Some(record) = known.filter(|r| r.view.address == departure.address) else {
+            return false;
         };
+        let reported = departure.incarnation;
+        if reported.is_some() && reported < record.incarnation {
+            return false;
+        }
         let (process_key, incarnation) = (record.process_key(), record.incarnation);
-        self.dirty |= !self.departures.is_leaving(&process_key);
+        let is_new = !self.departures.is_leaving(&process_key);
+        self.dirty |= is_new;
         self.departures
-            .record_leaving(&process_key, incarnation, now);
+            .record_leaving(&process_key, incarnation.max(reported), now);
+        is_new
     }
 
     /// Sets the operators' holds of the applied configuration.
--- a/src/peers/wire.rs
+++ b/src/peers/wire.rs
@@ -5,6 +5,7 @@
 use thiserror::Error;
 
 use crate::crashes::report::CrashReport;
+use crate::membership::departures::TargetDepartureReport;
 use crate::names::{DaemonId, ModelName, MonoTime, ProcessIncarnation, WorkspaceName};
 use crate::ports::{ObjectName, ObjectVersion, StoredObject};
 use crate::roles::mix::{MIX_BINS, WorkAmount, WorkTotals};
@@ -38,6 +39,8 @@
     pub crash_reports: Vec<CrashReport>,
     /// Limits of targets, as due ([`crate::broadcast_schedule`]).
     pub limits: Vec<LimitReport>,
+    /// Targets that stated recently that they are leaving.
+    pub departures: Vec<TargetDepartureReport>,
     /// Monotonic clock of the daemon.
     pub clock: MonoTime,
 }
@@ -117,6 +120,8 @@
     crash_reports: Vec<CrashReport>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     limits: Vec<LimitReport>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    departures: Vec<TargetDepartureReport>,
     #[serde(default)]
     clock: MonoTime,
 }
@@ -155,6 +160,7 @@
             engines: hint.engines.clone(),
             crash_reports: hint.crash_reports.clone(),
             limits: hint.limits.clone(),
+            departures: hint.departures.clone(),
             clock: hint.clock,
         }
     }
@@ -187,6 +193,7 @@
             engines: wire.engines,
             crash_reports: wire.crash_reports,
             limits: wire.limits,
+            departures: wire.departures,
             clock: wire.clock,
         })
     }
--- a/src/server.rs
+++ b/src/server.rs
@@ -33,14 +33,15 @@
 use crate::requests::dispatch::JobDispatcher;
 use crate::requests::journal::DecisionJournal;
 use crate::requests::owner_cache::OwnerCache;
-use crate::requests::rate_watch::RateWatch;
 use crate::requests::resume_token::TokenSigner;
+use crate::requests::statement_watch::StatementWatch;
 use crate::requests::traffic::TrafficContext;
 use crate::rpc::operations::OperationsService;
 use crate::rpc::requests::RequestsService;
 use crate::settings::DaemonSettings;
 use crate::store::http::platform_port;
 use crate::target_limits::SharedLimitTracker;
+use crate::target_statements::backoff_tracker::SharedBackoffTracker;
 use crate::targets::engine_http::engine_port;
 use crate::targets::service_http::service_port;
 use crate::telemetry::{self, Telemetry};
@@ -112,11 +113,12 @@
     let journal = DecisionJournal::new(JOURNAL_CAPACITY);
     let crashes = SharedCrashTracker::default();
     let target_limits = SharedLimitTracker::default();
-    let rate_watch = RateWatch::new(target_limits.clone());
+    let backoffs = SharedBackoffTracker::default();
+    let statement_watch = StatementWatch::new(target_limits.clone(), backoffs.clone());
     let control = start_control(ControlInputs {
         settings: Arc::clone(&settings),
         platform: platform.clone(),
-        engines: engine_port(rate_watch.observer())?,
+        engines: engine_port(statement_watch.observer())?,
         journal: journal.clone(),
         rpc_address: rpc,
         peer_address: peer,
@@ -125,7 +127,7 @@
         crashes: crashes.clone(),
         target_limits: target_limits.clone(),
     });
-    rate_watch.connect(control.snapshot.clone());
+    statement_watch.connect(control.clone());
     let snapshot = control.snapshot.clone();
     let admin = admin_http::serve_admin(settings.listen.admin, snapshot, metrics)
         .await
@@ -140,7 +142,8 @@
         TargetTrackers {
             crashes,
             limits: target_limits,
-            rate_watch,
+            backoffs,
+            statement_watch,
         },
     )?;
     let (closing, _) = watch::channel(false);
@@ -247,7 +250,8 @@
 struct TargetTrackers {
     crashes: SharedCrashTracker,
     limits: SharedLimitTracker,
-    rate_watch: RateWatch,
+    backoffs: SharedBackoffTracker,
+    statement_watch: StatementWatch,
 }
 
 fn build_context(
@@ -259,9 +263,13 @@
     peer_listener: StdListener,
     trackers: TargetTrackers,
 ) -> Result<Arc<TrafficContext>> {
-    let observer = trackers.rate_watch.observer();
+    let observer = trackers.statement_watch.observer();
     let scheduler = Scheduler::new(SchedulerInputs {
-        turns: TurnGate::new(settings.daemon_id.clone(), trackers.limits),
+        turns: TurnGate::new(
+            settings.daemon_id.clone(),
+            trackers.limits,
+            trackers.backoffs,
+        ),
         policy: settings.policy.clone(),
         limits: settings.limits.clone(),
         speeds: settings.policy.speeds.clone(),
--- a/src/targets/call.rs
+++ b/src/targets/call.rs
@@ -10,6 +10,9 @@
 use crate::names::{FenceNumber, MonoTime};
 use crate::ports::TargetError;
 use crate::target_limits::statement::RateStatement;
+use crate::target_statements::TargetStatement;
+use crate::target_statements::backoff::BackoffStatement;
+use crate::target_statements::departure::DepartureStatement;
 
 /// Timeout for opening a connection; after it, a target counts as not reached.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -24,25 +27,37 @@
 
 /// Header with the requests per second that a target accepts from all daemons together.
 const RATE_LIMIT_HEADER: &str = "request-limit";
+/// Header that states that the target is leaving.
+const LEAVING_HEADER: &str = "leaving";
+
+/// An answer of a target.
+#[derive(Clone, Copy, Debug)]
+pub struct AnsweredCall<'a> {
+    /// Address of the target.
+    pub address: &'a str,
+    /// Whether the target accepted the call.
+    pub accepted: bool,
+    /// When the call was sent.
+    pub sent_at: MonoTime,
+}
 
-/// Receives the address of a target, what an answer of it states about the rate that it
-/// accepts, and when the request was sent.
-pub type RateObserver = Arc<dyn Fn(&str, &RateStatement, MonoTime) + Send + Sync>;
+/// Receives what answers state about their targets.
+pub type StatementObserver = Arc<dyn Fn(AnsweredCall<'_>, &TargetStatement) + Send + Sync>;
 
 /// HTTP client that all requests to targets share. Clones refer to the same connections.
 #[derive(Clone)]
 pub struct TargetClient {
     http: Client,
-    observer: RateObserver,
+    observer: StatementObserver,
 }
 
 impl TargetClient {
-    /// Builds a client that passes what answers state about rates to `observer`.
+    /// Builds a client that passes what answers state to `observer`.
     ///
     /// # Errors
     ///
     /// Returns the library's error when TLS cannot be set up.
-    pub fn new(observer: RateObserver) -> reqwest::Result<Self> {
+    pub fn new(observer: StatementObserver) -> reqwest::Result<Self> {
         let http = Client::builder()
             .connect_timeout(CONNECT_TIMEOUT)
             .tcp_nodelay(true)
@@ -74,19 +89,32 @@
             Ok(Err(error)) => return Err(classify_send_error(&error)),
             Ok(Ok(response)) => response,
         };
-        let statement = rate_statement(&response);
-        // A target that turns requests away may do so without naming its limit.
-        if response.status().is_success() || statement != RateStatement::Unlimited {
-            (self.observer)(response.url().authority(), &statement, sent_at);
-        }
+        let answered = AnsweredCall {
+            address: response.url().authority(),
+            accepted: response.status().is_success(),
+            sent_at,
+        };
+        (self.observer)(answered, &read_statement(&response));
         check_status(response).await
     }
 }
 
-fn rate_statement(response: &Response) -> RateStatement {
-    let values = response.headers().get_all(RATE_LIMIT_HEADER).iter();
-    // A value that is not text is no number either.
-    RateStatement::parse(values.map(|value| value.to_str().unwrap_or_default()))
+fn read_statement(response: &Response) -> TargetStatement {
+    let texts = |name| {
+        let values = response.headers().get_all(name).iter();
+        // A value that is not text is no number either.
+        values.map(|value| value.to_str().unwrap_or_default())
+    };
+    let backoff = if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        BackoffStatement::parse(texts(RETRY_AFTER_HEADER), Duration::from_millis(1))
+    } else {
+        BackoffStatement::None
+    };
+    TargetStatement {
+        rate: RateStatement::parse(texts(RATE_LIMIT_HEADER)),
+        departure: DepartureStatement::parse(texts(LEAVING_HEADER)),
+        backoff,
+    }
 }
 
 /// Returns the error for a response body that could not be read.
--- a/src/targets/engine_http.rs
+++ b/src/targets/engine_http.rs
@@ -10,7 +10,7 @@
 
 use crate::names::RequestId;
 use crate::ports::{EnginePort, LineStream, PortFuture, StreamPosition, TargetCall, TargetError};
-use crate::targets::call::{RateObserver, TargetClient, body_error, unknown_outcome};
+use crate::targets::call::{StatementObserver, TargetClient, body_error, unknown_outcome};
 use crate::targets::wire::{CacheEvent, CacheEvents, EngineState, OrderBody, StreamLine};
 
 /// Maximum length of a line from an engine.
@@ -21,7 +21,7 @@
 /// # Errors
 ///
 /// Returns the library's error when the HTTP client cannot be built.
-pub fn engine_port(observer: RateObserver) -> reqwest::Result<EnginePort> {
+pub fn engine_port(observer: StatementObserver) -> reqwest::Result<EnginePort> {
     let client = TargetClient::new(observer)?;
     let [c1, c2, c3, c4, c5, c6] = std::array::from_fn(|_| client.clone());
     Ok(EnginePort {
--- a/src/targets/service_http.rs
+++ b/src/targets/service_http.rs
@@ -6,7 +6,7 @@
 use reqwest::{Method, RequestBuilder};
 
 use crate::ports::{ServicePort, TargetError};
-use crate::targets::call::{RateObserver, TargetClient, body_error, unknown_outcome};
+use crate::targets::call::{StatementObserver, TargetClient, body_error, unknown_outcome};
 use crate::targets::wire::ServiceReply;
 
 /// Builds the port to plain services.
@@ -14,7 +14,7 @@
 /// # Errors
 ///
 /// Returns the library's error when the HTTP client cannot be built.
-pub fn service_port(observer: RateObserver) -> reqwest::Result<ServicePort> {
+pub fn service_port(observer: StatementObserver) -> reqwest::Result<ServicePort> {
     let client = TargetClient::new(observer)?;
     Ok(ServicePort {
         call: Arc::new(move |call| {
--- a/tests/scheduler_admission.rs
+++ b/tests/scheduler_admission.rs
@@ -14,6 +14,7 @@
 use pistachiowick::names::{DaemonId, MonoTime, TargetId, WorkspaceName};
 use pistachiowick::settings::{LimitSettings, PolicySettings};
 use pistachiowick::target_limits::SharedLimitTracker;
+use pistachiowick::target_statements::backoff_tracker::SharedBackoffTracker;
 use pistachiowick::targets::wire::{CacheEvent, EngineRole};
 use pistachiowick_lab::samples;
 use rstest::rstest;
@@ -22,7 +23,11 @@
 
 fn scheduler(policy: PolicySettings, limits: LimitSettings) -> Scheduler {
     Scheduler::new(SchedulerInputs {
-        turns: TurnGate::new(DaemonId::from("local"), SharedLimitTracker::default()),
+        turns: TurnGate::new(
+            DaemonId::from("local"),
+            SharedLimitTracker::default(),
+            SharedBackoffTracker::default(),
+        ),
         speeds: policy.speeds.clone(),
         policy,
         limits,
--- a/tests/scheduler_fuzz.rs
+++ b/tests/scheduler_fuzz.rs
@@ -13,6 +13,7 @@
 use pistachiowick::names::{DaemonId, MonoTime, TargetId};
 use pistachiowick::settings::{LimitSettings, PlacementPolicy, PolicySettings};
 use pistachiowick::target_limits::SharedLimitTracker;
+use pistachiowick::target_statements::backoff_tracker::SharedBackoffTracker;
 use pistachiowick_lab::samples;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -127,7 +128,11 @@
         let fleet = samples::fleet_view(ENGINES, 1, 1, now);
         let mut tracked = Self {
             scheduler: Scheduler::new(SchedulerInputs {
-                turns: TurnGate::new(DaemonId::from("local"), SharedLimitTracker::default()),
+                turns: TurnGate::new(
+                    DaemonId::from("local"),
+                    SharedLimitTracker::default(),
+                    SharedBackoffTracker::default(),
+                ),
                 speeds: policy.speeds.clone(),
                 policy,
                 limits: LimitSettings {
