A daemon reads an operator's release before it records further crashes

An operator released quarantined work, and it stayed refused: a daemon that learned of one more crash wrote the record again, with `released` false. The release is looked for every 20 s only, so all that time is open to it.

The record is read before each write anyway. What it says is now applied first, and if the work is then no longer quarantined, nothing is written; a crash after the release counts as the first of the next three.

`a_release_outlasts_a_crash_that_is_recorded_after_it` failed before (record with a fourth crash, `released` false, 26 s without a send) and passes; the 13 tests of the file pass. By reading, no other writer of the store resets a field that an operator sets.

--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -337,6 +337,13 @@
         let object = self.quarantine_object(work);
         let stored = (self.ports.store.read)(object.clone()).await?;
         let stored = stored.filter(|stored| stored.value.is_some());
+        if let Some(object) = &stored {
+            // An operator may have released the work since the record was read last.
+            self.apply_stored_quarantine(object);
+        }
+        if !self.crashes.borrow().is_quarantined(work) {
+            return Ok(());
+        }
         let expected = stored.as_ref().map_or(ObjectVersion(0), |s| s.version);
         let value = stored.and_then(|stored| stored.value).unwrap_or_default();
         let mut record = QuarantineRecord::decode(&object.name, &value).unwrap_or_default();
