An engine that is timed before its service's speed is known is not slow

The first answers of a service are compared with a prior, so the engines timed first get a slowdown of up to 1.21; further answers lower it, but an engine that is limited right then has none, and stays dearer than the others for good.

A time counts for an engine's slowdown by the share of the expected time that observations account for: the first not at all, the second by a third.

--- a/src/gateway/deciding/engine_model.rs
+++ b/src/gateway/deciding/engine_model.rs
@@ -90,6 +90,13 @@
         fit.map_or_else(|| work.prior(), LatencyFit::latency)
     }
 
+    /// Returns the share of a latency that observations account for, 0 to 1.
+    #[must_use]
+    pub fn observed_share(&self, service: &ServiceName, work: EngineWork) -> f64 {
+        let fit = self.fits.get(&(service.clone(), work));
+        fit.map_or(0.0, LatencyFit::observed_share)
+    }
+
     /// Returns the latencies for a request, deprioritised or not.
     #[must_use]
     pub fn latencies(&self, service: &ServiceName, deprioritized: bool) -> EngineLatencies {
--- a/src/gateway/deciding/health.rs
+++ b/src/gateway/deciding/health.rs
@@ -58,6 +58,18 @@
     Recovered,
 }
 
+/// Time of an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AnswerTime {
+    /// Time that the target took, in milliseconds.
+    pub taken_ms: f64,
+    /// Time expected of targets of its kind, in milliseconds.
+    pub expected_ms: f64,
+    /// Share of the expected time that observations account for; as long as most of it is
+    /// assumed, it says little about this target.
+    pub observed_share: f64,
+}
+
 /// Health record of one target.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetHealth {
@@ -125,11 +137,12 @@
         }
     }
 
-    /// Records the time of an answer and the time expected of engines of its kind.
-    pub fn note_time(&mut self, target: &TargetIncarnation, taken_ms: f64, expected_ms: f64) {
+    /// Records the time of an answer.
+    pub fn note_time(&mut self, target: &TargetIncarnation, time: AnswerTime) {
         let health = self.targets.entry(target.clone()).or_default();
-        let ratio = (taken_ms / expected_ms.max(1.0)).clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
-        health.slowdown += SLOWDOWN_WEIGHT * (ratio - health.slowdown);
+        let ratio = time.taken_ms / time.expected_ms.max(1.0);
+        let ratio = ratio.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
+        health.slowdown += SLOWDOWN_WEIGHT * time.observed_share * (ratio - health.slowdown);
     }
 
     /// Returns a target's health for a choice.
--- a/src/gateway/deciding/line_fit.rs
+++ b/src/gateway/deciding/line_fit.rs
@@ -70,6 +70,12 @@
         self.latency
     }
 
+    /// Returns the share of the estimate that observations account for, the prior the rest.
+    #[must_use]
+    pub fn observed_share(&self) -> f64 {
+        self.weight / (self.weight + 2.0 * PRIOR_WEIGHT)
+    }
+
     /// Records the time that work on `tokens` took.
     pub fn note(&mut self, tokens: f64, taken_ms: f64) {
         let expected = self.latency.at(tokens);
--- a/src/gateway/deciding/mod.rs
+++ b/src/gateway/deciding/mod.rs
@@ -19,7 +19,9 @@
 use crate::gateway::deciding::affinity::CacheIndex;
 use crate::gateway::deciding::engine_choice::{EnginePlacement, EngineState, PlacementWeights};
 use crate::gateway::deciding::engine_model::{EngineSpeeds, EngineWork};
-use crate::gateway::deciding::health::{HealthChange, HealthTracker, HealthView, SendResult};
+use crate::gateway::deciding::health::{
+    AnswerTime, HealthChange, HealthTracker, HealthView, SendResult,
+};
 use crate::gateway::deciding::load::LoadTracker;
 use crate::gateway::deciding::work_meter::WorkMeter;
 use crate::gateway::model::{PromptPart, PromptShape, TargetRecord};
@@ -118,10 +120,15 @@
             tokens,
         } = timed;
         let slowdown = self.health.view(&engine.id, now).slowdown;
-        let expected = self.engines.latency(&engine.service, *work).at(*tokens);
-        self.health.note_time(&engine.id, taken_ms, expected);
+        let expected_ms = self.engines.latency(&engine.service, *work).at(*tokens);
+        let time = AnswerTime {
+            taken_ms,
+            expected_ms,
+            observed_share: self.engines.observed_share(&engine.service, *work),
+        };
+        self.health.note_time(&engine.id, time);
         self.engines.note(&engine.service, *work, *tokens, taken_ms);
-        taken_ms / (expected * slowdown)
+        taken_ms / (expected_ms * slowdown)
     }
 
     /// Records parts of a prompt that an engine caches (`ready`) or is prefilling.
--- a/tests/deciding_health.rs
+++ b/tests/deciding_health.rs
@@ -1,4 +1,4 @@
-//! What is known of targets that failed, in virtual time.
+//! What is known of targets that failed or were slow, in virtual time.
 
 mod gateway_samples;
 
@@ -7,8 +7,9 @@
 
 use gateway_samples::{engine, target};
 use pistachiowick::gateway::deciding::engine_choice::PlacementWeights;
+use pistachiowick::gateway::deciding::engine_model::EngineWork;
 use pistachiowick::gateway::deciding::health::SendResult;
-use pistachiowick::gateway::deciding::{DecisionCore, EngineCandidates, PlacementQuery};
+use pistachiowick::gateway::deciding::{DecisionCore, EngineCandidates, PlacementQuery, TimedWork};
 use pistachiowick::gateway::model::{EngineStage, PromptShape, TargetRecord};
 use pistachiowick::names::MonoTime;
 use pistachiowick::target_limits::tracker::TurnOffers;
@@ -111,3 +112,35 @@
         "last failed at {last_failure}, used again at {reused}"
     );
 }
+
+/// Time that every engine takes for a request.
+const TAKEN_MS: f64 = 100.0;
+/// Most by which engines of the same speed may differ for having been measured at different times.
+const MAX_SPEED_DIFFERENCE: f64 = 0.05;
+
+fn timed(engine: &Arc<TargetRecord>) -> TimedWork {
+    TimedWork {
+        engine: engine.clone(),
+        work: EngineWork::LocalPrefill,
+        tokens: 100.0,
+    }
+}
+
+// Guards against an engine that gets no requests because the first of all were timed there,
+// when nothing was known of the speed of its service.
+#[test]
+fn an_engine_that_is_timed_first_does_not_count_as_slow() {
+    let mut core = DecisionCore::new(PlacementWeights::default());
+    let engines = ["a", "b", "c"].map(|id| Arc::new(engine(id, EngineStage::Decode)));
+    for engine in &engines {
+        core.note_time(&timed(engine), TAKEN_MS, MonoTime(1));
+    }
+    for _ in 0..40 {
+        for engine in &engines[1..] {
+            core.note_time(&timed(engine), TAKEN_MS, MonoTime(2));
+        }
+    }
+    let slowdowns = engines.map(|engine| core.health.view(&engine.id, MonoTime(3)).slowdown);
+    let difference = slowdowns[0] - slowdowns[1].min(slowdowns[2]);
+    assert!(difference <= MAX_SPEED_DIFFERENCE, "{slowdowns:?}");
+}
