What is known of an engine's slowness loses weight with time

After one slow answer an engine got no request in five minutes of virtual time, while the other one had work of other daemons: only a further request could lower its slowdown, and it got none. The same cause as with failures.

The slowdown keeps its weight for 30 s without a measurement, then halves each minute. That is slower than for failures: a hub among many daemons measures each engine seldom, and would forget those that are slow for good.

`an_engine_that_was_slow_for_a_while_is_used_again` failed before, one slow answer and no request in 300 s after it.

--- a/src/gateway/deciding/health.rs
+++ b/src/gateway/deciding/health.rs
@@ -2,8 +2,9 @@
 //!
 //! Health checks cost requests and say little: targets may fail requests while their
 //! check passes. So only the results of real requests count. A target that is not chosen
-//! because it failed has no further results, so what is known of failures loses weight with
-//! time; more slowly each time that a target fails again after that.
+//! because it failed or was slow has no further results, so what is known of failures and of
+//! slowness loses weight with time; of failures more slowly each time that a target fails again
+//! after that.
 
 use std::time::Duration;
 
@@ -33,6 +34,11 @@
 const MIN_UNVERIFIED_WEIGHT: f64 = 0.125;
 /// Weight of the newest ratio in the moving mean of the slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.15;
+/// Time after its last measurement for which the slowdown of a target has its full weight, and
+/// time in which the weight halves after that. Longer than for failures: slow answers cost callers
+/// less, and a daemon among many measures each target seldom.
+const FULL_SLOWDOWN_TIME: Duration = Duration::from_secs(30);
+const SLOWDOWN_HALF_LIFE: Duration = Duration::from_secs(60);
 /// Slowdown of a target without measurements.
 const INITIAL_SLOWDOWN: f64 = 1.0;
 /// Bounds of a measured ratio, so that one slow answer does not exclude a target for long.
@@ -80,7 +86,9 @@
     failure_rate: f64,
     last_result: MonoTime,
     half_life: Duration,
+    // As of the last measurement.
     slowdown: f64,
+    last_measured: MonoTime,
 }
 
 impl Default for TargetHealth {
@@ -93,6 +101,7 @@
             last_result: MonoTime::default(),
             half_life: MIN_HALF_LIFE,
             slowdown: INITIAL_SLOWDOWN,
+            last_measured: MonoTime::default(),
         }
     }
 }
@@ -106,7 +115,7 @@
     pub unverified: bool,
     /// Share of recent sends that failed, less with time.
     pub failure_rate: f64,
-    /// Moving mean of the measured time divided by the expected time.
+    /// Moving mean of the measured time divided by the expected time, nearer to 1 with time.
     pub slowdown: f64,
 }
 
@@ -138,11 +147,13 @@
     }
 
     /// Records the time of an answer.
-    pub fn note_time(&mut self, target: &TargetIncarnation, time: AnswerTime) {
+    pub fn note_time(&mut self, target: &TargetIncarnation, time: AnswerTime, now: MonoTime) {
         let health = self.targets.entry(target.clone()).or_default();
         let ratio = time.taken_ms / time.expected_ms.max(1.0);
         let ratio = ratio.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
-        health.slowdown += SLOWDOWN_WEIGHT * time.observed_share * (ratio - health.slowdown);
+        let slowdown = health.slowdown_at(now);
+        health.slowdown = slowdown + SLOWDOWN_WEIGHT * time.observed_share * (ratio - slowdown);
+        health.last_measured = now;
     }
 
     /// Returns a target's health for a choice.
@@ -154,7 +165,7 @@
             avoided: health.avoided_until.is_some_and(|until| now < until),
             unverified: health.is_unverified(now),
             failure_rate: health.failure_rate_at(now),
-            slowdown: health.slowdown,
+            slowdown: health.slowdown_at(now),
         }
     }
 
@@ -181,8 +192,14 @@
 
     // Returns the weight of earlier failures, 0 to 1.
     fn weight(&self, now: MonoTime) -> f64 {
-        let age = now.since(self.last_result).saturating_sub(FULL_WEIGHT_TIME);
-        0.5_f64.powf(age.as_secs_f64() / self.half_life.as_secs_f64())
+        let age = now.since(self.last_result);
+        weight_at(age.saturating_sub(FULL_WEIGHT_TIME), self.half_life)
+    }
+
+    fn slowdown_at(&self, now: MonoTime) -> f64 {
+        let age = now.since(self.last_measured);
+        let weight = weight_at(age.saturating_sub(FULL_SLOWDOWN_TIME), SLOWDOWN_HALF_LIFE);
+        INITIAL_SLOWDOWN + weight * (self.slowdown - INITIAL_SLOWDOWN)
     }
 
     fn failure_rate_at(&self, now: MonoTime) -> f64 {
@@ -208,3 +225,7 @@
         Some(HealthChange::Avoided)
     }
 }
+
+fn weight_at(age: Duration, half_life: Duration) -> f64 {
+    0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
+}
--- a/src/gateway/deciding/mod.rs
+++ b/src/gateway/deciding/mod.rs
@@ -126,7 +126,7 @@
             expected_ms,
             observed_share: self.engines.observed_share(&engine.service, *work),
         };
-        self.health.note_time(&engine.id, time);
+        self.health.note_time(&engine.id, time, now);
         self.engines.note(&engine.service, *work, *tokens, taken_ms);
         taken_ms / (expected_ms * slowdown)
     }
--- a/tests/deciding_health.rs
+++ b/tests/deciding_health.rs
@@ -144,3 +144,46 @@
     let difference = slowdowns[0] - slowdowns[1].min(slowdowns[2]);
     assert!(difference <= MAX_SPEED_DIFFERENCE, "{slowdowns:?}");
 }
+
+/// Time for which the first engine is slow, and time that it takes for a request then.
+const SLOW_MS: u64 = 10_000;
+const SLOW_TAKEN_MS: f64 = 400.0;
+/// Time after its last slow answer within which an engine gets a request again.
+const SLOW_REUSE_MS: u64 = 300_000;
+/// Most of the requests that the slow engine gets: the other has room for all.
+const MAX_SLOW_SHARE: f64 = 0.15;
+
+// Guards against an engine that was slow for a while and gets no request ever after, because
+// only a further request changed what was known of its speed.
+#[test]
+fn an_engine_that_was_slow_for_a_while_is_used_again() {
+    let mut core = DecisionCore::new(PlacementWeights::default());
+    let mut rng = SmallRng::seed_from_u64(7);
+    let engines = ["a", "b"].map(|id| Arc::new(engine(id, EngineStage::Decode)));
+    for engine in engines.iter().cycle().take(100) {
+        core.note_time(&timed(engine), TAKEN_MS, MonoTime(0));
+    }
+    // The other engine always has some work of other daemons.
+    core.load.begin(&engines[1].id, 0, 0);
+    let (mut slow, mut reused, mut last_slow) = (0, None, 0);
+    for now in (0..SLOW_MS + SLOW_REUSE_MS).step_by(REQUEST_INTERVAL_MS as usize) {
+        let chosen = choose(&core, &engines, &mut rng, MonoTime(now));
+        let is_slow = chosen.id == engines[0].id && now < SLOW_MS;
+        if is_slow {
+            slow += 1;
+            last_slow = now;
+        } else if chosen.id == engines[0].id {
+            reused = reused.or(Some(now));
+        }
+        let taken = if is_slow { SLOW_TAKEN_MS } else { TAKEN_MS };
+        core.note_time(&timed(&chosen), taken, MonoTime(now));
+    }
+    let share = f64::from(slow) * REQUEST_INTERVAL_MS as f64 / SLOW_MS as f64;
+    assert!(slow > 0);
+    assert!(share <= MAX_SLOW_SHARE, "{slow} requests were slow");
+    let reused = reused.unwrap_or(u64::MAX);
+    assert!(
+        reused <= last_slow + SLOW_REUSE_MS,
+        "last slow at {last_slow}, used again at {reused}"
+    );
+}
