gRPC: a request is not refused for want of a target that is known already

Callers were told "no available engine has model base loaded" up to 20 ms after the daemon's control thread had published an engine with it: the dispatcher applies the fleet's view at its regular check only, and refuses at once what it cannot place. It now applies a newer view before it refuses for want of a target; each view is applied once, so a burst of refusals costs no more than the views that are published.

--- a/src/decide/scheduler.rs
+++ b/src/decide/scheduler.rs
@@ -211,6 +211,18 @@
         }
     }
 
+    /// Returns the view of the fleet that was applied last.
+    #[must_use]
+    pub fn fleet(&self) -> &SharedFleet {
+        &self.fleet
+    }
+
+    /// Returns whether a target of the applied view serves a pool.
+    #[must_use]
+    pub fn serves(&self, pool: &PoolKey) -> bool {
+        self.index.is_usable(pool)
+    }
+
     /// Adds a request to the queue, or refuses it immediately.
     ///
     /// # Errors
@@ -357,7 +369,7 @@
     }
 
     fn check_pool(&self, spec: &JobSpec) -> Result<(), JobRefusal> {
-        if self.index.is_usable(&spec.need.pool) {
+        if self.serves(&spec.need.pool) {
             return Ok(());
         }
         let reason = match &spec.need.pool {
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -12,7 +12,7 @@
 use crate::decide::fair_queue::JobNumber;
 use crate::decide::placement::{PlacementNeed, TargetChoice};
 use crate::decide::scheduler::{JobMeasurement, JobRefusal, JobSpec, ScheduleAction, Scheduler};
-use crate::names::{RequestId, TargetId};
+use crate::names::{MonoTime, RequestId, TargetId};
 use crate::ports::TargetError;
 use crate::requests::journal::{DecisionJournal, DecisionKind};
 use crate::targets::wire::CacheEvent;
@@ -83,7 +83,7 @@
         loop {
             tokio::select! {
                 () = &mut stopped => return,
-                _ = ticks.tick() => self.apply_snapshot(),
+                _ = ticks.tick() => self.apply_snapshot(&mut self.lock(), clock::mono_now()),
             }
         }
     }
@@ -96,6 +96,10 @@
     pub fn admit(&self, request_id: &RequestId, spec: JobSpec) -> Result<JobTicket, JobRefusal> {
         let now = clock::mono_now();
         let mut state = self.lock();
+        if !state.scheduler.serves(&spec.need.pool) && self.has_new_fleet(&state) {
+            // A target may have appeared since the last regular check.
+            self.apply_snapshot(&mut state, now);
+        }
         let workspace = spec.workspace.clone();
         let admitted = state.scheduler.admit(spec, now);
         let number = admitted.inspect_err(|refusal| {
@@ -147,15 +151,18 @@
         let _ = self.control.events.send(event);
     }
 
-    fn apply_snapshot(&self) {
+    fn has_new_fleet(&self, state: &DispatchState) -> bool {
+        let snapshot = self.control.snapshot.load();
+        !Arc::ptr_eq(state.scheduler.fleet(), &snapshot.fleet)
+    }
+
+    fn apply_snapshot(&self, state: &mut DispatchState, now: MonoTime) {
         let snapshot = self.control.snapshot.load_full();
-        let now = clock::mono_now();
-        let mut state = self.lock();
         let fleet = Arc::clone(&snapshot.fleet);
         let actions = state
             .scheduler
             .update_fleet(fleet, snapshot.live_daemons, now);
-        self.execute(&mut state, actions);
+        self.execute(state, actions);
     }
 
     fn add_waiter(
