The wait for a turn or for a backoff is not time of the engine

An engine that limited its requests counted as slow afterwards, and so did all engines of its service: the time to the first event, and that of a prefill, was measured from before the wait for a turn or for the end of a backoff. After eight requests at one a second an engine that takes 0.1 s was expected to take 1.2 s, which deprioritizes or refuses requests.

The time runs from the send itself. The daemon's own choice of an engine still adds the wait that is ahead.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -269,6 +269,7 @@
             body,
             connection,
             times,
+            ..
         } = *answer;
         match client::read_body(body, MAX_ANSWER_BYTES, call.deadline).await {
             Err(error) => {
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -198,7 +198,10 @@
                 }
                 self.note_cached(call, decode_engine);
                 in_flight.note_prefilled();
-                let first_event_timer = FirstEventTimer { sent, timed };
+                let first_event_timer = FirstEventTimer {
+                    sent: answer.sent_at,
+                    timed,
+                };
                 let relay = self.relay(
                     call,
                     place,
--- a/src/gateway/reading.rs
+++ b/src/gateway/reading.rs
@@ -111,6 +111,10 @@
             )
             .await;
         let deadline = deadline.min(call.deadline);
+        let sent_at = match &outcome {
+            SendOutcome::Answered(answer) => answer.sent_at,
+            _ => sent,
+        };
         let prefill = self
             .finish_prefill(call, prefill_engine, outcome, deadline)
             .await;
@@ -123,7 +127,7 @@
                 .as_ref()
                 .is_some_and(|planned| planned.id == prefill_engine.id)
             {
-                self.note_time(&place.timed_prefill(prefill_engine), sent.elapsed());
+                self.note_time(&place.timed_prefill(prefill_engine), sent_at.elapsed());
             }
         }
         prefill
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -81,6 +81,8 @@
     pub connection: PooledConnection,
     /// Times of the exchange, which decide whether the answer shows that the target is alive.
     pub times: ExchangeTimes,
+    /// When the request was sent, after any wait for the target.
+    pub sent_at: Instant,
 }
 
 /// A connection in use. If dropped before [`PooledConnection::return_to_pool`], it is
@@ -173,7 +175,7 @@
         let mut request = plan.call.request.clone();
         request.headers = (self.ports.wire.encode_send)(&plan.call.request.headers, &order);
         let mut connection = PooledConnection::new(&self.pool, target);
-        let sent = clock::mono_now();
+        let (sent, sent_at) = (clock::mono_now(), Instant::now());
         let outcome = tokio::select! {
             outcome = self.send_over_connection(&mut connection, &request, (plan, &order)) => outcome,
             // If the target has not started the request yet, cancelling it can prevent a crash.
@@ -182,7 +184,10 @@
             }
         };
         let outcome = match outcome {
-            Ok(response) => self.classify(target, plan.call, &order, response, (connection, sent)),
+            Ok(response) => {
+                let exchange = (connection, sent, sent_at);
+                self.classify(target, plan.call, &order, response, exchange)
+            }
             Err(SendError::NotSent(reason)) => SendOutcome::NotSent(reason),
             Err(SendError::Withdrawn(reason)) => return SendOutcome::NotSent(reason),
             Err(SendError::Unclear(reason)) => SendOutcome::Unclear(reason),
@@ -295,7 +300,7 @@
         call: &RoutedRequest,
         order: &SendOrder,
         response: http::Response<Incoming>,
-        (connection, sent): (PooledConnection, MonoTime),
+        (connection, sent, sent_at): (PooledConnection, MonoTime, Instant),
     ) -> SendOutcome {
         let (head, body) = response.into_parts();
         let metadata = (self.ports.wire.decode_answer)(head.status, &head.headers);
@@ -346,6 +351,7 @@
             body,
             connection,
             times,
+            sent_at,
         }))
     }
 
