A caller gets the head of a stream whose engine closes right after it

The HTTP server drops a head that it has not written yet when the body fails at its first poll.

Before the error, the relay lets the server write once. The caller then sees the head and a body that is not whole, as with any later cut.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -9,6 +9,7 @@
 use futures_util::stream;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
+use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
 
 use crate::gateway::call::{InFlightGuard, RoutedRequest, SendHistory};
@@ -100,7 +101,11 @@
             match relay.next().await {
                 Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
                 Ok(None) => None,
-                Err(cut) => Some((Err(cut), None)),
+                Err(cut) => {
+                    // The server drops a head that it has not written yet when its body fails.
+                    yield_now().await;
+                    Some((Err(cut), None))
+                }
             }
         }))
     }
