--- a/src/target_statements/backoff_tracker.rs
+++ b/src/target_statements/backoff_tracker.rs
@@ -119,8 +119,8 @@
     }
 
     /// Returns the time after which a refused caller should come back to one of the targets, if
-    /// all of them refuse requests or are `unavailable` for another reason, and one refuses: soon after the
-    /// earliest end, and not all callers at once.
+    /// all of them refuse requests or are `unavailable` for another reason, and at least one
+    /// refuses: soon after the earliest end, and not all callers at once.
     pub fn retry_after<'a>(
         &mut self,
         targets: impl Iterator<Item = &'a TargetIncarnation>,
