Retries are counted by service and cause, and sends that none covers are reported

Neither a log line nor a metric told which retries a daemon takes from the fleet's budget, why, and whether each send that is not the first of its request was taken from it. The hypotheses of the retry budget incident cannot be told apart without that: new shares at each start, short lists of daemons, sends that are not counted.

Each retry is logged with its cause, the number of daemons it reckons with and the time since the start. Sends are counted where all of them pass, as the budget counts them, so that a path that forgets the budget shows as a line and a metric.

No logic is changed.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -29,6 +29,41 @@
     pub window: Duration,
 }
 
+/// Why a request is sent again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RetryCause {
+    /// The target states that it did not run the request.
+    Refused,
+    /// The request was sent and may have run.
+    Unclear,
+    /// It arrived at another target, or at an engine in another stage.
+    Misdirected,
+    /// An engine did not prefill the prompt.
+    FailedPrefill,
+    /// A prompt that an engine has prefilled is prefilled by another one.
+    SecondPrefill,
+    /// The decode engine could not import the KV cache and prefills the prompt itself.
+    RefusedTransfer,
+    /// Another engine resumes a stream.
+    ResumedStream,
+}
+
+impl RetryCause {
+    /// Returns the name of the cause in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Unclear => "unclear",
+            Self::Misdirected => "misdirected",
+            Self::FailedPrefill => "failed_prefill",
+            Self::SecondPrefill => "second_prefill",
+            Self::RefusedTransfer => "refused_transfer",
+            Self::ResumedStream => "resumed_stream",
+        }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct SpanCounts {
     // Counts by span number: the time divided by the length of a span.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -48,6 +48,8 @@
     /// Whether it is sent although its work is quarantined, to find out whether it still
     /// crashes targets.
     pub is_probe: Cell<bool>,
+    /// Its sends, as the fleet's retry budget counts them.
+    pub sends: SendCounts,
     /// When the request arrived.
     pub arrived: Instant,
     /// Earlier of the caller's deadline and the route's time limit.
@@ -157,6 +159,36 @@
     WorkDigest::of(&[method, host, path, workspace, &request.body])
 }
 
+/// Sends of one request, as the fleet's retry budget counts them.
+#[derive(Debug, Default)]
+pub struct SendCounts {
+    // Sends that arrived at a target, without the first prefill that an engine accepted.
+    arrived: Cell<u32>,
+    retries: Cell<u32>,
+    prefill_accepted: Cell<bool>,
+}
+
+impl SendCounts {
+    /// Returns whether another send is the first one or was taken from the budget.
+    #[must_use]
+    pub fn covers_next(&self) -> bool {
+        self.arrived.get() <= self.retries.get()
+    }
+
+    /// Records a retry that was taken from the budget.
+    pub fn note_retry(&self) {
+        self.retries.set(self.retries.get() + 1);
+    }
+
+    /// Records a send that arrived or may have arrived.
+    pub fn note_arrival(&self, accepted_prefill: bool) {
+        if accepted_prefill && !self.prefill_accepted.replace(true) {
+            return;
+        }
+        self.arrived.set(self.arrived.get() + 1);
+    }
+}
+
 /// Targets that a request was sent to or could not be sent to.
 #[derive(Clone, Debug, Default)]
 pub struct SendHistory {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -15,7 +15,8 @@
 use tokio::time::Instant;
 
 use crate::clock;
-use crate::gateway::call::{InFlightGuard, RoutedRequest, SendHistory};
+use crate::gateway::budget::RetryCause;
+use crate::gateway::call::{InFlightGuard, RoutedRequest, SendCounts, SendHistory};
 use crate::gateway::client::{self, BodyError, OutgoingRequest};
 use crate::gateway::daemon::Gateway;
 use crate::gateway::deciding::health::SendResult;
@@ -127,6 +128,7 @@
             host,
             digest: OnceCell::new(),
             is_probe: Cell::new(false),
+            sends: SendCounts::default(),
             arrived,
             deadline,
         })
@@ -166,11 +168,12 @@
                 PlainOutcome::FailedWhole(_) | PlainOutcome::Unclear(_) => {
                     history.sent.push(target.id.clone());
                     history.may_have_run = true;
-                    can_retry && self.take_plain_retry(call, &history)
+                    can_retry && self.take_plain_retry(call, &history, RetryCause::Unclear)
                 }
                 PlainOutcome::Refused(_) => {
                     history.sent.push(target.id.clone());
-                    history.may_send(call) && self.take_plain_retry(call, &history)
+                    history.may_send(call)
+                        && self.take_plain_retry(call, &history, RetryCause::Refused)
                 }
                 PlainOutcome::NotSent(_) => {
                     history.unreached.push(target.id.clone());
@@ -179,7 +182,8 @@
                 // Another target received the request, so the next send is a retry.
                 PlainOutcome::Misdirected(_) => {
                     history.unreached.push(target.id.clone());
-                    history.unreached.len() < MAX_UNSENT_ATTEMPTS && self.take_retry(call)
+                    history.unreached.len() < MAX_UNSENT_ATTEMPTS
+                        && self.take_retry(call, RetryCause::Misdirected)
                 }
             };
             if !attempt.did_not_run() && !std::mem::replace(&mut start_recorded, true) {
@@ -201,8 +205,13 @@
     }
 
     // Takes a retry if there is another target to send the request to.
-    fn take_plain_retry(&self, call: &RoutedRequest, history: &SendHistory) -> bool {
-        self.choose_plain(call, history).is_some() && self.take_retry(call)
+    fn take_plain_retry(
+        &self,
+        call: &RoutedRequest,
+        history: &SendHistory,
+        cause: RetryCause,
+    ) -> bool {
+        self.choose_plain(call, history).is_some() && self.take_retry(call, cause)
     }
 
     async fn send_plain(
@@ -230,14 +239,29 @@
     /// Takes a retry from the budget for a request that has time left and is not quarantined.
     /// Returns whether it may be sent again.
     #[must_use]
-    pub fn take_retry(&self, call: &RoutedRequest) -> bool {
-        if self.is_quarantined(call) {
+    pub fn take_retry(&self, call: &RoutedRequest, cause: RetryCause) -> bool {
+        if self.is_quarantined(call) || Instant::now() >= call.deadline {
             return false;
         }
         let daemons = self.daemon_count();
         let mut budget = self.budget.borrow_mut();
         let service = &call.service.name;
-        Instant::now() < call.deadline && budget.spend(service, daemons, clock::mono_now())
+        let taken = budget.spend(service, daemons, clock::mono_now());
+        if taken {
+            call.sends.note_retry();
+        }
+        let outcome = if taken { "taken" } else { "denied" };
+        metrics::counter!("pistachiowick_retries_total", "service" => service.to_string(), "cause" => cause.as_str(), "outcome" => outcome)
+            .increment(1);
+        log::info!(
+            request = call.caller.id.as_str(),
+            service = service.as_str(),
+            cause = cause.as_str(),
+            daemons = daemons,
+            up_ms = clock::mono_now().since(self.started).as_millis() as u64;
+            "retry {outcome}"
+        );
+        taken
     }
 
     async fn finish_plain(
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use crate::clock;
+use crate::gateway::budget::RetryCause;
 use crate::gateway::call::{InFlightGuard, RoutedRequest, SendHistory};
 use crate::gateway::client::{self, BodyError};
 use crate::gateway::daemon::Gateway;
@@ -172,7 +173,9 @@
             if let Some(handle) = &mut handle {
                 handle.forget();
             }
-            if !self.is_backing_off(&decode_engine.id) && self.take_retry(call) {
+            if !self.is_backing_off(&decode_engine.id)
+                && self.take_retry(call, RetryCause::RefusedTransfer)
+            {
                 timed = None;
                 let fetch_from = Some(place.prefill_engine.as_deref().unwrap_or(decode_engine));
                 outcome = self
@@ -221,7 +224,7 @@
                     "the engine is no longer at its address or has changed its stage; retry later";
                 let failure = Failure::refused(reason, ENGINE_BUSY_RETRY_AFTER);
                 // This send arrived at a target, so the next one is a retry.
-                return if self.take_retry(call) {
+                return if self.take_retry(call, RetryCause::Misdirected) {
                     Started::Retry(failure)
                 } else {
                     Started::Failed(failure)
@@ -237,7 +240,12 @@
         let refused = failure.retry_after.is_some();
         let can_retry = refused || call.route.retry.may_retry();
         let has_other = || self.place(call, history, call.turn_terms()).is_some();
-        if can_retry && history.may_send(call) && has_other() && self.take_retry(call) {
+        let cause = if refused {
+            RetryCause::Refused
+        } else {
+            RetryCause::Unclear
+        };
+        if can_retry && history.may_send(call) && has_other() && self.take_retry(call, cause) {
             return Started::Retry(failure);
         }
         Started::Failed(failure)
--- a/src/gateway/reading.rs
+++ b/src/gateway/reading.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use crate::clock;
+use crate::gateway::budget::RetryCause;
 use crate::gateway::call::{InFlightGuard, RoutedRequest, SendHistory};
 use crate::gateway::client;
 use crate::gateway::daemon::Gateway;
@@ -42,7 +43,7 @@
         let Some(mut prefill_engine) = place.prefill_engine.clone() else {
             return Ok(None);
         };
-        if history.prompt_prefilled && !self.take_retry(call) {
+        if history.prompt_prefilled && !self.take_retry(call, RetryCause::SecondPrefill) {
             return Ok(None);
         }
         let mut tried: Vec<TargetIncarnation> = Vec::new();
@@ -53,7 +54,9 @@
                     return Ok(Some(handle));
                 }
                 PrefillResult::NotSent => {}
-                PrefillResult::Failed(reason) if !self.take_retry(call) => {
+                PrefillResult::Failed(reason)
+                    if !self.take_retry(call, RetryCause::FailedPrefill) =>
+                {
                     return Err(Failure::refused(reason, ENGINE_BUSY_RETRY_AFTER));
                 }
                 PrefillResult::Failed(_) => {}
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -139,6 +139,17 @@
     }
 }
 
+// Counts an arrival, and reports one that no retry of the budget covers.
+fn note_arrival(call: &RoutedRequest, order: &SendOrder, outcome: &SendOutcome, covered: bool) {
+    let accepted_prefill = order.mode == SendMode::Prefill
+        && matches!(outcome, SendOutcome::Answered(answer) if answer.head.status.is_success());
+    call.sends.note_arrival(accepted_prefill);
+    if !covered {
+        metrics::counter!("pistachiowick_uncovered_sends_total").increment(1);
+        log::error!(request = call.caller.id.as_str(), target_id = order.target.as_str(), outcome = outcome.as_str(); "a send that is not the first one was not taken from the retry budget; report this line with those of the request");
+    }
+}
+
 /// One send of a caller's request.
 #[derive(Clone, Copy)]
 pub struct SendPlan<'a> {
@@ -176,10 +187,12 @@
         request.headers = (self.ports.wire.encode_send)(&plan.call.request.headers, &order);
         let mut connection = PooledConnection::new(&self.pool, target);
         let (sent, sent_at) = (clock::mono_now(), Instant::now());
+        let is_covered = plan.call.sends.covers_next();
         let outcome = tokio::select! {
             outcome = self.send_over_connection(&mut connection, &request, (plan, &order)) => outcome,
             // If the target has not started the request yet, cancelling it can prevent a crash.
             () = self.until_quarantined(plan.call) => {
+                plan.call.sends.note_arrival(false);
                 return SendOutcome::Unclear("cancelled: the work of the request was quarantined during the send".to_owned());
             }
         };
@@ -196,6 +209,9 @@
                 SendOutcome::Unclear(reason)
             }
         };
+        if !matches!(outcome, SendOutcome::NotSent(_)) {
+            note_arrival(plan.call, &order, &outcome, is_covered);
+        }
         self.note_outcome(target, &outcome);
         outcome
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -12,6 +12,7 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
 
+use crate::gateway::budget::RetryCause;
 use crate::gateway::call::{InFlightGuard, RoutedRequest, SendHistory};
 use crate::gateway::client::is_timeout;
 use crate::gateway::daemon::Gateway;
@@ -226,7 +227,10 @@
         let Some(place) = self.gateway.place(&self.call, &self.history, turn_terms) else {
             return false;
         };
-        if !self.gateway.take_retry(&self.call) {
+        if !self
+            .gateway
+            .take_retry(&self.call, RetryCause::ResumedStream)
+        {
             return false;
         }
         let engine = place.decode_engine;
