A process holds no share of the retry allowance during its first window

Targets got more arrivals beyond the first of their request than the fleet's budget allows when daemons were killed and started again: 79 of 70 (plain) and 80 of 70 (streams) in 10 s with three daemons, one started each second.

Cause: a process that starts held a whole new share of the fixed allowance, while what its previous process had spent still counted. Nothing outlives a process here: no disk, and peers may be cut off.

A process now holds no share until it has run for a whole window, and none while the store's list of daemons does not contain it: the others do not count it. Any window then contains the spending of one holder of each share. The part that follows from a daemon's own requests is held from the start, as each request counts for one process only.

What callers lose: for a window after its start a daemon retries 0.14 of its own requests and nothing beyond, 5.4 retries less of 300 on a fleet of seven with 190 requests a second.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -4,6 +4,9 @@
 //! fixed allowance. No daemon's share depends on what another one does, so the sum over
 //! all daemons stays within the fleet's budget without communication, even during a
 //! network partition.
+//!
+//! The sum covers all processes of a daemon within a window: a process holds no share of
+//! the allowance during its first window, since its predecessor's retries still count.
 
 use std::time::Duration;
 
@@ -75,15 +78,20 @@
 #[derive(Clone, Debug)]
 pub struct RetryLimiter {
     rule: BudgetRule,
+    started: MonoTime,
+    // Number of daemons as last noted; `None` while this process is not among them.
+    fleet_size: Option<usize>,
     services: IndexMap<ServiceName, SpanCounts>,
 }
 
 impl RetryLimiter {
-    /// Creates a budget under `rule`.
+    /// Creates the budget of a process that was started at `started`.
     #[must_use]
-    pub fn new(rule: BudgetRule) -> Self {
+    pub fn new(rule: BudgetRule, started: MonoTime) -> Self {
         Self {
             rule,
+            started,
+            fleet_size: None,
             services: IndexMap::new(),
         }
     }
@@ -93,6 +101,22 @@
         self.rule = rule;
     }
 
+    /// Records the number of daemons that share the allowance, this one included; `None` while
+    /// the list of daemons does not contain this process. To be called before a retry is taken.
+    pub fn note_fleet(&mut self, size: Option<usize>) {
+        self.fleet_size = size;
+    }
+
+    /// Returns this daemon's share of the allowance, in retries per window.
+    #[must_use]
+    pub fn share(&self, now: MonoTime) -> f64 {
+        let is_settled = now.since(self.started) >= self.rule.window;
+        match self.fleet_size {
+            Some(size) if is_settled => self.rule.allowance / size.max(1) as f64,
+            _ => 0.0,
+        }
+    }
+
     /// Records a caller's request for a service.
     pub fn note_request(&mut self, service: &ServiceName, now: MonoTime) {
         let span = self.span(now);
@@ -101,12 +125,12 @@
         counts.requests.retain(|at, _| *at + SPANS >= span);
     }
 
-    /// Takes one retry from the budget and returns true, unless this daemon's share among
-    /// `daemons` daemons is used up.
+    /// Takes one retry from the budget and returns true, unless this daemon's part of it is
+    /// used up.
     #[must_use]
-    pub fn spend(&mut self, service: &ServiceName, daemons: usize, now: MonoTime) -> bool {
+    pub fn spend(&mut self, service: &ServiceName, now: MonoTime) -> bool {
         let span = self.span(now);
-        let share = self.rule.allowance / daemons.max(1) as f64;
+        let share = self.share(now);
         let ratio = self.rule.ratio;
         let counts = self.services.entry(service.clone()).or_default();
         counts.retries.retain(|at, _| *at + SPANS >= span);
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -160,11 +160,25 @@
             .send(ControlInput::TargetDeparted(target.clone(), source));
     }
 
-    /// Returns the number of daemons that share the fleet's budgets, this one included.
+    /// Returns the number of listed daemons, this one included.
     #[must_use]
     pub fn daemon_count(&self) -> usize {
         self.view().daemons.len().max(1)
     }
+
+    /// Brings the retry budget up to date with the list of daemons. A process whose record is
+    /// another one's, or is missing, is not counted by the others and holds no share.
+    pub fn update_budget(&self) {
+        let view = self.view();
+        let is_listed = view
+            .daemons
+            .iter()
+            .any(|daemon| daemon.id == self.daemon && daemon.incarnation == self.incarnation);
+        let now = clock::mono_now();
+        let mut budget = self.budget.borrow_mut();
+        budget.note_fleet(is_listed.then_some(view.daemons.len()));
+        metrics::gauge!("pistachiowick_retry_share").set(budget.share(now));
+    }
 }
 
 /// Error that kept a daemon from starting.
@@ -213,7 +227,8 @@
         control_inputs: mpsc::UnboundedSender<ControlInput>,
     ) -> Self {
         let window = settings.duties.map(|duties| duties.usage_window());
-        let budget = RetryLimiter::new(settings.budget_rule());
+        let started = clock::mono_now();
+        let budget = RetryLimiter::new(settings.budget_rule(), started);
         let watch_mode = WatchMode::initial(settings.first_start);
         Self {
             daemon: settings.daemon.clone(),
@@ -238,7 +253,7 @@
             store_snapshot: RefCell::default(),
             feed_changes: ChangeSenders::default(),
             watch_mode: Cell::new(watch_mode),
-            started: clock::mono_now(),
+            started,
             store_liveness: Arc::default(),
             incarnation,
             local_stage_changes: RefCell::default(),
@@ -312,6 +327,7 @@
         if let Some(at) = self.confirmed_at() {
             metrics::gauge!("pistachiowick_config_age_seconds").set(now.since(at).as_secs_f64());
         }
+        self.update_budget();
         self.pool.borrow_mut().sweep(tokio::time::Instant::now());
         self.crashes.borrow_mut().sweep(now);
         self.refute_registered_targets(now);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -243,10 +243,11 @@
         if self.is_quarantined(call) || Instant::now() >= call.deadline {
             return false;
         }
-        let daemons = self.daemon_count();
-        let mut budget = self.budget.borrow_mut();
+        self.update_budget();
+        let now = clock::mono_now();
         let service = &call.service.name;
-        let taken = budget.spend(service, daemons, clock::mono_now());
+        let mut budget = self.budget.borrow_mut();
+        let taken = budget.spend(service, now);
         if taken {
             call.sends.note_retry();
         }
@@ -257,8 +258,7 @@
             request = call.caller.id.as_str(),
             service = service.as_str(),
             cause = cause.as_str(),
-            daemons = daemons,
-            up_ms = clock::mono_now().since(self.started).as_millis() as u64;
+            share = budget.share(now);
             "retry {outcome}"
         );
         taken
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -39,12 +39,11 @@
 #[case::large_fleet(BudgetCase { requests: 10, daemons: 100, within: (1, 2) })]
 fn retries_stay_within_a_daemons_share(#[case] case: BudgetCase) {
     let service = ServiceName::from("ledger");
-    let mut budget = RetryLimiter::new(RULE);
+    let mut budget = RetryLimiter::new(RULE, MonoTime(0));
     let now = MonoTime(50_000);
+    budget.note_fleet(Some(case.daemons));
     (0..case.requests).for_each(|_| budget.note_request(&service, now));
-    let spent = (0..1_000)
-        .filter(|_| budget.spend(&service, case.daemons, now))
-        .count() as u32;
+    let spent = (0..1_000).filter(|_| budget.spend(&service, now)).count() as u32;
     let part = 0.2 * f64::from(case.requests) + 54.0 / case.daemons as f64;
     assert!(f64::from(spent) <= part, "{spent} retries of {part}");
     assert!(case.within.0 <= spent && spent <= case.within.1, "{spent}");
@@ -54,10 +53,11 @@
 fn no_window_exceeds_the_share() {
     // Retries are requested all the time; the check slides a window over them.
     let service = ServiceName::from("ledger");
-    let mut budget = RetryLimiter::new(RULE);
+    let mut budget = RetryLimiter::new(RULE, MonoTime(0));
     let mut spent_at = Vec::new();
     for now in (0..60_000).step_by(50) {
-        if budget.spend(&service, 1, MonoTime(now)) {
+        budget.note_fleet(Some(1));
+        if budget.spend(&service, MonoTime(now)) {
             spent_at.push(now);
         }
     }
