The retry allowance is divided by the longest list of daemons of a window

A daemon whose list of daemons was short for a moment held the share of the whole fleet: the number of records listed right now divided the allowance.

Daemons now remember the longest list by tenths of a window and divide by it, so that what was spent under a longer list still fits.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -5,8 +5,10 @@
 //! all daemons stays within the fleet's budget without communication, even during a
 //! network partition.
 //!
-//! The sum covers all processes of a daemon within a window: a process holds no share of
-//! the allowance during its first window, since its predecessor's retries still count.
+//! The sum covers all processes of a daemon and all lists of daemons that were valid within
+//! a window. A process holds no share of the allowance during its first window, since its
+//! predecessor's retries still count, and the allowance is divided by the longest list of
+//! the last window.
 
 use std::time::Duration;
 
@@ -81,6 +83,8 @@
     started: MonoTime,
     // Number of daemons as last noted; `None` while this process is not among them.
     fleet_size: Option<usize>,
+    // Largest number of daemons by span.
+    fleet_sizes: IndexMap<u64, usize>,
     services: IndexMap<ServiceName, SpanCounts>,
 }
 
@@ -92,6 +96,7 @@
             rule,
             started,
             fleet_size: None,
+            fleet_sizes: IndexMap::new(),
             services: IndexMap::new(),
         }
     }
@@ -102,9 +107,14 @@
     }
 
     /// Records the number of daemons that share the allowance, this one included; `None` while
-    /// the list of daemons does not contain this process. To be called before a retry is taken.
-    pub fn note_fleet(&mut self, size: Option<usize>) {
+    /// the list of daemons does not contain this process. To be called at least once per span
+    /// and before a retry is taken.
+    pub fn note_fleet(&mut self, size: Option<usize>, now: MonoTime) {
         self.fleet_size = size;
+        let span = self.span(now);
+        let largest = self.fleet_sizes.entry(span).or_default();
+        *largest = size.unwrap_or(0).max(*largest);
+        self.fleet_sizes.retain(|at, _| *at + SPANS >= span);
     }
 
     /// Returns this daemon's share of the allowance, in retries per window.
@@ -112,7 +122,10 @@
     pub fn share(&self, now: MonoTime) -> f64 {
         let is_settled = now.since(self.started) >= self.rule.window;
         match self.fleet_size {
-            Some(size) if is_settled => self.rule.allowance / size.max(1) as f64,
+            Some(size) if is_settled => {
+                let largest = self.fleet_sizes.values().copied().max().unwrap_or(0);
+                self.rule.allowance / largest.max(size).max(1) as f64
+            }
             _ => 0.0,
         }
     }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -176,7 +176,7 @@
             .any(|daemon| daemon.id == self.daemon && daemon.incarnation == self.incarnation);
         let now = clock::mono_now();
         let mut budget = self.budget.borrow_mut();
-        budget.note_fleet(is_listed.then_some(view.daemons.len()));
+        budget.note_fleet(is_listed.then_some(view.daemons.len()), now);
         metrics::gauge!("pistachiowick_retry_share").set(budget.share(now));
     }
 }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -41,7 +41,7 @@
     let service = ServiceName::from("ledger");
     let mut budget = RetryLimiter::new(RULE, MonoTime(0));
     let now = MonoTime(50_000);
-    budget.note_fleet(Some(case.daemons));
+    budget.note_fleet(Some(case.daemons), now);
     (0..case.requests).for_each(|_| budget.note_request(&service, now));
     let spent = (0..1_000).filter(|_| budget.spend(&service, now)).count() as u32;
     let part = 0.2 * f64::from(case.requests) + 54.0 / case.daemons as f64;
@@ -56,7 +56,7 @@
     let mut budget = RetryLimiter::new(RULE, MonoTime(0));
     let mut spent_at = Vec::new();
     for now in (0..60_000).step_by(50) {
-        budget.note_fleet(Some(1));
+        budget.note_fleet(Some(1), MonoTime(now));
         if budget.spend(&service, MonoTime(now)) {
             spent_at.push(now);
         }
--- a/tests/retry_budget_fleet.rs
+++ b/tests/retry_budget_fleet.rs
@@ -17,6 +17,8 @@
 const END_MS: u64 = 60_000;
 /// Interval at which a daemon brings its budget up to date with its list.
 const UPDATE_INTERVAL_MS: u64 = 500;
+/// Time for which a daemon that starts finds no record but its own, where that is drawn.
+const SHORT_LIST_MS: u64 = 800;
 
 #[derive(Clone, Copy, Eq, PartialEq)]
 enum Disruption {
@@ -27,6 +29,8 @@
     HalvesRestart,
     // The whole fleet starts again every 15 s.
     AllRestart,
+    // All records but the own one are missing for a second, every 7 s.
+    RecordsMissing,
     // A quarter of the daemons stand still for 4 s, every 9 s, with their lists as they were.
     Frozen,
     // Each second a daemon is gone for good and one with another name takes its place.
@@ -41,6 +45,8 @@
     rate: f64,
     // Share of the requests that two daemons get besides their part.
     uneven: f64,
+    // Whether a daemon that starts has a short list.
+    short_lists: bool,
     // Share of the sends that fail.
     failing: f64,
     disruption: Disruption,
@@ -77,6 +83,7 @@
 
 struct SimulatedDaemon {
     budget: RetryLimiter,
+    started: u64,
 }
 
 struct SimulatedFleet {
@@ -91,6 +98,7 @@
 fn started(now: u64) -> SimulatedDaemon {
     SimulatedDaemon {
         budget: RetryLimiter::new(RULE, MonoTime(now)),
+        started: now,
     }
 }
 
@@ -164,7 +172,11 @@
         }
         let records = self.records;
         let daemon = &mut self.daemons[number];
-        daemon.budget.note_fleet(Some(records));
+        let is_new = self.case.short_lists && now - daemon.started < SHORT_LIST_MS;
+        let are_missing =
+            self.case.disruption == Disruption::RecordsMissing && now % 7_000 >= 6_000;
+        let listed = if is_new || are_missing { 1 } else { records };
+        daemon.budget.note_fleet(Some(listed), MonoTime(now));
     }
 
     fn is_frozen(&self, number: usize, now: u64) -> bool {
@@ -201,21 +213,25 @@
     daemons: 3,
     rate: 8.0,
     uneven: 0.0,
+    short_lists: false,
     failing: 1.0,
     disruption: Disruption::None,
 };
 
-// Guards against retries beyond the fleet's budget because a daemon that starts holds a new
-// share while the retries of its previous process still count.
+// Guards against retries beyond the fleet's budget over restarts, short lists of daemons and
+// records that are missing for a time.
 #[rstest]
 #[case::calm(CALM)]
 #[case::restarts(FleetCase { disruption: Disruption::Restarts, ..CALM })]
-#[case::restarts_of_8(FleetCase { daemons: 8, disruption: Disruption::Restarts, ..CALM })]
+#[case::restarts_of_8(FleetCase { daemons: 8, disruption: Disruption::Restarts, short_lists: true, ..CALM })]
 #[case::halves_restart(FleetCase { daemons: 7, rate: 190.0, disruption: Disruption::HalvesRestart, ..CALM })]
-#[case::all_restart(FleetCase { daemons: 8, disruption: Disruption::AllRestart, ..CALM })]
-#[case::all_of_300_restart(FleetCase { daemons: 300, rate: 600.0, disruption: Disruption::AllRestart, ..CALM })]
-#[case::restarts_of_69(FleetCase { daemons: 69, rate: 100.0, disruption: Disruption::Restarts, ..CALM })]
-#[case::restarts_of_300(FleetCase { daemons: 300, rate: 100.0, disruption: Disruption::HalvesRestart, ..CALM })]
+#[case::halves_restart_with_short_lists(FleetCase { daemons: 7, rate: 190.0, short_lists: true, disruption: Disruption::HalvesRestart, ..CALM })]
+#[case::all_restart(FleetCase { daemons: 8, short_lists: true, disruption: Disruption::AllRestart, ..CALM })]
+#[case::all_of_300_restart(FleetCase { daemons: 300, rate: 600.0, short_lists: true, disruption: Disruption::AllRestart, ..CALM })]
+#[case::restarts_of_69(FleetCase { daemons: 69, rate: 100.0, short_lists: true, disruption: Disruption::Restarts, ..CALM })]
+#[case::restarts_of_300(FleetCase { daemons: 300, rate: 100.0, short_lists: true, disruption: Disruption::HalvesRestart, ..CALM })]
+#[case::records_missing(FleetCase { daemons: 8, disruption: Disruption::RecordsMissing, ..CALM })]
+#[case::records_of_300_missing(FleetCase { daemons: 300, rate: 600.0, disruption: Disruption::RecordsMissing, ..CALM })]
 #[case::frozen(FleetCase { daemons: 8, disruption: Disruption::Frozen, ..CALM })]
 #[case::replaced(FleetCase { daemons: 8, rate: 30.0, disruption: Disruption::Replaced, ..CALM })]
 #[case::bursts(FleetCase { daemons: 8, rate: 100.0, disruption: Disruption::Bursts, ..CALM })]
