A send that nothing took from the retry budget is refused

Each path that sends a request again takes a retry first; nothing kept a path that forgets from being written, and its sends would have passed the budget unseen.

All sends of requests pass one place, which counts arrivals as the budget does (the first prefill that an engine accepts is free) and the retries taken. A send beyond them is now refused there, with a line and a metric that must stay 0.

Found by reading: no path forgets today.

--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -139,15 +139,11 @@
     }
 }
 
-// Counts an arrival, and reports one that no retry of the budget covers.
-fn note_arrival(call: &RoutedRequest, order: &SendOrder, outcome: &SendOutcome, covered: bool) {
+// Counts a send that arrived or may have arrived.
+fn note_arrival(call: &RoutedRequest, order: &SendOrder, outcome: &SendOutcome) {
     let accepted_prefill = order.mode == SendMode::Prefill
         && matches!(outcome, SendOutcome::Answered(answer) if answer.head.status.is_success());
     call.sends.note_arrival(accepted_prefill);
-    if !covered {
-        metrics::counter!("pistachiowick_uncovered_sends_total").increment(1);
-        log::error!(request = call.caller.id.as_str(), target_id = order.target.as_str(), outcome = outcome.as_str(); "a send that is not the first one was not taken from the retry budget; report this line with those of the request");
-    }
 }
 
 /// One send of a caller's request.
@@ -187,7 +183,6 @@
         request.headers = (self.ports.wire.encode_send)(&plan.call.request.headers, &order);
         let mut connection = PooledConnection::new(&self.pool, target);
         let (sent, sent_at) = (clock::mono_now(), Instant::now());
-        let is_covered = plan.call.sends.covers_next();
         let outcome = tokio::select! {
             outcome = self.send_over_connection(&mut connection, &request, (plan, &order)) => outcome,
             // If the target has not started the request yet, cancelling it can prevent a crash.
@@ -210,7 +205,7 @@
             }
         };
         if !matches!(outcome, SendOutcome::NotSent(_)) {
-            note_arrival(plan.call, &order, &outcome, is_covered);
+            note_arrival(plan.call, &order, &outcome);
         }
         self.note_outcome(target, &outcome);
         outcome
@@ -231,6 +226,11 @@
         if self.is_quarantined(call) {
             return Err("the work of the request is quarantined".to_owned());
         }
+        if !call.sends.covers_next() {
+            metrics::counter!("pistachiowick_uncovered_sends_total").increment(1);
+            log::error!(request = call.caller.id.as_str(), target_id = target.id.as_str(); "request not sent again, since nothing took this send from the retry budget; report this line with those of the request");
+            return Err("no retry of the fleet's budget was taken for another send".to_owned());
+        }
         if !self.may_still_send(&order.access) {
             return Err(
                 "the daemon cannot confirm that the workspace key is still valid".to_owned(),
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use pistachiowick::gateway::budget::{BudgetRule, RetryLimiter};
+use pistachiowick::gateway::call::SendCounts;
 use pistachiowick::gateway::deciding::affinity::{
     CacheIndex, home_weight, part_key, shared_key, shared_tokens,
 };
@@ -49,6 +50,42 @@
     assert!(case.within.0 <= spent && spent <= case.within.1, "{spent}");
 }
 
+#[derive(Clone, Copy)]
+enum SendStep {
+    Retry,
+    Arrival,
+    AcceptedPrefill,
+}
+
+struct SendCase {
+    steps: &'static [SendStep],
+    may_send: bool,
+}
+
+// Guards against a send that is not the first of its request and that nothing took from the
+// retry budget.
+#[rstest]
+#[case::first(SendCase { steps: &[], may_send: true })]
+#[case::second(SendCase { steps: &[SendStep::Arrival], may_send: false })]
+#[case::retry(SendCase { steps: &[SendStep::Arrival, SendStep::Retry], may_send: true })]
+#[case::third(SendCase { steps: &[SendStep::Arrival, SendStep::Retry, SendStep::Arrival], may_send: false })]
+#[case::after_a_prefill(SendCase { steps: &[SendStep::AcceptedPrefill], may_send: true })]
+#[case::after_a_failed_prefill(SendCase { steps: &[SendStep::Arrival], may_send: false })]
+#[case::after_two_prefills(SendCase { steps: &[SendStep::AcceptedPrefill, SendStep::AcceptedPrefill], may_send: false })]
+#[case::after_two_prefills_and_a_retry(SendCase { steps: &[SendStep::AcceptedPrefill, SendStep::Retry, SendStep::AcceptedPrefill], may_send: true })]
+#[case::retries_of_a_failed_prefill_and_transfer(SendCase { steps: &[SendStep::Arrival, SendStep::Retry, SendStep::AcceptedPrefill, SendStep::Arrival, SendStep::Retry], may_send: true })]
+fn each_send_beyond_the_first_needs_a_retry(#[case] case: SendCase) {
+    let sends = SendCounts::default();
+    for step in case.steps {
+        match step {
+            SendStep::Retry => sends.note_retry(),
+            SendStep::Arrival => sends.note_arrival(false),
+            SendStep::AcceptedPrefill => sends.note_arrival(true),
+        }
+    }
+    assert_eq!(sends.covers_next(), case.may_send);
+}
+
 #[test]
 fn no_window_exceeds_the_share() {
     // Retries are requested all the time; the check slides a window over them.
