The directory leaves out daemons that reach no target while others do

Callers of a partitioned daemon were served by a hand-over, one hop farther and over links between data centres; its directory, and those of the others, went on naming it. And of daemons in one data centre that is partitioned as a whole, a request could ask four neighbours in vain.

Daemons tell the others which services they reach no target of. The directory leaves such daemons out while others can serve, as it does for those that cannot confirm keys. A hand-over asks at most two daemons of the own data centre first.

Evidence: callers_get_local_daemons_if_two_can_serve, four new cases.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -312,6 +312,15 @@
         self.peers.borrow().confirms_keys(daemon)
     }
 
+    /// Returns whether a daemon reaches targets of each service, by its last report.
+    #[must_use]
+    pub fn daemon_reaches_targets(&self, daemon: &DaemonId) -> bool {
+        if *daemon == self.daemon {
+            return self.unreachable_services().is_empty();
+        }
+        self.peers.borrow().reaches_all(daemon)
+    }
+
     // Replaced instances never return, and nothing in the store expires by itself. One
     // daemon removes the records of daemons that have been unreachable for long. A daemon
     // that is alive after all writes its record again when it finds it gone.
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -213,6 +213,7 @@
                 &query.centre,
                 |id| gateway.is_usable(id),
                 |id| gateway.daemon_confirms_keys(id),
+                |id| gateway.daemon_reaches_targets(id),
             );
             let ttl = gateway.settings().bounds.directory_keep_s;
             let ttl = MAX_DIRECTORY_TTL.min(Duration::from_secs_f64(ttl));
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -40,6 +40,8 @@
 const NOT_SERVED: HeaderName = HeaderName::from_static("pistachiowick-not-served");
 /// Daemons to which one request is offered.
 const MAX_PEERS: usize = 4;
+/// Daemons of the own data centre that come first among them.
+const MAX_NEAR_PEERS: usize = 2;
 /// Longest time to open a connection to another daemon.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest idle time of a connection on which a request that must not be repeated is sent.
@@ -218,7 +220,8 @@
     }
 
     // Prefers daemons that can confirm keys, then those of this data centre: bytes between
-    // data centres have a price.
+    // data centres have a price. Where these could not serve the request, a whole data centre
+    // may be partitioned, and the others come first.
     fn choose_peer(&self, call: &RoutedRequest, tried: &[DaemonId]) -> Option<DaemonRecord> {
         let view = self.view();
         let now = clock::mono_now();
@@ -236,14 +239,14 @@
                 && peers.reaches(&daemon.id, service)
         };
         let mut eligible: Vec<&DaemonRecord> = view.daemons.iter().filter(serves).collect();
-        let preferences: [&dyn Fn(&&DaemonRecord) -> bool; 2] =
-            [&|daemon| peers.confirms_keys(&daemon.id), &|daemon| {
-                daemon.centre == self.settings().centre
-            }];
-        for preferred in preferences {
-            if eligible.iter().any(preferred) {
-                eligible.retain(preferred);
-            }
+        if eligible.iter().any(|peer| peers.confirms_keys(&peer.id)) {
+            eligible.retain(|peer| peers.confirms_keys(&peer.id));
+        }
+        let settings = self.settings();
+        let near_first = tried.len() < MAX_NEAR_PEERS;
+        let is_preferred = |peer: &&DaemonRecord| (peer.centre == settings.centre) == near_first;
+        if eligible.iter().any(is_preferred) {
+            eligible.retain(is_preferred);
         }
         let chosen = eligible.choose(&mut *self.rng.borrow_mut());
         chosen.map(|daemon| (*daemon).clone())
--- a/src/gateway/peers/peer_table.rs
+++ b/src/gateway/peers/peer_table.rs
@@ -106,6 +106,14 @@
         status.is_none_or(|state| !state.unreachable.contains(service))
     }
 
+    /// Whether a daemon reached a target of each service as of its last message; assumed as in
+    /// [`PeerTable::reaches`].
+    #[must_use]
+    pub fn reaches_all(&self, daemon: &DaemonId) -> bool {
+        let status = self.statuses.get(daemon);
+        status.is_none_or(|state| state.unreachable.is_empty())
+    }
+
     /// Whether a daemon was heard of recently, or has sent nothing yet.
     #[must_use]
     pub fn has_contact(&self, daemon: &DaemonId, now: MonoTime) -> bool {
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -254,18 +254,23 @@
     unreachable: &'static [&'static str],
     /// Daemons that cannot confirm which keys are valid.
     unconfirmed: &'static [&'static str],
+    partitioned: &'static [&'static str],
     centre: &'static str,
     ports: &'static [u16],
 }
 
 #[rstest]
-#[case::local(DirectoryCase { unreachable: &[], unconfirmed: &[], centre: "x", ports: &[1, 2] })]
-#[case::too_few_local(DirectoryCase { unreachable: &["a"], unconfirmed: &[], centre: "x", ports: &[2, 3] })]
-#[case::unknown_data_centre(DirectoryCase { unreachable: &[], unconfirmed: &[], centre: "q", ports: &[1, 2, 3] })]
-#[case::one_unconfirmed(DirectoryCase { unreachable: &[], unconfirmed: &["c"], centre: "q", ports: &[1, 2] })]
-#[case::too_few_confirmed_local(DirectoryCase { unreachable: &[], unconfirmed: &["a"], centre: "x", ports: &[2, 3] })]
-#[case::none_confirmed(DirectoryCase { unreachable: &[], unconfirmed: &["a", "b", "c"], centre: "x", ports: &[1, 2] })]
-#[case::all_unreachable(DirectoryCase { unreachable: &["a", "b", "c"], unconfirmed: &[], centre: "x", ports: &[] })]
+#[case::local(DirectoryCase { unreachable: &[], partitioned: &[], unconfirmed: &[], centre: "x", ports: &[1, 2] })]
+#[case::too_few_local(DirectoryCase { unreachable: &["a"], partitioned: &[], unconfirmed: &[], centre: "x", ports: &[2, 3] })]
+#[case::unknown_data_centre(DirectoryCase { unreachable: &[], partitioned: &[], unconfirmed: &[], centre: "q", ports: &[1, 2, 3] })]
+#[case::one_unconfirmed(DirectoryCase { unreachable: &[], partitioned: &[], unconfirmed: &["c"], centre: "q", ports: &[1, 2] })]
+#[case::too_few_confirmed_local(DirectoryCase { unreachable: &[], partitioned: &[], unconfirmed: &["a"], centre: "x", ports: &[2, 3] })]
+#[case::none_confirmed(DirectoryCase { unreachable: &[], partitioned: &[], unconfirmed: &["a", "b", "c"], centre: "x", ports: &[1, 2] })]
+#[case::all_unreachable(DirectoryCase { unreachable: &["a", "b", "c"], partitioned: &[], unconfirmed: &[], centre: "x", ports: &[] })]
+#[case::one_partitioned(DirectoryCase { unreachable: &[], partitioned: &["a"], unconfirmed: &[], centre: "x", ports: &[2, 3] })]
+#[case::a_partitioned_data_centre(DirectoryCase { unreachable: &[], partitioned: &["a", "b"], unconfirmed: &[], centre: "x", ports: &[3] })]
+#[case::all_partitioned(DirectoryCase { unreachable: &[], partitioned: &["a", "b", "c"], unconfirmed: &[], centre: "x", ports: &[1, 2] })]
+#[case::only_a_partitioned_one_confirmed(DirectoryCase { unreachable: &[], partitioned: &["a"], unconfirmed: &["b", "c"], centre: "x", ports: &[1] })]
 fn callers_get_local_daemons_if_two_can_serve(#[case] case: DirectoryCase) {
     let daemons = [
         daemon("a", "x", 1),
@@ -274,7 +279,9 @@
     ];
     let usable = |id: &DaemonId| !case.unreachable.contains(&id.as_str());
     let confirmed = |id: &DaemonId| !case.unconfirmed.contains(&id.as_str());
-    let found = addresses_for(&daemons, &CentreName::from(case.centre), usable, confirmed);
+    let reaching = |id: &DaemonId| !case.partitioned.contains(&id.as_str());
+    let centre = CentreName::from(case.centre);
+    let found = addresses_for(&daemons, &centre, usable, confirmed, reaching);
     let ports: Vec<u16> = found.iter().map(std::net::SocketAddr::port).collect();
     assert_eq!(ports, case.ports);
 }
