A daemon counts as cut off from a service after three targets, or all of fewer

Two dead targets of a quiet service, one request after the other finding them, were taken for a partition, as another target was not tried in between: the request was handed over, and where all daemons had found the same two targets, refused, though the service had others.

Three targets have to fail, or all of fewer: where connections are refused a request tries as many without delay, and silent ones are checked three at a time. A failed connection after 0.3 s in which no target was heard of has others checked at once, and so has the beginning of a partition. Two targets are tried every 0.25 s until it ends. Requests that were on their way as it began no longer walk through all engines.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -27,6 +27,7 @@
 use crate::gateway::reply::{Failure, FailureKind, Reply, strip_connection_headers, whole_reply};
 use crate::gateway::routes::{RouteTable, choose_service};
 use crate::gateway::sending::{SendOutcome, TargetAnswer};
+use crate::names::ServiceName;
 use crate::target_incarnation::TargetIncarnation;
 
 /// Retry time after a refusal because no configuration or target is available.
@@ -93,12 +94,20 @@
         }
     }
 
+    /// Returns the refusal of a request whose service this daemon cannot reach.
+    pub(super) fn check_reach(&self, service: &ServiceName) -> Result<(), Failure> {
+        if !self.is_cut_off(service) {
+            return Ok(());
+        }
+        let reason = "this daemon reaches no target of the service; retry later or elsewhere";
+        Err(Failure::refused(reason, NOT_READY_WAIT))
+    }
+
     // Sends a request to targets, or hands it over if this daemon reaches none.
     async fn answer(self: &Rc<Self>, call: &Rc<RoutedRequest>) -> Result<Reply, Failure> {
         let mut history = SendHistory::default();
-        let answered = if self.is_cut_off(&call.service.name) {
-            let reason = "this daemon reaches no target of the service; retry later or elsewhere";
-            Err(Failure::refused(reason, NOT_READY_WAIT))
+        let answered = if let Err(refusal) = self.check_reach(&call.service.name) {
+            Err(refusal)
         } else if call.service.engine.is_some() && call.caller.prompt.is_some() {
             self.generate(call, &mut history).await
         } else {
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -75,6 +75,7 @@
         while let Some(place) = self.place_request(call, history).await {
             self.recheck_access(&call.access)?;
             self.check_quarantine(call)?;
+            self.check_reach(&call.service.name)?;
             if let Some(refusal) = overload_refusal(call, &place) {
                 return Err(refusal);
             }
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -11,8 +11,9 @@
 use crate::names::{MonoTime, ServiceName};
 use crate::target_incarnation::TargetIncarnation;
 
-/// Number of targets to which connections have to fail. A single one may be down.
-const FAILED_TARGETS: usize = 2;
+/// Number of targets to which connections have to fail, or all of fewer. One or two may be
+/// down, and a request tries as many without delay where connections are refused.
+const FAILED_TARGETS: usize = 3;
 /// Time after which a failed connection no longer counts.
 const FAILURE_RETENTION: Duration = Duration::from_secs(5);
 
--- a/src/gateway/reach_check.rs
+++ b/src/gateway/reach_check.rs
@@ -32,8 +32,10 @@
 const MAX_SILENCE: Duration = Duration::from_millis(300);
 /// Targets checked on request; a single one may be down.
 const CHECKED_TARGETS: usize = 3;
-/// Interval at which one target of each service that cannot be reached is checked.
+/// Interval at which some targets of each service that cannot be reached are checked, and
+/// their number.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+const PROBED_TARGETS: usize = 2;
 /// Shortest time between two requested checks.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(30);
 /// Age of the bytes of a stream when they are read, at most.
@@ -131,10 +133,14 @@
             if may_repeat && self.is_cut_off(service) {
                 return;
             }
-            let silence = self.reach.borrow().silence(service, clock::mono_now());
-            if silence.is_none_or(|silence| silence >= MAX_SILENCE) {
-                self.request_reach_check(service);
-            }
+            self.check_after_silence(service, clock::mono_now());
+        }
+    }
+
+    fn check_after_silence(&self, service: &ServiceName, now: MonoTime) {
+        let silence = self.reach.borrow().silence(service, now);
+        if silence.is_none_or(|silence| silence >= MAX_SILENCE) {
+            self.request_reach_check(service);
         }
     }
 
@@ -155,9 +161,10 @@
         );
         let view = self.view();
         self.forgive_targets(view.service_targets(service), silence, now);
-        // The same link may lead to the targets of other services.
-        for other in view.targets.keys().filter(|other| *other != service) {
-            self.request_reach_check(other);
+        // The same link may lead to the targets of other services, and this one may still have
+        // a target that has not been tried.
+        for service in view.targets.keys() {
+            self.request_reach_check(service);
         }
     }
 
@@ -177,7 +184,7 @@
         let services = self.unreachable_services();
         metrics::gauge!("pistachiowick_unreachable_services").set(services.len() as f64);
         for service in services {
-            self.check_targets(&service, 1);
+            self.check_targets(&service, PROBED_TARGETS);
         }
     }
 
@@ -223,9 +230,11 @@
         deadline: Instant,
     ) {
         let timed_out = Instant::now() >= deadline;
-        if !timed_out || clock::mono_now().since(began) >= MIN_FAILURE_TIME {
+        let now = clock::mono_now();
+        if !timed_out || now.since(began) >= MIN_FAILURE_TIME {
             self.note_target_connection(target, false, began);
         }
+        self.check_after_silence(&target.service, now);
     }
 }
 
