A daemon counts as cut off after six targets, and gives up only on those it tried

Six targets have to fail, or all of fewer, and a check tries as many, the target that a request waits for first. A request that may be repeated is given up only if its own target was tried in vain.

--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -11,9 +11,9 @@
 use crate::names::{MonoTime, ServiceName};
 use crate::target_incarnation::TargetIncarnation;
 
-/// Number of targets to which connections have to fail, or all of fewer. One or two may be
-/// down, and a request tries as many without delay where connections are refused.
-const FAILED_TARGETS: usize = 3;
+/// Number of targets to which connections have to fail, or all of fewer. Some may be down or
+/// behind a partition that does not concern the others.
+pub const FAILED_TARGETS: usize = 6;
 /// Time after which a failed connection no longer counts.
 const FAILURE_RETENTION: Duration = Duration::from_secs(5);
 
@@ -128,11 +128,20 @@
         reach.is_some_and(|reach| reach.last_failure.is_some_and(|at| at >= since))
     }
 
-    /// Returns the targets to which connections have failed since the last answer of one.
+    /// Returns the number of targets to which connections have failed since the last answer
+    /// of one.
     #[must_use]
-    pub fn failed_targets(&self, service: &ServiceName) -> Vec<TargetIncarnation> {
+    pub fn failed_targets(&self, service: &ServiceName) -> usize {
+        self.services
+            .get(service)
+            .map_or(0, |reach| reach.failed.len())
+    }
+
+    /// Returns whether no target of a service can be reached, this one having been tried.
+    #[must_use]
+    pub fn is_cut_off_from(&self, service: &ServiceName, target: &TargetIncarnation) -> bool {
         let reach = self.services.get(service);
-        reach.map_or_else(Vec::new, |reach| reach.failed.keys().cloned().collect())
+        reach.is_some_and(|reach| reach.cut_since.is_some() && reach.failed.contains_key(target))
     }
 
     /// Returns the time since a target of a service was last heard of, or `None` if none was.
--- a/src/gateway/reach_check.rs
+++ b/src/gateway/reach_check.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use http::HeaderMap;
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use rand::seq::IndexedRandom;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
@@ -17,7 +17,7 @@
 use crate::gateway::daemon::Gateway;
 use crate::gateway::model::TargetRecord;
 use crate::gateway::port::SendMode;
-use crate::gateway::reach::ReachChange;
+use crate::gateway::reach::{FAILED_TARGETS, ReachChange};
 use crate::names::{MonoTime, ServiceName, millis};
 use crate::target_incarnation::TargetIncarnation;
 use crate::timer::TimerService;
@@ -30,8 +30,10 @@
 /// Silence of all targets of a service after which a request that waits for one has them
 /// checked.
 const MAX_SILENCE: Duration = Duration::from_millis(300);
-/// Targets checked on request; a single one may be down.
-const CHECKED_TARGETS: usize = 3;
+/// Targets checked on request.
+const CHECKED_TARGETS: usize = FAILED_TARGETS;
+/// Maximum number of targets of a service that are checked at once.
+const MAX_CHECKS: usize = 16;
 /// Interval at which some targets of each service that cannot be reached are checked, and
 /// their number.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
@@ -50,8 +52,8 @@
             () = gateway.reach_check_requested.notified() => {
                 sleep(CHECK_DELAY).await;
                 let requested = gateway.reach_checks.take();
-                for service in &requested {
-                    gateway.check_targets(service, CHECKED_TARGETS);
+                for (service, first) in &requested {
+                    gateway.check_targets(service, first, CHECKED_TARGETS);
                 }
             }
             tick = ticks.next() => {
@@ -119,36 +121,51 @@
 
     /// Has some targets of a service checked soon.
     pub fn request_reach_check(&self, service: &ServiceName) {
-        self.reach_checks.borrow_mut().insert(service.clone());
+        let mut checks = self.reach_checks.borrow_mut();
+        checks.entry(service.clone()).or_default();
         self.reach_check_requested.notify_one();
     }
 
-    /// Completes when this daemon reaches no target of a request's service, if the request may
-    /// be sent elsewhere then. Has the targets checked while none of them is heard of.
-    pub async fn until_cut_off(&self, call: &RoutedRequest, mode: &SendMode) {
+    /// Completes when this daemon reaches neither the target that a request was sent to nor
+    /// another one of its service, if the request may be sent elsewhere then. Has targets
+    /// checked while none of them is heard of.
+    pub async fn until_cut_off(
+        &self,
+        call: &RoutedRequest,
+        target: &TargetRecord,
+        mode: &SendMode,
+    ) {
         let service = &call.service.name;
         let may_repeat = call.route.retry.may_retry() || *mode == SendMode::Prefill;
         loop {
             sleep(MAX_SILENCE).await;
-            if may_repeat && self.is_cut_off(service) {
+            let reach = self.reach.borrow();
+            let is_cut_off = may_repeat && reach.is_cut_off_from(service, &target.id);
+            drop(reach);
+            if is_cut_off {
                 return;
             }
-            self.check_after_silence(service, clock::mono_now());
+            self.check_after_silence(target, clock::mono_now());
         }
     }
 
-    fn check_after_silence(&self, service: &ServiceName, now: MonoTime) {
-        let silence = self.reach.borrow().silence(service, now);
-        if silence.is_none_or(|silence| silence >= MAX_SILENCE) {
-            self.request_reach_check(service);
+    // Has a target and some others of its service checked if none was heard of for a time.
+    fn check_after_silence(&self, target: &TargetRecord, now: MonoTime) {
+        let silence = self.reach.borrow().silence(&target.service, now);
+        if silence.is_some_and(|silence| silence < MAX_SILENCE) {
+            return;
         }
+        self.request_reach_check(&target.service);
+        let mut checks = self.reach_checks.borrow_mut();
+        let first = checks.entry(target.service.clone()).or_default();
+        first.insert(target.id.clone());
     }
 
     fn handle_cut_off(&self, service: &ServiceName, now: MonoTime) {
         let reach = self.reach.borrow();
         let since_start = now.since(MonoTime::default());
         let silence = reach.silence(service, now).unwrap_or(since_start);
-        let failed = reach.failed_targets(service).len();
+        let failed = reach.failed_targets(service);
         drop(reach);
         let lost = self.losses.borrow_mut().drop_service(service);
         metrics::counter!("pistachiowick_partitions_total").increment(1);
@@ -184,7 +201,7 @@
         let services = self.unreachable_services();
         metrics::gauge!("pistachiowick_unreachable_services").set(services.len() as f64);
         for service in services {
-            self.check_targets(&service, PROBED_TARGETS);
+            self.check_targets(&service, &IndexSet::new(), PROBED_TARGETS);
         }
     }
 
@@ -196,15 +213,23 @@
         }
     }
 
-    fn check_targets(self: &Rc<Self>, service: &ServiceName, count: usize) {
+    // Checks some targets of a service, and those in `first` before others.
+    fn check_targets(
+        self: &Rc<Self>,
+        service: &ServiceName,
+        first: &IndexSet<TargetIncarnation>,
+        count: usize,
+    ) {
         let view = self.view();
         let targets = view.service_targets(service);
         if targets.is_empty() {
             self.reach.borrow_mut().forget(service);
             return;
         }
-        let chosen = targets.choose_multiple(&mut *self.rng.borrow_mut(), count);
-        for target in chosen {
+        let others = targets.choose_multiple(&mut *self.rng.borrow_mut(), count);
+        let others: Vec<_> = others.filter(|t| !first.contains(&t.id)).collect();
+        let waiting = targets.iter().filter(|target| first.contains(&target.id));
+        for target in waiting.chain(others).take(MAX_CHECKS) {
             let (gateway, target) = (self.clone(), target.clone());
             spawn_local(async move { gateway.check_target(&target).await });
         }
@@ -234,9 +259,9 @@
         if !timed_out || now.since(began) >= MIN_FAILURE_TIME {
             self.note_target_connection(target, false, began);
         }
-        self.check_after_silence(&target.service, now);
+        self.check_after_silence(target, now);
     }
 }
 
-/// Services whose targets are to be checked.
-pub type ReachChecks = IndexSet<ServiceName>;
+/// Services whose targets are to be checked, and the targets that come first.
+pub type ReachChecks = IndexMap<ServiceName, IndexSet<TargetIncarnation>>;
