A stream under way is resumed by another daemon

A stream that may be resumed ended at its caller when its daemon was partitioned from the engines, although others reached them.

Where no engine can be reached, or a connection to one has failed meanwhile, the daemon has another one resume the stream after the last event delivered, with a retry from the budget, and forwards its events.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -115,7 +115,8 @@
         };
         match answered {
             Err(failure) if self.may_hand_over(call, &history) => {
-                self.hand_over(call, &history, failure).await
+                let resume_after = call.caller.resume_after;
+                self.hand_over(call, &history, resume_after, failure).await
             }
             answered => answered,
         }
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -143,9 +143,7 @@
         }
         let service = &call.service.name;
         if history.sent.is_empty() && !history.may_have_run {
-            let arrived = clock::mono_now().0.saturating_sub(call.waited_ms());
-            let reach = self.reach.borrow();
-            return reach.is_cut_off(service) || reach.has_failed_since(service, MonoTime(arrived));
+            return self.has_lost_targets(call);
         }
         self.is_cut_off(service)
             && call.route.retry.may_retry()
@@ -153,7 +151,29 @@
             && (call.sends.covers_next() || self.take_retry(call, RetryCause::Unclear))
     }
 
-    /// Hands a request over to other daemons, one after the other until one serves it.
+    /// Returns whether another daemon may resume a stream that began here, and takes a retry
+    /// for that.
+    #[must_use]
+    pub(super) fn may_resume_elsewhere(&self, call: &RoutedRequest) -> bool {
+        let is_possible = call.origin.is_none()
+            && Instant::now() < call.deadline
+            && !self.is_quarantined(call)
+            && self.has_lost_targets(call);
+        is_possible
+            && (call.sends.covers_next() || self.take_retry(call, RetryCause::ResumedStream))
+    }
+
+    // Whether no target of a request's service can be reached, or a connection to one has
+    // failed since the request arrived.
+    fn has_lost_targets(&self, call: &RoutedRequest) -> bool {
+        let arrived = clock::mono_now().0.saturating_sub(call.waited_ms());
+        let service = &call.service.name;
+        let reach = self.reach.borrow();
+        reach.is_cut_off(service) || reach.has_failed_since(service, MonoTime(arrived))
+    }
+
+    /// Hands a request over to other daemons, one after the other until one serves it. A
+    /// stream is resumed after the event `resume_after`.
     ///
     /// # Errors
     ///
@@ -162,6 +182,7 @@
         self: &Rc<Self>,
         call: &RoutedRequest,
         history: &SendHistory,
+        resume_after: Option<u64>,
         failure: Failure,
     ) -> Result<Reply, Failure> {
         let mut failure = failure;
@@ -171,7 +192,7 @@
                 break;
             };
             let sent = Instant::now();
-            let outcome = self.send_to_peer(call, &peer, history).await;
+            let outcome = self.send_to_peer(call, &peer, history, resume_after).await;
             self.log_handover(call, &peer, &outcome, sent);
             tried.push(peer.id.clone());
             match outcome {
@@ -257,8 +278,9 @@
         call: &RoutedRequest,
         peer: &DaemonRecord,
         history: &SendHistory,
+        resume_after: Option<u64>,
     ) -> HandoverOutcome {
-        let Some(request) = self.handover_request(call, history) else {
+        let Some(request) = self.handover_request(call, history, resume_after) else {
             return HandoverOutcome::NotServed("the daemon's name cannot be sent".to_owned());
         };
         let sending = self.send_over_peer_connection(call, peer, &request);
@@ -283,6 +305,7 @@
         &self,
         call: &RoutedRequest,
         history: &SendHistory,
+        resume_after: Option<u64>,
     ) -> Option<OutgoingRequest> {
         let origin = HandoverOrigin {
             daemon: self.daemon.clone(),
@@ -290,7 +313,8 @@
             sends: u32::try_from(history.sent.len()).unwrap_or(u32::MAX),
         };
         let mut request = call.request.clone();
-        request.headers = (self.ports.wire.encode_handover)(&request.headers, call.time_left());
+        let encode = self.ports.wire.encode_handover;
+        request.headers = encode(&request.headers, call.time_left(), resume_after);
         let origin = HeaderValue::try_from(&origin).ok()?;
         request.headers.insert(ORIGIN, origin);
         Some(request)
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -207,8 +207,8 @@
     /// Builds the headers of a send from the caller's headers.
     pub encode_send: fn(&HeaderMap, &SendOrder) -> HeaderMap,
     /// Builds the headers of a request that is handed over to another daemon from the caller's
-    /// headers and the time left.
-    pub encode_handover: fn(&HeaderMap, Duration) -> HeaderMap,
+    /// headers, the time left and the number of the last event already delivered.
+    pub encode_handover: fn(&HeaderMap, Duration, Option<u64>) -> HeaderMap,
     /// Decodes the head of a target's answer.
     pub decode_answer: fn(StatusCode, &HeaderMap) -> AnswerMetadata,
     /// Decodes the name of the kept KV cache from the answer to [`SendMode::Prefill`].
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::stream;
-use http_body_util::BodyExt;
+use futures_util::{StreamExt, stream};
+use http_body_util::{BodyExt, Either};
 use hyper::body::Frame;
 use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
@@ -21,7 +21,7 @@
 use crate::gateway::event_split::EventSplitter;
 use crate::gateway::model::{RetryRule, TargetRecord};
 use crate::gateway::port::SendMode;
-use crate::gateway::reply::{AnswerTruncated, FrameStream};
+use crate::gateway::reply::{AnswerTruncated, Failure, FailureKind, FrameStream};
 use crate::gateway::sending::{SendOutcome, TargetAnswer};
 
 /// Silence of an engine after which a resumable stream is resumed on another one, as a
@@ -46,6 +46,8 @@
     call: Rc<RoutedRequest>,
     engine: Arc<TargetRecord>,
     answer: Option<TargetAnswer>,
+    // Frames from another daemon, once it has taken the stream over.
+    handed_over: Option<FrameStream>,
     splitter: EventSplitter,
     last_id: Option<u64>,
     history: SendHistory,
@@ -84,6 +86,7 @@
             call,
             engine,
             answer: Some(answer),
+            handed_over: None,
             splitter: EventSplitter::default(),
             last_id,
             history,
@@ -114,7 +117,9 @@
     async fn next(&mut self) -> Result<Option<Bytes>, AnswerTruncated> {
         loop {
             let step = self.step().await;
-            if let RelayStep::Cut(reason) = &step {
+            if let RelayStep::Cut(reason) = &step
+                && self.handed_over.is_none()
+            {
                 self.gateway
                     .record_connection_loss(&self.call, &self.engine, reason);
             }
@@ -142,6 +147,15 @@
     }
 
     async fn step(&mut self) -> RelayStep {
+        if let Some(frames) = &mut self.handed_over {
+            let frame = timeout_at(self.call.deadline, frames.next()).await;
+            return match frame {
+                Err(_) => RelayStep::OutOfTime,
+                Ok(None) => self.finish_body(),
+                Ok(Some(Err(cut))) => RelayStep::Broken(cut.to_string()),
+                Ok(Some(Ok(frame))) => self.take_frame(frame),
+            };
+        }
         let stall_deadline = self.stall_deadline();
         let Some(answer) = &mut self.answer else {
             return RelayStep::Broken("no engine is serving the stream".to_owned());
@@ -178,7 +192,9 @@
         let Ok(data) = frame.into_data() else {
             return RelayStep::Partial;
         };
-        self.gateway.note_target_bytes(&self.engine);
+        if self.handed_over.is_none() {
+            self.gateway.note_target_bytes(&self.engine);
+        }
         let Some(batch) = self.splitter.push(&data) else {
             return if self.splitter.is_overlong() {
                 RelayStep::Broken("the engine sent an event that is too long".to_owned())
@@ -216,7 +232,7 @@
     // Resumes after the last event forwarded to the caller. The answer keeps the head from
     // the first engine.
     async fn resume(&mut self, reason: &str) -> bool {
-        if !self.may_resume() {
+        if !self.may_resume() || self.handed_over.is_some() {
             return false;
         }
         self.gateway.note_result(&self.engine, SendResult::Failed);
@@ -224,6 +240,10 @@
         self.first_event_timer.timed = None;
         self.in_flight = None;
         self.splitter.clear();
+        self.resume_here(reason).await || self.resume_elsewhere().await
+    }
+
+    async fn resume_here(&mut self, reason: &str) -> bool {
         let turn_terms = self.call.continued_turn_terms();
         let Some(place) = self.gateway.place(&self.call, &self.history, turn_terms) else {
             return false;
@@ -235,7 +255,6 @@
             return false;
         }
         let engine = place.decode_engine;
-        self.history.sent.push(engine.id.clone());
         let mut in_flight = InFlightGuard::begin(
             &self.gateway,
             &engine.id,
@@ -262,6 +281,9 @@
             took_ms = sent.elapsed().as_millis() as u64;
             "tried to resume the stream on another engine"
         );
+        if !matches!(outcome, SendOutcome::NotSent(_)) {
+            self.history.sent.push(engine.id.clone());
+        }
         let SendOutcome::Answered(answer) = outcome else {
             return false;
         };
@@ -275,6 +297,28 @@
         true
     }
 
+    // Has another daemon resume the stream, if this one reaches no engine.
+    async fn resume_elsewhere(&mut self) -> bool {
+        let service = &self.call.service.name;
+        if !self.may_resume() || !self.gateway.may_resume_elsewhere(&self.call) {
+            return false;
+        }
+        let lost = Failure::new(FailureKind::Unclear, format!("no engine of {service}"));
+        let reply = self
+            .gateway
+            .hand_over(&self.call, &self.history, self.last_id, lost)
+            .await;
+        let Ok(reply) = reply else {
+            return false;
+        };
+        let is_success = reply.status().is_success();
+        let Either::Right(frames) = reply.into_body() else {
+            return false;
+        };
+        self.handed_over = is_success.then(|| -> FrameStream { Box::pin(frames.into_stream()) });
+        is_success
+    }
+
     fn log_end(&self, outcome: &'static str) {
         metrics::counter!("pistachiowick_gateway_answers_total", "outcome" => outcome).increment(1);
         let first_ms = self
@@ -293,7 +337,9 @@
     }
 
     fn end(&mut self, outcome: &'static str, result: SendResult) {
-        self.gateway.note_result(&self.engine, result);
+        if self.handed_over.is_none() {
+            self.gateway.note_result(&self.engine, result);
+        }
         self.log_end(outcome);
         self.ended = true;
         self.in_flight = None;
