A check opens two connections while no target is known to have failed

Each request that waited for 0.3 s at a quiet service had seven connections opened to its targets, which have a price and count against what targets accept: with 300 daemons and targets that accept 110 connections, a slow target alone would have used them up. Found by reading.

Two connections are opened first, and six only after one has failed while no target is heard of. Those beyond the daemon's share of a target's connections are closed again.

--- a/src/gateway/reach_check.rs
+++ b/src/gateway/reach_check.rs
@@ -30,8 +30,8 @@
 /// Silence of all targets of a service after which a request that waits for one has them
 /// checked.
 const MAX_SILENCE: Duration = Duration::from_millis(300);
-/// Targets checked on request.
-const CHECKED_TARGETS: usize = FAILED_TARGETS;
+/// Targets checked while none is known to have failed.
+const CHECKED_TARGETS: usize = 2;
 /// Maximum number of targets of a service that are checked at once.
 const MAX_CHECKS: usize = 16;
 /// Interval at which some targets of each service that cannot be reached are checked, and
@@ -52,8 +52,8 @@
             () = gateway.reach_check_requested.notified() => {
                 sleep(CHECK_DELAY).await;
                 let requested = gateway.reach_checks.take();
-                for (service, first) in &requested {
-                    gateway.check_targets(service, first, CHECKED_TARGETS);
+                for (service, check) in &requested {
+                    gateway.check_targets(service, check);
                 }
             }
             tick = ticks.next() => {
@@ -121,8 +121,19 @@
 
     /// Has some targets of a service checked soon.
     pub fn request_reach_check(&self, service: &ServiceName) {
+        self.request_check(service, None, CHECKED_TARGETS);
+    }
+
+    fn request_check(
+        &self,
+        service: &ServiceName,
+        first: Option<&TargetIncarnation>,
+        count: usize,
+    ) {
         let mut checks = self.reach_checks.borrow_mut();
-        checks.entry(service.clone()).or_default();
+        let check = checks.entry(service.clone()).or_default();
+        check.first.extend(first.cloned());
+        check.count = check.count.max(count);
         self.reach_check_requested.notify_one();
     }
 
@@ -145,20 +156,16 @@
             if is_cut_off {
                 return;
             }
-            self.check_after_silence(target, clock::mono_now());
+            if self.is_silent(service) {
+                self.request_check(service, Some(&target.id), CHECKED_TARGETS);
+            }
         }
     }
 
-    // Has a target and some others of its service checked if none was heard of for a time.
-    fn check_after_silence(&self, target: &TargetRecord, now: MonoTime) {
-        let silence = self.reach.borrow().silence(&target.service, now);
-        if silence.is_some_and(|silence| silence < MAX_SILENCE) {
-            return;
-        }
-        self.request_reach_check(&target.service);
-        let mut checks = self.reach_checks.borrow_mut();
-        let first = checks.entry(target.service.clone()).or_default();
-        first.insert(target.id.clone());
+    // Whether no target of a service was heard of for a time.
+    fn is_silent(&self, service: &ServiceName) -> bool {
+        let silence = self.reach.borrow().silence(service, clock::mono_now());
+        silence.is_none_or(|silence| silence >= MAX_SILENCE)
     }
 
     fn handle_cut_off(&self, service: &ServiceName, now: MonoTime) {
@@ -178,10 +185,11 @@
         );
         let view = self.view();
         self.forgive_targets(view.service_targets(service), silence, now);
-        // The same link may lead to the targets of other services, and this one may still have
-        // a target that has not been tried.
-        for service in view.targets.keys() {
-            self.request_reach_check(service);
+        // This service may still have a target that has not been tried, and the same link may
+        // lead to the targets of others.
+        self.request_check(service, None, FAILED_TARGETS);
+        for other in view.targets.keys() {
+            self.request_reach_check(other);
         }
     }
 
@@ -201,7 +209,7 @@
         let services = self.unreachable_services();
         metrics::gauge!("pistachiowick_unreachable_services").set(services.len() as f64);
         for service in services {
-            self.check_targets(&service, &IndexSet::new(), PROBED_TARGETS);
+            self.check_targets(&service, &ReachCheck::of(PROBED_TARGETS));
         }
     }
 
@@ -213,23 +221,18 @@
         }
     }
 
-    // Checks some targets of a service, and those in `first` before others.
-    fn check_targets(
-        self: &Rc<Self>,
-        service: &ServiceName,
-        first: &IndexSet<TargetIncarnation>,
-        count: usize,
-    ) {
+    fn check_targets(self: &Rc<Self>, service: &ServiceName, check: &ReachCheck) {
         let view = self.view();
         let targets = view.service_targets(service);
         if targets.is_empty() {
             self.reach.borrow_mut().forget(service);
             return;
         }
-        let others = targets.choose_multiple(&mut *self.rng.borrow_mut(), count);
-        let others: Vec<_> = others.filter(|t| !first.contains(&t.id)).collect();
-        let waiting = targets.iter().filter(|target| first.contains(&target.id));
-        for target in waiting.chain(others).take(MAX_CHECKS) {
+        let is_first = |target: &&Arc<TargetRecord>| check.first.contains(&target.id);
+        let others = targets.choose_multiple(&mut *self.rng.borrow_mut(), check.count);
+        let others: Vec<_> = others.filter(|target| !is_first(target)).collect();
+        let first = targets.iter().filter(is_first);
+        for target in first.chain(others).take(MAX_CHECKS) {
             let (gateway, target) = (self.clone(), target.clone());
             spawn_local(async move { gateway.check_target(&target).await });
         }
@@ -241,12 +244,27 @@
         let deadline = Instant::now() + CHECK_TIMEOUT;
         let opened = HttpConnection::open(target.address, deadline).await;
         self.note_target_connection(target, opened.is_ok(), began);
-        if let Ok(connection) = opened {
+        match opened {
+            Ok(connection) => self.keep_connection(target, connection),
+            Err(_) => self.check_more_targets(&target.service),
+        }
+    }
+
+    fn keep_connection(&self, target: &TargetRecord, connection: HttpConnection) {
+        let open = self.pool.borrow().open_count(&target.id);
+        if open < self.connection_share(target) {
             let mut pool = self.pool.borrow_mut();
             pool.put(&target.id, connection, &HeaderMap::new());
         }
     }
 
+    // Has as many targets checked as show a partition, after a connection that failed.
+    fn check_more_targets(&self, service: &ServiceName) {
+        if self.is_silent(service) && !self.is_cut_off(service) {
+            self.request_check(service, None, FAILED_TARGETS);
+        }
+    }
+
     /// Records a connection that could not be opened for a request before `deadline`.
     pub(super) fn note_failed_connection(
         &self,
@@ -259,9 +277,27 @@
         if !timed_out || now.since(began) >= MIN_FAILURE_TIME {
             self.note_target_connection(target, false, began);
         }
-        self.check_after_silence(target, now);
+        self.check_more_targets(&target.service);
+    }
+}
+
+/// A requested check of some targets of a service.
+#[derive(Clone, Debug, Default)]
+pub struct ReachCheck {
+    // Targets that are checked in any case, as requests wait for them.
+    first: IndexSet<TargetIncarnation>,
+    // Number of other targets.
+    count: usize,
+}
+
+impl ReachCheck {
+    fn of(count: usize) -> Self {
+        Self {
+            count,
+            ..Self::default()
+        }
     }
 }
 
-/// Services whose targets are to be checked, and the targets that come first.
-pub type ReachChecks = IndexMap<ServiceName, IndexSet<TargetIncarnation>>;
+/// Requested checks by service.
+pub type ReachChecks = IndexMap<ServiceName, ReachCheck>;
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -310,7 +310,7 @@
 
     // Targets reset connections, and the requests on them, above a limit for all daemons
     // together. Equal shares keep the daemons within it without coordination.
-    fn connection_share(&self, target: &TargetRecord) -> u32 {
+    pub(super) fn connection_share(&self, target: &TargetRecord) -> u32 {
         let view = self.view();
         let routes = view.routes.as_ref();
         let rule = routes.and_then(|routes| routes.service(&target.service));
