A refusal after a lost hand-over is not passed on as one

A request that may be repeated was told to have been refused, and not run, by the second daemon although the first one may have run it; and the second one might send it to as many targets again. After a lost hand-over the answer is now unclear, and it counts as one target received. Found by reading; no test of its own.

--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -12,9 +12,10 @@
 use futures_util::stream;
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
-use http::{HeaderMap, HeaderName, HeaderValue, Request};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
+use indexmap::IndexMap;
 use rand::seq::IndexedRandom;
 use thiserror::Error;
 use tokio::task::yield_now;
@@ -99,7 +100,7 @@
 }
 
 /// Daemons that could not serve a request, by service, and when.
-pub type PeerRefusals = indexmap::IndexMap<(DaemonId, ServiceName), MonoTime>;
+pub type PeerRefusals = IndexMap<(DaemonId, ServiceName), MonoTime>;
 
 enum HandoverOutcome {
     Answered(Reply),
@@ -187,15 +188,24 @@
     ) -> Result<Reply, Failure> {
         let mut failure = failure;
         let mut tried: Vec<DaemonId> = Vec::new();
+        let mut history = history.clone();
         while tried.len() < MAX_PEERS && Instant::now() < call.deadline {
             let Some(peer) = self.choose_peer(call, &tried) else {
                 break;
             };
             let sent = Instant::now();
-            let outcome = self.send_to_peer(call, &peer, history, resume_after).await;
+            let outcome = self.send_to_peer(call, &peer, &history, resume_after).await;
             self.log_handover(call, &peer, &outcome, sent);
             tried.push(peer.id.clone());
             match outcome {
+                // After a send that may have run, a refusal must not become the answer.
+                HandoverOutcome::Answered(reply)
+                    if history.may_have_run
+                        && reply.status() == StatusCode::SERVICE_UNAVAILABLE =>
+                {
+                    let reason = format!("{} refused the request, which may have run", peer.id);
+                    return Err(lost_answer(call, reason));
+                }
                 HandoverOutcome::Answered(reply) => return Ok(reply),
                 HandoverOutcome::NotServed(_) => {
                     let refused = (peer.id, call.service.name.clone());
@@ -204,8 +214,10 @@
                 }
                 HandoverOutcome::Unclear(reason) => {
                     call.sends.note_arrival(false);
+                    history.may_have_run = true;
+                    history.sent.push(peer_key(&peer));
                     failure = lost_answer(call, reason);
-                    let may_retry = call.route.retry.may_retry();
+                    let may_retry = call.route.retry.may_retry() && history.may_send(call);
                     if !may_retry || !self.take_retry(call, RetryCause::Unclear) {
                         break;
                     }
@@ -326,7 +338,7 @@
         peer: &DaemonRecord,
         request: &OutgoingRequest,
     ) -> Result<(http::Response<Incoming>, PeerConnection), SendError> {
-        let key = TargetIncarnation::from(format!("{}/{}", peer.id, peer.incarnation).as_str());
+        let key = peer_key(peer);
         let connection = |inner| PeerConnection {
             gateway: self.clone(),
             key: key.clone(),
@@ -423,15 +435,20 @@
     }
 
     /// Returns the answer that reports a failure of a handed-over request: that it was not
-    /// served, if another daemon may be able to.
-    pub(super) fn handover_failure(&self, failure: &Failure, reaches_targets: bool) -> Reply {
-        if failure.kind == FailureKind::Refused && !reaches_targets {
+    /// served, if no target was offered it here, so that another daemon is asked.
+    pub(super) fn handover_failure(&self, failure: &Failure, was_offered: bool) -> Reply {
+        if failure.kind == FailureKind::Refused && !was_offered {
             return not_served(failure);
         }
         failure.reply()
     }
 }
 
+// Returns the key of a daemon's process among connections and sends.
+fn peer_key(peer: &DaemonRecord) -> TargetIncarnation {
+    TargetIncarnation::from(format!("{}/{}", peer.id, peer.incarnation))
+}
+
 fn not_served(failure: &Failure) -> Reply {
     let mut reply = failure.reply();
     let headers = reply.headers_mut();
