Requests earn retries for a window only, also after the last of them

A service that got no more requests went on to pay for retries with those of its last window, for as long as the process ran: counts of requests were dropped only when the next request came. Streams that are resumed after a rush could so be more than the budget allows.

Counts of requests are dropped when a retry is asked for as well.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -147,6 +147,7 @@
         let ratio = self.rule.ratio;
         let counts = self.services.entry(service.clone()).or_default();
         counts.retries.retain(|at, _| *at + SPANS >= span);
+        counts.requests.retain(|at, _| *at + SPANS >= span);
         let requests: u32 = counts.requests.values().sum();
         let retries: u32 = counts.retries.values().sum();
         let limit = BUDGET_SHARE_USED * (ratio * f64::from(requests) + share);
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -50,6 +50,18 @@
     assert!(case.within.0 <= spent && spent <= case.within.1, "{spent}");
 }
 
+// Guards against retries that requests of long ago pay for, after a service gets no more requests.
+#[test]
+fn requests_earn_retries_for_a_window_only() {
+    let service = ServiceName::from("ledger");
+    let mut budget = RetryLimiter::new(RULE, MonoTime(0));
+    (0..1_000).for_each(|_| budget.note_request(&service, MonoTime(50_000)));
+    let now = MonoTime(90_000);
+    budget.note_fleet(Some(7), now);
+    let spent = (0..1_000).filter(|_| budget.spend(&service, now)).count();
+    assert!(spent as f64 <= 54.0 / 7.0, "{spent} retries");
+}
+
 #[derive(Clone, Copy)]
 enum SendStep {
     Retry,
