A reload that changes the retry window counts as a start of the budget

Counts are kept by tenths of the window. After a reload with a shorter window what had just been spent was dropped, so that a whole share was there anew; with a longer one the counts of the past stayed for as long as the process had run.

A change of the window now forgets all counts and holds the share back for a window.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -101,8 +101,12 @@
         }
     }
 
-    /// Sets the limits from now on.
-    pub fn set_rule(&mut self, rule: BudgetRule) {
+    /// Sets the limits from `now` on. Counts by spans of another length say nothing about the
+    /// new window, so a change of the window is a start.
+    pub fn set_rule(&mut self, rule: BudgetRule, now: MonoTime) {
+        if rule.window != self.rule.window {
+            *self = Self::new(rule, now);
+        }
         self.rule = rule;
     }
 
--- a/src/gateway/reload.rs
+++ b/src/gateway/reload.rs
@@ -5,6 +5,7 @@
 
 use tokio::sync::mpsc;
 
+use crate::clock;
 use crate::gateway::daemon::Gateway;
 use crate::gateway::settings::GatewaySettings;
 use crate::timer::TimerService;
@@ -61,7 +62,9 @@
             return;
         }
         let changed = updated != *current;
-        self.budget.borrow_mut().set_rule(updated.budget_rule());
+        let mut budget = self.budget.borrow_mut();
+        budget.set_rule(updated.budget_rule(), clock::mono_now());
+        drop(budget);
         self.set_settings(updated);
         log::info!(changed = changed; "settings read again");
     }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -62,6 +62,41 @@
     assert!(spent as f64 <= 54.0 / 7.0, "{spent} retries");
 }
 
+struct ReloadCase {
+    before_s: u64,
+    after_s: u64,
+}
+
+// Guards against a new share, or requests that count for far too long, after a reload that changes
+// the window.
+#[rstest]
+#[case::shorter(ReloadCase { before_s: 10, after_s: 1 })]
+#[case::longer(ReloadCase { before_s: 1, after_s: 10 })]
+fn a_change_of_the_window_brings_no_retries(#[case] case: ReloadCase) {
+    let rule = |seconds| BudgetRule {
+        window: Duration::from_secs(seconds),
+        ..RULE
+    };
+    let service = ServiceName::from("ledger");
+    let mut budget = RetryLimiter::new(rule(case.before_s), MonoTime(0));
+    let reloaded = MonoTime(50_000);
+    (0..1_000).for_each(|_| budget.note_request(&service, reloaded));
+    budget.note_fleet(Some(1), reloaded);
+    assert!((0..1_000).any(|_| budget.spend(&service, reloaded)));
+    while budget.spend(&service, reloaded) {}
+    budget.set_rule(rule(case.after_s), reloaded);
+    for wait_ms in (0..case.after_s * 1_000).step_by(50) {
+        let now = MonoTime(reloaded.0 + wait_ms);
+        budget.note_fleet(Some(1), now);
+        assert!(!budget.spend(&service, now), "after {wait_ms} ms");
+    }
+    let settled = MonoTime(reloaded.0 + case.after_s * 1_000);
+    let spent = (0..1_000)
+        .filter(|_| budget.spend(&service, settled))
+        .count();
+    assert!(0 < spent && spent <= 54, "{spent} retries");
+}
+
 #[derive(Clone, Copy)]
 enum SendStep {
     Retry,
