--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -111,7 +111,7 @@
     }
 
     /// Records the number of daemons that share the allowance, this one included; `None` while
-    /// the list of daemons does not contain this process. To be called at least once per span
+    /// the list of daemons does not contain this process. To be called at least once per window
     /// and before a retry is taken.
     pub fn note_fleet(&mut self, size: Option<usize>, now: MonoTime) {
         self.fleet_size = size;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -17,7 +17,7 @@
     CallerAccess, CallerRequest, PromptShape, RouteRule, ServiceRule, TargetRecord,
 };
 use crate::gateway::sending::SendPlan;
-use crate::names::millis;
+use crate::names::{MonoTime, millis};
 use crate::target_incarnation::TargetIncarnation;
 use crate::target_limits::tracker::TurnTerms;
 
@@ -66,10 +66,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Returns the milliseconds since the request arrived.
+    /// Returns when the request arrived, by the clock that decisions use.
     #[must_use]
-    pub fn waited_ms(&self) -> u64 {
-        millis(self.arrived.elapsed())
+    pub fn arrived_at(&self) -> MonoTime {
+        let waited = millis(self.arrived.elapsed());
+        MonoTime(clock::mono_now().0.saturating_sub(waited))
     }
 
     /// Returns the number of targets that received the request before it arrived here.
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -167,10 +167,9 @@
     // Whether no target of a request's service can be reached, or a connection to one has
     // failed since the request arrived.
     fn has_lost_targets(&self, call: &RoutedRequest) -> bool {
-        let arrived = clock::mono_now().0.saturating_sub(call.waited_ms());
         let service = &call.service.name;
         let reach = self.reach.borrow();
-        reach.is_cut_off(service) || reach.has_failed_since(service, MonoTime(arrived))
+        reach.is_cut_off(service) || reach.has_failed_since(service, call.arrived_at())
     }
 
     /// Hands a request over to other daemons, one after the other until one serves it. A
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -153,10 +153,11 @@
             "target closed the connection before its answer was complete"
         );
         let service = &target.service;
-        let arrived = MonoTime(now.0.saturating_sub(call.waited_ms()));
-        if self.reach.borrow().was_cut_off_since(service, arrived) {
+        let reach = self.reach.borrow();
+        if reach.was_cut_off_since(service, call.arrived_at()) {
             return;
         }
+        drop(reach);
         let is_suspect = self.crashes.borrow().contains(work);
         let is_repeated = self.losses.borrow_mut().add(ConnectionLoss {
             work,
