Logs name the software version of targets

Change: the version is read from a target's entry, which had it already, and is kept in its record. Lines that a target appears, of a placement, of a send, of a stream that is resumed and of one that ends name it. Nothing is decided by it yet.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -139,6 +139,7 @@
             route = self.route.name.as_str(),
             step = step,
             target_id = target.id.as_str(),
+            software = target.software.as_str(),
             config = self.view.routes.as_ref().map_or(0, |r| r.version),
             outcome = outcome,
             took_ms = sent.elapsed().as_millis() as u64,
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -134,6 +134,8 @@
             route = call.route.name.as_str(),
             reader = prefill_engine.id.as_str(),
             writer = place.decode_engine.id.as_str(),
+            reader_software = prefill_engine.software.as_str(),
+            writer_software = place.decode_engine.software.as_str(),
             hand_over = place.prefill_engine.is_some(),
             prompt_tokens = prompt.map_or(0, |p| p.prompt_tokens),
             unread_tokens = place.pending_prefill_tokens,
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 
 use crate::access_key::KeyDigest;
-use crate::names::{CentreName, ServiceName, WorkspaceName};
+use crate::names::{CentreName, ServiceName, SoftwareVersion, WorkspaceName};
 use crate::target_incarnation::TargetIncarnation;
 
 /// Whether and how requests of a route may be retried.
@@ -197,6 +197,8 @@
     pub address: SocketAddr,
     /// Data centre that it runs in.
     pub centre: CentreName,
+    /// Version of its software. Targets of several versions may offer one service.
+    pub software: SoftwareVersion,
     /// Maximum number of concurrent requests.
     pub slots: u32,
     /// Whether it announced that it is leaving.
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -524,6 +524,7 @@
         born = record.id.started_at().map_or(0, |at| at.0),
         address = record.address.to_string(),
         service = record.service.as_str(),
+        software = record.software.as_str(),
         stage = record.stage.map_or("", |stage| stage.as_str()),
         revision = revision,
         source = source.as_str();
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -277,6 +277,8 @@
             reason = reason,
             after_event = self.last_id.unwrap_or(0),
             target_id = engine.id.as_str(),
+            software = engine.software.as_str(),
+            before_software = self.engine.software.as_str(),
             outcome = outcome.as_str(),
             took_ms = sent.elapsed().as_millis() as u64;
             "tried to resume the stream on another engine"
@@ -328,6 +330,7 @@
             request = self.call.caller.id.as_str(),
             route = self.call.route.name.as_str(),
             target_id = self.engine.id.as_str(),
+            software = self.engine.software.as_str(),
             outcome = outcome,
             last_event = self.last_id.unwrap_or(0),
             first_event_ms = first_ms,
--- a/src/names.rs
+++ b/src/names.rs
@@ -67,6 +67,10 @@
     /// Names a plain service, which several targets may offer.
     ServiceName
 );
+text_name!(
+    /// Names the version of a target's software, which is not the version of its model's weights.
+    SoftwareVersion
+);
 text_name!(
     /// Names a daemon of this system.
     DaemonId
--- a/tests/gateway_samples/mod.rs
+++ b/tests/gateway_samples/mod.rs
@@ -7,7 +7,7 @@
     CallerLimits, EngineLimits, EngineStage, FleetConfig, RetryRule, RouteRule, ServiceRule,
     ServiceShare, TargetRecord,
 };
-use pistachiowick::names::{CentreName, ServiceName};
+use pistachiowick::names::{CentreName, ServiceName, SoftwareVersion};
 use pistachiowick::target_incarnation::TargetIncarnation;
 
 /// Service of the sample routes.
@@ -71,6 +71,7 @@
         service: ServiceName::from(SERVICE),
         address: address.parse().expect("an address"),
         centre: CentreName::from("hall-a"),
+        software: SoftwareVersion::from("v1"),
         slots: 8,
         leaving: false,
         stage: None,
