A broken stream goes on at an engine of its version only

What callers saw: a stream whose engine broke off, fell silent or left went on at whichever engine was best, also at one of another software version.

Cause: the version of the engine that began a stream was not kept; all engines of a service counted as equal.

Change: the first event that is passed on fixes the version of the stream; until then it is free to change. From then on all choices for the request leave out engines of other versions: of an engine, of another prefill engine, of the source of cached parts, and what a hub chose. Before the first event of an engine is passed on, its entry must still be of the version that it was chosen for; otherwise the stream is continued elsewhere, as if the engine had broken off. Where no engine of the version is left, the answer is cut, as for a stream that can't be resumed.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -17,7 +17,7 @@
     CallerAccess, CallerRequest, PromptShape, RouteRule, ServiceRule, TargetRecord,
 };
 use crate::gateway::sending::SendPlan;
-use crate::names::{MonoTime, millis};
+use crate::names::{MonoTime, SoftwareVersion, millis};
 use crate::target_incarnation::TargetIncarnation;
 use crate::target_limits::tracker::TurnTerms;
 
@@ -51,6 +51,9 @@
     pub is_probe: Cell<bool>,
     /// Where it comes from, if another daemon handed it over.
     pub origin: Option<HandoverOrigin>,
+    /// Version of the software that began its stream, once the caller may have an event of it.
+    /// The stream goes on at targets of this version only.
+    pub software: OnceCell<SoftwareVersion>,
     /// Its sends, as the fleet's retry budget counts them.
     pub sends: SendCounts,
     /// When the request arrived.
@@ -73,6 +76,14 @@
         MonoTime(clock::mono_now().0.saturating_sub(waited))
     }
 
+    /// Returns whether a target may get the request: one of another software version must not
+    /// go on with its stream.
+    #[must_use]
+    pub fn allows(&self, target: &TargetRecord) -> bool {
+        let software = self.software.get();
+        software.is_none_or(|software| *software == target.software)
+    }
+
     /// Returns the number of targets that received the request before it arrived here.
     #[must_use]
     pub fn prior_sends(&self) -> u32 {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -187,6 +187,7 @@
             digest: OnceCell::new(),
             is_probe: Cell::new(false),
             origin: None,
+            software: OnceCell::new(),
             sends: SendCounts::default(),
             arrived,
             deadline,
@@ -397,7 +398,9 @@
         let late: Vec<&TargetIncarnation> = late_turns(&turns, terms).collect();
         let usable = targets.iter().filter(|target| {
             let id = &target.id;
-            !history.has(id) && current.has_target(id) && !late.contains(&id)
+            !history.has(id)
+                && current.find(id).is_some_and(|target| call.allows(target))
+                && !late.contains(&id)
         });
         let core = self.core.borrow();
         core.choose_plain_target(usable, &turns, || rng.random(), clock::mono_now())
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -435,9 +435,11 @@
     ) -> T {
         let engines = self.eligible(call.view.service_targets(&call.service.name));
         let turns = self.turn_offers(&engines, turn_terms);
+        let other_versions = engines.iter().filter(|engine| !call.allows(engine));
         let excluded: Vec<TargetIncarnation> = tried
             .iter()
             .chain(late_turns(&turns, turn_terms))
+            .chain(other_versions.map(|engine| &engine.id))
             .cloned()
             .collect();
         decide(EngineCandidates {
--- a/src/gateway/peers/placing.rs
+++ b/src/gateway/peers/placing.rs
@@ -228,8 +228,10 @@
         let core = self.core.borrow();
         let avoided = engines.iter().filter(|engine| {
             let id = &engine.id;
-            // The hub does not know which engines refuse the requests of this daemon.
+            // The hub does not know which engines refuse the requests of this daemon, nor at
+            // which version a stream goes on.
             history.has(id)
+                || !call.allows(engine)
                 || late.contains(&id)
                 || self.is_backing_off(id)
                 || core.health.view(id, now).avoided
@@ -254,8 +256,9 @@
         let newest = self.view();
         let known = call.view.service_targets(&call.service.name);
         let find = |id: &TargetIncarnation| -> Option<Arc<TargetRecord>> {
-            let found = known.iter().find(|engine| engine.id == *id)?;
-            newest.has_target(id).then(|| found.clone())
+            let is_known = known.iter().any(|engine| engine.id == *id);
+            let found = newest.find(id).filter(|_| is_known)?;
+            call.allows(found).then(|| found.clone())
         };
         let prefill_engine = match &engines.prefill_engine {
             Some(id) => Some(find(id)?),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -54,6 +54,8 @@
     in_flight: Option<InFlightGuard>,
     first_event_timer: FirstEventTimer,
     first_event_at: Option<Instant>,
+    // Whether the engine has sent an event, and was of its recorded version then.
+    is_engine_checked: bool,
     ended: bool,
 }
 
@@ -93,6 +95,7 @@
             in_flight: Some(in_flight),
             first_event_timer,
             first_event_at: None,
+            is_engine_checked: false,
             ended: false,
         }
     }
@@ -202,6 +205,10 @@
                 RelayStep::Partial
             };
         };
+        if !self.check_engine() {
+            let reason = "another software version took the place of the engine";
+            return RelayStep::Broken(reason.to_owned());
+        }
         if self.first_event_at.is_none() {
             self.first_event_at = Some(Instant::now());
             self.gateway.record_start(&self.call);
@@ -217,6 +224,23 @@
         RelayStep::Bytes(batch.bytes)
     }
 
+    // Returns whether events of the engine may be passed on, and fixes the version of the stream
+    // with the first one.
+    fn check_engine(&mut self) -> bool {
+        if self.handed_over.is_some() || self.is_engine_checked {
+            return true;
+        }
+        let software = &self.engine.software;
+        let view = self.gateway.view();
+        let current = view.find(&self.engine.id);
+        if current.is_some_and(|record| record.software != *software) {
+            return false;
+        }
+        let begun_at = self.call.software.get_or_init(|| software.clone());
+        self.is_engine_checked = begun_at == software;
+        self.is_engine_checked
+    }
+
     fn finish_body(&mut self) -> RelayStep {
         let rest = self.splitter.take_rest();
         if rest.is_empty() {
@@ -295,6 +319,7 @@
         in_flight.note_prefilled();
         self.in_flight = Some(in_flight);
         self.engine = engine;
+        self.is_engine_checked = false;
         self.answer = Some(*answer);
         true
     }
