A stream that is handed over goes on at its version

What callers saw: a stream under way whose daemon no longer reached an engine was resumed by another daemon at whichever engine that one chose.

Cause: a handover told how many targets had received the request and the last event, and not which version had begun the stream.

Change: the daemon that hands a stream over names the version; the other one sends it to engines of that version only, and names in the head of its answer the version at which a stream began or goes on. The version of a stream that is handed over before its first event is fixed with that head. An answer that does not name the version that was asked for, as of a daemon of an older release, is not passed on.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -57,6 +57,10 @@
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         let is_handed_over = origin.is_some();
+        let software = OnceCell::new();
+        if let Some(begun_at) = origin.as_ref().and_then(|origin| origin.software.clone()) {
+            let _ = software.set(begun_at);
+        }
         match self.admit(head, body, arrived).await {
             Err(failure) => {
                 self.log_failure("", "", &failure, arrived);
@@ -65,7 +69,14 @@
                 }
                 failure.reply()
             }
-            Ok(call) => self.run(RoutedRequest { origin, ..call }).await,
+            Ok(call) => {
+                let call = RoutedRequest {
+                    origin,
+                    software,
+                    ..call
+                };
+                self.run(call).await
+            }
         }
     }
 
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -16,6 +16,7 @@
 use crate::gateway::deciding::health::SendResult;
 use crate::gateway::deciding::{EngineCandidates, PlacementQuery, TimedWork};
 use crate::gateway::forward::lost_answer;
+use crate::gateway::handover;
 use crate::gateway::model::TargetRecord;
 use crate::gateway::port::{SendMode, SendOrder};
 use crate::gateway::rate_limits::late_turns;
@@ -342,7 +343,15 @@
         history: SendHistory,
         (in_flight, first_event_timer): (InFlightGuard, FirstEventTimer),
     ) -> Reply {
-        let head = answer.head.clone();
+        let mut head = answer.head.clone();
+        if call.origin.is_some() {
+            // The other daemon is told with the head, so the version no longer changes before the
+            // first event.
+            let software = call
+                .software
+                .get_or_init(|| place.decode_engine.software.clone());
+            handover::state_software(&mut head, software);
+        }
         let relay = EventRelay::new(
             self.clone(),
             call.clone(),
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -31,12 +31,15 @@
 use crate::gateway::reply::{
     AnswerTruncated, Failure, FailureKind, FrameStream, Reply, stream_reply, whole_reply,
 };
-use crate::names::{DaemonId, MonoTime, ServiceName};
+use crate::names::{DaemonId, MonoTime, ServiceName, SoftwareVersion};
 use crate::target_incarnation::TargetIncarnation;
 
 /// Daemon that hands a request over, its incarnation and the number of targets that received
 /// the request.
 const ORIGIN: HeaderName = HeaderName::from_static("pistachiowick-origin");
+/// Version of the software that a stream goes on at, in a request, and that it began at, in an
+/// answer.
+const SOFTWARE: HeaderName = HeaderName::from_static("pistachiowick-software");
 /// States that a daemon cannot serve a request that was handed over, which has not run.
 const NOT_SERVED: HeaderName = HeaderName::from_static("pistachiowick-not-served");
 /// Daemons to which one request is offered.
@@ -63,6 +66,8 @@
     pub incarnation: u64,
     /// Number of targets that received the request.
     pub sends: u32,
+    /// Version of the software that began its stream, if the caller may have an event of it.
+    pub software: Option<SoftwareVersion>,
 }
 
 /// A handed-over request that does not state where it comes from.
@@ -81,10 +86,17 @@
             incarnation: next()?.parse().map_err(|_| OriginError)?,
             sends: next()?.parse().map_err(|_| OriginError)?,
             daemon: DaemonId::from(next()?),
+            software: software_of(headers),
         })
     }
 }
 
+fn software_of(headers: &HeaderMap) -> Option<SoftwareVersion> {
+    let text = headers.get(SOFTWARE)?.to_str().ok()?;
+    Some(SoftwareVersion::from(text))
+}
+
+/// Writes all but the version of the software, which has a header of its own.
 impl TryFrom<&HandoverOrigin> for HeaderValue {
     type Error = OriginError;
 
@@ -93,6 +105,7 @@
             daemon,
             incarnation,
             sends,
+            ..
         } = origin;
         let text = format!("{incarnation} {sends} {daemon}");
         Self::from_str(&text).map_err(|_| OriginError)
@@ -322,10 +335,16 @@
             daemon: self.daemon.clone(),
             incarnation: self.incarnation,
             sends: u32::try_from(history.sent.len()).unwrap_or(u32::MAX),
+            software: call.software.get().cloned(),
         };
         let mut request = call.request.clone();
         let encode = self.ports.wire.encode_handover;
         request.headers = encode(&request.headers, call.time_left(), resume_after);
+        request.headers.remove(SOFTWARE);
+        if let Some(software) = &origin.software {
+            let software = HeaderValue::from_str(software.as_str()).ok()?;
+            request.headers.insert(SOFTWARE, software);
+        }
         let origin = HeaderValue::try_from(&origin).ok()?;
         request.headers.insert(ORIGIN, origin);
         Some(request)
@@ -384,7 +403,7 @@
         response: http::Response<Incoming>,
         connection: PeerConnection,
     ) -> HandoverOutcome {
-        let (head, body) = response.into_parts();
+        let (mut head, body) = response.into_parts();
         if head.headers.contains_key(NOT_SERVED) {
             let text = client::read_body(body, MAX_REFUSAL_BYTES, call.deadline).await;
             let text = text.unwrap_or_default();
@@ -396,6 +415,15 @@
         if answered.is_some_and(|id| id != call.caller.id) {
             return HandoverOutcome::Unclear("another request was answered".to_owned());
         }
+        let software = software_of(&head.headers);
+        head.headers.remove(SOFTWARE);
+        if let Some(begun_at) = call.software.get()
+            && head.status.is_success()
+            && software.as_ref() != Some(begun_at)
+        {
+            let reason = format!("the daemon does not state that the stream goes on at {begun_at}");
+            return HandoverOutcome::Unclear(reason);
+        }
         if !head.headers.contains_key(CONTENT_LENGTH) {
             let frames = peer_frames(head.clone(), body, connection, call.deadline);
             return HandoverOutcome::Answered(stream_reply(head, frames));
@@ -413,6 +441,7 @@
     pub async fn serve_handed_over(self: Rc<Self>, mut request: Request<Incoming>) -> Reply {
         let origin = HandoverOrigin::try_from(request.headers());
         request.headers_mut().remove(ORIGIN);
+        request.headers_mut().remove(SOFTWARE);
         match origin {
             Ok(origin) if self.knows_origin(&origin) => {
                 metrics::counter!("pistachiowick_handed_over_requests_total").increment(1);
@@ -443,6 +472,13 @@
     }
 }
 
+/// States in the head of an answer to another daemon at which version its stream began.
+pub(super) fn state_software(head: &mut Parts, software: &SoftwareVersion) {
+    if let Ok(value) = HeaderValue::from_str(software.as_str()) {
+        head.headers.insert(SOFTWARE, value);
+    }
+}
+
 // Returns the key of a daemon's process among connections and sends.
 fn peer_key(peer: &DaemonRecord) -> TargetIncarnation {
     TargetIncarnation::from(format!("{}/{}", peer.id, peer.incarnation))
--- a/tests/gateway_reach.rs
+++ b/tests/gateway_reach.rs
@@ -122,6 +122,7 @@
         daemon: DaemonId::from("node-3"),
         incarnation: u64::MAX,
         sends: 1,
+        software: None,
     };
     let value = HeaderValue::try_from(&origin).expect("a value");
     assert_eq!(value, "18446744073709551615 1 node-3");
