The engines of a request are of one software version

What callers saw: nothing so far.

The safe side: engines that prefill, decode and lend cached parts to one request are of one version. A placement is made for each version of the candidates, and the one of the least cost is taken; with one version that is the placement as before.

--- a/src/gateway/deciding/engine_choice.rs
+++ b/src/gateway/deciding/engine_choice.rs
@@ -131,6 +131,8 @@
     pub fetch_from: Option<Arc<TargetRecord>>,
     /// Rank of the request in engines' queues.
     pub rank: u8,
+    /// Expected time to the first token plus the cost to other requests, in milliseconds.
+    pub cost_ms: f64,
     /// Expected time to the first token, in milliseconds.
     pub expected_ms: f64,
     /// Part of the expected time that prefilling the request itself takes.
@@ -201,6 +203,7 @@
         decode_engine: decode_engine.record.clone(),
         fetch_from: remote.fetch_from.map(|source| source.record.clone()),
         rank,
+        cost_ms: remote.cost_ms + decode.cost,
         expected_ms: remote.expected_ms + decode.expected,
         own_prefill_ms: remote.own_prefill_ms,
         pending_prefill_tokens: remote.pending_prefill_tokens,
@@ -234,6 +237,7 @@
         decode_engine: option.engine.record.clone(),
         fetch_from: option.fetch_from.map(|source| source.record.clone()),
         rank,
+        cost_ms: option.cost_ms,
         expected_ms: option.expected_ms,
         own_prefill_ms: option.own_prefill_ms,
         pending_prefill_tokens: option.pending_prefill_tokens,
--- a/src/gateway/deciding/mod.rs
+++ b/src/gateway/deciding/mod.rs
@@ -16,6 +16,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use indexmap::IndexSet;
+
 use crate::gateway::deciding::affinity::CacheIndex;
 use crate::gateway::deciding::engine_choice::{EnginePlacement, EngineState, PlacementWeights};
 use crate::gateway::deciding::engine_model::{EngineSpeeds, EngineWork};
@@ -25,7 +27,7 @@
 use crate::gateway::deciding::load::LoadTracker;
 use crate::gateway::deciding::work_meter::WorkMeter;
 use crate::gateway::model::{PromptPart, PromptShape, TargetRecord};
-use crate::names::{MonoTime, ServiceName};
+use crate::names::{MonoTime, ServiceName, SoftwareVersion};
 use crate::target_incarnation::TargetIncarnation;
 use crate::target_limits::tracker::{TurnOffer, TurnOffers};
 
@@ -42,9 +44,20 @@
     pub excluded: &'a [TargetIncarnation],
     /// Offers at the engines that limit or refuse requests.
     pub turns: &'a TurnOffers,
+    /// Version of the engines' software that is allowed, if only one is.
+    pub software: Option<&'a SoftwareVersion>,
 }
 
 impl EngineCandidates<'_> {
+    // Returns the versions that may be chosen. The engines of a request are of one version:
+    // what one version writes into a cache need not fit another.
+    fn versions(&self) -> IndexSet<&SoftwareVersion> {
+        match self.software {
+            Some(software) => IndexSet::from([software]),
+            None => self.engines.iter().map(|engine| &engine.software).collect(),
+        }
+    }
+
     fn service(&self) -> ServiceName {
         let first = self.engines.first();
         first.map_or_else(|| ServiceName::from(""), |engine| engine.service.clone())
@@ -162,7 +175,18 @@
     /// Chooses engines for a request; `None` if no decode engine is available.
     #[must_use]
     pub fn place(&self, query: &PlacementQuery<'_>, now: MonoTime) -> Option<EnginePlacement> {
-        let engines = self.engine_states(&query.choices, &query.prompt.parts, now);
+        let versions = query.choices.versions().into_iter();
+        let placements = versions.filter_map(|software| self.place_at(query, software, now));
+        placements.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
+    }
+
+    fn place_at(
+        &self,
+        query: &PlacementQuery<'_>,
+        software: &SoftwareVersion,
+        now: MonoTime,
+    ) -> Option<EnginePlacement> {
+        let engines = self.engine_states(&query.choices, software, &query.prompt.parts, now);
         let service = query.choices.service();
         let choose = |rank, deprioritized| {
             let latencies = self.engines.latencies(&service, deprioritized);
@@ -202,13 +226,17 @@
         rank: u8,
         now: MonoTime,
     ) -> Option<Arc<TargetRecord>> {
-        let engines = self.engine_states(choices, &prompt.parts, now);
         let latencies = self.engines.latencies(&choices.service(), false);
-        engine_choice::choose_engines(&self.weights, &latencies, &engines, prompt, rank)?
-            .prefill_engine
+        let placements = choices.versions().into_iter().filter_map(|software| {
+            let engines = self.engine_states(choices, software, &prompt.parts, now);
+            engine_choice::choose_engines(&self.weights, &latencies, &engines, prompt, rank)
+        });
+        let cheapest = placements.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
+        cheapest?.prefill_engine
     }
 
-    /// Chooses the decode engine for a prompt that was prefilled elsewhere.
+    /// Chooses the decode engine for a prompt that was prefilled elsewhere, by engines of the
+    /// version `software`.
     ///
     /// A prefill takes up to seconds, in which engines leave and loads change, so the
     /// decode engine is chosen again once it is done.
@@ -216,11 +244,11 @@
     pub fn choose_decode_engine(
         &self,
         choices: &EngineCandidates<'_>,
-        prompt: &PromptShape,
-        rank: u8,
+        software: &SoftwareVersion,
+        (prompt, rank): (&PromptShape, u8),
         now: MonoTime,
     ) -> Option<Arc<TargetRecord>> {
-        let engines = self.engine_states(choices, &prompt.parts, now);
+        let engines = self.engine_states(choices, software, &prompt.parts, now);
         let latencies = self.engines.latencies(&choices.service(), false);
         engine_choice::choose_decode_engine(&self.weights, &latencies, &engines, prompt, rank)
     }
@@ -250,12 +278,15 @@
     fn engine_states(
         &self,
         choices: &EngineCandidates<'_>,
+        software: &SoftwareVersion,
         parts: &[PromptPart],
         now: MonoTime,
     ) -> Vec<EngineState> {
         let excluded = |id: &TargetIncarnation| choices.excluded.contains(id);
         let changing = |id: &TargetIncarnation| choices.changing.contains(id);
-        let states = choices.engines.iter().map(|engine| EngineState {
+        let engines = choices.engines.iter();
+        let engines = engines.filter(|engine| engine.software == *software);
+        let states = engines.map(|engine| EngineState {
             record: engine.clone(),
             cached_tokens: self.caches.cached_tokens(&engine.id, parts, now),
             copyable_tokens: self.caches.copyable_tokens(&engine.id, parts, now),
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -105,9 +105,11 @@
         let (prompt, urgency) = (call.prompt(), call.route.urgency);
         let tried: Vec<TargetIncarnation> = history.tried().cloned().collect();
         let terms = call.continued_turn_terms();
+        let software = place.decode_engine.software.clone();
         let decode_engine = self.with_candidates(call, &tried, terms, |candidates| {
             let core = self.core.borrow();
-            core.choose_decode_engine(&candidates, &prompt, urgency, clock::mono_now())
+            let work = (&prompt, urgency);
+            core.choose_decode_engine(&candidates, &software, work, clock::mono_now())
         });
         place.decode_engine = decode_engine.unwrap_or(place.decode_engine);
         place
@@ -444,11 +446,9 @@
     ) -> T {
         let engines = self.eligible(call.view.service_targets(&call.service.name));
         let turns = self.turn_offers(&engines, turn_terms);
-        let other_versions = engines.iter().filter(|engine| !call.allows(engine));
         let excluded: Vec<TargetIncarnation> = tried
             .iter()
             .chain(late_turns(&turns, turn_terms))
-            .chain(other_versions.map(|engine| &engine.id))
             .cloned()
             .collect();
         decide(EngineCandidates {
@@ -456,6 +456,7 @@
             changing: &self.changing(),
             excluded: &excluded,
             turns: &turns,
+            software: call.software.get(),
         })
     }
 }
--- a/src/gateway/peers/placing.rs
+++ b/src/gateway/peers/placing.rs
@@ -264,11 +264,20 @@
             Some(id) => Some(find(id)?),
             None => None,
         };
+        let decode_engine = find(&engines.decode_engine)?;
+        // The other daemon may know the engines by older entries.
+        let is_same_version =
+            |engine: &Arc<TargetRecord>| engine.software == decode_engine.software;
+        if !prefill_engine.as_ref().is_none_or(is_same_version) {
+            return None;
+        }
+        let fetch_from = engines.fetch_from.as_ref().and_then(find);
         Some(EnginePlacement {
             prefill_engine,
-            decode_engine: find(&engines.decode_engine)?,
-            fetch_from: engines.fetch_from.as_ref().and_then(find),
+            fetch_from: fetch_from.filter(is_same_version),
+            decode_engine,
             rank: engines.rank,
+            cost_ms: engines.expected_ms,
             expected_ms: engines.expected_ms,
             own_prefill_ms: engines.own_prefill_ms,
             pending_prefill_tokens: engines.pending_prefill_tokens,
@@ -312,6 +321,7 @@
                 changing: &self.changing(),
                 excluded: &excluded,
                 turns: &turns,
+                software: None,
             },
             prompt: &prompt,
             urgency: request.urgency,
--- a/src/gateway/reading.rs
+++ b/src/gateway/reading.rs
@@ -11,6 +11,7 @@
 use crate::gateway::call::{InFlightGuard, RoutedRequest, SendHistory};
 use crate::gateway::client;
 use crate::gateway::daemon::Gateway;
+use crate::gateway::deciding::EngineCandidates;
 use crate::gateway::deciding::engine_choice::EnginePlacement;
 use crate::gateway::deciding::health::SendResult;
 use crate::gateway::generate::ENGINE_BUSY_RETRY_AFTER;
@@ -62,7 +63,7 @@
                 PrefillResult::Failed(_) => {}
             }
             tried.push(prefill_engine.id.clone());
-            let Some(next) = self.choose_other_prefill_engine(call, &tried) else {
+            let Some(next) = self.choose_other_prefill_engine(call, place, &tried) else {
                 break;
             };
             prefill_engine = next;
@@ -73,10 +74,15 @@
     fn choose_other_prefill_engine(
         &self,
         call: &RoutedRequest,
+        place: &EnginePlacement,
         tried: &[TargetIncarnation],
     ) -> Option<Arc<TargetRecord>> {
         let (prompt, urgency) = (call.prompt(), call.route.urgency);
         self.with_candidates(call, tried, call.turn_terms(), |candidates| {
+            let candidates = EngineCandidates {
+                software: Some(&place.decode_engine.software),
+                ..candidates
+            };
             let core = self.core.borrow();
             core.choose_other_prefill_engine(&candidates, &prompt, urgency, clock::mono_now())
         })
--- a/tests/deciding_health.rs
+++ b/tests/deciding_health.rs
@@ -63,6 +63,7 @@
             changing: &[],
             excluded: &[],
             turns: &turns,
+            software: None,
         },
         prompt: &prompt,
         urgency: 1,
--- a/tests/deciding_times.rs
+++ b/tests/deciding_times.rs
@@ -167,6 +167,7 @@
                 changing: &[],
                 excluded: &[],
                 turns: &TurnOffers::new(),
+                software: None,
             },
             prompt: &prompt,
             urgency: 1,
--- a/tests/deciding_world/mod.rs
+++ b/tests/deciding_world/mod.rs
@@ -141,6 +141,7 @@
                 changing: &[],
                 excluded: &[],
                 turns: &TurnOffers::new(),
+                software: None,
             },
             prompt: &prompt,
             urgency: 0,
--- a/tests/gateway_seen.rs
+++ b/tests/gateway_seen.rs
@@ -54,6 +54,7 @@
             changing: &[],
             excluded: &[],
             turns: &TurnOffers::new(),
+            software: None,
         },
         prompt: &prompt,
         urgency: 0,
