gRPC: an answer goes on at an engine of the software version that began it

What callers saw: nothing so far; found by looking for the same cause. An answer whose engine failed, or that a caller resumed with its token, kept the model and its version, and not the version of the engine's software.

Change: engines may state the version in their report. A placement names it, the resume token carries it (an older token: none stated), and a continuation is placed only at engines that state the same.

Evidence: pinned_software_is_kept, 5 cases; without the comparison cases same, gone, not_stated_any_more and never_stated go to the idle engine. By placement and token only: no test with processes of two versions. A report may be older than the process behind it; engines do not compare versions.

--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -571,6 +571,7 @@
         EngineState {
             target: options.target.clone(),
             incarnation: self.incarnation,
+            software: options.software.clone(),
             at_ms: unix_now().0,
             role: self.role,
             changing: self.desired.is_some(),
--- a/lab/src/engine_options.rs
+++ b/lab/src/engine_options.rs
@@ -21,6 +21,8 @@
     pub role: EngineRole,
     /// Models loaded at the start.
     pub models: Vec<String>,
+    /// Version of its software; empty to state none.
+    pub software: String,
     /// Whether orders with an old fence are refused.
     pub checks_fence: bool,
     /// Whether a crash makes the engine forget the highest fence.
@@ -70,6 +72,7 @@
             target: TargetId::from("engine"),
             role: EngineRole::Mixed,
             models: vec!["base".to_owned()],
+            software: String::new(),
             checks_fence: true,
             forgets_fence: false,
             min_step_ms: 10.0,
--- a/lab/src/samples.rs
+++ b/lab/src/samples.rs
@@ -48,6 +48,7 @@
 pub fn engine_view(number: usize, now: MonoTime) -> TargetView {
     let report = LoadReport {
         incarnation: ProcessIncarnation(1),
+        software: String::new(),
         role: EngineRole::Mixed,
         changing: false,
         models: vec![SAMPLE_LABEL.to_owned()],
@@ -130,6 +131,7 @@
     EngineState {
         target: TargetId::from(engine_name(number)),
         incarnation: ProcessIncarnation(1),
+        software: String::new(),
         at_ms,
         role: EngineRole::Mixed,
         changing: false,
@@ -159,7 +161,7 @@
             pool: PoolKey::Model(SAMPLE_MODEL.into()),
             versions: vec!["1".to_owned()],
             adapter: String::new(),
-            pinned_model: None,
+            pinned: None,
             prompt_tokens,
             output_tokens: 50.0,
             deadline: None,
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -45,6 +45,15 @@
     Service(ServiceName),
 }
 
+/// What a continuation keeps of the engine that began an answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PinnedEngine {
+    /// Model, version and adapter: another version would not continue the same text.
+    pub model: String,
+    /// Version of the engine's software: what two versions write does not fit together.
+    pub software: String,
+}
+
 /// What a request requires of a target.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlacementNeed {
@@ -54,8 +63,8 @@
     pub versions: Vec<String>,
     /// Adapter needed; empty for none.
     pub adapter: String,
-    /// Model, version and adapter of an earlier attempt, which a continuation must keep.
-    pub pinned_model: Option<String>,
+    /// What a continuation keeps of the engine that began the answer.
+    pub pinned: Option<PinnedEngine>,
     /// Prompt tokens.
     pub prompt_tokens: f64,
     /// Output tokens still expected.
@@ -84,6 +93,8 @@
     pub incarnation: Option<ProcessIncarnation>,
     /// Model, version and adapter as the engine names them; empty for services.
     pub model: String,
+    /// Version of its software; empty if it states none.
+    pub software: String,
     /// Expected seconds to the first token.
     pub first_token_s: f64,
     /// Expected seconds between tokens.
@@ -193,11 +204,13 @@
 
 impl TargetEstimate<'_> {
     fn choice(&self, need: &PlacementNeed) -> TargetChoice {
+        let report = self.target.report.as_ref();
         TargetChoice {
             target: self.target.id.clone(),
             address: self.target.address.clone(),
-            incarnation: self.target.report.as_ref().map(|r| r.incarnation),
+            incarnation: report.map(|report| report.incarnation),
             model: self.model.to_owned(),
+            software: report.map_or_else(String::new, |report| report.software.clone()),
             first_token_s: self.first_token_s,
             token_gap_s: self.token_gap_s,
             finish_s: self.finish_s,
@@ -330,7 +343,7 @@
     if report.changing {
         return None;
     }
-    let label = matching_model(&report.models, model, need)?;
+    let label = matching_model(report, model, need)?;
     let load = EngineLoad::of(target, report, inputs);
     if load.in_flight >= inputs.policy.engine_in_flight as f64 {
         return None;
@@ -465,12 +478,15 @@
 
 /// Returns the last listed of the loaded models that satisfy the request.
 fn matching_model<'a>(
-    loaded: &'a [String],
+    report: &'a LoadReport,
     model: &ModelName,
     need: &PlacementNeed,
 ) -> Option<&'a str> {
-    if let Some(pinned) = &need.pinned_model {
-        return loaded.iter().find(|l| *l == pinned).map(String::as_str);
+    let loaded = &report.models;
+    if let Some(pinned) = &need.pinned {
+        let is_pinned = |label: &&String| **label == pinned.model;
+        let found = loaded.iter().find(is_pinned).map(String::as_str);
+        return found.filter(|_| report.software == pinned.software);
     }
     let fits = |label: &&String| {
         let label = ModelLabel::parse(label);
--- a/src/membership/fleet.rs
+++ b/src/membership/fleet.rs
@@ -45,6 +45,8 @@
 pub struct LoadReport {
     /// Incarnation of the target's process.
     pub incarnation: ProcessIncarnation,
+    /// Version of its software; empty if it states none.
+    pub software: String,
     /// Role in force.
     pub role: EngineRole,
     /// Whether a change is under way.
--- a/src/membership/records.rs
+++ b/src/membership/records.rs
@@ -142,6 +142,7 @@
 pub fn load_report(report: &EngineState, taken_at: MonoTime) -> LoadReport {
     LoadReport {
         incarnation: report.incarnation,
+        software: report.software.clone(),
         role: report.role,
         changing: report.changing,
         models: report.models.clone(),
--- a/src/requests/request.rs
+++ b/src/requests/request.rs
@@ -157,7 +157,7 @@
                 pool: self.pool.clone(),
                 versions: self.versions.clone(),
                 adapter: self.submit.adapter.clone(),
-                pinned_model: None,
+                pinned: None,
                 prompt_tokens: f64::from(self.submit.prompt_tokens),
                 output_tokens: f64::from(self.submit.max_output_tokens),
                 deadline: None,
--- a/src/requests/resume_token.rs
+++ b/src/requests/resume_token.rs
@@ -38,6 +38,9 @@
     /// Model, version and adapter in use, which a continuation keeps; empty while it waits
     /// and for services.
     pub model: String,
+    /// Version of that target's software, which a continuation keeps as well; empty while it
+    /// waits and if the target states none.
+    pub software: String,
     /// Attempt at that target; 0 while it waits.
     pub attempt: u32,
     /// Wall-clock time of the request's deadline.
@@ -182,6 +185,8 @@
     target_address: String,
     #[serde(rename = "m", default, skip_serializing_if = "String::is_empty")]
     model: String,
+    #[serde(rename = "s", default, skip_serializing_if = "String::is_empty")]
+    software: String,
     #[serde(rename = "n")]
     attempt: u32,
     #[serde(rename = "e")]
@@ -204,6 +209,7 @@
             target: token.target.clone(),
             target_address: token.target_address.clone(),
             model: token.model.clone(),
+            software: token.software.clone(),
             attempt: token.attempt,
             deadline: token.deadline,
             key: token
@@ -229,6 +235,7 @@
             target: wire.target,
             target_address: wire.target_address,
             model: wire.model,
+            software: wire.software,
             attempt: wire.attempt,
             deadline: wire.deadline,
             key,
--- a/src/requests/run_resume.rs
+++ b/src/requests/run_resume.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::{mpsc, watch};
 
-use crate::decide::placement::TargetChoice;
+use crate::decide::placement::{PinnedEngine, TargetChoice};
 use crate::requests::answer_sink::{AnswerEvent, AnswerSink, FinalOutcome};
 use crate::requests::attempt::AttemptState;
 use crate::requests::request::CallerRequest;
@@ -128,7 +128,10 @@
                 .to_owned(),
         };
     }
-    let pinned = (offset > 0 && !token.model.is_empty()).then(|| token.model.clone());
+    let pinned = (offset > 0 && !token.model.is_empty()).then(|| PinnedEngine {
+        model: token.model.clone(),
+        software: token.software.clone(),
+    });
     let cancelled = start.cancelled;
     run_stream::continue_from(context, request, sink, cancelled, progress, offset, pinned).await
 }
@@ -139,6 +142,7 @@
         target: token.target.clone(),
         address: token.target_address.clone(),
         model: token.model.clone(),
+        software: token.software.clone(),
         first_token_s: DEFAULT_FIRST_TOKEN_S,
         token_gap_s: DEFAULT_TOKEN_GAP_S,
         finish_s: 0.0,
--- a/src/requests/run_stream.rs
+++ b/src/requests/run_stream.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::watch;
 
-use crate::decide::placement::PlacementNeed;
+use crate::decide::placement::{PinnedEngine, PlacementNeed, TargetChoice};
 use crate::decide::scheduler::{JobMeasurement, JobRefusal};
 use crate::names::RequestId;
 use crate::ports::TargetCall;
@@ -34,7 +34,7 @@
 }
 
 /// Runs a request whose caller has already received the first `offset` bytes, which
-/// `pinned_model` generated.
+/// `pinned` generated.
 pub async fn continue_from(
     context: &TrafficContext,
     request: &CallerRequest,
@@ -42,12 +42,12 @@
     mut cancelled: watch::Receiver<bool>,
     progress: &mut RequestProgress,
     offset: u64,
-    pinned_model: Option<String>,
+    pinned: Option<PinnedEngine>,
 ) -> FinalOutcome {
     let engine = EngineAddress::default();
     let state = AttemptState::new(context, request, sink, progress, offset);
     let ended = tokio::select! {
-        outcome = run_attempts(state, &engine, pinned_model) => return outcome,
+        outcome = run_attempts(state, &engine, pinned) => return outcome,
         () = until_cancelled(&mut cancelled) => FinalOutcome::Cancelled,
         () = tokio::time::sleep(request.time_left()) => FinalOutcome::Expired,
     };
@@ -64,7 +64,7 @@
 async fn run_attempts(
     mut state: AttemptState<'_>,
     engine: &EngineAddress,
-    pinned_model: Option<String>,
+    pinned: Option<PinnedEngine>,
 ) -> FinalOutcome {
     let (context, request) = (state.context, state.request);
     let is_trial = match context.check_quarantine(request) {
@@ -72,7 +72,7 @@
         Err(refusal) => return refused(&state, &refusal),
     };
     let mut spec = request.job_spec();
-    spec.need.pinned_model = pinned_model;
+    spec.need.pinned = pinned;
     let mut need = spec.need.clone();
     let ticket = match context.dispatcher.admit(&request.id, spec) {
         Ok(ticket) => ticket,
@@ -108,7 +108,7 @@
             slot.finish(JobMeasurement::default());
             return abandoned(&state, &failure);
         }
-        update_need(&mut need, &state, &slot.choice.target, &slot.choice.model);
+        update_need(&mut need, &state, &slot.choice);
         waiting = slot.retry(&request.id, need.clone());
     }
 }
@@ -119,13 +119,8 @@
     attempt < MAX_ATTEMPTS && (failure.may_have_run || context.spend_retry())
 }
 
-fn update_need(
-    need: &mut PlacementNeed,
-    state: &AttemptState<'_>,
-    failed: &crate::names::TargetId,
-    model: &str,
-) {
-    need.excluded.push(failed.clone());
+fn update_need(need: &mut PlacementNeed, state: &AttemptState<'_>, failed: &TargetChoice) {
+    need.excluded.push(failed.target.clone());
     let remaining = state
         .request
         .submit
@@ -133,8 +128,10 @@
         .saturating_sub(state.tokens);
     need.output_tokens = f64::from(remaining);
     if state.assembly.delivered() > 0 {
-        // Another version would not continue the same text.
-        need.pinned_model = Some(model.to_owned());
+        need.pinned = Some(PinnedEngine {
+            model: failed.model.clone(),
+            software: failed.software.clone(),
+        });
     }
 }
 
--- a/src/requests/traffic.rs
+++ b/src/requests/traffic.rs
@@ -128,13 +128,19 @@
         choice: Option<&TargetChoice>,
         attempt: u32,
     ) -> String {
-        let (target, address, model) = match choice {
+        let (target, address, model, software) = match choice {
             Some(choice) => (
                 choice.target.clone(),
                 choice.address.clone(),
                 choice.model.clone(),
+                choice.software.clone(),
+            ),
+            None => (
+                TargetId::from(""),
+                String::new(),
+                String::new(),
+                String::new(),
             ),
-            None => (TargetId::from(""), String::new(), String::new()),
         };
         self.signer.seal(&ResumeToken {
             workspace: request.workspace().clone(),
@@ -144,6 +150,7 @@
             target,
             target_address: address,
             model,
+            software,
             attempt,
             deadline: request.deadline_unix,
             key: request.intent.clone(),
--- a/src/targets/wire.rs
+++ b/src/targets/wire.rs
@@ -90,6 +90,9 @@
     pub target: TargetId,
     /// Incarnation of the engine's process.
     pub incarnation: ProcessIncarnation,
+    /// Version of the engine's software; empty if it states none.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub software: String,
     /// Unix time of the report in milliseconds.
     pub at_ms: u64,
     /// Role in force.
--- a/tests/control_authority.rs
+++ b/tests/control_authority.rs
@@ -34,6 +34,7 @@
     EngineState {
         target: TargetId::from(id),
         incarnation: ProcessIncarnation(1),
+        software: String::new(),
         at_ms: 0,
         role: EngineRole::Mixed,
         changing: false,
--- a/tests/control_membership.rs
+++ b/tests/control_membership.rs
@@ -48,6 +48,7 @@
     EngineState {
         target: TargetId::from(id),
         incarnation: ProcessIncarnation(incarnation),
+        software: String::new(),
         at_ms: 0,
         role: EngineRole::Mixed,
         changing: false,
--- a/tests/control_orders.rs
+++ b/tests/control_orders.rs
@@ -60,6 +60,7 @@
             state: EngineState {
                 target: engine(),
                 incarnation: ProcessIncarnation(1),
+                software: String::new(),
                 at_ms: 0,
                 role: EngineRole::Mixed,
                 changing: false,
--- a/tests/placement_choice.rs
+++ b/tests/placement_choice.rs
@@ -7,8 +7,8 @@
 use pistachiowick::decide::cost::{CostModel, SpeedSettings};
 use pistachiowick::decide::fair_queue::JobNumber;
 use pistachiowick::decide::placement::{
-    LocalWork, PlacementInputs, PlacementNeed, PoolKey, PoolSide, RunningJob, TargetChoice,
-    choose_target,
+    LocalWork, PinnedEngine, PlacementInputs, PlacementNeed, PoolKey, PoolSide, RunningJob,
+    TargetChoice, choose_target,
 };
 use pistachiowick::decide::prefix_index::PrefixIndex;
 use pistachiowick::membership::fleet::{FleetView, TargetView, UseState};
@@ -140,17 +140,53 @@
 #[case::loaded_nowhere(Some("base@0"), None)]
 #[case::not_pinned(None, Some(0))]
 fn pinned_model_is_kept(#[case] pinned: Option<&str>, #[case] expected: Option<usize>) {
+    let software = String::new();
     let mut scene = PlacementScene::new(2);
     scene.need.versions = Vec::new();
     report_of(scene.engine(0)).models = vec!["base@2".to_owned()];
     report_of(scene.engine(1)).in_flight = 20;
-    scene.need.pinned_model = pinned.map(str::to_owned);
+    scene.need.pinned = pinned.map(|model| PinnedEngine {
+        model: model.to_owned(),
+        software,
+    });
     assert_eq!(scene.chosen(), expected);
     if let (Some(model), Some(_)) = (pinned, expected) {
         assert_eq!(scene.choose(1).map(|c| c.model), Some(model.to_owned()));
     }
 }
 
+struct SoftwareCase {
+    software: [&'static str; 2],
+    pinned: Option<&'static str>,
+    expected: Option<usize>,
+}
+
+// Guards against an answer that goes on at an engine of another software version, which is idle.
+#[rstest]
+#[case::same(SoftwareCase { software: ["v2", "v1"], pinned: Some("v1"), expected: Some(1) })]
+#[case::gone(SoftwareCase { software: ["v2", "v2"], pinned: Some("v1"), expected: None })]
+#[case::not_stated_any_more(SoftwareCase { software: ["", "v1"], pinned: Some("v1"), expected: Some(1) })]
+#[case::never_stated(SoftwareCase { software: ["v1", ""], pinned: Some(""), expected: Some(1) })]
+#[case::not_pinned(SoftwareCase { software: ["v2", "v1"], pinned: None, expected: Some(0) })]
+fn pinned_software_is_kept(#[case] case: SoftwareCase) {
+    let mut scene = PlacementScene::new(2);
+    for (number, software) in case.software.iter().enumerate() {
+        report_of(scene.engine(number)).software = (*software).to_owned();
+    }
+    report_of(scene.engine(1)).in_flight = 20;
+    scene.need.pinned = case.pinned.map(|software| PinnedEngine {
+        model: "base@1".to_owned(),
+        software: software.to_owned(),
+    });
+    assert_eq!(scene.chosen(), case.expected);
+    if let (Some(software), Some(_)) = (case.pinned, case.expected) {
+        assert_eq!(
+            scene.choose(1).map(|c| c.software),
+            Some(software.to_owned())
+        );
+    }
+}
+
 #[rstest]
 #[case::newest_listed_last("", &["base@1", "base@2"], Some("base@2"))]
 #[case::adapter("law", &["base@1", "base@1+law"], Some("base@1+law"))]
--- a/tests/token_fuzz.rs
+++ b/tests/token_fuzz.rs
@@ -33,6 +33,7 @@
         "[a-z0-9-]{0,20}",
         "[0-9.:]{0,21}",
         "[a-z@+]{0,20}",
+        "[a-z0-9.]{0,10}",
     );
     (names, places, any::<u32>(), any::<u64>(), key).prop_map(
         |(names, places, attempt, at, key)| {
@@ -45,6 +46,7 @@
                 target: places.1.as_str().into(),
                 target_address: places.2.clone(),
                 model: places.3.clone(),
+                software: places.4.clone(),
                 attempt,
                 deadline: UnixTime(at),
                 key: key.map(|(key, minted)| IntentKey {
