A sum of work over the whole fleet is not summed up again

What callers saw: in a fleet of 18 daemons that starts, refusals as overloaded at idle engines, for about 3 s.

Cause: a hub sends its members a sum over the whole fleet. A daemon that takes itself for a member, then for a hub and then for a member again, kept that sum beside the reports of single daemons and put it into its own sums; two such daemons double each other's sums with each report.

Change: a sum over the whole fleet replaces all that was reported, and the next report of a part replaces it.

--- a/src/gateway/deciding/load.rs
+++ b/src/gateway/deciding/load.rs
@@ -108,6 +108,8 @@
 pub struct LoadTracker {
     local: WorkByTarget,
     peers: IndexMap<DaemonId, (MonoTime, WorkByTarget)>,
+    // Hub whose sum over the whole fleet is the only entry in `peers`, if there is one.
+    fleet_sum_from: Option<DaemonId>,
     reserved: IndexMap<DaemonId, Vec<ReservedWork>>,
     // Highest reservation number that a daemon's last report contains.
     reported_through: IndexMap<DaemonId, u64>,
@@ -142,12 +144,25 @@
         }
     }
 
-    /// Replaces the work reported by a peer.
+    /// Replaces the work reported by a peer, for itself or for the daemons of its data centre.
+    /// A sum over the whole fleet that was reported before contains it, and is dropped: daemons
+    /// that add up each other's sums would count all work anew with each report.
     pub fn set_peer_work(&mut self, daemon: DaemonId, work: WorkByTarget, now: MonoTime) {
+        if let Some(hub) = self.fleet_sum_from.take() {
+            self.peers.swap_remove(&hub);
+        }
         self.peers.insert(daemon, (now, work));
         self.update_peer_sum(now);
     }
 
+    /// Replaces the work of all peers by a hub's sum over the whole fleet.
+    pub fn set_fleet_work(&mut self, hub: DaemonId, work: WorkByTarget, now: MonoTime) {
+        self.peers.clear();
+        self.fleet_sum_from = Some(hub.clone());
+        self.peers.insert(hub, (now, work));
+        self.update_peer_sum(now);
+    }
+
     /// Reserves work (rank and pending prefill tokens) that a peer sends and will report
     /// itself. Its report names the number of the last reservation that it contains;
     /// reservations that arrive after that report are ignored.
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -461,13 +461,13 @@
         };
         self.apply_limits(sender, &summary.limits);
         let mut work: WorkByTarget = summary.work.into_iter().collect();
+        let load = &mut self.core.borrow_mut().load;
         if summary.whole_fleet {
             hub::subtract(&mut work, &self.last_sent_work.borrow());
-        }
-        let load = &mut self.core.borrow_mut().load;
-        if !summary.whole_fleet {
+            load.set_fleet_work(summary.from, work, now);
+        } else {
             load.release_reservations(&summary.from, summary.placed_through);
+            load.set_peer_work(summary.from, work, now);
         }
-        load.set_peer_work(summary.from, work, now);
     }
 }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -375,3 +375,29 @@
     assert_eq!(last_id, case.last_id);
     assert_eq!(splitter.take_rest(), case.rest.as_bytes());
 }
+
+// Guards against daemons that add up each other's sums: a sum over the whole fleet is never part of
+// another sum.
+#[test]
+fn a_sum_over_the_fleet_is_not_summed_up_again() {
+    let target = TargetIncarnation::from("a");
+    let report = |running: u32| {
+        let mut load = LoadTracker::default();
+        (0..running).for_each(|_| load.begin(&target, 0, 0));
+        load.local().clone()
+    };
+    let mut load = LoadTracker::default();
+    let running = |load: &LoadTracker| load.total(&target).running;
+    let (member, hub) = (DaemonId::from("b"), DaemonId::from("c"));
+    load.set_peer_work(member.clone(), report(2), MonoTime(0));
+    load.set_fleet_work(hub.clone(), report(5), MonoTime(10));
+    assert_eq!(running(&load), 5);
+    load.set_fleet_work(DaemonId::from("d"), report(6), MonoTime(20));
+    assert_eq!(running(&load), 6);
+    load.set_peer_work(member, report(3), MonoTime(30));
+    assert_eq!(running(&load), 3);
+    load.set_peer_work(hub, report(4), MonoTime(40));
+    assert_eq!(running(&load), 7);
+    let whole = load.sum_with(|_| true);
+    assert_eq!(whole.get(&target).map(|work| work.running), Some(7));
+}
