--- a/benches/software.rs
+++ b/benches/software.rs
@@ -4,7 +4,7 @@
 use std::hint::black_box;
 use std::time::Duration;
 
-use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use criterion::{Criterion, criterion_group, criterion_main};
 use indexmap::IndexMap;
 use pistachiowick::gateway::fleet::TargetsByService;
 use pistachiowick::gateway::members::{DaemonRecord, InstanceCapacity};
@@ -57,7 +57,7 @@
     for count in DAEMONS {
         let daemons: Vec<DaemonRecord> = (0..count).map(daemon).collect();
         let mut number = 0;
-        criterion.bench_function(BenchmarkId::new("keepers", count), |b| {
+        criterion.bench_function(&format!("keepers/{count}"), |b| {
             b.iter(|| {
                 number += 1;
                 let chosen = keepers(AttemptDigest(number), &daemons, KEEPERS);
