--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -57,10 +57,8 @@
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         let is_handed_over = origin.is_some();
-        let software = OnceCell::new();
-        if let Some(begun_at) = origin.as_ref().and_then(|origin| origin.software.clone()) {
-            let _ = software.set(begun_at);
-        }
+        let begun_at = origin.as_ref().and_then(|origin| origin.software.clone());
+        let software = begun_at.map_or_else(OnceCell::new, OnceCell::from);
         match self.admit(head, body, arrived).await {
             Err(failure) => {
                 self.log_failure("", "", &failure, arrived);
--- a/src/gateway/software/exchange.rs
+++ b/src/gateway/software/exchange.rs
@@ -48,8 +48,9 @@
 const MAX_REPORT_ATTEMPTS: u32 = 3;
 /// Largest message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
-/// Most starts in a message.
-const MAX_REPORTED: usize = 4_096;
+/// Most starts that are told between two pauses: when a second version appears, those of half a
+/// minute are, and callers must not wait for that.
+const MAX_TOLD_AT_ONCE: usize = 256;
 
 /// Starts of one version.
 #[derive(Debug, Deserialize_tuple, Serialize_tuple)]
@@ -83,9 +84,9 @@
 
 impl Gateway {
     fn tell_starts(self: &Rc<Self>) {
-        let untold = self.starts.borrow_mut().take_untold();
-        if untold.is_empty() {
-            return;
+        let untold = self.starts.borrow_mut().take_untold(MAX_TOLD_AT_ONCE);
+        if self.starts.borrow().has_untold() {
+            self.stream_begun.notify_one();
         }
         let view = self.view();
         let mut reports: IndexMap<&DaemonId, (&DaemonRecord, Vec<&AttemptStart>)> = IndexMap::new();
@@ -97,11 +98,9 @@
             }
         }
         for (keeper, starts) in reports.into_values() {
-            for part in starts.chunks(MAX_REPORTED) {
-                let report = encode(&report_of(part, clock::mono_now()));
-                let (gateway, keeper) = (self.clone(), keeper.clone());
-                spawn_local(async move { gateway.send_report(&keeper, report).await });
-            }
+            let report = encode(&report_of(&starts, clock::mono_now()));
+            let (gateway, keeper) = (self.clone(), keeper.clone());
+            spawn_local(async move { gateway.send_report(&keeper, report).await });
         }
     }
 
--- a/src/gateway/software/history.rs
+++ b/src/gateway/software/history.rs
@@ -19,7 +19,7 @@
 const RETENTION: Duration = Duration::from_secs(600);
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct VersionService {
+struct VersionUse {
     // When it was last known to serve.
     last: MonoTime,
     // Whether it serves now.
@@ -31,7 +31,7 @@
 pub struct VersionHistory {
     complete_since: Option<MonoTime>,
     read_at: Option<MonoTime>,
-    services: IndexMap<ServiceName, IndexMap<SoftwareVersion, VersionService>>,
+    services: IndexMap<ServiceName, IndexMap<SoftwareVersion, VersionUse>>,
 }
 
 impl VersionHistory {
@@ -68,7 +68,7 @@
         now: MonoTime,
     ) {
         let versions = self.services.entry(service.clone()).or_default();
-        let version = versions.entry(software.clone()).or_insert(VersionService {
+        let version = versions.entry(software.clone()).or_insert(VersionUse {
             last: now,
             is_listed: false,
         });
--- a/src/gateway/software/starts.rs
+++ b/src/gateway/software/starts.rs
@@ -92,9 +92,16 @@
         self.starts.is_empty()
     }
 
-    /// Takes the own starts that no other daemon was told of.
-    pub fn take_untold(&mut self) -> Vec<AttemptStart> {
-        let untold = std::mem::take(&mut self.untold).into_iter();
+    /// Returns whether there are own starts that no other daemon was told of.
+    #[must_use]
+    pub fn has_untold(&self) -> bool {
+        !self.untold.is_empty()
+    }
+
+    /// Takes the oldest `most` own starts that no other daemon was told of.
+    pub fn take_untold(&mut self, most: usize) -> Vec<AttemptStart> {
+        let most = most.min(self.untold.len());
+        let untold = self.untold.drain(..most);
         let known = untold.filter_map(|attempt| {
             let known = self.starts.get(&attempt)?;
             Some((attempt, known.start.clone()))
--- a/tests/gateway_software.rs
+++ b/tests/gateway_software.rs
@@ -107,9 +107,13 @@
         let found = known.map(|k| (k.start.software.as_str(), k.is_told, k.is_unclear));
         assert_eq!(found, *expected);
     }
-    let untold: Vec<u64> = table.take_untold().iter().map(|(a, _)| a.0).collect();
+    let untold: Vec<u64> = table
+        .take_untold(usize::MAX)
+        .iter()
+        .map(|(a, _)| a.0)
+        .collect();
     assert_eq!(untold, case.untold);
-    assert!(table.take_untold().is_empty());
+    assert!(!table.has_untold());
 }
 
 // Guards against unbounded memory: the oldest starts are forgotten first.
@@ -124,7 +128,8 @@
     assert_eq!(table.len() as u64, CAPACITY);
     assert!(table.find(AttemptDigest(OVERFLOW - 1)).is_none());
     assert!(table.find(AttemptDigest(OVERFLOW)).is_some());
-    assert_eq!(table.take_untold().len() as u64, CAPACITY);
+    assert_eq!(table.take_untold(10)[0].0, AttemptDigest(OVERFLOW));
+    assert_eq!(table.take_untold(usize::MAX).len() as u64, CAPACITY - 10);
 }
 
 enum HistoryStep {
@@ -483,7 +488,7 @@
         if !is_mixed && daemon.history.is_complete(PERIOD, store_age, now) {
             return;
         }
-        let untold = daemon.starts.take_untold();
+        let untold = daemon.starts.take_untold(usize::MAX);
         let mut reports = std::mem::take(&mut daemon.reports);
         for (attempt, start) in untold {
             for keeper in self.keepers(attempt, KEEPERS) {
