Starts of streams are asked for and told once the daemons are known

A daemon is ready once it knows routes and targets. A caller that returned to one that had just started, before the daemons' records were listed, was refused for good ('send the request anew', nobody asked), although others remembered its stream; and streams that began there in that time were told to nobody, so they were lost with the daemon.

Cause: an empty list of daemons and one that is not read yet looked the same.

The view says whether the daemons were listed. A returning caller waits for that, for a second or until its deadline, then for the answers; if the list does not come, the refusal names a time to return. Starts are kept until the list is there.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -122,6 +122,7 @@
     routes: Option<Arc<RouteTable>>,
     config_source: Option<(u64, Arc<[u8]>)>,
     targets_known: bool,
+    daemons_known: bool,
     local_record_seen: bool,
     store_liveness: Arc<StoreLiveness>,
     // Revision of the newest configuration that could not be decoded and is not in force here.
@@ -162,6 +163,7 @@
         routes: None,
         config_source: None,
         targets_known: false,
+        daemons_known: false,
         local_record_seen: false,
         store_liveness: setup.store_liveness,
         rejected_revision: None,
@@ -350,6 +352,7 @@
             }
             StoreEvent::Listed(Feed::Daemons, objects) => {
                 self.members.clear();
+                self.daemons_known = true;
                 self.apply_daemons(&objects)
             }
             StoreEvent::Changed(Feed::Targets, objects) => {
@@ -466,6 +469,7 @@
                 .collect(),
             versions: self.versions.clone(),
             daemons: self.members.all(),
+            daemons_known: self.daemons_known,
         };
         self.cell.store(Arc::new(view));
     }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -38,6 +38,8 @@
     pub versions: VersionHistory,
     /// Daemons with a record in the store, this one included.
     pub daemons: Vec<DaemonRecord>,
+    /// Whether the daemons have been listed at least once.
+    pub daemons_known: bool,
 }
 
 impl FleetView {
--- a/src/gateway/software/exchange.rs
+++ b/src/gateway/software/exchange.rs
@@ -22,6 +22,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::clock;
+use crate::gateway::call::RoutedRequest;
 use crate::gateway::client::{self, HttpConnection, OutgoingRequest, SendError};
 use crate::gateway::daemon::Gateway;
 use crate::gateway::handover::{HandoverOrigin, ORIGIN, peer_key};
@@ -44,6 +45,11 @@
 const TELL_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest time for other daemons to take or answer a message.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest time for which a caller that takes its stream up waits for what this daemon and others
+/// know of it.
+const FINDING_TIMEOUT: Duration = Duration::from_secs(1);
+/// Interval at which a daemon that has just started checks whether it knows the others.
+const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Attempts to tell a daemon of starts.
 const MAX_REPORT_ATTEMPTS: u32 = 3;
 /// Largest message, in bytes.
@@ -76,7 +82,7 @@
             () = gateway.stream_begun.notified() => sleep(TELL_DELAY).await,
             _ = checks.next() => {}
         }
-        if gateway.must_tell_starts(clock::mono_now()) {
+        if gateway.view().daemons_known && gateway.must_tell_starts(clock::mono_now()) {
             gateway.tell_starts();
         }
     }
@@ -129,8 +135,10 @@
     pub(super) async fn ask_keepers(
         &self,
         attempt: Option<AttemptDigest>,
-        service: &ServiceName,
+        call: &RoutedRequest,
     ) -> (Vec<StartEvidence>, bool) {
+        let until = call.deadline.min(Instant::now() + FINDING_TIMEOUT);
+        let is_listed = self.wait_for_daemons(until).await;
         let view = self.view();
         let now = clock::mono_now();
         let order = attempt.unwrap_or_else(|| AttemptDigest::from(self.daemon.as_str()));
@@ -143,7 +151,7 @@
         let (asked, silent): (Vec<&DaemonRecord>, Vec<_>) = asked.partition(reachable);
         let query = encode(&StartQuery {
             attempt,
-            service: service.clone(),
+            service: call.service.name.clone(),
         });
         let deadline = Instant::now() + MESSAGE_TIMEOUT;
         let answers = asked.iter().map(|keeper| {
@@ -156,7 +164,7 @@
         });
         let mut answers: FuturesUnordered<_> = answers.collect();
         let mut evidence = Vec::new();
-        let mut is_whole = silent.is_empty();
+        let mut is_whole = is_listed && silent.is_empty();
         while let Some(answer) = answers.next().await {
             is_whole &= answer.is_some();
             let is_found = answer.as_ref().is_some_and(|known| known.start.is_some());
@@ -168,6 +176,18 @@
         (evidence, is_whole)
     }
 
+    // Waits until the other daemons are known, which can be later than readiness. Returns whether
+    // they are.
+    async fn wait_for_daemons(&self, until: Instant) -> bool {
+        while !self.view().daemons_known {
+            if Instant::now() >= until {
+                return false;
+            }
+            sleep(LIST_CHECK_INTERVAL).await;
+        }
+        true
+    }
+
     async fn send_message(
         &self,
         peer: &DaemonRecord,
--- a/src/gateway/software/mod.rs
+++ b/src/gateway/software/mod.rs
@@ -87,7 +87,7 @@
         let mut evidence = vec![self.start_evidence(attempt, service, clock::mono_now())];
         let mut is_whole = true;
         if evidence[0].start.is_none() {
-            let (told, all_answered) = self.ask_keepers(attempt, service).await;
+            let (told, all_answered) = self.ask_keepers(attempt, call).await;
             evidence.extend(told);
             is_whole = all_answered;
         }
