Daemons that may remember a stream get a second to answer

A caller that returned was refused after 250 ms with a time to return if the daemons that remembered its stream were slow, as on a busy machine, also where they answered 200 ms later.

Cause: one time limit for two cases. Where a single version has served, the answers only confirm what is known, and the caller is not to wait for them; where nothing is known, they are the only way to go on.

Answers are awaited for 250 ms if what has come tells the version, otherwise for a second or until the request's deadline. Daemons without contact are still not asked.

A fleet whose other daemons answer nobody for longer holds such a caller for 0.75 s more than before.

--- a/src/gateway/software/evidence.rs
+++ b/src/gateway/software/evidence.rs
@@ -50,6 +50,15 @@
     pub is_complete: bool,
 }
 
+/// What several daemons know of a stream.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct GatheredEvidence {
+    /// What each knows, this one first.
+    pub evidence: Vec<StartEvidence>,
+    /// Whether all that may know have answered.
+    pub is_whole: bool,
+}
+
 /// At which version a stream began.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum VersionFinding {
--- a/src/gateway/software/exchange.rs
+++ b/src/gateway/software/exchange.rs
@@ -28,7 +28,7 @@
 use crate::gateway::handover::{HandoverOrigin, ORIGIN, peer_key};
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::reply::{Failure, FailureKind, Reply};
-use crate::gateway::software::evidence::StartEvidence;
+use crate::gateway::software::evidence::{GatheredEvidence, StartEvidence, weigh};
 use crate::gateway::software::keepers::{ASKED, KEEPERS, keepers};
 use crate::gateway::software::starts::{AttemptDigest, AttemptStart, StreamStart};
 use crate::names::{DaemonId, MonoTime, ServiceName, SoftwareVersion, millis};
@@ -43,7 +43,8 @@
 const TELL_DELAY: Duration = Duration::from_millis(10);
 /// Interval at which a daemon checks whether starts are to be told that were not before.
 const TELL_INTERVAL: Duration = Duration::from_millis(200);
-/// Longest time for other daemons to take or answer a message.
+/// Longest time for other daemons to take a message, and to answer one while the answer is not
+/// needed.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest time for which a caller that takes its stream up waits for what this daemon and others
 /// know of it.
@@ -130,50 +131,67 @@
         count("lost");
     }
 
-    /// Asks the daemons that keep the start of a stream. Ends early once one remembers it.
-    /// Returns what they know, and whether all have answered.
+    /// Adds to what this daemon knows of a stream what the daemons that keep its start know.
+    ///
+    /// Ends once one remembers it, or with the answers that came promptly if these tell its
+    /// version.
     pub(super) async fn ask_keepers(
         &self,
+        own: StartEvidence,
         attempt: Option<AttemptDigest>,
         call: &RoutedRequest,
-    ) -> (Vec<StartEvidence>, bool) {
+    ) -> GatheredEvidence {
         let until = call.deadline.min(Instant::now() + FINDING_TIMEOUT);
         let is_listed = self.wait_for_daemons(until).await;
         let view = self.view();
-        let now = clock::mono_now();
-        let order = attempt.unwrap_or_else(|| AttemptDigest::from(self.daemon.as_str()));
-        let asked = keepers(order, &view.daemons, ASKED).into_iter();
-        let asked = asked.filter(|daemon| daemon.id != self.daemon);
-        let reachable = |daemon: &&DaemonRecord| {
-            let peers = self.peers.borrow();
-            peers.has_contact(&daemon.id, now)
-        };
-        let (asked, silent): (Vec<&DaemonRecord>, Vec<_>) = asked.partition(reachable);
+        let (asked, silent) = self.choose_asked(attempt, &view.daemons);
+        let service = &call.service.name;
         let query = encode(&StartQuery {
             attempt,
-            service: call.service.name.clone(),
+            service: service.clone(),
         });
-        let deadline = Instant::now() + MESSAGE_TIMEOUT;
+        let prompt = Instant::now() + MESSAGE_TIMEOUT;
         let answers = asked.iter().map(|keeper| {
             let query = query.clone();
             async move {
-                let sent = self.send_message(keeper, START_QUERY, query, deadline);
-                let answer = timeout_at(deadline, sent).await.ok()?.ok()?;
+                let sent = self.send_message(keeper, START_QUERY, query, until);
+                let answer = timeout_at(until, sent).await.ok()?.ok()?;
                 decode::<StartEvidence>(&answer)
             }
         });
         let mut answers: FuturesUnordered<_> = answers.collect();
-        let mut evidence = Vec::new();
-        let mut is_whole = is_listed && silent.is_empty();
-        while let Some(answer) = answers.next().await {
-            is_whole &= answer.is_some();
+        let mut gathered = GatheredEvidence {
+            evidence: vec![own],
+            is_whole: is_listed && silent.is_empty(),
+        };
+        loop {
+            let is_known = weigh(service, &gathered.evidence).software().is_some();
+            let limit = if is_known { prompt } else { until };
+            let Ok(Some(answer)) = timeout_at(limit, answers.next()).await else {
+                return gathered;
+            };
+            gathered.is_whole &= answer.is_some();
             let is_found = answer.as_ref().is_some_and(|known| known.start.is_some());
-            evidence.extend(answer);
+            gathered.evidence.extend(answer);
             if is_found {
-                break;
+                return gathered;
             }
         }
-        (evidence, is_whole)
+    }
+
+    // Returns the daemons to ask, those in contact first.
+    fn choose_asked<'a>(
+        &self,
+        attempt: Option<AttemptDigest>,
+        daemons: &'a [DaemonRecord],
+    ) -> (Vec<&'a DaemonRecord>, Vec<&'a DaemonRecord>) {
+        let order = attempt.unwrap_or_else(|| AttemptDigest::from(self.daemon.as_str()));
+        let now = clock::mono_now();
+        let peers = self.peers.borrow();
+        let others = keepers(order, daemons, ASKED).into_iter();
+        others
+            .filter(|daemon| daemon.id != self.daemon)
+            .partition(|daemon| peers.has_contact(&daemon.id, now))
     }
 
     // Waits until the other daemons are known, which can be later than readiness. Returns whether
--- a/src/gateway/software/mod.rs
+++ b/src/gateway/software/mod.rs
@@ -27,7 +27,9 @@
 use crate::gateway::model::RetryRule;
 use crate::gateway::reply::{Failure, FailureKind};
 use crate::gateway::routes::RouteTable;
-use crate::gateway::software::evidence::{EvidentStart, StartEvidence, VersionFinding, weigh};
+use crate::gateway::software::evidence::{
+    EvidentStart, GatheredEvidence, StartEvidence, VersionFinding, weigh,
+};
 use crate::gateway::software::starts::{AttemptDigest, AttemptStart, StreamStart};
 use crate::names::{MonoTime, ServiceName, SoftwareVersion};
 
@@ -84,13 +86,14 @@
         let resumed = call.caller.resumed.as_deref();
         let attempt = resumed.map(AttemptDigest::from);
         let service = &call.service.name;
-        let mut evidence = vec![self.start_evidence(attempt, service, clock::mono_now())];
-        let mut is_whole = true;
-        if evidence[0].start.is_none() {
-            let (told, all_answered) = self.ask_keepers(attempt, call).await;
-            evidence.extend(told);
-            is_whole = all_answered;
-        }
+        let own = self.start_evidence(attempt, service, clock::mono_now());
+        let GatheredEvidence { evidence, is_whole } = match own.start {
+            Some(_) => GatheredEvidence {
+                evidence: vec![own],
+                is_whole: true,
+            },
+            None => self.ask_keepers(own, attempt, call).await,
+        };
         let finding = weigh(service, &evidence);
         let checked = match finding.software() {
             Some(software) => self.check_served(call, software),
