Versions of objects hold the era of the store

An older entry of the copy was ignored by the same rule, or replaced a newer one where its revision had been reached; a conditional write whose revision was assigned again replaced another content; a watch went on from such a revision without an error.

Cause: revisions were compared by themselves, and nothing read Store-Era.

The adapter puts the era into the upper bits of a version, so that all comparisons order by era first. In the registry, an entry of a listing of a new era with a lower revision than the one seen is withheld until it is written again, or for 10 s if it stays listed: what was known stays in force. Entries that the listing lacks vanish as after an outage. A hub relays the listing whole, as its members treat a listing otherwise than changes.

A store that names no era stays in era 0, with the versions as before.

An older build takes a version with an era for the newest of its name, so daemons of both builds mix badly once the store has been restored.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -433,7 +433,7 @@
             }
             Err(error) => {
                 self.rejected_revision = self.rejected_revision.max(Some(revision));
-                log::error!(revision = revision; "configuration rejected, keeping the previous one: {error}");
+                log::error!(revision = ObjectVersion(revision).revision(); "configuration rejected, keeping the previous one: {error}");
                 false
             }
         }
@@ -444,7 +444,7 @@
         if self.routes.is_some() && config.version <= running {
             return false;
         }
-        log::info!(version = config.version, before = running, revision = revision; "configuration applied");
+        log::info!(version = config.version, before = running, revision = ObjectVersion(revision).revision(); "configuration applied");
         self.routes = Some(Arc::new(RouteTable::from(config)));
         true
     }
--- a/src/gateway/peers/feeding.rs
+++ b/src/gateway/peers/feeding.rs
@@ -24,6 +24,7 @@
 };
 use crate::gateway::store_follow::{Feed, WatchMode};
 use crate::names::{DaemonId, MonoTime};
+use crate::ports::ObjectVersion;
 
 /// Time after its start for which a member waits for a hub before it watches the store
 /// itself. After a restart of all 195 daemons of a fleet, half of them received objects
@@ -194,7 +195,8 @@
     fn changed_objects(&self, read: &FeedObjects) -> Option<Vec<ObjectUpdate>> {
         let known = self.feeds.get(&read.feed).filter(|_| read.whole)?;
         let listed = |name: &String| read.objects.iter().any(|(listed, ..)| listed == name);
-        if !known.keys().all(listed) {
+        // Members treat a listing of a restored store otherwise than changes.
+        if !known.keys().all(listed) || begins_era(known, &read.objects) {
             return None;
         }
         let is_new = |(name, version, _): &&ObjectUpdate| {
@@ -267,6 +269,13 @@
     }
 }
 
+fn begins_era(known: &IndexMap<String, (u64, Vec<u8>)>, listed: &[ObjectUpdate]) -> bool {
+    let era_of = |version: u64| ObjectVersion(version).era();
+    let newest = known.values().map(|(version, _)| era_of(*version)).max();
+    let listed = listed.iter().map(|(_, version, _)| era_of(*version)).max();
+    newest.is_some_and(|newest| listed > Some(newest))
+}
+
 fn digest(objects: &IndexMap<String, (u64, Vec<u8>)>) -> u64 {
     let mut versions: Vec<(&str, u64)> = objects
         .iter()
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -10,6 +10,11 @@
 //! A departure ends one incarnation of a target. Of two entries of a name the one with
 //! the higher store revision is newer; targets' own clocks may step.
 //!
+//! A store that is restored from an older copy begins an era with entries that may be older than
+//! what is known here. Such an entry is withheld until it is written again, or for
+//! [`WITHHOLDING_TIME`] if it stays listed: what was known before stays in force, also that the
+//! target is gone.
+//!
 //! [`ENTRY_RETURN_TIME`]: crate::gateway::store_contact::ENTRY_RETURN_TIME
 
 use std::sync::Arc;
@@ -24,12 +29,17 @@
 use crate::gateway::port::{RequestKind, WireError};
 use crate::gateway::store_contact::StoreOutageTracker;
 use crate::names::{DaemonId, MonoTime, TargetId, millis};
+use crate::ports::ObjectVersion;
 use crate::target_incarnation::TargetIncarnation;
 
 /// How long departures, and the last revision of removed entries, are remembered: longer
 /// than outdated information about them can take to arrive.
 const DEPARTURE_TTL: Duration = Duration::from_secs(120);
 
+/// How long an entry of an older copy of the store is withheld: longer than the store keeps the
+/// entry of a target that is gone.
+pub const WITHHOLDING_TIME: Duration = Duration::from_secs(10);
+
 /// Source of information about an entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EntrySource {
@@ -108,6 +118,13 @@
     pub at: MonoTime,
 }
 
+/// An entry of a restored store that may be older than what is known of its target.
+#[derive(Clone, Debug)]
+struct WithheldEntry {
+    change: EntryChange,
+    until: MonoTime,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct SeenRevision {
     revision: u64,
@@ -162,6 +179,8 @@
     departed: IndexMap<TargetIncarnation, TargetDeparture>,
     // Newest revision seen of each name, so that older entries are ignored.
     seen: IndexMap<TargetId, SeenRevision>,
+    // Entries that may be from an older copy of the store.
+    withheld: IndexMap<TargetId, WithheldEntry>,
     // Entries added, or removed while the store was reachable, to be announced to daemons
     // that cannot reach it.
     recent_updates: IndexMap<TargetId, RecentUpdate>,
@@ -170,6 +189,8 @@
     outage: StoreOutageTracker,
     // Revision up to which this daemon has applied all changes of the store.
     read_through: u64,
+    // Newest era of the store in a listing.
+    listed_era: Option<u64>,
 }
 
 impl TargetRegistry {
@@ -192,9 +213,13 @@
     pub fn replace(&mut self, listing: Vec<EntryChange>, source: EntrySource, now: MonoTime) {
         let listed_names: Vec<TargetId> =
             listing.iter().map(|change| change.name.clone()).collect();
+        self.note_listed_era(&listing, now);
         for change in listing {
-            self.apply(change, source, now);
+            if !self.withhold(&change, source, now) {
+                self.apply(change, source, now);
+            }
         }
+        self.withheld.retain(|name, _| listed_names.contains(name));
         let missing: Vec<TargetId> = self
             .entries
             .keys()
@@ -222,6 +247,7 @@
         if already_read || self.is_outdated(&name, revision) {
             return false;
         }
+        self.withheld.swap_remove(&name);
         self.note_revision(&name, revision, now);
         match content {
             EntryContent::Gone => {
@@ -241,6 +267,55 @@
         }
     }
 
+    // Entries that a restored store lacks may be written again, as after an outage.
+    fn note_listed_era(&mut self, listing: &[EntryChange], now: MonoTime) {
+        let eras = listing
+            .iter()
+            .map(|change| ObjectVersion(change.revision).era());
+        let Some(era) = eras.max() else {
+            return;
+        };
+        if self.listed_era.is_some_and(|before| era > before) {
+            self.outage.note_restore(now);
+        }
+        self.listed_era = self.listed_era.max(Some(era));
+    }
+
+    // Withholds an entry of a listing if it may be from a copy that is older than what is known.
+    // Whatever is written after the restore is read as a change.
+    fn withhold(&mut self, change: &EntryChange, source: EntrySource, now: MonoTime) -> bool {
+        let EntryChange { name, revision, .. } = change;
+        let (version, seen) = (ObjectVersion(*revision), self.seen_revision(name));
+        let seen = ObjectVersion(seen);
+        let withheld = self.withheld.get(name);
+        let withheld = withheld.map(|withheld| ObjectVersion(withheld.change.revision));
+        if let Some(withheld) = withheld.filter(|withheld| withheld.era() == version.era()) {
+            return withheld == version;
+        }
+        let is_restored = version.era() > seen.era() && version.revision() < seen.revision();
+        if !is_restored {
+            return false;
+        }
+        log::info!(
+            target_id = name.as_str(),
+            revision = version.revision(),
+            era = version.era(),
+            known_revision = seen.revision(),
+            source = source.as_str();
+            "withheld the entry of a restored store, as a newer one is known"
+        );
+        metrics::counter!("pistachiowick_entries_withheld_total").increment(1);
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.missing = None;
+        }
+        let withheld = WithheldEntry {
+            change: change.clone(),
+            until: now.plus(WITHHOLDING_TIME),
+        };
+        self.withheld.insert(name.clone(), withheld);
+        true
+    }
+
     /// Records the departure of an incarnation, announced by the target itself or detected
     /// from an answer at its address.
     pub fn mark_departed(&mut self, incarnation: &TargetIncarnation, now: MonoTime) {
@@ -287,9 +362,10 @@
             .filter(move |recent| recent.update.value.is_none() || is_present(&recent.update.name))
     }
 
-    /// Removes missing entries that did not reappear in time; returns true if there were
-    /// any.
+    /// Removes missing entries that did not reappear in time and applies those that were
+    /// withheld for long enough; returns true if there were any.
     pub fn expire(&mut self, now: MonoTime) -> bool {
+        let released = self.release_withheld(now);
         let before = self.entries.len();
         self.entries.retain(|name, entry| {
             let expired = entry.missing.filter(|missing| now >= missing.until);
@@ -311,15 +387,26 @@
         let entries = &self.entries;
         self.seen
             .retain(|name, seen| entries.contains_key(name) || now.since(seen.at) < DEPARTURE_TTL);
-        before != self.entries.len()
+        released || before != self.entries.len()
+    }
+
+    fn release_withheld(&mut self, now: MonoTime) -> bool {
+        let is_due = |withheld: &WithheldEntry| now >= withheld.until;
+        let due = self.withheld.values().filter(|withheld| is_due(withheld));
+        let due: Vec<EntryChange> = due.map(|withheld| withheld.change.clone()).collect();
+        let released = !due.is_empty();
+        for change in due {
+            self.apply(change, EntrySource::Store, now);
+        }
+        released
     }
 
-    /// Returns when the next missing entry is due for removal.
+    /// Returns when the next missing entry is due for removal, or a withheld one to be applied.
     #[must_use]
     pub fn next_expiry(&self) -> Option<MonoTime> {
-        self.missing_entries()
-            .map(|(_, missing)| missing.until)
-            .min()
+        let missing = self.missing_entries().map(|(_, missing)| missing.until);
+        let withheld = self.withheld.values().map(|withheld| withheld.until);
+        missing.chain(withheld).min()
     }
 
     /// Returns the targets that may get work, by service and in the same order on all
@@ -366,7 +453,7 @@
     ) -> bool {
         self.note_entries_gone(|name| name == record.id.name(), now);
         if record.leaving && !self.departed.contains_key(&record.id) {
-            log::info!(target_id = record.id.as_str(), revision = revision, source = source.as_str(); "target is leaving");
+            log::info!(target_id = record.id.as_str(), revision = ObjectVersion(revision).revision(), source = source.as_str(); "target is leaving");
             self.mark_departed(&record.id, now);
         }
         if let Some(departure) = self.departed.get_mut(&record.id) {
@@ -417,7 +504,7 @@
         if dropped {
             log::info!(
                 target_id = name.as_str(),
-                revision = self.seen_revision(name),
+                revision = ObjectVersion(self.seen_revision(name)).revision(),
                 source = source.as_str();
                 "removed target: its entry is no longer in the store"
             );
@@ -485,7 +572,7 @@
         let logged_revision = self.unreadable.insert(name.clone(), revision);
         if logged_revision != Some(revision) {
             metrics::counter!("pistachiowick_unreadable_entries_total").increment(1);
-            log::warn!(target_id = name.as_str(), revision = revision, source = source.as_str(); "ignored unreadable target entry, other entries stay in use; the target gets no work until it writes the entry again: {error}");
+            log::warn!(target_id = name.as_str(), revision = ObjectVersion(revision).revision(), source = source.as_str(); "ignored unreadable target entry, other entries stay in use; the target gets no work until it writes the entry again: {error}");
         }
         self.entries.swap_remove(name);
     }
@@ -526,7 +613,7 @@
         service = record.service.as_str(),
         software = record.software.as_str(),
         stage = record.stage.map_or("", |stage| stage.as_str()),
-        revision = revision,
+        revision = ObjectVersion(revision).revision(),
         source = source.as_str();
         "{message}"
     );
--- a/src/gateway/store_contact.rs
+++ b/src/gateway/store_contact.rs
@@ -47,6 +47,14 @@
         }
     }
 
+    /// Records that the store was restored from an older copy and answers.
+    pub fn note_restore(&mut self, now: MonoTime) {
+        self.outage = Some(StoreOutage {
+            failed_at: now,
+            returned_at: Some(now),
+        });
+    }
+
     /// Records an answer of the store.
     pub fn note_answer(&mut self, now: MonoTime) {
         if let Some(outage) = &mut self.outage {
--- a/src/gateway/store_follow.rs
+++ b/src/gateway/store_follow.rs
@@ -15,7 +15,7 @@
 use crate::gateway::peers::wire::FeedObjects;
 use crate::gateway::port::GatewayPorts;
 use crate::names::{MonoTime, millis};
-use crate::ports::{ObjectBatch, PlatformError, StoredObject, WatchQuery};
+use crate::ports::{ObjectBatch, ObjectVersion, PlatformError, StoredObject, WatchQuery};
 
 /// Longest wait of one watch. A connection can stop responding without a reset. A watch
 /// that is not answered by then is restarted on another connection, so this also bounds
@@ -386,7 +386,7 @@
                     }
                 }
                 Err(PlatformError::Refused { reason }) => {
-                    log::info!(kind = self.kind.as_str(), since = since; "watch cannot be resumed, listing again: {reason}");
+                    log::info!(kind = self.kind.as_str(), since = ObjectVersion(since).revision(); "watch cannot be resumed, listing again: {reason}");
                     return;
                 }
                 Err(error) => {
--- a/src/ports.rs
+++ b/src/ports.rs
@@ -32,9 +32,38 @@
 }
 
 /// Version of an object; 0 for an object that does not exist.
+///
+/// A store that is restored from an older copy assigns revisions again. It says so by a new era,
+/// which the upper bits hold, so that versions of a later era are greater than all before.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ObjectVersion(pub u64);
 
+/// Bits of a version that hold the revision; the era is above them.
+const REVISION_BITS: u32 = 48;
+
+impl ObjectVersion {
+    /// Creates the version of a revision that the store assigned in an era.
+    #[must_use]
+    pub const fn in_era(era: u64, revision: u64) -> Self {
+        match revision {
+            0 => Self(0),
+            _ => Self(era << REVISION_BITS | revision),
+        }
+    }
+
+    /// Returns the era of the store.
+    #[must_use]
+    pub const fn era(self) -> u64 {
+        self.0 >> REVISION_BITS
+    }
+
+    /// Returns the revision within the era, as the store counts it.
+    #[must_use]
+    pub const fn revision(self) -> u64 {
+        self.0 & ((1 << REVISION_BITS) - 1)
+    }
+}
+
 /// An object as read from the platform.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StoredObject {
@@ -60,7 +89,7 @@
 /// Objects of a kind, complete up to a revision.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ObjectBatch {
-    /// Revision from which the next watch starts.
+    /// Revision from which the next watch starts, with its era as in [`ObjectVersion`].
     pub revision: u64,
     /// Listed or changed objects.
     pub objects: Vec<StoredObject>,
@@ -71,7 +100,7 @@
 pub struct WatchQuery {
     /// Kind to watch.
     pub kind: String,
-    /// Revision after which changes are returned.
+    /// Revision after which changes are returned, with its era as in [`ObjectVersion`].
     pub since: u64,
     /// Time after which an empty batch is returned if nothing has changed.
     pub wait: Duration,
