A daemon writes its record again when the store has that of an earlier run

Found while the soak was given restores. A daemon that was restarted, and whose store was then restored from a copy made before, stayed unknown: the store had the record of its earlier run, other daemons ignored its messages (and its calls for placement), and nobody wrote the new record.

Cause: a record under the daemon's name counted as its own, whichever run had written it; and a member that gets the records from a hub did not check them at all.

The incarnation is compared, and after messages of a hub too.

daemons_write_their_records_again: a restart 2 s before the outage, copy from before it, 4 s after the store's return the old incarnation was in the store with 3 and with 18 daemons (both failed; with 18 also after the first half of this change); all four cases pass now. Records lost altogether came back before this change as well.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -26,7 +26,7 @@
     ConfigWatchWaits, Feed, INITIAL_BACKOFF, MAX_BACKOFF, StoreEvent, StoreFollower, StoreLiveness,
     WatchMode, kind_of, sleep_with_backoff,
 };
-use crate::names::{DaemonId, MonoTime, TargetId, millis};
+use crate::names::{MonoTime, TargetId, millis};
 use crate::ports::{ConditionalWrite, ObjectName, ObjectVersion, PlatformError, StoredObject};
 use crate::target_incarnation::TargetIncarnation;
 use crate::timer::TimerService;
@@ -195,12 +195,7 @@
                     // The traffic thread ends only with the process.
                     let _ = relay.send(objects);
                 }
-                let changed = event.is_some_and(|event| state.apply(event, EntrySource::Store));
-                if state.has_lost_local_record(&record_sender.borrow().id) {
-                    // Makes `maintain_record` write it again.
-                    record_sender.send_modify(|_| {});
-                }
-                changed
+                event.is_some_and(|event| state.apply(event, EntrySource::Store))
             }
             () = wait_until(state.registry.next_expiry()) => {
                 state.registry.expire(clock::mono_now())
@@ -211,6 +206,10 @@
                 false
             }
         };
+        if state.has_lost_local_record(&record_sender.borrow()) {
+            // Makes `maintain_record` write it again.
+            record_sender.send_modify(|_| {});
+        }
         if changed {
             state.publish();
         }
@@ -307,9 +306,10 @@
         self.apply(event, EntrySource::Hub)
     }
 
-    // Returns whether this daemon's record was known before and is missing now.
-    fn has_lost_local_record(&mut self, local: &DaemonId) -> bool {
-        let present = self.members.contains(local);
+    // Returns whether this daemon's record was known before, and is missing now or of an earlier
+    // run, as a restored store may have it.
+    fn has_lost_local_record(&mut self, local: &DaemonRecord) -> bool {
+        let present = self.members.contains(&local.id, local.incarnation);
         let lost = self.local_record_seen && !present;
         self.local_record_seen = present;
         lost
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -104,10 +104,11 @@
         self.records.clear();
     }
 
-    /// Returns whether a daemon has a record.
+    /// Returns whether a daemon's record is of the given run of it.
     #[must_use]
-    pub fn contains(&self, daemon: &DaemonId) -> bool {
-        self.records.contains_key(daemon.as_str())
+    pub fn contains(&self, daemon: &DaemonId, incarnation: u64) -> bool {
+        let record = self.records.get(daemon.as_str());
+        record.is_some_and(|record| record.incarnation == incarnation)
     }
 
     /// Returns all records sorted by name, so that all daemons see the same order.
