A list of the targets is a gap in what is known of their versions

Cause: a list was taken to continue what was known if the last answer was at most 4 s old. Only a watch does; it is resumed with all changes, or refused.

Each list but the first one of a new fleet begins the history anew. The daemon then tells others of the streams it remembers, as after a start.

Tried and reverted: a daemon that starts takes over from others which versions have served.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -356,7 +356,6 @@
                 self.apply_daemons(&objects)
             }
             StoreEvent::Changed(Feed::Targets, objects) => {
-                self.versions.note_changes_read(now);
                 for object in &objects {
                     self.apply_target(object, source);
                 }
--- a/src/gateway/software/history.rs
+++ b/src/gateway/software/history.rs
@@ -2,8 +2,8 @@
 //!
 //! That a single version serves now says nothing about a stream that began earlier, perhaps at a
 //! version whose targets have left. It does if no other version has served for as long as a
-//! stream can last, and if the daemon would know of one: what came and went while it could not
-//! read the store, or before it started, is not in its list.
+//! stream can last, and if the daemon would know of one: what came and went before a list of the
+//! targets, at its start or where the store could not tell all changes, is not in that list.
 
 use std::time::Duration;
 
@@ -12,9 +12,11 @@
 use crate::gateway::fleet::TargetsByService;
 use crate::names::{MonoTime, ServiceName, SoftwareVersion};
 
-/// Longest time without an answer of the store after which a new list still tells all versions:
-/// a watch that nothing interrupts is answered after three seconds at the latest.
+/// Longest time without an answer of the store in which all versions count as known: a watch that
+/// nothing interrupts is answered after three seconds at the latest.
 pub const MAX_READ_GAP: Duration = Duration::from_secs(4);
+/// Time within which the first list of a daemon that starts together with its fleet arrives.
+const FLEET_START_TIME: Duration = Duration::from_secs(4);
 /// Time for which versions that no longer serve are remembered.
 const RETENTION: Duration = Duration::from_secs(600);
 
@@ -30,7 +32,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct VersionHistory {
     complete_since: Option<MonoTime>,
-    read_at: Option<MonoTime>,
+    // When the fleet started, until the first list.
+    fleet_start: Option<MonoTime>,
     services: IndexMap<ServiceName, IndexMap<SoftwareVersion, VersionUse>>,
 }
 
@@ -40,24 +43,16 @@
     #[must_use]
     pub fn of_new_fleet(now: MonoTime) -> Self {
         Self {
-            complete_since: Some(MonoTime(0)),
-            read_at: Some(now),
-            services: IndexMap::new(),
+            fleet_start: Some(now),
+            ..Self::default()
         }
     }
 
-    /// Records that all changes of targets up to now are known.
-    pub fn note_changes_read(&mut self, now: MonoTime) {
-        self.read_at = Some(now);
-    }
-
-    /// Records that all targets were listed; what changed between two lists is unknown.
+    /// Records that all targets were listed; what changed since what was known is unknown.
     pub fn note_listed(&mut self, now: MonoTime) {
-        let is_gapless = |read_at: MonoTime| now.since(read_at) <= MAX_READ_GAP;
-        if !self.read_at.is_some_and(is_gapless) {
-            self.complete_since = Some(now);
-        }
-        self.read_at = Some(now);
+        let fleet_start = self.fleet_start.take();
+        let begins = fleet_start.is_some_and(|at| now.since(at) <= FLEET_START_TIME);
+        self.complete_since = Some(if begins { MonoTime(0) } else { now });
     }
 
     /// Records that a target of a version serves, or did so until now.
