--- a/tests/gateway_software.rs
+++ b/tests/gateway_software.rs
@@ -379,7 +379,7 @@
             history: VersionHistory::of_new_fleet(START),
             read: 0,
             blind_until: START,
-            read_at: START,
+            read_at: MonoTime(0),
             cut_until: START,
             in_touch_from: START,
             targets: &[],
