--- a/src/gateway/software/exchange.rs
+++ b/src/gateway/software/exchange.rs
@@ -180,7 +180,7 @@
         }
     }
 
-    // Returns the daemons to ask, those in contact first.
+    // Returns the daemons that may know a start: those in contact, which are asked, and the rest.
     fn choose_asked<'a>(
         &self,
         attempt: Option<AttemptDigest>,
