--- a/src/gateway/deciding/engine_choice.rs
+++ b/src/gateway/deciding/engine_choice.rs
@@ -52,6 +52,10 @@
     /// prefill time: their tokens wait for its chunks.
     #[serde(rename = "disturbance")]
     pub interference: f64,
+    /// Cost of a kilobyte of a request that is sent to another data centre.
+    pub crossing_ms_per_kb: f64,
+    /// Cost of a token copied from another data centre, as a multiple of `copy_ms`.
+    pub crossing_copy_factor: f64,
 }
 
 impl Default for PlacementWeights {
@@ -62,6 +66,8 @@
             home_discount: 0.5,
             running_ms: 2.0,
             interference: 0.2,
+            crossing_ms_per_kb: 0.0,
+            crossing_copy_factor: 1.0,
         }
     }
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -204,6 +204,48 @@
     }
 }
 
+/// Settings of admission control.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct AdmissionSettings {
+    /// Whether requests are admitted by their priority, deadline and work when capacity is
+    /// insufficient.
+    pub enabled: bool,
+}
+
+/// Settings of the queue before plain services.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlainQueueSettings {
+    /// Whether requests wait in one queue of the fleet, in order of priority, while the targets
+    /// of a plain service are full.
+    pub enabled: bool,
+}
+
+/// Settings of learned target capacities.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct TargetCapacitySettings {
+    /// Whether daemons learn together how fast each target is.
+    pub enabled: bool,
+}
+
+/// Settings of the share of prefill engines.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct StageShareSettings {
+    /// Whether the share follows the measured work, instead of `prefill_share`.
+    pub follow_work: bool,
+}
+
+/// Settings of the number of servers.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct ServerCountSettings {
+    /// Whether the number follows the measured demand, instead of the number provided.
+    pub follow_demand: bool,
+}
+
 /// Settings of one process.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct GatewaySettings {
@@ -237,6 +279,21 @@
     /// Weights of the choice of engines.
     #[serde(default)]
     pub placement: PlacementWeights,
+    /// Admission control.
+    #[serde(default)]
+    pub admission: AdmissionSettings,
+    /// Queue before plain services.
+    #[serde(default)]
+    pub plain_queue: PlainQueueSettings,
+    /// Learned capacities of targets.
+    #[serde(default)]
+    pub target_capacity: TargetCapacitySettings,
+    /// Share of prefill engines.
+    #[serde(default)]
+    pub stage_share: StageShareSettings,
+    /// Number of servers.
+    #[serde(default)]
+    pub server_count: ServerCountSettings,
     /// Lowest level of log lines: error, warn, info or debug.
     #[serde(default = "default_level")]
     pub log_level: String,
@@ -299,6 +356,12 @@
         not_negative("limits.link_mbps", limits.link_mbps)?;
         not_negative("bounds.repeat_ratio", bounds.repeat_ratio)?;
         not_negative("bounds.repeat_allowance", bounds.repeat_allowance)?;
+        let placement = &self.placement;
+        not_negative("placement.crossing_ms_per_kb", placement.crossing_ms_per_kb)?;
+        not_negative(
+            "placement.crossing_copy_factor",
+            placement.crossing_copy_factor,
+        )?;
         if !(0.0..=1.0).contains(&self.prefill_share) {
             let found = self.prefill_share.to_string();
             return Err(out_of_range("prefill_share", &found, "0 to 1"));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod access_key;
 pub mod admin_http;
+pub mod admission;
 pub mod authority;
 pub mod broadcast_schedule;
 pub mod client;
