Inventory of engines' caches after a restart

Cause: what engines cache is known only from the requests that daemons placed.

Hubs, or in a mesh all daemons by rendezvous hashing, ask each engine once after their start for the parts that it holds, four at a time, and announce them. Off by default.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -23,6 +23,7 @@
 use crate::crashes::open_ends::OpenEnds;
 use crate::crashes::tracker::CrashTracker;
 use crate::gateway::budget::RetryLimiter;
+use crate::gateway::cache_inventory;
 use crate::gateway::client::AnswerMemory;
 use crate::gateway::control::{self, ControlInput, ControlSetup, ControlThread};
 use crate::gateway::deciding::DecisionCore;
@@ -465,6 +466,10 @@
     );
     supervise("quarantined work", store_records::run(gateway.clone()));
     supervise("stages", stage_control::run(gateway.clone()));
+    let inventory = gateway.settings().cache_inventory;
+    if inventory.enabled && !gateway.settings().first_start {
+        supervise("cache inventory", cache_inventory::run(gateway.clone()));
+    }
     if let Some(duties) = gateway.settings().duties {
         supervise("duties", fleet_tasks::run(gateway.clone(), duties));
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod access;
 pub mod backoffs;
 pub mod budget;
+pub mod cache_inventory;
 pub mod call;
 pub mod client;
 pub mod control;
--- a/src/gateway/peers/hub.rs
+++ b/src/gateway/peers/hub.rs
@@ -122,6 +122,12 @@
         self.role == Some(PeerRole::Hub)
     }
 
+    /// Returns the role that was decided last; `None` before the first time.
+    #[must_use]
+    pub fn current_role(&self) -> Option<&PeerRole> {
+        self.role.as_ref()
+    }
+
     /// Decides the current role of this daemon.
     pub fn role(
         &mut self,
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -11,7 +11,9 @@
 use thiserror::Error;
 
 use crate::gateway::fleet_tasks::usage_counts::{WindowNumber, WorkspaceCounts};
-use crate::gateway::model::{CallerAccess, CallerRequest, EngineStage, FleetConfig, TargetRecord};
+use crate::gateway::model::{
+    CallerAccess, CallerRequest, EngineStage, FleetConfig, PromptPart, TargetRecord,
+};
 use crate::names::{CentreName, DaemonId, FenceNumber, ServiceName, TargetId, UnixTime};
 use crate::ports::{ObjectName, ObjectVersion, PlatformError, PlatformPort, PortCall};
 use crate::target_incarnation::TargetIncarnation;
@@ -223,6 +225,10 @@
     pub report_query: fn() -> TargetQuery,
     /// Decodes an engine's report.
     pub decode_report: fn(&[u8]) -> Result<EngineReport, WireError>,
+    /// Builds the call that lists the prompt parts that an engine caches.
+    pub cache_list_query: fn() -> TargetQuery,
+    /// Decodes that list.
+    pub decode_cache_list: fn(&[u8]) -> Result<Vec<PromptPart>, WireError>,
     /// Decodes a directory query; `None` when the path is a different one.
     pub decode_directory_query: fn(&Uri) -> Option<DirectoryQuery>,
     /// Encodes the directory's answer from addresses and the time to cache them.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -230,6 +230,14 @@
     pub enabled: bool,
 }
 
+/// Settings of the inventory of engines' caches.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct CacheInventorySettings {
+    /// Whether a daemon that places requests asks engines what they cache after its start.
+    pub enabled: bool,
+}
+
 /// Settings of the share of prefill engines.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
@@ -288,6 +296,9 @@
     /// Learned capacities of targets.
     #[serde(default)]
     pub target_capacity: TargetCapacitySettings,
+    /// Inventory of engines' caches; takes effect at the next start.
+    #[serde(default)]
+    pub cache_inventory: CacheInventorySettings,
     /// Share of prefill engines.
     #[serde(default)]
     pub stage_share: StageShareSettings,
--- a/src/gateway/stage_control.rs
+++ b/src/gateway/stage_control.rs
@@ -357,7 +357,8 @@
         (self.ports.wire.decode_report)(&body).map_err(|e| SendError::NotSent(e.to_string()))
     }
 
-    async fn call_target(
+    /// Sends a query to an engine on a connection of its own.
+    pub(super) async fn call_target(
         &self,
         engine: &TargetRecord,
         query: TargetQuery,
