End calls of fleet tasks with the lease they are made under

A call starts only within 1 s after a confirmed renewal, is limited to the time left until the holder's deadline, and its connection is reset if it has no complete answer, also when the process is killed. The network then drops bytes that have not arrived. Orders to engines use the same connections.

--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -16,7 +16,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
+use socket2::{SockRef, Socket, TcpKeepalive};
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -118,6 +118,8 @@
     allowance: ByteAllowance,
     // Reads and writes the connection; aborted with it, so that it does not read on.
     task: JoinHandle<()>,
+    // Second handle of the socket, if the connection is reset when a call on it is given up.
+    reset_handle: Option<Socket>,
     /// When the connection was opened.
     pub opened: MonoTime,
     /// When the last answer on it ended.
@@ -135,11 +137,33 @@
     ///
     /// Returns [`SendError::NotSent`] if the connection cannot be opened.
     pub async fn open(address: SocketAddr, deadline: Instant) -> Result<Self, SendError> {
+        Self::open_with(address, deadline, |_| Ok(None)).await
+    }
+
+    /// Opens a connection as [`Self::open`] does. If a call on it ends without its complete
+    /// answer, or the process is killed during the call, the connection is reset instead of
+    /// closed, so that the network drops bytes of the request that have not arrived.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError::NotSent`] if the connection cannot be opened.
+    pub async fn open_resetting(address: SocketAddr, deadline: Instant) -> Result<Self, SendError> {
+        let clone_socket = |stream: &TcpStream| SockRef::from(stream).try_clone().map(Some);
+        Self::open_with(address, deadline, clone_socket).await
+    }
+
+    async fn open_with(
+        address: SocketAddr,
+        deadline: Instant,
+        reset_handle: impl FnOnce(&TcpStream) -> io::Result<Option<Socket>>,
+    ) -> Result<Self, SendError> {
         let connected = timeout_at(deadline, TcpStream::connect(address)).await;
         let stream = connected
             .map_err(|_| SendError::NotSent(format!("{address}: connection timed out")))?
             .map_err(|error| SendError::NotSent(format!("{address}: {error}")))?;
         set_socket_options(&stream).map_err(|e| SendError::NotSent(format!("{address}: {e}")))?;
+        let reset_handle = reset_handle(&stream)
+            .map_err(|error| SendError::NotSent(format!("{address}: {error}")))?;
         let (limited, allowance) = LimitedStream::new(stream);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
@@ -156,6 +180,7 @@
             sender,
             allowance,
             task,
+            reset_handle,
             opened: clock::mono_now(),
             idle_since: Instant::now(),
             keep_alive_until: None,
@@ -180,6 +205,8 @@
         deadline: Instant,
     ) -> Result<Response<Incoming>, SendError> {
         self.used = true;
+        self.set_reset_on_close(true)
+            .map_err(|error| SendError::NotSent(error.to_string()))?;
         self.allowance.limit();
         let sending = self.sender.try_send_request(request.to_http());
         match timeout_at(deadline, sending).await {
@@ -198,6 +225,17 @@
     }
 }
 
+impl HttpConnection {
+    // A linger time of zero makes every close a reset, also the close by the kernel when the
+    // process is killed.
+    fn set_reset_on_close(&self, is_reset: bool) -> io::Result<()> {
+        match &self.reset_handle {
+            Some(socket) => socket.set_linger(is_reset.then_some(Duration::ZERO)),
+            None => Ok(()),
+        }
+    }
+}
+
 impl Drop for HttpConnection {
     fn drop(&mut self) {
         self.task.abort();
@@ -354,5 +392,7 @@
     let (head, body) = response.into_parts();
     let body = read_body(body, max_bytes, deadline).await?;
     connection.idle_since = Instant::now();
+    // A reset after a complete answer loses nothing, so a failure does not matter.
+    let _ = connection.set_reset_on_close(false);
     Ok((head, body))
 }
--- a/src/gateway/fleet_tasks/mod.rs
+++ b/src/gateway/fleet_tasks/mod.rs
@@ -2,7 +2,8 @@
 //! ordering servers. Each server that the platform starts registers as a target.
 //!
 //! The right to act is a lease in the store. The platform does not check who acts. A holder
-//! therefore stops well before its lease expires on its own clock. A new holder starts only
+//! therefore gives up its calls well before its lease expires on its own clock, and resets
+//! their connections. A new holder starts only
 //! once no call of its predecessor can still be in flight and it has held the lease for long
 //! enough: holders that alternate quickly would look like two holders at once.
 
@@ -28,7 +29,7 @@
 use crate::gateway::lease_upkeep::{LeaseCallResult, LeaseManager};
 use crate::gateway::port::FleetTaskHolder;
 use crate::gateway::settings::FleetTaskSettings;
-use crate::names::{FenceNumber, MonoTime};
+use crate::names::{FenceNumber, MonoTime, millis};
 use crate::ports::ObjectName;
 use crate::timer::TimerService;
 
@@ -44,12 +45,19 @@
 /// Time after the start in which the daemon does not contend, until hubs are elected.
 const STARTUP_DELAY: Duration = Duration::from_millis(3_000);
 /// Timeout of a call to the platform; a slow one takes hundreds of milliseconds.
-pub const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Fraction of the lease at its end in which the holder starts no call: longer than a call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Fraction of the lease at its end in which the holder makes no call: time for a process that
+/// was delayed to reset the connection of its last call.
 const GUARD_FRACTION: f64 = 0.4;
+/// Age of the last confirmed renewal from which no call is started: a daemon that has lost the
+/// store or was suspended may no longer be the holder.
+const MAX_RENEWAL_AGE: Duration = Duration::from_millis(1_000);
+/// Fraction of the lease that has to be left for a call; a shorter call would be given up
+/// without an answer on a slow link.
+const MIN_CALL_FRACTION: f64 = 0.1;
 /// Time for which a call may still be in flight after the lease has ended, as a fraction of
-/// the lease. The connection gives up a call started at the last moment 2.5 s later, which is
-/// 0.43 of a three-second lease after its end.
+/// the lease. If the process is suspended during a call, the connection gives up bytes that are
+/// not acknowledged after 2.5 s, which is 0.43 of a three-second lease after its end.
 const IN_FLIGHT_FRACTION: f64 = 0.5;
 
 /// Usage counts of this daemon, with the clock that assigns them to windows.
@@ -78,6 +86,21 @@
     }
 }
 
+/// Returns the time limit of a call that starts now and has to be given up at `deadline`.
+#[must_use]
+pub fn call_timeout(deadline: MonoTime, now: MonoTime) -> Duration {
+    CALL_TIMEOUT.min(deadline.since(now))
+}
+
+/// Returns the time from which no further call may be started under a lease of `lease_time`
+/// whose calls have to be given up at `deadline`.
+#[must_use]
+pub fn last_start(deadline: MonoTime, confirmed_at: MonoTime, lease_time: Duration) -> MonoTime {
+    let min_call = millis(lease_time.mul_f64(MIN_CALL_FRACTION));
+    let latest = MonoTime(deadline.0.saturating_sub(min_call));
+    latest.min(confirmed_at.plus(MAX_RENEWAL_AGE))
+}
+
 /// The right of the lease holder to act during one check for due work.
 #[derive(Clone, Debug)]
 pub struct FleetTaskTurn {
@@ -172,11 +195,7 @@
     // ever, in its first period. A daemon that takes over a released lease could act at once
     // and release it just as quickly. The wait keeps the calls of alternating holders apart.
     fn turn(&mut self, now: MonoTime) -> Option<FleetTaskTurn> {
-        let Some(LeaseAuthority {
-            fence,
-            deadline: until,
-        }) = self.lease.authority(now)
-        else {
+        let Some(LeaseAuthority { fence, deadline }) = self.lease.authority(now) else {
             // After a late renewal, the holder only waits: its state is still valid.
             if !self.lease.is_held() {
                 self.change_lease(None);
@@ -191,11 +210,13 @@
         if !is_first && now.since(since) < self.lease_time + CHECK_INTERVAL {
             return None;
         }
+        let until = last_start(deadline, self.lease.confirmed_at(), self.lease_time);
         let caller = FleetTaskHolder {
             holder: self.gateway.daemon.clone(),
             fence,
+            deadline,
         };
-        Some(FleetTaskTurn { caller, until })
+        (now < until).then_some(FleetTaskTurn { caller, until })
     }
 
     // Drops the tasks' state, which is read again for each new lease: another holder may
--- a/src/gateway/lease_upkeep.rs
+++ b/src/gateway/lease_upkeep.rs
@@ -26,6 +26,8 @@
     gateway: Rc<Gateway>,
     table: LeaseTable,
     group: GroupName,
+    // When the result of the last acquisition or renewal arrived.
+    confirmed_at: MonoTime,
 }
 
 impl LeaseManager {
@@ -36,6 +38,7 @@
         Self {
             table: LeaseTable::new(gateway.daemon.clone(), incarnation, times),
             group: GroupName::from(group),
+            confirmed_at: MonoTime(0),
             gateway,
         }
     }
@@ -80,12 +83,24 @@
 
     /// Processes the result of a store call.
     pub fn take(&mut self, call: LeaseCallResult, now: MonoTime) {
+        let known = self.authority(now);
         match call {
             LeaseCallResult::Read(result) => self.table.note_read(&self.group, &result, now),
             LeaseCallResult::Written(write_id, result) => {
                 self.table.note_write(&self.group, &write_id, &result, now);
             }
         }
+        // A write whose answer was lost is confirmed by a read.
+        let confirmed = self.authority(now);
+        if confirmed.is_some() && confirmed != known {
+            self.confirmed_at = now;
+        }
+    }
+
+    /// Returns when this daemon last learned that it had acquired or renewed the lease.
+    #[must_use]
+    pub fn confirmed_at(&self) -> MonoTime {
+        self.confirmed_at
     }
 
     /// Returns the authority to act now, if this daemon has it.
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -12,7 +12,7 @@
 
 use crate::gateway::fleet_tasks::usage_counts::{WindowNumber, WorkspaceCounts};
 use crate::gateway::model::{CallerAccess, CallerRequest, EngineStage, FleetConfig, TargetRecord};
-use crate::names::{CentreName, DaemonId, FenceNumber, ServiceName, TargetId, UnixTime};
+use crate::names::{CentreName, DaemonId, FenceNumber, MonoTime, ServiceName, TargetId, UnixTime};
 use crate::ports::{ObjectName, ObjectVersion, PlatformError, PlatformPort, PortCall};
 use crate::target_incarnation::TargetIncarnation;
 use crate::target_statements::TargetStatement;
@@ -257,6 +257,8 @@
     pub holder: DaemonId,
     /// Fencing token of its lease.
     pub fence: FenceNumber,
+    /// Local time at which a call made under the lease has to be given up.
+    pub deadline: MonoTime,
 }
 
 /// Requests that started in a window of fleet time, counted by workspace.
--- a/src/gateway/stage_control.rs
+++ b/src/gateway/stage_control.rs
@@ -347,27 +347,34 @@
             orders_accepted: report.orders_accepted,
         };
         let query = (self.ports.wire.encode_order)(&order);
-        let (head, body) = self.call_target(engine, query).await?;
+        let (head, body) = self.call_target(engine, query, Some(deadline)).await?;
         Ok((self.ports.wire.decode_order)(head.status, &body))
     }
 
     async fn fetch_report(&self, engine: &TargetRecord) -> Result<EngineReport, SendError> {
         let query = (self.ports.wire.report_query)();
-        let (_, body) = self.call_target(engine, query).await?;
+        let (_, body) = self.call_target(engine, query, None).await?;
         (self.ports.wire.decode_report)(&body).map_err(|e| SendError::NotSent(e.to_string()))
     }
 
+    // A call made under the lease has an end at which it is given up, and its connection reset.
     async fn call_target(
         &self,
         engine: &TargetRecord,
         query: TargetQuery,
+        lease_end: Option<MonoTime>,
     ) -> Result<(http::response::Parts, bytes::Bytes), SendError> {
         let deadline = Instant::now() + CALL_TIMEOUT;
         self.await_admission(engine, TurnTerms::default())
             .await
             .map_err(SendError::Withdrawn)?;
         let request = query_request(engine, query);
-        let mut connection = HttpConnection::open(engine.address, deadline).await?;
+        let lease_left = lease_end.map(|end| end.since(clock::mono_now()));
+        let deadline = lease_left.map_or(deadline, |left| deadline.min(Instant::now() + left));
+        let mut connection = match lease_end {
+            Some(_) => HttpConnection::open_resetting(engine.address, deadline).await?,
+            None => HttpConnection::open(engine.address, deadline).await?,
+        };
         let sent = clock::mono_now();
         let answer = client::call(&mut connection, &request, MAX_REPORT_BYTES, deadline).await?;
         self.note_query_answer(engine, &answer.0, sent);
