--- a/src/gateway/cache_inventory.rs
+++ b/src/gateway/cache_inventory.rs
@@ -155,7 +155,7 @@
     // Returns whether the engine answered.
     async fn list_cache(&self, engine: &TargetRecord) -> bool {
         let query = (self.ports.wire.cache_list_query)();
-        let answer = match self.call_target(engine, query).await {
+        let answer = match self.call_target(engine, query, None).await {
             Ok((head, body)) if head.status.is_success() => {
                 (self.ports.wire.decode_cache_list)(&body).map_err(|error| error.to_string())
             }
