Choose engines, cache sources, homes and plain targets by data centre

Bytes of a request that leave its data centre have a cost, and copies of caches between data centres a factor. Placement requests state the size of the body where the cost is set. At the defaults, choices and messages are unchanged.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -260,7 +260,10 @@
         let watch_mode = WatchMode::initial(settings.first_start);
         Self {
             daemon: settings.daemon.clone(),
-            core: RefCell::new(DecisionCore::new(settings.placement)),
+            core: RefCell::new(DecisionCore {
+                centre: Some(settings.centre.clone()),
+                ..DecisionCore::new(settings.placement)
+            }),
             settings: RefCell::new(Rc::new(settings)),
             ports,
             fleet,
--- a/src/gateway/deciding/engine_choice.rs
+++ b/src/gateway/deciding/engine_choice.rs
@@ -5,10 +5,12 @@
 //! its KV cache transferred, or it is prefilled on its decode engine. Either engine can
 //! copy shared parts from one that caches them, which takes milliseconds where
 //! recomputing takes hundreds. The option with the least expected time to the first
-//! token wins; costs imposed on other requests are added to that time.
+//! token wins; costs imposed on other requests, and of bytes sent between data centres, are
+//! added to that time.
 
 use std::sync::Arc;
 
+use indexmap::IndexMap;
 use serde::Deserialize;
 
 use crate::gateway::deciding::TimedWork;
@@ -17,6 +19,7 @@
 use crate::gateway::deciding::health::HealthView;
 use crate::gateway::deciding::load::TargetWork;
 use crate::gateway::model::{EngineStage, PromptShape, TargetRecord};
+use crate::names::CentreName;
 use crate::target_limits::tracker::TurnOffer;
 
 /// Wait expected for each running request in excess of an engine's slots, in milliseconds.
@@ -28,6 +31,9 @@
 /// Cost of an engine whose sends all fail, in milliseconds; scaled by the failure rate.
 const FAILURE_PENALTY_MS: f64 = 1_000.0;
 
+/// Bytes of a kilobyte in [`PlacementWeights::crossing_ms_per_kb`].
+const BYTES_PER_KB: f64 = 1_000.0;
+
 /// Largest reduction of the cost of an engine at which a turn is about to expire, in
 /// milliseconds: an engine that gets no requests cannot show that its limit has ended.
 const TURN_DISCOUNT_MS: f64 = 300.0;
@@ -72,6 +78,41 @@
     }
 }
 
+impl PlacementWeights {
+    /// Returns the cost of sending a request of `bytes` from a daemon in the data centre
+    /// `from`, if it is known, to one in `to`.
+    #[must_use]
+    pub fn send_ms(&self, bytes: usize, from: Option<&CentreName>, to: &CentreName) -> f64 {
+        let crosses = from.is_some_and(|from| from != to);
+        if !crosses {
+            return 0.0;
+        }
+        bytes as f64 / BYTES_PER_KB * self.crossing_ms_per_kb
+    }
+
+    // Returns the cost of a copy of `tokens` between two data centres, or within one.
+    fn copy_cost_ms(&self, tokens: u32, from: &CentreName, to: &CentreName) -> f64 {
+        let factor = if from == to {
+            1.0
+        } else {
+            self.crossing_copy_factor
+        };
+        f64::from(tokens) * self.copy_ms * factor
+    }
+
+    fn has_local_homes(&self) -> bool {
+        self.crossing_ms_per_kb > 0.0
+    }
+
+    fn has_crossing_copies(&self) -> bool {
+        self.crossing_copy_factor != 1.0
+    }
+
+    fn prefers_local_sources(&self) -> bool {
+        self.has_local_homes() || self.has_crossing_copies()
+    }
+}
+
 /// State of an engine as used for a choice.
 #[derive(Clone, Debug)]
 pub struct EngineState {
@@ -89,6 +130,8 @@
     pub available: bool,
     /// When the next request may be sent, if it limits or refuses requests.
     pub turn: Option<TurnOffer>,
+    /// Cost of sending the request to it, in milliseconds: none within a data centre.
+    pub send_ms: f64,
 }
 
 impl EngineState {
@@ -195,10 +238,7 @@
 ) -> Option<EnginePlacement> {
     let context = ChoiceContext::new(weights, latencies, engines, prompt, rank);
     let local = context.cheapest(|e| !e.is_prefill_engine() && e.available)?;
-    let Some(remote) = context.cheapest(|e| e.is_prefill_engine() && e.available) else {
-        return Some(local_placement(&local, rank));
-    };
-    let Some((decode_engine, decode)) = context.decode_engine() else {
+    let Some((remote, (decode_engine, decode))) = context.cheapest_pair() else {
         return Some(local_placement(&local, rank));
     };
     if remote.cost_ms + decode.cost >= local.cost_ms {
@@ -219,7 +259,8 @@
     })
 }
 
-/// Chooses the decode engine for a prompt that was prefilled elsewhere.
+/// Chooses the decode engine for a prompt that was prefilled in the data centre
+/// `prefilled_in`.
 ///
 /// A prefill takes up to seconds, in which engines leave and loads change, so the decode
 /// engine is chosen again once it is done.
@@ -228,12 +269,12 @@
     weights: &PlacementWeights,
     latencies: &EngineLatencies,
     engines: &[EngineState],
-    prompt: &PromptShape,
-    rank: u8,
+    (prompt, rank): (&PromptShape, u8),
+    prefilled_in: &CentreName,
 ) -> Option<Arc<TargetRecord>> {
     let context = ChoiceContext::new(weights, latencies, engines, prompt, rank);
     context
-        .decode_engine()
+        .decode_engine(prefilled_in)
         .map(|(engine, _)| engine.record.clone())
 }
 
@@ -270,10 +311,12 @@
     rank: u8,
     shared_tokens: u32,
     // First home of the prompt's shared part, among engines that are not avoided and neither
-    // limit nor refuse requests.
-    home: Option<&'a EngineState>,
-    // Engine from which the most leading tokens of the prompt can be copied.
-    source: Option<&'a EngineState>,
+    // limit nor refuse requests: of all data centres, or of the one that the request is sent
+    // from. Only without a home there, the homes of the others.
+    homes: Vec<&'a EngineState>,
+    // Engine from which the most leading tokens of the prompt can be copied: one for all data
+    // centres, or one for each.
+    sources: Vec<&'a EngineState>,
 }
 
 impl<'a> ChoiceContext<'a> {
@@ -285,16 +328,20 @@
         rank: u8,
     ) -> Self {
         let key = affinity::shared_key(&prompt.parts);
-        let home = key.and_then(|key| {
+        let homes = key.map_or_else(Vec::new, |key| {
             let open = engines
                 .iter()
                 .filter(|e| !e.health.avoided && e.turn.is_none());
-            open.max_by_key(|e| affinity::home_weight(key, &e.record.id))
+            let home_weight = |e: &EngineState| affinity::home_weight(key, &e.record.id);
+            let homes = first_by(open, home_weight, weights.has_local_homes());
+            nearest(homes)
         });
         let sources = engines.iter().filter(|e| !e.health.avoided);
-        let source = sources
-            .filter(|e| e.copyable_tokens > 0)
-            .max_by_key(|e| e.copyable_tokens);
+        let sources = first_by(
+            sources.filter(|e| e.copyable_tokens > 0),
+            |e| u64::from(e.copyable_tokens),
+            weights.prefers_local_sources(),
+        );
         Self {
             weights,
             latencies,
@@ -302,8 +349,8 @@
             prompt,
             rank,
             shared_tokens: affinity::shared_tokens(&prompt.parts),
-            home,
-            source,
+            homes,
+            sources,
         }
     }
 
@@ -314,19 +361,68 @@
             .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
     }
 
+    // Returns the prefill engine and the decode engine with the least cost together.
+    fn cheapest_pair(&self) -> Option<(PrefillOption<'a>, (&'a EngineState, DecodeCost))> {
+        let fits = |e: &EngineState| e.is_prefill_engine() && e.available;
+        if !self.weights.has_crossing_copies() {
+            // The cost of the transfer does not depend on the pair.
+            let remote = self.cheapest(fits)?;
+            return Some((remote, self.decode_engine(&remote.engine.record.centre)?));
+        }
+        let centres: IndexMap<&CentreName, ()> = self
+            .engines
+            .iter()
+            .filter(|e| fits(e))
+            .map(|e| (&e.record.centre, ()))
+            .collect();
+        let pairs = centres.keys().filter_map(|centre| {
+            let remote = self.cheapest(|e| fits(e) && e.record.centre == **centre)?;
+            Some((remote, self.decode_engine(centre)?))
+        });
+        let cost = |(remote, (_, decode)): &(PrefillOption<'_>, (&EngineState, DecodeCost))| {
+            remote.cost_ms + decode.cost
+        };
+        pairs.min_by(|a, b| cost(a).total_cmp(&cost(b)))
+    }
+
+    // Returns the prefill at an engine, with shared parts copied from the best source.
     fn option(&self, engine: &'a EngineState) -> PrefillOption<'a> {
+        let sources = self.sources.iter().copied();
+        if !self.weights.prefers_local_sources() {
+            return self.option_from(engine, self.sources.first().copied());
+        }
+        // Among equal costs, the first wins: a copy within the data centre.
+        let is_near = |e: &&EngineState| e.record.centre == engine.record.centre;
+        let near_first = sources
+            .clone()
+            .filter(is_near)
+            .chain(sources.filter(|e| !is_near(e)));
+        let options = near_first
+            .map(|source| self.option_from(engine, Some(source)))
+            .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
+        let uncopied = self.option_from(engine, None);
+        match options {
+            Some(option) if option.cost_ms <= uncopied.cost_ms => option,
+            _ => uncopied,
+        }
+    }
+
+    fn option_from(
+        &self,
+        engine: &'a EngineState,
+        source: Option<&'a EngineState>,
+    ) -> PrefillOption<'a> {
         let cached = engine.cached_tokens;
         let shared = self.shared_tokens;
-        let from_source = self
-            .source
-            .map_or(0, |source| source.copyable_tokens.min(shared));
+        let from_source = source.map_or(0, |source| source.copyable_tokens.min(shared));
         let copied = from_source.saturating_sub(cached);
-        let fetch_from = self.source.filter(|_| copied > 0);
+        let fetch_from = source.filter(|_| copied > 0);
         let pending_prefill = self.prompt.prompt_tokens.saturating_sub(cached + copied);
         let recomputed = self.shared_tokens.saturating_sub(cached + copied);
         let is_home = self
-            .home
-            .is_some_and(|home| home.record.id == engine.record.id);
+            .homes
+            .iter()
+            .any(|home| home.record.id == engine.record.id);
         let weights = self.weights;
         let discount = if is_home { weights.home_discount } else { 0.0 };
         let weighted_recomputed =
@@ -351,12 +447,16 @@
             + weighted_recomputed * slowdown * latency.token_ms)
             * interference_factor
             - own_prefill_ms;
-        let copying_ms = f64::from(copied) * weights.copy_ms;
+        let centre = &engine.record.centre;
+        let copying_ms = fetch_from.map_or(0.0, |source| {
+            weights.copy_cost_ms(copied, &source.record.centre, centre)
+        });
         PrefillOption {
             engine,
             fetch_from,
             cost_ms: expected_ms + cost_to_others_ms + running + copying_ms
-                - engine.turn_discount_ms(),
+                - engine.turn_discount_ms()
+                + engine.send_ms,
             expected_ms,
             own_prefill_ms,
             pending_prefill_tokens: pending_prefill,
@@ -365,8 +465,8 @@
         }
     }
 
-    // Returns the decode engine with the least cost for a prompt prefilled elsewhere.
-    fn decode_engine(&self) -> Option<(&'a EngineState, DecodeCost)> {
+    // Returns the decode engine with the least cost for a prompt prefilled in a data centre.
+    fn decode_engine(&self, prefilled_in: &CentreName) -> Option<(&'a EngineState, DecodeCost)> {
         let fits = |e: &&EngineState| !e.is_prefill_engine() && e.available;
         let costs = self.engines.iter().filter(fits).map(|engine| {
             let waiting = f64::from(engine.work.prefill_tokens_before(self.rank));
@@ -378,11 +478,40 @@
                 .prompt
                 .prompt_tokens
                 .saturating_sub(engine.cached_tokens);
-            let copy_ms = f64::from(copied) * self.weights.copy_ms;
+            let centre = &engine.record.centre;
+            let copy_ms = self.weights.copy_cost_ms(copied, prefilled_in, centre);
             let cost = expected + copy_ms + engine.running_ms(self.weights.running_ms)
-                - engine.turn_discount_ms();
+                - engine.turn_discount_ms()
+                + engine.send_ms;
             (engine, DecodeCost { expected, cost })
         });
         costs.min_by(|a, b| a.1.cost.total_cmp(&b.1.cost))
     }
 }
+
+// Returns the homes to which the request is sent at no cost, or else all. With a discount for
+// all, a prompt whose near home is a decode engine went to a prefill engine that is a home in
+// another data centre.
+fn nearest(homes: Vec<&EngineState>) -> Vec<&EngineState> {
+    let near: Vec<&EngineState> = homes.iter().copied().filter(|e| e.send_ms <= 0.0).collect();
+    if near.is_empty() { homes } else { near }
+}
+
+// Returns the engine with the highest weight, of all data centres or of each.
+fn first_by<'a>(
+    engines: impl Iterator<Item = &'a EngineState>,
+    weight: impl Fn(&EngineState) -> u64,
+    per_centre: bool,
+) -> Vec<&'a EngineState> {
+    if !per_centre {
+        return engines.max_by_key(|e| weight(e)).into_iter().collect();
+    }
+    let mut first: IndexMap<&CentreName, &EngineState> = IndexMap::new();
+    for engine in engines {
+        let best = first.entry(&engine.record.centre).or_insert(engine);
+        if weight(engine) > weight(best) {
+            *best = engine;
+        }
+    }
+    first.into_values().collect()
+}
--- a/src/gateway/deciding/mod.rs
+++ b/src/gateway/deciding/mod.rs
@@ -27,7 +27,7 @@
 use crate::gateway::deciding::load::LoadTracker;
 use crate::gateway::deciding::work_meter::WorkMeter;
 use crate::gateway::model::{PromptPart, PromptShape, TargetRecord};
-use crate::names::{MonoTime, ServiceName, SoftwareVersion};
+use crate::names::{CentreName, MonoTime, ServiceName, SoftwareVersion};
 use crate::target_incarnation::TargetIncarnation;
 use crate::target_limits::tracker::{TurnOffer, TurnOffers};
 
@@ -46,6 +46,8 @@
     pub turns: &'a TurnOffers,
     /// Version of the engines' software that is allowed, if only one is.
     pub software: Option<&'a SoftwareVersion>,
+    /// Size of the request's body, which is sent to each engine.
+    pub request_bytes: usize,
 }
 
 impl EngineCandidates<'_> {
@@ -92,6 +94,8 @@
 pub struct DecisionCore {
     /// Weights of the placement costs.
     pub weights: PlacementWeights,
+    /// Data centre that requests are sent from; without it, sends have no cost.
+    pub centre: Option<CentreName>,
     /// Health of targets.
     pub health: HealthTracker,
     /// Outstanding work at targets.
@@ -235,8 +239,8 @@
         cheapest?.prefill_engine
     }
 
-    /// Chooses the decode engine for a prompt that was prefilled elsewhere, by engines of the
-    /// version `software`.
+    /// Chooses the decode engine for a prompt that `prefill_engine` has prefilled, among
+    /// engines of its version.
     ///
     /// A prefill takes up to seconds, in which engines leave and loads change, so the
     /// decode engine is chosen again once it is done.
@@ -244,23 +248,26 @@
     pub fn choose_decode_engine(
         &self,
         choices: &EngineCandidates<'_>,
-        software: &SoftwareVersion,
-        (prompt, rank): (&PromptShape, u8),
+        prefill_engine: &TargetRecord,
+        work: (&PromptShape, u8),
         now: MonoTime,
     ) -> Option<Arc<TargetRecord>> {
-        let engines = self.engine_states(choices, software, &prompt.parts, now);
+        let parts = &work.0.parts;
+        let engines = self.engine_states(choices, &prefill_engine.software, parts, now);
         let latencies = self.engines.latencies(&choices.service(), false);
-        engine_choice::choose_decode_engine(&self.weights, &latencies, &engines, prompt, rank)
+        let centre = &prefill_engine.centre;
+        engine_choice::choose_decode_engine(&self.weights, &latencies, &engines, work, centre)
     }
 
     /// Chooses a target of a service without model engines, with the turns at those that limit
-    /// the rate of their requests. `draw` returns random numbers from 0 to 1, so that daemons
-    /// with the same knowledge do not all choose the same target.
+    /// the rate of their requests, for a request with a body of `request_bytes`. `draw` returns
+    /// random numbers from 0 to 1, so that daemons with the same knowledge do not all choose the
+    /// same target.
     #[must_use]
     pub fn choose_plain_target<'a>(
         &self,
         targets: impl Iterator<Item = &'a Arc<TargetRecord>>,
-        turns: &TurnOffers,
+        (turns, request_bytes): (&TurnOffers, usize),
         mut draw: impl FnMut() -> f64,
         now: MonoTime,
     ) -> Option<Arc<TargetRecord>> {
@@ -268,13 +275,22 @@
             let health = self.health.view(&target.id, now);
             let running = self.load.total(&target.id).running;
             let turn_cost = turns.get(&target.id).map_or(0.0, plain_turn_cost);
-            let cost = plain_cost(running, target.slots, health) + turn_cost + draw() * TIE_RANGE;
+            let send_cost = self.send_ms(target, request_bytes) / FULL_SLOTS_MS;
+            let cost = plain_cost(running, target.slots, health)
+                + turn_cost
+                + send_cost
+                + draw() * TIE_RANGE;
             (cost, target)
         });
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
         best.map(|(_, target)| target.clone())
     }
 
+    fn send_ms(&self, target: &TargetRecord, bytes: usize) -> f64 {
+        let from = self.centre.as_ref();
+        self.weights.send_ms(bytes, from, &target.centre)
+    }
+
     fn engine_states(
         &self,
         choices: &EngineCandidates<'_>,
@@ -294,6 +310,7 @@
             health: self.health.view(&engine.id, now),
             available: !excluded(&engine.id) && !changing(&engine.id),
             turn: choices.turns.get(&engine.id).copied(),
+            send_ms: self.send_ms(engine, choices.request_bytes),
         });
         states.collect()
     }
@@ -309,6 +326,8 @@
 
 /// Wait for a turn that costs as much as a target whose slots are all busy, in seconds.
 const TURN_WAIT_S: f64 = 0.1;
+/// The same for the cost of a send, in milliseconds.
+const FULL_SLOTS_MS: f64 = 100.0;
 /// Largest reduction of the cost of a target at which a turn is about to expire: a target that
 /// gets no requests cannot show that its limit has ended.
 const TURN_DISCOUNT: f64 = 1.0;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -415,7 +415,8 @@
                 && !late.contains(&id)
         });
         let core = self.core.borrow();
-        core.choose_plain_target(usable, &turns, || rng.random(), clock::mono_now())
+        let request = (&turns, call.request.body.len());
+        core.choose_plain_target(usable, request, || rng.random(), clock::mono_now())
     }
 }
 
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -82,7 +82,8 @@
             }
             self.record_placement(call, &place);
             let handle = self.prefill_remotely(call, &place, history).await?;
-            let place = self.reselect_decode_engine(call, place, handle.is_some(), history);
+            let prefill_engine = handle.as_ref().map(CacheHandleGuard::prefill_engine);
+            let place = self.reselect_decode_engine(call, place, prefill_engine, history);
             match self.start(call, &place, handle, history).await {
                 Started::Reply(reply) => return Ok(reply),
                 Started::Retry(failure) => last = failure,
@@ -96,20 +97,19 @@
         &self,
         call: &RoutedRequest,
         mut place: EnginePlacement,
-        was_prefilled: bool,
+        prefill_engine: Option<&TargetRecord>,
         history: &SendHistory,
     ) -> EnginePlacement {
-        if place.prefill_engine.is_none() || !was_prefilled {
+        let Some(prefill_engine) = prefill_engine else {
             return place;
-        }
+        };
         let (prompt, urgency) = (call.prompt(), call.route.urgency);
         let tried: Vec<TargetIncarnation> = history.tried().cloned().collect();
         let terms = call.continued_turn_terms();
-        let software = place.decode_engine.software.clone();
         let decode_engine = self.with_candidates(call, &tried, terms, |candidates| {
             let core = self.core.borrow();
             let work = (&prompt, urgency);
-            core.choose_decode_engine(&candidates, &software, work, clock::mono_now())
+            core.choose_decode_engine(&candidates, prefill_engine, work, clock::mono_now())
         });
         place.decode_engine = decode_engine.unwrap_or(place.decode_engine);
         place
@@ -458,6 +458,7 @@
             excluded: &excluded,
             turns: &turns,
             software: call.software.get(),
+            request_bytes: call.request.body.len(),
         })
     }
 }
--- a/src/gateway/peers/placing.rs
+++ b/src/gateway/peers/placing.rs
@@ -226,6 +226,12 @@
         let turns = self.turn_offers(engines, terms);
         let late: Vec<&TargetIncarnation> = late_turns(&turns, terms).collect();
         let core = self.core.borrow();
+        let sends_cost = core.weights.crossing_ms_per_kb > 0.0;
+        let request_bytes = if sends_cost {
+            u32::try_from(call.request.body.len()).unwrap_or(u32::MAX)
+        } else {
+            0
+        };
         let avoided = engines.iter().filter(|engine| {
             let id = &engine.id;
             // The hub does not know which engines refuse the requests of this daemon, nor at
@@ -247,6 +253,7 @@
             parts: prompt.parts.iter().map(|p| (p.key, p.tokens)).collect(),
             urgency: call.route.urgency,
             objective_left_ms: u32::try_from(call.objective_left().as_millis()).unwrap_or(u32::MAX),
+            request_bytes,
         }
     }
 
@@ -322,6 +329,7 @@
                 excluded: &excluded,
                 turns: &turns,
                 software: None,
+                request_bytes: request.request_bytes as usize,
             },
             prompt: &prompt,
             urgency: request.urgency,
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -218,6 +218,15 @@
     pub urgency: u8,
     /// Milliseconds left until the latency objective is missed.
     pub objective_left_ms: u32,
+    /// Size of the request's body; 0 where sends to other data centres have no cost.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub request_bytes: u32,
+}
+
+// Takes a reference, as `serde` requires.
+#[allow(clippy::trivially_copy_pass_by_ref)]
+fn is_zero(number: &u32) -> bool {
+    *number == 0
 }
 
 /// Engines chosen for a request.
--- a/src/gateway/reading.rs
+++ b/src/gateway/reading.rs
@@ -232,6 +232,12 @@
         }
     }
 
+    /// Returns the engine that holds the KV cache.
+    #[must_use]
+    pub fn prefill_engine(&self) -> &TargetRecord {
+        &self.prefill_engine
+    }
+
     /// Returns how the request is sent to the decode engine.
     #[must_use]
     pub fn mode(&self) -> SendMode {
--- a/tests/deciding_health.rs
+++ b/tests/deciding_health.rs
@@ -50,7 +50,7 @@
 ) -> Arc<TargetRecord> {
     let turns = TurnOffers::new();
     if targets[0].stage.is_none() {
-        let chosen = core.choose_plain_target(targets.iter(), &turns, || rng.random(), now);
+        let chosen = core.choose_plain_target(targets.iter(), (&turns, 0), || rng.random(), now);
         return chosen.expect("a target");
     }
     let prompt = PromptShape {
@@ -64,6 +64,7 @@
             excluded: &[],
             turns: &turns,
             software: None,
+            request_bytes: 0,
         },
         prompt: &prompt,
         urgency: 1,
--- a/tests/deciding_times.rs
+++ b/tests/deciding_times.rs
@@ -168,6 +168,7 @@
                 excluded: &[],
                 turns: &TurnOffers::new(),
                 software: None,
+                request_bytes: 0,
             },
             prompt: &prompt,
             urgency: 1,
--- a/tests/deciding_world/mod.rs
+++ b/tests/deciding_world/mod.rs
@@ -142,6 +142,7 @@
                 excluded: &[],
                 turns: &TurnOffers::new(),
                 software: None,
+                request_bytes: 0,
             },
             prompt: &prompt,
             urgency: 0,
--- a/tests/gateway_engines.rs
+++ b/tests/gateway_engines.rs
@@ -15,7 +15,7 @@
 use pistachiowick::gateway::deciding::load::{LoadTracker, TargetWork};
 use pistachiowick::gateway::deciding::stage_plan::{plan_changes, prefill_engine_count};
 use pistachiowick::gateway::model::{EngineStage, PromptPart, PromptShape, TargetRecord};
-use pistachiowick::names::MonoTime;
+use pistachiowick::names::{CentreName, MonoTime};
 use pistachiowick::target_incarnation::TargetIncarnation;
 use rstest::rstest;
 
@@ -41,6 +41,7 @@
         health: healthy(),
         available: true,
         turn: None,
+        send_ms: 0.0,
     }
 }
 
@@ -230,8 +231,8 @@
         &PlacementWeights::default(),
         &latencies(),
         &engines,
-        &prompt(0, 500),
-        1,
+        (&prompt(0, 500), 1),
+        &CentreName::from("hall-a"),
     );
     assert_eq!(decode_engine.expect("a decode engine").id.as_str(), "d2");
 }
--- a/tests/gateway_placing.rs
+++ b/tests/gateway_placing.rs
@@ -27,6 +27,7 @@
         parts: vec![(7, 1_000)],
         urgency: 1,
         objective_left_ms: 600,
+        request_bytes: 0,
     }
 }
 
--- a/tests/gateway_seen.rs
+++ b/tests/gateway_seen.rs
@@ -55,6 +55,7 @@
             excluded: &[],
             turns: &TurnOffers::new(),
             software: None,
+            request_bytes: 0,
         },
         prompt: &prompt,
         urgency: 0,
