--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -17,6 +17,7 @@
 use crate::clock;
 use crate::gateway::budget::RetryCause;
 use crate::gateway::call::{InFlightGuard, RoutedRequest, SendCounts, SendHistory};
+use crate::gateway::centre_traffic::CentreTraffic;
 use crate::gateway::client::{self, BodyError, OutgoingRequest};
 use crate::gateway::daemon::Gateway;
 use crate::gateway::deciding::health::SendResult;
@@ -376,6 +377,7 @@
                 PlainOutcome::Unclear(format!("{}: {error}", target.id))
             }
             Ok(body) => {
+                self.count_traffic(CentreTraffic::Answer, &target.centre, body.len());
                 let failed = head.status.is_server_error();
                 if !failed {
                     self.note_result(target, SendResult::Answered);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod backoffs;
 pub mod budget;
 pub mod call;
+pub mod centre_traffic;
 pub mod client;
 pub mod control;
 pub mod daemon;
--- a/src/gateway/peers/links.rs
+++ b/src/gateway/peers/links.rs
@@ -15,6 +15,7 @@
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
 
 use crate::clock;
+use crate::gateway::centre_traffic::CentreTraffic;
 use crate::gateway::daemon::Gateway;
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::peers::OutgoingStatus;
@@ -33,7 +34,14 @@
 /// Largest message, in bytes: a configuration may take a megabyte.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
 
-type Link = WebSocketStream<TcpStream>;
+type Socket = WebSocketStream<TcpStream>;
+
+/// An outgoing link.
+struct Link {
+    socket: Socket,
+    // Whether the other daemon is in another data centre.
+    crosses: bool,
+}
 
 /// Outgoing links of this daemon: peer address, kind and sending task of each.
 #[derive(Default)]
@@ -76,7 +84,9 @@
     status: watch::Receiver<OutgoingStatus>,
 ) {
     loop {
-        if let Ok(Some(link)) = timeout(LINK_TIMEOUT, dial(daemon.peers)).await {
+        if let Ok(Some(socket)) = timeout(LINK_TIMEOUT, dial(daemon.peers)).await {
+            let crosses = gateway.is_other_centre(&daemon.centre);
+            let link = Link { socket, crosses };
             log::info!(peer = daemon.id.as_str(), kind = format!("{kind:?}"); "link to another daemon is up");
             run_link(&gateway, &daemon, kind, link, status.clone()).await;
             log::info!(peer = daemon.id.as_str(); "link to another daemon is closed");
@@ -85,7 +95,7 @@
     }
 }
 
-async fn dial(address: SocketAddr) -> Option<Link> {
+async fn dial(address: SocketAddr) -> Option<Socket> {
     let stream = TcpStream::connect(address).await.ok()?;
     crate::gateway::client::set_socket_options(&stream).ok()?;
     let url = format!("ws://{address}/");
@@ -200,7 +210,12 @@
 }
 
 async fn send(link: &mut Link, message: Message) -> bool {
-    matches!(timeout(LINK_TIMEOUT, link.send(message)).await, Ok(Ok(())))
+    let bytes = message.len();
+    let sent = timeout(LINK_TIMEOUT, link.socket.send(message)).await;
+    if link.crosses {
+        CentreTraffic::Peer.count(bytes);
+    }
+    matches!(sent, Ok(Ok(())))
 }
 
 /// Accepts links from other daemons until the process ends.
--- a/src/gateway/reading.rs
+++ b/src/gateway/reading.rs
@@ -9,6 +9,7 @@
 use crate::clock;
 use crate::gateway::budget::RetryCause;
 use crate::gateway::call::{InFlightGuard, RoutedRequest, SendHistory};
+use crate::gateway::centre_traffic::CentreTraffic;
 use crate::gateway::client;
 use crate::gateway::daemon::Gateway;
 use crate::gateway::deciding::EngineCandidates;
@@ -175,6 +176,7 @@
                 return PrefillResult::Failed(error.to_string());
             }
         };
+        self.count_traffic(CentreTraffic::Answer, &prefill_engine.centre, body.len());
         let name = match (self.ports.wire.decode_prefill)(&body) {
             Ok(name) => name,
             Err(error) => {
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -11,6 +11,7 @@
 use crate::clock;
 use crate::crashes::tracker::ExchangeTimes;
 use crate::gateway::call::RoutedRequest;
+use crate::gateway::centre_traffic::CentreTraffic;
 use crate::gateway::client::{self, BodyError, HttpConnection, OutgoingRequest, SendError};
 use crate::gateway::daemon::Gateway;
 use crate::gateway::deciding::health::{HealthChange, SendResult};
@@ -210,6 +211,7 @@
             }
         };
         if !matches!(outcome, SendOutcome::NotSent(_)) {
+            self.count_traffic(CentreTraffic::Request, &target.centre, request.body.len());
             note_arrival(plan.call, &order, &outcome);
         }
         self.note_outcome(target, &outcome);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -14,6 +14,7 @@
 
 use crate::gateway::budget::RetryCause;
 use crate::gateway::call::{InFlightGuard, RoutedRequest, SendHistory};
+use crate::gateway::centre_traffic::CentreTraffic;
 use crate::gateway::client::is_timeout;
 use crate::gateway::daemon::Gateway;
 use crate::gateway::deciding::TimedWork;
@@ -198,6 +199,9 @@
         };
         if self.handed_over.is_none() {
             self.gateway.note_target_bytes(&self.engine);
+            let centre = &self.engine.centre;
+            self.gateway
+                .count_traffic(CentreTraffic::Answer, centre, data.len());
         }
         let batch = match self.splitter.push(&data) {
             Ok(Some(batch)) => batch,
