--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod budget;
 pub mod cache_inventory;
 pub mod call;
+pub mod centre_traffic;
 pub mod client;
 pub mod control;
 pub mod daemon;
