--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -11,15 +11,10 @@
 use thiserror::Error;
 
 use crate::gateway::fleet_tasks::usage_counts::{WindowNumber, WorkspaceCounts};
-<<<<<<< HEAD
 use crate::gateway::model::{
     CallerAccess, CallerRequest, EngineStage, FleetConfig, PromptPart, TargetRecord,
 };
-use crate::names::{CentreName, DaemonId, FenceNumber, ServiceName, TargetId, UnixTime};
-=======
-use crate::gateway::model::{CallerAccess, CallerRequest, EngineStage, FleetConfig, TargetRecord};
 use crate::names::{CentreName, DaemonId, FenceNumber, MonoTime, ServiceName, TargetId, UnixTime};
->>>>>>> 16751ed
 use crate::ports::{ObjectName, ObjectVersion, PlatformError, PlatformPort, PortCall};
 use crate::target_incarnation::TargetIncarnation;
 use crate::target_statements::TargetStatement;
