--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -18,7 +18,7 @@
     CallerAccess, CallerRequest, PromptShape, RouteRule, ServiceRule, TargetRecord,
 };
 use crate::gateway::sending::SendPlan;
-use crate::names::{MonoTime, SoftwareVersion, millis};
+use crate::names::{MonoTime, ServiceName, SoftwareVersion, millis};
 use crate::target_incarnation::TargetIncarnation;
 use crate::target_limits::tracker::TurnTerms;
 
@@ -311,6 +311,8 @@
     target: TargetIncarnation,
     rank: u8,
     pending_prefill_tokens: u32,
+    // Service, share of the engine that the request occupies, and since when.
+    occupied: Option<(ServiceName, f64, MonoTime)>,
 }
 
 impl InFlightGuard {
@@ -329,9 +331,15 @@
             target: target.clone(),
             rank,
             pending_prefill_tokens,
+            occupied: None,
         }
     }
 
+    /// Measures the time for which the request occupies `share` of the engine.
+    pub fn measure_occupancy(&mut self, service: &ServiceName, share: f64) {
+        self.occupied = Some((service.clone(), share, clock::mono_now()));
+    }
+
     /// Records that the prompt was prefilled.
     pub fn note_prefilled(&mut self) {
         let mut core = self.gateway.core.borrow_mut();
@@ -346,5 +354,10 @@
         let mut core = self.gateway.core.borrow_mut();
         core.load
             .end(&self.target, self.rank, self.pending_prefill_tokens);
+        if let Some((service, share, since)) = &self.occupied {
+            let now = clock::mono_now();
+            let engine_ms = now.since(*since).as_secs_f64() * 1_000.0 * share;
+            core.work.note_decode_time(service, engine_ms, now);
+        }
     }
 }
--- a/src/gateway/deciding/mod.rs
+++ b/src/gateway/deciding/mod.rs
@@ -149,6 +149,27 @@
         taken_ms / (expected_ms * slowdown)
     }
 
+    /// Records the engine time that the prefill of a placed request takes: the tokens that no
+    /// cache holds, at the learned speed. The fixed part of the latency is mostly time in
+    /// which the engine does other work. A prefill on the decode engine counts as decode work,
+    /// because it takes a decode engine's time.
+    pub fn note_prefill_time(
+        &mut self,
+        service: &ServiceName,
+        place: &EnginePlacement,
+        now: MonoTime,
+    ) {
+        let latencies = self.engines.latencies(service, place.deprioritized);
+        let tokens = f64::from(place.pending_prefill_tokens);
+        if place.prefill_engine.is_some() {
+            let engine_ms = tokens * latencies.remote_prefill.token_ms;
+            self.work.note_prefill_time(service, engine_ms, now);
+        } else {
+            let engine_ms = tokens * latencies.local_prefill.token_ms;
+            self.work.note_decode_time(service, engine_ms, now);
+        }
+    }
+
     /// Records parts of a prompt that an engine caches (`ready`) or is prefilling.
     pub fn note_parts(
         &mut self,
--- a/src/gateway/deciding/stage_plan.rs
+++ b/src/gateway/deciding/stage_plan.rs
@@ -4,9 +4,10 @@
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
+use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
 use crate::gateway::model::{EngineStage, TargetRecord};
-use crate::names::CentreName;
+use crate::names::{CentreName, ServiceName};
 use crate::target_incarnation::TargetIncarnation;
 
 /// Minimum number of decode engines to keep: they can also prefill, while a prefill engine
@@ -14,7 +15,7 @@
 const MIN_DECODE_ENGINES: usize = 2;
 
 /// Work placed on the engines of a service, per second.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct WorkRate {
     /// Prompt tokens to prefill.
     #[serde(rename = "read_tokens")]
@@ -22,6 +23,58 @@
     /// Tokens to generate.
     #[serde(rename = "written_tokens")]
     pub decode_tokens: f64,
+    /// Engine time that the work takes, by service; empty unless a setting needs it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub services: Vec<ServiceTime>,
+}
+
+/// Engine time that the work of a service takes: the mean number of engines kept busy.
+#[derive(Clone, Debug, Deserialize_tuple, PartialEq, Serialize_tuple)]
+pub struct ServiceTime {
+    /// The service.
+    pub service: ServiceName,
+    /// Engines kept busy by prefill.
+    pub prefill: f64,
+    /// Engines kept busy by decode.
+    pub decode: f64,
+}
+
+impl WorkRate {
+    /// Adds the rate of other daemons.
+    pub fn add(&mut self, other: &Self) {
+        self.prefill_tokens += other.prefill_tokens;
+        self.decode_tokens += other.decode_tokens;
+        self.add_services(&other.services);
+    }
+
+    /// Adds the engine time of other daemons' work.
+    pub fn add_services(&mut self, services: &[ServiceTime]) {
+        for other in services {
+            let time = self.service_mut(&other.service);
+            time.prefill += other.prefill;
+            time.decode += other.decode;
+        }
+    }
+
+    /// Returns the engine time that the work of a service takes.
+    #[must_use]
+    pub fn service(&self, service: &ServiceName) -> Option<&ServiceTime> {
+        self.services.iter().find(|time| time.service == *service)
+    }
+
+    /// Returns the entry of a service, which is added where there is none.
+    pub fn service_mut(&mut self, service: &ServiceName) -> &mut ServiceTime {
+        let known = self.services.iter().position(|t| t.service == *service);
+        let index = known.unwrap_or_else(|| {
+            self.services.push(ServiceTime {
+                service: service.clone(),
+                prefill: 0.0,
+                decode: 0.0,
+            });
+            self.services.len() - 1
+        });
+        &mut self.services[index]
+    }
 }
 
 /// A planned change of an engine's stage.
--- a/src/gateway/fleet_tasks/mod.rs
+++ b/src/gateway/fleet_tasks/mod.rs
@@ -6,6 +6,7 @@
 //! once no call of its predecessor can still be in flight and it has held the lease for long
 //! enough: holders that alternate quickly would look like two holders at once.
 
+pub mod demand_plan;
 pub mod fleet_clock;
 pub mod server_plan;
 pub mod server_scaler;
@@ -143,7 +144,8 @@
     fn check(&mut self, now: MonoTime) {
         self.gateway.fleet_tasks.borrow_mut().refresh(now);
         self.update_lease(now);
-        self.servers.observe(&self.gateway.view(), now);
+        let view = self.gateway.view();
+        self.servers.observe(&self.gateway, &view, now);
         let Some(turn) = self.turn(now) else {
             return;
         };
@@ -152,8 +154,12 @@
             // The receiver lives as long as the process.
             let _ = events_tx.send(TaskEvent::Usage(event));
         });
+        self.check_servers(&turn, now);
+    }
+
+    fn check_servers(&mut self, turn: &FleetTaskTurn, now: MonoTime) {
         let events_tx = self.events_tx.clone();
-        self.servers.check(&self.gateway, &turn, now, move |event| {
+        self.servers.check(&self.gateway, turn, now, move |event| {
             let _ = events_tx.send(TaskEvent::Servers(event));
         });
     }
@@ -210,7 +216,15 @@
         match event {
             TaskEvent::Lease(result) => self.lease.take(result, now),
             TaskEvent::Usage(event) => self.usage.handle(event, now),
-            TaskEvent::Servers(event) => self.servers.handle(event, now),
+            TaskEvent::Servers(event) => {
+                self.servers.handle(event, now);
+                // Orders for several data centres follow each other without a pause.
+                if self.gateway.settings().server_count.follow_demand
+                    && let Some(turn) = self.turn(now)
+                {
+                    self.check_servers(&turn, now);
+                }
+            }
         }
     }
 }
--- a/src/gateway/fleet_tasks/server_scaler.rs
+++ b/src/gateway/fleet_tasks/server_scaler.rs
@@ -9,6 +9,9 @@
 
 use crate::gateway::daemon::Gateway;
 use crate::gateway::fleet::FleetView;
+use crate::gateway::fleet_tasks::demand_plan::{
+    DemandPlanner, OrderResult, ServerKind, ServerSituation, needed_engines,
+};
 use crate::gateway::fleet_tasks::server_plan::{self, CentreTargets, DesiredCounts};
 use crate::gateway::fleet_tasks::{FleetTaskTurn, state_object};
 use crate::gateway::model::{ScalingRule, TargetRecord};
@@ -21,6 +24,9 @@
 /// Time for which the number of targets has to stay the same before it counts as what the
 /// operator had provided: when everything starts, targets register one by one.
 const STABLE_TIME: Duration = Duration::from_millis(2_000);
+/// The same before reclaimable servers are ordered by demand, while no on-demand ones are
+/// released: a number that is too low is corrected by the next order.
+const EARLY_STABLE_TIME: Duration = Duration::from_millis(500);
 /// Delay before servers are ordered again after the platform had no capacity.
 const NO_CAPACITY_DELAY: Duration = Duration::from_millis(1_500);
 /// Delay before an order that the platform refused as invalid is retried: only another
@@ -65,6 +71,10 @@
 #[derive(Debug, Default)]
 pub struct ServerScaler {
     provided: Option<(ObjectVersion, ProvidedTargets)>,
+    // Services whose provided numbers an earlier holder had recorded.
+    inherited: Vec<ServiceName>,
+    // Set while the number of servers follows the demand.
+    planners: IndexMap<ServiceName, DemandPlanner>,
     // Number of targets by service as last observed, and since when.
     observed: Option<(IndexMap<ServiceName, u32>, MonoTime)>,
     orders: IndexMap<OrderKey, LastOrder>,
@@ -79,6 +89,8 @@
         self.provided = None;
         self.orders.clear();
         self.delayed.clear();
+        self.inherited.clear();
+        self.planners.values_mut().for_each(DemandPlanner::reset);
     }
 
     /// Starts the next call that is due; `send` receives its result.
@@ -106,36 +118,113 @@
             return;
         };
         let all_recorded = scaled.iter().all(|(name, _)| provided.0.contains_key(name));
+        let follows_demand = gateway.settings().server_count.follow_demand;
         if !all_recorded {
             if stable {
                 self.record_provided(gateway, &view, &scaled, *version, send);
+                return;
+            }
+            if !follows_demand || !self.is_stable_for(EARLY_STABLE_TIME, now) {
+                return;
             }
-            return;
         }
-        if let Some((key, count)) = self.due_order(&view, &scaled, now) {
+        let due = if follows_demand {
+            self.order_by_demand(&view, &scaled, now)
+        } else {
+            self.due_order(&view, &scaled, now)
+        };
+        if let Some((key, count)) = due {
             self.call_pending = true;
             place_order(gateway, turn, (key, count), send);
         }
     }
 
-    /// Observes the numbers of targets, also while another daemon performs the task.
-    pub fn observe(&mut self, view: &FleetView, now: MonoTime) {
+    /// Observes the numbers of targets and the demand, also while another daemon performs the
+    /// task.
+    pub fn observe(&mut self, gateway: &Gateway, view: &FleetView, now: MonoTime) {
+        let follows_demand = gateway.settings().server_count.follow_demand;
         let scaled = scaled_services(view).into_iter();
         let counts: IndexMap<ServiceName, u32> = scaled
             .map(|(name, _)| {
-                let count = target_count(view, &name);
+                let count = provided_count(view, &name, follows_demand);
                 (name, count)
             })
             .collect();
+        if follows_demand {
+            self.observe_demand(gateway, counts.keys(), now);
+        } else {
+            self.planners.clear();
+        }
         let same = |(known, _): &(IndexMap<ServiceName, u32>, MonoTime)| *known == counts;
         if !self.observed.as_ref().is_some_and(same) {
             self.observed = Some((counts, now));
         }
     }
 
+    fn observe_demand<'a>(
+        &mut self,
+        gateway: &Gateway,
+        services: impl Iterator<Item = &'a ServiceName>,
+        now: MonoTime,
+    ) {
+        let rate = gateway.work_rate();
+        let share = gateway.settings().prefill_share;
+        for service in services {
+            let time = rate.service(service);
+            let needed = time.map_or(0.0, |time| needed_engines(time, share));
+            let planner = self.planners.entry(service.clone()).or_default();
+            planner.peak.observe(needed, now);
+            metrics::gauge!("pistachiowick_server_demand", "service" => service.to_string())
+                .set(needed);
+        }
+    }
+
     fn is_stable(&self, now: MonoTime) -> bool {
+        self.is_stable_for(STABLE_TIME, now)
+    }
+
+    fn is_stable_for(&self, time: Duration, now: MonoTime) -> bool {
         let observed = self.observed.as_ref();
-        observed.is_some_and(|(_, since)| now.since(*since) >= STABLE_TIME)
+        observed.is_some_and(|(_, since)| now.since(*since) >= time)
+    }
+
+    // Returns the first due order where the number of servers follows the demand.
+    fn order_by_demand(
+        &mut self,
+        view: &FleetView,
+        scaled: &[(ServiceName, ScalingRule)],
+        now: MonoTime,
+    ) -> Option<(OrderKey, u32)> {
+        let (_, provided) = self.provided.as_ref()?;
+        for (service, rule) in scaled {
+            let centres = centres_of(view, service, rule);
+            let recorded = provided.0.get(service);
+            let situation = ServerSituation {
+                rule,
+                provided: recorded
+                    .copied()
+                    .unwrap_or_else(|| provided_count(view, service, true)),
+                recorded: recorded.is_some(),
+                takes_over: self.inherited.contains(service),
+                centres: &centres,
+            };
+            let planner = self.planners.entry(service.clone()).or_default();
+            let before = planner.planned();
+            let due = planner.next_order(&situation, now);
+            if planner.planned() != before {
+                let peak = planner.peak.servers(situation.takes_over, now);
+                log::info!(service = service.as_str(), planned = planner.planned(), peak = peak, provided = situation.provided; "number of reclaimable servers to have was planned");
+            }
+            if let Some((kind, count)) = due {
+                let key = OrderKey {
+                    service: service.clone(),
+                    centre: kind.centre,
+                    reclaimable: kind.reclaimable,
+                };
+                return Some((key, count));
+            }
+        }
+        None
     }
 
     // The targets found before the first order are what the operator had provided. Their
@@ -152,11 +241,12 @@
         let Some((_, provided)) = &mut self.provided else {
             return;
         };
+        let follows_demand = gateway.settings().server_count.follow_demand;
         for (name, _) in scaled {
             provided
                 .0
                 .entry(name.clone())
-                .or_insert(target_count(view, name));
+                .or_insert_with(|| provided_count(view, name, follows_demand));
         }
         log::info!(provided = format!("{:?}", provided.0); "recording the number of targets provided by the operator");
         let write = ConditionalWrite {
@@ -247,8 +337,15 @@
     /// Handles the result of a call.
     pub fn handle(&mut self, event: ServerEvent, now: MonoTime) {
         self.call_pending = false;
+        if let ServerEvent::Ordered(key, count, result) = &event {
+            self.note_result(key, *count, result, now);
+        }
         match event {
-            ServerEvent::Read(Ok(stored)) => self.provided = read_provided(stored),
+            ServerEvent::Read(Ok(stored)) => {
+                self.provided = read_provided(stored);
+                let recorded = self.provided.iter().flat_map(|(_, known)| known.0.keys());
+                self.inherited = recorded.cloned().collect();
+            }
             ServerEvent::Written(Ok(version)) => {
                 if let Some((known, _)) = &mut self.provided {
                     *known = version;
@@ -278,6 +375,29 @@
         }
     }
 
+    fn note_result(
+        &mut self,
+        key: &OrderKey,
+        count: u32,
+        result: &Result<ServerOrderOutcome, PlatformError>,
+        now: MonoTime,
+    ) {
+        let Some(planner) = self.planners.get_mut(&key.service) else {
+            return;
+        };
+        let kind = ServerKind {
+            centre: key.centre.clone(),
+            reclaimable: key.reclaimable,
+        };
+        let result = match result {
+            Ok(ServerOrderOutcome::Taken) => OrderResult::Accepted,
+            Ok(ServerOrderOutcome::NoneThere) => OrderResult::Unavailable,
+            Err(PlatformError::Refused { .. }) => OrderResult::Invalid,
+            Err(_) => OrderResult::Unknown,
+        };
+        planner.note_result((kind, count), result, now);
+    }
+
     fn back_off(&mut self, error: &PlatformError, now: MonoTime) {
         log::warn!("a call for ordering servers failed, retrying: {error}");
         self.backoff_until = now.plus(RETRY_DELAY);
@@ -294,6 +414,16 @@
     u32::try_from(view.service_targets(service).len()).unwrap_or(u32::MAX)
 }
 
+// Reclaimable targets are ordered by daemons, which may happen before the number is recorded.
+fn provided_count(view: &FleetView, service: &ServiceName, follows_demand: bool) -> u32 {
+    let targets = view.service_targets(service).iter();
+    let on_demand = targets.filter(|target| !target.reclaimable).count();
+    match u32::try_from(on_demand).unwrap_or(u32::MAX) {
+        count if follows_demand && count > 0 => count,
+        _ => target_count(view, service),
+    }
+}
+
 // Sorted by name, so that every holder sees the data centres in the same order.
 fn centres_of(view: &FleetView, service: &ServiceName, rule: &ScalingRule) -> Vec<CentreTargets> {
     let targets = view.service_targets(service);
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -121,6 +121,9 @@
         let mut core = self.core.borrow_mut();
         core.work
             .note(place.pending_prefill_tokens, output_tokens, now);
+        if self.settings().measures_engine_time() {
+            core.note_prefill_time(&call.service.name, place, now);
+        }
         let prefill_engine = place
             .prefill_engine
             .as_ref()
@@ -168,6 +171,13 @@
         };
         let mut in_flight =
             InFlightGuard::begin(self, &decode_engine.id, place.rank, pending_tokens);
+        if let Some(limits) = &call.service.engine
+            && self.settings().measures_engine_time()
+        {
+            let prompt = call.caller.prompt.as_ref();
+            let share = limits.occupied_share(prompt.map_or(0, |p| p.prompt_tokens));
+            in_flight.measure_occupancy(&call.service.name, share);
+        }
         let mut timed = self.timed_work(place, handle.is_some());
         let fetch_from = place.fetch_from.as_deref().filter(|_| handle.is_none());
         let sent = Instant::now();
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -109,6 +109,17 @@
     pub cache_tokens: u64,
 }
 
+impl EngineLimits {
+    /// Returns the share of an engine that a running request occupies: of its slots or of its
+    /// KV cache, whichever is larger.
+    #[must_use]
+    pub fn occupied_share(&self, prompt_tokens: u32) -> f64 {
+        let of_slots = 1.0 / f64::from(self.slots.max(1));
+        let of_cache = f64::from(prompt_tokens) / self.cache_tokens.max(1) as f64;
+        of_slots.max(of_cache).min(1.0)
+    }
+}
+
 /// A service that targets offer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceRule {
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -112,12 +112,9 @@
     #[must_use]
     pub fn work_rate(&self) -> WorkRate {
         let now = clock::mono_now();
-        let local = self.core.borrow_mut().work.rate(now);
-        let peers = self.peers.borrow().work_rate(now);
-        WorkRate {
-            prefill_tokens: local.prefill_tokens + peers.prefill_tokens,
-            decode_tokens: local.decode_tokens + peers.decode_tokens,
-        }
+        let mut rate = self.core.borrow_mut().work.rate(now);
+        rate.add(&self.peers.borrow().work_rate(now));
+        rate
     }
 
     /// Whether no daemon places work on engines, as far as known here.
@@ -246,6 +243,13 @@
         // Placements made from now on get a higher number than this summary contains.
         let placed_through = self.announce_placements();
         let work = self.core.borrow().load.sum_with(is_covered);
+        let rate = if whole_fleet {
+            self.work_rate()
+        } else {
+            let mut rate = hint.rate.clone();
+            peers.add_direct_times(&mut rate, now);
+            rate
+        };
         PeerSummary {
             from: hint.from.clone(),
             incarnation: hint.incarnation,
@@ -259,11 +263,7 @@
             limits: hint.limits.clone(),
             clock: hint.clock,
             store_age_ms: self.store_age_ms(whole_fleet, now),
-            rate: if whole_fleet {
-                self.work_rate()
-            } else {
-                hint.rate
-            },
+            rate,
             placed_through,
             members,
             fleet_time: self.fleet_tasks.borrow().clock.at(now),
@@ -437,7 +437,7 @@
             .filter(|status| status.id != self.daemon)
         {
             let rate = if status.id == summary.from {
-                summary.rate
+                summary.rate.clone()
             } else {
                 WorkRate::default()
             };
--- a/src/gateway/peers/peer_table.rs
+++ b/src/gateway/peers/peer_table.rs
@@ -47,6 +47,11 @@
         };
         now.since(self.last_contact) < timeout
     }
+
+    // Whether the daemon reports to this one, for itself only.
+    fn is_direct(&self, now: MonoTime) -> bool {
+        !self.relayed && !self.is_hub && self.is_fresh(now)
+    }
 }
 
 /// Silence after which the record of a daemon is removed; network partitions are shorter.
@@ -158,12 +163,20 @@
     pub fn work_rate(&self, now: MonoTime) -> WorkRate {
         let reachable = self.statuses.values();
         let reachable = reachable.filter(|state| state.is_fresh(now));
-        reachable.fold(WorkRate::default(), |sum, state| WorkRate {
-            prefill_tokens: sum.prefill_tokens + state.rate.prefill_tokens,
-            decode_tokens: sum.decode_tokens + state.rate.decode_tokens,
+        reachable.fold(WorkRate::default(), |mut sum, state| {
+            sum.add(&state.rate);
+            sum
         })
     }
 
+    /// Adds the engine times of the daemons that report to this one, without other hubs.
+    pub fn add_direct_times(&self, rate: &mut WorkRate, now: MonoTime) {
+        let direct = self.statuses.values();
+        for state in direct.filter(|state| state.is_direct(now)) {
+            rate.add_services(&state.rate.services);
+        }
+    }
+
     /// Applies a daemon's hint; `local_version` is the version of the configuration run here.
     pub fn record_hint(&mut self, hint: &PeerHint, local_version: u64, now: MonoTime) {
         let before = self.statuses.get(&hint.from);
@@ -172,7 +185,7 @@
         let state = PeerStatus {
             last_contact: now,
             changing: hint.changing.clone(),
-            rate: hint.rate,
+            rate: hint.rate.clone(),
             leaving: hint.leaving,
             config_version: hint.config_version,
             behind_since,
@@ -230,8 +243,7 @@
     #[must_use]
     pub fn direct_status(&self, now: MonoTime) -> Vec<MemberStatus> {
         let direct = self.statuses.iter();
-        let reports = |state: &PeerStatus| !state.relayed && !state.is_hub && state.is_fresh(now);
-        let direct = direct.filter(|(_, state)| reports(state));
+        let direct = direct.filter(|(_, state)| state.is_direct(now));
         direct
             .map(|(id, state)| member_status(id, state, now))
             .collect()
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -384,6 +384,12 @@
         self.daemon == other.daemon && self.ip == other.ip && ports && store
     }
 
+    /// Returns whether daemons measure the engine time that requests take, and report it.
+    #[must_use]
+    pub fn measures_engine_time(&self) -> bool {
+        self.stage_share.follow_work || self.server_count.follow_demand
+    }
+
     /// Returns the rule of the fleet's retry budget.
     #[must_use]
     pub fn budget_rule(&self) -> BudgetRule {
