--- a/src/gateway/fleet_tasks/demand_plan.rs
+++ b/src/gateway/fleet_tasks/demand_plan.rs
@@ -9,17 +9,11 @@
 
 use indexmap::IndexMap;
 
-use crate::gateway::deciding::stage_plan::ServiceTime;
+use crate::gateway::deciding::stage_plan::{DECODE_UTILISATION, PREFILL_UTILISATION, ServiceTime};
 use crate::gateway::fleet_tasks::server_plan::{CentreTargets, next_step};
 use crate::gateway::model::ScalingRule;
 use crate::names::{CentreName, MonoTime};
 
-/// Share of the time that prefill engines are busy at the planned number. Requests arrive in
-/// bursts of seconds; above this share, they wait for longer than their prefill takes.
-const PREFILL_UTILISATION: f64 = 0.55;
-/// Share of the slots and caches of decode engines that is occupied at the planned number.
-/// Lower, because each running request slows down the others.
-const DECODE_UTILISATION: f64 = 0.3;
 /// Time for which the peak of the demand counts.
 const PEAK_PERIOD: Duration = Duration::from_secs(30);
 /// Time in which demand has to be observed before the number follows it.
--- a/src/gateway/stage_control.rs
+++ b/src/gateway/stage_control.rs
@@ -19,7 +19,7 @@
 use crate::clock;
 use crate::gateway::client::{self, HttpConnection, SendError};
 use crate::gateway::daemon::Gateway;
-use crate::gateway::deciding::stage_plan::{self, StageChangePlan};
+use crate::gateway::deciding::stage_plan::{self, StageChangePlan, StageShare};
 use crate::gateway::lease_upkeep::{LeaseCallResult, LeaseManager};
 use crate::gateway::model::{EngineStage, TargetRecord};
 use crate::gateway::port::{EngineOrder, EngineReport, OrderOutcome, TargetQuery};
@@ -73,6 +73,8 @@
     authority_since: Option<MonoTime>,
     planned_since: Option<MonoTime>,
     changes: IndexMap<TargetIncarnation, StageChange>,
+    // Shares of prefill engines, where they follow the measured work.
+    shares: IndexMap<ServiceName, StageShare>,
     event_sender: mpsc::UnboundedSender<StageEvent>,
 }
 
@@ -99,6 +101,7 @@
         authority_since: None,
         planned_since: None,
         changes: IndexMap::new(),
+        shares: IndexMap::new(),
         event_sender,
     };
     let timer = TimerService::start();
@@ -187,12 +190,42 @@
             .collect()
     }
 
-    fn planned_changes(&self) -> Vec<StageChangePlan> {
+    // Returns the share of prefill engines to have. All daemons derive it from the same work,
+    // so that a successor plans with about the same share.
+    fn prefill_share(&mut self, service: &ServiceName, engines: &[Arc<TargetRecord>]) -> f64 {
+        let settings = self.gateway.settings();
+        if !settings.stage_share.follow_work {
+            self.shares.clear();
+            return settings.prefill_share;
+        }
+        let rate = self.gateway.work_rate();
+        let Some(time) = rate.service(service) else {
+            let known = self.shares.get(service);
+            return known.map_or(settings.prefill_share, StageShare::share);
+        };
+        let share = self.shares.entry(service.clone()).or_insert_with(|| {
+            // A daemon that starts in a fleet that serves continues with the present share.
+            let is_first = self.gateway.settings().first_start;
+            let present = stage_plan::present_share(engines).filter(|_| !is_first);
+            StageShare::new(present.unwrap_or(settings.prefill_share))
+        });
+        let before = share.share();
+        let next = share.update(time, engines.len(), clock::mono_now());
+        if next.total_cmp(&before).is_ne() {
+            log::info!(service = service.as_str(), before = before, share = next, prefill = time.prefill, decode = time.decode; "share of prefill engines was planned");
+        }
+        next
+    }
+
+    fn planned_changes(&mut self) -> Vec<StageChangePlan> {
         let mut planned_changes = Vec::new();
-        let share = self.gateway.settings().prefill_share;
+        let mut shares: Vec<f64> = Vec::new();
+        for (service, engines) in self.engines() {
+            shares.push(self.prefill_share(&service, &engines));
+        }
         let idle = self.gateway.is_idle();
         let core = self.gateway.core.borrow();
-        for (_, engines) in self.engines() {
+        for ((_, engines), share) in self.engines().into_iter().zip(shares) {
             let after: Vec<Arc<TargetRecord>> =
                 engines.iter().map(|e| self.with_new_stage(e)).collect();
             let prefill_count = stage_plan::prefill_engine_count(engines.len(), share);
