--- a/src/gateway/fleet_tasks/demand_plan.rs
+++ b/src/gateway/fleet_tasks/demand_plan.rs
@@ -18,6 +18,12 @@
 const PEAK_PERIOD: Duration = Duration::from_secs(30);
 /// Time in which demand has to be observed before the number follows it.
 const LEARNING_TIME: Duration = Duration::from_secs(10);
+/// Time after the first demand whose measurements are left out: the caches are cold, and each
+/// prompt is prefilled as a whole.
+const WARM_UP_TIME: Duration = Duration::from_secs(6);
+/// Time that the peak has to cover before servers are released, longer than the periods with
+/// which load usually rises and falls.
+const RELEASE_HISTORY: Duration = Duration::from_secs(18);
 /// Time without any demand after which a fleet counts as idle rather than as just started.
 const IDLE_TIME: Duration = Duration::from_secs(40);
 /// Minimum time between two reductions.
@@ -64,7 +70,10 @@
     pub fn observe(&mut self, servers: f64, now: MonoTime) {
         self.observed_since.get_or_insert(now);
         if servers > 0.0 {
-            self.busy_since.get_or_insert(now);
+            let since = *self.busy_since.get_or_insert(now);
+            if now.since(since) < WARM_UP_TIME {
+                return;
+            }
         }
         let second = now.0 / 1_000;
         match self.maxima.back_mut() {
@@ -77,6 +86,13 @@
         }
     }
 
+    // Whether the peak covers enough time to release servers.
+    fn allows_release(&self, now: MonoTime) -> bool {
+        let first = self.maxima.front();
+        let history = RELEASE_HISTORY.as_secs();
+        first.is_some_and(|(at, _)| now.0 / 1_000 >= at + history)
+    }
+
     /// Returns the number of servers that the peak needs; `None` until it is known.
     #[must_use]
     pub fn servers(&self, takes_over: bool, now: MonoTime) -> Option<u32> {
@@ -242,7 +258,7 @@
             planned
         } else if goal > planned {
             goal
-        } else if self.reduced_at.is_some_and(is_recent) {
+        } else if self.reduced_at.is_some_and(is_recent) || !self.peak.allows_release(now) {
             planned
         } else {
             self.reduced_at = Some(now);
--- a/src/gateway/fleet_tasks/server_scaler.rs
+++ b/src/gateway/fleet_tasks/server_scaler.rs
@@ -174,6 +174,11 @@
             let needed = time.map_or(0.0, |time| needed_engines(time, share));
             let planner = self.planners.entry(service.clone()).or_default();
             planner.peak.observe(needed, now);
+            let busy = time.map_or((0.0, 0.0), |time| (time.prefill, time.decode));
+            for (stage, engines) in [("prefill", busy.0), ("decode", busy.1)] {
+                metrics::gauge!("pistachiowick_engines_busy", "service" => service.to_string(), "stage" => stage)
+                    .set(engines);
+            }
             metrics::gauge!("pistachiowick_server_demand", "service" => service.to_string())
                 .set(needed);
         }
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -12,7 +12,7 @@
 use pistachiowick::gateway::peers::seen::ObservedResults;
 use pistachiowick::gateway::peers::wire::{FeedObjects, MemberStatus, PeerHint, PeerMessage};
 use pistachiowick::gateway::store_follow::Feed;
-use pistachiowick::names::{CentreName, DaemonId, MonoTime, UnixTime};
+use pistachiowick::names::{CentreName, DaemonId, MonoTime, ServiceName, UnixTime};
 use pistachiowick::target_incarnation::TargetIncarnation;
 use rstest::rstest;
 use serde_bytes::ByteBuf;
@@ -379,3 +379,30 @@
     let watched_by = hubs.store_hub(&local, &daemons, &peers, MonoTime(5_000));
     assert_eq!(watched_by, case.watched_by.map(DaemonId::from));
 }
+
+// The lease holder sums the engine times of all daemons: a hub reports those of its members,
+// and no daemon's work is counted twice. An earlier build sends none.
+#[test]
+fn hubs_sum_the_engine_times_of_their_members() {
+    let service = ServiceName::from("chat");
+    let rate = |prefill: f64| {
+        let mut rate = WorkRate::default();
+        rate.service_mut(&service).prefill = prefill;
+        rate
+    };
+    let mut peers = PeerTable::default();
+    for (from, prefill) in [("a-02", 1.0), ("a-03", 2.0)] {
+        let hint = PeerHint {
+            rate: rate(prefill),
+            ..hint(from)
+        };
+        peers.record_hint(&hint, 1, MonoTime(0));
+    }
+    peers.record_hint(&hint("a-04"), 1, MonoTime(0));
+    peers.record_hub(&status("b-01", 0), rate(8.0), MonoTime(0));
+    peers.record_member(&status("b-02", 0), WorkRate::default(), MonoTime(0));
+    let mut centre = rate(0.5);
+    peers.add_direct_times(&mut centre, MonoTime(100));
+    assert_eq!(centre, rate(3.5));
+    assert_eq!(peers.work_rate(MonoTime(100)), rate(11.0));
+}
--- a/tests/server_count.rs
+++ b/tests/server_count.rs
@@ -226,6 +226,18 @@
     }
 }
 
+// When callers arrive, all caches are cold and each prompt is prefilled as a whole for some
+// seconds. This must not raise the number to its maximum for the next half minute.
+#[test]
+fn cold_caches_do_not_raise_the_number() {
+    let mut world = World::new();
+    world.run(14_000, steady(0.0));
+    world.run(5_000, steady(300.0));
+    world.run(60_000, steady(50.0));
+    let orders = world.calls.iter().filter(|(_, kind, _)| kind.reclaimable);
+    assert!(orders.map(|(_, _, count)| *count).max() <= Some(29));
+}
+
 // A short lull of the load must not release servers that the next peak needs; a lasting one
 // releases at most a tenth every ten seconds.
 #[test]
