--- a/src/gateway/fleet_tasks/demand_plan.rs
+++ b/src/gateway/fleet_tasks/demand_plan.rs
@@ -212,8 +212,11 @@
             Some(peak) => {
                 let floor = situation.provided.div_ceil(FLOOR_DIVISOR);
                 let needed = peak.max(floor).min(situation.provided);
-                self.update_planned(situation, needed, now);
-                self.goals(situation, needed, now)
+                let planned = self.update_planned(situation, needed, now);
+                // The planned number does not fall with each peak that passes, so that
+                // on-demand servers are not released and ordered again either.
+                let needed = needed.max(without_spare(situation, planned));
+                self.goals(situation, needed.min(situation.provided), now)
             }
         };
         self.due_order(situation, &goals, now)
@@ -249,7 +252,12 @@
     }
 
     // Increases take effect at once, reductions in steps.
-    fn update_planned(&mut self, situation: &ServerSituation<'_>, needed: u32, now: MonoTime) {
+    fn update_planned(
+        &mut self,
+        situation: &ServerSituation<'_>,
+        needed: u32,
+        now: MonoTime,
+    ) -> u32 {
         let goal = with_spare(situation, needed);
         let existing: u32 = situation.centres.iter().map(|c| c.reclaimable).sum();
         let planned = self.planned.unwrap_or_else(|| goal.max(existing));
@@ -265,6 +273,7 @@
             goal.max(planned - planned.div_ceil(CHANGE_DIVISOR))
         };
         self.planned = Some(next);
+        next
     }
 
     // Without knowledge of the demand, a successor keeps the reclaimable servers that exist,
@@ -502,6 +511,13 @@
     needed + needed.div_ceil(others)
 }
 
+// Returns the servers that remain of `planned` reclaimable ones and the on-demand minimum if
+// any one data centre loses all of its reclaimable ones.
+fn without_spare(situation: &ServerSituation<'_>, planned: u32) -> u32 {
+    let centres = u32::try_from(situation.centres.len()).unwrap_or(u32::MAX);
+    planned - planned.div_ceil(centres.max(1)) + minimum_count(situation)
+}
+
 // Indices of the data centres, the cheapest first.
 fn by_price(situation: &ServerSituation<'_>) -> Vec<usize> {
     let mut indices: Vec<usize> = (0..situation.centres.len()).collect();
--- a/src/gateway/fleet_tasks/server_scaler.rs
+++ b/src/gateway/fleet_tasks/server_scaler.rs
@@ -1,6 +1,7 @@
 //! Orders servers where the planned number of targets differs from the registered one.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -73,8 +74,10 @@
     provided: Option<(ObjectVersion, ProvidedTargets)>,
     // Services whose provided numbers an earlier holder had recorded.
     inherited: Vec<ServiceName>,
-    // Set while the number of servers follows the demand.
+    // Filled while the number of servers follows the demand.
     planners: IndexMap<ServiceName, DemandPlanner>,
+    // View whose on-demand targets were counted last, while the number follows the demand.
+    counted_view: Option<Arc<FleetView>>,
     // Number of targets by service as last observed, and since when.
     observed: Option<(IndexMap<ServiceName, u32>, MonoTime)>,
     orders: IndexMap<OrderKey, LastOrder>,
@@ -141,8 +144,20 @@
 
     /// Observes the numbers of targets and the demand, also while another daemon performs the
     /// task.
-    pub fn observe(&mut self, gateway: &Gateway, view: &FleetView, now: MonoTime) {
+    pub fn observe(&mut self, gateway: &Gateway, view: &Arc<FleetView>, now: MonoTime) {
         let follows_demand = gateway.settings().server_count.follow_demand;
+        if follows_demand {
+            self.observe_demand(gateway, now);
+            // Counting on-demand targets takes a pass over all of them.
+            let is_known = |known: &Arc<FleetView>| Arc::ptr_eq(known, view);
+            if self.counted_view.as_ref().is_some_and(is_known) {
+                return;
+            }
+            self.counted_view = Some(view.clone());
+        } else {
+            self.planners.clear();
+            self.counted_view = None;
+        }
         let scaled = scaled_services(view).into_iter();
         let counts: IndexMap<ServiceName, u32> = scaled
             .map(|(name, _)| {
@@ -150,37 +165,34 @@
                 (name, count)
             })
             .collect();
-        if follows_demand {
-            self.observe_demand(gateway, counts.keys(), now);
-        } else {
-            self.planners.clear();
-        }
         let same = |(known, _): &(IndexMap<ServiceName, u32>, MonoTime)| *known == counts;
         if !self.observed.as_ref().is_some_and(same) {
             self.observed = Some((counts, now));
         }
     }
 
-    fn observe_demand<'a>(
-        &mut self,
-        gateway: &Gateway,
-        services: impl Iterator<Item = &'a ServiceName>,
-        now: MonoTime,
-    ) {
+    fn observe_demand(&mut self, gateway: &Gateway, now: MonoTime) {
         let rate = gateway.work_rate();
         let share = gateway.settings().prefill_share;
+        let services = self.observed.iter().flat_map(|(counts, _)| counts.keys());
         for service in services {
             let time = rate.service(service);
             let needed = time.map_or(0.0, |time| needed_engines(time, share));
+            let is_new = !self.planners.contains_key(service);
+            let was_ordered = || self.orders.keys().any(|key| key.service == *service);
+            // The setting was turned on by a holder that has ordered servers without it.
+            if is_new && was_ordered() {
+                self.inherited.push(service.clone());
+            }
             let planner = self.planners.entry(service.clone()).or_default();
             planner.peak.observe(needed, now);
+            let name = || service.to_string();
+            metrics::gauge!("pistachiowick_server_demand", "service" => name()).set(needed);
             let busy = time.map_or((0.0, 0.0), |time| (time.prefill, time.decode));
             for (stage, engines) in [("prefill", busy.0), ("decode", busy.1)] {
-                metrics::gauge!("pistachiowick_engines_busy", "service" => service.to_string(), "stage" => stage)
+                metrics::gauge!("pistachiowick_engines_busy", "service" => name(), "stage" => stage)
                     .set(engines);
             }
-            metrics::gauge!("pistachiowick_server_demand", "service" => service.to_string())
-                .set(needed);
         }
     }
 
@@ -436,7 +448,7 @@
         .centre_prices
         .iter()
         .map(|(centre, price)| {
-            let in_centre = |t: &&std::sync::Arc<TargetRecord>| t.centre == *centre;
+            let in_centre = |t: &&Arc<TargetRecord>| t.centre == *centre;
             let (reclaimable, on_demand): (Vec<_>, Vec<_>) = targets
                 .iter()
                 .filter(in_centre)
--- a/tests/server_count.rs
+++ b/tests/server_count.rs
@@ -310,6 +310,30 @@
     assert!(world.reclaimable() >= 50, "{}", world.reclaimable());
 }
 
+// No data centre has reclaimable servers: on-demand ones follow the demand within the same
+// bounds, and load that rises and falls does not release and order them in turns.
+#[test]
+fn on_demand_servers_follow_the_demand_without_reclaimable_ones() {
+    let mut world = World::new();
+    world.available = [false; 3];
+    world.run(14_000, steady(0.0));
+    assert_eq!(world.on_demand(), 90);
+    let wave = |now: u64| 40.0 * (1.0 + 0.27 * (now as f64 / 1_750.0).sin());
+    world.run(90_000, wave);
+    let on_demand = world.on_demand();
+    assert!((50..=65).contains(&on_demand), "{on_demand}");
+    let ordered = |world: &World| {
+        world
+            .calls
+            .iter()
+            .filter(|(_, k, _)| !k.reclaimable)
+            .count()
+    };
+    let before = ordered(&world);
+    world.run(120_000, wave);
+    assert_eq!(ordered(&world), before);
+}
+
 // The lease moves: a successor without knowledge of the demand keeps the existing number for
 // ten seconds, and then needs no order either.
 #[test]
