--- a/src/gateway/deciding/mod.rs
+++ b/src/gateway/deciding/mod.rs
@@ -159,7 +159,8 @@
         place: &EnginePlacement,
         now: MonoTime,
     ) {
-        let latencies = self.engines.latencies(service, place.deprioritized);
+        // The latency of deprioritised requests includes the work that overtakes them.
+        let latencies = self.engines.latencies(service, false);
         let tokens = f64::from(place.pending_prefill_tokens);
         if place.prefill_engine.is_some() {
             let engine_ms = tokens * latencies.remote_prefill.token_ms;
--- a/src/gateway/stage_control.rs
+++ b/src/gateway/stage_control.rs
@@ -219,13 +219,14 @@
 
     fn planned_changes(&mut self) -> Vec<StageChangePlan> {
         let mut planned_changes = Vec::new();
-        let mut shares: Vec<f64> = Vec::new();
-        for (service, engines) in self.engines() {
-            shares.push(self.prefill_share(&service, &engines));
-        }
+        let services = self.engines();
+        let shares: Vec<f64> = services
+            .iter()
+            .map(|(service, engines)| self.prefill_share(service, engines))
+            .collect();
         let idle = self.gateway.is_idle();
         let core = self.gateway.core.borrow();
-        for ((_, engines), share) in self.engines().into_iter().zip(shares) {
+        for ((_, engines), share) in services.into_iter().zip(shares) {
             let after: Vec<Arc<TargetRecord>> =
                 engines.iter().map(|e| self.with_new_stage(e)).collect();
             let prefill_count = stage_plan::prefill_engine_count(engines.len(), share);
