--- a/src/gateway/stage_control.rs
+++ b/src/gateway/stage_control.rs
@@ -55,6 +55,9 @@
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(9);
 /// Engines changed at once while requests are served.
 const MAX_CONCURRENT_CHANGES: usize = 2;
+/// Time after its start within which a daemon learns of the work of a fleet that serves. Work
+/// that it learns of later begins later.
+const JOIN_TIME: Duration = Duration::from_secs(8);
 /// Time for which a change must be planned before the lease is acquired.
 const MIN_PLANNED_TIME: Duration = Duration::from_millis(1_500);
 
@@ -205,8 +208,9 @@
         };
         let share = self.shares.entry(service.clone()).or_insert_with(|| {
             // A daemon that starts in a fleet that serves continues with the present share.
-            let is_first = self.gateway.settings().first_start;
-            let present = stage_plan::present_share(engines).filter(|_| !is_first);
+            let uptime = clock::mono_now().since(self.gateway.started);
+            let joins = uptime < JOIN_TIME && !settings.first_start;
+            let present = stage_plan::present_share(engines).filter(|_| joins);
             StageShare::new(present.unwrap_or(settings.prefill_share))
         });
         let before = share.share();
