--- a/src/gateway/fleet_tasks/demand_plan.rs
+++ b/src/gateway/fleet_tasks/demand_plan.rs
@@ -31,6 +31,8 @@
 /// Changes below one in this many are not ordered, and reductions release at most one in this
 /// many servers at a time.
 const CHANGE_DIVISOR: u32 = 10;
+/// Change of the number in a data centre that is always ordered, half of the largest step.
+const LARGE_CHANGE: u32 = 50;
 /// Fraction of the servers provided by the operator that is always kept.
 const FLOOR_DIVISOR: u32 = 3;
 /// Delay before servers are ordered again after the platform had none available. It doubles
@@ -473,18 +475,24 @@
         let last = self.orders.get(kind);
         let next = next_step(count, goal, last.map(|last| last.count));
         let due = match last {
-            None => differs(next, count),
-            Some(last) if differs(next, last.count) => true,
+            None => is_worth_an_order(count, goal),
+            Some(last) if next != last.count && is_worth_an_order(last.count, goal) => true,
             Some(last) => {
                 let overdue = now.since(last.at) > rule.boot_time + OVERDUE_TIME;
-                next > count && differs(next, count) && overdue
+                next > count && is_worth_an_order(count, goal) && overdue
             }
         };
         due.then_some(next)
     }
 }
 
-// Whether two numbers differ enough for an order.
+// Whether a number differs enough from the goal for an order. Steps of a large change are less
+// than a tenth of it.
+fn is_worth_an_order(count: u32, goal: u32) -> bool {
+    differs(count, goal) || count.abs_diff(goal) >= LARGE_CHANGE
+}
+
+// Whether two planned numbers differ enough.
 fn differs(a: u32, b: u32) -> bool {
     a != b && a.abs_diff(b) * CHANGE_DIVISOR >= a.max(b)
 }
--- a/tests/server_count.rs
+++ b/tests/server_count.rs
@@ -33,6 +33,7 @@
     /// Whether a data centre has reclaimable servers.
     available: [bool; 3],
     takes_over: bool,
+    provided: u32,
     now: u64,
     calls: Vec<(u64, ServerKind, u32)>,
     refusals: u32,
@@ -42,15 +43,20 @@
 
 impl World {
     fn new() -> Self {
+        Self::with_provided(90)
+    }
+
+    /// Starts with on-demand servers; each data centre may have twice as many.
+    fn with_provided(count: u32) -> Self {
         let provided = Pool {
-            serving: 30,
+            serving: count / 3,
             starting: None,
         };
         Self {
             planner: DemandPlanner::default(),
             rule: ScalingRule {
                 min_per_centre: 1,
-                max_per_centre: 60,
+                max_per_centre: count / 3 * 2,
                 boot_time: Duration::from_secs(4),
                 reclaimable_price: Some(0.18),
                 centre_prices: PRICES
@@ -60,6 +66,7 @@
             pools: [[provided, Pool::default()]; 3],
             available: [true; 3],
             takes_over: false,
+            provided: count,
             now: 0,
             calls: Vec::new(),
             refusals: 0,
@@ -130,7 +137,7 @@
             let centres = self.centres();
             let situation = ServerSituation {
                 rule: &self.rule,
-                provided: 90,
+                provided: self.provided,
                 recorded: true,
                 takes_over: self.takes_over,
                 centres: &centres,
@@ -147,7 +154,7 @@
                 self.cost += count * price * seconds;
             }
             for [on_demand, reclaimable] in &self.pools {
-                assert!(on_demand.serving + reclaimable.serving <= 60);
+                assert!(on_demand.serving + reclaimable.serving <= self.rule.max_per_centre);
             }
             self.now += TICK;
         }
@@ -263,6 +270,24 @@
     );
 }
 
+// Thousands of servers are replaced in steps of 100 per data centre. A step is less than a tenth
+// of the number, and the change must not end halfway for that.
+#[test]
+fn large_fleet_is_replaced_completely() {
+    let mut world = World::with_provided(4_500);
+    world.run(180_000, steady(2_500.0));
+    assert_eq!(world.on_demand(), 3);
+    let spare = 2_500 * 3 / 2;
+    let count = world.reclaimable();
+    assert!(
+        (spare * 9 / 10..=spare * 23 / 20).contains(&count),
+        "{count}"
+    );
+    let calls = world.calls.len();
+    world.run(60_000, steady(2_500.0));
+    assert_eq!(world.calls.len(), calls);
+}
+
 // A data centre is reclaimed at peak demand and has no servers for a minute: the others have
 // room, no on-demand server is ordered, and refused orders are repeated with growing delays.
 #[test]
