--- a/src/gateway/stage_control.rs
+++ b/src/gateway/stage_control.rs
@@ -19,7 +19,7 @@
 use crate::clock;
 use crate::gateway::client::{self, HttpConnection, SendError};
 use crate::gateway::daemon::Gateway;
-use crate::gateway::deciding::stage_plan::{self, StageChangePlan};
+use crate::gateway::deciding::stage_plan::{self, StageChangePlan, StageShare};
 use crate::gateway::lease_upkeep::{LeaseCallResult, LeaseManager};
 use crate::gateway::model::{EngineStage, TargetRecord};
 use crate::gateway::port::{EngineOrder, EngineReport, OrderOutcome, TargetQuery};
@@ -55,6 +55,9 @@
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(9);
 /// Engines changed at once while requests are served.
 const MAX_CONCURRENT_CHANGES: usize = 2;
+/// Time after its start within which a daemon learns of the work of a fleet that serves. Work
+/// that it learns of later begins later.
+const JOIN_TIME: Duration = Duration::from_secs(8);
 /// Time for which a change must be planned before the lease is acquired.
 const MIN_PLANNED_TIME: Duration = Duration::from_millis(1_500);
 
@@ -73,6 +76,8 @@
     authority_since: Option<MonoTime>,
     planned_since: Option<MonoTime>,
     changes: IndexMap<TargetIncarnation, StageChange>,
+    // Shares of prefill engines, where they follow the measured work.
+    shares: IndexMap<ServiceName, StageShare>,
     event_sender: mpsc::UnboundedSender<StageEvent>,
 }
 
@@ -99,6 +104,7 @@
         authority_since: None,
         planned_since: None,
         changes: IndexMap::new(),
+        shares: IndexMap::new(),
         event_sender,
     };
     let timer = TimerService::start();
@@ -187,12 +193,44 @@
             .collect()
     }
 
-    fn planned_changes(&self) -> Vec<StageChangePlan> {
+    // Returns the share of prefill engines to have. All daemons derive it from the same work,
+    // so that a successor plans with about the same share.
+    fn prefill_share(&mut self, service: &ServiceName, engines: &[Arc<TargetRecord>]) -> f64 {
+        let settings = self.gateway.settings();
+        if !settings.stage_share.follow_work {
+            self.shares.clear();
+            return settings.prefill_share;
+        }
+        let rate = self.gateway.work_rate();
+        let Some(time) = rate.service(service) else {
+            let known = self.shares.get(service);
+            return known.map_or(settings.prefill_share, StageShare::share);
+        };
+        let share = self.shares.entry(service.clone()).or_insert_with(|| {
+            // A daemon that starts in a fleet that serves continues with the present share.
+            let uptime = clock::mono_now().since(self.gateway.started);
+            let joins = uptime < JOIN_TIME && !settings.first_start;
+            let present = stage_plan::present_share(engines).filter(|_| joins);
+            StageShare::new(present.unwrap_or(settings.prefill_share))
+        });
+        let before = share.share();
+        let next = share.update(time, engines.len(), clock::mono_now());
+        if next.total_cmp(&before).is_ne() {
+            log::info!(service = service.as_str(), before = before, share = next, prefill = time.prefill, decode = time.decode; "share of prefill engines was planned");
+        }
+        next
+    }
+
+    fn planned_changes(&mut self) -> Vec<StageChangePlan> {
         let mut planned_changes = Vec::new();
-        let share = self.gateway.settings().prefill_share;
+        let services = self.engines();
+        let shares: Vec<f64> = services
+            .iter()
+            .map(|(service, engines)| self.prefill_share(service, engines))
+            .collect();
         let idle = self.gateway.is_idle();
         let core = self.gateway.core.borrow();
-        for (_, engines) in self.engines() {
+        for ((_, engines), share) in services.into_iter().zip(shares) {
             let after: Vec<Arc<TargetRecord>> =
                 engines.iter().map(|e| self.with_new_stage(e)).collect();
             let prefill_count = stage_plan::prefill_engine_count(engines.len(), share);
