Keep usage counts of a hub at three of its members

A hub sends its counts to the member that would replace it and to two others. Daemons offer all retained counts to a new receiver, so a new hub has those of daemons that died with the hub before it. A holder records a window once every reachable hub has sent all counts, or after half of the time until the report.

Daemons that are no hub no longer keep the counts that a hub would pass on, which grew without end in a mesh.

--- a/src/gateway/fleet_tasks/mod.rs
+++ b/src/gateway/fleet_tasks/mod.rs
@@ -11,6 +11,7 @@
 pub mod server_plan;
 pub mod server_scaler;
 pub mod usage_counts;
+pub mod usage_coverage;
 pub mod usage_ledger;
 pub mod usage_reporter;
 
@@ -25,6 +26,7 @@
 use crate::gateway::fleet_tasks::fleet_clock::FleetClock;
 use crate::gateway::fleet_tasks::server_scaler::{ServerEvent, ServerScaler};
 use crate::gateway::fleet_tasks::usage_counts::UsageCounts;
+use crate::gateway::fleet_tasks::usage_coverage::UsageCoverage;
 use crate::gateway::fleet_tasks::usage_reporter::{UsageEvent, UsageReporter};
 use crate::gateway::lease_upkeep::{LeaseCallResult, LeaseManager};
 use crate::gateway::port::FleetTaskHolder;
@@ -67,6 +69,8 @@
     pub clock: FleetClock,
     /// Started requests by window and workspace.
     pub usage: UsageCounts,
+    /// How far the counts of other daemons are known.
+    pub coverage: UsageCoverage,
 }
 
 impl UsageMeter {
@@ -76,6 +80,7 @@
         Self {
             clock: FleetClock::default(),
             usage: UsageCounts::new(window),
+            coverage: UsageCoverage::default(),
         }
     }
 
--- a/src/gateway/fleet_tasks/usage_counts.rs
+++ b/src/gateway/fleet_tasks/usage_counts.rs
@@ -3,6 +3,7 @@
 //! Each daemon counts its own requests and sends totals, never differences: messages that
 //! are lost, duplicated or late do not change the sum.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
@@ -42,6 +43,24 @@
 /// Number of retained windows, for reports delayed by an outage of the store or the platform.
 const WINDOWS_RETAINED: u64 = 24;
 
+/// Most counts offered in one message, about 12 kB. A fleet that starts 300 requests/s in windows
+/// of 5 s has about 1,200 counts for each window.
+const MAX_OFFERED: usize = 400;
+/// Time between the two times that all counts are offered to a new receiver. A message on a slow
+/// link is replaced by the next one before it is sent.
+const OFFER_INTERVAL: Duration = Duration::from_millis(2_000);
+
+/// Daemon and incarnation that counted.
+type CountingDaemon = (DaemonId, u64);
+
+/// Counts that are still to be offered to new receivers.
+#[derive(Debug, Default)]
+struct PendingOffers {
+    // Counting daemon, `None` for this one, and window; the newest windows first.
+    queue: VecDeque<(Option<CountingDaemon>, WindowNumber)>,
+    repeat_at: Option<MonoTime>,
+}
+
 /// Counts of this daemon and those received from others.
 #[derive(Debug)]
 pub struct UsageCounts {
@@ -50,8 +69,9 @@
     pending: Vec<(MonoTime, WorkspaceName)>,
     local: WindowCounts,
     changed: IndexSet<(WindowNumber, WorkspaceName)>,
-    remote: IndexMap<(DaemonId, u64), WindowCounts>,
+    remote: IndexMap<CountingDaemon, WindowCounts>,
     relayed: Vec<DaemonUsage>,
+    offers: PendingOffers,
     full_update_at: MonoTime,
 }
 
@@ -66,6 +86,7 @@
             changed: IndexSet::new(),
             remote: IndexMap::new(),
             relayed: Vec::new(),
+            offers: PendingOffers::default(),
             full_update_at: MonoTime(0),
         }
     }
@@ -123,6 +144,68 @@
         updates.collect()
     }
 
+    /// Starts to offer all retained counts, as there is a new receiver.
+    pub fn start_offers(&mut self, now: MonoTime) {
+        self.queue_offers();
+        self.offers.repeat_at = Some(now.plus(OFFER_INTERVAL));
+    }
+
+    fn queue_offers(&mut self) {
+        let local = self.local.keys().map(|window| (None, *window));
+        let remote = self.remote.iter().flat_map(|(daemon, counts)| {
+            let windows = counts.keys();
+            windows.map(|window| (Some(daemon.clone()), *window))
+        });
+        let mut offers: Vec<_> = local.chain(remote).collect();
+        offers.sort_by_key(|(_, window)| std::cmp::Reverse(*window));
+        self.offers.queue = offers.into();
+    }
+
+    /// Returns the counts to offer in the next message, as far as `is_offered` accepts the daemon
+    /// that counted them; `local` is this daemon.
+    pub fn take_offers(
+        &mut self,
+        local: &CountingDaemon,
+        is_offered: impl Fn(&DaemonId) -> bool,
+        now: MonoTime,
+    ) -> Vec<DaemonUsage> {
+        if self.offers.queue.is_empty() && self.offers.repeat_at.is_some_and(|at| now >= at) {
+            self.offers.repeat_at = None;
+            self.queue_offers();
+        }
+        let mut offered: Vec<DaemonUsage> = Vec::new();
+        let mut count = 0;
+        while count < MAX_OFFERED
+            && let Some((daemon, window)) = self.offers.queue.pop_front()
+        {
+            let counts = match &daemon {
+                None => self.local.get(&window),
+                Some(daemon) if is_offered(&daemon.0) => {
+                    self.remote.get(daemon).and_then(|all| all.get(&window))
+                }
+                Some(_) => None,
+            };
+            let Some(counts) = counts else {
+                continue;
+            };
+            count += counts.len();
+            let (daemon, incarnation) = daemon.unwrap_or_else(|| local.clone());
+            let counts = counts.iter();
+            offered.push(DaemonUsage {
+                daemon,
+                incarnation,
+                counts: counts.map(|(name, n)| (window, name.clone(), *n)).collect(),
+            });
+        }
+        offered
+    }
+
+    /// Returns whether no counts are waiting to be offered for the first time.
+    #[must_use]
+    pub fn has_offered(&self) -> bool {
+        self.offers.queue.is_empty()
+    }
+
     /// Merges the counts of another daemon. Counts of members are relayed to other hubs.
     pub fn merge_remote(&mut self, usage: DaemonUsage, from_member: bool) {
         let incarnation = (usage.daemon.clone(), usage.incarnation);
--- a/src/gateway/fleet_tasks/usage_reporter.rs
+++ b/src/gateway/fleet_tasks/usage_reporter.rs
@@ -8,18 +8,16 @@
 
 use crate::gateway::daemon::Gateway;
 use crate::gateway::fleet_tasks::usage_counts::{WindowNumber, WorkspaceCounts};
+use crate::gateway::fleet_tasks::usage_coverage::ReportTimes;
 use crate::gateway::fleet_tasks::usage_ledger::{UsageLedger, UsageStep};
 use crate::gateway::fleet_tasks::{FleetTaskTurn, state_object};
 use crate::gateway::port::UsageReport;
 use crate::gateway::settings::FleetTaskSettings;
-use crate::names::{MonoTime, millis};
+use crate::names::MonoTime;
 use crate::ports::{ConditionalWrite, ObjectVersion, PlatformError, StoredObject};
 
 /// Name of the object that holds the ledger.
 const LEDGER_OBJECT: &str = "usage";
-/// Fraction of the reporting deadline to wait for counts after the end of their window:
-/// updates between daemons take a second, and the rest is left to a successor.
-const CLOSE_FRACTION: f64 = 0.2;
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -36,7 +34,9 @@
 /// Fleet task that reports usage.
 #[derive(Debug)]
 pub struct UsageReporter {
-    close_delay: Duration,
+    times: ReportTimes,
+    // Since when this daemon acts under the current lease.
+    acting_since: Option<MonoTime>,
     // As stored; `None` until it has been read under the current lease.
     ledger: Option<(ObjectVersion, UsageLedger)>,
     first_window: Option<WindowNumber>,
@@ -49,7 +49,11 @@
     #[must_use]
     pub fn new(settings: &FleetTaskSettings) -> Self {
         Self {
-            close_delay: settings.usage_due().mul_f64(CLOSE_FRACTION),
+            times: ReportTimes {
+                window: settings.usage_window(),
+                due: settings.usage_due(),
+            },
+            acting_since: None,
             ledger: None,
             first_window: None,
             call_pending: false,
@@ -60,6 +64,7 @@
     /// Drops the state that is valid only while the lease is held.
     pub fn reset(&mut self) {
         self.ledger = None;
+        self.acting_since = None;
     }
 
     /// Starts the next call that is due; `send_event` receives its result.
@@ -70,6 +75,7 @@
         now: MonoTime,
         send_event: impl Fn(UsageEvent) + 'static,
     ) {
+        let acting_since = *self.acting_since.get_or_insert(now);
         if self.call_pending || now < self.backoff_until {
             return;
         }
@@ -88,7 +94,15 @@
             return;
         };
         let first_window = *self.first_window.get_or_insert(current);
-        let Some(newest) = self.newest_closed(&meter, now) else {
+        let fleet_times = (meter.clock.at(now), meter.clock.at(acting_since));
+        let (Some(fleet_now), Some(acting_since)) = fleet_times else {
+            return;
+        };
+        let complete_to = gateway.usage_complete_to(&meter, fleet_now, now);
+        let newest = self
+            .times
+            .newest_recordable(fleet_now, acting_since, complete_to);
+        let Some(newest) = newest else {
             return;
         };
         match ledger.next_step(newest, first_window) {
@@ -107,12 +121,6 @@
         }
     }
 
-    // Returns the newest window that ended long enough ago that its counts have arrived.
-    fn newest_closed(&self, meter: &super::UsageMeter, now: MonoTime) -> Option<WindowNumber> {
-        let moment = MonoTime(now.0.checked_sub(millis(self.close_delay))?);
-        meter.usage.window_of(&meter.clock, moment)?.checked_sub(1)
-    }
-
     /// Handles the result of a call.
     pub fn handle(&mut self, event: UsageEvent, now: MonoTime) {
         self.call_pending = false;
--- a/src/gateway/peers/hub.rs
+++ b/src/gateway/peers/hub.rs
@@ -17,6 +17,7 @@
 
 use indexmap::IndexMap;
 
+use crate::gateway::deciding::affinity;
 use crate::gateway::deciding::load::WorkByTarget;
 use crate::gateway::members::{DaemonRecord, InstanceCapacity};
 use crate::gateway::peers::member_broadcasts::MemberBroadcasts;
@@ -31,6 +32,9 @@
 const HUB_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Time that a new hub has to send its first message.
 const HUB_START_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Members that keep the usage counts of a hub, for its successor: with half of the daemons killed
+/// at once, all three and the hub are among them in one case of 16.
+const USAGE_KEEPERS: usize = 3;
 /// Time for which a silent hub is not selected again.
 const SKIP_TIME: Duration = Duration::from_secs(6);
 /// Time after the last hint of a member for which a daemon goes on acting as its hub.
@@ -215,17 +219,32 @@
         peers: &PeerTable,
         now: MonoTime,
     ) -> Option<usize> {
-        let role = self.role.as_ref()?;
-        if matches!(role, PeerRole::Member(_)) {
+        if matches!(self.role.as_ref()?, PeerRole::Member(_)) {
             return None;
         }
         let local_record = daemons.iter().find(|d| d.id == *local)?;
+        let reachable = self.full_view_peers(local, daemons, peers, now);
+        let before = |d: &&DaemonRecord| precedence(d) < precedence(local_record);
+        Some(reachable.iter().filter(before).count())
+    }
+
+    /// Returns the other daemons that receive the state of the whole fleet and are reachable.
+    #[must_use]
+    pub fn full_view_peers(
+        &self,
+        local: &DaemonId,
+        daemons: &[DaemonRecord],
+        peers: &PeerTable,
+        now: MonoTime,
+    ) -> Vec<DaemonRecord> {
+        let Some(role) = &self.role else {
+            return Vec::new();
+        };
         let others = self.links(role, local, daemons).into_iter();
         let full_view_peers = others.filter(|(_, kind)| *kind != LinkKind::Member);
         let reachable =
             full_view_peers.filter(|(d, _)| peers.was_reachable_within(&d.id, HUB_TIMEOUT, now));
-        let before = |d: &DaemonRecord| precedence(d) < precedence(local_record);
-        Some(reachable.filter(|(d, _)| before(d)).count())
+        reachable.map(|(daemon, _)| daemon).collect()
     }
 
     /// Returns the links that a role needs.
@@ -280,6 +299,28 @@
     (Reverse(daemon.capacity), &daemon.id)
 }
 
+/// Returns the reachable members that keep the usage counts of a hub with these links: the one
+/// that becomes the hub if this one dies, and others by rendezvous hashing of the hub's name.
+#[must_use]
+pub fn usage_keepers(
+    hub: &DaemonId,
+    links: &[(DaemonRecord, LinkKind)],
+    is_reachable: impl Fn(&DaemonId) -> bool,
+) -> Vec<DaemonId> {
+    let members = links.iter().filter(|(_, kind)| *kind == LinkKind::Member);
+    let mut keepers: Vec<&DaemonRecord> = members.map(|(daemon, _)| daemon).collect();
+    keepers.retain(|daemon| !daemon.leaving && is_reachable(&daemon.id));
+    let key = affinity::part_key(hub.as_str());
+    keepers.sort_by_cached_key(|d| Reverse(affinity::weight(key, d.id.as_str())));
+    if let Some(next) = first_in_order(keepers.iter().copied())
+        && let Some(at) = keepers.iter().position(|d| d.id == next)
+    {
+        keepers[..=at].rotate_right(1);
+    }
+    let keepers = keepers.into_iter().take(USAGE_KEEPERS);
+    keepers.map(|daemon| daemon.id.clone()).collect()
+}
+
 fn first_in_order<'a>(daemons: impl Iterator<Item = &'a DaemonRecord>) -> Option<DaemonId> {
     let first = daemons.min_by(|a, b| precedence(a).cmp(&precedence(b)));
     first.map(|daemon| daemon.id.clone())
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -66,13 +66,17 @@
     centre: Option<Message>,
     // Summary of the whole fleet, for members.
     fleet: Option<Message>,
+    // The same with the usage counts, for the members that keep them.
+    keeper: Option<Message>,
+    keepers: Vec<DaemonId>,
 }
 
 impl OutgoingStatus {
-    fn for_link(&self, kind: LinkKind) -> Option<&Message> {
+    fn for_link(&self, daemon: &DaemonId, kind: LinkKind) -> Option<&Message> {
         match kind {
             LinkKind::Hint => Some(&self.hint),
             LinkKind::OtherHub => self.centre.as_ref(),
+            LinkKind::Member if self.keepers.contains(daemon) => self.keeper.as_ref(),
             LinkKind::Member => self.fleet.as_ref(),
         }
     }
@@ -159,6 +163,7 @@
             .local()
             .iter()
             .map(|(id, work)| (id.clone(), *work));
+        let kept_usage = self.take_usage_offers(role);
         let mut peers = self.peers.borrow_mut();
         let reports = self.due_crash_reports();
         PeerHint {
@@ -182,6 +187,8 @@
             unreachable: self.unreachable_services(),
             wall_clock: clock::unix_now(),
             usage: self.take_usage_updates(),
+            kept_usage,
+            usage_complete_to: self.usage_sent_to(),
         }
     }
 
@@ -201,7 +208,7 @@
     // interval only, which go to all daemons that this one has a link to.
     fn outgoing_status(&self, role: &PeerRole) -> OutgoingStatus {
         let hint = self.hint(role);
-        let (centre, fleet) = match role {
+        let (centre, fleet, keepers) = match role {
             PeerRole::Hub => {
                 let (from_members, from_hubs) = self.relay_queue.borrow_mut().take_cached_updates();
                 let mut cached_parts = hint.cached_parts.clone();
@@ -210,15 +217,29 @@
                 centre.usage = self.take_centre_usage(&hint);
                 cached_parts.extend(from_hubs);
                 let fleet = self.summary(&hint, true, cached_parts);
-                (Some(centre), Some(fleet))
+                let keepers = self.usage_keepers();
+                (Some(centre), Some(fleet), keepers)
+            }
+            PeerRole::Mesh | PeerRole::Member(_) => {
+                self.drop_relayed_usage();
+                (None, None, Vec::new())
             }
-            PeerRole::Mesh | PeerRole::Member(_) => (None, None),
         };
+        let keeper = fleet.as_ref().filter(|_| !keepers.is_empty()).map(|fleet| {
+            let usage = centre.iter().flat_map(|centre| centre.usage.clone());
+            PeerMessage::Summary(PeerSummary {
+                usage: usage.collect(),
+                ..fleet.clone()
+            })
+            .encode()
+        });
         *self.last_sent_work.borrow_mut() = hint.work.iter().cloned().collect();
         OutgoingStatus {
             hint: PeerMessage::Hint(hint).encode(),
             centre: centre.map(|summary| PeerMessage::Summary(summary).encode()),
             fleet: fleet.map(|summary| PeerMessage::Summary(summary).encode()),
+            keeper,
+            keepers,
         }
     }
 
@@ -268,6 +289,7 @@
             members,
             fleet_time: self.fleet_tasks.borrow().clock.at(now),
             usage: Vec::new(),
+            usage_complete_to: hint.usage_complete_to,
         }
     }
 
@@ -290,6 +312,7 @@
         drop(peers);
         drop(hubs);
         self.update_watch_mode(&role, now);
+        self.update_usage_receivers(&role, now);
         role
     }
 
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -83,6 +83,12 @@
     pub wall_clock: UnixTime,
     /// New counts of requests started here, by window and workspace.
     pub usage: Vec<UsageCount>,
+    /// Counts that it offers to a new receiver: its own and those it keeps of other daemons.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub kept_usage: Vec<DaemonUsage>,
+    /// Fleet time up to which it has sent all counts that it keeps.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub usage_complete_to: Option<UnixTime>,
 }
 
 /// A message between daemons.
@@ -322,8 +328,11 @@
     /// Fleet time, as this hub and its members agree on it.
     #[serde(rename = "true_time")]
     pub fleet_time: Option<UnixTime>,
-    /// Usage counts of the hub and its members, for other hubs.
+    /// Usage counts of the hub and its members, for other hubs and for the members that keep them.
     pub usage: Vec<DaemonUsage>,
+    /// Fleet time up to which the hub has sent all counts that it keeps.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub usage_complete_to: Option<UnixTime>,
 }
 
 /// Objects of the store, as a hub relays them.
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -65,6 +65,8 @@
         unreachable: Vec::new(),
         wall_clock: UnixTime(0),
         usage: Vec::new(),
+        kept_usage: Vec::new(),
+        usage_complete_to: None,
     }
 }
 
--- a/tests/gateway_words.rs
+++ b/tests/gateway_words.rs
@@ -68,6 +68,7 @@
         placed_through: 9_000,
         fleet_time: Some(UnixTime(1_790_000_000_000)),
         usage: Vec::new(),
+        usage_complete_to: None,
     })
 }
 
