Send usage counts to their keepers every 40 ms

They were sent with the hub's status every 200 ms, so that up to 400 ms of counts were lost if a daemon and its hub were killed at once; now 240 ms.

--- a/src/gateway/fleet_tasks/usage_counts.rs
+++ b/src/gateway/fleet_tasks/usage_counts.rs
@@ -71,6 +71,7 @@
     changed: IndexSet<(WindowNumber, WorkspaceName)>,
     remote: IndexMap<CountingDaemon, WindowCounts>,
     relayed: Vec<DaemonUsage>,
+    copies: Vec<DaemonUsage>,
     offers: PendingOffers,
     full_update_at: MonoTime,
 }
@@ -86,6 +87,7 @@
             changed: IndexSet::new(),
             remote: IndexMap::new(),
             relayed: Vec::new(),
+            copies: Vec::new(),
             offers: PendingOffers::default(),
             full_update_at: MonoTime(0),
         }
@@ -216,6 +218,7 @@
             *known = (*known).max(*count);
         }
         if from_member && !usage.counts.is_empty() {
+            self.copies.push(usage.clone());
             self.relayed.push(usage);
         }
     }
@@ -225,6 +228,16 @@
         std::mem::take(&mut self.relayed)
     }
 
+    /// Queues counts for the members that keep those of this hub, besides counts of its members.
+    pub fn queue_copies(&mut self, usage: impl IntoIterator<Item = DaemonUsage>) {
+        self.copies.extend(usage);
+    }
+
+    /// Returns the counts to be kept by members since the last call.
+    pub fn take_copies(&mut self) -> Vec<DaemonUsage> {
+        std::mem::take(&mut self.copies)
+    }
+
     /// Returns the known total of a window.
     #[must_use]
     pub fn total(&self, window: WindowNumber) -> WorkspaceCounts {
--- a/src/gateway/peers/links.rs
+++ b/src/gateway/peers/links.rs
@@ -130,7 +130,7 @@
             kind != LinkKind::OtherHub || gateway.watch_mode.get() == WatchMode::ForOthers;
         let sent = match task {
             LinkTask::Status => {
-                let message = queue.status().for_link(&daemon.id, kind).cloned();
+                let message = queue.status().for_link(kind).cloned();
                 send_status(gateway, daemon, kind, &mut link, message).await
                     && send_config(gateway, daemon, &mut link, &mut sent_version).await
             }
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -66,17 +66,13 @@
     centre: Option<Message>,
     // Summary of the whole fleet, for members.
     fleet: Option<Message>,
-    // The same with the usage counts, for the members that keep them.
-    keeper: Option<Message>,
-    keepers: Vec<DaemonId>,
 }
 
 impl OutgoingStatus {
-    fn for_link(&self, daemon: &DaemonId, kind: LinkKind) -> Option<&Message> {
+    fn for_link(&self, kind: LinkKind) -> Option<&Message> {
         match kind {
             LinkKind::Hint => Some(&self.hint),
             LinkKind::OtherHub => self.centre.as_ref(),
-            LinkKind::Member if self.keepers.contains(daemon) => self.keeper.as_ref(),
             LinkKind::Member => self.fleet.as_ref(),
         }
     }
@@ -100,6 +96,9 @@
                 senders.adjust(&gateway, &role, &outgoing_status);
             }
             Some(_) = hint_ticks.next() => {
+                if role == PeerRole::Hub {
+                    gateway.send_usage_copies();
+                }
                 let is_new = role == PeerRole::Mesh && gateway.has_new_work();
                 if !is_new && !gateway.has_new_limits() {
                     continue;
@@ -208,7 +207,7 @@
     // interval only, which go to all daemons that this one has a link to.
     fn outgoing_status(&self, role: &PeerRole) -> OutgoingStatus {
         let hint = self.hint(role);
-        let (centre, fleet, keepers) = match role {
+        let (centre, fleet) = match role {
             PeerRole::Hub => {
                 let (from_members, from_hubs) = self.relay_queue.borrow_mut().take_cached_updates();
                 let mut cached_parts = hint.cached_parts.clone();
@@ -217,29 +216,19 @@
                 centre.usage = self.take_centre_usage(&hint);
                 cached_parts.extend(from_hubs);
                 let fleet = self.summary(&hint, true, cached_parts);
-                let keepers = self.usage_keepers();
-                (Some(centre), Some(fleet), keepers)
+                self.copy_usage(&hint);
+                (Some(centre), Some(fleet))
             }
             PeerRole::Mesh | PeerRole::Member(_) => {
                 self.drop_relayed_usage();
-                (None, None, Vec::new())
+                (None, None)
             }
         };
-        let keeper = fleet.as_ref().filter(|_| !keepers.is_empty()).map(|fleet| {
-            let usage = centre.iter().flat_map(|centre| centre.usage.clone());
-            PeerMessage::Summary(PeerSummary {
-                usage: usage.collect(),
-                ..fleet.clone()
-            })
-            .encode()
-        });
         *self.last_sent_work.borrow_mut() = hint.work.iter().cloned().collect();
         OutgoingStatus {
             hint: PeerMessage::Hint(hint).encode(),
             centre: centre.map(|summary| PeerMessage::Summary(summary).encode()),
             fleet: fleet.map(|summary| PeerMessage::Summary(summary).encode()),
-            keeper,
-            keepers,
         }
     }
 
@@ -350,6 +339,7 @@
             PeerMessage::PlacementResponse(response) => self.handle_placement_response(response),
             PeerMessage::Placements(batch) => self.apply_placements(&batch),
             PeerMessage::Freshness(update) => self.apply_freshness(&update),
+            PeerMessage::Usage(copies) => self.apply_usage_copies(copies),
             PeerMessage::Config { revision, value } => {
                 // The control thread runs until the process ends.
                 let _ = self
--- a/src/gateway/peers/placing.rs
+++ b/src/gateway/peers/placing.rs
@@ -111,7 +111,7 @@
         self.used_through
     }
 
-    fn send_to(&self, daemons: &[DaemonId], message: &PeerMessage) {
+    pub(super) fn send_to(&self, daemons: &[DaemonId], message: &PeerMessage) {
         let encoded = message.encode();
         for link in daemons.iter().filter_map(|daemon| self.links.get(daemon)) {
             // A closed link is reopened with a new queue.
--- a/src/gateway/peers/usage.rs
+++ b/src/gateway/peers/usage.rs
@@ -8,7 +8,7 @@
 use crate::gateway::members::DaemonRecord;
 use crate::gateway::model::CallerAccess;
 use crate::gateway::peers::hub::{self, LinkKind, PeerRole};
-use crate::gateway::peers::wire::{PeerHint, PeerSummary};
+use crate::gateway::peers::wire::{PeerHint, PeerMessage, PeerSummary, UsageCopies};
 use crate::names::{DaemonId, MonoTime, UnixTime};
 
 impl Gateway {
@@ -46,12 +46,49 @@
     pub(super) fn usage_sent_to(&self) -> Option<UnixTime> {
         let now = clock::mono_now();
         let meter = self.fleet_tasks.borrow();
-        let is_complete = meter.usage.has_offered() && meter.coverage.is_settled(now);
+        let is_complete = self.ports.fleet_tasks.is_some()
+            && meter.usage.has_offered()
+            && meter.coverage.is_settled(now);
         meter.clock.at(now).filter(|_| is_complete)
     }
 
-    pub(super) fn usage_keepers(&self) -> Vec<DaemonId> {
-        self.fleet_tasks.borrow().coverage.keepers().to_vec()
+    // Queues this hub's own counts for the members that keep them.
+    pub(super) fn copy_usage(&self, hint: &PeerHint) {
+        let own = hint.kept_usage.iter().cloned().chain([usage_of(hint)]);
+        let own = own.filter(|usage| !usage.counts.is_empty());
+        self.fleet_tasks.borrow_mut().usage.queue_copies(own);
+    }
+
+    // Sends what arrived since the last call. If the hub and one of its members are killed, only
+    // what arrived after the last call is lost.
+    pub(super) fn send_usage_copies(&self) {
+        let mut meter = self.fleet_tasks.borrow_mut();
+        let usage = meter.usage.take_copies();
+        if usage.is_empty() {
+            return;
+        }
+        let copies = UsageCopies {
+            from: self.daemon.clone(),
+            incarnation: self.incarnation,
+            usage,
+        };
+        let placement_client = self.placement_client.borrow();
+        placement_client.send_to(meter.coverage.keepers(), &PeerMessage::Usage(copies));
+    }
+
+    pub(super) fn apply_usage_copies(&self, copies: UsageCopies) {
+        let view = self.view();
+        let sender = (&copies.from, copies.incarnation);
+        let mut daemons = view.daemons.iter();
+        if !daemons.any(|d| (&d.id, d.incarnation) == sender) {
+            return;
+        }
+        let mut meter = self.fleet_tasks.borrow_mut();
+        for counts in copies.usage {
+            if self.is_remote(&counts) {
+                meter.usage.merge_remote(counts, false);
+            }
+        }
     }
 
     // Starts to offer all counts when a daemon newly receives them: a new hub, another hub, or a
@@ -106,7 +143,9 @@
 
     // Only a hub passes on what it received; kept by another daemon, it would grow without end.
     pub(super) fn drop_relayed_usage(&self) {
-        self.fleet_tasks.borrow_mut().usage.take_relayed();
+        let mut meter = self.fleet_tasks.borrow_mut();
+        meter.usage.take_relayed();
+        meter.usage.take_copies();
     }
 
     // Returns the usage sent to other hubs: of the members, and of this daemon's hint.
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -130,6 +130,21 @@
     /// How long ago a hub's configuration was confirmed to be the newest, for one receiver.
     #[serde(rename = "Proof")]
     Freshness(FreshnessUpdate),
+    /// Usage counts, from a hub to a member that keeps them for its successor. Sent only where
+    /// fleet tasks are configured.
+    Usage(UsageCopies),
+}
+
+/// Usage counts, from a hub to a member that keeps them for its successor.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct UsageCopies {
+    /// The hub.
+    pub from: DaemonId,
+    /// Its incarnation, as in its record in the store.
+    #[serde(rename = "life")]
+    pub incarnation: u64,
+    /// Counts of the hub and its members.
+    pub usage: Vec<DaemonUsage>,
 }
 
 /// How long ago a hub's configuration was confirmed to be the newest, for one receiver.
@@ -328,7 +343,7 @@
     /// Fleet time, as this hub and its members agree on it.
     #[serde(rename = "true_time")]
     pub fleet_time: Option<UnixTime>,
-    /// Usage counts of the hub and its members, for other hubs and for the members that keep them.
+    /// Usage counts of the hub and its members, for other hubs.
     pub usage: Vec<DaemonUsage>,
     /// Fleet time up to which the hub has sent all counts that it keeps.
     #[serde(default, skip_serializing_if = "Option::is_none")]
