--- a/src/gateway/fleet_tasks/usage_coverage.rs
+++ b/src/gateway/fleet_tasks/usage_coverage.rs
@@ -109,11 +109,21 @@
         let closed = (now.0.checked_sub(millis(close_delay))? / window).checked_sub(1)?;
         let oldest = closed.saturating_sub(WINDOWS_CHECKED - 1);
         (oldest..=closed).rev().find(|number| {
-            let end = UnixTime((number + 1) * window);
-            complete_to >= end.plus(ARRIVAL_TIME) || now >= self.wait_end(end, acting_since)
+            let is_waited_for = now < self.wait_end(self.end_of(*number), acting_since);
+            self.is_complete(*number, complete_to) || !is_waited_for
         })
     }
 
+    /// Returns whether the counts of a window have arrived if all are known up to `complete_to`.
+    #[must_use]
+    pub fn is_complete(&self, window: WindowNumber, complete_to: UnixTime) -> bool {
+        complete_to >= self.end_of(window).plus(ARRIVAL_TIME)
+    }
+
+    fn end_of(&self, window: WindowNumber) -> UnixTime {
+        UnixTime((window + 1).saturating_mul(millis(self.window).max(1)))
+    }
+
     fn wait_end(&self, end: UnixTime, acting_since: UnixTime) -> UnixTime {
         let start = end.max(acting_since);
         let left = end.plus(self.due).since(start);
--- a/src/gateway/fleet_tasks/usage_reporter.rs
+++ b/src/gateway/fleet_tasks/usage_reporter.rs
@@ -108,6 +108,9 @@
         match ledger.next_step(newest, first_window) {
             UsageStep::Wait => {}
             UsageStep::Record(windows) => {
+                if !self.times.is_complete(newest, complete_to) {
+                    log::warn!(window = newest; "recording the usage of a window without the counts of all reachable hubs");
+                }
                 let counts = windows.into_iter().map(|w| (w, meter.usage.total(w)));
                 let updated = ledger.with_windows(counts.collect());
                 self.call_pending = true;
--- a/src/gateway/peers/links.rs
+++ b/src/gateway/peers/links.rs
@@ -48,6 +48,7 @@
         status: &watch::Receiver<OutgoingStatus>,
     ) {
         let needed = gateway.needed_links(role);
+        gateway.update_usage_receivers(role, &needed, clock::mono_now());
         let is_hub = |(_, kind): &&(DaemonRecord, LinkKind)| *kind == LinkKind::OtherHub;
         let hubs = needed.iter().filter(is_hub);
         *gateway.other_hubs.borrow_mut() = hubs.map(|(d, _)| d.id.clone()).collect();
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -301,7 +301,6 @@
         drop(peers);
         drop(hubs);
         self.update_watch_mode(&role, now);
-        self.update_usage_receivers(&role, now);
         role
     }
 
--- a/src/gateway/peers/usage.rs
+++ b/src/gateway/peers/usage.rs
@@ -93,16 +93,20 @@
 
     // Starts to offer all counts when a daemon newly receives them: a new hub, another hub, or a
     // member that keeps the counts of this hub.
-    pub(super) fn update_usage_receivers(&self, role: &PeerRole, now: MonoTime) {
+    pub(super) fn update_usage_receivers(
+        &self,
+        role: &PeerRole,
+        links: &[(DaemonRecord, LinkKind)],
+        now: MonoTime,
+    ) {
         if self.ports.fleet_tasks.is_none() {
             return;
         }
-        let links = self.needed_links(role);
         let keepers = match role {
             PeerRole::Hub => {
                 let peers = self.peers.borrow();
                 let is_reachable = |id: &DaemonId| peers.is_directly_reachable(id, now);
-                hub::usage_keepers(&self.daemon, &links, is_reachable)
+                hub::usage_keepers(&self.daemon, links, is_reachable)
             }
             PeerRole::Mesh | PeerRole::Member(_) => Vec::new(),
         };
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -8,7 +8,9 @@
 use pistachiowick::gateway::members::{DaemonRecord, InstanceCapacity};
 use pistachiowick::gateway::peers::PeerTable;
 use pistachiowick::gateway::peers::feeding::{FeedSubscription, StoreSnapshot};
-use pistachiowick::gateway::peers::hub::{HubSelector, LinkKind, PeerRole, subtract};
+use pistachiowick::gateway::peers::hub::{
+    HubSelector, LinkKind, PeerRole, subtract, usage_keepers,
+};
 use pistachiowick::gateway::peers::seen::ObservedResults;
 use pistachiowick::gateway::peers::wire::{FeedObjects, MemberStatus, PeerHint, PeerMessage};
 use pistachiowick::gateway::store_follow::Feed;
@@ -381,3 +383,23 @@
     let watched_by = hubs.store_hub(&local, &daemons, &peers, MonoTime(5_000));
     assert_eq!(watched_by, case.watched_by.map(DaemonId::from));
 }
+
+// Guards against usage counts that are lost with a hub: three members keep them, first of all the
+// one that replaces the hub, and none of them is a member that is gone or leaves.
+#[test]
+fn the_next_hub_is_the_first_to_keep_usage_counts() {
+    let hub = DaemonId::from("a-01");
+    let mut members: Vec<DaemonRecord> = (2..=20).map(|number| daemon("a", number)).collect();
+    members[0].leaving = true;
+    let members = members.into_iter().map(|d| (d, LinkKind::Member));
+    let mut links: Vec<(DaemonRecord, LinkKind)> = members.collect();
+    links.push((daemon("b", 1), LinkKind::OtherHub));
+    let gone = DaemonId::from("a-03");
+    let keepers = usage_keepers(&hub, &links, |id| *id != gone);
+    assert_eq!(keepers.len(), 3);
+    assert_eq!(keepers[0], DaemonId::from("a-04"));
+    let is_member = |id: &DaemonId| id.as_str().starts_with("a-") && *id > keepers[0];
+    assert!(keepers[1..].iter().all(is_member), "{keepers:?}");
+    links.reverse();
+    assert_eq!(usage_keepers(&hub, &links, |id| *id != gone), keepers);
+}
