--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -83,6 +83,12 @@
     pub wall_clock: UnixTime,
     /// New counts of requests started here, by window and workspace.
     pub usage: Vec<UsageCount>,
+    /// Counts that it offers to a new receiver: its own and those it keeps of other daemons.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub kept_usage: Vec<DaemonUsage>,
+    /// Fleet time up to which it has sent all counts that it keeps.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub usage_complete_to: Option<UnixTime>,
 }
 
 /// A message between daemons.
@@ -124,6 +130,21 @@
     /// How long ago a hub's configuration was confirmed to be the newest, for one receiver.
     #[serde(rename = "Proof")]
     Freshness(FreshnessUpdate),
+    /// Usage counts, from a hub to a member that keeps them for its successor. Sent only where
+    /// fleet tasks are configured.
+    Usage(UsageCopies),
+}
+
+/// Usage counts, from a hub to a member that keeps them for its successor.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct UsageCopies {
+    /// The hub.
+    pub from: DaemonId,
+    /// Its incarnation, as in its record in the store.
+    #[serde(rename = "life")]
+    pub incarnation: u64,
+    /// Counts of the hub and its members.
+    pub usage: Vec<DaemonUsage>,
 }
 
 /// How long ago a hub's configuration was confirmed to be the newest, for one receiver.
@@ -333,6 +354,9 @@
     pub fleet_time: Option<UnixTime>,
     /// Usage counts of the hub and its members, for other hubs.
     pub usage: Vec<DaemonUsage>,
+    /// Fleet time up to which the hub has sent all counts that it keeps.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub usage_complete_to: Option<UnixTime>,
 }
 
 /// Objects of the store, as a hub relays them.
