--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -3,10 +3,13 @@
 //! When capacity is insufficient, the requests are refused whose refusal costs callers least,
 //! by priority, deadline and required work. Decisions are pure; the time is an argument.
 
+pub mod load_meter;
 pub mod window;
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::admission::window::{AdmissionWindow, millis_of};
 
 /// Expected wait, as a share of the time left, from which requests are refused.
@@ -65,7 +68,8 @@
 }
 
 /// Reason for a refusal.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum RefusalReason {
     /// The answer would begin after the caller has given up.
     Late,
--- a/src/crashes/suspect_digest.rs
+++ b/src/crashes/suspect_digest.rs
@@ -31,6 +31,13 @@
         truncated.copy_from_slice(&digest[..DIGEST_BYTES]);
         Self(ByteArray::new(truncated))
     }
+
+    /// Returns a number from 0 to 1 derived from it, below 1.
+    #[must_use]
+    pub fn phase(&self) -> f64 {
+        let [first, second, third, fourth, ..] = *self.0;
+        f64::from(u32::from_be_bytes([first, second, third, fourth])) / (f64::from(u32::MAX) + 1.0)
+    }
 }
 
 impl FromStr for SuspectDigest {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -10,6 +10,7 @@
 use crate::clock;
 use crate::crashes::suspect::SuspectKey;
 use crate::crashes::suspect_digest::SuspectDigest;
+use crate::gateway::admitting::DelayCell;
 use crate::gateway::client::OutgoingRequest;
 use crate::gateway::daemon::Gateway;
 use crate::gateway::fleet::FleetView;
@@ -62,6 +63,8 @@
     pub software: OnceCell<SoftwareVersion>,
     /// Its sends, as the fleet's retry budget counts them.
     pub sends: SendCounts,
+    /// Measures the time to its first event, once it is placed.
+    pub delay: DelayCell,
     /// When the request arrived.
     pub arrived: Instant,
     /// Earlier of the caller's deadline and the route's time limit.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -18,6 +18,7 @@
 use tokio::task::spawn_local;
 use tokio_tungstenite::tungstenite::Message;
 
+use crate::admission::load_meter::LoadMeter;
 use crate::clock;
 use crate::crashes::connection_losses::ConnectionLosses;
 use crate::crashes::open_ends::OpenEnds;
@@ -75,6 +76,8 @@
     pub pool: Rc<RefCell<ConnectionPool>>,
     /// State that decisions are based on.
     pub core: RefCell<DecisionCore>,
+    /// Delays and rates of work that admission control is based on.
+    pub admission_load: RefCell<LoadMeter>,
     /// Status of the other daemons.
     pub peers: RefCell<PeerTable>,
     /// Time at which the configuration was last confirmed to be the newest one.
@@ -265,6 +268,7 @@
             ports,
             fleet,
             pool: Rc::default(),
+            admission_load: RefCell::default(),
             peers: RefCell::default(),
             freshness: RefCell::default(),
             fleet_tasks: RefCell::new(UsageMeter::new(window.unwrap_or_default())),
@@ -388,6 +392,7 @@
         metrics::gauge!("pistachiowick_limited_targets").set(limits.count() as f64);
         drop(limits);
         self.sweep_backoffs();
+        self.sweep_admission();
         self.sweep_starts(now);
         let mut stated_departures = self.stated_departures.borrow_mut();
         stated_departures.retain(|target| view.has_target(target));
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -200,6 +200,7 @@
             origin: None,
             software: OnceCell::new(),
             sends: SendCounts::default(),
+            delay: Default::default(),
             arrived,
             deadline,
         })
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use crate::clock;
+use crate::gateway::admitting::caller_timeout;
 use crate::gateway::budget::RetryCause;
 use crate::gateway::call::{InFlightGuard, RoutedRequest, SendHistory, join_digests};
 use crate::gateway::client::{self, BodyError};
@@ -31,13 +32,6 @@
 pub(super) const ENGINE_BUSY_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Largest failure answer of an engine that is forwarded to the caller, in bytes.
 const MAX_FAILURE_BYTES: usize = 1 << 20;
-/// Callers abandon a stream without a first event after the longest of this time and the
-/// two multiples below. All three values were stated by the users of the service.
-const MIN_CALLER_TIMEOUT: Duration = Duration::from_secs(2);
-/// The same, as a multiple of the route's latency objective.
-const CALLER_TIMEOUT_OBJECTIVES: u32 = 4;
-/// The same, as a multiple of the route's gap objective.
-const CALLER_TIMEOUT_GAPS: u32 = 8;
 /// Share of the caller's time-out that a request may wait for other requests. Its own
 /// prefill time is not counted; otherwise the largest prompts would be refused first.
 const MAX_QUEUE_SHARE: f64 = 0.7;
@@ -73,14 +67,17 @@
             "no engine of the service is available; retry later",
             ENGINE_BUSY_RETRY_AFTER,
         );
-        while let Some(place) = self.place_request(call, history).await {
+        while let Some(place) = self.place_request(call, history).await? {
             self.recheck_access(&call.access)?;
             self.check_quarantine(call)?;
             self.check_reach(&call.service.name)?;
-            if let Some(refusal) = overload_refusal(call, &place) {
+            if !self.settings().admission.enabled
+                && let Some(refusal) = overload_refusal(call, &place)
+            {
                 return Err(refusal);
             }
             self.record_placement(call, &place);
+            self.start_delay_probe(call, &place);
             let handle = self.prefill_remotely(call, &place, history).await?;
             let place = self.reselect_decode_engine(call, place, handle.is_some(), history);
             match self.start(call, &place, handle, history).await {
@@ -466,11 +463,7 @@
 // would be wasted and delay other requests; after an early refusal the caller can still
 // retry in time.
 fn overload_refusal(call: &RoutedRequest, place: &EnginePlacement) -> Option<Failure> {
-    let gap = call.route.gap_objective.unwrap_or_default();
-    let caller_timeout = MIN_CALLER_TIMEOUT
-        .max(call.route.objective * CALLER_TIMEOUT_OBJECTIVES)
-        .max(gap * CALLER_TIMEOUT_GAPS);
-    let left = caller_timeout.saturating_sub(call.arrived.elapsed());
+    let left = caller_timeout(&call.route).saturating_sub(call.arrived.elapsed());
     let waiting_ms = place.expected_ms - place.own_prefill_ms;
     let overloaded = waiting_ms > left.as_secs_f64() * 1_000.0 * MAX_QUEUE_SHARE;
     overloaded.then(|| {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! blocking.
 
 pub mod access;
+pub mod admitting;
 pub mod backoffs;
 pub mod budget;
 pub mod call;
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -182,6 +182,7 @@
             unreachable: self.unreachable_services(),
             wall_clock: clock::unix_now(),
             usage: self.take_usage_updates(),
+            delays: self.admission_report(),
         }
     }
 
@@ -245,7 +246,7 @@
         let is_covered = |id: &DaemonId| whole_fleet || *id == hint.from || direct.contains(id);
         // Placements made from now on get a higher number than this summary contains.
         let placed_through = self.announce_placements();
-        let work = self.core.borrow().load.sum_with(is_covered);
+        let work = self.core.borrow().load.sum_with(&is_covered);
         PeerSummary {
             from: hint.from.clone(),
             incarnation: hint.incarnation,
@@ -268,6 +269,7 @@
             members,
             fleet_time: self.fleet_tasks.borrow().clock.at(now),
             usage: Vec::new(),
+            delays: self.admission_sum(is_covered),
         }
     }
 
@@ -371,6 +373,9 @@
         };
         self.apply_limits(sender, &hint.limits);
         self.apply_results(&hint.observed);
+        self.admission_load
+            .borrow_mut()
+            .set_peer(&hint.from, hint.delays, now);
         let work = hint.work.into_iter().collect();
         let load = &mut self.core.borrow_mut().load;
         load.release_reservations(&hint.from, hint.placed_through);
@@ -463,6 +468,13 @@
             clock: summary.clock,
         };
         self.apply_limits(sender, &summary.limits);
+        let mut meter = self.admission_load.borrow_mut();
+        if summary.whole_fleet {
+            meter.set_fleet(&summary.from, summary.delays, now);
+        } else {
+            meter.set_peer(&summary.from, summary.delays, now);
+        }
+        drop(meter);
         let mut work: WorkByTarget = summary.work.into_iter().collect();
         let load = &mut self.core.borrow_mut().load;
         if summary.whole_fleet {
--- a/src/gateway/peers/placing.rs
+++ b/src/gateway/peers/placing.rs
@@ -16,6 +16,7 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::clock;
+use crate::gateway::admitting::{AdmissionTerms, AdmissionVerdict};
 use crate::gateway::call::{RoutedRequest, SendHistory, turn_terms};
 use crate::gateway::daemon::Gateway;
 use crate::gateway::deciding::engine_choice::EnginePlacement;
@@ -26,6 +27,7 @@
     PlacementResponse,
 };
 use crate::gateway::rate_limits::late_turns;
+use crate::gateway::reply::Failure;
 use crate::names::{DaemonId, MonoTime};
 use crate::target_incarnation::TargetIncarnation;
 
@@ -170,36 +172,67 @@
 impl Gateway {
     /// Chooses the engines for a request: sends a placement request to the hub, and chooses
     /// locally if it does not respond or returns no engines that are known here.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if admission control refuses the request. A refused placement is not
+    /// counted as work, and not announced.
     pub async fn place_request(
         &self,
         call: &RoutedRequest,
         history: &SendHistory,
-    ) -> Option<EnginePlacement> {
-        match self.request_placement(call, history).await {
-            Some(placement) => Some(placement),
-            None => self.place_locally(call, history),
+    ) -> Result<Option<EnginePlacement>, Failure> {
+        let terms = self.admission_terms(call, history);
+        let is_first_send = history.tried().next().is_none();
+        if let Some(engines) = self.request_placement(call, history, terms).await
+            && let Some(placement) = self.resolve(call, &engines)
+        {
+            // A hub that runs without admission control leaves the decision to its members.
+            let verdict = engines.admission.or_else(|| {
+                let terms = terms.as_ref()?;
+                Some(self.verdict_of(call, terms, &placement))
+            });
+            if let Some(verdict) = verdict {
+                let work = (placement.own_prefill_ms, is_first_send);
+                self.apply_verdict(call, &verdict, work)?;
+            }
+            return Ok(Some(placement));
+        }
+        let Some(placement) = self.place(call, history, call.turn_terms()) else {
+            return Ok(None);
+        };
+        if let Some(terms) = &terms {
+            let verdict = self.verdict_of(call, terms, &placement);
+            let work = (placement.own_prefill_ms, is_first_send);
+            self.apply_verdict(call, &verdict, work)?;
+        }
+        if let Some(prompt) = &call.caller.prompt {
+            self.queue_placement(prompt, &placement);
         }
+        Ok(Some(placement))
     }
 
-    fn place_locally(
+    fn verdict_of(
         &self,
         call: &RoutedRequest,
-        history: &SendHistory,
-    ) -> Option<EnginePlacement> {
-        let placement = self.place(call, history, call.turn_terms())?;
-        if let Some(prompt) = &call.caller.prompt {
-            self.queue_placement(prompt, &placement);
-        }
-        Some(placement)
+        terms: &AdmissionTerms,
+        placement: &EnginePlacement,
+    ) -> AdmissionVerdict {
+        let kind = (&call.service.name, call.route.urgency);
+        self.admission_verdict(kind, terms, (placement, call.objective_left()))
     }
 
     async fn request_placement(
         &self,
         call: &RoutedRequest,
         history: &SendHistory,
-    ) -> Option<EnginePlacement> {
+        admission: Option<AdmissionTerms>,
+    ) -> Option<PlacedEngines> {
         let now = clock::mono_now();
-        let request = self.placement_request(call, history);
+        let request = PlacementRequest {
+            admission,
+            ..self.placement_request(call, history)
+        };
         let (number, response) = self
             .placement_client
             .borrow_mut()
@@ -215,7 +248,7 @@
         client.record_use(number);
         metrics::counter!("pistachiowick_place_questions_total", "outcome" => "answered")
             .increment(1);
-        self.resolve(call, &engines?)
+        engines
     }
 
     fn placement_request(&self, call: &RoutedRequest, history: &SendHistory) -> PlacementRequest {
@@ -247,6 +280,7 @@
             parts: prompt.parts.iter().map(|p| (p.key, p.tokens)).collect(),
             urgency: call.route.urgency,
             objective_left_ms: u32::try_from(call.objective_left().as_millis()).unwrap_or(u32::MAX),
+            admission: None,
         }
     }
 
@@ -328,13 +362,25 @@
             objective_left,
         };
         let placement = self.core.borrow().place(&query, clock::mono_now());
-        if let Some(placement) = &placement {
+        let verdict = placement
+            .as_ref()
+            .zip(request.admission.as_ref())
+            .filter(|_| self.settings().admission.enabled)
+            .map(|(placement, terms)| {
+                let kind = (&request.service, request.urgency);
+                self.admission_verdict(kind, terms, (placement, objective_left))
+            });
+        let is_refused = verdict.is_some_and(|verdict| verdict.refusal.is_some());
+        if let Some(placement) = placement.as_ref().filter(|_| !is_refused) {
             self.count_placement(request, &prompt, placement);
             self.queue_placement(&prompt, placement);
         }
         let response = PeerMessage::PlacementResponse(PlacementResponse {
             number: request.number,
-            engines: placement.map(|placement| PlacedEngines::from(&placement)),
+            engines: placement.map(|placement| PlacedEngines {
+                admission: verdict,
+                ..PlacedEngines::from(&placement)
+            }),
         });
         // A requester whose link is not up yet chooses by itself.
         self.placement_client
@@ -487,6 +533,7 @@
             recomputed_tokens: placement.recomputed_tokens,
             queued_ahead_tokens: placement.queued_ahead_tokens,
             deprioritized: placement.deprioritized,
+            admission: None,
         }
     }
 }
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -8,7 +8,9 @@
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 use tokio_tungstenite::tungstenite::Message;
 
+use crate::admission::load_meter::AdmissionReport;
 use crate::crashes::report::{PartReport, WorkReport};
+use crate::gateway::admitting::{AdmissionTerms, AdmissionVerdict};
 use crate::gateway::deciding::load::TargetWork;
 use crate::gateway::deciding::stage_plan::WorkRate;
 use crate::gateway::fleet_tasks::usage_counts::{DaemonUsage, UsageCount};
@@ -83,6 +85,9 @@
     pub wall_clock: UnixTime,
     /// New counts of requests started here, by window and workspace.
     pub usage: Vec<UsageCount>,
+    /// Its delays and rates of work, if admission control is on.
+    #[serde(default, skip_serializing_if = "AdmissionReport::is_empty")]
+    pub delays: AdmissionReport,
 }
 
 /// A message between daemons.
@@ -218,6 +223,9 @@
     pub urgency: u8,
     /// Milliseconds left until the latency objective is missed.
     pub objective_left_ms: u32,
+    /// Terms for admission control, if the requester has it on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub admission: Option<AdmissionTerms>,
 }
 
 /// Engines chosen for a request.
@@ -250,6 +258,9 @@
     /// Whether the request is queued behind all that can still meet their objective.
     #[serde(rename = "gives_way")]
     pub deprioritized: bool,
+    /// Whether the request is admitted; `None` if the requester decides by itself.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub admission: Option<AdmissionVerdict>,
 }
 
 /// The response to a placement request.
@@ -324,6 +335,9 @@
     pub fleet_time: Option<UnixTime>,
     /// Usage counts of the hub and its members, for other hubs.
     pub usage: Vec<DaemonUsage>,
+    /// Delays and rates of work of all covered daemons, if admission control is on.
+    #[serde(default, skip_serializing_if = "AdmissionReport::is_empty")]
+    pub delays: AdmissionReport,
 }
 
 /// Objects of the store, as a hub relays them.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -216,6 +216,9 @@
                 self.gateway.remember_start(start);
             }
             self.gateway.record_start(&self.call);
+            if let Some(probe) = &*self.call.delay.borrow() {
+                probe.note_first_event();
+            }
             if let Some(timed) = self.first_event_timer.timed.take() {
                 self.gateway
                     .note_time(&timed, self.first_event_timer.sent.elapsed());
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use pistachiowick::admission::load_meter::AdmissionReport;
 use pistachiowick::gateway::deciding::load::LoadTracker;
 use pistachiowick::gateway::deciding::stage_plan::WorkRate;
 use pistachiowick::gateway::members::{DaemonRecord, InstanceCapacity};
@@ -65,6 +66,7 @@
         unreachable: Vec::new(),
         wall_clock: UnixTime(0),
         usage: Vec::new(),
+        delays: AdmissionReport::default(),
     }
 }
 
--- a/tests/gateway_placing.rs
+++ b/tests/gateway_placing.rs
@@ -27,6 +27,7 @@
         parts: vec![(7, 1_000)],
         urgency: 1,
         objective_left_ms: 600,
+        admission: None,
     }
 }
 
@@ -42,6 +43,7 @@
         recomputed_tokens: 0,
         queued_ahead_tokens: 0,
         deprioritized: false,
+        admission: None,
     }
 }
 
--- a/tests/gateway_words.rs
+++ b/tests/gateway_words.rs
@@ -1,6 +1,7 @@
 //! What a hub includes in a summary, and how large summaries are in a large fleet.
 
 use indexmap::IndexSet;
+use pistachiowick::admission::load_meter::AdmissionReport;
 use pistachiowick::gateway::deciding::load::TargetWork;
 use pistachiowick::gateway::deciding::stage_plan::WorkRate;
 use pistachiowick::gateway::peers::member_broadcasts::MemberBroadcasts;
@@ -68,6 +69,7 @@
         placed_through: 9_000,
         fleet_time: Some(UnixTime(1_790_000_000_000)),
         usage: Vec::new(),
+        delays: AdmissionReport::default(),
     })
 }
 
