--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -12,14 +12,22 @@
 
 use crate::admission::window::{AdmissionWindow, millis_of};
 
-/// Expected wait, as a share of the time left, from which requests are refused.
+/// Expected wait, as a share of the longest useful wait, from which requests are refused.
 const FIRST_REFUSAL_AT: f64 = 0.7;
-/// Expected wait, as a share of the time left, from which no request is admitted.
-const LAST_ADMISSION_AT: f64 = 1.2;
-/// Expected wait, as a share of the time left, from which a workspace above its share gets a
-/// smaller window: half of the wait at which others are refused, so that the excess is refused
-/// before it affects them.
-const FIRST_SHARING_AT: f64 = 0.35;
+/// Expected wait, as a share of the longest useful wait, from which no request is admitted.
+const LAST_ADMISSION_AT: f64 = 1.0;
+/// Part of the time left that requests may wait for even if it is longer than the objective.
+const MIN_WAIT_SHARE: f64 = 1.0 / 6.0;
+/// Expected wait, as a share of the longest useful wait, from which a workspace above its share gets a
+/// smaller window, and from which the window is as small as its share: well below the wait at which
+/// others are refused, so that the excess is refused before it affects them.
+const SHARING_RANGE: (f64, f64) = (0.05, 0.35);
+/// Used share of the capacity from which requests wait for less than the time left, and at which
+/// they wait for their objective at most.
+const USED_SHARE_RANGE: (f64, f64) = (0.85, 0.95);
+/// Part of its share that a workspace leaves unused, from which all of its requests may wait for
+/// the time left.
+const WITHIN_SHARE_RANGE: f64 = 0.2;
 /// Bounds of the ratio of actual to expected times.
 const DELAY_RATIO_RANGE: (f64, f64) = (1.0, 8.0);
 /// Largest share of the capacity that more urgent ranks take: every rank keeps a tenth.
@@ -51,8 +59,16 @@
     pub delay_ratio: f64,
     /// Share of the capacity that more urgent ranks take, 0 to 0.9.
     pub urgent_share: f64,
+    /// Requested work of the rank divided by what it may take so that less urgent ranks keep a
+    /// tenth of the capacity each; 1 or less is within it.
+    pub rank_excess: f64,
+    /// Share of the rank that is admitted whatever more urgent ranks ask for: a tenth of the
+    /// capacity.
+    pub kept_share: f64,
+    /// Work that is done per second, as a share of the known capacity of the targets.
+    pub used_share: f64,
     /// Use of the workspace divided by its equal share among active workspaces; 1 or less is
-    /// within its share.
+    /// within its share. It is 1 while no workspace exceeds its share.
     pub workspace_excess: f64,
 }
 
@@ -62,6 +78,9 @@
             wait_ms: 0.0,
             delay_ratio: 1.0,
             urgent_share: 0.0,
+            rank_excess: 1.0,
+            kept_share: 0.0,
+            used_share: 1.0,
             workspace_excess: 1.0,
         }
     }
@@ -111,9 +130,11 @@
 ///
 /// A request that would get its first event too late even if no other request arrived is
 /// refused at once. Otherwise the share of requests that are admitted falls from 1 to 0 as the
-/// expected wait rises from 0.7 to 1.2 of the time left; which of them are admitted depends on
-/// their phase and the window. The request's own work does not count as waiting, so that the
-/// largest tenth of a kind is not refused before the others.
+/// expected wait rises from 0.7 of the longest useful wait to all of it; which of them are
+/// admitted depends on their phase and the window. The longest useful wait is the time left
+/// within the objective while the capacity is used, and the time until the caller gives up while
+/// a part of it is idle. The request's own work does not count as waiting, so that the largest
+/// tenth of a kind is not refused before the others.
 #[must_use]
 pub fn decide(
     terms: &RequestTerms,
@@ -121,10 +142,11 @@
     window: &AdmissionWindow,
 ) -> AdmissionDecision {
     let time_left_ms = millis_of(terms.time_left);
+    let longest_wait_ms = longest_wait(terms, capacity);
     let wait_ms = capacity.queue_wait_ms();
     let expected_wait_ms = wait_ms / (1.0 - capacity.urgent_share.clamp(0.0, MAX_URGENT_SHARE));
-    let fair_share = admitted_share(expected_wait_ms, time_left_ms);
-    let share = fair_share * sharing_factor(capacity, expected_wait_ms, time_left_ms);
+    let kept_share = capacity.kept_share.clamp(0.0, 1.0) * admitted_share(wait_ms, longest_wait_ms);
+    let share = admitted_share(expected_wait_ms, longest_wait_ms).max(kept_share);
     let refuse = |reason, earliest_ms| AdmissionDecision::Refuse {
         reason,
         retry_after: window.retry_after(terms.phase, share, earliest_ms, terms.time_left),
@@ -133,38 +155,62 @@
     if wait_ms.max(terms.work_ms) > time_left_ms {
         return refuse(RefusalReason::Late, wait_ms - time_left_ms);
     }
-    if window.covers(terms.phase, share) {
+    let workspace_share = sharing_share(capacity, expected_wait_ms, longest_wait_ms);
+    if !window.covers_slowly(terms.phase, workspace_share) {
+        return refuse(RefusalReason::WorkspaceShare, 0.0);
+    }
+    let rank_excess = 1.0 + (1.0 - idle_share(capacity)) * (capacity.rank_excess.max(1.0) - 1.0);
+    let rank_share = workspace_share / rank_excess;
+    if window.covers_slowly(terms.phase, rank_share) && window.covers(terms.phase, share) {
         return AdmissionDecision::Admit;
     }
-    let reason = if window.covers(terms.phase, fair_share) {
-        RefusalReason::WorkspaceShare
-    } else {
-        RefusalReason::Yielded
-    };
-    refuse(reason, expected_wait_ms - time_left_ms)
+    refuse(RefusalReason::Yielded, expected_wait_ms - longest_wait_ms)
 }
 
 impl CapacityView {
-    // Wait if no other request arrived, corrected by the error of recent expectations. A value
-    // that is not a number (a peer may send one) counts as unknown.
+    // Wait if no other request arrived, corrected by the error of recent expectations. The
+    // square root is used because the ratio contains the delay by more urgent requests, which
+    // the urgent share corrects too; with the ratio itself, daemons with information 1.5 s old
+    // refused so much that targets were idle. A value that is not a number counts as unknown.
     fn queue_wait_ms(&self) -> f64 {
         let (min, max) = DELAY_RATIO_RANGE;
         let delay_ratio = self.delay_ratio.max(min).min(max);
-        self.wait_ms.max(0.0) * delay_ratio
+        self.wait_ms.max(0.0) * delay_ratio.sqrt()
     }
 }
 
-fn admitted_share(expected_wait_ms: f64, time_left_ms: f64) -> f64 {
-    let admitted = LAST_ADMISSION_AT * time_left_ms - expected_wait_ms;
-    let range = (LAST_ADMISSION_AT - FIRST_REFUSAL_AT) * time_left_ms;
+// Returns the longest wait for which requests are admitted, in milliseconds: up to the objective
+// while the capacity is used, or else up to the time left. Expected waits that are long although
+// targets are idle come from old information about their load. A workspace within its share while
+// others exceed theirs may wait as long: the others are to be refused.
+fn longest_wait(terms: &RequestTerms, capacity: &CapacityView) -> f64 {
+    let time_left_ms = millis_of(terms.time_left);
+    let objective_ms = millis_of(terms.objective_left)
+        .max(time_left_ms * MIN_WAIT_SHARE)
+        .min(time_left_ms);
+    let within_share = (1.0 - capacity.workspace_excess) / WITHIN_SHARE_RANGE;
+    let longer = idle_share(capacity).max(within_share.clamp(0.0, 1.0));
+    objective_ms + longer * (time_left_ms - objective_ms)
+}
+
+// Returns 0 if the capacity is used, 1 if a part of it is idle.
+fn idle_share(capacity: &CapacityView) -> f64 {
+    let (from, to) = USED_SHARE_RANGE;
+    ((to - capacity.used_share) / (to - from)).clamp(0.0, 1.0)
+}
+
+fn admitted_share(expected_wait_ms: f64, longest_wait_ms: f64) -> f64 {
+    let admitted = LAST_ADMISSION_AT * longest_wait_ms - expected_wait_ms;
+    let range = (LAST_ADMISSION_AT - FIRST_REFUSAL_AT) * longest_wait_ms;
     (admitted / range.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0)
 }
 
-// Returns the factor by which the window of a workspace above its share is smaller.
-fn sharing_factor(capacity: &CapacityView, expected_wait_ms: f64, time_left_ms: f64) -> f64 {
+// Returns the share of the requests of a workspace that are not refused for using too much.
+fn sharing_share(capacity: &CapacityView, expected_wait_ms: f64, longest_wait_ms: f64) -> f64 {
     let excess = capacity.workspace_excess.max(1.0);
-    let start_ms = FIRST_SHARING_AT * time_left_ms;
-    let range_ms = (FIRST_REFUSAL_AT - FIRST_SHARING_AT) * time_left_ms;
+    let (from, to) = SHARING_RANGE;
+    let start_ms = from * longest_wait_ms;
+    let range_ms = (to - from) * longest_wait_ms;
     let pressure = (expected_wait_ms - start_ms) / range_ms.max(f64::MIN_POSITIVE);
     1.0 - pressure.clamp(0.0, 1.0) * (1.0 - 1.0 / excess)
 }
--- a/src/admission/window.rs
+++ b/src/admission/window.rs
@@ -15,6 +15,10 @@
 const MAX_PERIOD: Duration = Duration::from_secs(2);
 /// A third of the caller's time: a refused caller is told to return within it.
 const TIME_LEFT_DIVISOR: u32 = 3;
+/// Period of the slow window, as a multiple of that of the other.
+const SLOW_FACTOR: u32 = 16;
+/// Part of a phase below which its digits select in the slow window.
+const SLOW_DIGITS: f64 = 4_096.0;
 /// Shortest retry time.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Time after the leading edge at which a caller is told to return: the clocks of two daemons
@@ -52,6 +56,21 @@
         share >= 1.0 || self.since_reached(phase, 0.0) < share
     }
 
+    /// Returns whether a slowly moving window of width `share` covers a phase.
+    ///
+    /// A caller that returns as told is in the window, so in one period all phases are admitted
+    /// if every caller returns. A share that must hold nevertheless is selected by this window,
+    /// which hardly moves while a caller returns.
+    #[must_use]
+    pub fn covers_slowly(&self, phase: f64, share: f64) -> bool {
+        let slow = Self {
+            period: self.period * SLOW_FACTOR,
+            ..*self
+        };
+        // Other digits of the phase, so that the two windows select independently.
+        slow.covers((phase * SLOW_DIGITS).fract(), share)
+    }
+
     /// Returns the time after which a window of width `share` covers a phase, at least
     /// `earliest_ms` from now, and from 50 ms to a third of `time_left`.
     #[must_use]
--- a/src/gateway/admitting.rs
+++ b/src/gateway/admitting.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::admission::load_meter::{AdmissionReport, RequestLoad};
+use crate::admission::load_meter::{AdmissionReport, FirstEventTime, RequestLoad};
 use crate::admission::window::AdmissionWindow;
 use crate::admission::{AdmissionDecision, RefusalReason, RequestTerms, decide};
 use crate::clock;
@@ -207,6 +207,8 @@
             *probe = Some(DelayProbe {
                 gateway: self.clone(),
                 service: call.service.name.clone(),
+                rank: call.route.urgency,
+                work_ms: placement.own_prefill_ms,
                 expected_ms: placement.expected_ms,
                 placed: Instant::now(),
                 is_done: Cell::new(false),
@@ -273,6 +275,8 @@
 pub struct DelayProbe {
     gateway: Rc<Gateway>,
     service: ServiceName,
+    rank: u8,
+    work_ms: f64,
     expected_ms: f64,
     placed: Instant,
     is_done: Cell<bool>,
@@ -285,26 +289,34 @@
     /// Records the first event.
     pub fn note_first_event(&self) {
         if !self.is_done.replace(true) {
-            self.record(self.ratio());
+            self.record(true);
         }
     }
 
-    fn ratio(&self) -> f64 {
-        let waited_ms = self.placed.elapsed().as_secs_f64() * 1_000.0;
-        waited_ms / self.expected_ms.max(1.0)
-    }
-
-    fn record(&self, ratio: f64) {
+    fn record(&self, is_served: bool) {
+        let time = FirstEventTime {
+            actual_ms: self.placed.elapsed().as_secs_f64() * 1_000.0,
+            expected_ms: self.expected_ms,
+            is_served,
+        };
+        if !is_served && time.actual_ms <= time.expected_ms {
+            return;
+        }
+        let load = RequestLoad {
+            service: &self.service,
+            rank: self.rank,
+            workspace: None,
+            work_ms: self.work_ms,
+        };
         let mut meter = self.gateway.admission_load.borrow_mut();
-        meter.note_delay(&self.service, ratio, clock::mono_now());
+        meter.note_delay(&load, &time, clock::mono_now());
     }
 }
 
 impl Drop for DelayProbe {
     fn drop(&mut self) {
-        let ratio = self.ratio();
-        if !self.is_done.get() && ratio > 1.0 {
-            self.record(ratio);
+        if !self.is_done.get() {
+            self.record(false);
         }
     }
 }
