--- a/lab/src/samples.rs
+++ b/lab/src/samples.rs
@@ -170,6 +170,7 @@
             shared_prefix_tokens: 0,
             excluded: Vec::new(),
         },
+        phase: 0.5,
     }
 }
 
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -126,6 +126,13 @@
     },
 }
 
+/// Returns the phase of work with a digest: a number from 0 to 1, below 1.
+#[must_use]
+pub fn phase_of(digest: &[u8; 16]) -> f64 {
+    let [first, second, third, fourth, ..] = *digest;
+    f64::from(u32::from_be_bytes([first, second, third, fourth])) / (f64::from(u32::MAX) + 1.0)
+}
+
 /// Decides whether a request is served now.
 ///
 /// A request that would get its first event too late even if no other request arrived is
--- a/src/crashes/suspect_digest.rs
+++ b/src/crashes/suspect_digest.rs
@@ -8,6 +8,8 @@
 use serde_bytes::ByteArray;
 use sha2::{Digest, Sha256};
 
+use crate::admission;
+
 /// Length of a digest: long enough that no caller can construct a collision with a suspect
 /// of another.
 const DIGEST_BYTES: usize = 16;
@@ -35,8 +37,7 @@
     /// Returns a number from 0 to 1 derived from it, below 1.
     #[must_use]
     pub fn phase(&self) -> f64 {
-        let [first, second, third, fourth, ..] = *self.0;
-        f64::from(u32::from_be_bytes([first, second, third, fourth])) / (f64::from(u32::MAX) + 1.0)
+        admission::phase_of(&self.0)
     }
 }
 
--- a/src/decide/scheduler.rs
+++ b/src/decide/scheduler.rs
@@ -11,6 +11,8 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::admission::window::AdmissionWindow;
+use crate::admission::{self, AdmissionDecision, CapacityView, RequestTerms};
 use crate::decide::candidates::{self, CandidateIndex, CandidateSide};
 use crate::decide::cost::{CostModel, SpeedSettings};
 use crate::decide::fair_queue::{FairQueue, JobNumber, QueuedJob};
@@ -22,7 +24,7 @@
 use crate::decide::turn_gate::TurnGate;
 use crate::invariants::{self, Invariant};
 use crate::membership::fleet::{TargetView, UseState};
-use crate::names::{ClassName, MonoTime, TargetId, WorkspaceName, millis};
+use crate::names::{ClassName, MonoTime, TargetId, UnixTime, WorkspaceName, millis};
 use crate::roles::work_mix::{PlacementRate, WorkMix};
 use crate::settings::{LimitSettings, PlacementPolicy, PolicySettings};
 use crate::target_incarnation::TargetIncarnation;
@@ -37,6 +39,9 @@
 /// Safety factor on the expected wait in the deadline check: a queue that may grow up to
 /// the deadline itself serves every request slightly too late.
 const WAIT_MARGIN: f64 = 2.0;
+/// Time left that the admission window's period is derived from: the same for all requests,
+/// since deadlines differ between classes and attempts.
+const ADMISSION_WINDOW_TIME: Duration = Duration::from_millis(3_000);
 /// Minimum service rate assumed, as a share of the targets' capacity.
 const MIN_RATE_SHARE: f64 = 0.1;
 /// Minimum time after which a refused caller is told to retry.
@@ -63,6 +68,8 @@
     pub max_output_tokens: u32,
     /// Requirements on the target.
     pub need: PlacementNeed,
+    /// Number from 0 to 1 that is the same for all attempts of the work.
+    pub phase: f64,
 }
 
 /// Why a request is not admitted, or removed from the queue.
@@ -385,6 +392,9 @@
         queued: &QueuedJob,
         now: MonoTime,
     ) -> Result<(), JobRefusal> {
+        if self.policy.admission {
+            return self.check_admission(spec, queued, now);
+        }
         let wait_s = self.expected_wait(spec, now) * WAIT_MARGIN;
         let start_at = now.plus(Duration::from_secs_f64(wait_s));
         if start_at <= queued.latest_start {
@@ -398,6 +408,47 @@
         Err(self.refusal(reason, late_s))
     }
 
+    // The queue serves urgent requests first and workspaces by weight, so the expected wait is
+    // that of this request. The window follows this daemon's clock: the scheduler has no fleet
+    // time, so the retry time holds for a return to the same daemon.
+    fn check_admission(
+        &self,
+        spec: &JobSpec,
+        queued: &QueuedJob,
+        now: MonoTime,
+    ) -> Result<(), JobRefusal> {
+        let time_left = queued.latest_start.since(now);
+        let terms = RequestTerms {
+            rank: u8::try_from(spec.priority).unwrap_or(u8::MAX),
+            workspace: None,
+            objective_left: time_left,
+            time_left,
+            // The latest start leaves room for the work itself.
+            work_ms: 0.0,
+            phase: spec.phase,
+        };
+        let capacity = CapacityView {
+            wait_ms: self.expected_wait(spec, now) * WAIT_MARGIN * 1_000.0,
+            ..CapacityView::default()
+        };
+        let window = AdmissionWindow::new(UnixTime(now.0), ADMISSION_WINDOW_TIME);
+        match admission::decide(&terms, &capacity, &window) {
+            AdmissionDecision::Admit => Ok(()),
+            AdmissionDecision::Refuse {
+                reason,
+                retry_after,
+                expected_ms,
+            } => {
+                let text = format!(
+                    "the deadline cannot be met ({}): the expected wait is {expected_ms:.0} ms,                      the time until the latest start {} ms; retry after the stated time",
+                    reason.as_str(),
+                    millis(time_left)
+                );
+                Err(self.refusal(text, retry_after.as_secs_f64()))
+            }
+        }
+    }
+
     fn expected_wait(&self, spec: &JobSpec, now: MonoTime) -> f64 {
         let key = self.queue_key(&spec.need);
         let Some(queue) = self.queues.get(&key) else {
--- a/src/requests/request.rs
+++ b/src/requests/request.rs
@@ -5,6 +5,7 @@
 
 use sha2::{Digest, Sha256};
 
+use crate::admission;
 use crate::clock;
 use crate::config::catalogue::{ClassSpec, ClassTarget};
 use crate::control::snapshot::{ConfigView, ControlSnapshot};
@@ -166,6 +167,7 @@
                 shared_prefix_tokens: self.submit.shared_prefix_tokens,
                 excluded: Vec::new(),
             },
+            phase: admission::phase_of(&self.fingerprint()),
         }
     }
 
--- a/src/settings/fields.rs
+++ b/src/settings/fields.rs
@@ -222,6 +222,7 @@
         SIZE_REMEDY,
     ),
     optional("policy.refuse_early", FieldKind::Switch, SWITCH_REMEDY),
+    optional("policy.admission", FieldKind::Switch, SWITCH_REMEDY),
     optional("policy.fair_shares", FieldKind::Switch, SWITCH_REMEDY),
     optional(
         "policy.retry_share",
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -273,6 +273,9 @@
     pub role_changes_at_once: usize,
     /// Whether to refuse at once what cannot meet its deadline (false: baseline).
     pub refuse_early: bool,
+    /// Whether admission control decides which requests are refused early (false: those that
+    /// arrive when the queue is too long).
+    pub admission: bool,
     /// Whether workspaces share by weight (false: baseline, first come first served).
     pub fair_shares: bool,
     /// Share of retries to first attempts.
@@ -295,6 +298,7 @@
             role_horizon_ms: 60_000,
             role_changes_at_once: 2,
             refuse_early: true,
+            admission: false,
             fair_shares: true,
             retry_share: 0.1,
             engine_in_flight: 32,
--- a/tests/scheduler_admission.rs
+++ b/tests/scheduler_admission.rs
@@ -265,6 +265,46 @@
     );
 }
 
+// Guards against refusals by order of arrival: with admission control, a part of the requests is
+// refused while the queue grows, and all once the deadline cannot be met, each with a time to
+// return of at most a third of its time.
+#[test]
+fn admission_refuses_a_growing_part() {
+    let policy = PolicySettings {
+        engine_in_flight: 1,
+        admission: true,
+        ..PolicySettings::default()
+    };
+    let limits = LimitSettings {
+        queue_per_workspace: 10_000,
+        queue_length: 10_000,
+        ..LimitSettings::default()
+    };
+    let mut scheduler = scheduler(policy, limits);
+    scheduler.update_fleet(Arc::new(idle_fleet(1, 1, NOW)), 1, NOW);
+    let mut admitted = Vec::new();
+    for number in 0..400 {
+        let job = JobSpec {
+            deadline: MonoTime(NOW.0 + 8_000),
+            phase: f64::from(number * 37 % 100) / 100.0,
+            ..spec(0)
+        };
+        let outcome = scheduler.admit(job, NOW);
+        if let Err(refusal) = &outcome {
+            assert!(refusal.reason.contains("deadline cannot be met"));
+            assert!(refusal.retry_after >= Duration::from_millis(100));
+            assert!(refusal.retry_after <= Duration::from_millis(8_000 / 3));
+        }
+        admitted.push(outcome.is_ok());
+        scheduler.schedule(NOW);
+    }
+    let first_refusal = admitted.iter().position(|is_admitted| !is_admitted);
+    let last_admission = admitted.iter().rposition(|is_admitted| *is_admitted);
+    assert!(first_refusal > Some(1), "{admitted:?}");
+    assert!(last_admission > first_refusal, "{admitted:?}");
+    assert!(!admitted[399], "{admitted:?}");
+}
+
 // A refused request leaves no state that would delay later ones.
 #[test]
 fn refusal_leaves_no_state() {
