--- a/src/admission/load_meter.rs
+++ b/src/admission/load_meter.rs
@@ -287,7 +287,8 @@
         self.peer_sums = LoadSums::default();
         self.fleet_sum_from = None;
         self.set_peer(hub, report, now);
-        self.fleet_sum_from = Some(hub.clone());
+        // A hub without admission control reports nothing, not even the work of this daemon.
+        self.fleet_sum_from = (!self.peers.is_empty()).then(|| hub.clone());
     }
 
     /// Drops reports that are too old, and computes the workspaces' share anew.
--- a/src/gateway/admitting.rs
+++ b/src/gateway/admitting.rs
@@ -236,11 +236,11 @@
 
     /// Drops old reports of peers, and publishes the delay ratios.
     pub(super) fn sweep_admission(&self) {
+        let mut meter = self.admission_load.borrow_mut();
+        meter.sweep(clock::mono_now());
         if !self.settings().admission.enabled {
             return;
         }
-        let mut meter = self.admission_load.borrow_mut();
-        meter.sweep(clock::mono_now());
         let view = self.view();
         let services = view.routes.iter().flat_map(|routes| routes.services());
         for service in services.filter(|service| service.engine.is_some()) {
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -246,7 +246,7 @@
         let is_covered = |id: &DaemonId| whole_fleet || *id == hint.from || direct.contains(id);
         // Placements made from now on get a higher number than this summary contains.
         let placed_through = self.announce_placements();
-        let work = self.core.borrow().load.sum_with(&is_covered);
+        let work = self.core.borrow().load.sum_with(is_covered);
         PeerSummary {
             from: hint.from.clone(),
             incarnation: hint.incarnation,
--- a/tests/admission_load.rs
+++ b/tests/admission_load.rs
@@ -111,6 +111,9 @@
     meter.set_fleet(&DaemonId::from("hub"), sum.clone(), NOW);
     let served = meter.sum_with(|_| false, NOW).ranks[0].2.served;
     assert!((served - sum.ranks[0].2.served).abs() < 1e-6);
+    // A hub without admission control reports nothing; the own measurements count then.
+    meter.set_fleet(&DaemonId::from("hub"), AdmissionReport::default(), NOW);
+    assert!(meter.delay_ratio(&service) > 2.9);
     meter.sweep(after(1_600));
     meter.local_report(after(12_000));
     assert!(meter.delay_ratio(&service) < 1.1);
--- a/tests/admission_overload.rs
+++ b/tests/admission_overload.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use admission_world::{Knowledge, RequestKind, Rule, WorldPlan, WorldTally, simulate};
+use admission_world::{KindTally, Knowledge, RequestKind, Rule, WorldPlan, WorldTally, simulate};
 use pistachiowick::admission::window::AdmissionWindow;
 use pistachiowick::admission::{
     AdmissionDecision, CapacityView, RefusalReason, RequestTerms, decide,
@@ -168,7 +168,7 @@
     for load in LOADS {
         let tally = simulate(&plan(load, knowledge, deciders), 1);
         print("decide", load, &tally);
-        let served: Vec<f64> = tally.kinds.iter().map(|kind| kind.served_share()).collect();
+        let served: Vec<f64> = tally.kinds.iter().map(KindTally::served_share).collect();
         assert!(
             served.is_sorted_by(|a, b| *a >= *b - 0.01),
             "{load} {served:?}"
@@ -253,7 +253,7 @@
     for (kind, min) in tally.kinds.iter().zip(min_served) {
         assert!(kind.served_share() >= min, "{:?}", tally.kinds);
     }
-    let served: Vec<f64> = tally.kinds.iter().map(|kind| kind.served_share()).collect();
+    let served: Vec<f64> = tally.kinds.iter().map(KindTally::served_share).collect();
     assert!(served.is_sorted_by(|a, b| *a >= *b - 0.05), "{served:?}");
     assert!(tally.used > 0.85, "{}", tally.used);
 }
