--- a/src/crashes/suspect_digest.rs
+++ b/src/crashes/suspect_digest.rs
@@ -8,6 +8,8 @@
 use serde_bytes::ByteArray;
 use sha2::{Digest, Sha256};
 
+use crate::admission;
+
 /// Length of a digest: long enough that no caller can construct a collision with a suspect
 /// of another.
 const DIGEST_BYTES: usize = 16;
@@ -31,6 +33,12 @@
         truncated.copy_from_slice(&digest[..DIGEST_BYTES]);
         Self(ByteArray::new(truncated))
     }
+
+    /// Returns a number from 0 to 1 derived from it, below 1.
+    #[must_use]
+    pub fn phase(&self) -> f64 {
+        admission::phase_of(&self.0)
+    }
 }
 
 impl FromStr for SuspectDigest {
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -18,6 +18,7 @@
 use tokio::task::spawn_local;
 use tokio_tungstenite::tungstenite::Message;
 
+use crate::admission::load_meter::LoadMeter;
 use crate::clock;
 use crate::crashes::connection_losses::ConnectionLosses;
 use crate::crashes::open_ends::OpenEnds;
@@ -76,6 +77,8 @@
     pub pool: Rc<RefCell<ConnectionPool>>,
     /// State that decisions are based on.
     pub core: RefCell<DecisionCore>,
+    /// Delays and rates of work that admission control is based on.
+    pub admission_load: RefCell<LoadMeter>,
     /// Status of the other daemons.
     pub peers: RefCell<PeerTable>,
     /// Time at which the configuration was last confirmed to be the newest one.
@@ -269,6 +272,7 @@
             ports,
             fleet,
             pool: Rc::default(),
+            admission_load: RefCell::default(),
             peers: RefCell::default(),
             freshness: RefCell::default(),
             fleet_tasks: RefCell::new(UsageMeter::new(window.unwrap_or_default())),
@@ -392,6 +396,7 @@
         metrics::gauge!("pistachiowick_limited_targets").set(limits.count() as f64);
         drop(limits);
         self.sweep_backoffs();
+        self.sweep_admission();
         self.sweep_starts(now);
         let mut stated_departures = self.stated_departures.borrow_mut();
         stated_departures.retain(|target| view.has_target(target));
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -185,6 +185,7 @@
             usage: self.take_usage_updates(),
             kept_usage,
             usage_complete_to: self.usage_sent_to(),
+            delays: self.admission_report(),
         }
     }
 
@@ -279,6 +280,7 @@
             fleet_time: self.fleet_tasks.borrow().clock.at(now),
             usage: Vec::new(),
             usage_complete_to: hint.usage_complete_to,
+            delays: self.admission_sum(is_covered),
         }
     }
 
@@ -383,6 +385,9 @@
         };
         self.apply_limits(sender, &hint.limits);
         self.apply_results(&hint.observed);
+        self.admission_load
+            .borrow_mut()
+            .set_peer(&hint.from, hint.delays, now);
         let work = hint.work.into_iter().collect();
         let load = &mut self.core.borrow_mut().load;
         load.release_reservations(&hint.from, hint.placed_through);
@@ -475,6 +480,13 @@
             clock: summary.clock,
         };
         self.apply_limits(sender, &summary.limits);
+        let mut meter = self.admission_load.borrow_mut();
+        if summary.whole_fleet {
+            meter.set_fleet(&summary.from, summary.delays, now);
+        } else {
+            meter.set_peer(&summary.from, summary.delays, now);
+        }
+        drop(meter);
         let mut work: WorkByTarget = summary.work.into_iter().collect();
         let load = &mut self.core.borrow_mut().load;
         if summary.whole_fleet {
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -8,7 +8,9 @@
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 use tokio_tungstenite::tungstenite::Message;
 
+use crate::admission::load_meter::AdmissionReport;
 use crate::crashes::report::{PartReport, WorkReport};
+use crate::gateway::admitting::{AdmissionTerms, AdmissionVerdict};
 use crate::gateway::deciding::load::TargetWork;
 use crate::gateway::deciding::stage_plan::WorkRate;
 use crate::gateway::fleet_tasks::usage_counts::{DaemonUsage, UsageCount};
@@ -89,6 +91,9 @@
     /// Fleet time up to which it has sent all counts that it keeps.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub usage_complete_to: Option<UnixTime>,
+    /// Its delays and rates of work, if admission control is on.
+    #[serde(default, skip_serializing_if = "AdmissionReport::is_empty")]
+    pub delays: AdmissionReport,
 }
 
 /// A message between daemons.
@@ -242,6 +247,9 @@
     /// Size of the request's body; 0 where sends to other data centres have no cost.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub request_bytes: u32,
+    /// Terms for admission control, if the requester has it on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub admission: Option<AdmissionTerms>,
 }
 
 // Takes a reference, as `serde` requires.
@@ -280,6 +288,9 @@
     /// Whether the request is queued behind all that can still meet their objective.
     #[serde(rename = "gives_way")]
     pub deprioritized: bool,
+    /// Whether the request is admitted; `None` if the requester decides by itself.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub admission: Option<AdmissionVerdict>,
 }
 
 /// The response to a placement request.
@@ -357,6 +368,9 @@
     /// Fleet time up to which the hub has sent all counts that it keeps.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub usage_complete_to: Option<UnixTime>,
+    /// Delays and rates of work of all covered daemons, if admission control is on.
+    #[serde(default, skip_serializing_if = "AdmissionReport::is_empty")]
+    pub delays: AdmissionReport,
 }
 
 /// Objects of the store, as a hub relays them.
--- a/tests/gateway_hubs.rs
+++ b/tests/gateway_hubs.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use pistachiowick::admission::load_meter::AdmissionReport;
 use pistachiowick::gateway::deciding::load::LoadTracker;
 use pistachiowick::gateway::deciding::stage_plan::WorkRate;
 use pistachiowick::gateway::members::{DaemonRecord, InstanceCapacity};
@@ -69,6 +70,7 @@
         usage: Vec::new(),
         kept_usage: Vec::new(),
         usage_complete_to: None,
+        delays: AdmissionReport::default(),
     }
 }
 
@@ -430,3 +432,14 @@
     links.reverse();
     assert_eq!(usage_keepers(&hub, &links, |id| *id != gone), keepers);
 }
+
+// Guards against messages that change while admission control is off, and against daemons of the
+// version before it, whose messages lack its fields.
+#[test]
+fn messages_without_admission_control_are_unchanged() {
+    let hint = hint("a");
+    let mut value = serde_json::to_value(&hint).expect("plain data");
+    assert!(value.get("delays").is_none());
+    let decoded: PeerHint = serde_json::from_value(value.take()).expect("field has a default");
+    assert!(decoded.delays.is_empty());
+}
--- a/tests/gateway_placing.rs
+++ b/tests/gateway_placing.rs
@@ -28,6 +28,7 @@
         urgency: 1,
         objective_left_ms: 600,
         request_bytes: 0,
+        admission: None,
     }
 }
 
@@ -43,6 +44,7 @@
         recomputed_tokens: 0,
         queued_ahead_tokens: 0,
         deprioritized: false,
+        admission: None,
     }
 }
 
@@ -166,3 +168,14 @@
         "the link is lost"
     );
 }
+
+// Guards against messages that change while admission control is off.
+#[test]
+fn placement_messages_without_admission_control_are_unchanged() {
+    let request = serde_json::to_value(request()).expect("plain data");
+    let engines = serde_json::to_value(engines("a")).expect("plain data");
+    assert!(request.get("admission").is_none() && engines.get("admission").is_none());
+    let request: PlacementRequest = serde_json::from_value(request).expect("has a default");
+    let engines: PlacedEngines = serde_json::from_value(engines).expect("has a default");
+    assert!(request.admission.is_none() && engines.admission.is_none());
+}
--- a/tests/gateway_words.rs
+++ b/tests/gateway_words.rs
@@ -1,6 +1,7 @@
 //! What a hub includes in a summary, and how large summaries are in a large fleet.
 
 use indexmap::IndexSet;
+use pistachiowick::admission::load_meter::AdmissionReport;
 use pistachiowick::gateway::deciding::load::TargetWork;
 use pistachiowick::gateway::deciding::stage_plan::WorkRate;
 use pistachiowick::gateway::peers::member_broadcasts::MemberBroadcasts;
@@ -69,6 +70,7 @@
         fleet_time: Some(UnixTime(1_790_000_000_000)),
         usage: Vec::new(),
         usage_complete_to: None,
+        delays: AdmissionReport::default(),
     })
 }
 
--- a/tests/locality.rs
+++ b/tests/locality.rs
@@ -269,6 +269,7 @@
         urgency: 1,
         objective_left_ms: 600,
         request_bytes,
+        admission: None,
     };
     let without = serde_json::to_value(request(0)).expect("JSON");
     assert!(without.get("request_bytes").is_none());
