Learned capacities of targets

Daemons report the ratios of actual to expected times of their requests, hubs combine them and send capacities to their members. Off by default.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -170,7 +170,11 @@
 
     /// Puts settings in force.
     pub fn set_settings(&self, settings: GatewaySettings) {
-        self.core.borrow_mut().weights = settings.placement;
+        let mut core = self.core.borrow_mut();
+        core.weights = settings.placement;
+        core.capacities
+            .set_enabled(settings.target_capacity.enabled);
+        drop(core);
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
@@ -258,12 +262,13 @@
         let started = clock::mono_now();
         let budget = RetryLimiter::new(settings.budget_rule(), started);
         let watch_mode = WatchMode::initial(settings.first_start);
+        let mut core = DecisionCore::new(settings.placement);
+        core.centre = Some(settings.centre.clone());
+        core.capacities
+            .set_enabled(settings.target_capacity.enabled);
         Self {
             daemon: settings.daemon.clone(),
-            core: RefCell::new(DecisionCore {
-                centre: Some(settings.centre.clone()),
-                ..DecisionCore::new(settings.placement)
-            }),
+            core: RefCell::new(core),
             settings: RefCell::new(Rc::new(settings)),
             ports,
             fleet,
--- a/src/gateway/deciding/engine_choice.rs
+++ b/src/gateway/deciding/engine_choice.rs
@@ -126,6 +126,8 @@
     pub work: TargetWork,
     /// How reliably and fast it answers.
     pub health: HealthView,
+    /// Learned time for the same work, relative to the median of its service.
+    pub capacity: f64,
     /// Whether this request may be sent to it.
     pub available: bool,
     /// When the next request may be sent, if it limits or refuses requests.
@@ -165,7 +167,7 @@
     fn running_ms(&self, each_ms: f64) -> f64 {
         let running = self.work.running;
         let excess = running.saturating_sub(self.record.slots);
-        f64::from(running) * each_ms + f64::from(excess) * OVERLOAD_PENALTY_MS
+        f64::from(running) * each_ms * self.capacity + f64::from(excess) * OVERLOAD_PENALTY_MS
     }
 }
 
--- a/src/gateway/deciding/engine_model.rs
+++ b/src/gateway/deciding/engine_model.rs
@@ -46,6 +46,12 @@
         }
     }
 
+    /// Returns whether later requests overtake the work.
+    #[must_use]
+    pub fn is_late(self) -> bool {
+        matches!(self, Self::RemotePrefillLate | Self::LocalPrefillLate)
+    }
+
     // Values between those of known engines, which differ by a factor of eight. They
     // weigh as much as two observations, so those of a second of load outweigh them.
     fn prior(self) -> LinearLatency {
--- a/src/gateway/deciding/mod.rs
+++ b/src/gateway/deciding/mod.rs
@@ -11,6 +11,7 @@
 pub mod line_fit;
 pub mod load;
 pub mod stage_plan;
+pub mod target_capacity;
 pub mod work_meter;
 
 use std::sync::Arc;
@@ -25,6 +26,7 @@
     AnswerTime, HealthChange, HealthTracker, HealthView, SendResult,
 };
 use crate::gateway::deciding::load::LoadTracker;
+use crate::gateway::deciding::target_capacity::TargetCapacities;
 use crate::gateway::deciding::work_meter::WorkMeter;
 use crate::gateway::model::{PromptPart, PromptShape, TargetRecord};
 use crate::names::{CentreName, MonoTime, ServiceName, SoftwareVersion};
@@ -106,6 +108,8 @@
     pub engines: EngineSpeeds,
     /// Rate of the work placed on engines.
     pub work: WorkMeter,
+    /// Learned capacities of targets.
+    pub capacities: TargetCapacities,
 }
 
 impl DecisionCore {
@@ -149,6 +153,13 @@
             observed_share: self.engines.observed_share(&engine.service, *work),
         };
         self.health.note_time(&engine.id, time, now);
+        // Later requests overtake late work, so its time says little about the engine.
+        if !work.is_late() {
+            let times = (taken_ms, expected_ms);
+            let observed_share = time.observed_share;
+            self.capacities
+                .note_time(engine, times, observed_share, now);
+        }
         self.engines.note(&engine.service, *work, *tokens, taken_ms);
         taken_ms / (expected_ms * slowdown)
     }
@@ -173,6 +184,7 @@
     pub fn sweep(&mut self, keep: impl Fn(&TargetIncarnation) -> bool, now: MonoTime) {
         self.load.expire(now);
         self.health.retain(&keep);
+        self.capacities.sweep(&keep, now);
         self.caches.retain(&keep);
     }
 
@@ -276,7 +288,8 @@
             let running = self.load.total(&target.id).running;
             let turn_cost = turns.get(&target.id).map_or(0.0, plain_turn_cost);
             let send_cost = self.send_ms(target, request_bytes) / FULL_SLOTS_MS;
-            let cost = plain_cost(running, target.slots, health)
+            let capacity = self.capacities.capacity(&target.id, now).unwrap_or(1.0);
+            let cost = plain_cost(running, target.slots, health, capacity)
                 + turn_cost
                 + send_cost
                 + draw() * TIE_RANGE;
@@ -291,6 +304,17 @@
         self.weights.send_ms(bytes, from, &target.centre)
     }
 
+    // The capacity takes the place of the slowdown: it is the same ratio, from the requests of
+    // all daemons, and the product would count it twice.
+    fn engine_health(&self, engine: &TargetIncarnation, now: MonoTime) -> HealthView {
+        let health = self.health.view(engine, now);
+        let slowdown = self.capacities.capacity(engine, now);
+        HealthView {
+            slowdown: slowdown.unwrap_or(health.slowdown),
+            ..health
+        }
+    }
+
     fn engine_states(
         &self,
         choices: &EngineCandidates<'_>,
@@ -307,7 +331,8 @@
             cached_tokens: self.caches.cached_tokens(&engine.id, parts, now),
             copyable_tokens: self.caches.copyable_tokens(&engine.id, parts, now),
             work: self.load.total(&engine.id),
-            health: self.health.view(&engine.id, now),
+            health: self.engine_health(&engine.id, now),
+            capacity: self.capacities.capacity(&engine.id, now).unwrap_or(1.0),
             available: !excluded(&engine.id) && !changing(&engine.id),
             turn: choices.turns.get(&engine.id).copied(),
             send_ms: self.send_ms(engine, choices.request_bytes),
@@ -336,9 +361,12 @@
     turn.wait.as_secs_f64() / TURN_WAIT_S - TURN_DISCOUNT * turn.age
 }
 
-// Cost of sending one more request: the share of busy slots plus penalties for failures.
-fn plain_cost(running: u32, slots: u32, health: HealthView) -> f64 {
-    let busy_share = f64::from(running) / f64::from(slots.max(1));
+// Cost of sending one more request: the share of busy slots plus penalties for failures. The
+// request itself counts in so far as the target is slower or faster than the median, since an
+// idle slow target would cost as little as an idle fast one otherwise.
+fn plain_cost(running: u32, slots: u32, health: HealthView, capacity: f64) -> f64 {
+    let slots = f64::from(slots.max(1));
+    let busy_share = f64::from(running) / slots * capacity + (capacity - 1.0) / slots;
     let failure_cost = FAILURE_COST * health.failure_rate;
     let avoided_cost = if health.avoided { AVOIDED_COST } else { 0.0 };
     let unverified = if health.unverified { 1.0 } else { 0.0 };
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -303,10 +303,11 @@
         };
         let order = plain_order(target, call);
         let _in_flight = InFlightGuard::begin(self, &target.id, 0, 0);
+        let running = self.core.borrow().load.total(&target.id).running;
         let outcome = self
             .send(target, call.plan(deadline, call.turn_terms()), &order)
             .await;
-        let attempt = self.finish_plain(target, call, outcome).await;
+        let attempt = self.finish_plain(target, call, (outcome, running)).await;
         call.log_send(target, "run", attempt.as_str(), sent);
         attempt
     }
@@ -343,7 +344,7 @@
         &self,
         target: &TargetRecord,
         call: &RoutedRequest,
-        outcome: SendOutcome,
+        (outcome, running): (SendOutcome, u32),
     ) -> PlainOutcome {
         let answer = match outcome {
             SendOutcome::Answered(answer) => answer,
@@ -368,7 +369,7 @@
             body,
             connection,
             times,
-            ..
+            sent_at,
         } = *answer;
         let memory = &self.answer_memory;
         match client::read_answer(body, MAX_ANSWER_BYTES, call.deadline, memory).await {
@@ -386,6 +387,7 @@
                 }
                 self.record_answer(target, times);
                 if head.status.is_success() {
+                    self.note_plain_time(target, running, sent_at.elapsed());
                     self.record_completion(call, target, &head.headers);
                 }
                 connection.return_to_pool(&head);
@@ -399,6 +401,12 @@
         }
     }
 
+    fn note_plain_time(&self, target: &TargetRecord, running: u32, taken: Duration) {
+        let taken_ms = taken.as_secs_f64() * 1_000.0;
+        let capacities = &mut self.core.borrow_mut().capacities;
+        capacities.note_plain(target, running, taken_ms, clock::mono_now());
+    }
+
     fn choose_plain(
         &self,
         call: &RoutedRequest,
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -167,7 +167,7 @@
 }
 
 /// Stage of request processing that a model engine serves.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum EngineStage {
     /// Prefills prompts for decode engines.
     Prefill,
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -152,6 +152,7 @@
 
     fn hint(&self, role: &PeerRole) -> PeerHint {
         let view = self.view();
+        let observed = self.take_observed();
         let mut core = self.core.borrow_mut();
         let rate = core.work.rate(clock::mono_now());
         let work = core
@@ -176,7 +177,7 @@
             changing: self.local_stage_changes.borrow().clone(),
             rate,
             placed_through: self.placement_client.borrow().used_through(),
-            observed: self.observed_results.take(),
+            observed,
             clock: clock::mono_now(),
             confirms_keys: self.confirms_keys(clock::mono_now()),
             unreachable: self.unreachable_services(),
@@ -268,6 +269,7 @@
             members,
             fleet_time: self.fleet_tasks.borrow().clock.at(now),
             usage: Vec::new(),
+            capacities: self.take_capacity_report(whole_fleet, now),
         }
     }
 
@@ -371,6 +373,7 @@
         };
         self.apply_limits(sender, &hint.limits);
         self.apply_results(&hint.observed);
+        self.apply_times((&hint.from, true), &hint.observed.times);
         let work = hint.work.into_iter().collect();
         let load = &mut self.core.borrow_mut().load;
         load.release_reservations(&hint.from, hint.placed_through);
@@ -463,6 +466,7 @@
             clock: summary.clock,
         };
         self.apply_limits(sender, &summary.limits);
+        self.apply_capacity_report(&summary.from, &summary.capacities);
         let mut work: WorkByTarget = summary.work.into_iter().collect();
         let load = &mut self.core.borrow_mut().load;
         if summary.whole_fleet {
--- a/src/gateway/peers/seen.rs
+++ b/src/gateway/peers/seen.rs
@@ -6,13 +6,20 @@
 //!
 //! Members do not report processing times of engines. With them a fleet of 61 daemons and 50
 //! engines served 0.64 to 0.73 of its requests, without them 0.72 to 0.80; keeping them for
-//! longer, by engine or by kind of work, recovered less than half of the loss or nothing.
+//! longer, by engine or by kind of work, recovered less than half of the loss or nothing. With
+//! learned capacities they report ratios, which change no latency line
+//! ([`crate::gateway::deciding::target_capacity`]).
+
+use std::sync::Arc;
 
 use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 
+use crate::clock;
 use crate::gateway::daemon::Gateway;
 use crate::gateway::deciding::health::SendResult;
+use crate::gateway::deciding::target_capacity::{CapacityReport, TimeRatio};
+use crate::names::{DaemonId, MonoTime};
 use crate::target_incarnation::TargetIncarnation;
 
 /// Most results in a hint; the rest is dropped. At 450 requests a second a daemon in a
@@ -37,6 +44,9 @@
 pub struct ObservedResults {
     /// One result per send, oldest first.
     pub results: Vec<ObservedResult>,
+    /// Mean ratios of actual to expected times, at most one per target.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub times: Vec<TimeRatio>,
 }
 
 impl ObservedResults {
@@ -85,6 +95,36 @@
         self.placement_client.borrow().has_placement_hub()
     }
 
+    /// Returns what this daemon has observed since its last hint.
+    pub(super) fn take_observed(&self) -> ObservedResults {
+        ObservedResults {
+            times: self.core.borrow_mut().capacities.take_ratios(),
+            ..self.observed_results.take()
+        }
+    }
+
+    /// Applies the ratios of times that a peer reports, of its own requests or, as a hub, of its
+    /// data centre.
+    pub(super) fn apply_times(&self, reporter: (&DaemonId, bool), times: &[TimeRatio]) {
+        let view = self.view();
+        let find = |target: &TargetIncarnation| view.find(target).map(Arc::as_ref);
+        let capacities = &mut self.core.borrow_mut().capacities;
+        capacities.note_reported(reporter, times, find, clock::mono_now());
+    }
+
+    /// Applies a hub's report of the times of targets.
+    pub(super) fn apply_capacity_report(&self, hub: &DaemonId, report: &CapacityReport) {
+        self.apply_times((hub, false), &report.ratios);
+        let capacities = &mut self.core.borrow_mut().capacities;
+        capacities.apply_capacities(&report.capacities, clock::mono_now());
+    }
+
+    /// Returns what this daemon reports as a hub to its members or to other hubs.
+    pub(super) fn take_capacity_report(&self, whole_fleet: bool, now: MonoTime) -> CapacityReport {
+        let capacities = &mut self.core.borrow_mut().capacities;
+        capacities.take_report(whole_fleet, now)
+    }
+
     /// Applies a member's results as if they were those of this daemon.
     pub(super) fn apply_results(&self, results: &ObservedResults) {
         let view = self.view();
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -11,6 +11,7 @@
 use crate::crashes::report::{PartReport, WorkReport};
 use crate::gateway::deciding::load::TargetWork;
 use crate::gateway::deciding::stage_plan::WorkRate;
+use crate::gateway::deciding::target_capacity::CapacityReport;
 use crate::gateway::fleet_tasks::usage_counts::{DaemonUsage, UsageCount};
 use crate::gateway::peers::freshness::ConfigFreshness;
 use crate::gateway::peers::seen::ObservedResults;
@@ -333,6 +334,9 @@
     pub fleet_time: Option<UnixTime>,
     /// Usage counts of the hub and its members, for other hubs.
     pub usage: Vec<DaemonUsage>,
+    /// Ratios of times for other hubs, or learned capacities of targets for members.
+    #[serde(default, skip_serializing_if = "CapacityReport::is_empty")]
+    pub capacities: CapacityReport,
 }
 
 /// Objects of the store, as a hub relays them.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -12,6 +12,7 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
 
+use crate::clock;
 use crate::gateway::budget::RetryCause;
 use crate::gateway::call::{InFlightGuard, RoutedRequest, SendHistory};
 use crate::gateway::centre_traffic::CentreTraffic;
@@ -55,6 +56,8 @@
     in_flight: Option<InFlightGuard>,
     first_event_timer: FirstEventTimer,
     first_event_at: Option<Instant>,
+    // Time and id of the first event of the present engine, and its running requests.
+    decode_start: Option<(Instant, u64, u32)>,
     // Whether the engine has sent an event, and was of its recorded version then.
     is_engine_checked: bool,
     ended: bool,
@@ -97,6 +100,7 @@
             in_flight: Some(in_flight),
             first_event_timer,
             first_event_at: None,
+            decode_start: None,
             is_engine_checked: false,
             ended: false,
         }
@@ -229,6 +233,11 @@
                 .record(waited);
         }
         self.last_id = batch.last_id.or(self.last_id);
+        if let (None, None, Some(id)) = (self.decode_start, &self.handed_over, self.last_id) {
+            let core = self.gateway.core.borrow();
+            let running = core.load.total(&self.engine.id).running;
+            self.decode_start = Some((Instant::now(), id, running));
+        }
         RelayStep::Bytes(batch.bytes)
     }
 
@@ -270,6 +279,7 @@
         self.gateway.note_result(&self.engine, SendResult::Failed);
         self.answer = None;
         self.first_event_timer.timed = None;
+        self.decode_start = None;
         self.in_flight = None;
         self.splitter.clear();
         self.resume_here(reason).await || self.resume_elsewhere().await
@@ -372,6 +382,17 @@
         );
     }
 
+    fn note_decode_time(&self) {
+        let Some((since, first_id, running)) = self.decode_start else {
+            return;
+        };
+        let tokens = self.last_id.unwrap_or(0).saturating_sub(first_id);
+        let taken_ms = since.elapsed().as_secs_f64() * 1_000.0;
+        let capacities = &mut self.gateway.core.borrow_mut().capacities;
+        let now = clock::mono_now();
+        capacities.note_decode(&self.engine, (running, tokens), taken_ms, now);
+    }
+
     fn end(&mut self, outcome: &'static str, result: SendResult) {
         if self.handed_over.is_none() {
             self.gateway.note_result(&self.engine, result);
@@ -383,6 +404,7 @@
             return;
         };
         if result == SendResult::Answered {
+            self.note_decode_time();
             self.gateway.record_answer(&self.engine, answer.times);
             self.gateway
                 .record_completion(&self.call, &self.engine, &answer.head.headers);
--- a/tests/gateway_engines.rs
+++ b/tests/gateway_engines.rs
@@ -39,6 +39,7 @@
         copyable_tokens: 0,
         work: TargetWork::default(),
         health: healthy(),
+        capacity: 1.0,
         available: true,
         turn: None,
         send_ms: 0.0,
--- a/tests/gateway_words.rs
+++ b/tests/gateway_words.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexSet;
 use pistachiowick::gateway::deciding::load::TargetWork;
 use pistachiowick::gateway::deciding::stage_plan::WorkRate;
+use pistachiowick::gateway::deciding::target_capacity::CapacityReport;
 use pistachiowick::gateway::peers::member_broadcasts::MemberBroadcasts;
 use pistachiowick::gateway::peers::wire::{MemberStatus, PeerMessage, PeerSummary};
 use pistachiowick::names::{DaemonId, MonoTime, TargetId, UnixTime};
@@ -68,6 +69,7 @@
         placed_through: 9_000,
         fleet_time: Some(UnixTime(1_790_000_000_000)),
         usage: Vec::new(),
+        capacities: CapacityReport::default(),
     })
 }
 
