--- a/src/gateway/deciding/mod.rs
+++ b/src/gateway/deciding/mod.rs
@@ -361,14 +361,17 @@
     turn.wait.as_secs_f64() / TURN_WAIT_S - TURN_DISCOUNT * turn.age
 }
 
-// Cost of sending one more request: the share of busy slots plus penalties for failures. The
-// request itself counts in so far as the target is slower or faster than the median, since an
-// idle slow target would cost as little as an idle fast one otherwise.
+// Cost of sending one more request: the share of busy slots, the time by which the target is
+// slower or faster than the median, and penalties for failures. The time is that until the answer,
+// in times of one request: a share of busy slots that is only scaled lets an idle slow target seem
+// as good as an idle fast one.
 fn plain_cost(running: u32, slots: u32, health: HealthView, capacity: f64) -> f64 {
     let slots = f64::from(slots.max(1));
-    let busy_share = f64::from(running) / slots * capacity + (capacity - 1.0) / slots;
+    let busy_share = f64::from(running) / slots;
+    let rounds = (f64::from(running + 1) / slots).max(1.0);
+    let extra_time = (capacity - 1.0) * rounds;
     let failure_cost = FAILURE_COST * health.failure_rate;
     let avoided_cost = if health.avoided { AVOIDED_COST } else { 0.0 };
     let unverified = if health.unverified { 1.0 } else { 0.0 };
-    busy_share + failure_cost + avoided_cost + unverified
+    busy_share + extra_time + failure_cost + avoided_cost + unverified
 }
--- a/tests/deciding_load.rs
+++ b/tests/deciding_load.rs
@@ -35,6 +35,7 @@
         tokens: (500, 8_000),
         objective_ms: 120,
         seconds: 20.0,
+        ..SimulationPlan::default()
     };
     let (rare, frequent) = (share_in_time(&plan(200.0)), share_in_time(&plan(40.0)));
     assert!(frequent > 0.8, "{frequent}");
--- a/tests/deciding_world/mod.rs
+++ b/tests/deciding_world/mod.rs
@@ -13,7 +13,7 @@
 use pistachiowick::gateway::deciding::health::SendResult;
 use pistachiowick::gateway::deciding::{DecisionCore, EngineCandidates, PlacementQuery};
 use pistachiowick::gateway::model::{EngineStage, PromptPart, PromptShape, TargetRecord};
-use pistachiowick::names::{DaemonId, MonoTime};
+use pistachiowick::names::{CentreName, DaemonId, MonoTime};
 use pistachiowick::target_incarnation::TargetIncarnation;
 use pistachiowick::target_limits::tracker::TurnOffers;
 use rand::rngs::SmallRng;
@@ -31,7 +31,7 @@
 }
 
 /// Parameters of a simulation.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct SimulationPlan {
     /// Number of daemons, which receive requests in round-robin order.
     pub daemons: usize,
@@ -47,6 +47,19 @@
     pub objective_ms: u64,
     /// Length of the run, in seconds.
     pub seconds: f64,
+    /// Requests of each daemon that run on each decode engine all the time; with none, prompts
+    /// are prefilled there once all prefill engines are busy, which the simulation leaves out.
+    pub decode_running: u32,
+    /// Whether daemons learn the capacities of engines.
+    pub target_capacity: bool,
+    /// Number of data centres, over which daemons and engines are distributed in turn; none is
+    /// one.
+    pub centres: usize,
+    /// Cost of a kilobyte of a request that is sent to another data centre.
+    pub crossing_ms_per_kb: f64,
+    /// Share of the requests that the daemons of the first data centre receive, above an equal
+    /// share.
+    pub skew: f64,
 }
 
 /// Outcome of a simulation.
@@ -58,6 +71,8 @@
     pub in_time: u32,
     /// Requests sent to an engine that did not answer.
     pub lost: u32,
+    /// Requests sent to an engine of another data centre.
+    pub crossed: u32,
 }
 
 struct RunningPrefill {
@@ -96,7 +111,11 @@
         }
         if rng.random::<f64>() < plan.requests_per_second * STEP_MS / 1_000.0 {
             let tokens = rng.random_range(plan.tokens.0..=plan.tokens.1);
-            simulation.arrive(turn % plan.daemons, tokens, now);
+            let mut daemon = turn % plan.daemons;
+            if plan.skew > 0.0 && rng.random::<f64>() < plan.skew {
+                daemon -= daemon % plan.centres.max(1);
+            }
+            simulation.arrive(daemon, tokens, now);
             turn += 1;
         }
         now += STEP_MS;
@@ -109,21 +128,31 @@
         let prefill_engines =
             (0..plan.prefill_engines.len()).map(|n| engine(n, "p", EngineStage::Prefill));
         let decode_engines = (0..3).map(|n| engine(n, "d", EngineStage::Decode));
+        let located = |(number, engine): (usize, TargetRecord)| {
+            let centre = centre(&plan, number);
+            Arc::new(TargetRecord { centre, ..engine })
+        };
+        let engines = prefill_engines.enumerate().map(located);
+        let engines = engines.chain(decode_engines.enumerate().map(located));
+        let engines = engines.collect();
         let mut core = DecisionCore::new(PlacementWeights::default());
         core.caches.set_capacity(800_000);
         // Only prefill engines are under test: prefills on decode engines are expensive.
         core.weights.interference = 1_000.0;
-        let cores = (0..plan.daemons).map(|_| {
+        core.weights.crossing_ms_per_kb = plan.crossing_ms_per_kb;
+        let cores = (0..plan.daemons).map(|number| {
             let mut core = DecisionCore::new(core.weights);
             core.caches.set_capacity(800_000);
+            core.centre = Some(centre(&plan, number));
+            core.capacities.set_enabled(plan.target_capacity);
+            for decode_engine in (0..3).map(|n| engine(n, "d", EngineStage::Decode)) {
+                (0..plan.decode_running).for_each(|_| core.load.begin(&decode_engine.id, 0, 0));
+            }
             core
         });
         Self {
             cores: cores.collect(),
-            engines: prefill_engines
-                .chain(decode_engines)
-                .map(Arc::new)
-                .collect(),
+            engines,
             free_at: IndexMap::new(),
             prefills: Vec::new(),
             tally: SimulationTally::default(),
@@ -142,7 +171,7 @@
                 excluded: &[],
                 turns: &TurnOffers::new(),
                 software: None,
-                request_bytes: 0,
+                request_bytes: tokens as usize,
             },
             prompt: &prompt,
             urgency: 0,
@@ -155,6 +184,8 @@
         let Some(prefill_engine) = place.prefill_engine.clone() else {
             return;
         };
+        let crosses = Some(&prefill_engine.centre) != self.cores[daemon].centre.as_ref();
+        self.tally.crossed += u32::from(crosses);
         let number: usize = prefill_engine.id.as_str()[1..].parse().expect("a number");
         let simulated = self.plan.prefill_engines[number];
         let load = &mut self.cores[daemon].load;
@@ -215,9 +246,19 @@
 
     fn hint(&mut self, now: f64) {
         let work: Vec<_> = self.cores.iter().map(|c| c.load.local().clone()).collect();
+        let ratios = self.cores.iter_mut().map(|c| c.capacities.take_ratios());
+        let ratios: Vec<_> = ratios.collect();
+        let engines = &self.engines;
+        let find = |id: &TargetIncarnation| {
+            let found = engines.iter().find(|engine| engine.id == *id);
+            found.map(Arc::as_ref)
+        };
         for (own, core) in self.cores.iter_mut().enumerate() {
             for (other, work) in work.iter().enumerate().filter(|(other, _)| *other != own) {
                 let id = DaemonId::from(format!("n{other}"));
+                let reporter = (&id, true);
+                core.capacities
+                    .note_reported(reporter, &ratios[other], find, at(now));
                 core.load.set_peer_work(id, work.clone(), at(now));
             }
         }
@@ -228,6 +269,11 @@
     MonoTime(60_000 + now as u64)
 }
 
+// Returns the data centre of the daemon or engine with a number.
+fn centre(plan: &SimulationPlan, number: usize) -> CentreName {
+    CentreName::from(format!("c{}", number % plan.centres.max(1)))
+}
+
 fn engine(number: usize, kind: &str, stage: EngineStage) -> TargetRecord {
     super::gateway_samples::engine(&format!("{kind}{number}"), stage)
 }
--- a/tests/locality.rs
+++ b/tests/locality.rs
@@ -1,10 +1,12 @@
 //! Choice of engines and targets by data centre: bytes between data centres have a cost.
 
+mod deciding_world;
 mod gateway_samples;
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use deciding_world::{SimulatedEngine, SimulationPlan, SimulationTally, simulate};
 use gateway_samples::{engine, target};
 use pistachiowick::gateway::deciding::engine_choice::{EnginePlacement, PlacementWeights};
 use pistachiowick::gateway::deciding::{DecisionCore, EngineCandidates, PlacementQuery};
@@ -277,3 +279,49 @@
     let with = serde_json::to_value(request(17_000)).expect("JSON");
     assert_eq!(with["request_bytes"], 17_000);
 }
+
+// Guards against a preference for the own data centre that serves callers later, with equal
+// loads and where half of the requests arrive in one of three data centres, which has a third of
+// the engines. Bodies are 4 kB in the mean.
+#[rstest]
+#[case::even(0.0)]
+#[case::skewed(0.25)]
+fn locality_saves_bytes_without_late_prompts(#[case] skew: f64) {
+    let run = |crossing_ms_per_kb| {
+        let plan = SimulationPlan {
+            daemons: 9,
+            hint_ms: 40.0,
+            prefill_engines: vec![
+                SimulatedEngine {
+                    fixed_ms: 10.0,
+                    rate: 56.6,
+                    unresponsive: None,
+                };
+                12
+            ],
+            // 0.75 of the capacity.
+            requests_per_second: 127.0,
+            tokens: (500, 7_500),
+            objective_ms: 300,
+            seconds: 20.0,
+            centres: 3,
+            crossing_ms_per_kb,
+            skew,
+            decode_running: 1,
+            ..SimulationPlan::default()
+        };
+        let tallies = [1, 2].map(|seed| simulate(&plan, seed));
+        let sum =
+            |count: fn(&SimulationTally) -> u32| f64::from(tallies.iter().map(count).sum::<u32>());
+        let requests = sum(|tally| tally.requests);
+        (
+            sum(|tally| tally.in_time) / requests,
+            sum(|tally| tally.crossed) / requests,
+        )
+    };
+    let ((in_time, crossed), (in_time_near, crossed_near)) = (run(0.0), run(10.0));
+    println!("in time {in_time:.3}, with locality {in_time_near:.3}");
+    println!("sent away {crossed:.3}, with locality {crossed_near:.3}");
+    assert!(in_time_near >= in_time);
+    assert!(crossed_near <= crossed * 0.45);
+}
--- a/tests/target_capacity.rs
+++ b/tests/target_capacity.rs
@@ -1,9 +1,11 @@
 //! Learned capacities of targets, in virtual time.
 
+mod deciding_world;
 mod gateway_samples;
 
 use std::sync::Arc;
 
+use deciding_world::{SimulatedEngine, SimulationPlan, simulate};
 use gateway_samples::target;
 use pistachiowick::gateway::deciding::DecisionCore;
 use pistachiowick::gateway::deciding::target_capacity::{
@@ -330,3 +332,41 @@
     assert!(with >= without + gain, "{with} against {without}");
     assert!(refused_with <= refused_without + 0.005);
 }
+
+// Guards against capacities that lower the share of prompts in time, as refitted latency lines
+// did. Seven daemons share ten prefill engines, at a share of their capacity.
+#[rstest]
+#[case::unequal(&[0.7, 0.7, 1.0, 1.0, 1.0, 1.0, 1.3, 1.3, 1.7, 1.7], 0.8, 0.0)]
+#[case::unequal_overload(&[0.7, 0.7, 1.0, 1.0, 1.0, 1.0, 1.3, 1.3, 1.7, 1.7], 1.0, 0.0)]
+#[case::one_slow(&[1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 3.0], 0.8, 0.0)]
+#[case::equal(&[1.0; 10], 0.8, -0.005)]
+fn prompts_in_time_do_not_fall(#[case] speeds: &[f64], #[case] load: f64, #[case] gain: f64) {
+    let rate = |speed: &f64| 56.6 / speed;
+    let capacity: f64 = speeds.iter().map(rate).sum::<f64>() * 1_000.0 / 4_000.0;
+    let share = |target_capacity| {
+        let engines = speeds.iter().map(|speed| SimulatedEngine {
+            fixed_ms: 10.0,
+            rate: rate(speed),
+            unresponsive: None,
+        });
+        let plan = SimulationPlan {
+            daemons: 7,
+            hint_ms: 40.0,
+            prefill_engines: engines.collect(),
+            requests_per_second: capacity * load,
+            tokens: (500, 7_500),
+            objective_ms: 300,
+            seconds: 40.0,
+            target_capacity,
+            decode_running: 1,
+            ..SimulationPlan::default()
+        };
+        let tallies = [1, 2, 3].map(|seed| simulate(&plan, seed));
+        let in_time: u32 = tallies.iter().map(|tally| tally.in_time).sum();
+        let requests: u32 = tallies.iter().map(|tally| tally.requests).sum();
+        f64::from(in_time) / f64::from(requests)
+    };
+    let (without, with) = (share(false), share(true));
+    println!("in time {without:.3} without, {with:.3} with");
+    assert!(with >= without + gain, "{with} against {without}");
+}
