--- a/src/gateway/deciding/mod.rs
+++ b/src/gateway/deciding/mod.rs
@@ -145,11 +145,12 @@
             work,
             tokens,
         } = timed;
-        let slowdown = self.health.view(&engine.id, now).slowdown;
+        let slowdown = self.engine_health(&engine.id, now).slowdown;
         let expected_ms = self.engines.latency(&engine.service, *work).at(*tokens);
+        let capacity = self.capacities.capacity(&engine.id, now).unwrap_or(1.0);
         let time = AnswerTime {
             taken_ms,
-            expected_ms,
+            expected_ms: expected_ms * capacity,
             observed_share: self.engines.observed_share(&engine.service, *work),
         };
         self.health.note_time(&engine.id, time, now);
@@ -304,13 +305,12 @@
         self.weights.send_ms(bytes, from, &target.centre)
     }
 
-    // The capacity takes the place of the slowdown: it is the same ratio, from the requests of
-    // all daemons, and the product would count it twice.
+    // The slowdown is measured relative to the capacity, so the product counts no time twice.
     fn engine_health(&self, engine: &TargetIncarnation, now: MonoTime) -> HealthView {
         let health = self.health.view(engine, now);
-        let slowdown = self.capacities.capacity(engine, now);
+        let capacity = self.capacities.capacity(engine, now).unwrap_or(1.0);
         HealthView {
-            slowdown: slowdown.unwrap_or(health.slowdown),
+            slowdown: health.slowdown * capacity,
             ..health
         }
     }
--- a/src/gateway/deciding/target_capacity.rs
+++ b/src/gateway/deciding/target_capacity.rs
@@ -28,12 +28,14 @@
 const MEAN_OBSERVATIONS: f64 = 64.0;
 /// Observations that its fast mean covers, which shows changes.
 const RECENT_OBSERVATIONS: f64 = 8.0;
-/// Standard errors by which the fast mean deviates from the other after a change.
-const CHANGE_ERRORS: f64 = 3.0;
+/// Standard errors by which the fast mean deviates from the other after a change. Observations of
+/// one queue are not independent, so the errors are underestimated.
+const CHANGE_ERRORS: f64 = 5.0;
 /// Observations of a target after a change, before another one counts.
 const CHANGE_OBSERVATIONS: f64 = 16.0;
-/// Squared standard errors within which a deviation from the median is taken for chance.
-const CHANCE_ERRORS_SQUARED: f64 = 4.0;
+/// Squared standard errors within which a deviation from the median is taken for chance. With two
+/// instead of three, equal targets got different capacities under load.
+const CHANCE_ERRORS_SQUARED: f64 = 9.0;
 /// Variance of the logarithm of a ratio before any is known, and its lower bound.
 const INITIAL_VARIANCE: f64 = 0.1;
 const MIN_VARIANCE: f64 = 0.002;
