--- a/src/gateway/deciding/target_capacity.rs
+++ b/src/gateway/deciding/target_capacity.rs
@@ -218,9 +218,10 @@
         let deviations = known.iter().map(|(target, estimate)| {
             let deviation = estimate.mean - median;
             let squared_errors = deviation * deviation * estimate.count / self.variance;
-            // Positive-part shrinkage: without it, the slowest of 60 equal targets would seem
-            // slow by chance.
-            let shrinkage = (1.0 - CHANCE_ERRORS_SQUARED / squared_errors.max(1e-9)).max(0.0);
+            // Shrinkage from nothing at the limit to little at twice as much: without it, the
+            // slowest of 60 equal targets would seem slow by chance.
+            let chance_share = CHANCE_ERRORS_SQUARED / squared_errors.max(1e-9);
+            let shrinkage = (1.0 - chance_share * chance_share).max(0.0);
             let age = now.since(estimate.last).saturating_sub(FULL_WEIGHT_TIME);
             let weight = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64());
             ((*target).clone(), deviation * shrinkage * weight)
