--- a/src/gateway/deciding/target_capacity.rs
+++ b/src/gateway/deciding/target_capacity.rs
@@ -513,7 +513,7 @@
                 ));
             }
         }
-        due.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
+        due.sort_by_key(|due| (due.0, due.1));
         due.truncate(MAX_CAPACITIES);
         let due = due.into_iter().map(|(_, _, target, percent)| {
             if self.current.contains_key(&target) {
