--- a/tests/target_capacity.rs
+++ b/tests/target_capacity.rs
@@ -11,7 +11,7 @@
 use pistachiowick::gateway::deciding::target_capacity::{
     CapacityReport, TargetCapacities, TimeRatio,
 };
-use pistachiowick::gateway::model::TargetRecord;
+use pistachiowick::gateway::model::{EngineStage, TargetRecord};
 use pistachiowick::gateway::peers::seen::ObservedResults;
 use pistachiowick::names::{DaemonId, MonoTime};
 use pistachiowick::target_incarnation::TargetIncarnation;
@@ -390,3 +390,30 @@
     };
     assert!(with >= without + gain, "{with} against {without}");
 }
+
+// Guards against a slow decode engine that seems as fast as the others because more requests run
+// on it: the time per token rises with them.
+#[rstest]
+#[case::equal_numbers(1)]
+#[case::more_at_the_slow_engine(2)]
+fn decode_times_are_compared_at_the_same_number_of_requests(#[case] factor: u32) {
+    let speeds = [1.0, 1.0, 1.0, 1.0, 1.0, 2.0];
+    let engines = (0..6).map(|n| gateway_samples::engine(&format!("d{n}"), EngineStage::Decode));
+    let engines: Vec<TargetRecord> = engines.collect();
+    let mut capacities = enabled();
+    let mut rng = SmallRng::seed_from_u64(3);
+    for ms in (0..20_000).step_by(200) {
+        for (engine, speed) in engines.iter().zip(speeds) {
+            let more = if speed > 1.0 { factor } else { 1 };
+            let running = rng.random_range(1..=30) * more;
+            let token_ms = (8.0 + 0.3 * f64::from(running)) * speed;
+            let noise = rng.random_range(0.8..1.25);
+            capacities.note_decode(engine, (running, 10), 10.0 * token_ms * noise, at(ms));
+        }
+    }
+    let learned = capacities.capacity(&engines[5].id, at(20_000));
+    assert!(
+        learned.is_some_and(|capacity| capacity > 1.5),
+        "{learned:?}"
+    );
+}
