--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -152,6 +152,7 @@
 
     fn hint(&self, role: &PeerRole) -> PeerHint {
         let view = self.view();
+        let observed = self.take_observed();
         let mut core = self.core.borrow_mut();
         let rate = core.work.rate(clock::mono_now());
         let work = core
@@ -177,7 +178,7 @@
             changing: self.local_stage_changes.borrow().clone(),
             rate,
             placed_through: self.placement_client.borrow().used_through(),
-            observed: self.observed_results.take(),
+            observed,
             clock: clock::mono_now(),
             confirms_keys: self.confirms_keys(clock::mono_now()),
             unreachable: self.unreachable_services(),
@@ -281,6 +282,7 @@
             usage: Vec::new(),
             usage_complete_to: hint.usage_complete_to,
             delays: self.admission_sum(is_covered),
+            capacities: self.take_capacity_report(whole_fleet, now),
         }
     }
 
@@ -388,6 +390,7 @@
         self.admission_load
             .borrow_mut()
             .set_peer(&hint.from, hint.delays, now);
+        self.apply_times((&hint.from, true), &hint.observed.times);
         let work = hint.work.into_iter().collect();
         let load = &mut self.core.borrow_mut().load;
         load.release_reservations(&hint.from, hint.placed_through);
@@ -487,6 +490,7 @@
             meter.set_peer(&summary.from, summary.delays, now);
         }
         drop(meter);
+        self.apply_capacity_report(&summary.from, &summary.capacities);
         let mut work: WorkByTarget = summary.work.into_iter().collect();
         let load = &mut self.core.borrow_mut().load;
         if summary.whole_fleet {
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -13,6 +13,7 @@
 use crate::gateway::admitting::{AdmissionTerms, AdmissionVerdict};
 use crate::gateway::deciding::load::TargetWork;
 use crate::gateway::deciding::stage_plan::WorkRate;
+use crate::gateway::deciding::target_capacity::CapacityReport;
 use crate::gateway::fleet_tasks::usage_counts::{DaemonUsage, UsageCount};
 use crate::gateway::peers::freshness::ConfigFreshness;
 use crate::gateway::peers::seen::ObservedResults;
@@ -371,6 +372,9 @@
     /// Delays and rates of work of all covered daemons, if admission control is on.
     #[serde(default, skip_serializing_if = "AdmissionReport::is_empty")]
     pub delays: AdmissionReport,
+    /// Ratios of times for other hubs, or learned capacities of targets for members.
+    #[serde(default, skip_serializing_if = "CapacityReport::is_empty")]
+    pub capacities: CapacityReport,
 }
 
 /// Objects of the store, as a hub relays them.
--- a/tests/deciding_world/mod.rs
+++ b/tests/deciding_world/mod.rs
@@ -13,7 +13,7 @@
 use pistachiowick::gateway::deciding::health::SendResult;
 use pistachiowick::gateway::deciding::{DecisionCore, EngineCandidates, PlacementQuery};
 use pistachiowick::gateway::model::{EngineStage, PromptPart, PromptShape, TargetRecord};
-use pistachiowick::names::{DaemonId, MonoTime};
+use pistachiowick::names::{CentreName, DaemonId, MonoTime};
 use pistachiowick::target_incarnation::TargetIncarnation;
 use pistachiowick::target_limits::tracker::TurnOffers;
 use rand::rngs::SmallRng;
@@ -31,7 +31,7 @@
 }
 
 /// Parameters of a simulation.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct SimulationPlan {
     /// Number of daemons, which receive requests in round-robin order.
     pub daemons: usize,
@@ -47,6 +47,22 @@
     pub objective_ms: u64,
     /// Length of the run, in seconds.
     pub seconds: f64,
+    /// Requests of each daemon that run on each decode engine all the time; with none, prompts
+    /// are prefilled there once all prefill engines are busy, which the simulation leaves out.
+    pub decode_running: u32,
+    /// Number of members for which each daemon places, as a hub: it sends one of as many requests
+    /// itself, and learns of the times of the others only by ratios. None is one.
+    pub members: u32,
+    /// Whether daemons learn the capacities of engines.
+    pub target_capacity: bool,
+    /// Number of data centres, over which daemons and engines are distributed in turn; none is
+    /// one.
+    pub centres: usize,
+    /// Cost of a kilobyte of a request that is sent to another data centre.
+    pub crossing_ms_per_kb: f64,
+    /// Share of the requests that the daemons of the first data centre receive, above an equal
+    /// share.
+    pub skew: f64,
 }
 
 /// Outcome of a simulation.
@@ -58,6 +74,8 @@
     pub in_time: u32,
     /// Requests sent to an engine that did not answer.
     pub lost: u32,
+    /// Requests sent to an engine of another data centre.
+    pub crossed: u32,
 }
 
 struct RunningPrefill {
@@ -81,6 +99,7 @@
     prefills: Vec<RunningPrefill>,
     tally: SimulationTally,
     last_key: u64,
+    ended: u32,
 }
 
 /// Runs a simulation; the same seed gives the same run.
@@ -96,7 +115,11 @@
         }
         if rng.random::<f64>() < plan.requests_per_second * STEP_MS / 1_000.0 {
             let tokens = rng.random_range(plan.tokens.0..=plan.tokens.1);
-            simulation.arrive(turn % plan.daemons, tokens, now);
+            let mut daemon = turn % plan.daemons;
+            if plan.skew > 0.0 && rng.random::<f64>() < plan.skew {
+                daemon -= daemon % plan.centres.max(1);
+            }
+            simulation.arrive(daemon, tokens, now);
             turn += 1;
         }
         now += STEP_MS;
@@ -109,25 +132,36 @@
         let prefill_engines =
             (0..plan.prefill_engines.len()).map(|n| engine(n, "p", EngineStage::Prefill));
         let decode_engines = (0..3).map(|n| engine(n, "d", EngineStage::Decode));
+        let located = |(number, engine): (usize, TargetRecord)| {
+            let centre = centre(&plan, number);
+            Arc::new(TargetRecord { centre, ..engine })
+        };
+        let engines = prefill_engines.enumerate().map(located);
+        let engines = engines.chain(decode_engines.enumerate().map(located));
+        let engines = engines.collect();
         let mut core = DecisionCore::new(PlacementWeights::default());
         core.caches.set_capacity(800_000);
         // Only prefill engines are under test: prefills on decode engines are expensive.
         core.weights.interference = 1_000.0;
-        let cores = (0..plan.daemons).map(|_| {
+        core.weights.crossing_ms_per_kb = plan.crossing_ms_per_kb;
+        let cores = (0..plan.daemons).map(|number| {
             let mut core = DecisionCore::new(core.weights);
             core.caches.set_capacity(800_000);
+            core.centre = Some(centre(&plan, number));
+            core.capacities.set_enabled(plan.target_capacity);
+            for decode_engine in (0..3).map(|n| engine(n, "d", EngineStage::Decode)) {
+                (0..plan.decode_running).for_each(|_| core.load.begin(&decode_engine.id, 0, 0));
+            }
             core
         });
         Self {
             cores: cores.collect(),
-            engines: prefill_engines
-                .chain(decode_engines)
-                .map(Arc::new)
-                .collect(),
+            engines,
             free_at: IndexMap::new(),
             prefills: Vec::new(),
             tally: SimulationTally::default(),
             last_key: 0,
+            ended: 0,
             plan,
         }
     }
@@ -142,7 +176,7 @@
                 excluded: &[],
                 turns: &TurnOffers::new(),
                 software: None,
-                request_bytes: 0,
+                request_bytes: tokens as usize,
             },
             prompt: &prompt,
             urgency: 0,
@@ -155,6 +189,8 @@
         let Some(prefill_engine) = place.prefill_engine.clone() else {
             return;
         };
+        let crosses = Some(&prefill_engine.centre) != self.cores[daemon].centre.as_ref();
+        self.tally.crossed += u32::from(crosses);
         let number: usize = prefill_engine.id.as_str()[1..].parse().expect("a number");
         let simulated = self.plan.prefill_engines[number];
         let load = &mut self.cores[daemon].load;
@@ -207,7 +243,18 @@
         }
         let taken = prefill.end_ms - prefill.sent_ms;
         core.note_result(&prefill_engine.id, SendResult::Answered, at(now));
-        core.note_time(&prefill.place.timed_prefill(prefill_engine), taken, at(now));
+        let timed = prefill.place.timed_prefill(prefill_engine);
+        self.ended += 1;
+        if self.ended.is_multiple_of(self.plan.members.max(1)) {
+            core.note_time(&timed, taken, at(now));
+        } else if !timed.work.is_late() {
+            let service = &prefill_engine.service;
+            let line = core.engines.latency(service, timed.work);
+            let observed_share = core.engines.observed_share(service, timed.work);
+            let times = (taken, line.at(timed.tokens));
+            let capacities = &mut core.capacities;
+            capacities.note_time(prefill_engine, times, observed_share, at(now));
+        }
         if taken <= self.plan.objective_ms as f64 {
             self.tally.in_time += 1;
         }
@@ -215,9 +262,19 @@
 
     fn hint(&mut self, now: f64) {
         let work: Vec<_> = self.cores.iter().map(|c| c.load.local().clone()).collect();
+        let ratios = self.cores.iter_mut().map(|c| c.capacities.take_ratios());
+        let ratios: Vec<_> = ratios.collect();
+        let engines = &self.engines;
+        let find = |id: &TargetIncarnation| {
+            let found = engines.iter().find(|engine| engine.id == *id);
+            found.map(Arc::as_ref)
+        };
         for (own, core) in self.cores.iter_mut().enumerate() {
             for (other, work) in work.iter().enumerate().filter(|(other, _)| *other != own) {
                 let id = DaemonId::from(format!("n{other}"));
+                let reporter = (&id, true);
+                core.capacities
+                    .note_reported(reporter, &ratios[other], find, at(now));
                 core.load.set_peer_work(id, work.clone(), at(now));
             }
         }
@@ -228,6 +285,11 @@
     MonoTime(60_000 + now as u64)
 }
 
+// Returns the data centre of the daemon or engine with a number.
+fn centre(plan: &SimulationPlan, number: usize) -> CentreName {
+    CentreName::from(format!("c{}", number % plan.centres.max(1)))
+}
+
 fn engine(number: usize, kind: &str, stage: EngineStage) -> TargetRecord {
     super::gateway_samples::engine(&format!("{kind}{number}"), stage)
 }
--- a/tests/gateway_words.rs
+++ b/tests/gateway_words.rs
@@ -4,6 +4,7 @@
 use pistachiowick::admission::load_meter::AdmissionReport;
 use pistachiowick::gateway::deciding::load::TargetWork;
 use pistachiowick::gateway::deciding::stage_plan::WorkRate;
+use pistachiowick::gateway::deciding::target_capacity::CapacityReport;
 use pistachiowick::gateway::peers::member_broadcasts::MemberBroadcasts;
 use pistachiowick::gateway::peers::wire::{MemberStatus, PeerMessage, PeerSummary};
 use pistachiowick::names::{DaemonId, MonoTime, TargetId, UnixTime};
@@ -71,6 +72,7 @@
         usage: Vec::new(),
         usage_complete_to: None,
         delays: AdmissionReport::default(),
+        capacities: CapacityReport::default(),
     })
 }
 
