--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -3,6 +3,8 @@
 //! When capacity is insufficient, the requests are refused whose refusal costs callers least,
 //! by priority, deadline and required work. Decisions are pure; the time is an argument.
 
+pub mod ranked_queue;
+
 use std::time::Duration;
 
 /// What an admission decision needs to know of a request.
