--- a/src/crashes/suspect_digest.rs
+++ b/src/crashes/suspect_digest.rs
@@ -31,6 +31,13 @@
         truncated.copy_from_slice(&digest[..DIGEST_BYTES]);
         Self(ByteArray::new(truncated))
     }
+
+    /// Returns a number from 0 to 1, which is evenly distributed over digests.
+    #[must_use]
+    pub fn phase(&self) -> f64 {
+        let leading: [u8; 4] = std::array::from_fn(|index| self.0[index]);
+        f64::from(u32::from_be_bytes(leading)) / (f64::from(u32::MAX) + 1.0)
+    }
 }
 
 impl FromStr for SuspectDigest {
