--- a/src/admission/ranked_queue.rs
+++ b/src/admission/ranked_queue.rs
@@ -66,17 +66,20 @@
         Some(last)
     }
 
-    /// Takes the next request for which `fits` is true.
-    pub fn pop_where(&mut self, fits: impl Fn(&K) -> bool) -> Option<(K, WaitingRequest)> {
-        let takes_oldest = (self.grants + 1).is_multiple_of(GRANTS_PER_OLDEST);
+    /// Returns the next request to grant of those for which `fits` is true.
+    pub fn next_where(&self, fits: impl Fn(&K) -> bool) -> Option<&K> {
+        let takes_oldest = self.grants + 1 == GRANTS_PER_OLDEST;
         let rank = takes_oldest.then(|| self.oldest_rank(&fits)).flatten();
+        let is_due = |request: &WaitingRequest| rank.is_none_or(|rank| request.rank == rank);
         let mut waiting = self.order.values();
-        let next = waiting.find(|(key, request)| {
-            rank.is_none_or(|rank| request.rank == rank) && fits(key)
-        });
-        let key = next?.0.clone();
+        let next = waiting.find(|(key, request)| is_due(request) && fits(key));
+        next.map(|(key, _)| key)
+    }
+
+    /// Takes a request that is granted.
+    pub fn take_granted(&mut self, key: &K) -> Option<WaitingRequest> {
         self.grants = (self.grants + 1) % GRANTS_PER_OLDEST;
-        Some((key.clone(), self.remove(&key)?))
+        self.remove(key)
     }
 
     fn oldest_rank(&self, fits: impl Fn(&K) -> bool) -> Option<u8> {
--- /dev/null
+++ b/src/gateway/plain_queue/mod.rs
@@ -0,0 +1,9 @@
+//! Priority queue for plain services with few targets.
+//!
+//! One daemon is the queue owner of a service. While the targets of the service are nearly
+//! full, the other daemons ask it for a ticket before they send a request.
+
+pub mod gate;
+pub mod owner;
+pub mod returns;
+pub mod slots;
