--- a/src/admission/ranked_queue.rs
+++ b/src/admission/ranked_queue.rs
@@ -99,10 +99,10 @@
         let is_late = |request: &WaitingRequest| request.latest_start < now;
         let late = self.order.values().filter(|(_, request)| is_late(request));
         let late: Vec<K> = late.map(|(key, _)| key.clone()).collect();
-        let taken = late
-            .into_iter()
-            .map(|key| (key.clone(), self.remove(&key)));
-        taken.filter_map(|(key, request)| Some((key, request?))).collect()
+        let taken = late.into_iter().map(|key| (key.clone(), self.remove(&key)));
+        taken
+            .filter_map(|(key, request)| Some((key, request?)))
+            .collect()
     }
 
     /// Whether a request waits.
@@ -145,5 +145,10 @@
 
 fn position_of(request: &WaitingRequest, arrival: u64) -> QueuePosition {
     let is_first_attempt = !request.returning;
-    (request.rank, is_first_attempt, request.latest_start, arrival)
+    (
+        request.rank,
+        is_first_attempt,
+        request.latest_start,
+        arrival,
+    )
 }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -40,6 +40,7 @@
 use crate::gateway::peers::placing::{PlacementClient, PlacementOutbox};
 use crate::gateway::peers::seen::ObservedResults;
 use crate::gateway::peers::{self, PeerTable};
+use crate::gateway::plain_queue::exchange::PlainQueues;
 use crate::gateway::pool::ConnectionPool;
 use crate::gateway::port::GatewayPorts;
 use crate::gateway::quarantine::store_records::{self, QuarantineStore};
@@ -147,6 +148,8 @@
     pub peer_pool: RefCell<ConnectionPool>,
     /// Daemons that could not serve a request that was handed over to them.
     pub peer_refusals: RefCell<PeerRefusals>,
+    /// Tickets of plain services, and the queues that this daemon owns.
+    pub plain_queues: RefCell<PlainQueues>,
     /// Versions at which streams began.
     pub starts: RefCell<StartTable>,
     /// Wakes up the task that tells other daemons of starts.
@@ -301,6 +304,7 @@
             reach_check_requested: Notify::new(),
             peer_pool: RefCell::default(),
             peer_refusals: RefCell::default(),
+            plain_queues: RefCell::default(),
             starts: RefCell::default(),
             stream_begun: Notify::new(),
             rng: RefCell::new(SmallRng::from_os_rng()),
@@ -389,6 +393,7 @@
         drop(limits);
         self.sweep_backoffs();
         self.sweep_starts(now);
+        self.sweep_plain_queues();
         let mut stated_departures = self.stated_departures.borrow_mut();
         stated_departures.retain(|target| view.has_target(target));
         let mut core = self.core.borrow_mut();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -22,6 +22,8 @@
 use crate::gateway::deciding::health::SendResult;
 use crate::gateway::handover::HandoverOrigin;
 use crate::gateway::model::{RouteRule, ServiceRule, TargetRecord};
+use crate::gateway::plain_queue::ask::PlainPermit;
+use crate::gateway::plain_queue::owner::TicketEnd;
 use crate::gateway::port::{SendMode, SendOrder};
 use crate::gateway::rate_limits::late_turns;
 use crate::gateway::reply::{Failure, FailureKind, Reply, strip_connection_headers, whole_reply};
@@ -29,6 +31,7 @@
 use crate::gateway::sending::{SendOutcome, TargetAnswer};
 use crate::names::ServiceName;
 use crate::target_incarnation::TargetIncarnation;
+use crate::target_limits::tracker::TurnOffers;
 
 /// Retry time after a refusal because no configuration or target is available.
 const NOT_READY_WAIT: Duration = Duration::from_millis(250);
@@ -235,8 +238,34 @@
             NOT_READY_WAIT,
         ));
         while let Some(target) = self.choose_plain(call, history) {
+            let permit = match self.plain_permit(call, history).await {
+                Ok(permit) => permit,
+                Err(refusal) => {
+                    // After a send that may have run, the request must not be refused.
+                    if !history.may_have_run {
+                        return Err(refusal);
+                    }
+                    break;
+                }
+            };
+            let (target, mut ticket) = match permit {
+                PlainPermit::Direct => (target, None),
+                PlainPermit::Unanswered => match self.choose_plain(call, history) {
+                    Some(target) => (target, None),
+                    None => break,
+                },
+                PlainPermit::Granted(ticket, granted) => (granted, Some(ticket)),
+            };
             let can_retry = history.may_send_after_next(call) && call.route.retry.may_retry();
+            let sent = Instant::now();
             let attempt = self.send_plain(&target, call, can_retry).await;
+            if matches!(attempt, PlainOutcome::Refused(_)) {
+                self.note_plain_full(call, &target.id);
+            }
+            if let Some(ticket) = &mut ticket {
+                ticket.set_end(self.ticket_end(&attempt, &target.id, sent));
+            }
+            drop(ticket);
             let retry = match &attempt {
                 PlainOutcome::Whole(_) => false,
                 PlainOutcome::FailedWhole(_) | PlainOutcome::Unclear(_) => {
@@ -278,6 +307,20 @@
         })
     }
 
+    // Returns what the end of a granted request says about its target.
+    fn ticket_end(
+        &self,
+        attempt: &PlainOutcome,
+        target: &TargetIncarnation,
+        sent: Instant,
+    ) -> TicketEnd {
+        match attempt {
+            PlainOutcome::Whole(_) => TicketEnd::Answered(sent.elapsed().as_secs_f64() * 1_000.0),
+            PlainOutcome::Refused(_) if !self.is_backing_off(target) => TicketEnd::Full,
+            _ => TicketEnd::Other,
+        }
+    }
+
     // Takes a retry if there is another target to send the request to.
     fn take_plain_retry(
         &self,
@@ -402,20 +445,36 @@
         call: &RoutedRequest,
         history: &SendHistory,
     ) -> Option<Arc<TargetRecord>> {
-        let current = self.view();
-        let mut rng = self.rng.borrow_mut();
         let targets = call.view.service_targets(&call.service.name);
-        let terms = call.turn_terms();
-        let turns = self.turn_offers(targets, terms);
-        let late: Vec<&TargetIncarnation> = late_turns(&turns, terms).collect();
-        let usable = targets.iter().filter(|target| {
+        let turns = self.turn_offers(targets, call.turn_terms());
+        let usable = self.usable_plain(call, history, &turns);
+        let mut rng = self.rng.borrow_mut();
+        let core = self.core.borrow();
+        core.choose_plain_target(
+            usable.into_iter(),
+            &turns,
+            || rng.random(),
+            clock::mono_now(),
+        )
+    }
+
+    // Returns the targets that a request may be sent to now.
+    pub(super) fn usable_plain<'a>(
+        &self,
+        call: &'a RoutedRequest,
+        history: &SendHistory,
+        turns: &TurnOffers,
+    ) -> Vec<&'a Arc<TargetRecord>> {
+        let current = self.view();
+        let late: Vec<&TargetIncarnation> = late_turns(turns, call.turn_terms()).collect();
+        let targets = call.view.service_targets(&call.service.name).iter();
+        let usable = targets.filter(|target| {
             let id = &target.id;
             !history.has(id)
                 && current.find(id).is_some_and(|target| call.allows(target))
                 && !late.contains(&id)
         });
-        let core = self.core.borrow();
-        core.choose_plain_target(usable, &turns, || rng.random(), clock::mono_now())
+        usable.collect()
     }
 }
 
--- a/src/gateway/peers/links.rs
+++ b/src/gateway/peers/links.rs
@@ -230,8 +230,8 @@
         match ciborium::from_reader::<PeerMessage, _>(&bytes[..]) {
             Ok(message) => gateway.handle_message(message),
             Err(error) => {
-                log::warn!("cannot decode a message of another daemon, closing the link: {error}");
-                return;
+                // A daemon of another build may send kinds of messages that this one lacks.
+                log::warn!("cannot decode a message of another daemon, dropping it: {error}");
             }
         }
     }
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -327,6 +327,7 @@
             PeerMessage::PlacementResponse(response) => self.handle_placement_response(response),
             PeerMessage::Placements(batch) => self.apply_placements(&batch),
             PeerMessage::Freshness(update) => self.apply_freshness(&update),
+            PeerMessage::Ticket(message) => self.handle_ticket_message(message),
             PeerMessage::Config { revision, value } => {
                 // The control thread runs until the process ends.
                 let _ = self
--- a/src/gateway/peers/placing.rs
+++ b/src/gateway/peers/placing.rs
@@ -97,6 +97,12 @@
         self.placement_hub.is_some()
     }
 
+    /// Returns the daemon that placement requests are sent to.
+    #[must_use]
+    pub fn placement_hub(&self) -> Option<&DaemonId> {
+        self.placement_hub.as_ref()
+    }
+
     /// Opens a queue of messages that a link sends between its status messages.
     pub fn open_link(&mut self, daemon: &DaemonId) -> mpsc::UnboundedReceiver<Message> {
         let (sender, queue) = mpsc::unbounded_channel();
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -14,6 +14,7 @@
 use crate::gateway::fleet_tasks::usage_counts::{DaemonUsage, UsageCount};
 use crate::gateway::peers::freshness::ConfigFreshness;
 use crate::gateway::peers::seen::ObservedResults;
+use crate::gateway::plain_queue::wire::TicketMessage;
 use crate::gateway::registry::EntryUpdate;
 use crate::gateway::store_follow::Feed;
 use crate::names::{DaemonId, MonoTime, ServiceName, UnixTime};
@@ -124,6 +125,8 @@
     /// How long ago a hub's configuration was confirmed to be the newest, for one receiver.
     #[serde(rename = "Proof")]
     Freshness(FreshnessUpdate),
+    /// A ticket of a plain service; sent only if the queue is enabled.
+    Ticket(TicketMessage),
 }
 
 /// How long ago a hub's configuration was confirmed to be the newest, for one receiver.
--- a/src/gateway/plain_queue/owner.rs
+++ b/src/gateway/plain_queue/owner.rs
@@ -18,6 +18,14 @@
 const MAX_WAITING: usize = 1_024;
 /// Work time of a request that is assumed until one was measured.
 const FIRST_WORK_MS: f64 = 50.0;
+/// Time that a granted request needs, as a multiple of the work time: a request beyond the slots
+/// of its target waits there for one of them.
+const WORK_MARGIN: f64 = 1.3;
+/// Share of the longest wait up to which requests are admitted: the expected wait has an error,
+/// and a request that is refused only after it has waited costs its caller that time.
+const ADMITTED_WAIT: f64 = 0.7;
+/// Time for the answer's way to the daemon and the caller.
+const ROUND_TRIP: Duration = Duration::from_millis(10);
 /// Time constant of the measured arrival rates.
 const RATE_TIME_MS: f64 = 1_000.0;
 /// Largest share of the capacity that more urgent ranks are expected to take.
@@ -140,7 +148,8 @@
     // Tickets that lost their place to more urgent ones and are refused next.
     displaced: Vec<TicketId>,
     returns: ReturnTable,
-    rates: [ArrivalRate; RANKS],
+    // Rates of served requests: for each rank those of returning callers, then the others.
+    rates: [ArrivalRate; 2 * RANKS],
 }
 
 impl Default for ServiceQueue {
@@ -152,7 +161,7 @@
             terms: IndexMap::new(),
             displaced: Vec::new(),
             returns: ReturnTable::default(),
-            rates: [ArrivalRate::default(); RANKS],
+            rates: [ArrivalRate::default(); 2 * RANKS],
         }
     }
 }
@@ -175,12 +184,7 @@
     }
 
     /// Answers a request for a ticket. The same request may be repeated, which renews it.
-    pub fn request(
-        &mut self,
-        id: &TicketId,
-        terms: TicketTerms,
-        time: QueueTime,
-    ) -> TicketAnswer {
+    pub fn request(&mut self, id: &TicketId, terms: TicketTerms, time: QueueTime) -> TicketAnswer {
         if let Some(grant) = self.grants.get(id) {
             return TicketAnswer::Granted(grant.target.clone());
         }
@@ -188,21 +192,22 @@
             return TicketAnswer::Queued;
         }
         let now = time.now;
-        self.rates[rank_index(terms.rank)].note(now);
+        let returning = self.returns.is_due(&terms.work, now);
         if let Some(target) = self.free_target(&terms, now) {
+            self.rates[rate_index(terms.rank, returning)].note(now);
             return self.grant(id, &target, &terms, now);
         }
-        let returning = self.returns.is_due(&terms.work, now);
         let request = WaitingRequest {
             rank: terms.rank,
             returning,
-            latest_start: now.plus(self.start_limit(&terms)),
+            latest_start: now.plus(self.wait_limit(&terms)),
             queued_at: now,
         };
         let ahead = self.waiting.count_before(&request) + 1;
         if let Some(refusal) = self.check(&terms, (ahead, returning), time) {
             return self.refuse(&terms, refusal, now);
         }
+        self.rates[rate_index(terms.rank, returning)].note(now);
         self.terms.insert(id.clone(), terms);
         match self.waiting.push(id.clone(), request) {
             Some(last) if last == *id => match self.terms.swap_remove(id) {
@@ -303,7 +308,10 @@
 
     // Returns the target with a free slot that has the least work, in time.
     fn free_target(&self, terms: &TicketTerms, now: MonoTime) -> Option<TargetIncarnation> {
-        let usable = self.targets.iter().filter(|(id, _)| !terms.excluded.contains(id));
+        let usable = self
+            .targets
+            .iter()
+            .filter(|(id, _)| !terms.excluded.contains(id));
         let free = usable.filter(|(_, target)| target.has_free(now));
         let mean_ms = self.mean_work_ms();
         let cost = |target: &TargetSlots| {
@@ -341,7 +349,7 @@
     ) -> Option<AdmissionDecision> {
         let wait_ms = ahead as f64 / self.capacity_per_ms();
         let limit = self.wait_limit(terms);
-        let decision = self.decide(terms, wait_ms, time);
+        let decision = self.decide(terms, (wait_ms, returning), time);
         let AdmissionDecision::Refuse {
             reason,
             expected_ms,
@@ -355,8 +363,13 @@
         (!admits_return).then_some(decision)
     }
 
-    fn decide(&self, terms: &TicketTerms, wait_ms: f64, time: QueueTime) -> AdmissionDecision {
-        let urgent = self.rates.iter().take(rank_index(terms.rank));
+    fn decide(
+        &self,
+        terms: &TicketTerms,
+        (wait_ms, returning): (f64, bool),
+        time: QueueTime,
+    ) -> AdmissionDecision {
+        let urgent = self.rates.iter().take(rate_index(terms.rank, returning));
         let urgent_rate: f64 = urgent.map(|rate| rate.per_ms(time.now)).sum();
         let urgent_share = (urgent_rate / self.capacity_per_ms()).min(MAX_URGENT_SHARE);
         let capacity = CapacityView {
@@ -368,7 +381,7 @@
             rank: terms.rank,
             workspace: None,
             objective_left: terms.objective_left,
-            time_left: self.wait_limit(terms),
+            time_left: self.wait_limit(terms).mul_f64(ADMITTED_WAIT),
             work_ms: self.mean_work_ms(),
             phase: terms.work.phase(),
         };
@@ -378,7 +391,7 @@
 
     fn refuse_waiting(&mut self, terms: &TicketTerms, time: QueueTime) -> TicketAnswer {
         let limit_ms = self.wait_limit(terms).as_secs_f64() * 1_000.0;
-        let decision = self.decide(terms, limit_ms + self.mean_work_ms(), time);
+        let decision = self.decide(terms, (limit_ms + self.mean_work_ms(), false), time);
         self.refuse(terms, decision, time.now)
     }
 
@@ -404,18 +417,22 @@
         }
     }
 
-    // Returns how long a request may wait and be worth serving.
+    // Returns how long a request may wait: as long as it can be answered within its objective,
+    // but for one work time at least, and never beyond its deadline. While the service is
+    // overloaded, a longer queue serves no more requests and makes all of them late.
     fn wait_limit(&self, terms: &TicketTerms) -> Duration {
         let work = Duration::from_secs_f64(self.mean_work_ms() / 1_000.0);
-        terms.time_left.saturating_sub(work)
-    }
-
-    fn start_limit(&self, terms: &TicketTerms) -> Duration {
-        self.wait_limit(terms)
+        let own = work.mul_f64(WORK_MARGIN) + ROUND_TRIP;
+        let in_objective = terms.objective_left.saturating_sub(own).max(work);
+        in_objective.min(terms.time_left.saturating_sub(own))
     }
 
     fn mean_work_ms(&self) -> f64 {
-        let known: Vec<f64> = self.targets.values().filter_map(TargetSlots::work_ms).collect();
+        let known: Vec<f64> = self
+            .targets
+            .values()
+            .filter_map(TargetSlots::work_ms)
+            .collect();
         if known.is_empty() {
             return FIRST_WORK_MS;
         }
@@ -433,6 +450,6 @@
     }
 }
 
-fn rank_index(rank: u8) -> usize {
-    usize::from(rank).min(RANKS - 1)
+fn rate_index(rank: u8, returning: bool) -> usize {
+    2 * usize::from(rank).min(RANKS - 1) + usize::from(!returning)
 }
--- a/src/gateway/plain_queue/returns.rs
+++ b/src/gateway/plain_queue/returns.rs
@@ -45,9 +45,8 @@
     /// Returns whether a caller of this work was refused and returns at or after its time.
     #[must_use]
     pub fn is_due(&self, work: &SuspectDigest, now: MonoTime) -> bool {
-        let is_in_time = |due: &MonoTime| {
-            *due <= now.plus(EARLY_TOLERANCE) && now.since(*due) <= RETURN_TIME
-        };
+        let is_in_time =
+            |due: &MonoTime| *due <= now.plus(EARLY_TOLERANCE) && now.since(*due) <= RETURN_TIME;
         self.due.get(work).is_some_and(is_in_time)
     }
 
--- a/src/gateway/plain_queue/slots.rs
+++ b/src/gateway/plain_queue/slots.rs
@@ -36,7 +36,11 @@
     /// queue, and a slot that stays free is lost.
     pub fn apply_report(&mut self, slots: u32, running: u32, now: MonoTime) {
         self.slots = slots;
-        while self.ended.front().is_some_and(|at| now.since(*at) > REPORT_DELAY) {
+        while self
+            .ended
+            .front()
+            .is_some_and(|at| now.since(*at) > REPORT_DELAY)
+        {
             self.ended.pop_front();
         }
         let recent = u32::try_from(self.ended.len()).unwrap_or(u32::MAX);
