--- a/src/gateway/plain_queue/ask.rs
+++ b/src/gateway/plain_queue/ask.rs
@@ -17,7 +17,7 @@
 use crate::gateway::plain_queue::owner::{TicketAnswer, TicketEnd};
 use crate::gateway::plain_queue::wire::{TicketBody, TicketRequest};
 use crate::gateway::reply::Failure;
-use crate::names::ServiceName;
+use crate::names::{DaemonId, ServiceName};
 use crate::target_incarnation::TargetIncarnation;
 
 /// Time limit for an answer of the queue owner. A round trip takes 1 to 6 ms; a request without
@@ -26,6 +26,8 @@
 /// Time after which a waiting ticket is requested again: the queue owner may have died, and it
 /// refuses late tickets when it gets a message.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(150);
+/// Most daemons that are asked for one ticket without an answer.
+const MAX_SILENT_OWNERS: u32 = 2;
 /// Longest delay of a less urgent request that is sent without a ticket while targets are full.
 const MAX_DIRECT_DELAY: Duration = Duration::from_millis(100);
 /// Most targets of a service that has a queue. With more of them, a daemon always finds one with
@@ -37,6 +39,8 @@
     gateway: Rc<Gateway>,
     service: ServiceName,
     number: u64,
+    // Daemon that was asked for it; `None` if this daemon owns the queue.
+    receiver: Option<DaemonId>,
     end: TicketEnd,
 }
 
@@ -54,8 +58,10 @@
             .borrow_mut()
             .close_ticket(self.number);
         // If the owner cannot be told, the next request for a ticket states it.
+        let receiver = self.receiver.as_ref();
+        let ticket = (self.number, &self.service);
         self.gateway
-            .send_ticket(self.number, &self.service, TicketBody::from(self.end));
+            .send_ticket(receiver, ticket, TicketBody::from(self.end));
     }
 }
 
@@ -142,14 +148,15 @@
         let begun = Instant::now();
         let service = &call.service.name;
         let (number, mut answers) = self.plain_queues.borrow_mut().open_ticket();
-        let ticket = PlainTicket {
+        let mut ticket = PlainTicket {
             gateway: self.clone(),
             service: service.clone(),
             number,
+            receiver: None,
             end: TicketEnd::Other,
         };
         let answer = self
-            .await_answer(call, history, (number, &mut answers))
+            .await_answer(call, history, (&mut ticket, &mut answers))
             .await;
         let waited = begun.elapsed();
         let outcome = outcome_name(answer.as_ref());
@@ -194,22 +201,34 @@
         }
     }
 
-    // Returns the grant or refusal; `None` if the owner does not answer.
+    // Returns the grant or refusal; `None` if no owner answers.
     async fn await_answer(
         &self,
         call: &RoutedRequest,
         history: &SendHistory,
-        (number, answers): (u64, &mut mpsc::UnboundedReceiver<TicketAnswer>),
+        (ticket, answers): (&mut PlainTicket, &mut mpsc::UnboundedReceiver<TicketAnswer>),
     ) -> Option<TicketAnswer> {
-        let service = &call.service.name;
+        let mut silent = 0;
         loop {
+            ticket.receiver = self.ticket_receiver(&ticket.service);
             let request = TicketBody::Request(self.ticket_request(call, history));
-            if !self.send_ticket(number, service, request) {
-                return None;
-            }
-            match timeout(RESPONSE_TIMEOUT, answers.recv()).await {
-                Ok(Some(TicketAnswer::Queued)) => {}
-                answer => return answer.ok().flatten(),
+            let number = (ticket.number, &ticket.service);
+            let sent = self.send_ticket(ticket.receiver.as_ref(), number, request);
+            let first = if sent {
+                timeout(RESPONSE_TIMEOUT, answers.recv()).await.ok()
+            } else {
+                None
+            };
+            match first.flatten() {
+                Some(TicketAnswer::Queued) => {}
+                Some(answer) => return Some(answer),
+                None => {
+                    silent += 1;
+                    if silent < MAX_SILENT_OWNERS && self.skip_owner(ticket) {
+                        continue;
+                    }
+                    return None;
+                }
             }
             let waiting = RENEWAL_INTERVAL.min(call.time_left());
             match timeout(waiting, answers.recv()).await {
@@ -220,6 +239,19 @@
         }
     }
 
+    // Asks another daemon than the one that did not answer; returns false for the member of a
+    // hub, which has no link to others.
+    fn skip_owner(&self, ticket: &PlainTicket) -> bool {
+        let has_hub = self.placement_client.borrow().has_placement_hub();
+        let Some(owner) = ticket.receiver.clone().filter(|_| !has_hub) else {
+            return false;
+        };
+        log::info!(owner = owner.as_str(), service = ticket.service.as_str(); "queue owner does not answer; asking the next one");
+        let now = clock::mono_now();
+        self.plain_queues.borrow_mut().skip_owner(owner, now);
+        true
+    }
+
     fn ticket_request(&self, call: &RoutedRequest, history: &SendHistory) -> TicketRequest {
         TicketRequest {
             rank: call.route.urgency,
--- a/src/gateway/plain_queue/exchange.rs
+++ b/src/gateway/plain_queue/exchange.rs
@@ -15,11 +15,14 @@
     QueueTime, ServiceQueue, TargetReport, TicketAnswer, TicketId, TicketTerms,
 };
 use crate::gateway::plain_queue::wire::{TicketBody, TicketMessage, TicketRequest};
-use crate::names::{DaemonId, ServiceName};
+use crate::names::{DaemonId, MonoTime, ServiceName};
 
 /// Silence after which another hub is the queue owner.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time for which a daemon that did not answer is not asked for tickets.
+const SKIP_TIME: Duration = Duration::from_millis(1_500);
+
 /// A queue that this daemon owns.
 #[derive(Debug, Default)]
 struct OwnedQueue {
@@ -36,6 +39,8 @@
     // Tickets of this daemon that have not ended, in order of their numbers.
     open: IndexMap<u64, mpsc::UnboundedSender<TicketAnswer>>,
     last_number: u64,
+    // Until when daemons that did not answer are not asked.
+    skipped: IndexMap<DaemonId, MonoTime>,
 }
 
 impl PlainQueues {
@@ -46,6 +51,11 @@
         (self.last_number, answers)
     }
 
+    pub(super) fn skip_owner(&mut self, owner: DaemonId, now: MonoTime) {
+        self.skipped.retain(|_, until| now < *until);
+        self.skipped.insert(owner, now.plus(SKIP_TIME));
+    }
+
     pub(super) fn close_ticket(&mut self, number: u64) {
         self.open.shift_remove(&number);
     }
@@ -73,9 +83,21 @@
 }
 
 impl Gateway {
-    /// Sends a message about a ticket of this daemon to the queue owner, directly or through its
-    /// hub. Returns whether it could be sent.
-    pub(super) fn send_ticket(&self, number: u64, service: &ServiceName, body: TicketBody) -> bool {
+    /// Returns the daemon that requests for tickets are sent to: the hub of this one, else the
+    /// queue owner; `None` if this daemon is the owner.
+    pub(super) fn ticket_receiver(&self, service: &ServiceName) -> Option<DaemonId> {
+        let hub = self.placement_client.borrow().placement_hub().cloned();
+        hub.or_else(|| self.queue_owner(service))
+    }
+
+    /// Sends a message about a ticket of this daemon to `receiver`. Returns whether it could be
+    /// sent.
+    pub(super) fn send_ticket(
+        &self,
+        receiver: Option<&DaemonId>,
+        (number, service): (u64, &ServiceName),
+        body: TicketBody,
+    ) -> bool {
         let message = TicketMessage {
             from: self.daemon.clone(),
             incarnation: self.incarnation,
@@ -84,9 +106,8 @@
             hub: None,
             body,
         };
-        let hub = self.placement_client.borrow().placement_hub().cloned();
-        match hub.or_else(|| self.queue_owner(service)) {
-            Some(next) => self.send_ticket_message(&next, message),
+        match receiver {
+            Some(receiver) => self.send_ticket_message(receiver, message),
             None => {
                 self.handle_owned(message);
                 true
@@ -148,19 +169,22 @@
         client.send(to, &PeerMessage::Ticket(message))
     }
 
-    // Returns the daemon that owns the queue of a service; `None` if it is this one. All daemons
-    // with the same view choose the same one, and each service another.
-    fn queue_owner(&self, service: &ServiceName) -> Option<DaemonId> {
+    /// Returns the daemon that owns the queue of a service; `None` if it is this one. All daemons
+    /// with the same view choose the same one, and each service another.
+    pub(super) fn queue_owner(&self, service: &ServiceName) -> Option<DaemonId> {
         let view = self.view();
         let now = clock::mono_now();
         let is_hub = self.hubs.borrow().is_hub();
         let hubs = self.other_hubs.borrow();
         let peers = self.peers.borrow();
+        let queues = self.plain_queues.borrow();
+        let is_skipped = |id: &DaemonId| queues.skipped.get(id).is_some_and(|until| now < *until);
         let others = view
             .daemons
             .iter()
             .filter(|d| d.id != self.daemon && !d.leaving);
-        let usable = others.map(|daemon| &daemon.id).filter(|id| {
+        let others = others.map(|daemon| &daemon.id).filter(|id| !is_skipped(id));
+        let usable = others.filter(|id| {
             if is_hub {
                 hubs.contains(*id) && peers.was_reachable_within(id, OWNER_TIMEOUT, now)
             } else {
