--- a/src/gateway/plain_queue/owner.rs
+++ b/src/gateway/plain_queue/owner.rs
@@ -358,7 +358,7 @@
         else {
             return None;
         };
-        let in_time = expected_ms - self.mean_work_ms() <= limit.as_secs_f64() * 1_000.0;
+        let in_time = expected_ms <= limit.as_secs_f64() * 1_000.0;
         let admits_return = returning && reason != RefusalReason::Late && in_time;
         (!admits_return).then_some(decision)
     }
@@ -382,7 +382,8 @@
             workspace: None,
             objective_left: terms.objective_left,
             time_left: self.wait_limit(terms).mul_f64(ADMITTED_WAIT),
-            work_ms: self.mean_work_ms(),
+            // The longest wait leaves time for the work already.
+            work_ms: 0.0,
             phase: terms.work.phase(),
         };
         let window = AdmissionWindow::new(time.fleet, terms.time_limit);
@@ -413,7 +414,7 @@
         TicketAnswer::Refused {
             reason,
             retry_after,
-            expected_ms,
+            expected_ms: expected_ms + self.mean_work_ms(),
         }
     }
 
