--- a/src/gateway/plain_queue/owner.rs
+++ b/src/gateway/plain_queue/owner.rs
@@ -28,6 +28,10 @@
 const ROUND_TRIP: Duration = Duration::from_millis(10);
 /// Time constant of the measured arrival rates.
 const RATE_TIME_MS: f64 = 1_000.0;
+/// Work time of a target, as a multiple of that of the fastest one, above which it is granted no
+/// request beyond its slots: that request would wait long, and the round trip is a small part
+/// of the work.
+const SLOW_FACTOR: f64 = 2.0;
 /// Largest share of the capacity that more urgent ranks are expected to take.
 const MAX_URGENT_SHARE: f64 = 0.9;
 
@@ -148,6 +152,8 @@
     // Tickets that lost their place to more urgent ones and are refused next.
     displaced: Vec<TicketId>,
     returns: ReturnTable,
+    // Rate of all requests, also of those that are refused.
+    demand: ArrivalRate,
     // Rates of served requests: for each rank those of returning callers, then the others.
     rates: [ArrivalRate; 2 * RANKS],
 }
@@ -161,6 +167,7 @@
             terms: IndexMap::new(),
             displaced: Vec::new(),
             returns: ReturnTable::default(),
+            demand: ArrivalRate::default(),
             rates: [ArrivalRate::default(); 2 * RANKS],
         }
     }
@@ -192,6 +199,7 @@
             return TicketAnswer::Queued;
         }
         let now = time.now;
+        self.demand.note(now);
         let returning = self.returns.is_due(&terms.work, now);
         if let Some(target) = self.free_target(&terms, now) {
             self.rates[rate_index(terms.rank, returning)].note(now);
@@ -203,8 +211,7 @@
             latest_start: now.plus(self.wait_limit(&terms)),
             queued_at: now,
         };
-        let ahead = self.waiting.count_before(&request) + 1;
-        if let Some(refusal) = self.check(&terms, (ahead, returning), time) {
+        if let Some(refusal) = self.check(&terms, (&request, returning), time) {
             return self.refuse(&terms, refusal, now);
         }
         self.rates[rate_index(terms.rank, returning)].note(now);
@@ -314,6 +321,13 @@
             .filter(|(id, _)| !terms.excluded.contains(id));
         let free = usable.filter(|(_, target)| target.has_free(now));
         let mean_ms = self.mean_work_ms();
+        let fastest_ms = self.fastest_ms();
+        let free = free.filter(|(_, target)| {
+            let is_slow = target
+                .work_ms()
+                .is_some_and(|ms| ms > SLOW_FACTOR * fastest_ms);
+            !is_slow || target.granted < target.slots.max(1)
+        });
         let cost = |target: &TargetSlots| {
             let load = f64::from(target.load() + 1) / f64::from(target.slots.max(1));
             load.max(1.0) * target.work_ms().unwrap_or(mean_ms) + load
@@ -340,16 +354,34 @@
         TicketAnswer::Granted(target.clone())
     }
 
-    // Returns the refusal of a request that cannot be served in time.
+    // Returns the refusal of a request that cannot be served in time: neither after those before
+    // it, nor after those of its own rank by the share that each rank keeps.
     fn check(
         &self,
         terms: &TicketTerms,
-        (ahead, returning): (usize, bool),
+        (request, returning): (&WaitingRequest, bool),
         time: QueueTime,
     ) -> Option<AdmissionDecision> {
-        let wait_ms = ahead as f64 / self.capacity_per_ms();
         let limit = self.wait_limit(terms);
-        let decision = self.decide(terms, (wait_ms, returning), time);
+        let wait_ms = |ahead: usize| (ahead + 1) as f64 / self.capacity_per_ms();
+        let first_of_rank = WaitingRequest {
+            returning: true,
+            latest_start: MonoTime::default(),
+            ..*request
+        };
+        let ahead = self.waiting.count_before(request);
+        let ahead_of_rank = ahead - self.waiting.count_before(&first_of_rank);
+        // A burst that the targets can serve in time is no overload.
+        let is_overload = self.demand.per_ms(time.now) > self.capacity_per_ms();
+        if !is_overload && wait_ms(ahead) <= limit.as_secs_f64() * 1_000.0 {
+            return None;
+        }
+        let kept = self.decide(terms, (wait_ms(ahead_of_rank), MAX_URGENT_SHARE), time);
+        if kept == AdmissionDecision::Admit {
+            return None;
+        }
+        let urgent_share = self.urgent_share(terms.rank, returning, time.now);
+        let decision = self.decide(terms, (wait_ms(ahead), urgent_share), time);
         let AdmissionDecision::Refuse {
             reason,
             expected_ms,
@@ -363,15 +395,18 @@
         (!admits_return).then_some(decision)
     }
 
+    fn urgent_share(&self, rank: u8, returning: bool, now: MonoTime) -> f64 {
+        let urgent = self.rates.iter().take(rate_index(rank, returning));
+        let urgent_rate: f64 = urgent.map(|rate| rate.per_ms(now)).sum();
+        (urgent_rate / self.capacity_per_ms()).min(MAX_URGENT_SHARE)
+    }
+
     fn decide(
         &self,
         terms: &TicketTerms,
-        (wait_ms, returning): (f64, bool),
+        (wait_ms, urgent_share): (f64, f64),
         time: QueueTime,
     ) -> AdmissionDecision {
-        let urgent = self.rates.iter().take(rate_index(terms.rank, returning));
-        let urgent_rate: f64 = urgent.map(|rate| rate.per_ms(time.now)).sum();
-        let urgent_share = (urgent_rate / self.capacity_per_ms()).min(MAX_URGENT_SHARE);
         let capacity = CapacityView {
             wait_ms,
             urgent_share,
@@ -392,7 +427,7 @@
 
     fn refuse_waiting(&mut self, terms: &TicketTerms, time: QueueTime) -> TicketAnswer {
         let limit_ms = self.wait_limit(terms).as_secs_f64() * 1_000.0;
-        let decision = self.decide(terms, (limit_ms + self.mean_work_ms(), false), time);
+        let decision = self.decide(terms, (limit_ms + self.mean_work_ms(), 0.0), time);
         self.refuse(terms, decision, time.now)
     }
 
@@ -428,6 +463,11 @@
         in_objective.min(terms.time_left.saturating_sub(own))
     }
 
+    fn fastest_ms(&self) -> f64 {
+        let known = self.targets.values().filter_map(TargetSlots::work_ms);
+        known.fold(f64::INFINITY, f64::min)
+    }
+
     fn mean_work_ms(&self) -> f64 {
         let known: Vec<f64> = self
             .targets
--- a/src/gateway/plain_queue/slots.rs
+++ b/src/gateway/plain_queue/slots.rs
@@ -32,8 +32,7 @@
 
 impl TargetSlots {
     /// Applies the running requests that the fleet reports. Those that have no grant were sent
-    /// directly; they are underestimated rather than overestimated, because a target has a
-    /// queue, and a slot that stays free is lost.
+    /// directly; they count in the choice of a target.
     pub fn apply_report(&mut self, slots: u32, running: u32, now: MonoTime) {
         self.slots = slots;
         while self
@@ -80,10 +79,12 @@
         self.granted.saturating_add(self.ungranted)
     }
 
-    /// Whether another request may be granted.
+    /// Whether another request may be granted. Requests without a grant do not count: reports
+    /// about them are old, and a slot that has become free meanwhile must not stay free. The
+    /// target has a queue for them, and lowers the estimate by refusing.
     #[must_use]
     pub fn has_free(&self, now: MonoTime) -> bool {
-        self.load() < self.limit(now)
+        self.granted < self.limit(now)
     }
 
     fn limit(&self, now: MonoTime) -> u32 {
