--- a/src/gateway/plain_queue/slots.rs
+++ b/src/gateway/plain_queue/slots.rs
@@ -9,6 +9,8 @@
 const EXTRA_GRANTS: u32 = 1;
 /// Time for which the estimate stays lower after a target refused a granted request.
 const LOWERED_TIME: Duration = Duration::from_secs(1);
+/// Requests at a target, as a multiple of its slots, from which it is granted none beside another.
+const OVERFULL_FACTOR: u32 = 2;
 /// Weight of a new observation in the learned work time.
 const WORK_WEIGHT: f64 = 0.2;
 /// Time for which ended grants may still be part of the reported work of the fleet: hints and
@@ -79,12 +81,13 @@
         self.granted.saturating_add(self.ungranted)
     }
 
-    /// Whether another request may be granted. Requests without a grant do not count: reports
-    /// about them are old, and a slot that has become free meanwhile must not stay free. The
-    /// target has a queue for them, and lowers the estimate by refusing.
+    /// Whether another request may be granted. Requests without a grant count only if they would
+    /// occupy all slots twice: reports about them are old, a slot that has become free meanwhile
+    /// must not stay free, and a target has a queue for them.
     #[must_use]
     pub fn has_free(&self, now: MonoTime) -> bool {
-        self.granted < self.limit(now)
+        let is_overfull = self.load() >= self.slots.max(1).saturating_mul(OVERFULL_FACTOR);
+        self.granted < self.limit(now) && (self.granted == 0 || !is_overfull)
     }
 
     fn limit(&self, now: MonoTime) -> u32 {
