--- a/src/gateway/plain_queue/exchange.rs
+++ b/src/gateway/plain_queue/exchange.rs
@@ -109,7 +109,7 @@
         match receiver {
             Some(receiver) => self.send_ticket_message(receiver, message),
             None => {
-                self.handle_owned(message);
+                self.handle_owned(&message);
                 true
             }
         }
@@ -147,7 +147,7 @@
                 let hub = Some(self.daemon.clone());
                 self.send_ticket_message(&owner, TicketMessage { hub, ..message });
             }
-            None => self.handle_owned(message),
+            None => self.handle_owned(&message),
         }
     }
 
@@ -204,7 +204,7 @@
         }
     }
 
-    fn handle_owned(&self, message: TicketMessage) {
+    fn handle_owned(&self, message: &TicketMessage) {
         let id = message.id();
         let time = self.queue_time();
         let answer = {
@@ -226,7 +226,7 @@
             }
         };
         if let Some(answer) = answer {
-            self.send_answer(&message.service, id, answer);
+            self.send_answer(&message.service, &id, answer);
         }
         self.advance_queue(&message.service, time);
     }
@@ -250,16 +250,16 @@
             owned.map_or_else(Vec::new, |owned| owned.queue.advance(time))
         };
         for (id, answer) in answers {
-            self.send_answer(service, id, answer);
+            self.send_answer(service, &id, answer);
         }
     }
 
-    fn send_answer(&self, service: &ServiceName, id: TicketId, answer: TicketAnswer) {
+    fn send_answer(&self, service: &ServiceName, id: &TicketId, answer: TicketAnswer) {
         let mut queues = self.plain_queues.borrow_mut();
         let owned = queues.owned.get_mut(service);
         let hub = owned.and_then(|owned| match answer {
-            TicketAnswer::Queued => owned.hubs.get(&id).cloned(),
-            _ => owned.hubs.swap_remove(&id),
+            TicketAnswer::Queued => owned.hubs.get(id).cloned(),
+            _ => owned.hubs.swap_remove(id),
         });
         if id.daemon == self.daemon {
             queues.deliver(id.number, answer);
