--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -4,6 +4,7 @@
 //! by priority, deadline and required work. Decisions are pure; the time is an argument.
 
 pub mod load_meter;
+pub mod ranked_queue;
 pub mod window;
 
 use std::time::Duration;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 pub mod members;
 pub mod model;
 pub mod peers;
+pub mod plain_queue;
 pub mod pool;
 pub mod port;
 pub mod quarantine;
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -343,6 +343,7 @@
             PeerMessage::Placements(batch) => self.apply_placements(&batch),
             PeerMessage::Freshness(update) => self.apply_freshness(&update),
             PeerMessage::Usage(copies) => self.apply_usage_copies(copies),
+            PeerMessage::Ticket(message) => self.handle_ticket_message(message),
             PeerMessage::Config { revision, value } => {
                 // The control thread runs until the process ends.
                 let _ = self
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -17,6 +17,7 @@
 use crate::gateway::fleet_tasks::usage_counts::{DaemonUsage, UsageCount};
 use crate::gateway::peers::freshness::ConfigFreshness;
 use crate::gateway::peers::seen::ObservedResults;
+use crate::gateway::plain_queue::wire::TicketMessage;
 use crate::gateway::registry::EntryUpdate;
 use crate::gateway::store_follow::Feed;
 use crate::names::{DaemonId, MonoTime, ServiceName, UnixTime};
@@ -139,6 +140,8 @@
     /// Usage counts, from a hub to a member that keeps them for its successor. Sent only where
     /// fleet tasks are configured.
     Usage(UsageCopies),
+    /// A ticket of a plain service; sent only if the queue is enabled.
+    Ticket(TicketMessage),
 }
 
 /// Usage counts, from a hub to a member that keeps them for its successor.
