Bounds of overload tests follow the stated targets; costs of crossing need enough local engines

The bounds for missing information, for a flooding workspace and for rank 1 with capacity for all followed the measured figures.

Copies of usage counts go only to daemons that state how far their counts are complete: an earlier build closes the link on a message that it cannot decode.

--- a/src/gateway/deciding/engine_choice.rs
+++ b/src/gateway/deciding/engine_choice.rs
@@ -62,6 +62,10 @@
     pub crossing_ms_per_kb: f64,
     /// Cost of a token copied from another data centre, as a multiple of `copy_ms`.
     pub crossing_copy_factor: f64,
+    /// Engines of a service that the data centre must have for the two costs above to apply.
+    /// Among few engines, the choice by load and caches is worth more than the bytes saved: with
+    /// three engines in a data centre, shared parts were recomputed at each of them.
+    pub crossing_min_engines: u32,
 }
 
 impl Default for PlacementWeights {
@@ -74,11 +78,25 @@
             interference: 0.2,
             crossing_ms_per_kb: 0.0,
             crossing_copy_factor: 1.0,
+            crossing_min_engines: 0,
         }
     }
 }
 
 impl PlacementWeights {
+    /// Returns the weights that apply where the data centre has `engines` engines of the service.
+    #[must_use]
+    pub fn for_local_engines(self, engines: usize) -> Self {
+        if engines >= self.crossing_min_engines as usize {
+            return self;
+        }
+        Self {
+            crossing_ms_per_kb: 0.0,
+            crossing_copy_factor: 1.0,
+            ..self
+        }
+    }
+
     /// Returns the cost of sending a request of `bytes` from a daemon in the data centre
     /// `from`, if it is known, to one in `to`.
     #[must_use]
--- a/src/gateway/deciding/mod.rs
+++ b/src/gateway/deciding/mod.rs
@@ -227,15 +227,11 @@
     ) -> Option<EnginePlacement> {
         let engines = self.engine_states(&query.choices, software, &query.prompt.parts, now);
         let service = query.choices.service();
+        let weights = self.weights_among(query.choices.engines);
         let choose = |rank, deprioritized| {
             let latencies = self.engines.latencies(&service, deprioritized);
-            let placement = engine_choice::choose_engines(
-                &self.weights,
-                &latencies,
-                &engines,
-                query.prompt,
-                rank,
-            )?;
+            let placement =
+                engine_choice::choose_engines(&weights, &latencies, &engines, query.prompt, rank)?;
             Some(EnginePlacement {
                 deprioritized,
                 ..placement
@@ -266,9 +262,10 @@
         now: MonoTime,
     ) -> Option<Arc<TargetRecord>> {
         let latencies = self.engines.latencies(&choices.service(), false);
+        let weights = self.weights_among(choices.engines);
         let placements = choices.versions().into_iter().filter_map(|software| {
             let engines = self.engine_states(choices, software, &prompt.parts, now);
-            engine_choice::choose_engines(&self.weights, &latencies, &engines, prompt, rank)
+            engine_choice::choose_engines(&weights, &latencies, &engines, prompt, rank)
         });
         let cheapest = placements.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
         cheapest?.prefill_engine
@@ -290,8 +287,9 @@
         let parts = &work.0.parts;
         let engines = self.engine_states(choices, &prefill_engine.software, parts, now);
         let latencies = self.engines.latencies(&choices.service(), false);
+        let weights = self.weights_among(choices.engines);
         let centre = &prefill_engine.centre;
-        engine_choice::choose_decode_engine(&self.weights, &latencies, &engines, work, centre)
+        engine_choice::choose_decode_engine(&weights, &latencies, &engines, work, centre)
     }
 
     /// Chooses a target of a service without model engines, with the turns at those that limit
@@ -327,6 +325,14 @@
         self.weights.send_ms(bytes, from, &target.centre)
     }
 
+    // Returns the weights for a choice among the engines of a service.
+    fn weights_among(&self, engines: &[Arc<TargetRecord>]) -> PlacementWeights {
+        let local = engines
+            .iter()
+            .filter(|engine| self.centre.as_ref() == Some(&engine.centre));
+        self.weights.for_local_engines(local.count())
+    }
+
     // The slowdown is measured relative to the capacity, so the product counts no time twice.
     fn engine_health(&self, engine: &TargetIncarnation, now: MonoTime) -> HealthView {
         let health = self.health.view(engine, now);
@@ -344,6 +350,7 @@
         parts: &[PromptPart],
         now: MonoTime,
     ) -> Vec<EngineState> {
+        let (weights, from) = (self.weights_among(choices.engines), self.centre.as_ref());
         let excluded = |id: &TargetIncarnation| choices.excluded.contains(id);
         let changing = |id: &TargetIncarnation| choices.changing.contains(id);
         let engines = choices.engines.iter();
@@ -357,7 +364,7 @@
             capacity: self.capacities.capacity(&engine.id, now).unwrap_or(1.0),
             available: !excluded(&engine.id) && !changing(&engine.id),
             turn: choices.turns.get(&engine.id).copied(),
-            send_ms: self.send_ms(engine, choices.request_bytes),
+            send_ms: weights.send_ms(choices.request_bytes, from, &engine.centre),
         });
         states.collect()
     }
--- a/src/gateway/fleet_tasks/usage_coverage.rs
+++ b/src/gateway/fleet_tasks/usage_coverage.rs
@@ -71,6 +71,13 @@
         *known = (*known).max(complete_to);
     }
 
+    /// Returns whether a daemon has stated how far its counts are complete. Daemons of earlier
+    /// builds do not, and cannot decode copies of counts.
+    #[must_use]
+    pub fn has_recorded(&self, daemon: &DaemonId) -> bool {
+        self.complete.contains_key(daemon)
+    }
+
     /// Forgets daemons that are not `known`.
     pub fn retain(&mut self, known: impl Fn(&DaemonId) -> bool) {
         self.complete.retain(|daemon, _| known(daemon));
--- a/src/gateway/peers/usage.rs
+++ b/src/gateway/peers/usage.rs
@@ -105,8 +105,12 @@
         let keepers = match role {
             PeerRole::Hub => {
                 let peers = self.peers.borrow();
-                let is_reachable = |id: &DaemonId| peers.is_directly_reachable(id, now);
-                hub::usage_keepers(&self.daemon, links, is_reachable)
+                let meter = self.fleet_tasks.borrow();
+                // An earlier build closes the link on a message that it cannot decode.
+                let may_keep = |id: &DaemonId| {
+                    peers.is_directly_reachable(id, now) && meter.coverage.has_recorded(id)
+                };
+                hub::usage_keepers(&self.daemon, links, may_keep)
             }
             PeerRole::Mesh | PeerRole::Member(_) => Vec::new(),
         };
--- a/tests/admission_overload.rs
+++ b/tests/admission_overload.rs
@@ -150,21 +150,18 @@
 
 const LOADS: [f64; 4] = [0.8, 1.2, 2.0, 4.0];
 
+/// Share of the capacity that has to be used in overload, as stated for the feature.
+const MIN_USED: f64 = 0.85;
+
 // Guards against admitting what cannot be served, starving a kind, serving an urgent kind less
-// than another, and leaving targets idle. The bound for used capacity is lower with information
-// that is missing or 1.5 s old: servers are then chosen nearly at random, and without refusals
-// 0.82 and 0.92 are used.
+// than another, and leaving targets idle.
 #[rstest]
-#[case::current(Knowledge::Aged(0), 3, 0.95)]
-#[case::current_in_a_fleet(Knowledge::Aged(0), 60, 0.95)]
-#[case::hints(Knowledge::Aged(300), 12, 0.9)]
-#[case::late_hints(Knowledge::Aged(1_500), 12, 0.82)]
-#[case::no_peers_known(Knowledge::Missing, 12, 0.8)]
-fn overload_is_shared_by_rank(
-    #[case] knowledge: Knowledge,
-    #[case] deciders: usize,
-    #[case] min_used: f64,
-) {
+#[case::current(Knowledge::Aged(0), 3)]
+#[case::current_in_a_fleet(Knowledge::Aged(0), 60)]
+#[case::hints(Knowledge::Aged(300), 12)]
+#[case::late_hints(Knowledge::Aged(1_500), 12)]
+#[case::no_peers_known(Knowledge::Missing, 12)]
+fn overload_is_shared_by_rank(#[case] knowledge: Knowledge, #[case] deciders: usize) {
     for load in LOADS {
         let tally = simulate(&plan(load, knowledge, deciders), 1);
         print("decide", load, &tally);
@@ -181,10 +178,8 @@
             );
             continue;
         }
-        assert!(tally.used >= min_used, "{load} {}", tally.used);
-        if knowledge != Knowledge::Missing {
-            assert!(served[2] > 0.005, "{load} {served:?}");
-        }
+        assert!(tally.used >= MIN_USED, "{load} {}", tally.used);
+        assert!(served[2] > 0.005, "{load} {served:?}");
         assert!(served[0] > 0.98, "{load} {served:?}");
     }
 }
@@ -255,7 +250,7 @@
     }
     let served: Vec<f64> = tally.kinds.iter().map(KindTally::served_share).collect();
     assert!(served.is_sorted_by(|a, b| *a >= *b - 0.05), "{served:?}");
-    assert!(tally.used > 0.85, "{}", tally.used);
+    assert!(tally.used > MIN_USED, "{}", tally.used);
 }
 
 // Guards against a loss of control by faults: half of the engines lost, clocks 50 ms apart, and
@@ -268,7 +263,7 @@
     let tally = simulate(&plan, 1);
     print("fault", plan.load, &tally);
     assert!(tally.kinds[0].served_share() > 0.95, "{:?}", tally.kinds);
-    assert!(tally.used > 0.75, "{}", tally.used);
+    assert!(tally.used > MIN_USED, "{}", tally.used);
 }
 
 // Guards against a workspace that floods the service: one within its share is served as well as
@@ -289,7 +284,7 @@
     print("quiet", 1.0, &before);
     print("flooded", 1.0, &after);
     for (was, is) in before.kinds.iter().zip(&after.kinds).take(3) {
-        assert!(is.served_share() > was.served_share() - 0.05, "{is:?}");
+        assert!(is.served_share() > was.served_share() - 0.02, "{is:?}");
     }
-    assert!(after.used > 0.85, "{}", after.used);
+    assert!(after.used > MIN_USED, "{}", after.used);
 }
--- a/tests/plain_queue.rs
+++ b/tests/plain_queue.rs
@@ -113,12 +113,9 @@
                 "{report}"
             );
         }
-        assert_eq!(with[0].fast, without[0].fast, "{report}");
-        // In a burst, urgent requests go before those of rank 1.
-        assert!(
-            with[1].fast_share() >= 0.999 * without[1].fast_share(),
-            "{report}"
-        );
+        for (with, without) in with.iter().zip(&without) {
+            assert!(with.fast >= without.fast, "{report}");
+        }
     }
 }
 
