--- a/src/gateway/fleet_tasks/demand_plan.rs
+++ b/src/gateway/fleet_tasks/demand_plan.rs
@@ -31,6 +31,8 @@
 /// Changes below one in this many are not ordered, and reductions release at most one in this
 /// many servers at a time.
 const CHANGE_DIVISOR: u32 = 10;
+/// Change of the number in a data centre that is always ordered, half of the largest step.
+const LARGE_CHANGE: u32 = 50;
 /// Fraction of the servers provided by the operator that is always kept.
 const FLOOR_DIVISOR: u32 = 3;
 /// Delay before servers are ordered again after the platform had none available. It doubles
@@ -212,8 +214,11 @@
             Some(peak) => {
                 let floor = situation.provided.div_ceil(FLOOR_DIVISOR);
                 let needed = peak.max(floor).min(situation.provided);
-                self.update_planned(situation, needed, now);
-                self.goals(situation, needed, now)
+                let planned = self.update_planned(situation, needed, now);
+                // The planned number does not fall with each peak that passes, so that
+                // on-demand servers are not released and ordered again either.
+                let needed = needed.max(without_spare(situation, planned));
+                self.goals(situation, needed.min(situation.provided), now)
             }
         };
         self.due_order(situation, &goals, now)
@@ -249,7 +254,12 @@
     }
 
     // Increases take effect at once, reductions in steps.
-    fn update_planned(&mut self, situation: &ServerSituation<'_>, needed: u32, now: MonoTime) {
+    fn update_planned(
+        &mut self,
+        situation: &ServerSituation<'_>,
+        needed: u32,
+        now: MonoTime,
+    ) -> u32 {
         let goal = with_spare(situation, needed);
         let existing: u32 = situation.centres.iter().map(|c| c.reclaimable).sum();
         let planned = self.planned.unwrap_or_else(|| goal.max(existing));
@@ -265,6 +275,7 @@
             goal.max(planned - planned.div_ceil(CHANGE_DIVISOR))
         };
         self.planned = Some(next);
+        next
     }
 
     // Without knowledge of the demand, a successor keeps the reclaimable servers that exist,
@@ -464,18 +475,24 @@
         let last = self.orders.get(kind);
         let next = next_step(count, goal, last.map(|last| last.count));
         let due = match last {
-            None => differs(next, count),
-            Some(last) if differs(next, last.count) => true,
+            None => is_worth_an_order(count, goal),
+            Some(last) if next != last.count && is_worth_an_order(last.count, goal) => true,
             Some(last) => {
                 let overdue = now.since(last.at) > rule.boot_time + OVERDUE_TIME;
-                next > count && differs(next, count) && overdue
+                next > count && is_worth_an_order(count, goal) && overdue
             }
         };
         due.then_some(next)
     }
 }
 
-// Whether two numbers differ enough for an order.
+// Whether a number differs enough from the goal for an order. Steps of a large change are less
+// than a tenth of it.
+fn is_worth_an_order(count: u32, goal: u32) -> bool {
+    differs(count, goal) || count.abs_diff(goal) >= LARGE_CHANGE
+}
+
+// Whether two planned numbers differ enough.
 fn differs(a: u32, b: u32) -> bool {
     a != b && a.abs_diff(b) * CHANGE_DIVISOR >= a.max(b)
 }
@@ -502,6 +519,13 @@
     needed + needed.div_ceil(others)
 }
 
+// Returns the servers that remain of `planned` reclaimable ones and the on-demand minimum if
+// any one data centre loses all of its reclaimable ones.
+fn without_spare(situation: &ServerSituation<'_>, planned: u32) -> u32 {
+    let centres = u32::try_from(situation.centres.len()).unwrap_or(u32::MAX);
+    planned - planned.div_ceil(centres.max(1)) + minimum_count(situation)
+}
+
 // Indices of the data centres, the cheapest first.
 fn by_price(situation: &ServerSituation<'_>) -> Vec<usize> {
     let mut indices: Vec<usize> = (0..situation.centres.len()).collect();
--- a/src/gateway/fleet_tasks/mod.rs
+++ b/src/gateway/fleet_tasks/mod.rs
@@ -12,6 +12,7 @@
 pub mod server_plan;
 pub mod server_scaler;
 pub mod usage_counts;
+pub mod usage_coverage;
 pub mod usage_ledger;
 pub mod usage_reporter;
 
@@ -26,6 +27,7 @@
 use crate::gateway::fleet_tasks::fleet_clock::FleetClock;
 use crate::gateway::fleet_tasks::server_scaler::{ServerEvent, ServerScaler};
 use crate::gateway::fleet_tasks::usage_counts::UsageCounts;
+use crate::gateway::fleet_tasks::usage_coverage::UsageCoverage;
 use crate::gateway::fleet_tasks::usage_reporter::{UsageEvent, UsageReporter};
 use crate::gateway::lease_upkeep::{LeaseCallResult, LeaseManager};
 use crate::gateway::port::FleetTaskHolder;
@@ -68,6 +70,8 @@
     pub clock: FleetClock,
     /// Started requests by window and workspace.
     pub usage: UsageCounts,
+    /// How far the counts of other daemons are known.
+    pub coverage: UsageCoverage,
 }
 
 impl UsageMeter {
@@ -77,6 +81,7 @@
         Self {
             clock: FleetClock::default(),
             usage: UsageCounts::new(window),
+            coverage: UsageCoverage::default(),
         }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,7 +12,9 @@
 pub mod access;
 pub mod backoffs;
 pub mod budget;
+pub mod cache_inventory;
 pub mod call;
+pub mod centre_traffic;
 pub mod client;
 pub mod control;
 pub mod daemon;
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/peers/mod.rs
@@ -96,6 +96,9 @@
                 senders.adjust(&gateway, &role, &outgoing_status);
             }
             Some(_) = hint_ticks.next() => {
+                if role == PeerRole::Hub {
+                    gateway.send_usage_copies();
+                }
                 let is_new = role == PeerRole::Mesh && gateway.has_new_work();
                 if !is_new && !gateway.has_new_limits() {
                     continue;
@@ -156,6 +159,7 @@
             .local()
             .iter()
             .map(|(id, work)| (id.clone(), *work));
+        let kept_usage = self.take_usage_offers(role);
         let mut peers = self.peers.borrow_mut();
         let reports = self.due_crash_reports();
         PeerHint {
@@ -179,6 +183,8 @@
             unreachable: self.unreachable_services(),
             wall_clock: clock::unix_now(),
             usage: self.take_usage_updates(),
+            kept_usage,
+            usage_complete_to: self.usage_sent_to(),
         }
     }
 
@@ -207,9 +213,13 @@
                 centre.usage = self.take_centre_usage(&hint);
                 cached_parts.extend(from_hubs);
                 let fleet = self.summary(&hint, true, cached_parts);
+                self.copy_usage(&hint);
                 (Some(centre), Some(fleet))
             }
-            PeerRole::Mesh | PeerRole::Member(_) => (None, None),
+            PeerRole::Mesh | PeerRole::Member(_) => {
+                self.drop_relayed_usage();
+                (None, None)
+            }
         };
         *self.last_sent_work.borrow_mut() = hint.work.iter().cloned().collect();
         OutgoingStatus {
@@ -268,6 +278,7 @@
             members,
             fleet_time: self.fleet_tasks.borrow().clock.at(now),
             usage: Vec::new(),
+            usage_complete_to: hint.usage_complete_to,
         }
     }
 
@@ -327,6 +338,7 @@
             PeerMessage::PlacementResponse(response) => self.handle_placement_response(response),
             PeerMessage::Placements(batch) => self.apply_placements(&batch),
             PeerMessage::Freshness(update) => self.apply_freshness(&update),
+            PeerMessage::Usage(copies) => self.apply_usage_copies(copies),
             PeerMessage::Config { revision, value } => {
                 // The control thread runs until the process ends.
                 let _ = self
--- a/src/gateway/stage_control.rs
+++ b/src/gateway/stage_control.rs
@@ -55,6 +55,9 @@
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(9);
 /// Engines changed at once while requests are served.
 const MAX_CONCURRENT_CHANGES: usize = 2;
+/// Time after its start within which a daemon learns of the work of a fleet that serves. Work
+/// that it learns of later begins later.
+const JOIN_TIME: Duration = Duration::from_secs(8);
 /// Time for which a change must be planned before the lease is acquired.
 const MIN_PLANNED_TIME: Duration = Duration::from_millis(1_500);
 
@@ -205,8 +208,9 @@
         };
         let share = self.shares.entry(service.clone()).or_insert_with(|| {
             // A daemon that starts in a fleet that serves continues with the present share.
-            let is_first = self.gateway.settings().first_start;
-            let present = stage_plan::present_share(engines).filter(|_| !is_first);
+            let uptime = clock::mono_now().since(self.gateway.started);
+            let joins = uptime < JOIN_TIME && !settings.first_start;
+            let present = stage_plan::present_share(engines).filter(|_| joins);
             StageShare::new(present.unwrap_or(settings.prefill_share))
         });
         let before = share.share();
@@ -219,13 +223,14 @@
 
     fn planned_changes(&mut self) -> Vec<StageChangePlan> {
         let mut planned_changes = Vec::new();
-        let mut shares: Vec<f64> = Vec::new();
-        for (service, engines) in self.engines() {
-            shares.push(self.prefill_share(&service, &engines));
-        }
+        let services = self.engines();
+        let shares: Vec<f64> = services
+            .iter()
+            .map(|(service, engines)| self.prefill_share(service, engines))
+            .collect();
         let idle = self.gateway.is_idle();
         let core = self.gateway.core.borrow();
-        for ((_, engines), share) in self.engines().into_iter().zip(shares) {
+        for ((_, engines), share) in services.into_iter().zip(shares) {
             let after: Vec<Arc<TargetRecord>> =
                 engines.iter().map(|e| self.with_new_stage(e)).collect();
             let prefill_count = stage_plan::prefill_engine_count(engines.len(), share);
@@ -390,8 +395,9 @@
         (self.ports.wire.decode_report)(&body).map_err(|e| SendError::NotSent(e.to_string()))
     }
 
-    // A call made under the lease has an end at which it is given up, and its connection reset.
-    async fn call_target(
+    /// Sends a query to an engine on a connection of its own. A call made under a lease has an
+    /// end at which it is given up, and its connection reset.
+    pub(super) async fn call_target(
         &self,
         engine: &TargetRecord,
         query: TargetQuery,
