Faults found by review of the new parts

Plain queue: the time to return is spread up to a third of the deadline instead of being 50 ms for nearly all; a ticket ends at an owner that is no longer asked; a request that waited until its deadline is refused instead of sent; slots that became free go to waiting requests first; an owner that knows no target of the service gives no answer; a return counts once; times from other daemons that are no numbers are ignored.

Servers: a refusal of on-demand servers counts for its delay only, not until the lease ends.

Capacities: a reporter is judged by the median over the targets of a report, so that one slow target is learned; sums of other hubs are not judged again; ratios of targets that are gone are dropped.

--- a/src/decide/scheduler.rs
+++ b/src/decide/scheduler.rs
@@ -440,7 +440,7 @@
                 expected_ms,
             } => {
                 let text = format!(
-                    "the deadline cannot be met ({}): the expected wait is {expected_ms:.0} ms,                      the time until the latest start {} ms; retry after the stated time",
+                    "the deadline cannot be met ({}): the expected wait is {expected_ms:.0} ms, the time until the latest start {} ms; retry after the stated time",
                     reason.as_str(),
                     millis(time_left)
                 );
--- a/src/gateway/admitting.rs
+++ b/src/gateway/admitting.rs
@@ -65,6 +65,15 @@
     pub urgent_share: f64,
 }
 
+// A number that another daemon sent; one that is not a number would stop this daemon.
+fn valid_phase(phase: f64) -> f64 {
+    if phase.is_finite() {
+        phase.clamp(0.0, 1.0)
+    } else {
+        0.0
+    }
+}
+
 /// Returns the time for which the caller of a stream waits for the first event.
 #[must_use]
 pub fn caller_timeout(route: &RouteRule) -> Duration {
@@ -122,7 +131,7 @@
             objective_left,
             time_left: Duration::from_millis(u64::from(terms.time_left_ms)),
             work_ms: placement.own_prefill_ms,
-            phase: terms.phase,
+            phase: valid_phase(terms.phase),
         };
         let route_time = Duration::from_millis(u64::from(terms.route_time_ms));
         let window = AdmissionWindow::new(self.fleet_time(), route_time);
--- a/src/gateway/cache_inventory.rs
+++ b/src/gateway/cache_inventory.rs
@@ -81,7 +81,7 @@
     ) -> Vec<Arc<TargetRecord>> {
         let room = MAX_CONCURRENT.saturating_sub(self.in_flight);
         let due = engines.iter().filter(|engine| {
-            engine.stage.is_some() && !self.asked.contains(&engine.id) && scope.covers(engine)
+            engine.stage.is_some() && scope.covers(engine) && !self.asked.contains(&engine.id)
         });
         let due: Vec<Arc<TargetRecord>> = due.take(room).cloned().collect();
         self.asked
@@ -146,6 +146,9 @@
             daemons: &view.daemons,
         };
         let mut due = Vec::new();
+        if !matches!(scope.role, Some(PeerRole::Hub | PeerRole::Mesh)) {
+            return due;
+        }
         for engines in view.targets.values() {
             due.extend(progress.take_due(engines, &scope));
         }
--- a/src/gateway/deciding/target_capacity.rs
+++ b/src/gateway/deciding/target_capacity.rs
@@ -321,7 +321,7 @@
         let log_ratio = clamped(taken_ms / expected_ms.max(1.0)).ln();
         let unreported = self.unreported.entry(target.id.clone()).or_default();
         unreported.add(log_ratio, 1.0);
-        self.note(None, target, (log_ratio, 1.0), now);
+        self.note_own(target, (log_ratio, 1.0), now);
     }
 
     /// Records that an engine with `running` requests generated `tokens` in `taken_ms`.
@@ -389,20 +389,53 @@
         if !self.enabled {
             return;
         }
-        for ratio in ratios.iter().take(MAX_RATIOS) {
-            let Some(target) = find(&ratio.target) else {
-                continue;
-            };
-            let log_ratio = clamped(f64::from(ratio.percent) / 100.0).ln();
-            let count = f64::from(ratio.count.clamp(1, MAX_COUNT));
-            let is_used = self.note(Some(reporter), target, (log_ratio, count), now);
-            if is_used && is_member {
+        let ratios = ratios.iter().take(MAX_RATIOS);
+        let observed: Vec<(&TargetRecord, (f64, f64))> = ratios
+            .filter_map(|ratio| {
+                let log_ratio = clamped(f64::from(ratio.percent) / 100.0).ln();
+                let count = f64::from(ratio.count.clamp(1, MAX_COUNT));
+                Some((find(&ratio.target)?, (log_ratio, count)))
+            })
+            .collect();
+        // Members are judged by their own hub, so another hub's sums are not judged again.
+        if is_member && self.is_slow_reporter(reporter, &observed, now) {
+            return;
+        }
+        for (target, sums) in observed {
+            self.add(target, sums, now);
+            if is_member {
                 let unrelayed = self.unrelayed.entry(target.id.clone()).or_default();
-                unrelayed.add(log_ratio, count);
+                unrelayed.add(sums.0, sums.1);
             }
         }
     }
 
+    // Whether a reporter's ratios are high for all targets. A single target that turned slow must
+    // not make its reporters look slow, so the median over the targets of a report counts.
+    fn is_slow_reporter(
+        &mut self,
+        reporter: &DaemonId,
+        observed: &[(&TargetRecord, (f64, f64))],
+        now: MonoTime,
+    ) -> bool {
+        let deviations = observed.iter().map(|(target, (log_ratio, _))| {
+            let group = (target.service.clone(), target.stage);
+            let known = self
+                .groups
+                .get(&group)
+                .and_then(|g| g.targets.get(&target.id));
+            log_ratio - known.map_or(0.0, |estimate| estimate.recent)
+        });
+        let mut deviations: Vec<f64> = deviations.collect();
+        deviations.sort_by(f64::total_cmp);
+        let count: f64 = observed.iter().map(|(_, (_, count))| count).sum();
+        let bias = self.reporters.entry(Some(reporter.clone())).or_default();
+        if let [_, _, ..] = deviations.as_slice() {
+            bias.note(deviations[deviations.len() / 2], count, now);
+        }
+        bias.is_slow()
+    }
+
     /// Returns the report of a hub: capacities for its members if it is for the whole fleet, or
     /// ratios for other hubs.
     pub fn take_report(&mut self, whole_fleet: bool, now: MonoTime) -> CapacityReport {
@@ -452,37 +485,35 @@
         self.received
             .retain(|target, (_, at)| keep(target) && now.since(*at) < RECEIVED_TTL);
         self.sent.retain(|target, _| keep(target));
+        self.unreported.retain(|target, _| keep(target));
+        self.unrelayed.retain(|target, _| keep(target));
         self.refresh(now);
     }
 
-    // Adds ratios of a reporter, unless it is slow itself. Returns whether they were used.
-    fn note(
-        &mut self,
-        reporter: Option<&DaemonId>,
-        target: &TargetRecord,
-        observed: (f64, f64),
-        now: MonoTime,
-    ) -> bool {
+    // Adds a ratio of this daemon's own requests, unless the daemon is slow itself.
+    fn note_own(&mut self, target: &TargetRecord, observed: (f64, f64), now: MonoTime) {
         let group = (target.service.clone(), target.stage);
-        let group = self.groups.entry(group).or_default();
-        let (log_ratio, count) = observed;
-        let known = group.targets.get(&target.id);
+        let group = self.groups.get(&group);
+        let known = group.and_then(|group| group.targets.get(&target.id));
         let known = known.map_or(0.0, |estimate| estimate.recent);
-        let bias = self.reporters.entry(reporter.cloned()).or_default();
-        bias.note(log_ratio - known, count, now);
+        let bias = self.reporters.entry(None).or_default();
+        bias.note(observed.0 - known, observed.1, now);
         if bias.is_slow() {
-            return false;
+            return;
         }
+        self.add(target, observed, now);
+        let unrelayed = self.unrelayed.entry(target.id.clone()).or_default();
+        unrelayed.add(observed.0, observed.1);
+    }
+
+    fn add(&mut self, target: &TargetRecord, observed: (f64, f64), now: MonoTime) {
+        let group = (target.service.clone(), target.stage);
+        let group = self.groups.entry(group).or_default();
         group.note(&target.id, observed, now);
-        if reporter.is_none() {
-            let unrelayed = self.unrelayed.entry(target.id.clone()).or_default();
-            unrelayed.add(log_ratio, count);
-        }
         let is_due = |at: MonoTime| now.since(at) >= REFRESH_INTERVAL;
         if self.last_refresh.is_none_or(is_due) {
             self.refresh(now);
         }
-        true
     }
 
     fn refresh(&mut self, now: MonoTime) {
--- a/src/gateway/fleet_tasks/demand_plan.rs
+++ b/src/gateway/fleet_tasks/demand_plan.rs
@@ -319,11 +319,11 @@
             })
             .collect();
         let missing = needed_reclaimable.saturating_sub(expected.iter().sum());
-        let missing = self.substitute_reclaimable(situation, missing, &mut goals);
+        let missing = self.substitute_reclaimable(situation, (missing, now), &mut goals);
         retain_surplus(situation, needed_reclaimable, &mut goals);
         let are_starting = self.are_starting(situation.rule, now);
         retain_on_demand(situation, (needed, are_starting), &mut goals);
-        self.substitute_on_demand(situation, (needed, missing), &mut goals);
+        self.substitute_on_demand(situation, (needed, missing), &mut goals, now);
         goals
     }
 
@@ -366,12 +366,19 @@
         self.refused.contains_key(kind)
     }
 
+    // Whether servers may be ordered as substitutes. A refusal counts for its delay only: the
+    // goal of a data centre that is left out gives no order that could clear the refusal.
+    fn has_delay(&self, kind: &ServerKind, now: MonoTime) -> bool {
+        let refused = self.refused.get(kind);
+        refused.is_some_and(|refused| now < refused.until)
+    }
+
     // Adds reclaimable servers in the data centres that have some available, evenly; returns
     // how many are still missing.
     fn substitute_reclaimable(
         &self,
         situation: &ServerSituation<'_>,
-        missing: u32,
+        (missing, now): (u32, MonoTime),
         goals: &mut [CentreGoal],
     ) -> u32 {
         if missing == 0 {
@@ -381,10 +388,11 @@
             .into_iter()
             .filter(|index| {
                 let centre = situation.centres[*index].centre.clone();
-                !self.is_refused(&ServerKind {
+                let kind = ServerKind {
                     centre,
                     reclaimable: true,
-                })
+                };
+                !self.has_delay(&kind, now)
             })
             .collect();
         let mut missing = missing;
@@ -405,6 +413,7 @@
         situation: &ServerSituation<'_>,
         (needed, missing): (u32, u32),
         goals: &mut [CentreGoal],
+        now: MonoTime,
     ) {
         let minimum = minimum_count(situation);
         let on_demand: u32 = goals.iter().map(|goal| goal.on_demand).sum();
@@ -417,7 +426,7 @@
                 centre: situation.centres[index].centre.clone(),
                 reclaimable: false,
             };
-            if self.is_refused(&kind) {
+            if self.has_delay(&kind, now) {
                 continue;
             }
             let goal = &mut goals[index];
--- a/src/gateway/plain_queue/ask.rs
+++ b/src/gateway/plain_queue/ask.rs
@@ -191,6 +191,9 @@
                 );
                 Err(Failure::refused(refusal_text(reason), retry_after))
             }
+            Some(TicketAnswer::Queued) | None if call.time_left().is_zero() => Err(
+                Failure::refused(refusal_text(RefusalReason::Late), RENEWAL_INTERVAL),
+            ),
             Some(TicketAnswer::Queued) | None => {
                 let mut queues = self.plain_queues.borrow_mut();
                 queues.gate(service).note_silence(clock::mono_now());
@@ -210,12 +213,13 @@
     ) -> Option<TicketAnswer> {
         let mut silent = 0;
         loop {
-            ticket.receiver = self.ticket_receiver(&ticket.service);
+            self.set_receiver(ticket);
             let request = TicketBody::Request(self.ticket_request(call, history));
             let number = (ticket.number, &ticket.service);
             let sent = self.send_ticket(ticket.receiver.as_ref(), number, request);
             let first = if sent {
-                timeout(RESPONSE_TIMEOUT, answers.recv()).await.ok()
+                let limit = RESPONSE_TIMEOUT.min(call.time_left());
+                timeout(limit, answers.recv()).await.ok()
             } else {
                 None
             };
@@ -239,6 +243,19 @@
         }
     }
 
+    // Chooses the daemon to ask. One that was asked before may answer late, so the ticket ends
+    // there; otherwise it would hold a slot until the request's deadline.
+    fn set_receiver(&self, ticket: &mut PlainTicket) {
+        let receiver = self.ticket_receiver(&ticket.service);
+        if let Some(earlier) = ticket.receiver.take()
+            && receiver.as_ref() != Some(&earlier)
+        {
+            let number = (ticket.number, &ticket.service);
+            self.send_ticket(Some(&earlier), number, TicketBody::from(TicketEnd::Other));
+        }
+        ticket.receiver = receiver;
+    }
+
     // Asks another daemon than the one that did not answer; returns false for the member of a
     // hub, which has no link to others.
     fn skip_owner(&self, ticket: &PlainTicket) -> bool {
--- a/src/gateway/plain_queue/exchange.rs
+++ b/src/gateway/plain_queue/exchange.rs
@@ -207,6 +207,7 @@
     fn handle_owned(&self, message: &TicketMessage) {
         let id = message.id();
         let time = self.queue_time();
+        let mut earlier = Vec::new();
         let answer = {
             let mut queues = self.plain_queues.borrow_mut();
             let owned = queues.owned.entry(message.service.clone()).or_default();
@@ -217,14 +218,21 @@
             } else if let TicketBody::Request(request) = &message.body {
                 self.update_targets(&message.service, &mut owned.queue);
                 end_older(&mut owned.queue, &id, request.oldest, time);
+                // Slots that became free go to the requests that wait for them.
+                earlier = owned.queue.advance(time);
                 if let Some(hub) = &message.hub {
                     owned.hubs.insert(id.clone(), hub.clone());
                 }
-                Some(owned.queue.request(&id, TicketTerms::from(request), time))
+                let terms = TicketTerms::from(request);
+                let is_known = owned.queue.has_usable(&terms.excluded);
+                is_known.then(|| owned.queue.request(&id, terms, time))
             } else {
                 None
             }
         };
+        for (id, answer) in earlier {
+            self.send_answer(&message.service, &id, answer);
+        }
         if let Some(answer) = answer {
             self.send_answer(&message.service, &id, answer);
         }
@@ -302,8 +310,8 @@
                             .any(|d| (&d.id, d.incarnation) == sender)
                             && peers.has_contact(&id.daemon, time.now))
                 };
-                owned.hubs.retain(|id, _| !is_gone(id));
                 owned.queue.end_where(is_gone, time.now);
+                owned.hubs.retain(|id, _| owned.queue.is_waiting(id));
                 self.update_targets(&service, &mut owned.queue);
             }
             self.advance_queue(&service, time);
--- a/src/gateway/plain_queue/owner.rs
+++ b/src/gateway/plain_queue/owner.rs
@@ -202,6 +202,7 @@
         self.demand.note(now);
         let returning = self.returns.is_due(&terms.work, now);
         if let Some(target) = self.free_target(&terms, now) {
+            self.returns.forget(&terms.work);
             self.rates[rate_index(terms.rank, returning)].note(now);
             return self.grant(id, &target, &terms, now);
         }
@@ -214,6 +215,7 @@
         if let Some(refusal) = self.check(&terms, (&request, returning), time) {
             return self.refuse(&terms, refusal, now);
         }
+        self.returns.forget(&terms.work);
         self.rates[rate_index(terms.rank, returning)].note(now);
         self.terms.insert(id.clone(), terms);
         match self.waiting.push(id.clone(), request) {
@@ -281,6 +283,19 @@
         answers
     }
 
+    /// Returns whether a target is known that may be granted. The owner may know the service by
+    /// an older view than the daemon that asks, which then decides by itself.
+    #[must_use]
+    pub fn has_usable(&self, excluded: &[TargetIncarnation]) -> bool {
+        self.targets.keys().any(|id| !excluded.contains(id))
+    }
+
+    /// Returns whether a ticket waits.
+    #[must_use]
+    pub fn is_waiting(&self, id: &TicketId) -> bool {
+        self.terms.contains_key(id)
+    }
+
     /// Returns the number of tickets of a rank that wait.
     #[must_use]
     pub fn waiting_of(&self, rank: u8) -> usize {
@@ -422,7 +437,22 @@
             phase: terms.work.phase(),
         };
         let window = AdmissionWindow::new(time.fleet, terms.time_limit);
-        decide(&request, &capacity, &window)
+        let decision = decide(&request, &capacity, &window);
+        let AdmissionDecision::Refuse {
+            reason,
+            expected_ms,
+            ..
+        } = decision
+        else {
+            return decision;
+        };
+        // The caller may return until its deadline, which is later than the longest wait here.
+        let earliest_ms = expected_ms - self.wait_limit(terms).as_secs_f64() * 1_000.0;
+        AdmissionDecision::Refuse {
+            reason,
+            retry_after: window.retry_after(request.phase, 0.0, earliest_ms, terms.time_left),
+            expected_ms,
+        }
     }
 
     fn refuse_waiting(&mut self, terms: &TicketTerms, time: QueueTime) -> TicketAnswer {
--- a/src/gateway/plain_queue/returns.rs
+++ b/src/gateway/plain_queue/returns.rs
@@ -50,6 +50,12 @@
         self.due.get(work).is_some_and(is_in_time)
     }
 
+    /// Forgets a refusal whose caller is served now: another request of the same work is a first
+    /// attempt.
+    pub fn forget(&mut self, work: &SuspectDigest) {
+        self.due.swap_remove(work);
+    }
+
     /// Returns the number of remembered refusals.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/gateway/plain_queue/wire.rs
+++ b/src/gateway/plain_queue/wire.rs
@@ -8,6 +8,9 @@
 use crate::names::{DaemonId, ServiceName};
 use crate::target_incarnation::TargetIncarnation;
 
+/// Longest time of a request that is accepted from another daemon, in milliseconds.
+const MAX_TAKEN_MS: f64 = 60_000.0;
+
 /// A message about one ticket.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct TicketMessage {
@@ -134,8 +137,10 @@
     #[must_use]
     pub fn end(&self) -> Option<TicketEnd> {
         match self {
-            Self::Ended(Some(taken_ms)) => Some(TicketEnd::Answered(*taken_ms)),
-            Self::Ended(None) => Some(TicketEnd::Other),
+            Self::Ended(Some(taken_ms)) if taken_ms.is_finite() && *taken_ms >= 0.0 => {
+                Some(TicketEnd::Answered(taken_ms.min(MAX_TAKEN_MS)))
+            }
+            Self::Ended(_) => Some(TicketEnd::Other),
             Self::Full => Some(TicketEnd::Full),
             _ => None,
         }
