--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -3,6 +3,7 @@
 use std::fs::{self, File};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -24,8 +25,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64, third: u64, fourth: u64, fifth: u64) -> i32;
 }
 
+/// Option by which a process gets a signal when the thread that started it ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 /// What was sent, answered and run, with the time since the start.
 #[derive(Clone)]
 pub struct Record {
@@ -168,6 +173,14 @@
             }
         }
         command.stdin(Stdio::null()).stdout(output).stderr(errors);
+        // No process is left behind if the case itself is killed.
+        // SAFETY: the call between fork and exec allocates nothing.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64, 0, 0, 0);
+                Ok(())
+            });
+        }
         self.child = Some(command.spawn().expect("the deployed program starts"));
         self.record.write(&format!("{name} started"));
     }
