Review case 3: a window of usage is reported with two numbers after a drill

Cause: after the store comes back from an older copy, the holder of the duties reads the older ledger and counts a window anew that the platform has already accepted; counts that arrived meanwhile change the number.

--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -81,6 +81,18 @@
     }
 }
 
+impl Machine {
+    /// Address that other machines of the system connect to.
+    pub fn peers(&self) -> SocketAddr {
+        SocketAddr::from(([127, 0, 0, 1], self.internal.0))
+    }
+
+    /// Address at which other machines hand requests over.
+    pub fn handovers(&self) -> SocketAddr {
+        SocketAddr::from(([127, 0, 0, 1], self.internal.0 + 2))
+    }
+}
+
 // Returns the first of sixteen free ports. Each run begins at another place.
 fn free_range(index: u16) -> u16 {
     let seed = (std::process::id() as u16 % 300) * 40;
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -61,18 +61,24 @@
         store
     }
 
-    /// Serves the same store at another address, through which it can be made to fail alone.
-    pub fn door(&self) -> (SocketAddr, Arc<Mutex<Mode>>) {
+    /// Serves the same store at another address, where each first text of `replaced` in an answer
+    /// is replaced by the second: the machine that is given this address reaches others by a proxy.
+    pub fn door(&self, replaced: Vec<(String, String)>) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let mode = Arc::new(Mutex::new(Mode::Sound));
-        let (server, own) = (self.clone(), mode.clone());
-        let handler = move |request: &Message| {
-            let mode = *own.lock().unwrap();
-            refuse(mode).unwrap_or_else(|| server.reply(request))
+        let server = self.clone();
+        let handler = move |request: &Message| match server.reply(request) {
+            Reply::Answer(status, headers, body) => {
+                let mut text = String::from_utf8_lossy(&body).into_owned();
+                for (from, to) in &replaced {
+                    text = text.replace(&format!("\"{from}\""), &format!("\"{to}\""));
+                }
+                Reply::Answer(status, headers, text.into_bytes())
+            }
+            other => other,
         };
         http::serve(listener, Arc::new(handler));
-        (address, mode)
+        address
     }
 
     pub fn set_mode(&self, mode: Mode) {
