--- a/review/1/main.rs
+++ b/review/1/main.rs
@@ -62,12 +62,17 @@
     for node in &mut nodes {
         node.start(true);
     }
-    if !nodes.iter().all(|node| node.wait_ready(Duration::from_secs(10))) {
-        return Err("the processes are not ready".to_owned());
-    }
+    fleet::wait_all_ready(&mut nodes)?;
     sleep(Duration::from_secs(2));
     let directories: Vec<SocketAddr> = nodes.iter().map(|node| node.machine.directory).collect();
-    let clients = Clients::start(directories, "hall-b", "/read/", Some("north-key"), 10, record);
+    let clients = Clients::start(
+        directories,
+        "hall-b",
+        "/read/",
+        Some("north-key"),
+        10,
+        record,
+    );
 
     let count = || reports.lock().unwrap().len();
     if !wait_for(Duration::from_secs(30), || count() >= 2) {
@@ -76,7 +81,9 @@
     let holder = reports.lock().unwrap()[0].holder.clone();
     // Planned work: the holder is stopped and started again.
     let at = nodes.iter().position(|node| node.machine.name == holder);
-    let Some(at) = at else { return Err("the holder is unknown".to_owned()) };
+    let Some(at) = at else {
+        return Err("the holder is unknown".to_owned());
+    };
     let stopped = Instant::now();
     nodes[at].signal(SIGTERM);
     nodes[at].wait_end(Duration::from_secs(8));
@@ -85,22 +92,31 @@
 
     let by_successor = || {
         let reports = reports.lock().unwrap();
-        reports.iter().find(|r| r.holder != holder && r.at > stopped).cloned()
+        reports
+            .iter()
+            .find(|r| r.holder != holder && r.at > stopped)
+            .cloned()
     };
     if !wait_for(Duration::from_secs(25), || by_successor().is_some()) {
         return Err("no successor reported usage".to_owned());
     }
     let first = by_successor().expect("a report of the successor");
-    record.write(&format!("{} has taken over with token {}", first.holder, first.token));
+    record.write(&format!(
+        "{} has taken over with token {}",
+        first.holder, first.token
+    ));
 
     let mut excused = None;
     if trouble {
         // The newest copy without the successor's lease.
         let leases = store.history("leases", "duties");
         let held = leases.iter().find(|(_, spec)| {
-            spec.as_ref().is_some_and(|spec| spec.to_string().contains(&format!("\"{}\"", first.holder)))
+            spec.as_ref()
+                .is_some_and(|spec| spec.to_string().contains(&format!("\"{}\"", first.holder)))
         });
-        let Some((taken, _)) = held else { return Err("the successor's lease was not found".to_owned()) };
+        let Some((taken, _)) = held else {
+            return Err("the successor's lease was not found".to_owned());
+        };
         let copy = *taken - Duration::from_millis(1);
         let began = Instant::now();
         store.set_mode(Mode::Busy);
@@ -114,7 +130,10 @@
         store.put("config", "main", &duties::config());
         store.set_mode(Mode::Sound);
         let back = Instant::now();
-        record.write(&format!("the store is back from a copy that is {:.1} s old", age.as_secs_f64()));
+        record.write(&format!(
+            "the store is back from a copy that is {:.1} s old",
+            age.as_secs_f64()
+        ));
         excused = Some((began, back + STABLE));
     } else {
         sleep(AWAY);
@@ -132,7 +151,17 @@
         record.write(&format!("broken: {line}"));
         println!("broken: {line}");
     }
-    let answered = clients.attempts.lock().unwrap().iter().filter(|a| a.status == 200).count();
-    println!("{} reports, {answered} requests answered, {} violations", reports.len(), found.len());
+    let answered = clients
+        .attempts
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|a| a.status == 200)
+        .count();
+    println!(
+        "{} reports, {answered} requests answered, {} violations",
+        reports.len(),
+        found.len()
+    );
     Ok(i32::from(!found.is_empty()))
 }
--- a/review/3/main.rs
+++ b/review/3/main.rs
@@ -75,9 +75,13 @@
         let peers = machines.iter().enumerate();
         let peers = peers.filter(|(to, _)| *to != from && (*to == last || from == last));
         let proxied = peers.flat_map(|(_, machine)| [machine.peers(), machine.handovers()]);
-        proxied.map(|at| (at.to_string(), Proxy::start(at, &cut).address.to_string())).collect()
+        proxied
+            .map(|at| (at.to_string(), Proxy::start(at, &cut).address.to_string()))
+            .collect()
     };
-    let doors: Vec<SocketAddr> = (0..machines.len()).map(|from| store.door(replaced(from))).collect();
+    let doors: Vec<SocketAddr> = (0..machines.len())
+        .map(|from| store.door(replaced(from)))
+        .collect();
     let mut nodes: Vec<Node> = machines
         .iter()
         .zip(doors)
@@ -86,14 +90,21 @@
     for node in &mut nodes {
         node.start(true);
     }
-    if !nodes.iter().all(|node| node.wait_ready(Duration::from_secs(10))) {
-        return Err("the processes are not ready".to_owned());
-    }
+    fleet::wait_all_ready(&mut nodes)?;
     sleep(Duration::from_secs(2));
     let directories: Vec<SocketAddr> = nodes.iter().map(|node| node.machine.directory).collect();
     let clients: Vec<Clients> = zones
         .iter()
-        .map(|zone| Clients::start(directories.clone(), zone, "/read/", Some("north-key"), 10, record))
+        .map(|zone| {
+            Clients::start(
+                directories.clone(),
+                zone,
+                "/read/",
+                Some("north-key"),
+                10,
+                record,
+            )
+        })
         .collect();
 
     let count = || reports.lock().unwrap().len();
@@ -101,7 +112,7 @@
         return Err("no usage was reported".to_owned());
     }
     let holder = reports.lock().unwrap()[0].holder.clone();
-        if nodes[last].machine.name == holder {
+    if nodes[last].machine.name == holder {
         return Err("the last machine holds the duties".to_owned());
     }
     // The last machine is cut off from the others; clients, servers and the store reach it.
@@ -109,7 +120,10 @@
     let window = now_ms() / WINDOW.as_millis() as u64;
     if trouble {
         cut.store(true, Ordering::Relaxed);
-        record.write(&format!("{} is cut off from the other machines", nodes[last].machine.name));
+        record.write(&format!(
+            "{} is cut off from the other machines",
+            nodes[last].machine.name
+        ));
     }
     sleep(CUT);
     cut.store(false, Ordering::Relaxed);
@@ -126,7 +140,8 @@
         let ledger = store.history("pistachiowick-duties", "usage");
         let key = format!("\"{window}\"");
         let recorded = ledger.iter().find(|(_, spec)| {
-            spec.as_ref().is_some_and(|spec| spec.to_string().contains(&key))
+            spec.as_ref()
+                .is_some_and(|spec| spec.to_string().contains(&key))
         });
         let Some((recorded, _)) = recorded else {
             return Err("the record of the window was not found".to_owned());
@@ -144,7 +159,10 @@
         store.put("config", "main", &duties::config());
         store.set_mode(Mode::Sound);
         let back = Instant::now();
-        record.write(&format!("the store is back from a copy that is {:.1} s old", age.as_secs_f64()));
+        record.write(&format!(
+            "the store is back from a copy that is {:.1} s old",
+            age.as_secs_f64()
+        ));
         excused = Some((began, back + STABLE));
     } else {
         sleep(AWAY);
@@ -162,13 +180,29 @@
         record.write(&format!("broken: {line}"));
         println!("broken: {line}");
     }
-    let answered: usize = clients.iter().map(|c| c.attempts.lock().unwrap().iter().filter(|a| a.status == 200).count()).sum();
-    println!("{} reports, {answered} requests answered, {} violations", reports.len(), found.len());
+    let answered: usize = clients
+        .iter()
+        .map(|c| {
+            c.attempts
+                .lock()
+                .unwrap()
+                .iter()
+                .filter(|a| a.status == 200)
+                .count()
+        })
+        .sum();
+    println!(
+        "{} reports, {answered} requests answered, {} violations",
+        reports.len(),
+        found.len()
+    );
     Ok(i32::from(!found.is_empty()))
 }
 
 fn now_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     now.as_millis() as u64
 }
 
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -17,8 +17,6 @@
 
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
 
 /// Program and variable of the deploy file.
 const PROGRAM: &str = "target/release/pistachiowick-node";
@@ -41,7 +39,10 @@
 impl Record {
     pub fn create(folder: &Path) -> Self {
         let file = File::create(folder.join("record.txt")).expect("record.txt can be written");
-        Self { file: Arc::new(Mutex::new(file)), start: Instant::now() }
+        Self {
+            file: Arc::new(Mutex::new(file)),
+            start: Instant::now(),
+        }
     }
 
     pub fn write(&self, line: &str) {
@@ -95,7 +96,7 @@
 
 // Returns the first of sixteen free ports. Each run begins at another place.
 fn free_range(index: u16) -> u16 {
-    let seed = (std::process::id() as u16 % 300) * 40;
+    let seed = (std::process::id() % 200) as u16 * 64;
     for round in 0..200_u16 {
         let first = 18_000 + (seed + index * 20 + round * 160) % 13_000;
         let free = |port: &u16| TcpListener::bind(("127.0.0.1", *port)).is_ok();
@@ -148,8 +149,19 @@
 
     // The template `deploy/settings.json`, filled in.
     fn settings(&self, first_start: bool) -> String {
-        let Machine { name, zone, callers, readiness, directory, internal } = &self.machine;
-        let Deployment { bounds, duties, limits } = &self.deployment;
+        let Machine {
+            name,
+            zone,
+            callers,
+            readiness,
+            directory,
+            internal,
+        } = &self.machine;
+        let Deployment {
+            bounds,
+            duties,
+            limits,
+        } = &self.deployment;
         let (store, (first, last)) = (self.store, internal);
         format!(
             r#"{{
@@ -201,7 +213,8 @@
         if let Some(child) = &self.child {
             // SAFETY: the process was started here and is not waited for elsewhere.
             unsafe { kill(child.id() as i32, signal) };
-            self.record.write(&format!("{} gets signal {signal}", self.machine.name));
+            self.record
+                .write(&format!("{} gets signal {signal}", self.machine.name));
         }
     }
 
@@ -221,12 +234,10 @@
         self.record.write(&format!("{} ended", self.machine.name));
     }
 
-    pub fn pid(&self) -> u32 {
-        self.child.as_ref().map_or(0, Child::id)
-    }
-
     pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))))
+        self.child
+            .as_mut()
+            .is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))))
     }
 
     pub fn is_ready(&self) -> bool {
@@ -269,7 +280,24 @@
     };
     let body = Json::parse(&page.body_text()).unwrap_or(Json::Null);
     let addresses = body.get("addresses").map_or(&[][..], Json::items);
-    addresses.iter().filter_map(|a| a.text()?.parse().ok()).collect()
+    addresses
+        .iter()
+        .filter_map(|a| a.text()?.parse().ok())
+        .collect()
+}
+
+/// Waits until all machines are ready.
+///
+/// # Errors
+///
+/// Returns why the case cannot run: a process that ended may have found its ports taken.
+pub fn wait_all_ready(nodes: &mut [Node]) -> Result<(), String> {
+    for node in nodes {
+        if !node.wait_ready(Duration::from_secs(10)) || node.has_ended() {
+            return Err(format!("{} is not ready", node.machine.name));
+        }
+    }
+    Ok(())
 }
 
 pub fn wait_for(limit: Duration, condition: impl Fn() -> bool) -> bool {
@@ -297,7 +325,14 @@
 }
 
 impl Server {
-    pub fn start(id: &str, service: &str, zone: &str, store: &Store, work: Duration, record: &Record) -> Self {
+    pub fn start(
+        id: &str,
+        service: &str,
+        zone: &str,
+        store: &Store,
+        work: Duration,
+        record: &Record,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let server = Self {
             id: id.to_owned(),
@@ -310,7 +345,10 @@
             sequence: Arc::default(),
         };
         let (running, log) = (server.clone(), record.clone());
-        http::serve(listener, Arc::new(move |request| running.answer(request, work, &log)));
+        http::serve(
+            listener,
+            Arc::new(move |request| running.answer(request, work, &log)),
+        );
         let (beating, store) = (server.clone(), store.clone());
         thread::spawn(move || {
             while !beating.gone.load(Ordering::Relaxed) {
@@ -327,12 +365,25 @@
             return Reply::Answer(200, vec![header("X-Instance-Id", &self.id)], Vec::new());
         }
         let attempt = request.header("x-attempt-id").unwrap_or("").to_owned();
-        if request.header("x-expect-instance").is_some_and(|expected| expected != self.id) {
-            let headers = vec![header("X-Instance-Id", &self.id), header("X-Attempt-Id", &attempt)];
+        if request
+            .header("x-expect-instance")
+            .is_some_and(|expected| expected != self.id)
+        {
+            let headers = vec![
+                header("X-Instance-Id", &self.id),
+                header("X-Attempt-Id", &attempt),
+            ];
             return Reply::Answer(421, headers, Vec::new());
         }
-        record.write(&format!("{} runs {attempt} for tenant {}", self.id, request.header("x-tenant").unwrap_or("-")));
-        self.runs.lock().unwrap().push((Instant::now(), attempt.clone()));
+        record.write(&format!(
+            "{} runs {attempt} for tenant {}",
+            self.id,
+            request.header("x-tenant").unwrap_or("-")
+        ));
+        self.runs
+            .lock()
+            .unwrap()
+            .push((Instant::now(), attempt.clone()));
         thread::sleep(work);
         let headers = vec![
             header("X-Attempt-Id", &attempt),
@@ -344,8 +395,17 @@
     /// Writes the entry, as the server does at its start and with each heartbeat.
     pub fn beat(&self, store: &Store) {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
-        let state = if self.draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
-        let Self { service, zone, address, .. } = self;
+        let state = if self.draining.load(Ordering::Relaxed) {
+            "draining"
+        } else {
+            "ready"
+        };
+        let Self {
+            service,
+            zone,
+            address,
+            ..
+        } = self;
         store.put("servers", &self.id, &Json::of(&format!(
             r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":6,"state":"{state}","coldLeftMs":0,"sequence":{sequence}}}"#
         )));
@@ -367,10 +427,23 @@
 }
 
 impl Clients {
-    pub fn start(directories: Vec<SocketAddr>, zone: &str, path: &str, key: Option<&str>, per_s: u32, record: &Record) -> Self {
+    pub fn start(
+        directories: Vec<SocketAddr>,
+        zone: &str,
+        path: &str,
+        key: Option<&str>,
+        per_s: u32,
+        record: &Record,
+    ) -> Self {
         let attempts: Arc<Mutex<Vec<Attempt>>> = Arc::default();
         let stop: Arc<AtomicBool> = Arc::default();
-        let (all, ended, record, zone, path) = (attempts.clone(), stop.clone(), record.clone(), zone.to_owned(), path.to_owned());
+        let (all, ended, record, zone, path) = (
+            attempts.clone(),
+            stop.clone(),
+            record.clone(),
+            zone.to_owned(),
+            path.to_owned(),
+        );
         let key = key.map_or(String::new(), |key| format!("X-Api-Key: {key}\r\n"));
         thread::spawn(move || {
             let mut number = 0_u64;
@@ -391,7 +464,9 @@
                 }
                 let address = known[number as usize % known.len()];
                 let id = format!("{zone}-{number}");
-                let head = format!("GET {path}{number} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 1500\r\n{key}Connection: close\r\n");
+                let head = format!(
+                    "GET {path}{number} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 1500\r\n{key}Connection: close\r\n"
+                );
                 let (all, record) = (all.clone(), record.clone());
                 thread::spawn(move || {
                     let sent = Instant::now();
@@ -421,7 +496,14 @@
 }
 
 impl Visitors {
-    pub fn start(directories: Vec<SocketAddr>, zone: &str, path: &str, count: u32, stay: Duration, record: &Record) -> Self {
+    pub fn start(
+        directories: Vec<SocketAddr>,
+        zone: &str,
+        path: &str,
+        count: u32,
+        stay: Duration,
+        record: &Record,
+    ) -> Self {
         let attempts: Arc<Mutex<Vec<Attempt>>> = Arc::default();
         let stop: Arc<AtomicBool> = Arc::default();
         for place in 0..count {
@@ -434,7 +516,16 @@
                 while !ended.load(Ordering::Relaxed) {
                     number += 1;
                     let name = format!("client-{place}-{number}");
-                    visit(&name, &directories, &zone, &path, life, &all, &ended, &record);
+                    visit(
+                        &name,
+                        &directories,
+                        &zone,
+                        &path,
+                        life,
+                        &all,
+                        &ended,
+                        &record,
+                    );
                     life = stay;
                 }
             });
@@ -448,14 +539,27 @@
 }
 
 #[allow(clippy::too_many_arguments)]
-fn visit(name: &str, directories: &[SocketAddr], zone: &str, path: &str, life: Duration, all: &Mutex<Vec<Attempt>>, ended: &AtomicBool, record: &Record) {
+fn visit(
+    name: &str,
+    directories: &[SocketAddr],
+    zone: &str,
+    path: &str,
+    life: Duration,
+    all: &Mutex<Vec<Attempt>>,
+    ended: &AtomicBool,
+    record: &Record,
+) {
     let born = Instant::now();
     let mut known: Vec<SocketAddr> = Vec::new();
     let mut asked: Option<Instant> = None;
     let mut number = 0;
     while born.elapsed() < life && !ended.load(Ordering::Relaxed) {
         if asked.is_none_or(|at| at.elapsed() > Duration::from_secs(2)) {
-            let fresh = directories.iter().take(3).map(|d| resolve(*d, zone)).find(|a| !a.is_empty());
+            let fresh = directories
+                .iter()
+                .take(3)
+                .map(|d| resolve(*d, zone))
+                .find(|a| !a.is_empty());
             match fresh {
                 Some(fresh) => {
                     known = fresh;
@@ -472,11 +576,18 @@
         } else {
             let address = known[number % known.len()];
             record.write(&format!("{name} sends {id} to {address}"));
-            let head = format!("GET {path}{number} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 1500\r\nConnection: close\r\n");
+            let head = format!(
+                "GET {path}{number} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 1500\r\nConnection: close\r\n"
+            );
             let answer = http::call(address, &head, b"", Duration::from_millis(2_000));
-            let whole = answer.as_ref().is_ok_and(|a| a.header("x-instance-stamp").is_some() && a.body.len() == 800);
+            let whole = answer
+                .as_ref()
+                .is_ok_and(|a| a.header("x-instance-stamp").is_some() && a.body.len() == 800);
             let status = answer.as_ref().map_or(0, Message::status);
-            record.write(&format!("{name} gets {} for {id}", answer.map_or_else(|e| e, |a| a.status().to_string())));
+            record.write(&format!(
+                "{name} gets {} for {id}",
+                answer.map_or_else(|e| e, |a| a.status().to_string())
+            ));
             if status == 200 && !whole { 0 } else { status }
         };
         all.lock().unwrap().push(Attempt { sent, id, status });
