--- a/review/standins/duties.rs
+++ b/review/standins/duties.rs
@@ -41,7 +41,11 @@
         };
         record.write(&format!(
             "platform gets {} of window {} from {} with token {}: {}",
-            request.path(), report.window, report.holder, report.token, report.counts
+            request.path(),
+            report.window,
+            report.holder,
+            report.token,
+            report.counts
         ));
         reports.lock().unwrap().push(report);
         Reply::Answer(200, Vec::new(), b"{}".to_vec())
@@ -75,7 +79,8 @@
 
 /// Returns the reports that count: not those from the start of a drill until the store is stable.
 pub fn counted(reports: &[Report], excused: Option<(Instant, Instant)>) -> Vec<Report> {
-    let counts = |report: &&Report| excused.is_none_or(|(from, to)| report.at < from || report.at > to);
+    let counts =
+        |report: &&Report| excused.is_none_or(|(from, to)| report.at < from || report.at > to);
     reports.iter().filter(counts).cloned().collect()
 }
 
@@ -86,12 +91,14 @@
         for earlier in &reports[..index] {
             if earlier.token == later.token && earlier.holder != later.holder {
                 found.push(format!(
-                    "two holders sent token {}: {} and later {}", later.token, earlier.holder, later.holder
+                    "two holders sent token {}: {} and later {}",
+                    later.token, earlier.holder, later.holder
                 ));
             }
             if earlier.token > later.token {
                 found.push(format!(
-                    "token {} of {} came after token {} of {}", later.token, later.holder, earlier.token, earlier.holder
+                    "token {} of {} came after token {} of {}",
+                    later.token, later.holder, earlier.token, earlier.holder
                 ));
             }
         }
@@ -99,7 +106,10 @@
     for three in reports.windows(3) {
         let [a, b, c] = three else { continue };
         if a.holder == c.holder && a.holder != b.holder && c.at - a.at < LEASE {
-            found.push(format!("{}, {} and {} acted within a lease", a.holder, b.holder, c.holder));
+            found.push(format!(
+                "{}, {} and {} acted within a lease",
+                a.holder, b.holder, c.holder
+            ));
         }
     }
     found.dedup();
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -16,7 +16,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -87,7 +90,11 @@
 }
 
 /// Reads one message; `None` if the connection ends before its end.
-pub fn read_message(stream: &mut TcpStream, pending: &mut Vec<u8>, request: bool) -> Option<Message> {
+pub fn read_message(
+    stream: &mut TcpStream,
+    pending: &mut Vec<u8>,
+    request: bool,
+) -> Option<Message> {
     let end = loop {
         if let Some(at) = find(pending, b"\r\n\r\n") {
             break at;
@@ -104,11 +111,17 @@
         .filter_map(|line| line.split_once(':'))
         .map(|(n, v)| (n.trim().to_owned(), v.trim().to_owned()))
         .collect();
-    let mut message = Message { start, headers, body: Vec::new() };
+    let mut message = Message {
+        start,
+        headers,
+        body: Vec::new(),
+    };
     let chunked = message
         .header("transfer-encoding")
         .is_some_and(|v| v.to_ascii_lowercase().contains("chunked"));
-    let length = message.header("content-length").and_then(|v| v.parse::<usize>().ok());
+    let length = message
+        .header("content-length")
+        .and_then(|v| v.parse::<usize>().ok());
     if chunked {
         message.body = read_chunks(stream, pending)?;
     } else if let Some(length) = length {
@@ -163,7 +176,9 @@
 }
 
 fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes.windows(pattern.len()).position(|window| window == pattern)
+    bytes
+        .windows(pattern.len())
+        .position(|window| window == pattern)
 }
 
 /// Sends one request on a connection of its own and reads the answer.
@@ -180,7 +195,9 @@
     let mut bytes = head.as_bytes().to_vec();
     bytes.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
     bytes.extend_from_slice(body);
-    stream.write_all(&bytes).map_err(|error| format!("not written: {error}"))?;
+    stream
+        .write_all(&bytes)
+        .map_err(|error| format!("not written: {error}"))?;
     let answer = read_message(&mut stream, &mut Vec::new(), false);
     answer.ok_or_else(|| "closed without an answer".to_owned())
 }
--- a/review/standins/json.rs
+++ b/review/standins/json.rs
@@ -145,7 +145,8 @@
 
 fn number(bytes: &[u8], at: &mut usize) -> Option<Json> {
     let start = *at;
-    while *at < bytes.len() && matches!(bytes[*at], b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E') {
+    while *at < bytes.len() && matches!(bytes[*at], b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E')
+    {
         *at += 1;
     }
     let text = std::str::from_utf8(&bytes[start..*at]).ok()?;
--- a/review/standins/proxy.rs
+++ b/review/standins/proxy.rs
@@ -18,7 +18,10 @@
     pub fn start(target: SocketAddr, cut: &Arc<AtomicBool>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let proxy = Self { address, cut: cut.clone() };
+        let proxy = Self {
+            address,
+            cut: cut.clone(),
+        };
         let serving = proxy.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -31,8 +34,12 @@
 
     fn pass(&self, from: TcpStream, target: SocketAddr) {
         self.wait();
-        let Ok(to) = TcpStream::connect(target) else { return };
-        let (Ok(from_back), Ok(to_back)) = (from.try_clone(), to.try_clone()) else { return };
+        let Ok(to) = TcpStream::connect(target) else {
+            return;
+        };
+        let (Ok(from_back), Ok(to_back)) = (from.try_clone(), to.try_clone()) else {
+            return;
+        };
         let back = self.clone();
         thread::spawn(move || back.copy(to_back, from_back));
         self.copy(from, to);
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -55,7 +55,10 @@
             objects: BTreeMap::new(),
             log: Vec::new(),
         };
-        let store = Store { address, state: Arc::new((Mutex::new(state), Condvar::new())) };
+        let store = Store {
+            address,
+            state: Arc::new((Mutex::new(state), Condvar::new())),
+        };
         let server = store.clone();
         http::serve(listener, Arc::new(move |request| server.reply(request)));
         store
@@ -206,7 +209,11 @@
         };
         let metadata = body.get("metadata").cloned().unwrap_or(Json::Null);
         let is_new = name.is_none();
-        let named = metadata.get("name").and_then(Json::text).unwrap_or("").to_owned();
+        let named = metadata
+            .get("name")
+            .and_then(Json::text)
+            .unwrap_or("")
+            .to_owned();
         let key = (kind, name.unwrap_or(named));
         let expected = metadata.get("revision").and_then(Json::number);
         let spec = body.get("spec").cloned().unwrap_or(Json::Null);
@@ -286,7 +293,12 @@
         Some(spec) => state.objects.insert(key.clone(), (revision, spec.clone())),
         None => state.objects.remove(&key),
     };
-    state.log.push(Change { at: Instant::now(), revision, key, spec });
+    state.log.push(Change {
+        at: Instant::now(),
+        revision,
+        key,
+        spec,
+    });
     revision
 }
 
@@ -312,5 +324,7 @@
 
 fn number(query: &str, name: &str) -> Option<u64> {
     let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.find(|(found, _)| *found == name).and_then(|(_, value)| value.parse().ok())
+    pairs
+        .find(|(found, _)| *found == name)
+        .and_then(|(_, value)| value.parse().ok())
 }
