--- a/review/1/main.rs
+++ b/review/1/main.rs
@@ -1,15 +1,15 @@
 //! The holder of the duties is restarted as planned, its successor reports usage, and then the
 //! store comes back from an older copy.
 
-#[path = "../standins/duties.rs"]
+#[path = "../duties.rs"]
 mod duties;
-#[path = "../standins/fleet.rs"]
+#[path = "../fleet.rs"]
 mod fleet;
-#[path = "../standins/http.rs"]
+#[path = "../http.rs"]
 mod http;
-#[path = "../standins/json.rs"]
+#[path = "../json.rs"]
 mod json;
-#[path = "../standins/store.rs"]
+#[path = "../store.rs"]
 mod store;
 
 use std::net::SocketAddr;
--- a/review/3/main.rs
+++ b/review/3/main.rs
@@ -1,17 +1,17 @@
 //! A machine is cut off from the others at the end of a window, whose usage is reported without its last
 //! requests. Once the cut has healed, the store comes back from a copy without the record of that report.
 
-#[path = "../standins/duties.rs"]
+#[path = "../duties.rs"]
 mod duties;
-#[path = "../standins/fleet.rs"]
+#[path = "../fleet.rs"]
 mod fleet;
-#[path = "../standins/http.rs"]
+#[path = "../http.rs"]
 mod http;
-#[path = "../standins/json.rs"]
+#[path = "../json.rs"]
 mod json;
-#[path = "../standins/proxy.rs"]
+#[path = "../proxy.rs"]
 mod proxy;
-#[path = "../standins/store.rs"]
+#[path = "../store.rs"]
 mod store;
 
 use std::net::SocketAddr;
