Fences rise over restores of the store, and a new era ends every lease

Cause: LeaseTable takes the next fence, and who holds the lease, from the record of the restored copy. Both are those of some seconds earlier. A daemon's memory of the higher fence doesn't help where that daemon is gone as well. Change: the era of the store is the upper part of a fence, so that all fences of an era are above those of the eras before without any memory. A new era ends each lease held, at the next check of the authority. A record of an earlier era, or none, is waited for like a holder that was just seen, except for the first holder of a new fleet. A lease whose object is missing is taken again. The orders to engines use the same table; they are checked against the era once more right before they are sent.

--- a/src/authority/lease.rs
+++ b/src/authority/lease.rs
@@ -5,6 +5,10 @@
 //! wall clocks: they take over once the record has stayed unchanged, by their own
 //! monotonic clock, for the duration of a lease plus the longest time that an order may
 //! be in flight.
+//!
+//! A store that is restored from an older copy loses the newest records. Its new era ends every
+//! lease held; a record of an earlier era, or none, does not show who held the lease before, so
+//! that a daemon waits as for a holder that it has just seen.
 
 use std::time::Duration;
 
@@ -31,6 +35,10 @@
     incarnation: ProcessIncarnation,
     times: LeaseTimes,
     groups: IndexMap<GroupName, GroupLease>,
+    // Newest known era of the store; `None` before its first answer.
+    era: Option<u64>,
+    // Whether nobody can have held a lease before the first known era.
+    is_new_fleet: bool,
     write_count: u64,
     stopping: bool,
     changes: Vec<LeaseChange>,
@@ -45,12 +53,80 @@
             incarnation,
             times,
             groups: IndexMap::new(),
+            era: None,
+            is_new_fleet: false,
             write_count: 0,
             stopping: false,
             changes: Vec::new(),
         }
     }
 
+    /// Creates the table of a daemon that starts together with its fleet, before which nobody
+    /// has held a lease.
+    #[must_use]
+    pub fn of_new_fleet(
+        daemon_id: DaemonId,
+        incarnation: ProcessIncarnation,
+        times: LeaseTimes,
+    ) -> Self {
+        Self {
+            is_new_fleet: true,
+            ..Self::new(daemon_id, incarnation, times)
+        }
+    }
+
+    /// Records the newest era of the store that is known.
+    ///
+    /// A new era ends every lease held: its record may be lost.
+    pub fn note_era(&mut self, era: u64) {
+        let Some(known) = self.era else {
+            self.era = Some(era);
+            return;
+        };
+        if era <= known {
+            return;
+        }
+        self.era = Some(era);
+        self.is_new_fleet = false;
+        let names: Vec<GroupName> = self.groups.keys().cloned().collect();
+        for group in names {
+            self.forget_record(&group);
+        }
+    }
+
+    fn forget_record(&mut self, group: &GroupName) {
+        let Some(lease) = self.groups.get_mut(group) else {
+            return;
+        };
+        lease.observed = None;
+        lease.absent_since = None;
+        lease.must_read = true;
+        lease.releasing = false;
+        // Writes sent before may take effect in the new era, under a fence of the earlier one.
+        lease.sent.clear();
+        if lease.held.take().is_some() {
+            let reason = "the store was restored from an older copy".to_owned();
+            self.record_change(group, false, reason);
+        }
+    }
+
+    /// Returns whether this daemon holds a group's lease as the first holder ever.
+    #[must_use]
+    pub fn is_first_holder(&self, group: &GroupName) -> bool {
+        let held = self.groups.get(group).and_then(|lease| lease.held);
+        held.is_some_and(|held| held.fence == self.first_fence()) && self.proves_absence()
+    }
+
+    fn first_fence(&self) -> FenceNumber {
+        FenceNumber::first_in(self.era.unwrap_or(0))
+    }
+
+    // Whether the absence of a record shows that nobody has held the lease, as the store has
+    // lost nothing since the fleet started.
+    fn proves_absence(&self) -> bool {
+        self.is_new_fleet || self.era.unwrap_or(0) == 0
+    }
+
     /// Sets the groups that this daemon is a candidate for, with its rank in each; rank
     /// 0 should hold the lease.
     ///
@@ -239,22 +315,26 @@
             return false;
         }
         let rank_delay = self.times.duration * u32::try_from(rank).unwrap_or(u32::MAX);
+        let expiry_wait = self.times.duration + self.times.max_order_flight + rank_delay / 4;
         let Some(observed) = &lease.observed else {
-            return lease
-                .absent_since
-                .is_some_and(|since| now.since(since) >= rank_delay);
+            let wait = if self.proves_absence() {
+                rank_delay
+            } else {
+                expiry_wait
+            };
+            let absent_since = lease.absent_since;
+            return absent_since.is_some_and(|since| now.since(since) >= wait);
         };
         let record = &observed.record;
         let seen_for = now.since(observed.since);
-        if record.released {
+        if record.released && !observed.is_restored() {
             let flight = match record.order_in_flight {
                 true => self.times.max_order_flight,
                 false => Duration::ZERO,
             };
             return seen_for >= flight + rank_delay;
         }
-        let expiry_wait = self.times.duration + self.times.max_order_flight;
-        seen_for >= expiry_wait + rank_delay / 4
+        seen_for >= expiry_wait
     }
 
     fn read(&mut self, group: &GroupName, now: MonoTime) -> Option<LeaseAction> {
@@ -276,14 +356,14 @@
             self.daemon_id, self.incarnation.0, self.write_count
         );
         let timeout = self.times.duration / READS_PER_LEASE;
+        let first_fence = self.first_fence();
         let lease = self.groups.get_mut(group)?;
         let observed = lease.observed.as_ref();
-        let seen = observed.map_or(FenceNumber(0), |o| o.record.fence);
         let (expected, fence) = match lease.held {
             Some(held) => (held.version, held.fence),
             None => (
                 observed.map_or(ObjectVersion(0), |o| o.version),
-                FenceNumber(seen.max(lease.min_fence).0 + 1),
+                lease.min_fence.next().max(first_fence),
             ),
         };
         let record = LeaseRecord {
@@ -343,6 +423,10 @@
     }
 
     fn observe(&mut self, group: &GroupName, stored: &StoredObject, now: MonoTime) {
+        self.note_era(stored.version.era());
+        if Some(stored.version.era()) < self.era {
+            return;
+        }
         let record = match LeaseRecord::decode(stored) {
             Ok(record) => record,
             Err(error) => {
@@ -365,6 +449,7 @@
             .find(|sent| sent.write_id == record.write_id);
         let local_write = local_write.cloned();
         lease.unknown_writes = false;
+        lease.min_fence = lease.min_fence.max(record.fence);
         lease.observed = Some(ObservedRecord {
             version: stored.version,
             record,
@@ -433,6 +518,9 @@
         result: &Result<ObjectVersion, PlatformError>,
         now: MonoTime,
     ) {
+        if let Ok(version) = result {
+            self.note_era(version.era());
+        }
         let Some(lease) = self.groups.get_mut(group) else {
             return;
         };
@@ -503,6 +591,7 @@
             return;
         }
         lease.unknown_writes = false;
+        lease.min_fence = lease.min_fence.max(sent.fence);
         lease.observed = Some(ObservedRecord {
             version,
             record: LeaseRecord {
--- a/src/authority/lease_state.rs
+++ b/src/authority/lease_state.rs
@@ -73,6 +73,14 @@
     pub(crate) since: MonoTime,
 }
 
+impl ObservedRecord {
+    /// Returns whether the record may come from an older copy of the store, which says nothing
+    /// about who holds the lease now.
+    pub(crate) fn is_restored(&self) -> bool {
+        self.record.fence.era() < self.version.era()
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct HeldLease {
     pub(crate) fence: FenceNumber,
@@ -105,8 +113,8 @@
     pub(crate) next_read_at: MonoTime,
     pub(crate) next_write_at: MonoTime,
     pub(crate) next_acquire_at: MonoTime,
-    // Highest fence seen by an engine or in stored orders; the next acquisition uses a later
-    // one.
+    // Highest fence seen in a record, by an engine or in stored orders; the next acquisition
+    // uses a later one.
     pub(crate) min_fence: FenceNumber,
     pub(crate) releasing: bool,
     pub(crate) order_in_flight: bool,
--- a/src/gateway/fleet_tasks/mod.rs
+++ b/src/gateway/fleet_tasks/mod.rs
@@ -202,8 +202,8 @@
         });
     }
 
-    // Returns the right to act now, or `None` without a lease and, unless it is the first one
-    // ever, in its first period. A daemon that takes over a released lease could act at once
+    // Returns the right to act now, or `None` without a lease and, unless nobody held it before,
+    // in its first period. A daemon that takes over a released lease could act at once
     // and release it just as quickly. The wait keeps the calls of alternating holders apart.
     fn turn(&mut self, now: MonoTime) -> Option<FleetTaskTurn> {
         let Some(LeaseAuthority { fence, deadline }) = self.lease.authority(now) else {
@@ -217,7 +217,7 @@
             self.change_lease(Some((fence, now)));
         }
         let (_, since) = self.held_lease?;
-        let is_first = fence == FIRST_FENCE;
+        let is_first = self.lease.is_first_holder();
         if !is_first && now.since(since) < self.lease_time + CHECK_INTERVAL {
             return None;
         }
@@ -255,9 +255,6 @@
     }
 }
 
-/// Fence of a lease that was never held before: no calls of an earlier holder are in flight.
-const FIRST_FENCE: FenceNumber = FenceNumber(1);
-
 /// Returns the object in which a fleet task records what a successor has to know.
 fn state_object(name: &str) -> ObjectName {
     ObjectName {
--- a/src/gateway/lease_upkeep.rs
+++ b/src/gateway/lease_upkeep.rs
@@ -21,6 +21,15 @@
     Written(String, Result<ObjectVersion, PlatformError>),
 }
 
+impl LeaseCallResult {
+    fn is_answered(&self) -> bool {
+        match self {
+            Self::Read(result) => result.is_ok(),
+            Self::Written(_, result) => result.is_ok(),
+        }
+    }
+}
+
 /// One lease, for which some daemons contend in an order that all of them agree on.
 pub struct LeaseManager {
     gateway: Rc<Gateway>,
@@ -35,8 +44,13 @@
     #[must_use]
     pub fn new(gateway: Rc<Gateway>, group: &str, times: LeaseTimes) -> Self {
         let incarnation = ProcessIncarnation(gateway.incarnation);
+        let new_table = if gateway.settings().first_start {
+            LeaseTable::of_new_fleet
+        } else {
+            LeaseTable::new
+        };
         Self {
-            table: LeaseTable::new(gateway.daemon.clone(), incarnation, times),
+            table: new_table(gateway.daemon.clone(), incarnation, times),
             group: GroupName::from(group),
             confirmed_at: MonoTime(0),
             gateway,
@@ -54,6 +68,7 @@
         if self.gateway.stopping.get() {
             self.table.stop();
         }
+        self.note_era(false);
         let ranks: IndexMap<GroupName, usize> = rank
             .map(|rank| (self.group.clone(), rank))
             .into_iter()
@@ -81,8 +96,17 @@
         });
     }
 
+    // Before the first answer, the era is unknown.
+    fn note_era(&mut self, is_answered: bool) {
+        let era = (self.gateway.ports.store_era)();
+        if is_answered || era > 0 {
+            self.table.note_era(era);
+        }
+    }
+
     /// Processes the result of a store call.
     pub fn take(&mut self, call: LeaseCallResult, now: MonoTime) {
+        self.note_era(call.is_answered());
         let known = self.authority(now);
         match call {
             LeaseCallResult::Read(result) => self.table.note_read(&self.group, &result, now),
@@ -106,7 +130,15 @@
     /// Returns the authority to act now, if this daemon has it.
     #[must_use]
     pub fn authority(&self, now: MonoTime) -> Option<LeaseAuthority> {
-        self.table.authority(&self.group, now)
+        let authority = self.table.authority(&self.group, now)?;
+        let is_current = authority.fence.era() >= (self.gateway.ports.store_era)();
+        is_current.then_some(authority)
+    }
+
+    /// Returns whether this daemon holds the lease as the first holder ever.
+    #[must_use]
+    pub fn is_first_holder(&self) -> bool {
+        self.table.is_first_holder(&self.group)
     }
 
     /// Returns whether this daemon holds the lease, even while it may not act under it.
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -4,6 +4,7 @@
 //! timeouts and retries are handled by the gateway.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -317,6 +318,9 @@
     pub schema: StoreSchema,
     /// The object store.
     pub store: PlatformPort,
+    /// Returns the newest era of the store that any of its answers has named; 0 before the
+    /// first answer.
+    pub store_era: Arc<dyn Fn() -> u64 + Send + Sync>,
     /// Deletes an object of the store if it has the given version.
     pub remove: PortCall<(ObjectName, ObjectVersion), Result<(), PlatformError>>,
     /// Tasks that one daemon performs for the fleet, if the platform requires any.
--- a/src/gateway/stage_control.rs
+++ b/src/gateway/stage_control.rs
@@ -377,6 +377,10 @@
         if clock::mono_now().plus(CALL_TIMEOUT) >= deadline {
             return Err(SendError::NotSent("the lease is about to end".to_owned()));
         }
+        if fence.era() < (self.ports.store_era)() {
+            let reason = "the store was restored, which ends the lease";
+            return Err(SendError::NotSent(reason.to_owned()));
+        }
         let order = EngineOrder {
             target: engine.id.clone(),
             stage,
--- a/src/names.rs
+++ b/src/names.rs
@@ -106,6 +106,33 @@
 #[serde(transparent)]
 pub struct FenceNumber(pub u64);
 
+/// Bits of a fence that count the acquisitions within an era of the store; the era is above
+/// them. Fences of the first 500 million eras are exact in formats whose numbers are floats.
+const ACQUISITION_BITS: u32 = 24;
+
+impl FenceNumber {
+    /// Returns the lowest fence of an era of the store.
+    ///
+    /// A store that is restored from an older copy loses the fences used since. Those of the
+    /// new era are above all of them, so that none has to be remembered.
+    #[must_use]
+    pub const fn first_in(era: u64) -> Self {
+        Self((era << ACQUISITION_BITS) + 1)
+    }
+
+    /// Returns the era of the store in which the fence was first used.
+    #[must_use]
+    pub const fn era(self) -> u64 {
+        self.0 >> ACQUISITION_BITS
+    }
+
+    /// Returns the next higher fence.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
 /// Milliseconds on this process's monotonic clock.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
