Windows of usage are not counted again after a restore of the store

Cause: the ledger in the store is the only memory of what was recorded. A ledger from an older copy looked like the newest one, so each window after its last record counted as never recorded. Change: the ledger names the store's era in which it was written. In a new era a holder takes over the records that it remembers; any other window that ended before the era is skipped, and the log says how many. This needs no bound on the age of a copy and holds also where nobody remembers anything.

--- a/src/authority/lease.rs
+++ b/src/authority/lease.rs
@@ -75,23 +75,24 @@
         }
     }
 
-    /// Records the newest era of the store that is known.
+    /// Records the newest era of the store that is known; returns whether it is news.
     ///
     /// A new era ends every lease held: its record may be lost.
-    pub fn note_era(&mut self, era: u64) {
-        let Some(known) = self.era else {
-            self.era = Some(era);
-            return;
-        };
-        if era <= known {
-            return;
+    pub fn note_era(&mut self, era: u64) -> bool {
+        let known = self.era;
+        if known.is_some_and(|known| era <= known) {
+            return false;
         }
         self.era = Some(era);
+        if known.is_none() {
+            return true;
+        }
         self.is_new_fleet = false;
         let names: Vec<GroupName> = self.groups.keys().cloned().collect();
         for group in names {
             self.forget_record(&group);
         }
+        true
     }
 
     fn forget_record(&mut self, group: &GroupName) {
--- a/src/gateway/fleet_tasks/mod.rs
+++ b/src/gateway/fleet_tasks/mod.rs
@@ -114,6 +114,8 @@
     pub caller: FleetTaskHolder,
     /// Local time from which no further call may be started.
     pub until: MonoTime,
+    /// Local time at which this daemon learned of the present era of the store.
+    pub era_since: MonoTime,
 }
 
 impl FleetTaskTurn {
@@ -122,6 +124,18 @@
     pub fn is_valid(&self) -> bool {
         clock::mono_now() < self.until
     }
+
+    /// Returns the era of the store in which the lease was acquired.
+    #[must_use]
+    pub fn era(&self) -> u64 {
+        self.caller.fence.era()
+    }
+
+    /// Returns whether nobody has held the lease earlier in this era.
+    #[must_use]
+    pub fn is_first_of_era(&self) -> bool {
+        self.caller.fence == FenceNumber::first_in(self.era())
+    }
 }
 
 enum TaskEvent {
@@ -227,7 +241,11 @@
             fence,
             deadline,
         };
-        (now < until).then_some(FleetTaskTurn { caller, until })
+        (now < until).then_some(FleetTaskTurn {
+            caller,
+            until,
+            era_since: self.lease.era_since(),
+        })
     }
 
     // Drops the tasks' state, which is read again for each new lease: another holder may
--- a/src/gateway/fleet_tasks/usage_reporter.rs
+++ b/src/gateway/fleet_tasks/usage_reporter.rs
@@ -9,8 +9,10 @@
 use crate::gateway::daemon::Gateway;
 use crate::gateway::fleet_tasks::usage_counts::{WindowNumber, WorkspaceCounts};
 use crate::gateway::fleet_tasks::usage_coverage::ReportTimes;
-use crate::gateway::fleet_tasks::usage_ledger::{UsageLedger, UsageStep};
-use crate::gateway::fleet_tasks::{FleetTaskTurn, state_object};
+use crate::gateway::fleet_tasks::usage_ledger::{
+    EraStart, RememberedRecords, UsageLedger, UsageStep,
+};
+use crate::gateway::fleet_tasks::{FleetTaskTurn, UsageMeter, state_object};
 use crate::gateway::port::UsageReport;
 use crate::gateway::settings::FleetTaskSettings;
 use crate::names::MonoTime;
@@ -39,6 +41,8 @@
     acting_since: Option<MonoTime>,
     // As stored; `None` until it has been read under the current lease.
     ledger: Option<(ObjectVersion, UsageLedger)>,
+    // Kept without the lease.
+    remembered: RememberedRecords,
     first_window: Option<WindowNumber>,
     call_pending: bool,
     backoff_until: MonoTime,
@@ -55,6 +59,7 @@
             },
             acting_since: None,
             ledger: None,
+            remembered: RememberedRecords::default(),
             first_window: None,
             call_pending: false,
             backoff_until: MonoTime(0),
@@ -79,7 +84,7 @@
         if self.call_pending || now < self.backoff_until {
             return;
         }
-        let Some((version, ledger)) = &self.ledger else {
+        if self.ledger.is_none() {
             self.call_pending = true;
             let store = gateway.ports.store.clone();
             spawn_local(async move {
@@ -88,8 +93,14 @@
                 ));
             });
             return;
-        };
+        }
         let meter = gateway.fleet_tasks.borrow();
+        self.continue_in_era(&meter, turn, now);
+        let current_ledger = self.ledger.as_ref();
+        let in_era = |(_, ledger): &&(_, UsageLedger)| ledger.era == turn.era();
+        let Some((version, ledger)) = current_ledger.filter(in_era) else {
+            return;
+        };
         let Some(current) = meter.usage.window_of(&meter.clock, now) else {
             return;
         };
@@ -124,12 +135,44 @@
         }
     }
 
+    // A ledger of an earlier era is an older copy.
+    fn continue_in_era(&mut self, meter: &UsageMeter, turn: &FleetTaskTurn, now: MonoTime) {
+        let Some((_, ledger)) = self.ledger.as_mut() else {
+            return;
+        };
+        // An earlier holder of this era may have recorded later windows in a ledger that a
+        // delayed write has replaced.
+        let known_since = if turn.is_first_of_era() {
+            turn.era_since
+        } else {
+            now
+        };
+        let first_window = meter.usage.window_of(&meter.clock, known_since);
+        let Some(first_window) = first_window.filter(|_| ledger.era < turn.era()) else {
+            return;
+        };
+        let start = EraStart {
+            era: turn.era(),
+            first_window,
+        };
+        *ledger = ledger.restored(start, &self.remembered);
+        log::info!(era = start.era, first_window = first_window, skipped = ledger.windows_skipped(); "usage ledger begins in this era of the store; windows whose records may be lost are skipped");
+    }
+
     /// Handles the result of a call.
     pub fn handle(&mut self, event: UsageEvent, now: MonoTime) {
         self.call_pending = false;
         match event {
-            UsageEvent::Read(Ok(stored)) => self.ledger = read_ledger(stored),
-            UsageEvent::Written(ledger, Ok(version)) => self.ledger = Some((version, ledger)),
+            UsageEvent::Read(Ok(stored)) => {
+                self.ledger = read_ledger(stored);
+                self.note_stored();
+            }
+            UsageEvent::Written(ledger, Ok(version)) => {
+                // A creation that took effect in a later era is read again.
+                let is_current = version.era() == ledger.era;
+                self.ledger = is_current.then_some((version, ledger));
+                self.note_stored();
+            }
             UsageEvent::Sent(window, Ok(())) => self.mark_reported(window),
             // The same report would be refused again and block all later ones.
             UsageEvent::Sent(window, Err(error @ PlatformError::Refused { .. })) => {
@@ -146,7 +189,14 @@
         }
     }
 
+    fn note_stored(&mut self) {
+        if let Some((_, ledger)) = &self.ledger {
+            self.remembered.note_stored(ledger);
+        }
+    }
+
     fn mark_reported(&mut self, window: WindowNumber) {
+        self.remembered.mark_reported(window);
         if let Some((_, ledger)) = &mut self.ledger {
             ledger.mark_reported(window);
         }
--- a/src/gateway/lease_upkeep.rs
+++ b/src/gateway/lease_upkeep.rs
@@ -37,6 +37,8 @@
     group: GroupName,
     // When the result of the last acquisition or renewal arrived.
     confirmed_at: MonoTime,
+    // When this daemon learned of the store's present era.
+    era_since: MonoTime,
 }
 
 impl LeaseManager {
@@ -53,6 +55,7 @@
             table: new_table(gateway.daemon.clone(), incarnation, times),
             group: GroupName::from(group),
             confirmed_at: MonoTime(0),
+            era_since: MonoTime(0),
             gateway,
         }
     }
@@ -68,7 +71,7 @@
         if self.gateway.stopping.get() {
             self.table.stop();
         }
-        self.note_era(false);
+        self.note_era(false, now);
         let ranks: IndexMap<GroupName, usize> = rank
             .map(|rank| (self.group.clone(), rank))
             .into_iter()
@@ -97,16 +100,16 @@
     }
 
     // Before the first answer, the era is unknown.
-    fn note_era(&mut self, is_answered: bool) {
+    fn note_era(&mut self, is_answered: bool, now: MonoTime) {
         let era = (self.gateway.ports.store_era)();
-        if is_answered || era > 0 {
-            self.table.note_era(era);
+        if (is_answered || era > 0) && self.table.note_era(era) {
+            self.era_since = now;
         }
     }
 
     /// Processes the result of a store call.
     pub fn take(&mut self, call: LeaseCallResult, now: MonoTime) {
-        self.note_era(call.is_answered());
+        self.note_era(call.is_answered(), now);
         let known = self.authority(now);
         match call {
             LeaseCallResult::Read(result) => self.table.note_read(&self.group, &result, now),
@@ -121,6 +124,12 @@
         }
     }
 
+    /// Returns when this daemon learned of the present era of the store.
+    #[must_use]
+    pub fn era_since(&self) -> MonoTime {
+        self.era_since
+    }
+
     /// Returns when this daemon last learned that it had acquired or renewed the lease.
     #[must_use]
     pub fn confirmed_at(&self) -> MonoTime {
--- a/tests/duties_usage.rs
+++ b/tests/duties_usage.rs
@@ -6,7 +6,9 @@
 use pistachiowick::gateway::fleet_tasks::usage_counts::{
     DaemonUsage, UsageCounts, WorkspaceCounts,
 };
-use pistachiowick::gateway::fleet_tasks::usage_ledger::{UsageLedger, UsageStep};
+use pistachiowick::gateway::fleet_tasks::usage_ledger::{
+    EraStart, RememberedRecords, UsageLedger, UsageStep,
+};
 use pistachiowick::names::{DaemonId, MonoTime, UnixTime, WorkspaceName};
 use proptest::prelude::*;
 use rstest::rstest;
@@ -274,3 +276,75 @@
     let kept: Vec<u64> = ledger.windows.keys().copied().collect();
     assert_eq!(kept, (FIRST + 1..=FIRST + 15).collect::<Vec<u64>>());
 }
+
+struct RestoredLedgerCase {
+    // Whether the holder remembers the record that is lost.
+    remembers: bool,
+    // Whether the platform had accepted its report.
+    reported: bool,
+    // First window that cannot have been recorded before the restore.
+    first_window: u64,
+    next: UsageStep,
+}
+
+// Guards against counting a window again whose record was lost with a restore of the store: its
+// counts have grown, and the platform may have accepted a report.
+#[rstest]
+#[case::remembered(RestoredLedgerCase {
+    remembers: true, reported: true, first_window: FIRST + 3, next: UsageStep::Record(vec![FIRST + 3]),
+})]
+#[case::remembered_and_not_reported(RestoredLedgerCase {
+    remembers: true, reported: false, first_window: FIRST + 3, next: UsageStep::Report(FIRST + 1),
+})]
+#[case::forgotten(RestoredLedgerCase {
+    remembers: false, reported: true, first_window: FIRST + 3, next: UsageStep::Record(vec![FIRST + 3]),
+})]
+#[case::no_later_window(RestoredLedgerCase {
+    remembers: false, reported: true, first_window: FIRST + 4, next: UsageStep::Wait,
+})]
+fn a_window_before_a_restore_is_not_counted_again(#[case] case: RestoredLedgerCase) {
+    let mut copy = UsageLedger::default().with_windows(vec![(FIRST, counts(&[("north", 1)]))]);
+    copy.mark_reported(FIRST);
+    let newest = copy.with_windows(vec![(FIRST + 1, counts(&[("north", 2)]))]);
+    let mut remembered = RememberedRecords::default();
+    if case.remembers {
+        remembered.note_stored(&newest);
+        if case.reported {
+            remembered.mark_reported(FIRST + 1);
+        }
+    }
+    let start = EraStart {
+        era: 2,
+        first_window: case.first_window,
+    };
+    let copy = UsageLedger::decode(&copy.encode()).expect("a ledger");
+    let restored = copy.restored(start, &remembered);
+    assert_eq!(restored.next_step(FIRST + 3, FIRST), case.next);
+    let kept = restored.windows.get(&(FIRST + 1));
+    let expected = counts(&[("north", 2)]);
+    assert_eq!(
+        kept.map(|record| &record.counts),
+        case.remembers.then_some(&expected)
+    );
+    assert_eq!(restored.era, 2);
+}
+
+// Guards against ledgers of earlier builds that cannot be read, or that count as of this era.
+#[test]
+fn a_ledger_of_an_earlier_build_is_of_no_era() {
+    let value = br#"{"windows":{"7":{"counts":{"north":3},"reported":true}}}"#;
+    let ledger = UsageLedger::decode(value).expect("a ledger");
+    assert_eq!((ledger.era, ledger.first_window), (0, 0));
+    assert_eq!(ledger.windows[&7].counts, counts(&[("north", 3)]));
+}
+
+// Guards against a second drill that brings back windows which the first one excluded.
+#[test]
+fn excluded_windows_stay_excluded() {
+    let ledger = UsageLedger::default();
+    let remembered = RememberedRecords::default();
+    let at = |era, first_window| EraStart { era, first_window };
+    let once = ledger.restored(at(1, FIRST + 5), &remembered);
+    let twice = once.restored(at(2, FIRST + 3), &remembered);
+    assert_eq!(twice.first_window, FIRST + 5);
+}
