Streams are not joined from two versions after all daemons were killed

Callers saw: streams begun at one version of the software went on at another, with nothing in the answer to show it, after all daemons were killed at once. Cause: VersionHistory used time zero for "since before the fleet began". A clock starts with its process, so a daemon whose first list came in its first millisecond counted as knowing all versions for ever; one such daemon among those asked is enough. Change: a type of its own tells the start of the fleet and the time of a list apart. The other uses of time zero were read; none means "never" or "always".

--- a/src/gateway/software/history.rs
+++ b/src/gateway/software/history.rs
@@ -28,10 +28,29 @@
     is_listed: bool,
 }
 
+/// Since when each version that serves is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum KnownSince {
+    // Before the first stream began.
+    FleetStart,
+    // The last list of all targets. A daemon's clock starts with its process, so that any time,
+    // also zero, may be that of a list.
+    List(MonoTime),
+}
+
+impl KnownSince {
+    fn covers(self, period: Duration, now: MonoTime) -> bool {
+        match self {
+            Self::FleetStart => true,
+            Self::List(at) => now.since(at) >= period,
+        }
+    }
+}
+
 /// Versions that have served lately, by service.
 #[derive(Clone, Debug, Default)]
 pub struct VersionHistory {
-    complete_since: Option<MonoTime>,
+    known_since: Option<KnownSince>,
     // When the fleet started, until the first list.
     fleet_start: Option<MonoTime>,
     services: IndexMap<ServiceName, IndexMap<SoftwareVersion, VersionUse>>,
@@ -52,7 +71,11 @@
     pub fn note_listed(&mut self, now: MonoTime) {
         let fleet_start = self.fleet_start.take();
         let begins = fleet_start.is_some_and(|at| now.since(at) <= FLEET_START_TIME);
-        self.complete_since = Some(if begins { MonoTime(0) } else { now });
+        self.known_since = Some(if begins {
+            KnownSince::FleetStart
+        } else {
+            KnownSince::List(now)
+        });
     }
 
     /// Records that a target of a version serves, or did so until now.
@@ -92,8 +115,8 @@
     /// last answer of the store is `store_age` old.
     #[must_use]
     pub fn is_complete(&self, period: Duration, store_age: Duration, now: MonoTime) -> bool {
-        let covers = |since: MonoTime| since == MonoTime(0) || now.since(since) >= period;
-        store_age <= MAX_READ_GAP && self.complete_since.is_some_and(covers)
+        let covers = |since: KnownSince| since.covers(period, now);
+        store_age <= MAX_READ_GAP && self.known_since.is_some_and(covers)
     }
 
     /// Returns the versions of a service that have served within `period`.
--- a/tests/gateway_software.rs
+++ b/tests/gateway_software.rs
@@ -197,6 +197,28 @@
     assert_eq!(is_complete, case.is_complete);
 }
 
+struct ClockStartCase {
+    // Milliseconds of the daemon's clock at its first list, and later.
+    listed_at: u64,
+    now: u64,
+    is_complete: bool,
+}
+
+// Guards against streams joined from two versions after all daemons were killed: one that listed
+// the targets in the first millisecond of its clock counted as knowing all earlier versions.
+#[rstest]
+#[case::first_millisecond(ClockStartCase { listed_at: 0, now: 100, is_complete: false })]
+#[case::second_millisecond(ClockStartCase { listed_at: 1, now: 100, is_complete: false })]
+#[case::just_before_the_period(ClockStartCase { listed_at: 0, now: 29_999, is_complete: false })]
+#[case::after_the_period(ClockStartCase { listed_at: 0, now: 30_000, is_complete: true })]
+fn a_list_as_the_clock_starts_is_no_fleet_start(#[case] case: ClockStartCase) {
+    let mut history = VersionHistory::default();
+    history.note_listed(MonoTime(case.listed_at));
+    history.note_targets(&targets(&["v2"]), MonoTime(case.listed_at));
+    let is_complete = history.is_complete(PERIOD, Duration::ZERO, MonoTime(case.now));
+    assert_eq!(is_complete, case.is_complete);
+}
+
 #[derive(Clone, Copy)]
 struct EvidenceCase {
     // Version that is remembered, recent versions, whether these are all.
