The store's era is unknown before its first answer

Callers saw nothing; found by reading the diff of the leases. Cause: the port gave 0 for "no answer yet" and for the era 0. A daemon of a new fleet that had not asked for the lease before the first restore took era 1 for the first one, and the absence of a record for a proof that nobody held it. Change: the port gives no era before the first answer.

--- a/src/authority/lease.rs
+++ b/src/authority/lease.rs
@@ -75,7 +75,7 @@
         }
     }
 
-    /// Records the newest era of the store that is known; returns whether it is news.
+    /// Records the newest era of the store that is known; returns whether it was not known yet.
     ///
     /// A new era ends every lease held: its record may be lost.
     pub fn note_era(&mut self, era: u64) -> bool {
--- a/src/gateway/lease_upkeep.rs
+++ b/src/gateway/lease_upkeep.rs
@@ -21,15 +21,6 @@
     Written(String, Result<ObjectVersion, PlatformError>),
 }
 
-impl LeaseCallResult {
-    fn is_answered(&self) -> bool {
-        match self {
-            Self::Read(result) => result.is_ok(),
-            Self::Written(_, result) => result.is_ok(),
-        }
-    }
-}
-
 /// One lease, for which some daemons contend in an order that all of them agree on.
 pub struct LeaseManager {
     gateway: Rc<Gateway>,
@@ -71,7 +62,7 @@
         if self.gateway.stopping.get() {
             self.table.stop();
         }
-        self.note_era(false, now);
+        self.note_era(now);
         let ranks: IndexMap<GroupName, usize> = rank
             .map(|rank| (self.group.clone(), rank))
             .into_iter()
@@ -99,17 +90,16 @@
         });
     }
 
-    // Before the first answer, the era is unknown.
-    fn note_era(&mut self, is_answered: bool, now: MonoTime) {
+    fn note_era(&mut self, now: MonoTime) {
         let era = (self.gateway.ports.store_era)();
-        if (is_answered || era > 0) && self.table.note_era(era) {
+        if era.is_some_and(|era| self.table.note_era(era)) {
             self.era_since = now;
         }
     }
 
     /// Processes the result of a store call.
     pub fn take(&mut self, call: LeaseCallResult, now: MonoTime) {
-        self.note_era(call.is_answered(), now);
+        self.note_era(now);
         let known = self.authority(now);
         match call {
             LeaseCallResult::Read(result) => self.table.note_read(&self.group, &result, now),
@@ -140,8 +130,8 @@
     #[must_use]
     pub fn authority(&self, now: MonoTime) -> Option<LeaseAuthority> {
         let authority = self.table.authority(&self.group, now)?;
-        let is_current = authority.fence.era() >= (self.gateway.ports.store_era)();
-        is_current.then_some(authority)
+        let era = (self.gateway.ports.store_era)();
+        (Some(authority.fence.era()) >= era).then_some(authority)
     }
 
     /// Returns whether this daemon holds the lease as the first holder ever.
--- a/src/gateway/port.rs
+++ b/src/gateway/port.rs
@@ -309,6 +309,9 @@
         PortCall<(FleetTaskHolder, ServerOrder), Result<ServerOrderOutcome, PlatformError>>,
 }
 
+/// Returns the newest era of the store, `None` before its first answer.
+pub type StoreEra = Arc<dyn Fn() -> Option<u64> + Send + Sync>;
+
 /// All ports that the gateway needs from its adapter.
 #[derive(Clone)]
 pub struct GatewayPorts {
@@ -318,9 +321,8 @@
     pub schema: StoreSchema,
     /// The object store.
     pub store: PlatformPort,
-    /// Returns the newest era of the store that any of its answers has named; 0 before the
-    /// first answer.
-    pub store_era: Arc<dyn Fn() -> u64 + Send + Sync>,
+    /// Returns the newest era of the store that any of its answers has named.
+    pub store_era: StoreEra,
     /// Deletes an object of the store if it has the given version.
     pub remove: PortCall<(ObjectName, ObjectVersion), Result<(), PlatformError>>,
     /// Tasks that one daemon performs for the fleet, if the platform requires any.
--- a/src/gateway/stage_control.rs
+++ b/src/gateway/stage_control.rs
@@ -377,7 +377,7 @@
         if clock::mono_now().plus(CALL_TIMEOUT) >= deadline {
             return Err(SendError::NotSent("the lease is about to end".to_owned()));
         }
-        if fence.era() < (self.ports.store_era)() {
+        if Some(fence.era()) < (self.ports.store_era)() {
             let reason = "the store was restored, which ends the lease";
             return Err(SendError::NotSent(reason.to_owned()));
         }
