--- a/tests/duties_usage.rs
+++ b/tests/duties_usage.rs
@@ -338,7 +338,7 @@
     assert_eq!(ledger.windows[&7].counts, counts(&[("north", 3)]));
 }
 
-// Guards against a second drill that brings back windows which the first one excluded.
+// Guards against a second restore that brings back windows which the first one excluded.
 #[test]
 fn excluded_windows_stay_excluded() {
     let ledger = UsageLedger::default();
--- a/tests/lease_restores.rs
+++ b/tests/lease_restores.rs
@@ -149,7 +149,7 @@
 
 struct FenceCase {
     copy: Copy,
-    drills: u64,
+    restores: u64,
     // Whether the daemon that takes the lease then has just started.
     restarted: bool,
 }
@@ -157,14 +157,14 @@
 // Guards against a fence that two daemons use, as the record of the second holder was lost with
 // the restore.
 #[rstest]
-#[case::lost(FenceCase { copy: Copy::Empty, drills: 1, restarted: false })]
-#[case::lost_and_restarted(FenceCase { copy: Copy::Empty, drills: 1, restarted: true })]
-#[case::older_holder(FenceCase { copy: Copy::OfFirstHolder, drills: 1, restarted: false })]
-#[case::older_holder_and_restarted(FenceCase { copy: Copy::OfFirstHolder, drills: 1, restarted: true })]
-#[case::released(FenceCase { copy: Copy::Released, drills: 1, restarted: false })]
-#[case::released_and_restarted(FenceCase { copy: Copy::Released, drills: 1, restarted: true })]
-#[case::twice(FenceCase { copy: Copy::OfFirstHolder, drills: 2, restarted: false })]
-#[case::twice_and_restarted(FenceCase { copy: Copy::Released, drills: 3, restarted: true })]
+#[case::lost(FenceCase { copy: Copy::Empty, restores: 1, restarted: false })]
+#[case::lost_and_restarted(FenceCase { copy: Copy::Empty, restores: 1, restarted: true })]
+#[case::older_holder(FenceCase { copy: Copy::OfFirstHolder, restores: 1, restarted: false })]
+#[case::older_holder_and_restarted(FenceCase { copy: Copy::OfFirstHolder, restores: 1, restarted: true })]
+#[case::released(FenceCase { copy: Copy::Released, restores: 1, restarted: false })]
+#[case::released_and_restarted(FenceCase { copy: Copy::Released, restores: 1, restarted: true })]
+#[case::twice(FenceCase { copy: Copy::OfFirstHolder, restores: 2, restarted: false })]
+#[case::twice_and_restarted(FenceCase { copy: Copy::Released, restores: 3, restarted: true })]
 fn fences_rise_over_restores(#[case] case: FenceCase) {
     let mut store = FakeStore::new(1);
     let empty = store.copy();
@@ -181,7 +181,7 @@
         Copy::OfFirstHolder => held,
         Copy::Released => released,
     };
-    for _ in 0..case.drills {
+    for _ in 0..case.restores {
         store.restore(copy.clone());
         let mut next = if case.restarted {
             daemon("c")
