Streams of a single version go on after all daemons were killed

Callers saw: after all daemons were killed at once, every stream that they took up within half a minute was refused, also where no other version had ever served (12 of 12), while new streams began. Cause: a daemon knows which versions have served from what it has read since its first list. Nothing that outlasts the daemons told it of the time before. Ruled out: a record that names a version before its first stream (new targets would wait for a store that takes no writes); times of creation of entries (say nothing of entries that are gone); a record of each stream (the store's rates). Change: a daemon that knows all versions records them every 5 s, with the revision up to which it has read the targets' entries. One that lists the targets reads the record and the store's history since, with what came and went. It concludes nothing if the history does not reach back, or the record is of an earlier era. Only daemons that are no members read it; members ask their hub too. With two versions within 30 s no stream goes on after such a loss, and none mixes.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -22,6 +22,7 @@
 };
 use crate::gateway::routes::RouteTable;
 use crate::gateway::software::history::VersionHistory;
+use crate::gateway::software::recall::RecalledVersions;
 use crate::gateway::store_follow::{
     ConfigWatchWaits, Feed, INITIAL_BACKOFF, MAX_BACKOFF, StoreEvent, StoreFollower, StoreLiveness,
     WatchMode, kind_of, sleep_with_backoff,
@@ -55,6 +56,13 @@
     },
     /// A hub relayed objects of the store.
     PeerObjects(FeedObjects),
+    /// Versions that served before the last list, if the store tells them.
+    Recalled {
+        /// How often all targets had been listed when the store was asked.
+        lists: u64,
+        /// What the store tells.
+        recalled: Option<RecalledVersions>,
+    },
     /// New mode in which this daemon follows the store.
     WatchMode(WatchMode),
     /// This daemon is stopping.
@@ -180,6 +188,9 @@
                     state.apply_config_value(revision, &value)
                 }
                 Some(ControlInput::PeerObjects(objects)) => state.apply_relayed(objects),
+                Some(ControlInput::Recalled { lists, recalled }) => {
+                    state.apply_recalled(lists, recalled.as_ref())
+                }
                 Some(ControlInput::WatchMode(watch_mode)) => {
                     mode_sender.send_replace(watch_mode);
                     false
@@ -333,6 +344,7 @@
             }
             StoreEvent::TargetsThrough(revision) => {
                 self.registry.note_read_through(revision);
+                self.store_liveness.note_targets_through(revision);
                 false
             }
             StoreEvent::Failed(called_at) => {
@@ -398,6 +410,20 @@
         }
     }
 
+    fn apply_recalled(&mut self, lists: u64, recalled: Option<&RecalledVersions>) -> bool {
+        let now = clock::mono_now();
+        let covered = recalled.map(|recalled| {
+            self.versions.note_record(&recalled.record.served, now);
+            for object in &recalled.changes {
+                let change = self.decode_target(object);
+                self.note_served(&change, now);
+            }
+            recalled.record.covered
+        });
+        self.versions.note_recalled(lists, covered, now);
+        true
+    }
+
     fn apply_daemons(&mut self, objects: &[StoredObject]) -> bool {
         for object in objects {
             let name = &object.object.name;
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -51,8 +51,8 @@
 use crate::gateway::registry::DepartureSource;
 use crate::gateway::reload;
 use crate::gateway::settings::GatewaySettings;
-use crate::gateway::software::exchange;
 use crate::gateway::software::starts::StartTable;
+use crate::gateway::software::{exchange, recall, recorder};
 use crate::gateway::stage_control;
 use crate::gateway::store_follow::{StoreLiveness, WatchMode};
 use crate::names::{DaemonId, MonoTime};
@@ -482,6 +482,14 @@
         "starts of streams",
         exchange::tell_regularly(gateway.clone()),
     );
+    supervise(
+        "record of versions",
+        recorder::record_regularly(gateway.clone()),
+    );
+    supervise(
+        "recall of versions",
+        recall::recall_after_lists(gateway.clone()),
+    );
     supervise("quarantined work", store_records::run(gateway.clone()));
     supervise("stages", stage_control::run(gateway.clone()));
     let inventory = gateway.settings().cache_inventory;
--- a/src/gateway/peers/feeding.rs
+++ b/src/gateway/peers/feeding.rs
@@ -157,6 +157,12 @@
         contact.map_or(Duration::MAX, |at| now.since(at))
     }
 
+    /// Returns the hub that this daemon relies on.
+    #[must_use]
+    pub fn hub(&self) -> Option<&DaemonId> {
+        self.hub.as_ref()
+    }
+
     /// Whether this daemon relies on a hub and applies the objects that it relays.
     #[must_use]
     pub fn is_subscribed(&self) -> bool {
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -5,7 +5,9 @@
 use indexmap::IndexMap;
 
 use crate::access_key::KeyDigest;
-use crate::gateway::model::{CallerLimits, FleetConfig, RouteRule, ServiceRule, WorkspaceRule};
+use crate::gateway::model::{
+    CallerLimits, FleetConfig, RetryRule, RouteRule, ServiceRule, WorkspaceRule,
+};
 use crate::names::{ServiceName, WorkspaceName};
 
 /// One version of the configuration, indexed for look-ups.
@@ -94,6 +96,13 @@
         self.keys.as_ref()?.get(key)
     }
 
+    /// Returns whether requests of a route may be retried by this rule.
+    #[must_use]
+    pub fn has_retry_rule(&self, rule: RetryRule) -> bool {
+        let mut routes = self.hosts.values().flatten();
+        routes.any(|route| route.retry == rule)
+    }
+
     /// Returns all services.
     pub fn services(&self) -> impl Iterator<Item = &ServiceRule> {
         self.services.values()
--- a/src/gateway/software/exchange.rs
+++ b/src/gateway/software/exchange.rs
@@ -49,8 +49,11 @@
 /// Longest time for which a caller that takes its stream up waits for what this daemon and others
 /// know of it.
 const FINDING_TIMEOUT: Duration = Duration::from_secs(1);
-/// Interval at which a daemon that has just started checks whether it knows the others.
-const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval at which a daemon that has just started checks whether it knows what it waits for.
+const KNOWLEDGE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Longest time for which a query of another daemon waits until this one has recalled versions; the
+/// other one waits for up to [`FINDING_TIMEOUT`].
+const QUERY_PATIENCE: Duration = Duration::from_millis(500);
 /// Attempts to tell a daemon of starts.
 const MAX_REPORT_ATTEMPTS: u32 = 3;
 /// Largest message, in bytes.
@@ -137,15 +140,16 @@
     /// version.
     pub(super) async fn ask_keepers(
         &self,
-        own: StartEvidence,
         attempt: Option<AttemptDigest>,
         call: &RoutedRequest,
     ) -> GatheredEvidence {
         let until = call.deadline.min(Instant::now() + FINDING_TIMEOUT);
-        let is_listed = self.wait_for_daemons(until).await;
+        let is_listed = wait_until(until, || self.view().daemons_known).await;
+        let has_recalled = self.wait_for_recall(until).await;
         let view = self.view();
         let (asked, silent) = self.choose_asked(attempt, &view.daemons);
         let service = &call.service.name;
+        let own = self.start_evidence(attempt, service, clock::mono_now());
         let query = encode(&StartQuery {
             attempt,
             service: service.clone(),
@@ -162,7 +166,7 @@
         let mut answers: FuturesUnordered<_> = answers.collect();
         let mut gathered = GatheredEvidence {
             evidence: vec![own],
-            is_whole: is_listed && silent.is_empty(),
+            is_whole: is_listed && has_recalled && silent.is_empty(),
             has_others: !is_listed || !asked.is_empty() || !silent.is_empty(),
         };
         loop {
@@ -189,22 +193,20 @@
         let order = attempt.unwrap_or_else(|| AttemptDigest::from(self.daemon.as_str()));
         let now = clock::mono_now();
         let peers = self.peers.borrow();
-        let others = keepers(order, daemons, ASKED).into_iter();
+        let mut others = keepers(order, daemons, ASKED);
+        // A hub reads the store for this daemon, and may know all versions where no keeper does.
+        let subscription = self.feed_subscription.borrow();
+        let hub = daemons.iter().find(|d| subscription.hub() == Some(&d.id));
+        others.extend(hub.filter(|hub| others.iter().all(|other| other.id != hub.id)));
         others
+            .into_iter()
             .filter(|daemon| daemon.id != self.daemon)
             .partition(|daemon| peers.has_contact(&daemon.id, now))
     }
 
-    // Waits until the other daemons are known, which can be later than readiness. Returns whether
-    // they are.
-    async fn wait_for_daemons(&self, until: Instant) -> bool {
-        while !self.view().daemons_known {
-            if Instant::now() >= until {
-                return false;
-            }
-            sleep(LIST_CHECK_INTERVAL).await;
-        }
-        true
+    // Waits until this daemon has recalled versions. Returns whether it has.
+    async fn wait_for_recall(&self, until: Instant) -> bool {
+        wait_until(until, || !self.is_recalling()).await
     }
 
     async fn send_message(
@@ -275,7 +277,10 @@
         let body = client::read_body(request.into_body(), MAX_MESSAGE_BYTES, deadline).await;
         let answer = match (kind.as_ref().map(HeaderValue::as_bytes), body) {
             (Some(kind), Ok(body)) if kind == START_REPORT.as_bytes() => self.take_report(&body),
-            (Some(kind), Ok(body)) if kind == START_QUERY.as_bytes() => self.answer_query(&body),
+            (Some(kind), Ok(body)) if kind == START_QUERY.as_bytes() => {
+                self.wait_for_recall(Instant::now() + QUERY_PATIENCE).await;
+                self.answer_query(&body)
+            }
             (_, Err(error)) => Err(error.to_string()),
             (kind, _) => Err(format!("messages of kind {kind:?} are not known here")),
         };
@@ -310,6 +315,18 @@
     }
 }
 
+// Waits for what a daemon that has started learns later than it is ready. Returns whether it is
+// known.
+async fn wait_until(until: Instant, is_known: impl Fn() -> bool) -> bool {
+    while !is_known() {
+        if Instant::now() >= until {
+            return false;
+        }
+        sleep(KNOWLEDGE_CHECK_INTERVAL).await;
+    }
+    true
+}
+
 fn report_of(starts: &[&AttemptStart], now: MonoTime) -> Vec<ReportedVersion> {
     let mut versions: IndexMap<(&ServiceName, &SoftwareVersion), Vec<(AttemptDigest, u64)>> =
         IndexMap::new();
--- a/src/gateway/software/history.rs
+++ b/src/gateway/software/history.rs
@@ -10,7 +10,7 @@
 use indexmap::IndexMap;
 
 use crate::gateway::fleet::TargetsByService;
-use crate::names::{MonoTime, ServiceName, SoftwareVersion};
+use crate::names::{MonoTime, ServiceName, SoftwareVersion, millis};
 
 /// Longest time without an answer of the store in which all versions count as known: a watch that
 /// nothing interrupts is answered after three seconds at the latest.
@@ -28,6 +28,24 @@
     is_listed: bool,
 }
 
+impl VersionUse {
+    // Returns the time since it last served.
+    fn age(&self, now: MonoTime) -> Duration {
+        if self.is_listed {
+            Duration::ZERO
+        } else {
+            now.since(self.last)
+        }
+    }
+
+    fn is_recent(&self, period: Duration, now: MonoTime) -> bool {
+        self.age(now) < period
+    }
+}
+
+/// Versions by service, with the time since they last served.
+pub type ServedVersions = IndexMap<ServiceName, IndexMap<SoftwareVersion, Duration>>;
+
 /// Since when each version that serves is known.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum KnownSince {
@@ -47,12 +65,31 @@
     }
 }
 
+/// Versions before the last list that were recalled from the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct RecalledPeriod {
+    at: MonoTime,
+    // Time before that which the store's record covers.
+    covered: Duration,
+}
+
+impl RecalledPeriod {
+    fn covers(self, period: Duration, now: MonoTime) -> bool {
+        now.since(self.at) + self.covered >= period
+    }
+}
+
 /// Versions that have served lately, by service.
 #[derive(Clone, Debug, Default)]
 pub struct VersionHistory {
     known_since: Option<KnownSince>,
+    recalled: Option<RecalledPeriod>,
     // When the fleet started, until the first list.
     fleet_start: Option<MonoTime>,
+    // Lists so far, and after how many of them the versions before the list were recalled, or
+    // could not be.
+    lists: u64,
+    recalled_lists: u64,
     services: IndexMap<ServiceName, IndexMap<SoftwareVersion, VersionUse>>,
 }
 
@@ -69,6 +106,8 @@
 
     /// Records that all targets were listed; what changed since what was known is unknown.
     pub fn note_listed(&mut self, now: MonoTime) {
+        self.lists += 1;
+        self.recalled = None;
         let fleet_start = self.fleet_start.take();
         let begins = fleet_start.is_some_and(|at| now.since(at) <= FLEET_START_TIME);
         self.known_since = Some(if begins {
@@ -78,19 +117,60 @@
         });
     }
 
+    /// Returns how often all targets were listed.
+    #[must_use]
+    pub fn lists(&self) -> u64 {
+        self.lists
+    }
+
+    /// Records that it was recalled, in calls that began after so many lists, which versions
+    /// served from a time `covered` ago until now; nothing if that cannot be known. Without a
+    /// list since then, this closes the gap before the last one.
+    pub fn note_recalled(&mut self, lists: u64, covered: Option<Duration>, now: MonoTime) {
+        self.recalled_lists = lists;
+        let covered = covered.filter(|_| lists == self.lists);
+        self.recalled = covered.map(|covered| RecalledPeriod { at: now, covered });
+    }
+
+    /// Returns whether the versions before the last list have still to be recalled.
+    #[must_use]
+    pub fn is_recalling(&self) -> bool {
+        let is_known = matches!(self.known_since, Some(KnownSince::FleetStart));
+        !is_known && (self.lists == 0 || self.recalled_lists < self.lists)
+    }
+
     /// Records that a target of a version serves, or did so until now.
     pub fn note_served(
         &mut self,
         service: &ServiceName,
         software: &SoftwareVersion,
         now: MonoTime,
+    ) {
+        self.note_served_until(service, software, now);
+    }
+
+    /// Records versions that served, as the store's record names them.
+    pub fn note_record(&mut self, served: &ServedVersions, now: MonoTime) {
+        for (service, versions) in served {
+            for (software, age) in versions {
+                let last = MonoTime(now.0.saturating_sub(millis(*age)));
+                self.note_served_until(service, software, last);
+            }
+        }
+    }
+
+    fn note_served_until(
+        &mut self,
+        service: &ServiceName,
+        software: &SoftwareVersion,
+        last: MonoTime,
     ) {
         let versions = self.services.entry(service.clone()).or_default();
         let version = versions.entry(software.clone()).or_insert(VersionUse {
-            last: now,
+            last,
             is_listed: false,
         });
-        version.last = now;
+        version.last = version.last.max(last);
     }
 
     /// Records which targets may get work from now on.
@@ -115,8 +195,11 @@
     /// last answer of the store is `store_age` old.
     #[must_use]
     pub fn is_complete(&self, period: Duration, store_age: Duration, now: MonoTime) -> bool {
-        let covers = |since: KnownSince| since.covers(period, now);
-        store_age <= MAX_READ_GAP && self.known_since.is_some_and(covers)
+        let Some(known_since) = self.known_since.filter(|_| store_age <= MAX_READ_GAP) else {
+            return false;
+        };
+        let covers = |recalled: RecalledPeriod| recalled.covers(period, now);
+        known_since.covers(period, now) || self.recalled.is_some_and(covers)
     }
 
     /// Returns the versions of a service that have served within `period`.
@@ -127,10 +210,22 @@
         now: MonoTime,
     ) -> impl Iterator<Item = &'a SoftwareVersion> + use<'a> {
         let versions = self.services.get(service).into_iter().flatten();
-        let recent = versions.filter(move |(_, v)| v.is_listed || now.since(v.last) < period);
+        let recent = versions.filter(move |(_, v)| v.is_recent(period, now));
         recent.map(|(software, _)| software)
     }
 
+    /// Returns the versions of each service that have served within `period`, with the time since
+    /// they last did.
+    #[must_use]
+    pub fn ages(&self, period: Duration, now: MonoTime) -> ServedVersions {
+        let services = self.services.iter().map(|(service, versions)| {
+            let recent = versions.iter().filter(|(_, v)| v.is_recent(period, now));
+            let ages = recent.map(|(software, version)| (software.clone(), version.age(now)));
+            (service.clone(), ages.collect())
+        });
+        services.collect()
+    }
+
     /// Returns whether several versions of a service have served within `period`.
     #[must_use]
     pub fn is_mixed(&self, period: Duration, now: MonoTime) -> bool {
--- a/src/gateway/software/mod.rs
+++ b/src/gateway/software/mod.rs
@@ -7,7 +7,8 @@
 //! and the one that began the stream may be gone. The version is found in one of these ways:
 //!
 //! - the start is remembered here, or by the daemons that were told of it ([`keepers`]);
-//! - a single version has served since the stream can have begun ([`history`]).
+//! - a single version has served since the stream can have begun ([`history`]), also as the store
+//!   tells it to a daemon that has just started ([`recall`]).
 //!
 //! Otherwise the request is refused: it is never sent to a version that is only likely.
 //!
@@ -17,7 +18,10 @@
 pub mod exchange;
 pub mod history;
 pub mod keepers;
+pub mod recall;
+pub mod recorder;
 pub mod starts;
+pub mod version_record;
 
 use std::time::Duration;
 
@@ -93,7 +97,7 @@
                 is_whole: true,
                 has_others: false,
             },
-            None => self.ask_keepers(own, attempt, call).await,
+            None => self.ask_keepers(attempt, call).await,
         };
         let finding = weigh(service, &gathered);
         let checked = match finding.software() {
--- a/src/gateway/store_follow.rs
+++ b/src/gateway/store_follow.rs
@@ -39,7 +39,7 @@
 
 /// Wait of a watch after a failure. The short wait shows at once when the store is back; a
 /// watch that waits for a change would show it seconds later.
-const RECOVERY_WATCH_WAIT: Duration = Duration::from_millis(20);
+pub(super) const RECOVERY_WATCH_WAIT: Duration = Duration::from_millis(20);
 /// Pause after changes before the next watch, so that many changes at once, as when a whole
 /// fleet starts, share a call instead of taking one each. Calls have a price, and all daemons
 /// share one budget of them. The pause is a small part of the time within which a target's
@@ -227,6 +227,8 @@
     config_answered: watch::Sender<Option<MonoTime>>,
     // Milliseconds on the local clock plus one; 0 means never.
     confirmed: AtomicU64,
+    // Zero before the first list.
+    targets_through: AtomicU64,
 }
 
 impl Default for StoreLiveness {
@@ -235,6 +237,7 @@
             listed: Default::default(),
             config_answered: watch::Sender::new(None),
             confirmed: AtomicU64::new(0),
+            targets_through: AtomicU64::new(0),
         }
     }
 }
@@ -270,6 +273,20 @@
         confirmed.checked_sub(1).map(MonoTime)
     }
 
+    /// Records that the published view contains all changes of targets' entries up to a
+    /// revision of the store.
+    pub fn note_targets_through(&self, revision: u64) {
+        self.targets_through.store(revision, Ordering::Release);
+    }
+
+    /// Returns the revision up to which the published view contains all changes of targets'
+    /// entries; nothing before the first list.
+    #[must_use]
+    pub fn targets_through(&self) -> Option<u64> {
+        let through = self.targets_through.load(Ordering::Acquire);
+        (through > 0).then_some(through)
+    }
+
     // Waits until the store has answered after the given time.
     async fn answered_after(&self, moment: MonoTime) {
         let mut answered = self.config_answered.subscribe();
--- a/tests/gateway_software.rs
+++ b/tests/gateway_software.rs
@@ -11,10 +11,10 @@
 use pistachiowick::gateway::software::evidence::{
     EvidentStart, GatheredEvidence, StartEvidence, VersionFinding, weigh,
 };
-use pistachiowick::gateway::software::history::{MAX_READ_GAP, VersionHistory};
+use pistachiowick::gateway::software::history::{MAX_READ_GAP, ServedVersions, VersionHistory};
 use pistachiowick::gateway::software::keepers::{ASKED, KEEPERS, keepers};
 use pistachiowick::gateway::software::starts::{AttemptDigest, StartTable, StreamStart};
-use pistachiowick::names::{CentreName, DaemonId, MonoTime, ServiceName, SoftwareVersion};
+use pistachiowick::names::{CentreName, DaemonId, MonoTime, ServiceName, SoftwareVersion, millis};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -137,6 +137,9 @@
     Changed(f64, &'static [&'static str]),
     // A target that is leaving when it is first seen.
     Served(f64, &'static str),
+    // Lists before the store was asked, seconds that its record covers, and a version it names with
+    // the seconds since it last served.
+    Recalled(f64, u64, Option<(f64, &'static str, f64)>),
 }
 
 struct HistoryCase {
@@ -148,7 +151,7 @@
     is_complete: bool,
 }
 
-use HistoryStep::{Changed, Listed, Served};
+use HistoryStep::{Changed, Listed, Recalled, Served};
 
 // Guards against taking a version for the only one that a stream can have begun at.
 #[rstest]
@@ -166,6 +169,18 @@
 #[case::version_left_long_ago(HistoryCase { is_new_fleet: true, steps: &[Listed(0.0, &["v1", "v2"]), Changed(3.0, &["v2"])], now: 33.0, store_age: Duration::ZERO, recent: &["v2"], is_complete: true })]
 #[case::version_leaving_at_first_sight(HistoryCase { is_new_fleet: true, steps: &[Listed(0.0, &["v1"]), Served(3.0, "v2")], now: 20.0, store_age: Duration::ZERO, recent: &["v1", "v2"], is_complete: true })]
 #[case::no_targets(HistoryCase { is_new_fleet: true, steps: &[Listed(0.0, &[])], now: 20.0, store_age: Duration::ZERO, recent: &[], is_complete: true })]
+#[case::recalled(HistoryCase { is_new_fleet: false, steps: &[Listed(0.0, &["v1"]), Recalled(0.1, 1, Some((30.0, "v1", 0.0)))], now: 0.2, store_age: Duration::ZERO, recent: &["v1"], is_complete: true })]
+#[case::recalled_another_version(HistoryCase { is_new_fleet: false, steps: &[Listed(0.0, &["v2"]), Recalled(0.1, 1, Some((30.0, "v1", 0.0)))], now: 30.0, store_age: Duration::ZERO, recent: &["v1", "v2"], is_complete: true })]
+#[case::recalled_version_left_long_ago(HistoryCase { is_new_fleet: false, steps: &[Listed(0.0, &["v2"]), Recalled(0.1, 1, Some((30.0, "v1", 0.0)))], now: 30.1, store_age: Duration::ZERO, recent: &["v2"], is_complete: true })]
+#[case::recalled_version_that_had_left(HistoryCase { is_new_fleet: false, steps: &[Listed(0.0, &["v2"]), Recalled(0.0, 1, Some((30.0, "v1", 20.0)))], now: 9.9, store_age: Duration::ZERO, recent: &["v1", "v2"], is_complete: true })]
+#[case::recalled_version_that_had_left_before(HistoryCase { is_new_fleet: false, steps: &[Listed(0.0, &["v2"]), Recalled(0.0, 1, Some((30.0, "v1", 20.0)))], now: 10.0, store_age: Duration::ZERO, recent: &["v2"], is_complete: true })]
+#[case::recalled_version_that_serves(HistoryCase { is_new_fleet: false, steps: &[Listed(0.0, &["v1"]), Recalled(0.1, 1, Some((30.0, "v1", 20.0)))], now: 35.0, store_age: Duration::ZERO, recent: &["v1"], is_complete: true })]
+#[case::recalled_too_little(HistoryCase { is_new_fleet: false, steps: &[Listed(0.0, &["v1"]), Recalled(0.1, 1, Some((20.0, "v1", 0.0)))], now: 10.0, store_age: Duration::ZERO, recent: &["v1"], is_complete: false })]
+#[case::recalled_too_little_at_first(HistoryCase { is_new_fleet: false, steps: &[Listed(0.0, &["v1"]), Recalled(0.1, 1, Some((20.0, "v1", 0.0)))], now: 10.1, store_age: Duration::ZERO, recent: &["v1"], is_complete: true })]
+#[case::recalled_before_another_list(HistoryCase { is_new_fleet: false, steps: &[Listed(0.0, &["v1"]), Listed(0.1, &["v1"]), Recalled(0.1, 1, Some((30.0, "v1", 0.0)))], now: 1.0, store_age: Duration::ZERO, recent: &["v1"], is_complete: false })]
+#[case::listed_after_it_was_recalled(HistoryCase { is_new_fleet: false, steps: &[Listed(0.0, &["v1"]), Recalled(0.1, 1, Some((30.0, "v1", 0.0))), Listed(1.0, &["v1"])], now: 2.0, store_age: Duration::ZERO, recent: &["v1"], is_complete: false })]
+#[case::recalled_without_a_list(HistoryCase { is_new_fleet: false, steps: &[Recalled(0.0, 0, Some((30.0, "v1", 0.0)))], now: 1.0, store_age: Duration::ZERO, recent: &["v1"], is_complete: false })]
+#[case::nothing_to_recall(HistoryCase { is_new_fleet: false, steps: &[Listed(0.0, &["v1"]), Recalled(0.1, 1, None)], now: 1.0, store_age: Duration::ZERO, recent: &["v1"], is_complete: false })]
 fn recent_versions_are_known(#[case] case: HistoryCase) {
     let mut history = if case.is_new_fleet {
         VersionHistory::of_new_fleet(START)
@@ -185,6 +200,15 @@
                 let software = SoftwareVersion::from(*version);
                 history.note_served(&service(), &software, at(*seconds));
             }
+            Recalled(seconds, lists, recalled) => {
+                let covered = recalled.map(|(covered, version, age)| {
+                    let age = Duration::from_secs_f64(age);
+                    let ages = [(SoftwareVersion::from(version), age)].into();
+                    history.note_record(&[(service(), ages)].into(), at(*seconds));
+                    Duration::from_secs_f64(covered)
+                });
+                history.note_recalled(*lists, covered, at(*seconds));
+            }
         }
     }
     let now = at(case.now);
@@ -324,6 +348,32 @@
     targets: &'static [&'static str],
 }
 
+impl ModelDaemon {
+    fn restart(&mut self) {
+        self.starts = StartTable::default();
+        self.reports.clear();
+        self.history = VersionHistory::default();
+        self.targets = &[];
+        self.read = 0;
+        self.read_at = MonoTime(0);
+    }
+
+    fn recall(
+        &mut self,
+        (covered, served): &(usize, ServedVersions),
+        changes: &[(f64, &[&str])],
+        now: MonoTime,
+    ) {
+        let since = changes.iter().skip(*covered).flat_map(|(_, now)| *now);
+        self.history.note_record(served, now);
+        for software in since.map(|version| SoftwareVersion::from(*version)) {
+            self.history.note_served(&service(), &software, now);
+        }
+        let lists = self.history.lists();
+        self.history.note_recalled(lists, Some(PERIOD), now);
+    }
+}
+
 #[derive(Clone, Copy)]
 struct ModelCase {
     daemons: usize,
@@ -333,6 +383,10 @@
     // Share of messages that are lost, and of steps in which a daemon fails.
     losses: f64,
     failures: f64,
+    // Share of steps in which all daemons are killed at once, and of lists after which the store's
+    // history reaches back to its record of versions.
+    herd_kills: f64,
+    recalls: f64,
     // Whether some daemons work at any time, so that streams are to go on.
     goes_on: bool,
 }
@@ -371,6 +425,8 @@
     (46.0, &["v3"]),
 ];
 
+/// Interval at which the versions are recorded in the store.
+const RECORD_INTERVAL: Duration = Duration::from_secs(5);
 /// Most daemons of a fleet without hubs.
 const MESH_DAEMONS: usize = 16;
 const REPORT_ATTEMPTS: u32 = 3;
@@ -387,6 +443,8 @@
     rng: SmallRng,
     daemons: Vec<ModelDaemon>,
     streams: Vec<ModelStream>,
+    // Number of changes of the targets that it covers, and the versions.
+    record: Option<(usize, ServedVersions)>,
     next_attempt: u64,
     found: usize,
     unknown: usize,
@@ -411,6 +469,7 @@
             rng: SmallRng::seed_from_u64(seed),
             daemons: (0..case.daemons).map(daemon).collect(),
             streams: Vec::new(),
+            record: None,
             next_attempt: 0,
             found: 0,
             unknown: 0,
@@ -424,6 +483,9 @@
             for number in 0..self.daemons.len() {
                 self.read(number, now);
             }
+            if now.0.is_multiple_of(millis(RECORD_INTERVAL)) {
+                self.record_versions(now);
+            }
             if self.case.daemons <= MESH_DAEMONS {
                 self.announce_entries(now);
             }
@@ -444,6 +506,9 @@
     }
 
     fn fail(&mut self, now: MonoTime) {
+        if self.rng.random_bool(self.case.herd_kills) {
+            self.daemons.iter_mut().for_each(ModelDaemon::restart);
+        }
         if !self.rng.random_bool(self.case.failures) {
             return;
         }
@@ -462,14 +527,18 @@
                 daemon.blind_until = until;
             }
             // Killed and started again.
-            _ => {
-                daemon.starts = StartTable::default();
-                daemon.reports.clear();
-                daemon.history = VersionHistory::default();
-                daemon.targets = &[];
-                daemon.read = 0;
-                daemon.read_at = MonoTime(0);
-            }
+            _ => daemon.restart(),
+        }
+    }
+
+    // The first daemon that knows all versions writes them into the store.
+    fn record_versions(&mut self, now: MonoTime) {
+        let knows_all = |daemon: &&ModelDaemon| {
+            let store_age = now.since(daemon.read_at);
+            now >= daemon.blind_until && daemon.history.is_complete(PERIOD, store_age, now)
+        };
+        if let Some(daemon) = self.daemons.iter().find(knows_all) {
+            self.record = Some((daemon.read, daemon.history.ages(PERIOD, now)));
         }
     }
 
@@ -486,6 +555,10 @@
         if is_list {
             daemon.history.note_listed(now);
             daemon.read = through.saturating_sub(1);
+            let recalls = self.rng.random_bool(self.case.recalls);
+            if let Some(record) = self.record.as_ref().filter(|_| recalls) {
+                daemon.recall(record, &self.case.changes[..through], now);
+            }
         }
         for (_, versions) in &self.case.changes[daemon.read..through] {
             daemon.targets = versions;
@@ -615,19 +688,27 @@
 // Guards against streams that go on at another version, whatever daemons fail, do not read the
 // store or do not hear of each other; and against refusing most that could go on.
 #[rstest]
-#[case::one_version(ModelCase { daemons: 8, centres: 4, changes: ONE_VERSION, losses: 0.0, failures: 0.0, goes_on: true })]
-#[case::one_version_failures(ModelCase { daemons: 8, centres: 4, changes: ONE_VERSION, losses: 0.02, failures: 0.02, goes_on: true })]
-#[case::release(ModelCase { daemons: 8, centres: 4, changes: RELEASE, losses: 0.0, failures: 0.0, goes_on: true })]
-#[case::release_small(ModelCase { daemons: 3, centres: 1, changes: RELEASE, losses: 0.02, failures: 0.02, goes_on: true })]
-#[case::release_failures(ModelCase { daemons: 8, centres: 4, changes: RELEASE, losses: 0.02, failures: 0.02, goes_on: true })]
-#[case::three_versions(ModelCase { daemons: 8, centres: 4, changes: THREE_VERSIONS, losses: 0.02, failures: 0.02, goes_on: true })]
-#[case::three_versions_many_failures(ModelCase { daemons: 8, centres: 4, changes: THREE_VERSIONS, losses: 0.2, failures: 0.1, goes_on: false })]
-#[case::three_versions_half_fails(ModelCase { daemons: 8, centres: 4, changes: THREE_VERSIONS, losses: 0.1, failures: 0.04, goes_on: true })]
-#[case::fleeting_version(ModelCase { daemons: 8, centres: 4, changes: FLEETING, losses: 0.02, failures: 0.02, goes_on: true })]
-#[case::fleeting_version_many_failures(ModelCase { daemons: 8, centres: 4, changes: FLEETING, losses: 0.1, failures: 0.1, goes_on: false })]
-#[case::fleeting_version_small(ModelCase { daemons: 3, centres: 1, changes: FLEETING, losses: 0.1, failures: 0.05, goes_on: false })]
-#[case::hubs(ModelCase { daemons: 69, centres: 3, changes: RELEASE, losses: 0.02, failures: 0.1, goes_on: true })]
-#[case::large(ModelCase { daemons: 300, centres: 10, changes: THREE_VERSIONS, losses: 0.02, failures: 0.3, goes_on: true })]
+#[case::one_version(ModelCase { daemons: 8, centres: 4, changes: ONE_VERSION, losses: 0.0, failures: 0.0, herd_kills: 0.0, recalls: 0.0, goes_on: true })]
+#[case::one_version_failures(ModelCase { daemons: 8, centres: 4, changes: ONE_VERSION, losses: 0.02, failures: 0.02, herd_kills: 0.0, recalls: 0.0, goes_on: true })]
+#[case::release(ModelCase { daemons: 8, centres: 4, changes: RELEASE, losses: 0.0, failures: 0.0, herd_kills: 0.0, recalls: 0.0, goes_on: true })]
+#[case::release_small(ModelCase { daemons: 3, centres: 1, changes: RELEASE, losses: 0.02, failures: 0.02, herd_kills: 0.0, recalls: 0.0, goes_on: true })]
+#[case::release_failures(ModelCase { daemons: 8, centres: 4, changes: RELEASE, losses: 0.02, failures: 0.02, herd_kills: 0.0, recalls: 0.0, goes_on: true })]
+#[case::three_versions(ModelCase { daemons: 8, centres: 4, changes: THREE_VERSIONS, losses: 0.02, failures: 0.02, herd_kills: 0.0, recalls: 0.0, goes_on: true })]
+#[case::three_versions_many_failures(ModelCase { daemons: 8, centres: 4, changes: THREE_VERSIONS, losses: 0.2, failures: 0.1, herd_kills: 0.0, recalls: 0.0, goes_on: false })]
+#[case::three_versions_half_fails(ModelCase { daemons: 8, centres: 4, changes: THREE_VERSIONS, losses: 0.1, failures: 0.04, herd_kills: 0.0, recalls: 0.0, goes_on: true })]
+#[case::fleeting_version(ModelCase { daemons: 8, centres: 4, changes: FLEETING, losses: 0.02, failures: 0.02, herd_kills: 0.0, recalls: 0.0, goes_on: true })]
+#[case::fleeting_version_many_failures(ModelCase { daemons: 8, centres: 4, changes: FLEETING, losses: 0.1, failures: 0.1, herd_kills: 0.0, recalls: 0.0, goes_on: false })]
+#[case::fleeting_version_small(ModelCase { daemons: 3, centres: 1, changes: FLEETING, losses: 0.1, failures: 0.05, herd_kills: 0.0, recalls: 0.0, goes_on: false })]
+#[case::hubs(ModelCase { daemons: 69, centres: 3, changes: RELEASE, losses: 0.02, failures: 0.1, herd_kills: 0.0, recalls: 0.0, goes_on: true })]
+#[case::large(ModelCase { daemons: 300, centres: 10, changes: THREE_VERSIONS, losses: 0.02, failures: 0.3, herd_kills: 0.0, recalls: 0.0, goes_on: true })]
+#[case::release_recalled(ModelCase { daemons: 8, centres: 4, changes: RELEASE, losses: 0.02, failures: 0.02, herd_kills: 0.0, recalls: 0.9, goes_on: true })]
+#[case::hubs_recalled(ModelCase { daemons: 69, centres: 3, changes: RELEASE, losses: 0.02, failures: 0.1, herd_kills: 0.0, recalls: 0.9, goes_on: true })]
+#[case::all_killed_one_version(ModelCase { daemons: 8, centres: 4, changes: ONE_VERSION, losses: 0.02, failures: 0.0, herd_kills: 0.005, recalls: 1.0, goes_on: true })]
+#[case::all_killed_one_version_small(ModelCase { daemons: 3, centres: 1, changes: ONE_VERSION, losses: 0.02, failures: 0.02, herd_kills: 0.005, recalls: 0.9, goes_on: true })]
+#[case::all_killed_release(ModelCase { daemons: 8, centres: 4, changes: RELEASE, losses: 0.02, failures: 0.02, herd_kills: 0.01, recalls: 0.9, goes_on: false })]
+#[case::all_killed_three_versions(ModelCase { daemons: 8, centres: 4, changes: THREE_VERSIONS, losses: 0.02, failures: 0.02, herd_kills: 0.01, recalls: 0.9, goes_on: false })]
+#[case::all_killed_fleeting_version(ModelCase { daemons: 8, centres: 4, changes: FLEETING, losses: 0.02, failures: 0.02, herd_kills: 0.01, recalls: 1.0, goes_on: false })]
+#[case::all_killed_large(ModelCase { daemons: 69, centres: 3, changes: FLEETING, losses: 0.02, failures: 0.1, herd_kills: 0.01, recalls: 0.9, goes_on: false })]
 fn no_interleaving_mixes_versions(#[case] case: ModelCase) {
     const SEEDS: u64 = 8;
     let (mut found, mut unknown) = (0, 0);
