Requests wait until a daemon that has started knows its turns

Callers saw: a daemon that had just started refused requests to a target that limits the rate of its requests, with 10 s to return, while the target had turns free. Cause: a daemon takes its turns by its place in the list of daemons. Readiness needs the configuration and the targets; the list of daemons may come later. Change: a request to a service with such a target waits for that list, within the time that it may wait for a turn. If the list does not come, the time to return is a second: other daemons know their turns.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -125,6 +125,7 @@
         history: &mut SendHistory,
     ) -> Result<Reply, Failure> {
         self.fix_software(call).await?;
+        self.await_seat(call).await;
         let generates = call.service.engine.is_some() && call.caller.prompt.is_some();
         let answered = if let Err(refusal) = self.check_reach(&call.service.name) {
             Err(refusal)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -51,6 +51,7 @@
 pub mod settings;
 pub mod software;
 pub mod stage_control;
+pub mod startup_wait;
 pub mod statements;
 pub mod store_contact;
 pub mod store_follow;
--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::clock;
 use crate::gateway::call::{RoutedRequest, SendHistory};
 use crate::gateway::daemon::Gateway;
 use crate::gateway::model::TargetRecord;
 use crate::gateway::reply::Failure;
+use crate::gateway::startup_wait::wait_until;
 use crate::names::{DaemonId, MonoTime};
 use crate::target_incarnation::TargetIncarnation;
 use crate::target_limits::log_change;
@@ -64,6 +65,21 @@
         self.limits.borrow().has_unsent(clock::mono_now())
     }
 
+    /// Waits until this daemon's turns are known, right after its start, if a target of the
+    /// request's service limits the rate of its requests. No turn is known without the list of
+    /// daemons, which may arrive later than that of the targets.
+    pub async fn await_seat(&self, call: &RoutedRequest) {
+        let is_limited = |target: &Arc<TargetRecord>| {
+            let limits = self.limits.borrow();
+            limits.rate(&target.id).is_some()
+        };
+        let mut targets = call.view.service_targets(&call.service.name).iter();
+        if targets.any(is_limited) {
+            let until = Instant::now() + call.turn_terms().max_wait;
+            wait_until(until, || self.turn_seat(&self.daemon).is_some()).await;
+        }
+    }
+
     /// Returns the turns at those of the targets that limit the rate of their requests, or that
     /// refuse those of this daemon for a time.
     #[must_use]
--- a/src/gateway/software/exchange.rs
+++ b/src/gateway/software/exchange.rs
@@ -31,6 +31,7 @@
 use crate::gateway::software::evidence::{GatheredEvidence, StartEvidence, weigh};
 use crate::gateway::software::keepers::{ASKED, KEEPERS, keepers};
 use crate::gateway::software::starts::{AttemptDigest, AttemptStart, StreamStart};
+use crate::gateway::startup_wait::wait_until;
 use crate::names::{DaemonId, MonoTime, ServiceName, SoftwareVersion, millis};
 use crate::timer::TimerService;
 
@@ -49,8 +50,6 @@
 /// Longest time for which a caller that takes its stream up waits for what this daemon and others
 /// know of it.
 const FINDING_TIMEOUT: Duration = Duration::from_secs(1);
-/// Interval at which a daemon that has just started checks whether it knows what it waits for.
-const KNOWLEDGE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Longest time for which a query of another daemon waits until this one has recalled versions; the
 /// other one waits for up to [`FINDING_TIMEOUT`].
 const QUERY_PATIENCE: Duration = Duration::from_millis(500);
@@ -315,18 +314,6 @@
     }
 }
 
-// Waits for what a daemon that has started learns later than it is ready. Returns whether it is
-// known.
-async fn wait_until(until: Instant, is_known: impl Fn() -> bool) -> bool {
-    while !is_known() {
-        if Instant::now() >= until {
-            return false;
-        }
-        sleep(KNOWLEDGE_CHECK_INTERVAL).await;
-    }
-    true
-}
-
 fn report_of(starts: &[&AttemptStart], now: MonoTime) -> Vec<ReportedVersion> {
     let mut versions: IndexMap<(&ServiceName, &SoftwareVersion), Vec<(AttemptDigest, u64)>> =
         IndexMap::new();
--- a/src/target_limits/tracker.rs
+++ b/src/target_limits/tracker.rs
@@ -21,6 +21,8 @@
 const SPREAD: f64 = 1.618_034;
 /// Longest time after which a refused caller is told to come back.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
+/// The same from a daemon that has just started and does not know its turns yet; others do.
+const UNKNOWN_SEAT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Debug)]
 struct TargetLimit {
@@ -335,7 +337,7 @@
             return None;
         }
         let Some(seat) = seat else {
-            return Some(MAX_RETRY_AFTER);
+            return Some(UNKNOWN_SEAT_RETRY_AFTER);
         };
         let next = |limit: &TargetLimit| {
             let schedule = limit.schedule(seat);
