Daemons write their records until the store holds them

Cause: the write of a daemon's record ended after eight attempts, and nothing noticed that the store held the record of an earlier process, or none. One that the list of daemons lacks is looked up in the store, and written again if it is not there. Log, metric and readiness page tell that a daemon is not listed.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -7,12 +7,13 @@
 use std::time::Duration;
 
 use tokio::runtime;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
 use crate::clock;
 use crate::gateway::fleet::{self, FleetCell, FleetView};
+use crate::gateway::local_record::{RecordCheck, RecordKeeper};
 use crate::gateway::members::{DaemonRecord, DaemonTable};
 use crate::gateway::model::FleetConfig;
 use crate::gateway::peers::wire::FeedObjects;
@@ -24,11 +25,10 @@
 use crate::gateway::software::history::VersionHistory;
 use crate::gateway::software::recall::RecalledVersions;
 use crate::gateway::store_follow::{
-    ConfigWatchWaits, Feed, INITIAL_BACKOFF, MAX_BACKOFF, StoreEvent, StoreFollower, StoreLiveness,
-    WatchMode, kind_of, sleep_with_backoff,
+    ConfigWatchWaits, Feed, StoreEvent, StoreFollower, StoreLiveness, WatchMode, kind_of,
 };
 use crate::names::{MonoTime, TargetId, millis};
-use crate::ports::{ConditionalWrite, ObjectName, ObjectVersion, PlatformError, StoredObject};
+use crate::ports::{ObjectName, ObjectVersion, StoredObject};
 use crate::target_incarnation::TargetIncarnation;
 use crate::timer::TimerService;
 
@@ -37,8 +37,6 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval at which targets that get work without an entry are reported.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
-/// Attempts to write this daemon's record; after that it is written with its next change.
-const MAX_RECORD_ATTEMPTS: u32 = 8;
 
 /// Messages to the control thread.
 #[derive(Debug)]
@@ -131,7 +129,7 @@
     config_source: Option<(u64, Arc<[u8]>)>,
     targets_known: bool,
     daemons_known: bool,
-    local_record_seen: bool,
+    record_check: RecordCheck,
     store_liveness: Arc<StoreLiveness>,
     // Revision of the newest configuration that could not be decoded and is not in force here.
     rejected_revision: Option<u64>,
@@ -157,7 +155,18 @@
         };
         spawn_local(follower.run());
     }
-    spawn_local(maintain_record(setup.ports.clone(), record));
+    let record_checks = Arc::new(Notify::new());
+    let record_object = ObjectName {
+        kind: setup.ports.schema.daemon_kind.clone(),
+        name: record.borrow().id.to_string(),
+    };
+    let keeper = RecordKeeper {
+        store: setup.ports.store.clone(),
+        object: record_object,
+        desired: record,
+        checks: record_checks.clone(),
+    };
+    spawn_local(keeper.run());
     let mut state = ControlState {
         ports: setup.ports,
         cell: setup.cell,
@@ -172,7 +181,7 @@
         config_source: None,
         targets_known: false,
         daemons_known: false,
-        local_record_seen: false,
+        record_check: RecordCheck::new(clock::mono_now()),
         store_liveness: setup.store_liveness,
         rejected_revision: None,
     };
@@ -217,9 +226,8 @@
                 false
             }
         };
-        if state.has_lost_local_record(&record_sender.borrow()) {
-            // Makes `maintain_record` write it again.
-            record_sender.send_modify(|_| {});
+        if state.must_check_record(&record_sender.borrow()) {
+            record_checks.notify_one();
         }
         if changed {
             state.publish();
@@ -283,6 +291,8 @@
         let missing = self.registry.missing_entries();
         let missing: Vec<String> = missing.map(|(id, _)| id.to_string()).collect();
         metrics::gauge!("pistachiowick_entries_missing").set(missing.len() as f64);
+        let is_listed = u8::from(self.record_check.is_listed());
+        metrics::gauge!("pistachiowick_daemon_listed").set(f64::from(is_listed));
         if !missing.is_empty() {
             log::info!(
                 targets = missing.join(" "),
@@ -317,13 +327,10 @@
         self.apply(event, EntrySource::Hub)
     }
 
-    // Returns whether this daemon's record was known before, and is missing now or of an earlier
-    // run, as a restored store may have it.
-    fn has_lost_local_record(&mut self, local: &DaemonRecord) -> bool {
-        let present = self.members.contains(&local.id, local.incarnation);
-        let lost = self.local_record_seen && !present;
-        self.local_record_seen = present;
-        lost
+    fn must_check_record(&mut self, local: &DaemonRecord) -> bool {
+        let is_listed = self.members.holds(local);
+        let now = clock::mono_now();
+        self.record_check.note_listed(is_listed, now)
     }
 
     // Returns whether the published view has to change.
@@ -506,40 +513,3 @@
         None => pending().await,
     }
 }
-
-// Writes this daemon's record to the store, and again with each change.
-async fn maintain_record(ports: GatewayPorts, mut desired: watch::Receiver<DaemonRecord>) {
-    let object = ObjectName {
-        kind: ports.schema.daemon_kind.clone(),
-        name: desired.borrow().id.to_string(),
-    };
-    loop {
-        let record = desired.borrow_and_update().clone();
-        write_record(&ports, &object, &record).await;
-        if desired.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
-async fn write_record(ports: &GatewayPorts, object: &ObjectName, record: &DaemonRecord) {
-    let mut expected = ObjectVersion(0);
-    let mut backoff = INITIAL_BACKOFF;
-    for _ in 0..MAX_RECORD_ATTEMPTS {
-        let write = ConditionalWrite {
-            object: object.clone(),
-            expected,
-            value: record.encode(),
-        };
-        match (ports.store.write)(write).await {
-            Ok(_) => return,
-            // A record of an earlier incarnation; only this daemon writes under its name.
-            Err(PlatformError::Conflict { current }) => expected = current,
-            Err(error) => {
-                log::warn!("could not write this daemon's record to the store: {error}");
-                sleep_with_backoff(&mut backoff, MAX_BACKOFF).await;
-            }
-        }
-    }
-    log::error!(attempts = MAX_RECORD_ATTEMPTS; "gave up writing this daemon's record until its next change; other daemons may not know this daemon until then, check that the store accepts writes");
-}
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -205,14 +205,20 @@
         self.view().daemons.len().max(1)
     }
 
+    /// Returns whether the list of daemons contains this process. Callers and other daemons do
+    /// not know one that is not listed.
+    #[must_use]
+    pub fn is_listed(&self) -> bool {
+        let view = self.view();
+        let mut daemons = view.daemons.iter();
+        daemons.any(|d| d.id == self.daemon && d.incarnation == self.incarnation)
+    }
+
     /// Brings the retry budget up to date with the list of daemons. A process whose record is
     /// another one's, or is missing, is not counted by the others and holds no share.
     pub fn update_budget(&self) {
         let view = self.view();
-        let is_listed = view
-            .daemons
-            .iter()
-            .any(|daemon| daemon.id == self.daemon && daemon.incarnation == self.incarnation);
+        let is_listed = self.is_listed();
         let now = clock::mono_now();
         let mut budget = self.budget.borrow_mut();
         budget.note_fleet(is_listed.then_some(view.daemons.len()), now);
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -230,7 +230,12 @@
     } else {
         (StatusCode::SERVICE_UNAVAILABLE, "not ready")
     };
-    text_page(status, "text/plain", text.to_owned())
+    let listed = if gateway.is_listed() {
+        ""
+    } else {
+        ", not listed: the store does not hold this daemon's record, check that it accepts writes"
+    };
+    text_page(status, "text/plain", format!("{text}{listed}"))
 }
 
 fn text_page(status: StatusCode, kind: &'static str, text: String) -> Reply {
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -8,7 +8,8 @@
 
 use crate::names::{CentreName, DaemonId};
 
-/// A daemon's record in the store, which it writes when it starts and when it stops.
+/// A daemon's record in the store, which it writes when it starts and when it stops, and again if
+/// the store loses it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct DaemonRecord {
     /// Name of the daemon; one record per name.
@@ -104,11 +105,10 @@
         self.records.clear();
     }
 
-    /// Returns whether a daemon's record is of the given run of it.
+    /// Returns whether a daemon's record is exactly this one.
     #[must_use]
-    pub fn contains(&self, daemon: &DaemonId, incarnation: u64) -> bool {
-        let record = self.records.get(daemon.as_str());
-        record.is_some_and(|record| record.incarnation == incarnation)
+    pub fn holds(&self, record: &DaemonRecord) -> bool {
+        self.records.get(record.id.as_str()) == Some(record)
     }
 
     /// Returns all records sorted by name, so that all daemons see the same order.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 pub mod journal;
 mod lease_upkeep;
 pub mod limited_stream;
+pub mod local_record;
 pub mod members;
 pub mod model;
 pub mod peers;
