The end of a stream is logged with its reason and the silence before it

An operator saw streams cut beside a SIGTERM, and the log could not tell a silent engine from a closed connection or a changed version: "stream ended" had no reason. It now gives the reason of a cut and the time since bytes last came.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -56,6 +56,7 @@
     in_flight: Option<InFlightGuard>,
     first_event_timer: FirstEventTimer,
     first_event_at: Option<Instant>,
+    last_bytes_at: Instant,
     // Time and id of the first event of the present engine, and its running requests.
     decode_start: Option<(Instant, u64, u32)>,
     // Whether the engine has sent an event, and was of its recorded version then.
@@ -100,6 +101,7 @@
             in_flight: Some(in_flight),
             first_event_timer,
             first_event_at: None,
+            last_bytes_at: Instant::now(),
             decode_start: None,
             is_engine_checked: false,
             ended: false,
@@ -136,18 +138,17 @@
                 RelayStep::Bytes(bytes) => return Ok(Some(bytes)),
                 RelayStep::Partial => {}
                 RelayStep::Ended => {
-                    self.end("answered", SendResult::Answered);
+                    self.end("answered", "", SendResult::Answered);
                     return Ok(None);
                 }
                 RelayStep::OutOfTime => {
-                    self.end("out_of_time", SendResult::Failed);
-                    return Err(AnswerTruncated(
-                        "the deadline of the request has passed".to_owned(),
-                    ));
+                    let reason = "the deadline of the request has passed";
+                    self.end("out_of_time", reason, SendResult::Failed);
+                    return Err(AnswerTruncated(reason.to_owned()));
                 }
                 RelayStep::Cut(reason) | RelayStep::Broken(reason) => {
                     if !self.resume(&reason).await {
-                        self.end("cut", SendResult::Failed);
+                        self.end("cut", &reason, SendResult::Failed);
                         return Err(AnswerTruncated(reason));
                     }
                 }
@@ -201,6 +202,7 @@
         let Ok(data) = frame.into_data() else {
             return RelayStep::Partial;
         };
+        self.last_bytes_at = Instant::now();
         if self.handed_over.is_none() {
             self.gateway.note_target_bytes(&self.engine);
             let centre = &self.engine.centre;
@@ -367,7 +369,7 @@
         is_success
     }
 
-    fn log_end(&self, outcome: &'static str) {
+    fn log_end(&self, outcome: &'static str, reason: &str) {
         metrics::counter!("pistachiowick_gateway_answers_total", "outcome" => outcome).increment(1);
         let first_ms = self
             .first_event_at
@@ -378,8 +380,10 @@
             target_id = self.engine.id.as_str(),
             software = self.engine.software.as_str(),
             outcome = outcome,
+            reason = reason,
             last_event = self.last_id.unwrap_or(0),
             first_event_ms = first_ms,
+            silent_ms = self.last_bytes_at.elapsed().as_millis() as u64,
             took_ms = self.call.arrived.elapsed().as_millis() as u64;
             "stream ended"
         );
@@ -396,11 +400,11 @@
         capacities.note_decode(&self.engine, (running, tokens), taken_ms, now);
     }
 
-    fn end(&mut self, outcome: &'static str, result: SendResult) {
+    fn end(&mut self, outcome: &'static str, reason: &str, result: SendResult) {
         if self.handed_over.is_none() {
             self.gateway.note_result(&self.engine, result);
         }
-        self.log_end(outcome);
+        self.log_end(outcome, reason);
         self.ended = true;
         self.in_flight = None;
         let Some(answer) = self.answer.take() else {
@@ -419,7 +423,7 @@
 impl Drop for EventRelay {
     fn drop(&mut self) {
         if !self.ended {
-            self.log_end("caller_left");
+            self.log_end("caller_left", "");
         }
     }
 }
