A silent engine is given up only once another one sends the next event

Cause: the relay dropped the engine's answer first and asked for a retry, a place and another engine afterwards.

Change: the relay reads all runs of a stream side by side (stream_run.rs). A silence may start another engine, or a handover if this daemon reaches none; it ends nothing. The first event after the last one forwarded decides, the other engine is cancelled, and its failure is noted only then. A run that fails leaves the others; a broken stream is tried again as long as attempts and the budget allow, not once. A send that is cancelled without an answer counts as arrived. Work on trial after crashes still goes to one engine at a time. An engine's silence enters no learned time.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -253,6 +253,12 @@
         self.arrived.get() <= self.retries.get()
     }
 
+    /// Returns the same while `pending` other sends may arrive.
+    #[must_use]
+    pub fn covers_next_beside(&self, pending: usize) -> bool {
+        self.arrived.get() as usize + pending <= self.retries.get() as usize
+    }
+
     /// Records a retry that was taken from the budget.
     pub fn note_retry(&self) {
         self.retries.set(self.retries.get() + 1);
--- a/src/gateway/event_split.rs
+++ b/src/gateway/event_split.rs
@@ -74,6 +74,16 @@
         }
     }
 
+    /// Returns a splitter of another answer that goes on after the last whole event.
+    #[must_use]
+    pub fn resumed(&self) -> Self {
+        Self {
+            pending: BytesMut::new(),
+            searched: 0,
+            ..*self
+        }
+    }
+
     /// Appends `bytes` and returns the events that are now complete.
     ///
     /// # Errors
@@ -148,12 +158,6 @@
         self.searched = 0;
         self.pending.split().freeze()
     }
-
-    /// Discards the bytes of the incomplete event.
-    pub fn clear(&mut self) {
-        self.pending.clear();
-        self.searched = 0;
-    }
 }
 
 // An event ends with an empty line.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,12 +1,16 @@
-//! Forwards a stream of events to the caller, and resumes it on another engine if its
-//! engine fails and the route allows it.
+//! Forwards a stream of events to the caller. If its engine fails or is silent and the route
+//! allows it, another one goes on with the stream.
+//!
+//! A silent engine may still go on, so its answer is kept while another engine is tried. The
+//! first event after the last one forwarded decides which of them goes on.
 
+use std::future::poll_fn;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::{StreamExt, stream};
+use futures_util::stream;
 use http_body_util::{BodyExt, Either};
 use hyper::body::Frame;
 use tokio::task::yield_now;
@@ -16,19 +20,19 @@
 use crate::gateway::budget::RetryCause;
 use crate::gateway::call::{InFlightGuard, RoutedRequest, SendHistory};
 use crate::gateway::centre_traffic::CentreTraffic;
-use crate::gateway::client::is_timeout;
 use crate::gateway::daemon::Gateway;
 use crate::gateway::deciding::TimedWork;
 use crate::gateway::deciding::health::SendResult;
-use crate::gateway::event_split::EventSplitter;
+use crate::gateway::event_split::{EventBatch, EventSplitter};
 use crate::gateway::model::{RetryRule, TargetRecord};
 use crate::gateway::port::SendMode;
 use crate::gateway::reply::{AnswerTruncated, Failure, FailureKind, FrameStream};
 use crate::gateway::sending::{SendOutcome, TargetAnswer};
+use crate::gateway::stream_run::{RunSource, RunStep, StreamRun, poll_runs};
 
-/// Silence of an engine after which a resumable stream is resumed on another one, as a
-/// multiple of the gap objective. Callers time out later, after two seconds or more.
-const STALL_TIMEOUT_GAPS: u32 = 4;
+/// Silence of an engine after which another one is tried, as a multiple of the gap objective.
+/// Callers time out later, after two seconds or more.
+const SILENCE_GAPS: u32 = 4;
 /// Gap objective of routes that state none.
 const DEFAULT_GAP_OBJECTIVE: Duration = Duration::from_millis(300);
 
@@ -42,37 +46,45 @@
     pub timed: Option<TimedWork>,
 }
 
-/// A stream that is being forwarded. Dropping it cancels the work on the engine.
+/// A stream that is being forwarded. Dropping it cancels the work on the engines.
 pub struct EventRelay {
     gateway: Rc<Gateway>,
     call: Rc<RoutedRequest>,
+    runs: Vec<StreamRun>,
+    // Engine whose events were forwarded last, or the first one.
     engine: Arc<TargetRecord>,
-    answer: Option<TargetAnswer>,
-    // Frames from another daemon, once it has taken the stream over.
-    handed_over: Option<FrameStream>,
+    // State after the last event forwarded.
     splitter: EventSplitter,
     last_id: Option<u64>,
     history: SendHistory,
-    in_flight: Option<InFlightGuard>,
+    // Whether another daemon was asked to take the stream over, whose sends are not known here.
+    is_handed_over: bool,
+    next_try: Instant,
+    // Whether the engine has been silent for too long since the last event.
+    is_silent: bool,
     first_event_timer: FirstEventTimer,
     first_event_at: Option<Instant>,
     last_bytes_at: Instant,
     // Time and id of the first event of the present engine, and its running requests.
     decode_start: Option<(Instant, u64, u32)>,
-    // Whether the engine has sent an event, and was of its recorded version then.
-    is_engine_checked: bool,
     ended: bool,
 }
 
 enum RelayStep {
-    Bytes(Bytes),
-    Partial,
-    Ended,
+    Run(usize, RunStep),
+    Silence,
+    OutOfTime,
+}
+
+enum RunFailure {
     // The engine closed the connection.
     Cut(String),
-    // The stream cannot go on for another reason.
+    // The run cannot go on for another reason.
     Broken(String),
-    OutOfTime,
+    // Nothing of the request was sent, so that another engine can be tried at once.
+    NotSent(String),
+    // The send has already been accounted for.
+    Sent(String),
 }
 
 impl EventRelay {
@@ -89,21 +101,32 @@
     ) -> Self {
         let last_id = call.caller.resume_after;
         let tokens = call.caller.prompt.as_ref().map_or(0, |p| p.output_tokens);
+        let splitter = EventSplitter::new(tokens, last_id);
+        let now = Instant::now();
+        let run = StreamRun {
+            source: RunSource::Answer(Box::new(answer)),
+            engine: Some(engine.clone()),
+            splitter: splitter.resumed(),
+            in_flight: Some(in_flight),
+            is_leading: true,
+            is_checked: false,
+            started: now,
+        };
         Self {
             gateway,
             call,
+            runs: vec![run],
             engine,
-            answer: Some(answer),
-            handed_over: None,
-            splitter: EventSplitter::new(tokens, last_id),
+            splitter,
             last_id,
             history,
-            in_flight: Some(in_flight),
+            is_handed_over: false,
+            next_try: now,
+            is_silent: false,
             first_event_timer,
             first_event_at: None,
-            last_bytes_at: Instant::now(),
+            last_bytes_at: now,
             decode_start: None,
-            is_engine_checked: false,
             ended: false,
         }
     }
@@ -126,183 +149,242 @@
     }
 
     async fn next(&mut self) -> Result<Option<Bytes>, AnswerTruncated> {
+        // While the caller does not read, nothing is read from the engine either.
+        self.await_events();
         loop {
-            let step = self.step().await;
-            if let RelayStep::Cut(reason) = &step
-                && self.handed_over.is_none()
-            {
-                self.gateway
-                    .record_connection_loss(&self.call, &self.engine, reason);
-            }
-            match step {
-                RelayStep::Bytes(bytes) => return Ok(Some(bytes)),
-                RelayStep::Partial => {}
-                RelayStep::Ended => {
-                    self.end("answered", "", SendResult::Answered);
-                    return Ok(None);
+            let (index, step) = match self.step().await {
+                RelayStep::Run(index, step) => (index, step),
+                RelayStep::Silence => {
+                    self.note_silence();
+                    continue;
                 }
                 RelayStep::OutOfTime => {
                     let reason = "the deadline of the request has passed";
-                    self.end("out_of_time", reason, SendResult::Failed);
-                    return Err(AnswerTruncated(reason.to_owned()));
+                    return Err(self.cut("out_of_time", reason.to_owned()));
+                }
+            };
+            match step {
+                RunStep::Data(data) => match self.take_data(index, &data) {
+                    Ok(Some(bytes)) => return Ok(Some(bytes)),
+                    Ok(None) => {}
+                    Err(reason) => self.fail_run(index, RunFailure::Broken(reason))?,
+                },
+                RunStep::Sent(outcome) => self.take_outcome(index, outcome)?,
+                RunStep::HandedOver(Some(frames)) => {
+                    self.runs[index].source = RunSource::Peer(frames);
                 }
-                RelayStep::Cut(reason) | RelayStep::Broken(reason) => {
-                    if !self.resume(&reason).await {
-                        self.end("cut", &reason, SendResult::Failed);
-                        return Err(AnswerTruncated(reason));
-                    }
+                RunStep::HandedOver(None) => {
+                    let reason = "no other daemon took the stream over".to_owned();
+                    self.fail_run(index, RunFailure::Sent(reason))?;
                 }
+                RunStep::Ended if self.may_be_whole(index) => {
+                    self.settle(index);
+                    self.end();
+                    return Ok(None);
+                }
+                RunStep::Ended => {
+                    let reason = "the engine ended the stream without an event".to_owned();
+                    self.fail_run(index, RunFailure::Broken(reason))?;
+                }
+                RunStep::Cut(reason) => self.fail_run(index, RunFailure::Cut(reason))?,
+                RunStep::Broken(reason) => self.fail_run(index, RunFailure::Broken(reason))?,
             }
         }
     }
 
     async fn step(&mut self) -> RelayStep {
-        if let Some(frames) = &mut self.handed_over {
-            let frame = timeout_at(self.call.deadline, frames.next()).await;
-            return match frame {
-                Err(_) => RelayStep::OutOfTime,
-                Ok(None) => self.finish_body(),
-                Ok(Some(Err(cut))) => RelayStep::Broken(cut.to_string()),
-                Ok(Some(Ok(frame))) => self.take_frame(frame),
-            };
-        }
-        let stall_deadline = self.stall_deadline();
-        let Some(answer) = &mut self.answer else {
-            return RelayStep::Broken("no engine is serving the stream".to_owned());
+        let deadline = self.call.deadline;
+        // Work that may crash engines is sent to one at a time.
+        let wake = match self.may_try_another() && !self.call.is_probe.get() {
+            true => self.next_try.min(deadline),
+            false => deadline,
         };
-        let deadline = self.call.deadline.min(stall_deadline);
-        match timeout_at(deadline, answer.body.frame()).await {
-            Err(_) if Instant::now() >= self.call.deadline => RelayStep::OutOfTime,
-            Err(_) => RelayStep::Broken("the engine sent nothing within the time limit".to_owned()),
-            Ok(None) => self.finish_body(),
-            Ok(Some(Err(error))) if is_timeout(&error) => RelayStep::Broken(error.to_string()),
-            Ok(Some(Err(error))) => RelayStep::Cut(error.to_string()),
-            Ok(Some(Ok(frame))) => self.take_frame(frame),
+        let runs = &mut self.runs;
+        match timeout_at(wake, poll_fn(|context| poll_runs(runs, context))).await {
+            Ok((index, step)) => RelayStep::Run(index, step),
+            Err(_) if Instant::now() >= deadline => RelayStep::OutOfTime,
+            Err(_) => RelayStep::Silence,
         }
     }
 
-    fn stall_deadline(&self) -> Instant {
-        let now = Instant::now();
-        if !self.may_resume() {
-            return self.call.deadline;
-        }
-        let gap = self
-            .call
-            .route
-            .gap_objective
-            .unwrap_or(DEFAULT_GAP_OBJECTIVE);
+    fn await_events(&mut self) {
+        let gap = self.call.route.gap_objective;
+        let wait = gap.unwrap_or(DEFAULT_GAP_OBJECTIVE) * SILENCE_GAPS;
         let wait = match self.first_event_at {
-            Some(_) => gap * STALL_TIMEOUT_GAPS,
-            None => (gap * STALL_TIMEOUT_GAPS).max(self.call.route.objective * 2),
+            Some(_) => wait,
+            None => wait.max(self.call.route.objective * 2),
         };
-        now + wait
+        self.next_try = Instant::now() + wait;
     }
 
-    fn take_frame(&mut self, frame: Frame<Bytes>) -> RelayStep {
-        let Ok(data) = frame.into_data() else {
-            return RelayStep::Partial;
-        };
+    fn note_silence(&mut self) {
+        self.is_silent = true;
+        // The time of a silence says nothing about the engine's speed.
+        self.first_event_timer.timed = None;
+        self.decode_start = None;
+        self.try_another();
+    }
+
+    // Returns the events of a run that are now whole, or why it cannot go on.
+    fn take_data(&mut self, index: usize, data: &Bytes) -> Result<Option<Bytes>, String> {
         self.last_bytes_at = Instant::now();
-        if self.handed_over.is_none() {
-            self.gateway.note_target_bytes(&self.engine);
-            let centre = &self.engine.centre;
+        let run = &mut self.runs[index];
+        if let Some(engine) = &run.engine {
+            self.gateway.note_target_bytes(engine);
             self.gateway
-                .count_traffic(CentreTraffic::Answer, centre, data.len());
+                .count_traffic(CentreTraffic::Answer, &engine.centre, data.len());
         }
-        let batch = match self.splitter.push(&data) {
-            Ok(Some(batch)) => batch,
-            Ok(None) => return RelayStep::Partial,
-            Err(error) => return RelayStep::Broken(error.to_string()),
+        let pushed = run.splitter.push(data);
+        let Some(batch) = pushed.map_err(|error| error.to_string())? else {
+            if run.is_leading {
+                self.await_events();
+            }
+            return Ok(None);
         };
-        if !self.check_engine() {
-            let reason = "another software version took the place of the engine";
-            return RelayStep::Broken(reason.to_owned());
+        if !self.check_engine(index) {
+            return Err("another software version took the place of the engine".to_owned());
         }
+        self.settle(index);
+        self.note_events(&batch);
+        Ok(Some(batch.bytes))
+    }
+
+    fn note_events(&mut self, batch: &EventBatch) {
+        let run = &self.runs[0];
+        self.splitter = run.splitter.resumed();
+        self.last_id = batch.last_id.or(self.last_id);
+        self.is_silent = false;
+        let engine = run.engine.clone();
         if self.first_event_at.is_none() {
-            self.first_event_at = Some(Instant::now());
-            if self.handed_over.is_none()
-                && let Some(start) = self.gateway.stream_start(&self.call, &self.engine.software)
-            {
-                self.gateway.remember_start(start);
-            }
-            self.gateway.record_start(&self.call);
-            if let Some(probe) = &*self.call.delay.borrow() {
-                probe.note_first_event();
-            }
-            if let Some(timed) = self.first_event_timer.timed.take() {
-                self.gateway
-                    .note_time(&timed, self.first_event_timer.sent.elapsed());
-            }
-            let waited = self.call.arrived.elapsed();
-            metrics::histogram!("pistachiowick_gateway_first_event_seconds", "route" => self.call.route.name.clone())
-                .record(waited);
+            self.note_first_event(engine.as_deref());
         }
-        self.last_id = batch.last_id.or(self.last_id);
-        if let (None, None, Some(id)) = (self.decode_start, &self.handed_over, self.last_id) {
+        if let (None, Some(engine), Some(id)) = (self.decode_start, engine, self.last_id) {
             let core = self.gateway.core.borrow();
-            let running = core.load.total(&self.engine.id).running;
+            let running = core.load.total(&engine.id).running;
             self.decode_start = Some((Instant::now(), id, running));
         }
-        RelayStep::Bytes(batch.bytes)
     }
 
-    // Returns whether events of the engine may be passed on, and fixes the version of the stream
+    fn note_first_event(&mut self, engine: Option<&TargetRecord>) {
+        self.first_event_at = Some(Instant::now());
+        if let Some(engine) = engine
+            && let Some(start) = self.gateway.stream_start(&self.call, &engine.software)
+        {
+            self.gateway.remember_start(start);
+        }
+        self.gateway.record_start(&self.call);
+        if let Some(probe) = &*self.call.delay.borrow() {
+            probe.note_first_event();
+        }
+        if let Some(timed) = self.first_event_timer.timed.take() {
+            self.gateway
+                .note_time(&timed, self.first_event_timer.sent.elapsed());
+        }
+        let waited = self.call.arrived.elapsed();
+        metrics::histogram!("pistachiowick_gateway_first_event_seconds", "route" => self.call.route.name.clone())
+            .record(waited);
+    }
+
+    // Returns whether events of a run may be passed on, and fixes the version of the stream
     // with the first one.
-    fn check_engine(&mut self) -> bool {
-        if self.handed_over.is_some() || self.is_engine_checked {
+    fn check_engine(&mut self, index: usize) -> bool {
+        let run = &mut self.runs[index];
+        let Some(engine) = run.engine.as_ref().filter(|_| !run.is_checked) else {
             return true;
-        }
-        let software = &self.engine.software;
+        };
+        let software = &engine.software;
         let view = self.gateway.view();
-        let current = view.find(&self.engine.id);
+        let current = view.find(&engine.id);
         if current.is_some_and(|record| record.software != *software) {
             return false;
         }
         let begun_at = self.call.software.get_or_init(|| software.clone());
-        self.is_engine_checked = begun_at == software;
-        self.is_engine_checked
+        run.is_checked = begun_at == software;
+        run.is_checked
+    }
+
+    // While another run may go on, the end of one without an event proves nothing: its connection
+    // may have been closed in front of the first.
+    fn may_be_whole(&self, index: usize) -> bool {
+        self.runs[index].is_leading || self.runs.len() == 1
     }
 
-    fn finish_body(&mut self) -> RelayStep {
-        let rest = self.splitter.take_rest();
-        if rest.is_empty() {
-            return RelayStep::Ended;
+    // Cancels all runs but one, which goes on with the stream.
+    fn settle(&mut self, index: usize) {
+        self.runs.swap(0, index);
+        let others: Vec<StreamRun> = self.runs.drain(1..).collect();
+        for run in &others {
+            if run.is_unanswered() {
+                // Its request may have arrived.
+                self.call.sends.note_arrival(false);
+            }
+        }
+        if others.iter().any(|run| run.is_leading) {
+            self.gateway.note_result(&self.engine, SendResult::Failed);
+        }
+        if self.is_silent {
+            self.log_silence(others.len());
+        }
+        let run = &mut self.runs[0];
+        run.is_leading = true;
+        if let Some(engine) = &run.engine {
+            self.engine = engine.clone();
         }
-        RelayStep::Cut("the engine ended the stream in the middle of an event".to_owned())
+    }
+
+    fn log_silence(&self, cancelled: usize) {
+        let next = &self.runs[0];
+        let outcome = if next.is_leading {
+            "went_on"
+        } else {
+            "replaced"
+        };
+        metrics::counter!("pistachiowick_stream_silences_total", "outcome" => outcome).increment(1);
+        log::info!(
+            request = self.call.caller.id.as_str(),
+            target_id = self.engine.id.as_str(),
+            outcome = outcome,
+            next_target_id = next.engine.as_ref().map_or("", |engine| engine.id.as_str()),
+            cancelled = cancelled,
+            last_event = self.last_id.unwrap_or(0);
+            "silence of a stream's engine ended"
+        );
     }
 
     fn may_resume(&self) -> bool {
         self.call.route.retry == RetryRule::ResumableStream && self.history.may_send(&self.call)
     }
 
-    // Resumes after the last event forwarded to the caller. The answer keeps the head from
-    // the first engine.
-    async fn resume(&mut self, reason: &str) -> bool {
-        if !self.may_resume() || self.handed_over.is_some() {
-            return false;
-        }
-        self.gateway.note_result(&self.engine, SendResult::Failed);
-        self.answer = None;
-        self.first_event_timer.timed = None;
-        self.decode_start = None;
-        self.in_flight = None;
-        self.splitter.clear();
-        self.resume_here(reason).await || self.resume_elsewhere().await
+    fn may_try_another(&self) -> bool {
+        self.may_resume() && !self.is_handed_over
+    }
+
+    // Has another engine go on after the last event forwarded to the caller, or another daemon
+    // if this one reaches no engine. The answer keeps the head from the first engine.
+    fn try_another(&mut self) -> bool {
+        self.await_events();
+        self.may_try_another() && (self.try_engine() || self.try_daemon())
     }
 
-    async fn resume_here(&mut self, reason: &str) -> bool {
+    fn try_engine(&mut self) -> bool {
+        if self.gateway.is_cut_off(&self.call.service.name) {
+            return false;
+        }
         let turn_terms = self.call.continued_turn_terms();
         let Some(place) = self.gateway.place(&self.call, &self.history, turn_terms) else {
             return false;
         };
-        if !self
-            .gateway
-            .take_retry(&self.call, RetryCause::ResumedStream)
+        let pending = self.runs.iter().filter(|run| run.is_unanswered()).count();
+        let is_covered = self.call.sends.covers_next_beside(pending);
+        if !is_covered
+            && !self
+                .gateway
+                .take_retry(&self.call, RetryCause::ResumedStream)
         {
             return false;
         }
         let engine = place.decode_engine;
-        let mut in_flight = InFlightGuard::begin(
+        let in_flight = InFlightGuard::begin(
             &self.gateway,
             &engine.id,
             place.rank,
@@ -316,57 +398,158 @@
             place.fetch_from.as_deref(),
             place.rank,
         );
-        let sent = Instant::now();
-        let plan = self.call.plan(self.call.deadline, turn_terms);
-        let outcome = self.gateway.send(&engine, plan, &order).await;
+        let (gateway, call, target) = (self.gateway.clone(), self.call.clone(), engine.clone());
+        let sending = async move {
+            let plan = call.plan(call.deadline, turn_terms);
+            gateway.send(&target, plan, &order).await
+        };
+        self.history.sent.push(engine.id.clone());
+        self.push_run(
+            RunSource::Sending(Box::pin(sending)),
+            Some(engine),
+            Some(in_flight),
+        );
+        true
+    }
+
+    fn try_daemon(&mut self) -> bool {
+        let is_pending = self.runs.iter().any(StreamRun::is_unanswered);
+        if is_pending || !self.gateway.may_resume_elsewhere(&self.call) {
+            return false;
+        }
+        self.is_handed_over = true;
+        let (gateway, call) = (self.gateway.clone(), self.call.clone());
+        let (history, last_id) = (self.history.clone(), self.last_id);
+        let handover = async move {
+            let lost = format!("no engine of {}", call.service.name);
+            let lost = Failure::new(FailureKind::Unclear, lost);
+            let reply = gateway.hand_over(&call, &history, last_id, lost).await;
+            let reply = reply.ok().filter(|reply| reply.status().is_success())?;
+            let Either::Right(frames) = reply.into_body() else {
+                return None;
+            };
+            Some(Box::pin(frames.into_stream()) as FrameStream)
+        };
+        self.push_run(RunSource::HandingOver(Box::pin(handover)), None, None);
+        true
+    }
+
+    fn push_run(
+        &mut self,
+        source: RunSource,
+        engine: Option<Arc<TargetRecord>>,
+        in_flight: Option<InFlightGuard>,
+    ) {
+        self.runs.push(StreamRun {
+            source,
+            engine,
+            splitter: self.splitter.resumed(),
+            in_flight,
+            is_leading: false,
+            is_checked: false,
+            started: Instant::now(),
+        });
+    }
+
+    fn take_outcome(&mut self, index: usize, outcome: SendOutcome) -> Result<(), AnswerTruncated> {
+        self.log_try(index, &outcome);
+        let run = &mut self.runs[index];
+        let failure = match outcome {
+            SendOutcome::Answered(answer) if answer.head.status.is_success() => {
+                if let Some(in_flight) = &mut run.in_flight {
+                    in_flight.note_prefilled();
+                }
+                run.source = RunSource::Answer(answer);
+                return Ok(());
+            }
+            SendOutcome::Answered(answer) => {
+                let status = answer.head.status;
+                RunFailure::Broken(format!("another engine answered with status {status}"))
+            }
+            SendOutcome::NotSent(reason) => {
+                let unsent = run.engine.as_ref().map(|engine| engine.id.clone());
+                self.history.sent.retain(|id| Some(id) != unsent.as_ref());
+                self.history.unreached.extend(unsent);
+                RunFailure::NotSent(reason)
+            }
+            SendOutcome::Refused(reason) | SendOutcome::Unclear(reason) => RunFailure::Sent(reason),
+            SendOutcome::WrongTarget | SendOutcome::WrongWork => RunFailure::Sent(
+                "the engine is no longer at its address or has changed its stage".to_owned(),
+            ),
+        };
+        self.fail_run(index, failure)
+    }
+
+    fn log_try(&self, index: usize, outcome: &SendOutcome) {
+        let run = &self.runs[index];
+        let Some(engine) = &run.engine else {
+            return;
+        };
         log::info!(
             request = self.call.caller.id.as_str(),
-            reason = reason,
             after_event = self.last_id.unwrap_or(0),
             target_id = engine.id.as_str(),
             software = engine.software.as_str(),
+            before_target_id = self.engine.id.as_str(),
             before_software = self.engine.software.as_str(),
+            before_is_silent = self.is_silent,
             outcome = outcome.as_str(),
-            took_ms = sent.elapsed().as_millis() as u64;
+            took_ms = run.started.elapsed().as_millis() as u64;
             "tried to resume the stream on another engine"
         );
-        if !matches!(outcome, SendOutcome::NotSent(_)) {
-            self.history.sent.push(engine.id.clone());
+    }
+
+    // Gives a run up. The stream ends if no other one may go on.
+    fn fail_run(&mut self, index: usize, failure: RunFailure) -> Result<(), AnswerTruncated> {
+        let run = self.runs.remove(index);
+        if run.is_leading {
+            self.first_event_timer.timed = None;
+            self.decode_start = None;
         }
-        let SendOutcome::Answered(answer) = outcome else {
-            return false;
-        };
-        if !answer.head.status.is_success() {
-            return false;
+        let is_unsent = matches!(failure, RunFailure::NotSent(_));
+        let reason = self.note_failure(run.engine.as_deref(), failure);
+        // Its connection is closed before another engine gets the work.
+        drop(run);
+        let is_last = self.runs.is_empty();
+        let tries_at_once =
+            is_last || is_unsent || self.gateway.is_cut_off(&self.call.service.name);
+        if (tries_at_once && self.try_another()) || !is_last {
+            return Ok(());
         }
-        in_flight.note_prefilled();
-        self.in_flight = Some(in_flight);
-        self.engine = engine;
-        self.is_engine_checked = false;
-        self.answer = Some(*answer);
-        true
+        Err(self.cut("cut", reason))
     }
 
-    // Has another daemon resume the stream, if this one reaches no engine.
-    async fn resume_elsewhere(&mut self) -> bool {
-        let service = &self.call.service.name;
-        if !self.may_resume() || !self.gateway.may_resume_elsewhere(&self.call) {
-            return false;
+    fn note_failure(&self, engine: Option<&TargetRecord>, failure: RunFailure) -> String {
+        match (failure, engine) {
+            (RunFailure::Cut(reason), Some(engine)) => {
+                self.gateway
+                    .record_connection_loss(&self.call, engine, &reason);
+                self.gateway.note_result(engine, SendResult::Failed);
+                reason
+            }
+            (RunFailure::Broken(reason), Some(engine)) => {
+                self.gateway.note_result(engine, SendResult::Failed);
+                reason
+            }
+            (
+                RunFailure::Cut(reason)
+                | RunFailure::Broken(reason)
+                | RunFailure::NotSent(reason)
+                | RunFailure::Sent(reason),
+                _,
+            ) => reason,
         }
-        let lost = Failure::new(FailureKind::Unclear, format!("no engine of {service}"));
-        let reply = self
-            .gateway
-            .hand_over(&self.call, &self.history, self.last_id, lost)
-            .await;
-        let Ok(reply) = reply else {
-            return false;
-        };
-        let is_success = reply.status().is_success();
-        let Either::Right(frames) = reply.into_body() else {
-            return false;
-        };
-        self.handed_over = is_success.then(|| -> FrameStream { Box::pin(frames.into_stream()) });
-        is_success
+    }
+
+    // Ends the stream before its last event.
+    fn cut(&mut self, outcome: &'static str, reason: String) -> AnswerTruncated {
+        if self.runs.iter().any(|run| run.is_leading) {
+            self.gateway.note_result(&self.engine, SendResult::Failed);
+        }
+        self.log_end(outcome, &reason);
+        self.ended = true;
+        self.runs.clear();
+        AnswerTruncated(reason)
     }
 
     fn log_end(&self, outcome: &'static str, reason: &str) {
@@ -400,23 +583,26 @@
         capacities.note_decode(&self.engine, (running, tokens), taken_ms, now);
     }
 
-    fn end(&mut self, outcome: &'static str, reason: &str, result: SendResult) {
-        if self.handed_over.is_none() {
-            self.gateway.note_result(&self.engine, result);
-        }
-        self.log_end(outcome, reason);
+    // Ends a stream whose last event was forwarded.
+    fn end(&mut self) {
+        self.log_end("answered", "");
         self.ended = true;
-        self.in_flight = None;
-        let Some(answer) = self.answer.take() else {
+        let Some(run) = self.runs.pop() else {
             return;
         };
-        if result == SendResult::Answered {
-            self.note_decode_time();
-            self.gateway.record_answer(&self.engine, answer.times);
-            self.gateway
-                .record_completion(&self.call, &self.engine, &answer.head.headers);
-            answer.connection.return_to_pool(&answer.head);
-        }
+        let (Some(engine), RunSource::Answer(answer)) = (run.engine, run.source) else {
+            return;
+        };
+        self.gateway.note_result(&engine, SendResult::Answered);
+        drop(run.in_flight);
+        self.note_decode_time();
+        self.gateway.record_answer(&engine, answer.times);
+        self.gateway
+            .record_completion(&self.call, &engine, &answer.head.headers);
+        let TargetAnswer {
+            head, connection, ..
+        } = *answer;
+        connection.return_to_pool(&head);
     }
 }
 
