A silent plain target is waited for while another one is tried

What callers saw: an idempotent request whose target is silent for three latency objectives ended as 502, although the target answered in time for the caller, when no retry was granted, there was no other target, or the other one was full, closed, cut its answer, failed or was silent too.

Cause: as with streams, the first send was given up after that time, before it was known whether another one would be granted or would answer.

Change: attempts of one request run side by side (plain.rs, plain_attempt.rs, both moved out of forward.rs). A send ends with its deadline only; silence starts another attempt if attempts, a target and the budget allow, and the first whole answer is the caller's. A target counts as silent once another one has answered before it. Requests that may run only once wait as before.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,6 +36,8 @@
 pub mod members;
 pub mod model;
 pub mod peers;
+mod plain;
+mod plain_attempt;
 pub mod plain_queue;
 pub mod pool;
 pub mod port;
