A silent prefill engine is waited for while another one is tried

What callers saw: 503 after 1.5 s (or four expected times) although the prefill engine answered in time for the caller, when no retry was granted, or the second prefill engine was full, closed or silent.

Change: prefills of one prompt run side by side, the first handle is used and the other prefill cancelled; an engine counts as silent once a later one has answered. If there is no other prefill engine and a retry is granted, the decode engine prefills the prompt, as before.

--- a/src/gateway/reading.rs
+++ b/src/gateway/reading.rs
@@ -1,10 +1,13 @@
 //! Prefills a prompt on one engine for another one that generates the tokens.
 
+use std::future::{Future, poll_fn};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use crate::clock;
 use crate::gateway::budget::RetryCause;
@@ -24,12 +27,12 @@
 
 /// Largest answer to a prefill request, in bytes.
 const MAX_PREFILL_ANSWER_BYTES: usize = 64 * 1024;
-/// Shortest time before an unanswered prefill is requested from another engine.
-const MIN_PREFILL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Longest time for a prefill, as a multiple of the expected time.
-const PREFILL_TIMEOUT_FACTOR: f64 = 4.0;
+/// Shortest time after which an unanswered prefill is requested from another engine as well.
+const MIN_PREFILL_SILENCE: Duration = Duration::from_millis(1_500);
+/// The same as a multiple of the expected time.
+const PREFILL_SILENCE_FACTOR: f64 = 4.0;
 /// Prefill engines to try before the decode engine prefills the prompt itself.
-const MAX_PREFILL_ATTEMPTS: u32 = 2;
+const MAX_PREFILL_ATTEMPTS: usize = 2;
 
 impl Gateway {
     // Prefills the prompt on another engine if the placement names one. The first prefill
@@ -42,34 +45,22 @@
         place: &EnginePlacement,
         history: &mut SendHistory,
     ) -> Result<Option<CacheHandleGuard>, Failure> {
-        let Some(mut prefill_engine) = place.prefill_engine.clone() else {
+        let Some(prefill_engine) = place.prefill_engine.clone() else {
             return Ok(None);
         };
         if history.prompt_prefilled && !self.take_retry(call, RetryCause::SecondPrefill) {
             return Ok(None);
         }
-        let mut tried: Vec<TargetIncarnation> = Vec::new();
-        for _ in 0..MAX_PREFILL_ATTEMPTS {
-            match self.send_prefill(call, &prefill_engine, place).await {
-                PrefillResult::Cached(handle) => {
-                    history.prompt_prefilled = true;
-                    return Ok(Some(handle));
-                }
-                PrefillResult::NotSent => {}
-                PrefillResult::Failed(reason)
-                    if !self.take_retry(call, RetryCause::FailedPrefill) =>
-                {
-                    return Err(Failure::refused(reason, ENGINE_BUSY_RETRY_AFTER));
-                }
-                PrefillResult::Failed(_) => {}
-            }
-            tried.push(prefill_engine.id.clone());
-            let Some(next) = self.choose_other_prefill_engine(call, place, &tried) else {
-                break;
-            };
-            prefill_engine = next;
-        }
-        Ok(None)
+        let mut race = PrefillRace {
+            gateway: self,
+            call,
+            place,
+            tried: Vec::new(),
+            pending: Vec::new(),
+            next_try: call.deadline,
+        };
+        race.start(prefill_engine);
+        race.run(history).await
     }
 
     fn choose_other_prefill_engine(
@@ -102,8 +93,6 @@
             place.rank,
             place.pending_prefill_tokens,
         );
-        let timeout = Duration::from_secs_f64(place.expected_ms * PREFILL_TIMEOUT_FACTOR / 1_000.0);
-        let deadline = sent + timeout.max(MIN_PREFILL_TIMEOUT);
         let fetch_from = place.fetch_from.as_deref();
         let order = self.order(
             call,
@@ -116,18 +105,15 @@
         let outcome = self
             .send(
                 prefill_engine,
-                call.plan(deadline, call.turn_terms()),
+                call.plan(call.deadline, call.turn_terms()),
                 &order,
             )
             .await;
-        let deadline = deadline.min(call.deadline);
         let sent_at = match &outcome {
             SendOutcome::Answered(answer) => answer.sent_at,
             _ => sent,
         };
-        let prefill = self
-            .finish_prefill(call, prefill_engine, outcome, deadline)
-            .await;
+        let prefill = self.finish_prefill(call, prefill_engine, outcome).await;
         call.log_send(prefill_engine, "read_prompt", prefill.as_str(), sent);
         if let PrefillResult::Cached(_) = prefill {
             self.note_cached(call, prefill_engine);
@@ -148,7 +134,6 @@
         call: &RoutedRequest,
         prefill_engine: &Arc<TargetRecord>,
         outcome: SendOutcome,
-        deadline: Instant,
     ) -> PrefillResult {
         let answer = match outcome {
             SendOutcome::Answered(answer) => answer,
@@ -168,7 +153,8 @@
                 prefill_engine.id, answer.head.status
             ));
         }
-        let received = client::read_body(answer.body, MAX_PREFILL_ANSWER_BYTES, deadline).await;
+        let received =
+            client::read_body(answer.body, MAX_PREFILL_ANSWER_BYTES, call.deadline).await;
         let body = match received {
             Ok(body) => body,
             Err(error) => {
@@ -199,6 +185,137 @@
     }
 }
 
+type PendingPrefill<'a> = Pin<Box<dyn Future<Output = PrefillResult> + 'a>>;
+
+// Prefills of one prompt that run side by side: an engine that is silent may still answer.
+struct PrefillRace<'a> {
+    gateway: &'a Rc<Gateway>,
+    call: &'a Rc<RoutedRequest>,
+    place: &'a EnginePlacement,
+    tried: Vec<Arc<TargetRecord>>,
+    // Those in progress, and their engines.
+    pending: Vec<(Arc<TargetRecord>, PendingPrefill<'a>)>,
+    next_try: Instant,
+}
+
+impl<'a> PrefillRace<'a> {
+    async fn run(mut self, history: &mut SendHistory) -> Result<Option<CacheHandleGuard>, Failure> {
+        loop {
+            let result = self.next_result().await;
+            let failure = match result {
+                Some(PrefillResult::Cached(handle)) => {
+                    history.prompt_prefilled = true;
+                    self.cancel_others(Some(&handle.prefill_engine().id));
+                    return Ok(Some(handle));
+                }
+                // Another engine may still answer.
+                Some(_) if !self.pending.is_empty() => continue,
+                Some(PrefillResult::NotSent) => None,
+                Some(PrefillResult::Failed(reason)) => {
+                    Some(Failure::refused(reason, ENGINE_BUSY_RETRY_AFTER))
+                }
+                None => {
+                    if self.try_beside() {
+                        continue;
+                    }
+                    self.cancel_others(None);
+                    return Ok(None);
+                }
+            };
+            if let Some(failure) = failure
+                && !self
+                    .gateway
+                    .take_retry(self.call, RetryCause::FailedPrefill)
+            {
+                return Err(failure);
+            }
+            let Some(next) = self.choose_other() else {
+                return Ok(None);
+            };
+            self.start(next);
+        }
+    }
+
+    fn start(&mut self, engine: Arc<TargetRecord>) {
+        let (gateway, call, place) = (self.gateway, self.call, self.place);
+        let target = engine.clone();
+        let prefill = async move { gateway.send_prefill(call, &target, place).await };
+        self.tried.push(engine.clone());
+        self.pending.push((engine, Box::pin(prefill)));
+        self.wait_again();
+    }
+
+    fn wait_again(&mut self) {
+        let expected_s = self.place.expected_ms / 1_000.0;
+        let silence = Duration::from_secs_f64(expected_s * PREFILL_SILENCE_FACTOR);
+        self.next_try = Instant::now() + silence.max(MIN_PREFILL_SILENCE);
+    }
+
+    fn choose_other(&self) -> Option<Arc<TargetRecord>> {
+        if self.tried.len() >= MAX_PREFILL_ATTEMPTS {
+            return None;
+        }
+        let tried: Vec<TargetIncarnation> = self.tried.iter().map(|e| e.id.clone()).collect();
+        self.gateway
+            .choose_other_prefill_engine(self.call, self.place, &tried)
+    }
+
+    // Returns the next result, or `None` once the engines have been silent for too long.
+    async fn next_result(&mut self) -> Option<PrefillResult> {
+        let pending = &mut self.pending;
+        let polled = poll_fn(|context| {
+            for index in 0..pending.len() {
+                if let Poll::Ready(result) = pending[index].1.as_mut().poll(context) {
+                    drop(pending.remove(index));
+                    return Poll::Ready(result);
+                }
+            }
+            Poll::Pending
+        });
+        if self.next_try < self.call.deadline {
+            timeout_at(self.next_try, polled).await.ok()
+        } else {
+            Some(polled.await)
+        }
+    }
+
+    // Has another engine prefill the prompt beside a silent one. Returns false if the decode
+    // engine is to prefill it instead, as there is no other one.
+    fn try_beside(&mut self) -> bool {
+        self.wait_again();
+        let next = self.choose_other();
+        if !self
+            .gateway
+            .take_retry(self.call, RetryCause::FailedPrefill)
+        {
+            return true;
+        }
+        let has_next = next.is_some();
+        if let Some(next) = next {
+            self.start(next);
+        }
+        has_next
+    }
+
+    // Closes the connections of the prefills that are not needed any more. Those that were begun
+    // before the one of `prefilled` have failed.
+    fn cancel_others(&mut self, prefilled: Option<&TargetIncarnation>) {
+        let begun_before = |id: &TargetIncarnation| {
+            let mut tried = self.tried.iter().map(|engine| &engine.id);
+            let first = tried.find(|tried| *tried == id || Some(*tried) == prefilled);
+            first == Some(id)
+        };
+        for (engine, prefill) in self.pending.drain(..) {
+            drop(prefill);
+            // The request may have arrived.
+            self.call.sends.note_arrival(false);
+            if begun_before(&engine.id) {
+                self.gateway.note_result(&engine, SendResult::Silent);
+            }
+        }
+    }
+}
+
 // Outcome of a prefill. No generation has started in any case.
 enum PrefillResult {
     Cached(CacheHandleGuard),
