--- a/src/authority/orders.rs
+++ b/src/authority/orders.rs
@@ -242,7 +242,7 @@
                     format!("order refused: the engine has seen fence {}", current.0),
                 );
             }
-            Err(TargetError::Lost { reason }) => {
+            Err(TargetError::Lost { reason } | TargetError::Silent { reason }) => {
                 self.sends.insert(target.clone(), SendState::Unknown { at });
                 self.record_event(
                     target,
--- a/src/intents/permit.rs
+++ b/src/intents/permit.rs
@@ -99,7 +99,10 @@
     pub fn from_error(error: &TargetError) -> Option<Self> {
         match error {
             TargetError::NotDelivered { .. } | TargetError::Refused { .. } => Some(Self(())),
-            TargetError::Fenced { .. } | TargetError::NoStream | TargetError::Lost { .. } => None,
+            TargetError::Fenced { .. }
+            | TargetError::NoStream
+            | TargetError::Silent { .. }
+            | TargetError::Lost { .. } => None,
         }
     }
 }
--- a/src/ports.rs
+++ b/src/ports.rs
@@ -180,6 +180,12 @@
     /// The target does not know the stream.
     #[error("the target does not know the stream; start another attempt")]
     NoStream,
+    /// The target sent no answer in time. It may still be at work.
+    #[error("the target is silent: {reason}; assume that the work may have run")]
+    Silent {
+        /// What happened.
+        reason: String,
+    },
     /// The work may or may not have run.
     #[error("the target's answer was lost: {reason}; assume that the work may have run")]
     Lost {
--- a/src/requests/attempt.rs
+++ b/src/requests/attempt.rs
@@ -353,9 +353,10 @@
         let (may_have_run, retry_after) = match error {
             TargetError::NotDelivered { .. } => (false, Duration::from_millis(100)),
             TargetError::Refused { retry_after, .. } => (false, *retry_after),
-            TargetError::Fenced { .. } | TargetError::NoStream | TargetError::Lost { .. } => {
-                (true, Duration::ZERO)
-            }
+            TargetError::Fenced { .. }
+            | TargetError::NoStream
+            | TargetError::Silent { .. }
+            | TargetError::Lost { .. } => (true, Duration::ZERO),
         };
         Self {
             may_have_run,
--- a/src/targets/call.rs
+++ b/src/targets/call.rs
@@ -76,7 +76,8 @@
     /// # Errors
     ///
     /// Returns `NotDelivered` only if no connection was established, so that nothing can
-    /// have run; every later failure to get a response is `Lost`.
+    /// have run, and `Silent` if the time is over; every other failure to get a response is
+    /// `Lost`.
     pub async fn send(
         &self,
         call: RequestBuilder,
@@ -85,7 +86,7 @@
         let sent_at = clock::mono_now();
         let sent = tokio::time::timeout(timeout, call.send()).await;
         let response = match sent {
-            Err(_) => return Err(unknown_outcome(format!("no answer within {timeout:?}"))),
+            Err(_) => return Err(no_answer(timeout)),
             Ok(Err(error)) => return Err(classify_send_error(&error)),
             Ok(Ok(response)) => response,
         };
@@ -123,6 +124,14 @@
     unknown_outcome(format!("the response body could not be read: {error}"))
 }
 
+/// Returns the error for a request that was not answered within `timeout`.
+#[must_use]
+pub fn no_answer(timeout: Duration) -> TargetError {
+    TargetError::Silent {
+        reason: format!("no complete answer within {timeout:?}"),
+    }
+}
+
 /// Returns the error for a request whose outcome is unknown.
 #[must_use]
 pub fn unknown_outcome(reason: String) -> TargetError {
--- a/src/targets/engine_http.rs
+++ b/src/targets/engine_http.rs
@@ -10,7 +10,9 @@
 
 use crate::names::RequestId;
 use crate::ports::{EnginePort, LineStream, PortFuture, StreamPosition, TargetCall, TargetError};
-use crate::targets::call::{StatementObserver, TargetClient, body_error, unknown_outcome};
+use crate::targets::call::{
+    StatementObserver, TargetClient, body_error, no_answer, unknown_outcome,
+};
 use crate::targets::wire::{CacheEvent, CacheEvents, EngineState, OrderBody, StreamLine};
 
 /// Maximum length of a line from an engine.
@@ -110,9 +112,7 @@
         let response = client.send(request, timeout).await?;
         let body = tokio::time::timeout(timeout, response.json()).await;
         match body {
-            Err(_) => Err(unknown_outcome(format!(
-                "no complete answer within {timeout:?}"
-            ))),
+            Err(_) => Err(no_answer(timeout)),
             Ok(Err(error)) => Err(body_error(&error)),
             Ok(Ok(value)) => Ok(value),
         }
--- a/src/targets/service_http.rs
+++ b/src/targets/service_http.rs
@@ -6,7 +6,7 @@
 use reqwest::{Method, RequestBuilder};
 
 use crate::ports::{ServicePort, TargetError};
-use crate::targets::call::{StatementObserver, TargetClient, body_error, unknown_outcome};
+use crate::targets::call::{StatementObserver, TargetClient, body_error, no_answer};
 use crate::targets::wire::ServiceReply;
 
 /// Builds the port to plain services.
@@ -33,9 +33,7 @@
     let response = client.send(request, timeout).await?;
     let body = tokio::time::timeout(timeout, response.json()).await;
     match body {
-        Err(_) => Err(unknown_outcome(format!(
-            "no complete answer within {timeout:?}"
-        ))),
+        Err(_) => Err(no_answer(timeout)),
         Ok(Err(error)) => Err(body_error(&error)),
         Ok(Ok(reply)) => Ok(reply),
     }
--- a/tests/intents_permit.rs
+++ b/tests/intents_permit.rs
@@ -17,6 +17,7 @@
 #[case::not_delivered(TargetError::NotDelivered { reason: reason() }, true)]
 #[case::refused(TargetError::Refused { reason: reason(), retry_after: Duration::ZERO, leaving: false }, true)]
 #[case::lost(TargetError::Lost { reason: reason() }, false)]
+#[case::silent(TargetError::Silent { reason: reason() }, false)]
 #[case::no_stream(TargetError::NoStream, false)]
 #[case::fenced(TargetError::Fenced { current: FenceNumber(3) }, false)]
 fn only_untaken_calls_prove_that_nothing_ran(#[case] error: TargetError, #[case] proves: bool) {
