A stream of a partitioned daemon is handed over before other engines are tried

A handover that no daemon serves no longer rules out other engines: the relay learns whether a target may have received the request.

--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -174,7 +174,8 @@
         let is_possible = call.origin.is_none()
             && Instant::now() < call.deadline
             && !self.is_quarantined(call)
-            && self.has_lost_targets(call);
+            && self.has_lost_targets(call)
+            && self.choose_peer(call, &[]).is_some();
         is_possible
             && (call.sends.covers_next() || self.take_retry(call, RetryCause::ResumedStream))
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -28,7 +28,7 @@
 use crate::gateway::port::SendMode;
 use crate::gateway::reply::{AnswerTruncated, Failure, FailureKind, FrameStream};
 use crate::gateway::sending::{SendOutcome, TargetAnswer};
-use crate::gateway::stream_run::{RunSource, RunStep, StreamRun, poll_runs};
+use crate::gateway::stream_run::{HandoverEnd, RunSource, RunStep, StreamRun, poll_runs};
 
 /// Silence of an engine after which another one is tried, as a multiple of the gap objective.
 /// Callers time out later, after two seconds or more.
@@ -57,7 +57,7 @@
     splitter: EventSplitter,
     last_id: Option<u64>,
     history: SendHistory,
-    // Whether another daemon was asked to take the stream over, whose sends are not known here.
+    // Whether another daemon may have sent the request, which is not counted here.
     is_handed_over: bool,
     next_try: Instant,
     // Whether the engine has been silent for too long since the last event.
@@ -170,10 +170,11 @@
                     Err(reason) => self.fail_run(index, RunFailure::Broken(reason))?,
                 },
                 RunStep::Sent(outcome) => self.take_outcome(index, outcome)?,
-                RunStep::HandedOver(Some(frames)) => {
+                RunStep::HandedOver(HandoverEnd::Taken(frames)) => {
                     self.runs[index].source = RunSource::Peer(frames);
                 }
-                RunStep::HandedOver(None) => {
+                RunStep::HandedOver(end) => {
+                    self.is_handed_over = matches!(end, HandoverEnd::Lost);
                     let reason = "no other daemon took the stream over".to_owned();
                     self.fail_run(index, RunFailure::Sent(reason))?;
                 }
@@ -366,6 +367,13 @@
         self.may_try_another() && (self.try_engine() || self.try_daemon())
     }
 
+    // Does the same after a connection that failed: while it is not known yet whether this daemon
+    // reaches any engine, another daemon is the safer choice.
+    fn try_after_unsent(&mut self) -> bool {
+        self.await_events();
+        self.may_try_another() && (self.try_daemon() || self.try_engine())
+    }
+
     fn try_engine(&mut self) -> bool {
         if self.gateway.is_cut_off(&self.call.service.name) {
             return false;
@@ -421,14 +429,18 @@
         let (gateway, call) = (self.gateway.clone(), self.call.clone());
         let (history, last_id) = (self.history.clone(), self.last_id);
         let handover = async move {
-            let lost = format!("no engine of {}", call.service.name);
-            let lost = Failure::new(FailureKind::Unclear, lost);
-            let reply = gateway.hand_over(&call, &history, last_id, lost).await;
-            let reply = reply.ok().filter(|reply| reply.status().is_success())?;
-            let Either::Right(frames) = reply.into_body() else {
-                return None;
-            };
-            Some(Box::pin(frames.into_stream()) as FrameStream)
+            let not_served = Failure::refused("no engine can be reached", Duration::ZERO);
+            let reply = gateway
+                .hand_over(&call, &history, last_id, not_served)
+                .await;
+            match reply {
+                Ok(reply) if reply.status().is_success() => match reply.into_body() {
+                    Either::Right(frames) => HandoverEnd::Taken(Box::pin(frames.into_stream())),
+                    Either::Left(_) => HandoverEnd::Lost,
+                },
+                Err(failure) if failure.kind == FailureKind::Refused => HandoverEnd::NotServed,
+                Ok(_) | Err(_) => HandoverEnd::Lost,
+            }
         };
         self.push_run(RunSource::HandingOver(Box::pin(handover)), None, None);
         true
@@ -511,9 +523,12 @@
         // Its connection is closed before another engine gets the work.
         drop(run);
         let is_last = self.runs.is_empty();
-        let tries_at_once =
-            is_last || is_unsent || self.gateway.is_cut_off(&self.call.service.name);
-        if (tries_at_once && self.try_another()) || !is_last {
+        let goes_on = if is_unsent {
+            self.try_after_unsent()
+        } else {
+            (is_last || self.gateway.is_cut_off(&self.call.service.name)) && self.try_another()
+        };
+        if goes_on || !is_last {
             return Ok(());
         }
         Err(self.cut("cut", reason))
--- a/src/gateway/stream_run.rs
+++ b/src/gateway/stream_run.rs
@@ -18,8 +18,18 @@
 
 /// A send in progress.
 pub type PendingSend = Pin<Box<dyn Future<Output = SendOutcome>>>;
-/// A handover in progress; ends with the frames of the other daemon, if one took the stream over.
-pub type PendingHandover = Pin<Box<dyn Future<Output = Option<FrameStream>>>>;
+/// A handover in progress.
+pub type PendingHandover = Pin<Box<dyn Future<Output = HandoverEnd>>>;
+
+/// How a handover ended.
+pub enum HandoverEnd {
+    /// Another daemon took the stream over; its frames follow.
+    Taken(FrameStream),
+    /// No target has received the request through another daemon.
+    NotServed,
+    /// A target may have received it.
+    Lost,
+}
 
 /// Where the events of a run come from.
 pub enum RunSource {
@@ -56,7 +66,7 @@
     /// The send has ended.
     Sent(SendOutcome),
     /// The handover has ended.
-    HandedOver(Option<FrameStream>),
+    HandedOver(HandoverEnd),
     /// Bytes of events have arrived.
     Data(Bytes),
     /// The answer has ended after a whole event.
