A silent engine is given up over gRPC only once another one delivers

What callers saw: a repeatable answer ended as unknown although its engine went on after a silence, when no other engine took it over (all leaving), and a stream that may run only once ended as unknown after a silence of some seconds although nothing else may run it.

Cause: the attempt's connection was dropped and its stream cancelled at the engine before another engine was granted, or would answer.

Change: the attempt of a silent engine is kept with its connection. It goes on if a line comes before another engine is granted, and if that one is refused or fails; it is cancelled with the first bytes that another one delivers. The assembly may return to an earlier attempt as long as no later one has delivered bytes. The wait for the head of an answer is kept in the same way. Streams that may run only once wait until their deadline. Work on trial goes to one engine.

--- a/src/requests/answer.rs
+++ b/src/requests/answer.rs
@@ -126,6 +126,8 @@
     state: AttemptState,
     start: u64,
     delivered: u64,
+    // Attempt that delivered the last bytes; 0 before the first.
+    delivered_by: u32,
     digest: Sha256,
     drops: IndexMap<DropCause, u64>,
     breaks: IndexMap<BreakCause, u64>,
@@ -148,6 +150,7 @@
             state: AttemptState::Broken,
             start: offset,
             delivered: offset,
+            delivered_by: 0,
             digest: Sha256::new(),
             drops: IndexMap::new(),
             breaks: IndexMap::new(),
@@ -206,6 +209,26 @@
         }
     }
 
+    /// Accepts lines of an earlier attempt again, after later ones that delivered nothing.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a later attempt has delivered bytes or the answer is complete, and invariants
+    /// are fatal.
+    pub fn return_to_attempt(&mut self, attempt: u32) {
+        let valid = attempt > 0 && attempt >= self.delivered_by && !self.is_finished();
+        invariants::check(valid, Invariant::WholeAnswer, || {
+            format!(
+                "request {}: back to attempt {attempt} after bytes of attempt {} ({:?})",
+                self.request, self.delivered_by, self.state
+            )
+        });
+        if valid {
+            self.attempt = attempt;
+            self.state = AttemptState::Open;
+        }
+    }
+
     /// Decides what to do with a line.
     ///
     /// # Panics
@@ -292,6 +315,7 @@
         };
         self.digest.update(new_data);
         self.delivered += new_data.len() as u64;
+        self.delivered_by = self.attempt;
         part
     }
 
--- a/src/requests/attempt.rs
+++ b/src/requests/attempt.rs
@@ -1,17 +1,18 @@
 //! One attempt of a request at one engine, and the stream lines it receives.
 
+use std::future::ready;
 use std::time::{Duration, Instant};
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use futures_util::StreamExt;
+use futures_util::{StreamExt, stream};
 
 use crate::clock;
 use crate::decide::placement::TargetChoice;
 use crate::decide::scheduler::JobMeasurement;
 use crate::intents::permit::UndeliveredProof;
 use crate::names::millis;
-use crate::ports::{LineStream, StreamPosition, TargetCall, TargetError};
+use crate::ports::{LineStream, PortFuture, StreamPosition, TargetCall, TargetError};
 use crate::requests::answer::{AnswerAssembly, AnswerPart, AnswerSummary, LineVerdict};
 use crate::requests::answer_sink::AnswerSink;
 use crate::requests::request::CallerRequest;
@@ -26,6 +27,26 @@
 const TIMEOUT_FIRST_TOKENS: f64 = 4.0;
 /// How often a broken stream is resumed at its engine.
 const MAX_RESUMES: u32 = 2;
+/// Interval at which the stream of a silent engine is opened again.
+const REOPEN_INTERVAL: Duration = Duration::from_secs(2);
+
+type PendingLines = PortFuture<Result<LineStream, TargetError>>;
+
+/// Where the lines of an attempt come from.
+enum LineSource {
+    // The call has not been answered yet.
+    Opening(PendingLines),
+    Open(LineStream),
+}
+
+/// An attempt whose engine was silent for too long, and may still go on.
+pub struct SilentAttempt {
+    /// The engine.
+    pub choice: TargetChoice,
+    /// Number of the attempt.
+    pub attempt: u32,
+    source: LineSource,
+}
 
 /// Why an attempt ended without a complete answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -36,6 +57,8 @@
     pub proof: Option<UndeliveredProof>,
     /// Whether the target broke off its answer, or sent none.
     pub connection_lost: bool,
+    /// Whether the target sent nothing for too long and may still go on.
+    pub is_silent: bool,
     /// What happened.
     pub reason: String,
     /// Time after which to retry, if the engine gave one.
@@ -43,29 +66,33 @@
 }
 
 /// Why a stream was not followed to its end.
-#[derive(Clone, Debug)]
-struct StreamBreak {
-    // Whether the engine, not this daemon, ended the stream.
-    connection_lost: bool,
-    reason: String,
+enum StreamBreak {
+    // The engine ended the stream.
+    Lost(String),
+    // The stream cannot be used any more.
+    Abandoned(String),
+    // The engine sent nothing for this long; what comes next comes from the source.
+    Silent(Duration, LineSource),
 }
 
 impl StreamBreak {
-    fn timeout(timeout: Duration) -> Self {
-        Self::abandoned(format!("the engine sent no line for {timeout:?}"))
-    }
-
-    fn abandoned(reason: String) -> Self {
-        Self {
-            connection_lost: false,
-            reason,
+    fn reason(&self) -> String {
+        match self {
+            Self::Lost(reason) | Self::Abandoned(reason) => reason.clone(),
+            Self::Silent(timeout, _) => format!("the engine sent no line for {timeout:?}"),
         }
     }
+}
 
-    fn lost(reason: impl Into<String>) -> Self {
+impl From<&StreamBreak> for AttemptFailure {
+    fn from(broken: &StreamBreak) -> Self {
         Self {
-            connection_lost: true,
-            reason: reason.into(),
+            may_have_run: true,
+            proof: None,
+            connection_lost: matches!(broken, StreamBreak::Lost(_)),
+            is_silent: matches!(broken, StreamBreak::Silent(..)),
+            reason: broken.reason(),
+            retry_after: Duration::ZERO,
         }
     }
 }
@@ -84,6 +111,8 @@
     pub tokens: u32,
     /// Times of the request.
     pub progress: &'a mut RequestProgress,
+    /// Attempt whose engine is silent, while another one is tried.
+    pub silent: Option<SilentAttempt>,
     meter: GapMeter,
 }
 
@@ -111,11 +140,13 @@
             assembly: AnswerAssembly::resume_from(request.id.clone(), offset),
             tokens: 0,
             progress,
+            silent: None,
             meter: GapMeter::default(),
         }
     }
 
-    /// Runs one attempt at an engine until its answer is complete.
+    /// Runs one attempt at an engine until its answer is complete. If the engine is silent for
+    /// too long, the attempt is kept in [`Self::silent`], unless another one is kept there.
     ///
     /// # Errors
     ///
@@ -126,50 +157,167 @@
         attempt: u32,
     ) -> Result<AnswerSummary, AttemptFailure> {
         self.announce(choice, attempt).await;
-        let lines = self.open(choice, attempt).await?;
+        let ran_before = self.sink.may_have_run();
+        let opening = self.start(choice, attempt);
+        self.await_lines(opening, (choice, attempt), ran_before)
+            .await
+    }
+
+    /// Follows an attempt whose engine goes on after a silence.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure as [`Self::run`] does.
+    pub async fn go_on(&mut self, silent: SilentAttempt) -> Result<AnswerSummary, AttemptFailure> {
+        let (choice, attempt) = (silent.choice, silent.attempt);
+        self.assembly.return_to_attempt(attempt);
+        match silent.source {
+            LineSource::Open(lines) => self.complete(lines, &choice, attempt).await,
+            LineSource::Opening(opening) => {
+                self.await_lines(opening, (&choice, attempt), true).await
+            }
+        }
+    }
+
+    /// Waits until the engine of the silent attempt sends something or gives the attempt up.
+    pub async fn until_going(&mut self) {
+        loop {
+            let Some(silent) = &mut self.silent else {
+                return;
+            };
+            let lines = match &mut silent.source {
+                LineSource::Opening(opening) => {
+                    let opened = opening.await;
+                    silent.source = LineSource::Opening(Box::pin(ready(opened)));
+                    return;
+                }
+                LineSource::Open(lines) => lines,
+            };
+            if let Ok(next) = tokio::time::timeout(REOPEN_INTERVAL, lines.next()).await {
+                let rest = std::mem::replace(lines, Box::pin(stream::empty()));
+                *lines = Box::pin(stream::iter(next).chain(rest));
+                return;
+            }
+            let (choice, attempt) = (silent.choice.clone(), silent.attempt);
+            // The connection may have been lost without a sign of it.
+            let reopening = self.call_resume(&choice, attempt);
+            if let (Ok(lines), Some(silent)) = (reopening.await, &mut self.silent) {
+                silent.source = LineSource::Open(lines);
+            }
+        }
+    }
+
+    /// Runs one attempt as [`Self::run`] does, and waits for a silent engine for as long as it
+    /// takes: for work that no other engine may get.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure that says whether the engine may have worked on it.
+    pub async fn run_to_end(
+        &mut self,
+        choice: &TargetChoice,
+        attempt: u32,
+    ) -> Result<AnswerSummary, AttemptFailure> {
+        let result = self.run(choice, attempt).await;
+        self.outlast_silence(result).await
+    }
+
+    async fn outlast_silence(
+        &mut self,
+        mut result: Result<AnswerSummary, AttemptFailure>,
+    ) -> Result<AnswerSummary, AttemptFailure> {
+        while result.as_ref().is_err_and(|failure| failure.is_silent) {
+            self.until_going().await;
+            let Some(silent) = self.silent.take() else {
+                break;
+            };
+            result = self.go_on(silent).await;
+        }
+        result
+    }
+
+    async fn await_lines(
+        &mut self,
+        mut opening: PendingLines,
+        (choice, attempt): (&TargetChoice, u32),
+        ran_before: bool,
+    ) -> Result<AnswerSummary, AttemptFailure> {
+        let limit = first_line_timeout(choice);
+        let Ok(opened) = tokio::time::timeout(limit, &mut opening).await else {
+            let silent = StreamBreak::Silent(limit, LineSource::Opening(opening));
+            return self.conclude(choice, attempt, Err(silent));
+        };
+        self.context
+            .dispatcher
+            .report_call(choice, opened.as_ref().err());
+        match opened {
+            Ok(lines) => self.complete(lines, choice, attempt).await,
+            Err(error) => {
+                let failure = AttemptFailure::from(&error);
+                if failure.connection_lost {
+                    self.context.record_connection_loss(self.request, choice);
+                }
+                if !failure.may_have_run && !ran_before {
+                    self.sink.record_not_run();
+                }
+                Err(failure)
+            }
+        }
+    }
+
+    async fn complete(
+        &mut self,
+        lines: LineStream,
+        choice: &TargetChoice,
+        attempt: u32,
+    ) -> Result<AnswerSummary, AttemptFailure> {
         let mut result = self.follow(lines, choice, attempt).await;
         for _ in 0..MAX_RESUMES {
-            let Err(broken) = &result else { break };
-            log::debug!("request {}: {}", self.request.id, broken.reason);
+            if let Err(broken) = &result {
+                log::debug!("request {}: {}", self.request.id, broken.reason());
+            } else {
+                break;
+            }
             let Ok(lines) = self.reopen(choice, attempt).await else {
                 break;
             };
             result = self.follow(lines, choice, attempt).await;
         }
-        self.conclude(choice, result)
+        self.conclude(choice, attempt, result)
     }
 
     // An engine that broke off the stream and could not resume it counts as crashed. One that
     // sent no line in time, or an invalid one, does not.
     fn conclude(
-        &self,
+        &mut self,
         choice: &TargetChoice,
+        attempt: u32,
         result: Result<AnswerSummary, StreamBreak>,
     ) -> Result<AnswerSummary, AttemptFailure> {
-        match result {
+        let broken = match result {
             Ok(summary) => {
                 self.context.record_completion(self.request);
-                Ok(summary)
+                return Ok(summary);
             }
-            Err(StreamBreak {
-                connection_lost,
-                reason,
-            }) => {
-                if connection_lost {
-                    self.context.record_connection_loss(self.request, choice);
-                }
-                Err(AttemptFailure {
-                    may_have_run: true,
-                    proof: None,
-                    connection_lost,
-                    reason,
-                    retry_after: Duration::ZERO,
-                })
+            Err(broken) => broken,
+        };
+        let failure = AttemptFailure::from(&broken);
+        match broken {
+            StreamBreak::Lost(_) => self.context.record_connection_loss(self.request, choice),
+            StreamBreak::Abandoned(_) => {}
+            StreamBreak::Silent(_, source) => {
+                self.silent.get_or_insert_with(|| SilentAttempt {
+                    choice: choice.clone(),
+                    attempt,
+                    source,
+                });
             }
         }
+        Err(failure)
     }
 
-    /// Resumes a stream that an engine already runs, until the answer is complete.
+    /// Resumes a stream that an engine already runs, until the answer is complete. If no other
+    /// engine may take it over, a silent engine is waited for.
     ///
     /// # Errors
     ///
@@ -178,12 +326,17 @@
         &mut self,
         choice: &TargetChoice,
         attempt: u32,
+        may_move: bool,
     ) -> Result<AnswerSummary, AttemptFailure> {
         let lines = self.reopen(choice, attempt).await;
         let lines = lines.map_err(|error| AttemptFailure::from(&error))?;
         self.announce(choice, attempt).await;
         let result = self.follow(lines, choice, attempt).await;
-        self.conclude(choice, result)
+        let result = self.conclude(choice, attempt, result);
+        if may_move {
+            return result;
+        }
+        self.outlast_silence(result).await
     }
 
     /// Returns the measurements of the last attempt; `whole` says whether the answer is
@@ -213,12 +366,7 @@
             .await;
     }
 
-    async fn open(
-        &mut self,
-        choice: &TargetChoice,
-        attempt: u32,
-    ) -> Result<LineStream, AttemptFailure> {
-        let ran_before = self.sink.may_have_run();
+    fn start(&mut self, choice: &TargetChoice, attempt: u32) -> PendingLines {
         self.assembly.begin_attempt(attempt);
         self.meter = GapMeter {
             started: Some(Instant::now()),
@@ -229,23 +377,10 @@
         self.sink.record_dispatch();
         let call = TargetCall {
             address: choice.address.clone(),
-            timeout: first_line_timeout(choice).min(self.request.time_left()),
+            timeout: self.request.time_left(),
             body: self.body(choice, attempt),
         };
-        let opened = (self.context.engines.generate)(call).await;
-        self.context
-            .dispatcher
-            .report_call(choice, opened.as_ref().err());
-        opened.map_err(|error| {
-            let failure = AttemptFailure::from(&error);
-            if failure.connection_lost {
-                self.context.record_connection_loss(self.request, choice);
-            }
-            if !failure.may_have_run && !ran_before {
-                self.sink.record_not_run();
-            }
-            failure
-        })
+        (self.context.engines.generate)(call)
     }
 
     async fn reopen(
@@ -253,6 +388,12 @@
         choice: &TargetChoice,
         attempt: u32,
     ) -> Result<LineStream, TargetError> {
+        let lines = self.call_resume(choice, attempt).await?;
+        self.assembly.begin_attempt(attempt);
+        Ok(lines)
+    }
+
+    fn call_resume(&self, choice: &TargetChoice, attempt: u32) -> PendingLines {
         let call = TargetCall {
             address: choice.address.clone(),
             timeout: SIDE_CALL_TIMEOUT.min(self.request.time_left()),
@@ -262,9 +403,7 @@
                 offset: self.assembly.delivered(),
             },
         };
-        let lines = (self.context.engines.resume)(call).await?;
-        self.assembly.begin_attempt(attempt);
-        Ok(lines)
+        (self.context.engines.resume)(call)
     }
 
     async fn follow(
@@ -276,9 +415,12 @@
         loop {
             let timeout = self.line_timeout(choice);
             let line = match tokio::time::timeout(timeout, lines.next()).await {
-                Err(_) => return Err(StreamBreak::timeout(timeout)),
-                Ok(None) => return Err(StreamBreak::lost("the stream ended before its end line")),
-                Ok(Some(Err(error))) => return Err(StreamBreak::lost(error.to_string())),
+                Err(_) => return Err(StreamBreak::Silent(timeout, LineSource::Open(lines))),
+                Ok(None) => {
+                    let reason = "the stream ended before its end line".to_owned();
+                    return Err(StreamBreak::Lost(reason));
+                }
+                Ok(Some(Err(error))) => return Err(StreamBreak::Lost(error.to_string())),
                 Ok(Some(Ok(line))) => line,
             };
             match self.assembly.accept(&line) {
@@ -290,12 +432,19 @@
                     return Ok(summary);
                 }
                 LineVerdict::Drop(_) => {}
-                LineVerdict::Break(cause) => return Err(StreamBreak::abandoned(cause.to_string())),
+                LineVerdict::Break(cause) => {
+                    return Err(StreamBreak::Abandoned(cause.to_string()));
+                }
             }
         }
     }
 
     async fn deliver(&mut self, attempt: u32, part: AnswerPart) {
+        // The silent engine is not needed any more once another one delivers.
+        if let Some(silent) = self.silent.take_if(|silent| silent.attempt != attempt) {
+            self.context
+                .cancel_stream(&silent.choice.address, &self.request.id);
+        }
         let now = Instant::now();
         let request = self.request;
         if let (Some(last), true) = (self.meter.last, part.tokens > 0) {
@@ -362,6 +511,7 @@
             may_have_run,
             proof: UndeliveredProof::from_error(error),
             connection_lost: matches!(error, TargetError::Lost { .. }),
+            is_silent: false,
             reason: error.to_string(),
             retry_after,
         }
--- a/src/requests/run_once.rs
+++ b/src/requests/run_once.rs
@@ -292,7 +292,7 @@
     let choice: TargetChoice = slot.choice.clone();
     let mut state = AttemptState::new(context, request, sink, progress, 0);
     let ended = tokio::select! {
-        ended = state.run(&choice, 1) => ended,
+        ended = state.run_to_end(&choice, 1) => ended,
         () = until_cancelled(&mut cancelled) => Err(stopped("cancelled after dispatch")),
         () = tokio::time::sleep(request.time_left()) => Err(stopped("the deadline passed after dispatch")),
     };
@@ -327,6 +327,7 @@
         may_have_run: true,
         proof: None,
         connection_lost: false,
+        is_silent: false,
         reason: reason.to_owned(),
         retry_after: Duration::ZERO,
     }
--- a/src/requests/run_resume.rs
+++ b/src/requests/run_resume.rs
@@ -99,8 +99,9 @@
         ..request.clone()
     };
     let mut state = AttemptState::new(context, &original, sink, progress, resumption.offset);
+    let may_move = request.intent.is_none() && resumption.resubmitted;
     match state
-        .resume_stream(&choice_from_token(token), token.attempt)
+        .resume_stream(&choice_from_token(token), token.attempt, may_move)
         .await
     {
         Ok(summary) => Ok(FinalOutcome::Answered {
--- a/src/requests/run_stream.rs
+++ b/src/requests/run_stream.rs
@@ -1,26 +1,34 @@
 //! Runs a repeatable request on model engines: several attempts, one answer.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use tokio::sync::watch;
 
 use crate::decide::placement::{PinnedEngine, PlacementNeed, TargetChoice};
-use crate::decide::scheduler::{JobMeasurement, JobRefusal};
-use crate::names::RequestId;
-use crate::ports::TargetCall;
+use crate::decide::scheduler::{JobMeasurement, JobRefusal, JobSpec};
 use crate::requests::answer_sink::{AnswerSink, FinalOutcome};
-use crate::requests::attempt::{AttemptFailure, AttemptState};
+use crate::requests::attempt::{AttemptFailure, AttemptState, SilentAttempt};
+use crate::requests::dispatch::{JobSlot, JobTicket};
 use crate::requests::request::CallerRequest;
-use crate::requests::traffic::{
-    RequestProgress, SIDE_CALL_TIMEOUT, TrafficContext, until_cancelled,
-};
+use crate::requests::traffic::{RequestProgress, TrafficContext, until_cancelled};
 
 /// Maximum number of engines tried for one request.
 const MAX_ATTEMPTS: u32 = 5;
 
-/// Address of the engine that runs the request, so that it can be cancelled there.
-type EngineAddress = Arc<Mutex<Option<String>>>;
+/// Addresses of the engines that may work on the request, so that it can be cancelled there.
+type EngineSet = Arc<Mutex<IndexSet<String>>>;
+
+/// What a request does next.
+enum Turn {
+    /// An engine takes it.
+    Granted(JobSlot),
+    /// The silent engine goes on.
+    WentOn(SilentAttempt),
+    /// No engine may take it.
+    Refused(JobRefusal),
+}
 
 /// Runs a request to its final outcome.
 pub async fn run(
@@ -44,14 +52,16 @@
     offset: u64,
     pinned: Option<PinnedEngine>,
 ) -> FinalOutcome {
-    let engine = EngineAddress::default();
+    let engines = EngineSet::default();
     let state = AttemptState::new(context, request, sink, progress, offset);
     let ended = tokio::select! {
-        outcome = run_attempts(state, &engine, pinned) => return outcome,
+        outcome = run_attempts(state, &engines, pinned) => outcome,
         () = until_cancelled(&mut cancelled) => FinalOutcome::Cancelled,
         () = tokio::time::sleep(request.time_left()) => FinalOutcome::Expired,
     };
-    cancel_at(context, &engine, &request.id);
+    for address in lock(&engines).drain(..) {
+        context.cancel_stream(&address, &request.id);
+    }
     match ended {
         FinalOutcome::Expired if !sink.may_have_run() => FinalOutcome::NotRun {
             reason: "the deadline passed while the request waited for a target".to_owned(),
@@ -63,7 +73,7 @@
 
 async fn run_attempts(
     mut state: AttemptState<'_>,
-    engine: &EngineAddress,
+    engines: &EngineSet,
     pinned: Option<PinnedEngine>,
 ) -> FinalOutcome {
     let (context, request) = (state.context, state.request);
@@ -73,46 +83,112 @@
     };
     let mut spec = request.job_spec();
     spec.need.pinned = pinned;
-    let mut need = spec.need.clone();
-    let ticket = match context.dispatcher.admit(&request.id, spec) {
+    let ticket = match context.dispatcher.admit(&request.id, spec.clone()) {
         Ok(ticket) => ticket,
         Err(refusal) => return refused(&state, &refusal),
     };
     let token = context.token(request, None, 0);
     state.sink.send_accepted(token, 0, &"".into()).await;
-    let mut waiting = ticket;
+    let mut waiting = Some(ticket);
     let mut attempt = 0;
     loop {
-        let slot = match waiting.wait().await {
-            Ok(slot) => slot,
-            Err(refusal) => return refused(&state, &refusal),
+        let (slot, choice, number, result) = match next_turn(&mut state, waiting.take()).await {
+            Turn::Refused(refusal) => return refused(&state, &refusal),
+            Turn::WentOn(silent) => {
+                let (choice, number) = (silent.choice.clone(), silent.attempt);
+                (None, choice, number, state.go_on(silent).await)
+            }
+            Turn::Granted(slot) => {
+                attempt += 1;
+                // Its work may have been quarantined while it waited.
+                if let Some(refusal) = context.recheck_quarantine(request).filter(|_| !is_trial) {
+                    slot.finish(JobMeasurement::default());
+                    return refused(&state, &refusal);
+                }
+                let choice = slot.choice.clone();
+                lock(engines).insert(choice.address.clone());
+                let result = state.run(&choice, attempt).await;
+                (Some(slot), choice, attempt, result)
+            }
         };
-        attempt += 1;
-        // Its work may have been quarantined while it waited.
-        if let Some(refusal) = context.recheck_quarantine(request).filter(|_| !is_trial) {
-            slot.finish(JobMeasurement::default());
-            return refused(&state, &refusal);
-        }
-        set_engine(engine, Some(slot.choice.address.clone()));
-        let failure = match state.run(&slot.choice, attempt).await {
+        let failure = match result {
             Ok(summary) => {
+                lock(engines).swap_remove(&choice.address);
                 context.report_work(request, state.tokens);
-                slot.finish(state.measure(true));
+                finish(slot, state.measure(true));
                 let reason = String::new();
                 return FinalOutcome::Answered { summary, reason };
             }
             Err(failure) => failure,
         };
-        cancel_at(context, engine, &request.id);
-        if context.is_quarantined(request) || !may_retry(context, &failure, attempt) {
-            slot.finish(JobMeasurement::default());
+        // Work on trial may crash engines, so only one of them gets it.
+        let is_movable = !context.is_quarantined(request)
+            && may_retry(context, &failure, attempt)
+            && !(is_trial && failure.is_silent);
+        let is_kept = state.silent.as_ref().is_some_and(|s| s.attempt == number);
+        if !is_kept {
+            lock(engines).swap_remove(&choice.address);
+            context.cancel_stream(&choice.address, &request.id);
+        }
+        update_need(&mut spec.need, &state, &choice);
+        waiting = if is_movable {
+            wait_again(context, request, slot, &spec)
+        } else {
+            finish(slot, JobMeasurement::default());
+            None
+        };
+        if waiting.is_none() && state.silent.is_none() {
             return abandoned(&state, &failure);
         }
-        update_need(&mut need, &state, &slot.choice);
-        waiting = slot.retry(&request.id, need.clone());
     }
 }
 
+// Returns a ticket for another engine. A request that has none yet is admitted again.
+fn wait_again(
+    context: &TrafficContext,
+    request: &CallerRequest,
+    slot: Option<JobSlot>,
+    spec: &JobSpec,
+) -> Option<JobTicket> {
+    match slot {
+        Some(slot) => Some(slot.retry(&request.id, spec.need.clone())),
+        None => context.dispatcher.admit(&request.id, spec.clone()).ok(),
+    }
+}
+
+fn finish(slot: Option<JobSlot>, measurement: JobMeasurement) {
+    if let Some(slot) = slot {
+        slot.finish(measurement);
+    }
+}
+
+// Waits for another engine, and for the silent one, whichever comes first. While the silent
+// engine may go on, a refusal ends nothing.
+async fn next_turn(state: &mut AttemptState<'_>, waiting: Option<JobTicket>) -> Turn {
+    if let Some(ticket) = waiting {
+        tokio::select! {
+            granted = ticket.wait() => match granted {
+                Ok(slot) => return Turn::Granted(slot),
+                Err(refusal) if state.silent.is_none() => return Turn::Refused(refusal),
+                Err(_) => {}
+            },
+            () = until_going(state) => {}
+        }
+    }
+    until_going(state).await;
+    match state.silent.take() {
+        Some(silent) => Turn::WentOn(silent),
+        None => std::future::pending().await,
+    }
+}
+
+async fn until_going(state: &mut AttemptState<'_>) {
+    if state.silent.is_none() {
+        std::future::pending::<()>().await;
+    }
+    state.until_going().await;
+}
+
 /// Continuations are always allowed: they are as rare as engine failures, and the caller
 /// has already received a part. Retries of refused work count against the budget.
 fn may_retry(context: &TrafficContext, failure: &AttemptFailure, attempt: u32) -> bool {
@@ -162,21 +238,6 @@
     }
 }
 
-fn set_engine(engine: &EngineAddress, address: Option<String>) {
-    *engine.lock().unwrap_or_else(PoisonError::into_inner) = address;
-}
-
-/// Cancels the request at its engine in the background; a lost cancel wastes work, but
-/// breaks nothing.
-fn cancel_at(context: &TrafficContext, engine: &EngineAddress, request_id: &RequestId) {
-    let address = engine.lock().unwrap_or_else(PoisonError::into_inner).take();
-    let Some(address) = address else {
-        return;
-    };
-    let call = TargetCall {
-        address,
-        timeout: SIDE_CALL_TIMEOUT,
-        body: request_id.clone(),
-    };
-    tokio::spawn((context.engines.cancel)(call));
+fn lock(engines: &EngineSet) -> MutexGuard<'_, IndexSet<String>> {
+    engines.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/requests/traffic.rs
+++ b/src/requests/traffic.rs
@@ -15,7 +15,7 @@
 use crate::intents::store::IntentStore;
 use crate::names::{DaemonId, RequestId, TargetId};
 use crate::peers::link::PeerHandle;
-use crate::ports::{EnginePort, ServicePort};
+use crate::ports::{EnginePort, ServicePort, TargetCall};
 use crate::requests::answer_sink::{AnswerSink, FinalOutcome};
 use crate::requests::dispatch::JobDispatcher;
 use crate::requests::journal::DecisionJournal;
@@ -157,6 +157,17 @@
         })
     }
 
+    /// Cancels a stream at an engine in the background; a lost cancel wastes work, but breaks
+    /// nothing.
+    pub fn cancel_stream(&self, address: &str, request_id: &RequestId) {
+        let call = TargetCall {
+            address: address.to_owned(),
+            timeout: SIDE_CALL_TIMEOUT,
+            body: request_id.clone(),
+        };
+        tokio::spawn((self.engines.cancel)(call));
+    }
+
     /// Takes one retry from the budget, if one is left.
     #[must_use]
     pub fn spend_retry(&self) -> bool {
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -8,11 +8,13 @@
 use pistachiowick::pb::requests_client::RequestsClient;
 use pistachiowick::pb::{AnswerEvent, Final, Outcome, ResumeRequest, SubmitRequest};
 use pistachiowick_lab::answers::{expected_answer, service_answer};
+use pistachiowick_lab::engine::RunningEngine;
 use pistachiowick_lab::engine_http::FATAL_PROMPT;
 use pistachiowick_lab::fleet::with_key;
 use pistachiowick_lab::prove_fleet::ProveFleet;
 use pistachiowick_lab::prove_setup::ProveOptions;
 use pistachiowick_lab::quickstart::{MODEL, workspace_key};
+use rstest::rstest;
 use tokio::time::sleep;
 use tonic::transport::Channel;
 use tonic::{Status, Streaming};
@@ -377,3 +379,66 @@
     until_answered(&fleet, 0, sound).await;
     fleet.end().await;
 }
+
+/// Longer than an engine may be silent before its stream is to be continued elsewhere.
+const ENGINE_SILENCE: Duration = Duration::from_secs(18);
+/// Time in which engines receive what was submitted.
+const ARRIVAL_TIME: Duration = Duration::from_millis(500);
+
+struct SilenceCase {
+    // Bytes of the answer that have arrived when the engines fall silent.
+    received: usize,
+    streams: usize,
+    // Whether all engines take no more streams.
+    are_leaving: bool,
+}
+
+// Guards against answers that end as unknown, and work that is quarantined, although all engines
+// go on after a silence that is shorter than the deadline.
+#[rstest]
+#[case::in_the_answer(SilenceCase { received: 40, streams: 4, are_leaving: false })]
+#[case::before_the_answer(SilenceCase { received: 0, streams: 4, are_leaving: false })]
+#[case::in_the_answer_of_leaving_engines(SilenceCase { received: 40, streams: 4, are_leaving: true })]
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_wait_for_engines_that_are_silent_for_a_time(#[case] case: SilenceCase) {
+    let fleet = started().await;
+    let silence = || {
+        for engine in fleet.lab.engines.values() {
+            engine.freeze(ENGINE_SILENCE.as_millis() as u64);
+        }
+    };
+    if case.received == 0 {
+        silence();
+    }
+    let mut streams = Vec::new();
+    for number in 0..case.streams {
+        let review = stream("review", &format!("silent {number}"), LONG_ANSWER_TOKENS);
+        let mut received = ReceivedAnswer::default();
+        let mut events = open(&fleet, number % 2, review.clone())
+            .await
+            .expect("taken");
+        let early = received.read(&mut events, case.received).await;
+        assert!(early.expect("not cut off").is_none());
+        streams.push((review, received, events));
+    }
+    if case.received > 0 {
+        silence();
+    }
+    sleep(ARRIVAL_TIME).await;
+    if case.are_leaving {
+        fleet.lab.engines.values().for_each(RunningEngine::leave);
+    }
+    let mut reviews = Vec::new();
+    for (review, mut received, mut events) in streams {
+        let last = received.read_all(&mut events).await.expect("not cut off");
+        assert_eq!(last.outcome(), Outcome::Answered, "{}", last.reason);
+        assert_eq!(received.data, stream_answer(&review));
+        reviews.push(review);
+    }
+    fleet.lab.engines.values().for_each(RunningEngine::stay);
+    // Their work is not taken for one that crashes engines.
+    for review in reviews {
+        until_answered(&fleet, 0, |_| review.clone()).await;
+    }
+    fleet.end().await;
+}
