A daemon that stands still with a handed-over request is waited for

What callers saw: 502 for an idempotent request at a daemon without targets, as the daemon that served it stood still for 1.5 s, although nobody else could get the request or no retry was left.

Change: it is given up only with a retry taken and another daemon to ask; otherwise its answer is waited for.

Evidence: a_daemon_that_stands_still_with_a_request_is_waited_for, both cases failed before and pass now with one send; partitions, 27 of 27.

--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -5,6 +5,7 @@
 //! other daemon is told how many targets received it, and never hands it on. Daemons talk
 //! over a port of their own, so a caller cannot claim that its request was handed over.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -209,9 +210,11 @@
                 break;
             };
             let sent = Instant::now();
-            let outcome = self.send_to_peer(call, &peer, &history, resume_after).await;
-            self.log_handover(call, &peer, &outcome, sent);
             tried.push(peer.id.clone());
+            let outcome = self
+                .send_to_peer(call, (&peer, &tried), &history, resume_after)
+                .await;
+            self.log_handover(call, &peer, &outcome, sent);
             match outcome {
                 // After a send that may have run, a refusal must not become the answer.
                 HandoverOutcome::Answered(reply)
@@ -233,7 +236,8 @@
                     history.sent.push(peer_key(&peer));
                     failure = lost_answer(call, reason);
                     let may_retry = call.route.retry.may_retry() && history.may_send(call);
-                    if !may_retry || !self.take_retry(call, RetryCause::Unclear) {
+                    let is_covered = call.sends.covers_next();
+                    if !may_retry || !(is_covered || self.take_retry(call, RetryCause::Unclear)) {
                         break;
                     }
                 }
@@ -303,18 +307,22 @@
     async fn send_to_peer(
         self: &Rc<Self>,
         call: &RoutedRequest,
-        peer: &DaemonRecord,
+        (peer, tried): (&DaemonRecord, &[DaemonId]),
         history: &SendHistory,
         resume_after: Option<u64>,
     ) -> HandoverOutcome {
         let Some(request) = self.handover_request(call, history, resume_after) else {
             return HandoverOutcome::NotServed("the daemon's name cannot be sent".to_owned());
         };
-        let sending = self.send_over_peer_connection(call, peer, &request);
+        let mut sending = pin!(self.send_over_peer_connection(call, peer, &request));
         let sent = tokio::select! {
-            sent = sending => sent,
+            sent = &mut sending => sent,
             () = self.until_unreachable(peer), if call.route.retry.may_retry() => {
-                return HandoverOutcome::Unclear(format!("{} is no longer reachable", peer.id));
+                if self.may_ask_another(call, history, tried) {
+                    return HandoverOutcome::Unclear(format!("{} is no longer reachable", peer.id));
+                }
+                // It may only stand still, and nobody else may get the request.
+                sending.await
             }
         };
         match sent {
@@ -328,6 +336,18 @@
         }
     }
 
+    // Takes a retry for another daemon beside one that has the request, if there is one.
+    fn may_ask_another(
+        &self,
+        call: &RoutedRequest,
+        history: &SendHistory,
+        tried: &[DaemonId],
+    ) -> bool {
+        history.may_send_after_next(call)
+            && self.choose_peer(call, tried).is_some()
+            && self.take_retry(call, RetryCause::Unclear)
+    }
+
     fn handover_request(
         &self,
         call: &RoutedRequest,
