--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -59,4 +59,3 @@
 pub mod store_contact;
 pub mod store_follow;
 pub mod stream;
-mod stream_run;
