An answer whose head has arrived is no silence

What callers saw: nothing yet; an idempotent request whose answer's body takes longer than three latency objectives was sent to a second target as well, which takes a retry of the fleet's budget and work of a target.

Change: no other target is tried once an answer has begun.

--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -20,7 +20,9 @@
 use crate::gateway::deciding::health::SendResult;
 use crate::gateway::forward::{MAX_ANSWER_BYTES, NOT_READY_WAIT};
 use crate::gateway::model::TargetRecord;
-use crate::gateway::plain_attempt::{AttemptEnd, PlainAttempt, PlainOutcome, poll_attempts};
+use crate::gateway::plain_attempt::{
+    AttemptEnd, AttemptProgress, PlainAttempt, PlainOutcome, poll_attempts,
+};
 use crate::gateway::port::{SendMode, SendOrder};
 use crate::gateway::rate_limits::late_turns;
 use crate::gateway::reply::{Failure, Reply, whole_reply};
@@ -80,6 +82,7 @@
         self: &Rc<Self>,
         target: &TargetRecord,
         call: &RoutedRequest,
+        progress: &AttemptProgress,
     ) -> PlainOutcome {
         let sent = Instant::now();
         let order = plain_order(target, call);
@@ -88,6 +91,9 @@
         let outcome = self
             .send(target, call.plan(call.deadline, call.turn_terms()), &order)
             .await;
+        if matches!(outcome, SendOutcome::Answered(_)) {
+            progress.note_head();
+        }
         let outcome = self.finish_plain(target, call, (outcome, running)).await;
         call.log_send(target, "run", outcome.as_str(), sent);
         outcome
@@ -266,6 +272,10 @@
     fn choose_beside(&mut self, history: &SendHistory) -> Option<Arc<TargetRecord>> {
         let (now, limit) = (Instant::now(), self.silence_limit());
         self.next_try = now + limit;
+        // An answer that has begun is no silence.
+        if self.attempts.iter().any(PlainAttempt::has_head) {
+            return None;
+        }
         let sends = self.attempts.iter().map(PlainAttempt::sent);
         // One that has no permit yet is not silent.
         let times: Option<Vec<Instant>> = sends.map(|sent| sent.map(|(_, at)| *at)).collect();
--- a/src/gateway/plain_attempt.rs
+++ b/src/gateway/plain_attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt of a request to a plain service: its permit, its send and its whole answer.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -21,10 +21,24 @@
 /// The target that an attempt was sent to, and when.
 pub type PlainSend = (Arc<TargetRecord>, Instant);
 
+/// How far an attempt has come.
+#[derive(Debug, Default)]
+pub struct AttemptProgress {
+    sent: OnceCell<PlainSend>,
+    has_head: Cell<bool>,
+}
+
+impl AttemptProgress {
+    /// Records that the head of the answer has arrived.
+    pub fn note_head(&self) {
+        self.has_head.set(true);
+    }
+}
+
 /// An attempt in progress. Dropping it cancels it.
 pub struct PlainAttempt<'a> {
     running: Pin<Box<dyn Future<Output = AttemptEnd> + 'a>>,
-    sent: Rc<OnceCell<PlainSend>>,
+    progress: Rc<AttemptProgress>,
 }
 
 /// How an attempt ended.
@@ -100,16 +114,22 @@
         history: SendHistory,
         target: Arc<TargetRecord>,
     ) -> Self {
-        let sent = Rc::new(OnceCell::new());
-        let running = Box::pin(run(gateway, call, history, target, sent.clone()));
-        Self { running, sent }
+        let progress = Rc::new(AttemptProgress::default());
+        let running = Box::pin(run(gateway, call, history, target, progress.clone()));
+        Self { running, progress }
     }
 
     /// Returns the target that the request was sent to, and when; `None` while it waits for a
     /// permit.
     #[must_use]
     pub fn sent(&self) -> Option<&PlainSend> {
-        self.sent.get()
+        self.progress.sent.get()
+    }
+
+    /// Returns whether the head of the answer has arrived.
+    #[must_use]
+    pub fn has_head(&self) -> bool {
+        self.progress.has_head.get()
     }
 }
 
@@ -131,7 +151,7 @@
     call: &RoutedRequest,
     history: SendHistory,
     target: Arc<TargetRecord>,
-    sent: Rc<OnceCell<PlainSend>>,
+    progress: Rc<AttemptProgress>,
 ) -> AttemptEnd {
     let permit = match gateway.plain_permit(call, &history).await {
         Ok(permit) => permit,
@@ -146,8 +166,8 @@
         PlainPermit::Granted(ticket, granted) => (granted, Some(ticket)),
     };
     let began = Instant::now();
-    sent.get_or_init(|| (target.clone(), began));
-    let outcome = gateway.send_plain(&target, call).await;
+    progress.sent.get_or_init(|| (target.clone(), began));
+    let outcome = gateway.send_plain(&target, call, &progress).await;
     if matches!(outcome, PlainOutcome::Refused(_)) {
         gateway.note_plain_full(call, &target.id);
     }
