A daemon without connections left does not take a target for silent

Cause: a send that finds the daemon's own share of the connections used up was told as one that could not reach the target. Two of them, and the target counts as silent, is avoided, and others are told so. What a daemon knows of itself was taken for the state of the target, as with silence.

Change: such a send is withdrawn, which says nothing about the target.

Evidence: connection_shares, both cases (plain, streams) failed before and pass now; nine test files around sends passed.

--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -289,7 +289,8 @@
         if self.pool.borrow().open_count(&connection.record.id)
             > self.connection_share(&connection.record)
         {
-            return Err(SendError::NotSent(format!(
+            // That says nothing about the target.
+            return Err(SendError::Withdrawn(format!(
                 "this daemon already has its share of the connections to {address}"
             )));
         }
